build: meson skeleton, common and rpc modules, interface headers

Cause: empty repository; every subsystem needs errors, clock, logs, counters and framed calls first, and parallel work needs the headers as contracts. Change: Meson build with hardening flags, make targets, formatter and linter configuration, common/ and rpc/ with tests, headers of settings/, platform/, members/ and sched/, the design page. Ruled out: bugprone-sizeof-expression of clang-tidy, which reports GLib's own g_clear_pointer macro. Conclusion: the contracts stand; implementations follow folder by folder.

--- /dev/null
+++ b/common/log.c
@@ -0,0 +1,234 @@
+#include "common/log.h"
+
+#include <stdarg.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+
+#define MAX_FIELDS 24
+
+struct event_rate
+{
+  int64_t second;
+  uint32_t written;
+  uint32_t dropped;
+};
+
+/* The log writer of GLib is one for the whole process, so its state is too. */
+struct log_state
+{
+  char *process;
+  char *instance;
+  GLogLevelFlags level;
+  uint64_t hlc;
+  GHashTable *rates;
+};
+
+static struct log_state state = { .level = G_LOG_LEVEL_INFO };
+
+uint64_t
+gr_hlc_now (void)
+{
+  uint64_t wall = (uint64_t)(g_get_real_time () / 1000) << 16;
+
+  state.hlc = MAX (state.hlc + 1, wall);
+  return state.hlc;
+}
+
+void
+gr_hlc_observe (uint64_t remote)
+{
+  state.hlc = MAX (state.hlc, remote);
+}
+
+static void
+append_json_string (GString *line, const char *text)
+{
+  char *valid = g_utf8_make_valid (text, -1);
+
+  g_string_append_c (line, '"');
+  for (const char *c = valid; *c != '\0'; c++)
+    {
+      if (*c == '"' || *c == '\\')
+        g_string_append_printf (line, "\\%c", *c);
+      else if ((unsigned char)*c < 0x20)
+        g_string_append_printf (line, "\\u%04x", (unsigned)*c);
+      else
+        g_string_append_c (line, *c);
+    }
+  g_string_append_c (line, '"');
+  g_free (valid);
+}
+
+static void
+append_field (GString *line, const char *name, const char *value)
+{
+  g_string_append_c (line, ',');
+  append_json_string (line, name);
+  g_string_append_c (line, ':');
+  append_json_string (line, value);
+}
+
+static const char *
+level_name (GLogLevelFlags level)
+{
+  if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL))
+    return "error";
+  if (level & G_LOG_LEVEL_WARNING)
+    return "warning";
+  if (level & G_LOG_LEVEL_DEBUG)
+    return "debug";
+  return "info";
+}
+
+/* The name of a field as it stands in the line, or NULL for fields of GLib
+ * that are not printed. */
+static const char *
+field_name (const GLogField *field)
+{
+  if (strcmp (field->key, "MESSAGE") == 0)
+    return "message";
+  if (strncmp (field->key, "GR_", 3) == 0)
+    return field->key + 3;
+  return NULL;
+}
+
+static GLogWriterOutput
+write_line (GLogLevelFlags level,
+            const GLogField *fields,
+            gsize n_fields,
+            gpointer data)
+{
+  uint64_t hlc = gr_hlc_now ();
+  g_autoptr (GDateTime) now = NULL;
+  g_autofree char *time = NULL;
+  GString *line;
+
+  (void)data;
+  if ((level & G_LOG_LEVEL_MASK) > state.level)
+    return G_LOG_WRITER_HANDLED;
+  now = g_date_time_new_now_utc ();
+  time = g_date_time_format_iso8601 (now);
+  line = g_string_new (NULL);
+  g_string_append_printf (line, "{\"time\":\"%s\",\"hlc\":%" G_GUINT64_FORMAT,
+                          time, hlc);
+  append_field (line, "level", level_name (level));
+  append_field (line, "process", state.process ? state.process : "-");
+  append_field (line, "instance", state.instance ? state.instance : "-");
+  for (gsize i = 0; i < n_fields; i++)
+    {
+      const char *name = field_name (&fields[i]);
+
+      if (name != NULL && fields[i].length < 0)
+        append_field (line, name, fields[i].value);
+    }
+  g_string_append (line, "}\n");
+  fputs (line->str, stderr);
+  g_string_free (line, TRUE);
+  return G_LOG_WRITER_HANDLED;
+}
+
+void
+gr_log_init (const char *process, const char *instance)
+{
+  bool first = state.rates == NULL;
+
+  g_free (state.process);
+  g_free (state.instance);
+  state.process = g_strdup (process);
+  state.instance = g_strdup (instance);
+  if (!first)
+    return;
+  state.rates = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_log_set_writer_func (write_line, NULL, NULL);
+}
+
+void
+gr_log_set_level (GLogLevelFlags level)
+{
+  state.level = level;
+}
+
+/* Returns false if the line must be dropped; otherwise *dropped is the number
+ * of lines dropped since the last one that was written. */
+static bool
+take_rate (const char *event, uint32_t *dropped)
+{
+  int64_t second = g_get_monotonic_time () / G_USEC_PER_SEC;
+  struct event_rate *rate;
+
+  *dropped = 0;
+  if (state.rates == NULL)
+    return true;
+  rate = g_hash_table_lookup (state.rates, event);
+  if (rate == NULL)
+    {
+      rate = g_new0 (struct event_rate, 1);
+      g_hash_table_insert (state.rates, g_strdup (event), rate);
+    }
+  if (rate->second != second)
+    {
+      rate->second = second;
+      rate->written = 0;
+    }
+  if (rate->written >= GR_LOG_MAX_PER_EVENT_PER_S)
+    {
+      rate->dropped++;
+      return false;
+    }
+  rate->written++;
+  *dropped = rate->dropped;
+  rate->dropped = 0;
+  return true;
+}
+
+static void
+log_fields (GLogLevelFlags level, const char *event, va_list args)
+{
+  GLogField fields[MAX_FIELDS];
+  char keys[MAX_FIELDS][48];
+  char dropped_text[16];
+  gsize n = 0;
+  uint32_t dropped;
+  const char *name;
+
+  if ((level & G_LOG_LEVEL_MASK) > state.level || !take_rate (event, &dropped))
+    return;
+  fields[n++] = (GLogField){ "GR_event", event, -1 };
+  if (dropped > 0)
+    {
+      g_snprintf (dropped_text, sizeof dropped_text, "%u", dropped);
+      fields[n++] = (GLogField){ "GR_dropped", dropped_text, -1 };
+    }
+  while ((name = va_arg (args, const char *)) != NULL && n < MAX_FIELDS)
+    {
+      const char *value = va_arg (args, const char *);
+
+      if (value == NULL)
+        continue;
+      g_snprintf (keys[n], sizeof keys[n], "GR_%s", name);
+      fields[n] = (GLogField){ keys[n], value, -1 };
+      n++;
+    }
+  g_log_structured_array (level, fields, n);
+}
+
+void
+gr_log_event (const char *event, ...)
+{
+  va_list args;
+
+  va_start (args, event);
+  log_fields (G_LOG_LEVEL_INFO, event, args);
+  va_end (args);
+}
+
+void
+gr_log_problem (const char *event, ...)
+{
+  va_list args;
+
+  va_start (args, event);
+  log_fields (G_LOG_LEVEL_WARNING, event, args);
+  va_end (args);
+}
--- /dev/null
+++ b/settings/account.h
@@ -0,0 +1,48 @@
+/* Typed view of a team's document: one client account. Plain data. */
+#pragma once
+
+#include "common/report.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define GR_MAX_GUARANTEES 16
+#define GR_SHA256_HEX_BYTES 65
+
+enum gr_priority
+{
+  GR_PRIORITY_URGENT, /* a customer is waiting */
+  GR_PRIORITY_NORMAL,
+  GR_PRIORITY_BATCH, /* overnight work */
+};
+
+struct gr_shape
+{
+  uint32_t workers;
+  uint32_t accelerators_per_worker;
+};
+
+struct gr_guarantee
+{
+  char name[GR_NAME_MAX];
+  struct gr_shape shape;
+  char data_centre[GR_NAME_MAX];
+  uint32_t count;
+};
+
+struct gr_account_settings
+{
+  char name[GR_NAME_MAX];
+  enum gr_priority priority;   /* default for its work */
+  double rate_per_s;           /* requests over all instances; 0: none */
+  uint32_t quota_accelerators; /* running at one time; 0: no limit */
+  char token_sha256[GR_SHA256_HEX_BYTES]; /* "": no token is valid */
+  uint32_t n_guarantees;
+  struct gr_guarantee guarantees[GR_MAX_GUARANTEES];
+};
+
+/* "urgent", "normal" or "batch". */
+const char *gr_priority_name (enum gr_priority priority);
+
+/* False if there is no such priority. */
+bool gr_priority_from_name (const char *name, enum gr_priority *priority);
--- /dev/null
+++ b/tests/test-common.c
@@ -0,0 +1,104 @@
+/* Errors, clock, hashing and counters. */
+#include "common/clock.h"
+#include "common/counter.h"
+#include "common/error.h"
+#include "common/hash.h"
+#include "common/log.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Guards against a kind without a row: it would be answered with status 0. */
+START_TEST (every_error_kind_has_an_answer)
+{
+  for (int kind = 0; kind < GR_ERROR_N_KINDS; kind++)
+    {
+      const struct gr_error_answer *answer =
+          gr_error_answer ((enum gr_error_kind)kind);
+
+      ck_assert_ptr_nonnull (answer->name);
+      ck_assert_int_ge (answer->http_status, 200);
+      ck_assert_int_eq (gr_error_kind_from_name (answer->name), kind);
+    }
+}
+END_TEST
+
+/* Guards against keys that move between members without a membership change. */
+START_TEST (rendezvous_moves_only_keys_of_the_lost_member)
+{
+  const char *all[] = { "a", "b", "c", "d" };
+  const char *fewer[] = { "a", "b", "c" };
+  char key[16];
+
+  for (int i = 0; i < 1000; i++)
+    {
+      int before;
+
+      g_snprintf (key, sizeof key, "key-%d", i);
+      before = gr_hash_choose (key, all, 4);
+      if (before < 3)
+        ck_assert_int_eq (gr_hash_choose (key, fewer, 3), before);
+    }
+}
+END_TEST
+
+/* Guards against logical time that goes back after a remote time was seen. */
+START_TEST (logical_time_passes_observed_time)
+{
+  uint64_t remote = gr_hlc_now () + ((uint64_t)5000 << 16);
+
+  gr_hlc_observe (remote);
+  ck_assert_uint_gt (gr_hlc_now (), remote);
+}
+END_TEST
+
+/* Guards against histogram buckets that are not cumulative when printed. */
+START_TEST (histogram_prints_cumulative_buckets)
+{
+  struct gr_counters *counters = gr_counters_create ();
+  struct gr_histogram *wait = gr_counters_histogram (counters, "wait_ms", "");
+  GString *text = g_string_new (NULL);
+
+  gr_histogram_observe (wait, 3);
+  gr_histogram_observe (wait, 3000);
+  gr_counter_add (gr_counters_get (counters, "calls_total", "cause=\"x\""), 2);
+  gr_counters_print (counters, text);
+  ck_assert_ptr_nonnull (
+      strstr (text->str, "geraniumrack_wait_ms_bucket{le=\"3900\"} 2"));
+  ck_assert_ptr_nonnull (
+      strstr (text->str, "geraniumrack_calls_total{cause=\"x\"} 2"));
+  g_string_free (text, TRUE);
+  gr_counters_destroy (counters);
+}
+END_TEST
+
+START_TEST (manual_clock_moves_only_when_told)
+{
+  struct gr_clock *clock = gr_clock_create_manual (100);
+
+  gr_clock_advance (clock, 50);
+  ck_assert_int_eq (gr_clock_now_ms (clock), 150);
+  gr_clock_destroy (clock);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("common");
+  TCase *tcase = tcase_create ("common");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_test (tcase, every_error_kind_has_an_answer);
+  tcase_add_test (tcase, rendezvous_moves_only_keys_of_the_lost_member);
+  tcase_add_test (tcase, logical_time_passes_observed_time);
+  tcase_add_test (tcase, histogram_prints_cumulative_buckets);
+  tcase_add_test (tcase, manual_clock_moves_only_when_told);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/test-rpc.c
@@ -0,0 +1,189 @@
+/* Frames, and calls between a client and a server in one process. */
+#include "rpc/rpc.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct fixture
+{
+  GMainLoop *loop;
+  struct gr_rpc_call *held;
+  int answers;
+  enum gr_error_kind last_kind;
+  int64_t values[2];
+};
+
+static void
+handle (struct gr_rpc_call *call,
+        const char *method,
+        const msgpack_object *body,
+        void *context)
+{
+  struct fixture *fixture = context;
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_packer *answer;
+
+  if (strcmp (method, "hold") == 0)
+    {
+      fixture->held = call;
+      return;
+    }
+  if (strcmp (method, "fail") == 0)
+    {
+      gr_error_set_retry (&error, GR_ERROR_RATE_LIMITED, 70, "slow down");
+      gr_rpc_fail (call, &error);
+      return;
+    }
+  answer = gr_packer_create ();
+  gr_pack_int (answer, "value", gr_unpack_int (body, "value", -1));
+  gr_rpc_answer (call, answer);
+  if (fixture->held != NULL)
+    {
+      gr_rpc_answer (fixture->held, NULL);
+      fixture->held = NULL;
+    }
+  gr_packer_destroy (answer);
+}
+
+static void
+note_answer (const msgpack_object *body,
+             const struct gr_error *error,
+             void *context)
+{
+  struct fixture *fixture = context;
+
+  fixture->last_kind = error ? error->kind : GR_ERROR_NONE;
+  if (fixture->answers < 2 && body != NULL)
+    fixture->values[fixture->answers] = gr_unpack_int (body, "value", 0);
+  fixture->answers++;
+  g_main_loop_quit (fixture->loop);
+}
+
+/* Guards against answers given to the wrong call when they cross. */
+START_TEST (crossed_answers_reach_their_own_calls)
+{
+  struct fixture fixture = { .loop = g_main_loop_new (NULL, FALSE) };
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_rpc_server *server =
+      gr_rpc_server_create ("127.0.0.1:0", handle, &fixture, &error);
+  struct gr_rpc_client *client =
+      gr_rpc_client_create (gr_rpc_server_address (server));
+  struct gr_packer *body = gr_packer_create ();
+
+  gr_pack_int (body, "value", 42);
+  gr_rpc_call (client, "hold", NULL, 5000, note_answer, &fixture);
+  gr_rpc_call (client, "echo", body, 5000, note_answer, &fixture);
+  while (fixture.answers < 2)
+    g_main_loop_run (fixture.loop);
+  ck_assert_int_eq (fixture.values[0], 42);
+  ck_assert_int_eq (fixture.values[1], 0);
+  gr_rpc_call (client, "fail", NULL, 5000, note_answer, &fixture);
+  g_main_loop_run (fixture.loop);
+  ck_assert_int_eq (fixture.last_kind, GR_ERROR_RATE_LIMITED);
+  gr_packer_destroy (body);
+  gr_rpc_client_destroy (client);
+  gr_rpc_server_destroy (server);
+  g_main_loop_unref (fixture.loop);
+}
+END_TEST
+
+/* Guards against calls that never end when the peer is silent or gone. */
+START_TEST (silent_and_absent_peers_end_calls)
+{
+  struct fixture fixture = { .loop = g_main_loop_new (NULL, FALSE) };
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_rpc_server *server =
+      gr_rpc_server_create ("127.0.0.1:0", handle, &fixture, &error);
+  struct gr_rpc_client *client =
+      gr_rpc_client_create (gr_rpc_server_address (server));
+
+  gr_rpc_call (client, "hold", NULL, 50, note_answer, &fixture);
+  g_main_loop_run (fixture.loop);
+  ck_assert_int_eq (fixture.last_kind, GR_ERROR_TIMEOUT);
+  gr_rpc_answer (fixture.held, NULL);
+  gr_rpc_server_destroy (server);
+  gr_rpc_call (client, "echo", NULL, 5000, note_answer, &fixture);
+  g_main_loop_run (fixture.loop);
+  ck_assert_int_ne (fixture.last_kind, GR_ERROR_NONE);
+  gr_rpc_call (client, "echo", NULL, 5000, note_answer, &fixture);
+  gr_rpc_client_destroy (client);
+  ck_assert_int_eq (fixture.last_kind, GR_ERROR_CANCELLED);
+  g_main_loop_unref (fixture.loop);
+}
+END_TEST
+
+/* Guards against a reader that trusts lengths and types from the network. */
+START_TEST (malformed_frames_are_refused)
+{
+  static const char *const streams[] = {
+    "\xff\xff\xff\xff",             /* length above the limit */
+    "\x00\x00\x00\x01\xc1",         /* not msgpack */
+    "\x00\x00\x00\x01\x05",         /* not an array */
+    "\x00\x00\x00\x03\x92\x00\x01", /* too few fields */
+  };
+  static const size_t sizes[] = { 4, 5, 5, 7 };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (streams); i++)
+    {
+      struct gr_frame_reader *reader = gr_frame_reader_create ();
+      struct gr_error error = GR_ERROR_INIT;
+      struct gr_frame frame;
+
+      gr_frame_reader_feed (reader, streams[i], sizes[i]);
+      ck_assert (!gr_frame_reader_next (reader, &frame, &error));
+      ck_assert_int_eq (error.kind, GR_ERROR_PROTOCOL);
+      gr_frame_reader_destroy (reader);
+    }
+}
+END_TEST
+
+/* Guards against frames lost when bytes arrive one at a time. */
+START_TEST (frames_survive_any_split)
+{
+  struct gr_frame_reader *reader = gr_frame_reader_create ();
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_frame frame;
+  struct gr_packer *body = gr_packer_create ();
+  GBytes *bytes;
+  gsize size;
+  const char *data;
+  int frames = 0;
+
+  gr_pack_string (body, "text", "proof");
+  bytes = gr_frame_build (GR_FRAME_CALL, 7, "echo", body);
+  data = g_bytes_get_data (bytes, &size);
+  for (int round = 0; round < 3; round++)
+    for (gsize i = 0; i < size; i++)
+      {
+        gr_frame_reader_feed (reader, data + i, 1);
+        if (gr_frame_reader_next (reader, &frame, &error))
+          frames++;
+        ck_assert_int_eq (error.kind, GR_ERROR_NONE);
+      }
+  ck_assert_int_eq (frames, 3);
+  ck_assert_uint_eq (frame.id, 7);
+  g_bytes_unref (bytes);
+  gr_packer_destroy (body);
+  gr_frame_reader_destroy (reader);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("rpc");
+  TCase *tcase = tcase_create ("rpc");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_test (tcase, crossed_answers_reach_their_own_calls);
+  tcase_add_test (tcase, silent_and_absent_peers_end_calls);
+  tcase_add_test (tcase, malformed_frames_are_refused);
+  tcase_add_test (tcase, frames_survive_any_split);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tools/sanitize.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# All tests under the address and undefined behaviour sanitizers.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ -e build-asan/build.ninja ] ||
+  meson setup build-asan -Db_sanitize=address,undefined -Db_lundef=false \
+    >/dev/null
+ninja -C build-asan --quiet
+ASAN_OPTIONS=detect_leaks=1 meson test -C build-asan --no-rebuild \
+  --print-errorlogs --timeout-multiplier 4
