--- a/rpc/job-codec.c
+++ b/rpc/job-codec.c
@@ -98,6 +98,7 @@
   gr_pack_int (packer, "started_unix_ms", record->started_unix_ms);
   gr_pack_int (packer, "ended_unix_ms", record->ended_unix_ms);
   gr_pack_int (packer, "saved_ms", record->saved_ms);
+  gr_pack_int (packer, "failures", record->failures);
   gr_pack_string (packer, "reason", record->reason);
   gr_pack_array_begin (packer, "placements");
   for (uint32_t i = 0; i < record->n_placements; i++)
@@ -170,5 +171,6 @@
   record->started_unix_ms = gr_unpack_int (map, "started_unix_ms", 0);
   record->ended_unix_ms = gr_unpack_int (map, "ended_unix_ms", 0);
   record->saved_ms = gr_unpack_int (map, "saved_ms", 0);
+  record->failures = read_u32 (map, "failures");
   return true;
 }
--- /dev/null
+++ b/sched/fit.c
@@ -0,0 +1,149 @@
+#include "sched/cells.h"
+
+#include "sched/learn.h"
+
+#include <string.h>
+
+/* A long job gives way to a short one of its priority only after this time,
+ * so that two jobs do not stop each other in turn. */
+#define MIN_QUANTUM_MS 600000
+#define MIN_WAIT_MS 30000
+
+/* Accelerators that a task of the job takes on a worker of the type. */
+static uint32_t
+job_need (const struct gr_worker_type *type, const struct gr_job_spec *spec)
+{
+  uint64_t need = spec->shape.accelerators_per_worker;
+
+  if (type->accelerators == 0)
+    return 0;
+  if (spec->cores_per_task > 0)
+    {
+      if (type->cores == 0)
+        return 0;
+      need = MAX (need, ((uint64_t)spec->cores_per_task * type->accelerators
+                         + type->cores - 1)
+                            / type->cores);
+    }
+  if (spec->memory_mb_per_task > 0)
+    {
+      if (type->memory_mb == 0)
+        return 0;
+      need = MAX (need, ((uint64_t)spec->memory_mb_per_task * type->accelerators
+                         + type->memory_mb - 1)
+                            / type->memory_mb);
+    }
+  return need <= type->accelerators ? (uint32_t)need : 0;
+}
+
+void
+gr_search_for_job (const struct gr_core *core,
+                   const struct gr_core_job *job,
+                   struct gr_search *search)
+{
+  memset (search, 0, sizeof *search);
+  search->shape = job->record.spec.shape;
+  search->job = job;
+  search->first_fit = core->config.policy == GR_POLICY_FIFO;
+  for (uint32_t i = 0; i < core->n_types; i++)
+    search->need[i] = job_need (&core->types[i], &job->record.spec);
+}
+
+void
+gr_search_for_unit (const struct gr_core *core,
+                    const struct gr_core_unit *unit,
+                    struct gr_search *search)
+{
+  memset (search, 0, sizeof *search);
+  search->shape = unit->shape;
+  search->unit = unit;
+  for (uint32_t i = 0; i < core->n_types; i++)
+    if (unit->shape.accelerators_per_worker <= core->types[i].accelerators)
+      search->need[i] = unit->shape.accelerators_per_worker;
+}
+
+int64_t
+gr_loss_of_stop (const struct gr_core *core, const struct gr_core_job *job)
+{
+  int64_t attained = gr_attained_ms (core, job) / 1000 + 1;
+
+  /* A checkpoint saves the work; what is lost is the time to load it. */
+  if (job->record.spec.checkpointable)
+    return 1;
+  return 1 + MIN (attained, G_MAXINT32) * job->held;
+}
+
+bool
+gr_gives_way (const struct gr_core *core,
+              const struct gr_core_job *victim,
+              const struct gr_core_job *job)
+{
+  const struct gr_job_spec *theirs = &victim->record.spec;
+  const struct gr_job_spec *mine = &job->record.spec;
+
+  if (victim->pinned || victim->phase == GR_PHASE_ADOPTING)
+    return false;
+  if (mine->priority == GR_PRIORITY_URGENT && theirs->priority > mine->priority)
+    return true;
+  return theirs->checkpointable && theirs->priority >= mine->priority
+         && victim->phase == GR_PHASE_RUNNING
+         && gr_class_of_ms (gr_attained_ms (core, victim)) > job->class
+         && core->now_ms - victim->running_since_ms >= MIN_QUANTUM_MS
+         && core->now_ms - job->waiting_since_ms >= MIN_WAIT_MS;
+}
+
+bool
+gr_job_fits_unit (const struct gr_core *core,
+                  const struct gr_job_spec *spec,
+                  const struct gr_core_unit *unit)
+{
+  if (spec->shape.workers > unit->shape.workers
+      || spec->shape.accelerators_per_worker
+             > unit->shape.accelerators_per_worker)
+    return false;
+  for (uint32_t i = 0; i < core->n_types; i++)
+    {
+      uint32_t need = job_need (&core->types[i], spec);
+
+      if (need != 0 && need <= unit->shape.accelerators_per_worker)
+        return true;
+    }
+  return core->n_types == 0;
+}
+
+bool
+gr_shape_fits (const struct gr_core *core, const struct gr_job_spec *spec)
+{
+  uint32_t need[GR_MAX_WORKER_TYPES] = { 0 };
+  uint32_t run_of_racks = 0;
+
+  for (uint32_t i = 0; i < core->n_types; i++)
+    need[i] = job_need (&core->types[i], spec);
+  for (uint32_t r = 0; r < core->rack_list->len; r++)
+    {
+      const struct gr_core_rack *rack = g_ptr_array_index (core->rack_list, r);
+      uint32_t run = 0;
+      uint32_t fitting = 0;
+
+      for (uint32_t i = 0; i < rack->workers->len; i++)
+        {
+          const struct gr_core_worker *worker =
+              g_ptr_array_index (rack->workers, i);
+          const struct gr_core_worker *before =
+              i > 0 ? g_ptr_array_index (rack->workers, i - 1) : NULL;
+
+          if (before != NULL && worker->rack_slot != before->rack_slot + 1)
+            run = 0;
+          run = need[worker->type] != 0 ? run + 1 : 0;
+          if (need[worker->type] != 0)
+            fitting++;
+          if (run >= spec->shape.workers)
+            return true;
+        }
+      run_of_racks = fitting > 0 ? run_of_racks + fitting : 0;
+      if (spec->shape.workers > core->max_rack_workers
+          && run_of_racks >= spec->shape.workers)
+        return true;
+    }
+  return false;
+}
--- a/sched/job.h
+++ b/sched/job.h
@@ -59,7 +59,8 @@
   int64_t submitted_unix_ms;
   int64_t started_unix_ms; /* 0: not yet */
   int64_t ended_unix_ms;
-  int64_t saved_ms; /* work that checkpoints have saved */
+  int64_t saved_ms;  /* work that checkpoints have saved */
+  uint32_t failures; /* attempts that failed on healthy workers */
   char reason[160];
   uint32_t n_placements;
   struct gr_placement *placements; /* owned */
--- /dev/null
+++ b/sched/jobs.c
@@ -0,0 +1,329 @@
+#include "sched/jobs.h"
+
+#include "sched/learn.h"
+#include "sched/witness.h"
+
+#include <string.h>
+
+struct gr_core_job *
+gr_job_row_create (struct gr_core *core, const struct gr_job_record *record)
+{
+  struct gr_core_job *job = g_new0 (struct gr_core_job, 1);
+
+  gr_job_record_copy (&job->record, record);
+  job->account = gr_account_get (core, record->spec.account);
+  job->sequence = core->next_sequence++;
+  job->waiting_link.data = job;
+  job->account_link.data = job;
+  job->step_link.data = job;
+  job->commit_link.data = job;
+  g_hash_table_insert (core->jobs, job->record.id, job);
+  return job;
+}
+
+void
+gr_job_touch (struct gr_core *core, struct gr_core_job *job)
+{
+  job->record.version++;
+  if (job->in_commits)
+    return;
+  g_queue_push_tail_link (&core->commits, &job->commit_link);
+  job->in_commits = true;
+}
+
+void
+gr_job_wake (struct gr_core *core, struct gr_core_job *job)
+{
+  job->due = true;
+  if (job->in_steps)
+    return;
+  g_queue_push_tail_link (&core->steps, &job->step_link);
+  job->in_steps = true;
+}
+
+/* Work that is waited for by class: what it has run, or what it is expected
+ * to run if that is longer. */
+static uint32_t
+waiting_class (const struct gr_core *core, const struct gr_core_job *job)
+{
+  int64_t expected = gr_expected_run_ms (job->account, &job->record.spec, 0.5);
+
+  if (core->config.policy != GR_POLICY_DEFAULT)
+    return 0;
+  return gr_class_of_ms (MAX (expected, job->attained_ms));
+}
+
+/* First in, first out knows no priorities. */
+static GQueue *
+queue_of (struct gr_core *core, const struct gr_core_job *job)
+{
+  if (core->config.policy == GR_POLICY_FIFO)
+    return &core->waiting[0][0];
+  return &core->waiting[job->record.spec.priority][job->class];
+}
+
+static bool
+is_before (const struct gr_core_job *a, const struct gr_core_job *b)
+{
+  if (a->record.submitted_unix_ms != b->record.submitted_unix_ms)
+    return a->record.submitted_unix_ms < b->record.submitted_unix_ms;
+  return a->sequence < b->sequence;
+}
+
+/* Keeps the order of submission; job is nearly always the last, or among the
+ * first after a preemption. */
+static void
+insert_sorted (GQueue *queue, GList *link, bool first)
+{
+  const struct gr_core_job *job = link->data;
+  GList *at;
+
+  if (first)
+    {
+      at = queue->head;
+      while (at != NULL && is_before (at->data, job))
+        at = at->next;
+      g_queue_insert_before_link (queue, at, link);
+      return;
+    }
+  at = queue->tail;
+  while (at != NULL && is_before (job, at->data))
+    at = at->prev;
+  if (at == NULL)
+    g_queue_push_head_link (queue, link);
+  else
+    g_queue_insert_after_link (queue, at, link);
+}
+
+void
+gr_job_enqueue (struct gr_core *core, struct gr_core_job *job, bool first)
+{
+  enum gr_priority priority = job->record.spec.priority;
+
+  g_assert (!job->in_waiting && !job->in_active && job->n_members == 0);
+  job->class = waiting_class (core, job);
+  job->phase = GR_PHASE_WAITING;
+  job->waiting_since_ms = core->now_ms;
+  job->in_waiting = true;
+  insert_sorted (queue_of (core, job), &job->waiting_link, first);
+  insert_sorted (&job->account->waiting[priority], &job->account_link, first);
+  core->jobs_waiting++;
+  core->place_dirty = true;
+}
+
+void
+gr_job_dequeue (struct gr_core *core, struct gr_core_job *job)
+{
+  enum gr_priority priority = job->record.spec.priority;
+
+  g_assert (job->in_waiting);
+  gr_reserve_drop (core, job);
+  gr_claim_drop (core, job);
+  g_queue_unlink (queue_of (core, job), &job->waiting_link);
+  g_queue_unlink (&job->account->waiting[priority], &job->account_link);
+  job->in_waiting = false;
+  core->jobs_waiting--;
+}
+
+void
+gr_job_end (struct gr_core *core,
+            struct gr_core_job *job,
+            enum gr_job_state state,
+            const char *reason)
+{
+  g_assert (gr_job_state_is_final (state));
+  g_assert (!gr_job_state_is_final (job->record.state));
+  job->record.state = state;
+  job->record.ended_unix_ms = core->unix_ms;
+  g_strlcpy (job->record.reason, reason, sizeof job->record.reason);
+  g_clear_pointer (&job->record.placements, g_free);
+  job->record.n_placements = 0;
+  if (job->in_waiting)
+    {
+      gr_job_dequeue (core, job);
+      job->phase = GR_PHASE_ENDED;
+    }
+  gr_job_touch (core, job);
+}
+
+static struct gr_cell
+copy_cell (const struct gr_cell *cell)
+{
+  struct gr_cell copy = { cell->n, g_memdup2 (cell->parts,
+                                              cell->n * sizeof *cell->parts) };
+
+  return copy;
+}
+
+void
+gr_claim_set (struct gr_core *core,
+              struct gr_core_job *job,
+              const struct gr_cell *cell,
+              struct gr_core_unit *unit)
+{
+  g_assert (job->claim.n == 0);
+  gr_reserve_drop (core, job);
+  job->claim = copy_cell (cell);
+  job->claim_unit = unit;
+  if (unit != NULL)
+    gr_unit_use (unit);
+  for (uint32_t i = 0; i < cell->n; i++)
+    {
+      struct gr_core_worker *worker = cell->parts[i].worker;
+
+      g_assert ((worker->claimed & cell->parts[i].mask) == 0);
+      worker->claimed |= cell->parts[i].mask;
+      if (unit != NULL)
+        worker->firm |= cell->parts[i].mask;
+      gr_worker_touch (core, worker);
+    }
+  job->account->claimed += gr_cell_accelerators (cell);
+  g_ptr_array_add (core->claiming, job);
+}
+
+void
+gr_claim_drop (struct gr_core *core, struct gr_core_job *job)
+{
+  if (job->claim.n == 0)
+    return;
+  for (uint32_t i = 0; i < job->claim.n; i++)
+    {
+      struct gr_core_worker *worker = job->claim.parts[i].worker;
+
+      worker->claimed &= ~job->claim.parts[i].mask;
+      worker->firm &= ~job->claim.parts[i].mask;
+      gr_worker_touch (core, worker);
+    }
+  job->account->claimed -= gr_cell_accelerators (&job->claim);
+  gr_cell_clear (&job->claim);
+  g_ptr_array_remove_fast (core->claiming, job);
+  if (job->claim_unit != NULL)
+    gr_unit_leave (core, job->claim_unit);
+  job->claim_unit = NULL;
+}
+
+void
+gr_claims_make_way (struct gr_core *core, const struct gr_cell *cell)
+{
+  for (uint32_t c = core->claiming->len; c > 0; c--)
+    {
+      struct gr_core_job *job = g_ptr_array_index (core->claiming, c - 1);
+      bool overlaps = false;
+
+      for (uint32_t i = 0; i < job->claim.n && !overlaps; i++)
+        for (uint32_t k = 0; k < cell->n && !overlaps; k++)
+          overlaps = job->claim.parts[i].worker == cell->parts[k].worker
+                     && (job->claim.parts[i].mask & cell->parts[k].mask) != 0;
+      if (overlaps)
+        gr_claim_drop (core, job);
+    }
+}
+
+static bool
+has_worker (const struct gr_cell *cell, const struct gr_core_worker *worker)
+{
+  for (uint32_t i = 0; i < cell->n; i++)
+    if (cell->parts[i].worker == worker)
+      return true;
+  return false;
+}
+
+void
+gr_claims_forget_worker (struct gr_core *core,
+                         const struct gr_core_worker *worker)
+{
+  for (uint32_t i = core->claiming->len; i > 0; i--)
+    {
+      struct gr_core_job *job = g_ptr_array_index (core->claiming, i - 1);
+
+      if (has_worker (&job->claim, worker))
+        gr_claim_drop (core, job);
+    }
+  for (uint32_t i = core->reserving->len; i > 0; i--)
+    {
+      struct gr_core_job *job = g_ptr_array_index (core->reserving, i - 1);
+
+      if (has_worker (&job->reserve, worker))
+        gr_reserve_drop (core, job);
+    }
+}
+
+void
+gr_reserve_set (struct gr_core *core,
+                struct gr_core_job *job,
+                const struct gr_cell *cell,
+                int64_t start_ms)
+{
+  g_assert (job->reserve.n == 0);
+  job->reserve = copy_cell (cell);
+  job->reserve_start_ms = start_ms;
+  for (uint32_t i = 0; i < cell->n; i++)
+    {
+      uint32_t *soft = &cell->parts[i].worker->soft[job->record.spec.priority];
+
+      g_assert ((*soft & cell->parts[i].mask) == 0);
+      *soft |= cell->parts[i].mask;
+    }
+  g_ptr_array_add (core->reserving, job);
+}
+
+void
+gr_reserve_drop (struct gr_core *core, struct gr_core_job *job)
+{
+  if (job->reserve.n == 0)
+    return;
+  for (uint32_t i = 0; i < job->reserve.n; i++)
+    {
+      struct gr_core_worker *worker = job->reserve.parts[i].worker;
+
+      worker->soft[job->record.spec.priority] &= ~job->reserve.parts[i].mask;
+      gr_worker_touch (core, worker);
+    }
+  gr_cell_clear (&job->reserve);
+  g_ptr_array_remove_fast (core->reserving, job);
+}
+
+struct gr_command *
+gr_emit (struct gr_core *core,
+         enum gr_command_kind kind,
+         const struct gr_core_job *job,
+         const struct gr_core_member *member)
+{
+  struct gr_command *command;
+  guint index = core->out->len;
+
+  g_array_set_size (core->out, index + 1);
+  command = &g_array_index (core->out, struct gr_command, index);
+  /* Not cleared as a whole: a command has 700 bytes, and a gang 1024. */
+  command->kind = kind;
+  command->worker[0] = '\0';
+  command->lease[0] = '\0';
+  command->task[0] = '\0';
+  command->accelerators = 0;
+  command->term_ms = 0;
+  command->version = job->record.version;
+  command->spec = NULL;
+  g_strlcpy (command->job, job->record.id, sizeof command->job);
+  if (member == NULL)
+    return command;
+  g_strlcpy (command->worker, member->worker->name, sizeof command->worker);
+  g_strlcpy (command->lease, member->id, sizeof command->lease);
+  g_strlcpy (command->task, member->id, sizeof command->task);
+  command->accelerators = member->mask;
+  return command;
+}
+
+void
+gr_system_emit (struct gr_core *core)
+{
+  GList *link;
+
+  while ((link = g_queue_pop_head_link (&core->commits)) != NULL)
+    {
+      struct gr_core_job *job = link->data;
+
+      job->in_commits = false;
+      job->emitted_version = job->record.version;
+      gr_emit (core, GR_COMMAND_COMMIT, job, NULL);
+    }
+}
--- /dev/null
+++ b/sched/member.c
@@ -0,0 +1,234 @@
+#include "sched/gang.h"
+#include "sched/jobs.h"
+#include "sched/quarantine.h"
+#include "sched/witness.h"
+
+#include <string.h>
+
+/* True while the end of a member is not of our own making. */
+static bool
+is_wanted (const struct gr_core_job *job)
+{
+  return job->phase >= GR_PHASE_ADOPTING
+         && job->phase <= GR_PHASE_CHECKPOINTING;
+}
+
+static void
+count (struct gr_core *core,
+       struct gr_core_member *member,
+       bool *fact,
+       uint32_t *counter)
+{
+  if (*fact)
+    return;
+  *fact = true;
+  (*counter)++;
+  gr_job_wake (core, member->job);
+}
+
+static void
+settle (struct gr_core *core, struct gr_core_member *member)
+{
+  count (core, member, &member->settled, &member->job->n_settled);
+}
+
+void
+gr_member_granted (struct gr_core *core, struct gr_core_member *member)
+{
+  member->confirmed_ms = core->now_ms;
+  count (core, member, &member->granted, &member->job->n_granted);
+}
+
+void
+gr_member_started (struct gr_core *core, struct gr_core_member *member)
+{
+  gr_member_granted (core, member);
+  count (core, member, &member->started, &member->job->n_started);
+}
+
+void
+gr_member_unthrottled (struct gr_core *core, struct gr_core_member *member)
+{
+  gr_member_started (core, member);
+  count (core, member, &member->unthrottled, &member->job->n_unthrottled);
+}
+
+void
+gr_member_checkpointed (struct gr_core *core, struct gr_core_member *member)
+{
+  if (member->job->phase == GR_PHASE_CHECKPOINTING)
+    count (core, member, &member->checkpointed, &member->job->n_checkpointed);
+}
+
+void
+gr_member_finished (struct gr_core *core, struct gr_core_member *member)
+{
+  if (member->finished || member->settled)
+    return;
+  gr_member_unthrottled (core, member);
+  gr_member_checkpointed (core, member);
+  count (core, member, &member->finished, &member->job->n_finished);
+  settle (core, member);
+}
+
+void
+gr_member_stopped (struct gr_core *core, struct gr_core_member *member)
+{
+  if (member->settled)
+    return;
+  member->stopped = true;
+  settle (core, member);
+  if (is_wanted (member->job))
+    gr_gang_stop (core, member->job, GR_STOP_LOST,
+                  "a task stopped that was not told to");
+}
+
+void
+gr_member_failed (struct gr_core *core, struct gr_core_member *member)
+{
+  struct gr_core_job *job = member->job;
+
+  if (member->settled)
+    return;
+  member->failed = true;
+  settle (core, member);
+  if (!is_wanted (job))
+    return;
+  if (member->worker != NULL)
+    gr_worker_failed (core, member->worker, job);
+  gr_gang_stop (core, job, GR_STOP_FAILED, "a task failed");
+}
+
+void
+gr_member_lost (struct gr_core *core, struct gr_core_member *member)
+{
+  struct gr_core_job *job = member->job;
+
+  if (!member->settled)
+    {
+      member->lost = true;
+      settle (core, member);
+      if (is_wanted (job))
+        gr_gang_stop (core, job,
+                      job->phase >= GR_PHASE_UNTHROTTLING
+                              || job->phase == GR_PHASE_ADOPTING
+                          ? GR_STOP_LOST
+                          : GR_STOP_ABORT,
+                      "a member lost its lease");
+    }
+  if (job->phase == GR_PHASE_RELEASING)
+    gr_member_released (core, member);
+}
+
+void
+gr_member_silent (struct gr_core *core, struct gr_core_member *member)
+{
+  struct gr_core_job *job = member->job;
+
+  if (member->settled || !is_wanted (job))
+    return;
+  gr_gang_stop (core, job,
+                job->phase >= GR_PHASE_UNTHROTTLING ? GR_STOP_LOST
+                                                    : GR_STOP_ABORT,
+                "a worker stopped answering");
+}
+
+void
+gr_member_released (struct gr_core *core, struct gr_core_member *member)
+{
+  struct gr_core_worker *worker = member->worker;
+  struct gr_core_job *job = member->job;
+
+  if (member->released || job->phase != GR_PHASE_RELEASING)
+    return;
+  job->account->used -= gr_mask_count (member->mask);
+  g_hash_table_remove (core->members, member->id);
+  if (worker != NULL)
+    {
+      for (uint32_t a = 0; a < worker->accelerators; a++)
+        if (worker->holder[a] == member)
+          worker->holder[a] = NULL;
+      worker->held &= ~member->mask;
+      worker->pinned &= ~member->mask;
+      if (worker->probing && job->probe)
+        gr_worker_probe_ended (core, worker);
+      gr_worker_touch (core, worker);
+      core->witness_dirty = core->homeless->len > 0;
+    }
+  else
+    gr_member_unbind (core, member);
+  count (core, member, &member->released, &job->n_released);
+}
+
+/* --- Adoption ----------------------------------------------------------- */
+
+void
+gr_member_unbind (struct gr_core *core, struct gr_core_member *member)
+{
+  uint32_t index = (uint32_t)(member - member->job->members);
+  const char *name = member->job->record.n_placements > index
+                         ? member->job->record.placements[index].worker
+                         : NULL;
+  GPtrArray *list =
+      name != NULL ? g_hash_table_lookup (core->unbound, name) : NULL;
+
+  if (list != NULL)
+    g_ptr_array_remove_fast (list, member);
+}
+
+static void
+wait_for_report (struct gr_core *core,
+                 struct gr_core_member *member,
+                 const char *worker)
+{
+  GPtrArray *list = g_hash_table_lookup (core->unbound, worker);
+
+  if (list == NULL)
+    {
+      list = g_ptr_array_new ();
+      g_hash_table_insert (core->unbound, g_strdup (worker), list);
+    }
+  g_ptr_array_add (list, member);
+}
+
+void
+gr_gang_restore (struct gr_core *core, struct gr_core_job *job)
+{
+  const struct gr_job_record *record = &job->record;
+
+  gr_gang_reset (job, record->n_placements);
+  job->phase = GR_PHASE_ADOPTING;
+  job->deadline_ms = core->now_ms + core->config.run_lease_term_ms;
+  job->pinned = !record->spec.idempotent;
+  /* Until the reports show the contrary. */
+  job->unthrottle_sent = true;
+  for (uint32_t i = 0; i < record->n_placements; i++)
+    {
+      struct gr_core_member *member = &job->members[i];
+
+      member->job = job;
+      member->id = g_strdup (record->placements[i].lease);
+      member->mask = record->placements[i].accelerators;
+      member->may_live_until_ms = core->now_ms + core->config.run_lease_term_ms;
+      g_hash_table_insert (core->members, member->id, member);
+      wait_for_report (core, member, record->placements[i].worker);
+    }
+  gr_gang_activate (core, job);
+  gr_job_wake (core, job);
+}
+
+void
+gr_member_bind (struct gr_core *core,
+                struct gr_core_member *member,
+                struct gr_core_worker *worker)
+{
+  if ((worker->held & member->mask) != 0 || (member->mask & ~worker->all) != 0)
+    {
+      gr_member_lost (core, member);
+      return;
+    }
+  member->worker = worker;
+  gr_member_hold (core, member);
+  if (member->job->pinned)
+    gr_witness_make_way (core, worker, member->mask, NULL);
+}
--- /dev/null
+++ b/sched/quarantine.c
@@ -0,0 +1,182 @@
+#include "sched/quarantine.h"
+
+#include "sched/cells.h"
+#include "sched/gang.h"
+#include "sched/jobs.h"
+
+#include <string.h>
+
+/* Failures of this many different jobs in a row, without a success. */
+#define MAX_FAILURES 3
+#define PROBE_FIRST_MS 30000
+#define PROBE_LIMIT_MS (30LL * 60 * 1000)
+/* A long probe need not finish: workers that fail do so at the start. */
+#define PROBE_PASSED_MS 60000
+
+static void
+quarantine (struct gr_core *core, struct gr_core_worker *worker)
+{
+  worker->quarantined = true;
+  worker->probe_interval_ms = PROBE_FIRST_MS;
+  worker->probe_due_ms = core->now_ms + PROBE_FIRST_MS;
+  g_ptr_array_add (core->quarantined, worker);
+  gr_worker_update (core, worker);
+}
+
+/* A job that failed on a second worker is more likely at fault than the
+ * workers are, so that the first one gets its failure back. */
+static void
+forgive (struct gr_core *core, const struct gr_core_job *job)
+{
+  struct gr_core_worker *first = gr_worker_find (core, job->failed_worker);
+
+  if (first != NULL && first->last_failed == job && first->failures > 0
+      && !first->quarantined)
+    {
+      first->failures--;
+      first->last_failed = NULL;
+    }
+}
+
+void
+gr_worker_failed (struct gr_core *core,
+                  struct gr_core_worker *worker,
+                  struct gr_core_job *job)
+{
+  bool second = job->failed_worker[0] != '\0'
+                && strcmp (job->failed_worker, worker->name) != 0;
+
+  if (worker->quarantined)
+    {
+      if (worker->probing)
+        {
+          worker->probe_interval_ms =
+              MIN (worker->probe_interval_ms * 2, PROBE_LIMIT_MS);
+          worker->probe_due_ms = core->now_ms + worker->probe_interval_ms;
+        }
+      g_strlcpy (job->failed_worker, worker->name, sizeof job->failed_worker);
+      return;
+    }
+  /* A worker with failures of other jobs is in doubt itself. */
+  if (worker->failures == 0 || worker->last_failed == job || second)
+    job->record.failures++;
+  if (second && worker->failures == 0)
+    forgive (core, job);
+  else if (worker->last_failed != job)
+    worker->failures++;
+  worker->last_failed = job;
+  g_strlcpy (job->failed_worker, worker->name, sizeof job->failed_worker);
+  if (worker->failures >= MAX_FAILURES)
+    quarantine (core, worker);
+}
+
+void
+gr_worker_succeeded (struct gr_core *core, struct gr_core_worker *worker)
+{
+  worker->failures = 0;
+  worker->last_failed = NULL;
+  if (!worker->quarantined)
+    return;
+  worker->quarantined = false;
+  worker->probing = false;
+  g_ptr_array_remove_fast (core->quarantined, worker);
+  gr_worker_update (core, worker);
+}
+
+void
+gr_worker_probe_ended (struct gr_core *core, struct gr_core_worker *worker)
+{
+  worker->probing = false;
+  worker->probe_due_ms =
+      MAX (worker->probe_due_ms, core->now_ms + worker->probe_interval_ms);
+}
+
+static bool
+may_probe (const struct gr_core *core, const struct gr_core_job *job)
+{
+  const struct gr_core_account *account = job->account;
+
+  return job->record.spec.idempotent && job->record.spec.shape.workers == 1
+         && job->claim.n == 0 && account->known
+         && job->not_before_ms <= core->now_ms
+         && (account->settings.quota_accelerators == 0
+             || account->used + account->claimed + GR_MAX_ACCELERATORS
+                    <= account->settings.quota_accelerators);
+}
+
+/* The least urgent waiting job that may be lost to a bad worker. Only the
+ * heads of the queues are looked at, a few of each. */
+static struct gr_core_job *
+find_probe (const struct gr_core *core, const struct gr_core_worker *worker)
+{
+  for (int priority = GR_N_PRIORITIES - 1; priority >= 0; priority--)
+    for (uint32_t class = 0; class < GR_N_CLASSES; class ++)
+      {
+        uint32_t seen = 0;
+
+        for (GList *link = core->waiting[priority][class].head;
+             link != NULL && seen < 16; link = link->next, seen++)
+          {
+            struct gr_core_job *job = link->data;
+
+            if (may_probe (core, job)
+                && strcmp (job->failed_worker, worker->name) != 0)
+              return job;
+          }
+      }
+  return NULL;
+}
+
+static void
+probe (struct gr_core *core, struct gr_core_worker *worker)
+{
+  struct gr_core_job *job = find_probe (core, worker);
+  struct gr_cell_part part = { worker, 0 };
+  struct gr_cell cell = { 1, &part };
+  struct gr_search search;
+  uint32_t need;
+
+  if (job == NULL)
+    return;
+  gr_search_for_job (core, job, &search);
+  need = search.need[worker->type];
+  part.mask = (1U << need) - 1;
+  if (need == 0
+      || (part.mask & (worker->held | worker->foreign | worker->claimed)) != 0)
+    return;
+  worker->probing = true;
+  gr_gang_place (core, job, &cell, NULL);
+  job->probe = true;
+}
+
+static bool
+probe_passed (const struct gr_core *core, const struct gr_core_worker *worker)
+{
+  for (uint32_t a = 0; a < worker->accelerators; a++)
+    {
+      const struct gr_core_member *member = worker->holder[a];
+
+      if (member != NULL && member->job->probe
+          && member->job->phase == GR_PHASE_RUNNING
+          && core->now_ms - member->job->running_since_ms >= PROBE_PASSED_MS)
+        return true;
+    }
+  return false;
+}
+
+void
+gr_system_quarantine (struct gr_core *core)
+{
+  for (uint32_t i = core->quarantined->len; i > 0; i--)
+    {
+      struct gr_core_worker *worker =
+          g_ptr_array_index (core->quarantined, i - 1);
+
+      if (worker->probing && probe_passed (core, worker))
+        gr_worker_succeeded (core, worker);
+      else if (core->durable && !worker->probing && !worker->silent
+               && !worker->leaving && !worker->gone
+               && worker->probe_due_ms <= core->now_ms)
+        probe (core, worker);
+    }
+}
--- /dev/null
+++ b/sched/reclaim.c
@@ -0,0 +1,360 @@
+#include "sched/cells.h"
+#include "sched/gang.h"
+#include "sched/jobs.h"
+#include "sched/learn.h"
+#include "sched/place.h"
+#include "sched/witness.h"
+
+/* Jobs of one account that fail to get a place in one pass; the others of the
+ * account are tried in a later one. */
+#define MAX_GUARANTEED_MISSES 16
+
+bool
+gr_quota_allows (const struct gr_core_account *account, uint32_t n)
+{
+  uint32_t quota = account->settings.quota_accelerators;
+
+  return quota == 0 || account->used + account->claimed + n <= quota;
+}
+
+static void
+stop_holders (struct gr_core *core, const struct gr_cell *cell)
+{
+  for (uint32_t i = 0; i < cell->n; i++)
+    {
+      const struct gr_core_worker *worker = cell->parts[i].worker;
+
+      for (uint32_t a = 0; a < worker->accelerators; a++)
+        {
+          struct gr_core_member *member = worker->holder[a];
+
+          if ((cell->parts[i].mask & (1U << a)) == 0 || member == NULL)
+            continue;
+          g_assert (!member->job->pinned);
+          gr_gang_stop (core, member->job, GR_STOP_PREEMPT,
+                        "stopped for other work");
+        }
+    }
+}
+
+void
+gr_claim_and_stop (struct gr_core *core,
+                   struct gr_core_job *job,
+                   const struct gr_cell *cell,
+                   struct gr_core_unit *unit)
+{
+  gr_claim_set (core, job, cell, unit);
+  stop_holders (core, cell);
+}
+
+static bool
+all_usable (const struct gr_cell *cell)
+{
+  for (uint32_t i = 0; i < cell->n; i++)
+    if (!cell->parts[i].worker->usable)
+      return false;
+  return true;
+}
+
+static bool
+all_free (const struct gr_cell *cell)
+{
+  for (uint32_t i = 0; i < cell->n; i++)
+    {
+      const struct gr_core_worker *worker = cell->parts[i].worker;
+
+      if (((worker->held | worker->foreign) & cell->parts[i].mask) != 0)
+        return false;
+    }
+  return true;
+}
+
+void
+gr_serve_claims (struct gr_core *core)
+{
+  for (uint32_t i = core->claiming->len; i > 0; i--)
+    {
+      struct gr_core_job *job = g_ptr_array_index (core->claiming, i - 1);
+
+      if (!all_usable (&job->claim))
+        gr_claim_drop (core, job);
+      else if (core->durable && all_free (&job->claim))
+        {
+          struct gr_cell cell = job->claim;
+          struct gr_core_unit *unit = job->claim_unit;
+
+          cell.parts = g_memdup2 (cell.parts, cell.n * sizeof *cell.parts);
+          /* The claim counts against the quota until it is placed. */
+          gr_gang_place (core, job, &cell, unit);
+          gr_cell_clear (&cell);
+        }
+    }
+}
+
+/* True if nothing in the cell has to end by itself. */
+static bool
+is_ripe (const struct gr_cell *cell)
+{
+  for (uint32_t i = 0; i < cell->n; i++)
+    {
+      const struct gr_core_worker *worker = cell->parts[i].worker;
+      uint32_t mask = cell->parts[i].mask;
+
+      if (((worker->foreign | worker->claimed | worker->pinned) & mask) != 0)
+        return false;
+      for (uint32_t a = 0; a < worker->accelerators; a++)
+        if ((mask & (1U << a)) != 0 && worker->holder[a] != NULL
+            && !worker->holder[a]->job->backfilled
+            && worker->holder[a]->job->phase < GR_PHASE_CHECKPOINTING)
+          return false;
+    }
+  return true;
+}
+
+void
+gr_serve_reservations (struct gr_core *core)
+{
+  for (uint32_t i = core->reserving->len; i > 0; i--)
+    {
+      struct gr_core_job *job = g_ptr_array_index (core->reserving, i - 1);
+      bool ripe = is_ripe (&job->reserve);
+
+      if (!all_usable (&job->reserve)
+          || (!ripe && core->now_ms > job->reserve_start_ms))
+        gr_reserve_drop (core, job);
+      else if (core->durable && ripe
+               && gr_quota_allows (job->account,
+                                   gr_cell_accelerators (&job->reserve)))
+        {
+          struct gr_cell cell = job->reserve;
+
+          cell.parts = g_memdup2 (cell.parts, cell.n * sizeof *cell.parts);
+          gr_claim_and_stop (core, job, &cell, NULL);
+          gr_cell_clear (&cell);
+        }
+    }
+}
+
+void
+gr_reserve (struct gr_core *core, struct gr_core_job *job)
+{
+  struct gr_search search;
+  struct gr_cell cell = { 0, NULL };
+  int64_t wait_ms = 0;
+
+  gr_search_for_job (core, job, &search);
+  search.mode = GR_SEARCH_RESERVE;
+  if (!gr_search_all (core, &search, &cell))
+    return;
+  for (uint32_t i = 0; i < cell.n; i++)
+    for (uint32_t a = 0; a < cell.parts[i].worker->accelerators; a++)
+      {
+        const struct gr_core_member *member = cell.parts[i].worker->holder[a];
+
+        if ((cell.parts[i].mask & (1U << a)) != 0 && member != NULL)
+          wait_ms = MAX (wait_ms, gr_expected_rest_ms (core, member->job));
+      }
+  gr_reserve_set (core, job, &cell, core->now_ms + wait_ms);
+  gr_cell_clear (&cell);
+}
+
+/* --- Guarantees --------------------------------------------------------- */
+
+/* The account's own borrowed work gives way to its guarantee when the quota
+ * does not hold both. */
+static void
+make_room_in_quota (struct gr_core *core,
+                    struct gr_core_account *account,
+                    uint32_t n)
+{
+  uint32_t quota = account->settings.quota_accelerators;
+  uint32_t coming = 0;
+
+  if (n > quota)
+    return;
+  for (GList *link = account->active.head; link != NULL; link = link->next)
+    {
+      const struct gr_core_job *job = link->data;
+
+      if (job->phase >= GR_PHASE_CHECKPOINTING)
+        coming += job->held;
+    }
+  while (account->used + account->claimed + n > quota + coming)
+    {
+      struct gr_core_job *best = NULL;
+      int64_t best_loss = 0;
+
+      for (GList *link = account->active.head; link != NULL; link = link->next)
+        {
+          struct gr_core_job *job = link->data;
+          int64_t loss = gr_loss_of_stop (core, job);
+
+          if (job->pinned || job->phase >= GR_PHASE_CHECKPOINTING
+              || (best != NULL && loss >= best_loss))
+            continue;
+          best = job;
+          best_loss = loss;
+        }
+      if (best == NULL)
+        return;
+      coming += best->held;
+      gr_gang_stop (core, best, GR_STOP_PREEMPT,
+                    "stopped for guaranteed work of the account");
+    }
+}
+
+/* Places or claims the cell, within the quota. */
+static bool
+take_in_unit (struct gr_core *core,
+              struct gr_core_job *job,
+              struct gr_core_unit *unit,
+              const struct gr_cell *cell)
+{
+  uint32_t n = gr_cell_accelerators (cell);
+
+  if (!gr_quota_allows (job->account, n))
+    {
+      make_room_in_quota (core, job->account, n);
+      return false;
+    }
+  gr_claims_make_way (core, cell);
+  if (all_free (cell))
+    gr_gang_place (core, job, cell, unit);
+  else
+    gr_claim_and_stop (core, job, cell, unit);
+  return true;
+}
+
+static bool
+place_in_unit (struct gr_core *core,
+               struct gr_core_job *job,
+               struct gr_core_unit *unit,
+               enum gr_search_mode mode)
+{
+  struct gr_search search;
+  struct gr_cell cell = { 0, NULL };
+  bool placed;
+
+  if (unit->cell.n == 0)
+    return false;
+  gr_search_for_job (core, job, &search);
+  search.unit = unit;
+  search.mode = mode;
+  placed = gr_search_in_unit (core, &search, &cell)
+           && take_in_unit (core, job, unit, &cell);
+  gr_cell_clear (&cell);
+  return placed;
+}
+
+/* Moves an unused unit to the cell where the least is lost. */
+static bool
+move_unit (struct gr_core *core,
+           struct gr_core_unit *unit,
+           enum gr_search_mode mode)
+{
+  struct gr_search search;
+  struct gr_cell cell = { 0, NULL };
+  bool found;
+
+  gr_search_for_unit (core, unit, &search);
+  search.mode = mode;
+  found = gr_search_all (core, &search, &cell);
+  if (found)
+    gr_unit_set_cell (core, unit, &cell);
+  gr_cell_clear (&cell);
+  return found;
+}
+
+/* Tries the account's units in three rounds: free room as it is, an unused
+ * unit moved to free accelerators, and last stopping other work. */
+static bool
+place_guaranteed_job (struct gr_core *core, struct gr_core_job *job)
+{
+  static const struct
+  {
+    enum gr_search_mode mode;
+    bool move;
+  } rounds[] = {
+    { GR_SEARCH_UNIT_FREE, false },
+    { GR_SEARCH_UNIT_FREE, true },
+    { GR_SEARCH_UNIT, true },
+  };
+  const GPtrArray *units = job->account->units;
+  uint32_t wanted = job->record.spec.shape.workers
+                    * job->record.spec.shape.accelerators_per_worker;
+
+  if (!gr_quota_allows (job->account, wanted))
+    {
+      make_room_in_quota (core, job->account, wanted);
+      return false;
+    }
+  for (uint32_t r = 0; r < G_N_ELEMENTS (rounds); r++)
+    {
+      const struct gr_core_unit *failed = NULL;
+
+      for (uint32_t i = 0; i < units->len; i++)
+        {
+          struct gr_core_unit *unit = g_ptr_array_index (units, i);
+          bool move = rounds[r].move && unit->in_use == 0;
+
+          if (unit->cell.n == 0
+              || !gr_job_fits_unit (core, &job->record.spec, unit))
+            continue;
+          if (move && failed != NULL
+              && failed->shape.workers == unit->shape.workers
+              && failed->shape.accelerators_per_worker
+                     == unit->shape.accelerators_per_worker)
+            continue;
+          if (move && !move_unit (core, unit, rounds[r].mode))
+            {
+              failed = unit;
+              continue;
+            }
+          if (place_in_unit (core, job, unit, rounds[r].mode))
+            return true;
+        }
+    }
+  return false;
+}
+
+static void
+place_account (struct gr_core *core, struct gr_core_account *account)
+{
+  uint32_t misses = 0;
+
+  for (uint32_t priority = 0; priority < GR_N_PRIORITIES; priority++)
+    {
+      const struct gr_job_spec *failed = NULL;
+      GList *link = account->waiting[priority].head;
+
+      while (link != NULL && misses < MAX_GUARANTEED_MISSES)
+        {
+          struct gr_core_job *job = link->data;
+          const struct gr_job_spec *spec = &job->record.spec;
+
+          link = link->next;
+          if (job->claim_unit != NULL || job->not_before_ms > core->now_ms
+              || (failed != NULL && failed->shape.workers <= spec->shape.workers
+                  && failed->shape.accelerators_per_worker
+                         <= spec->shape.accelerators_per_worker))
+            continue;
+          if (place_guaranteed_job (core, job))
+            continue;
+          failed = spec;
+          misses++;
+        }
+    }
+}
+
+void
+gr_place_guaranteed (struct gr_core *core)
+{
+  for (uint32_t i = 0; i < core->account_list->len; i++)
+    {
+      struct gr_core_account *account =
+          g_ptr_array_index (core->account_list, i);
+
+      if (account->units->len > 0)
+        place_account (core, account);
+    }
+}
--- /dev/null
+++ b/sched/renew.c
@@ -0,0 +1,75 @@
+#include "sched/gang.h"
+
+/* Workers are renewed in a ring of slots that takes a third of the run term
+ * to go round. All leases of a worker are renewed in the same tick, so that
+ * they go out in one call. */
+
+static void
+insert (struct gr_core *core, struct gr_core_worker *worker, int64_t slot)
+{
+  worker->renew_slot = (uint32_t)(slot % GR_RENEW_SLOTS);
+  g_queue_push_tail_link (&core->renewals[worker->renew_slot],
+                          &worker->renew_link);
+  worker->in_renew = true;
+}
+
+void
+gr_renew_add (struct gr_core *core, struct gr_core_worker *worker)
+{
+  if (worker->in_renew)
+    return;
+  insert (core, worker,
+          core->renew_done + 1
+              + g_rand_int_range (core->rand, 0, GR_RENEW_SLOTS - 1));
+}
+
+/* Renews what is running; false if there is nothing. */
+static bool
+renew_worker (struct gr_core *core, struct gr_core_worker *worker)
+{
+  const struct gr_core_member *last = NULL;
+  bool any = false;
+
+  for (uint32_t a = 0; a < worker->accelerators; a++)
+    {
+      struct gr_core_member *member = worker->holder[a];
+
+      if (member == NULL || member == last)
+        continue;
+      last = member;
+      if (member->job->phase != GR_PHASE_RUNNING
+          && member->job->phase != GR_PHASE_CHECKPOINTING
+          && member->job->phase != GR_PHASE_ENDING)
+        continue;
+      any = true;
+      if (!member->lost && !member->failed && !member->stopped)
+        gr_member_renew (core, member, core->config.run_lease_term_ms);
+    }
+  return any;
+}
+
+void
+gr_system_renew (struct gr_core *core)
+{
+  int64_t slot = core->now_ms / core->renew_slot_ms;
+
+  if (slot - core->renew_done > GR_RENEW_SLOTS)
+    core->renew_done = slot - GR_RENEW_SLOTS;
+  while (core->renew_done < slot)
+    {
+      GQueue due;
+      GList *link;
+
+      core->renew_done++;
+      due = core->renewals[core->renew_done % GR_RENEW_SLOTS];
+      g_queue_init (&core->renewals[core->renew_done % GR_RENEW_SLOTS]);
+      while ((link = g_queue_pop_head_link (&due)) != NULL)
+        {
+          struct gr_core_worker *worker = link->data;
+
+          worker->in_renew = false;
+          if (renew_worker (core, worker))
+            insert (core, worker, core->renew_done + GR_RENEW_SLOTS);
+        }
+    }
+}
--- /dev/null
+++ b/sched/status.c
@@ -0,0 +1,138 @@
+#include "sched/tables.h"
+
+static uint32_t
+aligned_block (uint32_t free, uint32_t limit)
+{
+  for (uint32_t size = GR_MAX_ACCELERATORS; size > 0; size /= 2)
+    for (uint32_t offset = 0; offset + size <= MIN (limit, GR_MAX_ACCELERATORS);
+         offset += size)
+      {
+        uint32_t block = ((1U << size) - 1) << offset;
+
+        if ((free & block) == block)
+          return size;
+      }
+  return 0;
+}
+
+/* Whole free workers side by side, or the largest block of one worker. */
+static void
+add_rack (const struct gr_core_rack *rack, struct gr_core_status *status)
+{
+  uint32_t run = 0;
+
+  for (uint32_t i = 0; i < rack->workers->len; i++)
+    {
+      const struct gr_core_worker *worker =
+          g_ptr_array_index (rack->workers, i);
+      const struct gr_core_worker *before =
+          i > 0 ? g_ptr_array_index (rack->workers, i - 1) : NULL;
+      uint32_t free = worker->all & ~(worker->held | worker->foreign);
+
+      if (before != NULL && worker->rack_slot != before->rack_slot + 1)
+        run = 0;
+      if (!worker->usable)
+        {
+          run = 0;
+          continue;
+        }
+      status->accelerators += worker->accelerators;
+      status->free += gr_mask_count (free);
+      run = free == worker->all ? run + worker->accelerators : 0;
+      status->largest_free_block =
+          MAX (status->largest_free_block,
+               MAX (run, aligned_block (free, worker->accelerators)));
+    }
+}
+
+void
+gr_core_get_status (const struct gr_core *core, struct gr_core_status *status)
+{
+  struct gr_core_status fresh = { 0 };
+
+  for (uint32_t i = 0; i < core->rack_list->len; i++)
+    add_rack (g_ptr_array_index (core->rack_list, i), &fresh);
+  fresh.jobs_waiting = core->jobs_waiting;
+  fresh.jobs_running = core->jobs_running;
+  fresh.preemptions = core->preemptions;
+  fresh.witness_holds = core->homeless->len == 0;
+  *status = fresh;
+}
+
+static void
+fill_account (const struct gr_core_account *account,
+              struct gr_core_account_status *status)
+{
+  g_strlcpy (status->name, account->settings.name, sizeof status->name);
+  status->used = account->used;
+  for (uint32_t i = 0; i < account->units->len; i++)
+    {
+      const struct gr_core_unit *unit = g_ptr_array_index (account->units, i);
+
+      status->guaranteed +=
+          unit->shape.workers * unit->shape.accelerators_per_worker;
+      if (unit->cell.n == 0)
+        status->guarantee_impossible = true;
+    }
+  for (GList *link = account->active.head; link != NULL; link = link->next)
+    {
+      const struct gr_core_job *job = link->data;
+
+      if (job->unit == NULL)
+        status->borrowed += job->held;
+    }
+  for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
+    for (GList *link = account->waiting[p].head; link; link = link->next)
+      {
+        const struct gr_core_job *job = link->data;
+
+        status->waiting_jobs++;
+        status->waiting += job->record.spec.shape.workers
+                           * job->record.spec.shape.accelerators_per_worker;
+      }
+}
+
+GArray *
+gr_core_account_status (const struct gr_core *core)
+{
+  GArray *list =
+      g_array_new (FALSE, TRUE, sizeof (struct gr_core_account_status));
+
+  for (uint32_t i = 0; i < core->account_list->len; i++)
+    {
+      struct gr_core_account_status status = { 0 };
+
+      fill_account (g_ptr_array_index (core->account_list, i), &status);
+      g_array_append_val (list, status);
+    }
+  return list;
+}
+
+GArray *
+gr_core_worker_status (const struct gr_core *core)
+{
+  GArray *list =
+      g_array_new (FALSE, TRUE, sizeof (struct gr_core_worker_status));
+
+  for (uint32_t r = 0; r < core->rack_list->len; r++)
+    {
+      const struct gr_core_rack *rack = g_ptr_array_index (core->rack_list, r);
+
+      for (uint32_t i = 0; i < rack->workers->len; i++)
+        {
+          const struct gr_core_worker *worker =
+              g_ptr_array_index (rack->workers, i);
+          struct gr_core_worker_status status = { 0 };
+
+          g_strlcpy (status.name, worker->name, sizeof status.name);
+          g_strlcpy (status.rack, rack->name, sizeof status.rack);
+          status.accelerators = worker->accelerators;
+          status.used = gr_mask_count (worker->held);
+          status.silent = worker->silent;
+          status.leaving = worker->leaving;
+          status.quarantined = worker->quarantined;
+          g_array_append_val (list, status);
+        }
+    }
+  return list;
+}
--- /dev/null
+++ b/sched/tables.c
@@ -0,0 +1,249 @@
+#include "sched/tables.h"
+
+#include "sched/learn.h"
+#include "sched/witness.h"
+
+#include <string.h>
+
+void
+gr_core_set_now (struct gr_core *core, int64_t now_ms)
+{
+  if (core->first_ms < 0)
+    {
+      core->first_ms = now_ms;
+      core->last_tick_ms = now_ms;
+    }
+  if (now_ms > core->now_ms)
+    core->now_ms = now_ms;
+}
+
+void
+gr_cell_clear (struct gr_cell *cell)
+{
+  g_free (cell->parts);
+  cell->parts = NULL;
+  cell->n = 0;
+}
+
+uint32_t
+gr_cell_accelerators (const struct gr_cell *cell)
+{
+  uint32_t sum = 0;
+
+  for (uint32_t i = 0; i < cell->n; i++)
+    sum += gr_mask_count (cell->parts[i].mask);
+  return sum;
+}
+
+static int
+compare_accounts (const void *a, const void *b)
+{
+  const struct gr_core_account *const *left = a;
+  const struct gr_core_account *const *right = b;
+
+  return strcmp ((*left)->settings.name, (*right)->settings.name);
+}
+
+struct gr_core_account *
+gr_account_get (struct gr_core *core, const char *name)
+{
+  struct gr_core_account *account = g_hash_table_lookup (core->accounts, name);
+
+  if (account != NULL)
+    return account;
+  account = g_new0 (struct gr_core_account, 1);
+  g_strlcpy (account->settings.name, name, sizeof account->settings.name);
+  account->units = g_ptr_array_new ();
+  account->learned = gr_learned_table_create ();
+  g_hash_table_insert (core->accounts, account->settings.name, account);
+  g_ptr_array_add (core->account_list, account);
+  g_ptr_array_sort (core->account_list, compare_accounts);
+  return account;
+}
+
+void
+gr_account_free (void *data)
+{
+  struct gr_core_account *account = data;
+
+  for (uint32_t i = 0; i < account->units->len; i++)
+    gr_unit_free (g_ptr_array_index (account->units, i));
+  g_ptr_array_free (account->units, TRUE);
+  g_hash_table_destroy (account->learned);
+  g_free (account);
+}
+
+/* Racks are adjacent in the order of the numbers in their names. */
+static int
+compare_racks (const void *a, const void *b)
+{
+  const struct gr_core_rack *const *left = a;
+  const struct gr_core_rack *const *right = b;
+
+  return strverscmp ((*left)->name, (*right)->name);
+}
+
+static int
+compare_slots (const void *a, const void *b)
+{
+  const struct gr_core_worker *const *left = a;
+  const struct gr_core_worker *const *right = b;
+
+  if ((*left)->rack_slot != (*right)->rack_slot)
+    return (*left)->rack_slot < (*right)->rack_slot ? -1 : 1;
+  return strverscmp ((*left)->name, (*right)->name);
+}
+
+void
+gr_rack_free (void *data)
+{
+  struct gr_core_rack *rack = data;
+
+  g_ptr_array_free (rack->workers, TRUE);
+  g_free (rack);
+}
+
+static struct gr_core_rack *
+rack_get (struct gr_core *core, const char *name)
+{
+  struct gr_core_rack *rack = g_hash_table_lookup (core->racks, name);
+
+  if (rack != NULL)
+    return rack;
+  rack = g_new0 (struct gr_core_rack, 1);
+  g_strlcpy (rack->name, name, sizeof rack->name);
+  rack->workers = g_ptr_array_new ();
+  rack->dirty = true;
+  g_hash_table_insert (core->racks, rack->name, rack);
+  g_ptr_array_add (core->rack_list, rack);
+  g_ptr_array_sort (core->rack_list, compare_racks);
+  return rack;
+}
+
+static uint32_t
+type_get (struct gr_core *core, const struct gr_worker_report *report)
+{
+  struct gr_worker_type *type;
+
+  for (uint32_t i = 0; i < core->n_types; i++)
+    if (core->types[i].accelerators == report->accelerators
+        && core->types[i].cores == report->cores
+        && core->types[i].memory_mb == report->memory_mb)
+      return i;
+  if (core->n_types < GR_MAX_WORKER_TYPES)
+    {
+      type = &core->types[core->n_types];
+      type->accelerators = report->accelerators;
+      type->cores = report->cores;
+      type->memory_mb = report->memory_mb;
+      return core->n_types++;
+    }
+  /* More kinds of workers than expected: the last type becomes the smallest
+   * of those that share it, so that no task is placed where it does not fit. */
+  type = &core->types[GR_MAX_WORKER_TYPES - 1];
+  type->accelerators = MIN (type->accelerators, report->accelerators);
+  type->cores = MIN (type->cores, report->cores);
+  type->memory_mb = MIN (type->memory_mb, report->memory_mb);
+  return GR_MAX_WORKER_TYPES - 1;
+}
+
+struct gr_core_worker *
+gr_worker_find (const struct gr_core *core, const char *name)
+{
+  return g_hash_table_lookup (core->workers, name);
+}
+
+struct gr_core_worker *
+gr_worker_get (struct gr_core *core, const struct gr_worker_report *report)
+{
+  struct gr_core_worker *worker = gr_worker_find (core, report->worker);
+  struct gr_core_rack *rack;
+
+  if (worker != NULL)
+    return worker;
+  rack = rack_get (core, report->rack);
+  worker = g_new0 (struct gr_core_worker, 1);
+  g_strlcpy (worker->name, report->worker, sizeof worker->name);
+  g_strlcpy (worker->incarnation, report->incarnation,
+             sizeof worker->incarnation);
+  worker->rack = rack;
+  worker->rack_slot = report->rack_slot;
+  worker->accelerators = MIN (report->accelerators, GR_MAX_ACCELERATORS);
+  worker->all = (1U << worker->accelerators) - 1;
+  worker->type = type_get (core, report);
+  worker->heard_link.data = worker;
+  worker->renew_link.data = worker;
+  worker->silent = true;
+  g_hash_table_insert (core->workers, worker->name, worker);
+  g_ptr_array_add (rack->workers, worker);
+  g_ptr_array_sort (rack->workers, compare_slots);
+  core->max_rack_workers = MAX (core->max_rack_workers, rack->workers->len);
+  return worker;
+}
+
+void
+gr_worker_free (void *data)
+{
+  g_free (data);
+}
+
+void
+gr_worker_remove (struct gr_core *core, struct gr_core_worker *worker)
+{
+  g_assert (worker->held == 0 && worker->in_unit == 0);
+  if (worker->in_heard)
+    g_queue_unlink (&core->heard, &worker->heard_link);
+  if (worker->in_renew)
+    g_queue_unlink (&core->renewals[worker->renew_slot], &worker->renew_link);
+  g_ptr_array_remove_fast (core->quarantined, worker);
+  g_ptr_array_remove (worker->rack->workers, worker);
+  worker->rack->dirty = true;
+  g_hash_table_remove (core->workers, worker->name);
+}
+
+void
+gr_worker_touch (struct gr_core *core, struct gr_core_worker *worker)
+{
+  worker->rack->dirty = true;
+  core->place_dirty = true;
+}
+
+void
+gr_worker_update (struct gr_core *core, struct gr_core_worker *worker)
+{
+  bool usable = !worker->silent && !worker->leaving && !worker->gone
+                && !worker->quarantined;
+
+  if (usable == worker->usable)
+    return;
+  worker->usable = usable;
+  gr_worker_touch (core, worker);
+  gr_witness_worker_changed (core, worker);
+}
+
+void
+gr_worker_heard (struct gr_core *core, struct gr_core_worker *worker)
+{
+  worker->heard_active_ms = core->active_ms;
+  if (worker->in_heard)
+    g_queue_unlink (&core->heard, &worker->heard_link);
+  g_queue_push_tail_link (&core->heard, &worker->heard_link);
+  worker->in_heard = true;
+  worker->silent = false;
+  worker->gone = false;
+  gr_worker_update (core, worker);
+}
+
+void
+gr_job_free (void *data)
+{
+  struct gr_core_job *job = data;
+
+  for (uint32_t i = 0; i < job->n_members; i++)
+    g_free (job->members[i].id);
+  g_free (job->members);
+  gr_cell_clear (&job->claim);
+  gr_cell_clear (&job->reserve);
+  gr_job_record_clear (&job->record);
+  g_free (job);
+}
--- /dev/null
+++ b/sched/windows.c
@@ -0,0 +1,249 @@
+#include "sched/windows.h"
+
+/* Slides over workers in order and keeps the best run of adjacent ones. */
+struct window
+{
+  uint32_t wanted;
+  uint32_t run;
+  uint32_t candidates;
+  uint32_t best_end;
+  int64_t best_score;
+  struct gr_candidate *found; /* one for each worker, owned */
+};
+
+static void
+window_start (struct window *window, uint32_t wanted, uint32_t n_workers)
+{
+  window->wanted = wanted;
+  window->run = 0;
+  window->candidates = 0;
+  window->best_end = 0;
+  window->best_score = G_MAXINT64;
+  window->found = g_renew (struct gr_candidate, window->found, n_workers + 1);
+}
+
+/* Takes the next worker; found[index] is set if it has a block. */
+static void
+window_add (struct window *window, uint32_t index, bool has_block)
+{
+  int64_t score = 0;
+
+  if (!has_block)
+    {
+      window->run = 0;
+      return;
+    }
+  window->candidates++;
+  if (++window->run < window->wanted)
+    return;
+  for (uint32_t i = index + 1 - window->wanted; i <= index; i++)
+    score += window->found[i].score;
+  if (score >= window->best_score)
+    return;
+  window->best_score = score;
+  window->best_end = index;
+}
+
+static void
+scan_rack (const struct gr_core *core,
+           const struct gr_search *search,
+           const struct gr_core_rack *rack,
+           struct window *window)
+{
+  window_start (window, search->shape.workers, rack->workers->len);
+  for (uint32_t i = 0; i < rack->workers->len; i++)
+    {
+      const struct gr_core_worker *worker =
+          g_ptr_array_index (rack->workers, i);
+      const struct gr_core_worker *before =
+          i > 0 ? g_ptr_array_index (rack->workers, i - 1) : NULL;
+
+      if (before != NULL && worker->rack_slot != before->rack_slot + 1)
+        window->run = 0;
+      window_add (
+          window, i,
+          gr_best_block (core, worker, search, UINT32_MAX, &window->found[i]));
+    }
+}
+
+/* Among windows of equal cost the one in the rack with the fewest candidates
+ * is best: it leaves whole racks to others. */
+bool
+gr_search_rack (struct gr_core *core,
+                const struct gr_search *search,
+                struct gr_cell *cell)
+{
+  uint32_t wanted = search->shape.workers;
+  int64_t best_score = G_MAXINT64;
+  uint32_t first = gr_first_rack (core, search);
+  uint32_t seen = 0;
+  struct window window = { 0 };
+
+  for (uint32_t r = 0; r < core->rack_list->len; r++)
+    {
+      const struct gr_core_rack *rack = gr_rack_at (core, first + r);
+      int64_t score;
+
+      scan_rack (core, search, rack, &window);
+      if (window.best_score == G_MAXINT64)
+        continue;
+      score = window.best_score * 64 + MIN (window.candidates - wanted, 63);
+      if (score >= best_score)
+        continue;
+      best_score = score;
+      gr_cell_set (cell, wanted);
+      for (uint32_t k = 0; k < wanted; k++)
+        {
+          uint32_t i = window.best_end + 1 - wanted + k;
+
+          cell->parts[k].worker = g_ptr_array_index (rack->workers, i);
+          cell->parts[k].mask = window.found[i].mask;
+        }
+      if (best_score == 0 || search->first_fit
+          || ++seen >= GR_MAX_COSTLY_CANDIDATES)
+        break;
+    }
+  g_free (window.found);
+  return best_score != G_MAXINT64;
+}
+
+bool
+gr_search_in_unit (const struct gr_core *core,
+                   const struct gr_search *search,
+                   struct gr_cell *cell)
+{
+  const struct gr_cell *whole = &search->unit->cell;
+  uint32_t wanted = search->shape.workers;
+  bool one_rack = wanted <= core->max_rack_workers;
+  struct window window = { 0 };
+  bool found;
+
+  window_start (&window, wanted, whole->n);
+  for (uint32_t i = 0; i < whole->n; i++)
+    {
+      const struct gr_core_worker *worker = whole->parts[i].worker;
+
+      if (i > 0 && one_rack && worker->rack != whole->parts[i - 1].worker->rack)
+        window.run = 0;
+      window_add (&window, i,
+                  gr_best_block (core, worker, search, whole->parts[i].mask,
+                                 &window.found[i]));
+    }
+  found = window.best_score != G_MAXINT64;
+  if (found)
+    {
+      gr_cell_set (cell, wanted);
+      for (uint32_t k = 0; k < wanted; k++)
+        {
+          uint32_t i = window.best_end + 1 - wanted + k;
+
+          cell->parts[k].worker = whole->parts[i].worker;
+          cell->parts[k].mask = window.found[i].mask;
+        }
+    }
+  g_free (window.found);
+  return found;
+}
+
+/* What one rack offers to a gang over several racks. */
+struct offer
+{
+  uint32_t workers;
+  int64_t score;
+};
+
+static struct offer
+offer_of (const struct gr_core *core,
+          const struct gr_search *search,
+          const struct gr_core_rack *rack)
+{
+  struct offer offer = { 0, 0 };
+
+  for (uint32_t i = 0; i < rack->workers->len; i++)
+    {
+      struct gr_candidate found;
+
+      if (!gr_best_block (core, g_ptr_array_index (rack->workers, i), search,
+                          UINT32_MAX, &found))
+        continue;
+      offer.workers++;
+      offer.score += found.score;
+    }
+  return offer;
+}
+
+/* First rack of the best run of racks, or -1. The fewest racks are best among
+ * runs of equal cost. */
+static int64_t
+best_run (const struct offer *offers, uint32_t n_racks, uint32_t wanted)
+{
+  int64_t best_score = G_MAXINT64;
+  int64_t best = -1;
+
+  for (uint32_t start = 0; start < n_racks; start++)
+    {
+      uint32_t sum = 0;
+      int64_t score = 0;
+      uint32_t end = start;
+
+      for (; end < n_racks && offers[end].workers > 0 && sum < wanted; end++)
+        {
+          sum += offers[end].workers;
+          score += offers[end].score;
+        }
+      score = score * 64 + (end - start);
+      if (sum < wanted || score >= best_score)
+        continue;
+      best_score = score;
+      best = start;
+    }
+  return best;
+}
+
+static void
+take_run (const struct gr_core *core,
+          const struct gr_search *search,
+          uint32_t start,
+          struct gr_cell *cell)
+{
+  uint32_t filled = 0;
+
+  gr_cell_set (cell, search->shape.workers);
+  for (uint32_t r = start; filled < cell->n; r++)
+    {
+      const struct gr_core_rack *rack = gr_rack_at (core, r);
+
+      for (uint32_t i = 0; i < rack->workers->len && filled < cell->n; i++)
+        {
+          struct gr_core_worker *worker = g_ptr_array_index (rack->workers, i);
+          struct gr_candidate found;
+
+          if (!gr_best_block (core, worker, search, UINT32_MAX, &found))
+            continue;
+          cell->parts[filled].worker = worker;
+          cell->parts[filled].mask = found.mask;
+          filled++;
+        }
+    }
+}
+
+/* Workers that cannot be used are left out, so that one failed worker does not
+ * keep a gang of hundreds from starting; a rack without any ends the run. */
+bool
+gr_search_racks (struct gr_core *core,
+                 const struct gr_search *search,
+                 struct gr_cell *cell)
+{
+  uint32_t n_racks = core->rack_list->len;
+  struct offer *offers = g_new0 (struct offer, n_racks + 1);
+  int64_t start;
+
+  for (uint32_t r = 0; r < n_racks; r++)
+    offers[r] = offer_of (core, search, gr_rack_at (core, r));
+  start = best_run (offers, n_racks, search->shape.workers);
+  g_free (offers);
+  if (start < 0)
+    return false;
+  take_run (core, search, (uint32_t)start, cell);
+  return true;
+}
--- /dev/null
+++ b/tests/sched-model.h
@@ -0,0 +1,93 @@
+/* In-memory workers and store around one decision core, for tests. Everything
+ * runs in simulated time; the model asserts from outside what must never
+ * happen on a worker. */
+#pragma once
+
+#include "sched/core.h"
+#include "sched/invariants.h"
+
+#define MODEL_TICK_MS 100
+
+struct model_task
+{
+  char id[GR_ID_MAX];
+  char job[GR_ID_MAX];
+  uint32_t accelerators;
+  int64_t expires_ms; /* of the lease */
+  bool started;
+  bool running;
+  enum gr_task_state state;
+  int64_t ran_ms;
+  int64_t run_ms; /* finishes after this */
+  int64_t checkpoint_ms;
+};
+
+struct model_worker
+{
+  char name[GR_NAME_MAX];
+  char rack[GR_NAME_MAX];
+  uint32_t slot;
+  uint32_t incarnation;
+  bool dead;
+  bool failing;     /* every task that it starts fails */
+  GPtrArray *tasks; /* struct model_task, one for each lease */
+};
+
+struct model
+{
+  struct gr_core *core;
+  struct gr_core_config config;
+  GRand *rand;
+  int64_t now_ms;
+  bool durable;
+  bool instant; /* answers and commits come before the next tick */
+  double loss;  /* probability that a call or its answer is lost */
+  uint32_t n_workers;
+  struct model_worker *workers;
+  GHashTable *by_name;
+  GHashTable *records;  /* job -> durable record */
+  GHashTable *run_ms;   /* job -> real run time */
+  GHashTable *ran;      /* non-idempotent job -> attempt that ran */
+  GHashTable *started;  /* attempt -> number of its started tasks */
+  GHashTable *accounts; /* name -> struct gr_account_settings */
+  GPtrArray *events;    /* answers and reports under way */
+  GArray *out;
+  uint64_t n_commands[GR_COMMAND_COMMIT + 1];
+};
+
+struct model *model_create (uint32_t seed,
+                            uint32_t n_racks,
+                            uint32_t per_rack,
+                            enum gr_core_policy policy);
+void model_destroy (struct model *model);
+
+struct model_worker *model_worker (struct model *model, const char *name);
+
+/* A new owner: a fresh core that gets the durable records. */
+void model_restart (struct model *model);
+
+void model_set_account (struct model *model,
+                        const char *name,
+                        uint32_t quota,
+                        uint32_t workers,
+                        uint32_t accelerators,
+                        uint32_t count);
+
+/* One simulated step: workers run, reports and answers arrive, the core
+ * ticks. */
+void model_step (struct model *model);
+void model_run (struct model *model, int64_t for_ms);
+
+/* Submits a job that really runs for run_ms; NULL if it was refused. */
+const struct gr_job_record *model_submit (struct model *model,
+                                          const struct gr_job_spec *spec,
+                                          int64_t run_ms,
+                                          struct gr_error *error);
+struct gr_job_spec model_spec (const char *account,
+                               const char *key,
+                               uint32_t workers,
+                               uint32_t accelerators);
+enum gr_job_state model_state (const struct model *model, const char *key);
+
+/* Loses all that a worker holds. */
+void model_kill (struct model *model, struct model_worker *worker);
--- /dev/null
+++ b/tests/test-sched.c
@@ -0,0 +1,498 @@
+/* Decision core: each test guards against one failure. */
+#include "tests/sched-model.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct model *
+setup (uint32_t n_racks, uint32_t per_rack)
+{
+  struct model *model = model_create (7, n_racks, per_rack, GR_POLICY_DEFAULT);
+
+  model->instant = true;
+  model_set_account (model, "a", 0, 0, 0, 0);
+  model_run (model, 2000);
+  return model;
+}
+
+static void
+submit (struct model *model, const struct gr_job_spec *spec, int64_t run_ms)
+{
+  struct gr_error error = GR_ERROR_INIT;
+
+  ck_assert_msg (model_submit (model, spec, run_ms, &error) != NULL, "%s",
+                 error.message);
+}
+
+static uint32_t
+count_running (struct model *model, const char *job)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    for (uint32_t k = 0; k < model->workers[i].tasks->len; k++)
+      {
+        const struct model_task *task =
+            g_ptr_array_index (model->workers[i].tasks, k);
+
+        n += task->running && strcmp (task->job, job) == 0;
+      }
+  return n;
+}
+
+/* Guards against a gang that is not placed on adjacent workers, does not come
+ * up, or is not released at its end. */
+START_TEST (gang_runs_on_adjacent_workers)
+{
+  struct model *model = setup (2, 4);
+  struct gr_job_spec spec = model_spec ("a", "g", 3, 8);
+  const struct gr_job_record *record;
+  struct gr_core_status status;
+
+  submit (model, &spec, 5000);
+  model_run (model, 1500);
+  record = gr_core_find (model->core, "dc1.a.g");
+  ck_assert_int_eq (record->state, GR_JOB_RUNNING);
+  ck_assert_uint_eq (record->n_placements, 3);
+  for (uint32_t i = 1; i < 3; i++)
+    {
+      const struct model_worker *before =
+          model_worker (model, record->placements[i - 1].worker);
+      const struct model_worker *worker =
+          model_worker (model, record->placements[i].worker);
+
+      ck_assert_str_eq (worker->rack, before->rack);
+      ck_assert_uint_eq (worker->slot, before->slot + 1);
+    }
+  ck_assert_uint_eq (count_running (model, "dc1.a.g"), 3);
+  model_run (model, 8000);
+  ck_assert_int_eq (model_state (model, "a.g"), GR_JOB_FINISHED);
+  gr_core_get_status (model->core, &status);
+  ck_assert_uint_eq (status.free, 64);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against leases that run out under long work. */
+START_TEST (long_work_is_renewed)
+{
+  struct model *model = setup (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "long", 2, 8);
+
+  submit (model, &spec, 120000);
+  model_run (model, 125000);
+  ck_assert_int_eq (model_state (model, "a.long"), GR_JOB_FINISHED);
+  ck_assert_uint_eq (model->n_commands[GR_COMMAND_GRANT], 2);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against starts whose record is not durable. */
+START_TEST (nothing_starts_while_the_store_is_down)
+{
+  struct model *model = setup (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "j", 1, 1);
+
+  model->durable = false;
+  submit (model, &spec, 1000);
+  model_run (model, 30000);
+  ck_assert_uint_eq (model->n_commands[GR_COMMAND_START], 0);
+  model->durable = true;
+  model_run (model, 5000);
+  ck_assert_int_eq (model_state (model, "a.j"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against the rest of a gang that runs on after a member is lost, and
+ * against a second run of work that must not run twice. */
+START_TEST (lost_member_stops_the_gang)
+{
+  struct model *model = setup (2, 4);
+  struct gr_job_spec again = model_spec ("a", "again", 2, 8);
+  struct gr_job_spec once = model_spec ("b", "once", 2, 8);
+  const struct gr_job_record *record;
+
+  model_set_account (model, "b", 0, 2, 8, 1);
+  once.idempotent = false;
+  submit (model, &again, 20000);
+  submit (model, &once, 20000);
+  model_run (model, 3000);
+  record = gr_core_find (model->core, "dc1.a.again");
+  model_kill (model, model_worker (model, record->placements[0].worker));
+  record = gr_core_find (model->core, "dc1.b.once");
+  model_kill (model, model_worker (model, record->placements[0].worker));
+  model_run (model, 5000);
+  ck_assert_uint_eq (count_running (model, "dc1.a.again"), 0);
+  ck_assert_uint_eq (count_running (model, "dc1.b.once"), 0);
+  ck_assert_int_eq (model_state (model, "b.once"), GR_JOB_STOPPING);
+  model_run (model, 75000);
+  ck_assert_int_eq (model_state (model, "b.once"), GR_JOB_MAY_HAVE_RUN);
+  ck_assert_int_eq (model_state (model, "a.again"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against a guarantee that other work keeps from its owner, and against
+ * stopping work that loses more than other work would. */
+START_TEST (guarantee_is_reclaimed_where_least_is_lost)
+{
+  struct model *model = setup (1, 4);
+  struct gr_job_spec spec;
+  char key[16];
+
+  model_set_account (model, "owner", 0, 1, 8, 1);
+  model_run (model, 500);
+  for (int i = 0; i < 4; i++)
+    {
+      g_snprintf (key, sizeof key, "b%d", i);
+      spec = model_spec ("a", key, 1, 8);
+      spec.checkpointable = i == 2;
+      submit (model, &spec, 600000);
+      model_run (model, 2000);
+    }
+  spec = model_spec ("owner", "mine", 1, 8);
+  spec.idempotent = false;
+  submit (model, &spec, 5000);
+  model_run (model, 3900);
+  ck_assert_int_eq (model_state (model, "owner.mine"), GR_JOB_RUNNING);
+  ck_assert_int_eq (model_state (model, "a.b2"), GR_JOB_ACCEPTED);
+  ck_assert_int_gt (gr_core_find (model->core, "dc1.a.b2")->saved_ms, 0);
+  model_run (model, 10000);
+  ck_assert_int_eq (model_state (model, "owner.mine"), GR_JOB_FINISHED);
+  ck_assert_int_eq (model_state (model, "a.b2"), GR_JOB_RUNNING);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against a witness that is not computed again after a rack failure,
+ * or that hides that it cannot hold. */
+START_TEST (rack_failure_moves_or_reports_guarantees)
+{
+  struct model *model = setup (3, 2);
+  struct gr_core_status status;
+
+  model_set_account (model, "owner", 0, 2, 8, 2);
+  model_run (model, 500);
+  model_kill (model, &model->workers[0]);
+  model_kill (model, &model->workers[1]);
+  model_run (model, 6000);
+  gr_core_get_status (model->core, &status);
+  ck_assert (status.witness_holds);
+  model_kill (model, &model->workers[2]);
+  model_run (model, 6000);
+  gr_core_get_status (model->core, &status);
+  ck_assert (!status.witness_holds);
+  model->workers[0].dead = false;
+  model->workers[1].dead = false;
+  model_run (model, 3000);
+  gr_core_get_status (model->core, &status);
+  ck_assert (status.witness_holds);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against a quota that is exceeded, and against jobs that can never
+ * run but wait for ever. */
+START_TEST (quota_and_size_are_enforced)
+{
+  struct model *model = setup (2, 4);
+  struct gr_job_spec spec;
+  struct gr_error error = GR_ERROR_INIT;
+  GArray *accounts;
+  char key[16];
+
+  model_set_account (model, "small", 4, 0, 0, 0);
+  for (int i = 0; i < 6; i++)
+    {
+      g_snprintf (key, sizeof key, "q%d", i);
+      spec = model_spec ("small", key, 1, 2);
+      submit (model, &spec, 5000);
+    }
+  model_run (model, 2000);
+  accounts = gr_core_account_status (model->core);
+  ck_assert_uint_eq (
+      g_array_index (accounts, struct gr_core_account_status, 1).used, 4);
+  g_array_unref (accounts);
+  spec = model_spec ("small", "over", 1, 8);
+  ck_assert_ptr_null (model_submit (model, &spec, 1, &error));
+  ck_assert_int_eq (error.kind, GR_ERROR_NEVER_FITS);
+  model_run (model, 40000);
+  ck_assert_int_eq (model_state (model, "small.q5"), GR_JOB_FINISHED);
+  spec = model_spec ("a", "huge", 9, 8);
+  ck_assert_ptr_null (model_submit (model, &spec, 1, &error));
+  ck_assert_int_eq (error.kind, GR_ERROR_NEVER_FITS);
+  spec = model_spec ("a", "cores", 1, 1);
+  spec.cores_per_task = 65;
+  ck_assert_ptr_null (model_submit (model, &spec, 1, &error));
+  spec = model_spec ("a", "once", 1, 1);
+  spec.idempotent = false;
+  ck_assert_ptr_null (model_submit (model, &spec, 1, &error));
+  ck_assert_int_eq (error.kind, GR_ERROR_NEVER_FITS);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against small jobs that keep overtaking a large one, and against
+ * backfilled work that delays it. */
+START_TEST (reserved_start_is_not_delayed)
+{
+  struct model *model = setup (1, 2);
+  struct gr_job_spec spec;
+  char key[16];
+
+  spec = model_spec ("a", "first", 1, 8);
+  submit (model, &spec, 20000);
+  model_run (model, 1000);
+  spec = model_spec ("a", "large", 2, 8);
+  submit (model, &spec, 10000);
+  model_run (model, 1000);
+  for (int i = 0; i < 40; i++)
+    {
+      g_snprintf (key, sizeof key, "s%d", i);
+      spec = model_spec ("a", key, 1, 4);
+      /* Declared far too short: it would delay the large job for an hour. */
+      spec.run_ms = 1000;
+      submit (model, &spec, 3600000);
+      model_run (model, 500);
+    }
+  model_run (model, 3000);
+  ck_assert_int_eq (model_state (model, "a.large"), GR_JOB_RUNNING);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against urgent work that waits behind long batches. */
+START_TEST (urgent_work_overtakes_batches)
+{
+  struct model *model = setup (1, 2);
+  struct gr_job_spec spec;
+  char key[16];
+
+  for (int i = 0; i < 4; i++)
+    {
+      g_snprintf (key, sizeof key, "b%d", i);
+      spec = model_spec ("a", key, 1, 8);
+      spec.priority = GR_PRIORITY_BATCH;
+      submit (model, &spec, 3600000);
+    }
+  model_run (model, 5000);
+  spec = model_spec ("a", "urgent", 1, 2);
+  spec.priority = GR_PRIORITY_URGENT;
+  submit (model, &spec, 10000);
+  model_run (model, 3900);
+  ck_assert_int_eq (model_state (model, "a.urgent"), GR_JOB_RUNNING);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against a worker that fails everything and draws all work, and
+ * against healthy workers that are blamed for a faulty job. */
+START_TEST (failing_workers_and_jobs_are_told_apart)
+{
+  struct model *model = setup (1, 4);
+  struct gr_job_spec spec;
+  GArray *workers;
+  char key[16];
+
+  model->workers[0].failing = true;
+  spec = model_spec ("a", "faulty", 1, 1);
+  submit (model, &spec, -1000);
+  for (int i = 0; i < 20; i++)
+    {
+      g_snprintf (key, sizeof key, "j%d", i);
+      spec = model_spec ("a", key, 1, 2);
+      submit (model, &spec, 2000);
+    }
+  model_run (model, 25000);
+  for (int i = 0; i < 20; i++)
+    {
+      g_snprintf (key, sizeof key, "a.j%d", i);
+      ck_assert_int_eq (model_state (model, key), GR_JOB_FINISHED);
+    }
+  ck_assert_int_eq (model_state (model, "a.faulty"), GR_JOB_FAILED);
+  workers = gr_core_worker_status (model->core);
+  for (uint32_t i = 0; i < workers->len; i++)
+    ck_assert (
+        g_array_index (workers, struct gr_core_worker_status, i).quarantined
+        == (i == 0));
+  g_array_unref (workers);
+  model->workers[0].failing = false;
+  spec = model_spec ("a", "probe", 1, 1);
+  for (int i = 0; i < 8; i++)
+    {
+      g_snprintf (key, sizeof key, "k%d", i);
+      spec = model_spec ("a", key, 1, 8);
+      submit (model, &spec, 30000);
+    }
+  model_run (model, 120000);
+  workers = gr_core_worker_status (model->core);
+  ck_assert (
+      !g_array_index (workers, struct gr_core_worker_status, 0).quarantined);
+  g_array_unref (workers);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against a new owner that restarts running work, reuses accelerators
+ * that are still leased, or forgets work that is gone. */
+START_TEST (new_owner_adopts_running_work)
+{
+  struct model *model = setup (1, 4);
+  struct gr_job_spec spec;
+
+  model_set_account (model, "b", 0, 1, 8, 1);
+  spec = model_spec ("a", "gang", 2, 8);
+  submit (model, &spec, 40000);
+  spec = model_spec ("b", "once", 1, 8);
+  spec.idempotent = false;
+  submit (model, &spec, 40000);
+  spec = model_spec ("a", "lost", 1, 8);
+  submit (model, &spec, 20000);
+  model_run (model, 5000);
+  model_kill (
+      model,
+      model_worker (
+          model,
+          gr_core_find (model->core, "dc1.a.lost")->placements[0].worker));
+  model_restart (model);
+  model_run (model, 20000);
+  ck_assert_int_eq (model_state (model, "a.gang"), GR_JOB_RUNNING);
+  ck_assert_uint_eq (gr_core_find (model->core, "dc1.a.gang")->attempt, 1);
+  ck_assert_int_eq (model_state (model, "b.once"), GR_JOB_RUNNING);
+  model_run (model, 80000);
+  ck_assert_int_eq (model_state (model, "a.gang"), GR_JOB_FINISHED);
+  ck_assert_int_eq (model_state (model, "b.once"), GR_JOB_FINISHED);
+  ck_assert_int_eq (model_state (model, "a.lost"), GR_JOB_FINISHED);
+  ck_assert_uint_eq (gr_core_find (model->core, "dc1.a.lost")->attempt, 2);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against accelerators that stay taken after a wave of cancellations,
+ * and against jobs that start although they were cancelled. */
+START_TEST (cancellation_wave_frees_everything)
+{
+  struct model *model = setup (8, 8);
+  struct gr_job_spec spec;
+  struct gr_core_status status;
+  struct gr_error error = GR_ERROR_INIT;
+  char key[32];
+
+  for (int i = 0; i < 2000; i++)
+    {
+      g_snprintf (key, sizeof key, "j%d", i);
+      spec = model_spec ("a", key, 1, 1);
+      submit (model, &spec, 600000);
+    }
+  model_run (model, 3000);
+  gr_core_get_status (model->core, &status);
+  ck_assert_uint_eq (status.jobs_running, 512);
+  for (int i = 0; i < 2000; i++)
+    {
+      g_snprintf (key, sizeof key, "dc1.a.j%d", i);
+      ck_assert (gr_core_cancel (model->core, key, model->now_ms, &error));
+    }
+  model_run (model, 2000);
+  gr_core_get_status (model->core, &status);
+  ck_assert_uint_eq (status.jobs_running + status.jobs_waiting, 0);
+  ck_assert_uint_eq (status.free, 512);
+  ck_assert_int_eq (model_state (model, "a.j1999"), GR_JOB_CANCELLED);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against a large gang that finds no place over several racks, or
+ * whose ids are too long or not unique. */
+START_TEST (gang_of_1024_spans_adjacent_racks)
+{
+  struct model *model = setup (130, 8);
+  struct gr_job_spec spec = model_spec ("a", "big", 1024, 8);
+  const struct gr_job_record *record;
+
+  model_kill (model, &model->workers[3]);
+  model_run (model, 4000);
+  submit (model, &spec, 5000);
+  model_run (model, 2000);
+  record = gr_core_find (model->core, "dc1.a.big");
+  ck_assert_int_eq (record->state, GR_JOB_RUNNING);
+  ck_assert_uint_eq (count_running (model, "dc1.a.big"), 1024);
+  model_run (model, 8000);
+  ck_assert_int_eq (model_state (model, "a.big"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against a pause of the scheduler that is taken for silence of all
+ * workers. */
+START_TEST (pause_of_the_owner_is_not_silence)
+{
+  struct model *model = setup (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "j", 2, 8);
+
+  submit (model, &spec, 30000);
+  model_run (model, 3000);
+  model->now_ms += 8000;
+  gr_core_tick (model->core, model->now_ms, model->now_ms, true, model->out);
+  model_run (model, 3000);
+  ck_assert_int_eq (model_state (model, "a.j"), GR_JOB_RUNNING);
+  ck_assert_uint_eq (gr_core_find (model->core, "dc1.a.j")->attempt, 1);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against a baseline that does not keep its order. */
+START_TEST (first_in_first_out_does_not_overtake)
+{
+  struct model *model = model_create (7, 1, 2, GR_POLICY_FIFO);
+  struct gr_job_spec spec;
+
+  model->instant = true;
+  model_set_account (model, "a", 0, 0, 0, 0);
+  model_run (model, 2000);
+  spec = model_spec ("a", "first", 1, 8);
+  submit (model, &spec, 20000);
+  spec = model_spec ("a", "large", 2, 8);
+  submit (model, &spec, 5000);
+  spec = model_spec ("a", "late", 1, 1);
+  spec.priority = GR_PRIORITY_URGENT;
+  submit (model, &spec, 1000);
+  model_run (model, 15000);
+  ck_assert_int_eq (model_state (model, "a.late"), GR_JOB_ACCEPTED);
+  model_run (model, 20000);
+  ck_assert_int_eq (model_state (model, "a.late"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("sched");
+  TCase *tcase = tcase_create ("sched");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_test (tcase, gang_runs_on_adjacent_workers);
+  tcase_add_test (tcase, long_work_is_renewed);
+  tcase_add_test (tcase, nothing_starts_while_the_store_is_down);
+  tcase_add_test (tcase, lost_member_stops_the_gang);
+  tcase_add_test (tcase, guarantee_is_reclaimed_where_least_is_lost);
+  tcase_add_test (tcase, rack_failure_moves_or_reports_guarantees);
+  tcase_add_test (tcase, quota_and_size_are_enforced);
+  tcase_add_test (tcase, reserved_start_is_not_delayed);
+  tcase_add_test (tcase, urgent_work_overtakes_batches);
+  tcase_add_test (tcase, failing_workers_and_jobs_are_told_apart);
+  tcase_add_test (tcase, new_owner_adopts_running_work);
+  tcase_add_test (tcase, cancellation_wave_frees_everything);
+  tcase_add_test (tcase, gang_of_1024_spans_adjacent_racks);
+  tcase_add_test (tcase, pause_of_the_owner_is_not_silence);
+  tcase_add_test (tcase, first_in_first_out_does_not_overtake);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
