sched: random fault run, fixes that it led to

Cause: single tests do not cover races between answers, reports, faults and changes of owner.

Faults found and fixed: a report of a restarted worker dropped leases that the new incarnation had granted; a report that arrived after a pause of the owner dropped younger leases; members that wait for a report stayed in a list after their job had ended; the quota demand of guaranteed work stopped borrowed work again and again; a gang that needs a quarantined worker waited for ever; results of work that finished while it was being unthrottled were not kept until the record was durable.

--- a/sched/cells.c
+++ b/sched/cells.c
@@ -63,7 +63,7 @@
 
   if (!worker->usable)
     return 0;
-  if (search->job != NULL
+  if (search->job != NULL && search->job->avoid_until_ms > core->now_ms
       && strcmp (search->job->failed_worker, worker->name) == 0)
     return 0;
   switch (search->mode)
--- a/sched/gang.c
+++ b/sched/gang.c
@@ -183,6 +183,7 @@
     {
       g_assert (job->members[i].released);
       g_free (job->members[i].id);
+      g_free (job->members[i].reporter);
     }
   g_clear_pointer (&job->members, g_free);
   job->n_members = 0;
--- a/sched/member.c
+++ b/sched/member.c
@@ -35,7 +35,7 @@
 void
 gr_member_granted (struct gr_core *core, struct gr_core_member *member)
 {
-  member->confirmed_ms = core->now_ms;
+  member->confirmed_active_ms = core->active_ms;
   count (core, member, &member->granted, &member->job->n_granted);
 }
 
@@ -165,15 +165,14 @@
 void
 gr_member_unbind (struct gr_core *core, struct gr_core_member *member)
 {
-  uint32_t index = (uint32_t)(member - member->job->members);
-  const char *name = member->job->record.n_placements > index
-                         ? member->job->record.placements[index].worker
-                         : NULL;
-  GPtrArray *list =
-      name != NULL ? g_hash_table_lookup (core->unbound, name) : NULL;
+  GPtrArray *list;
 
+  if (member->reporter == NULL)
+    return;
+  list = g_hash_table_lookup (core->unbound, member->reporter);
   if (list != NULL)
     g_ptr_array_remove_fast (list, member);
+  g_clear_pointer (&member->reporter, g_free);
 }
 
 static void
@@ -188,6 +187,7 @@
       list = g_ptr_array_new ();
       g_hash_table_insert (core->unbound, g_strdup (worker), list);
     }
+  member->reporter = g_strdup (worker);
   g_ptr_array_add (list, member);
 }
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -130,10 +130,12 @@
 }
 
 static void
-remember_failure (struct pass *pass, const struct gr_core_job *job)
+remember_failure (const struct gr_core *core,
+                  struct pass *pass,
+                  const struct gr_core_job *job)
 {
   /* A job that avoids a worker says nothing about others. */
-  if (pass->n_failed == MAX_FAILED_SHAPES || job->failed_worker[0] != '\0')
+  if (pass->n_failed == MAX_FAILED_SHAPES || job->avoid_until_ms > core->now_ms)
     return;
   pass->failed[pass->n_failed++] = job->record.spec;
 }
@@ -188,7 +190,8 @@
       search.mode = modes[i];
       if (!gr_search_all (core, &search, &cell))
         continue;
-      if (!gr_quota_allows (job->account, gr_cell_accelerators (&cell)))
+      if (!gr_quota_allows (job->account, gr_cell_accelerators (&cell)
+                                              + job->account->quota_demand))
         break;
       placed = true;
     }
@@ -213,7 +216,8 @@
   gr_search_for_job (core, job, &search);
   search.mode = GR_SEARCH_PREEMPT;
   placed = gr_search_all (core, &search, &cell)
-           && gr_quota_allows (job->account, gr_cell_accelerators (&cell));
+           && gr_quota_allows (job->account, gr_cell_accelerators (&cell)
+                                                 + job->account->quota_demand);
   if (placed)
     gr_claim_and_stop (core, job, &cell, NULL);
   gr_cell_clear (&cell);
@@ -252,7 +256,7 @@
           pass->placed++;
           return true;
         }
-      remember_failure (pass, job);
+      remember_failure (core, pass, job);
     }
   if (policy == GR_POLICY_FIFO)
     return false;
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -8,6 +8,9 @@
 
 /* Failures of this many different jobs in a row, without a success. */
 #define MAX_FAILURES 3
+/* A large gang may need the worker that it failed on, so that the worker is
+ * avoided for a limited time. */
+#define AVOID_MS 30000
 #define PROBE_FIRST_MS 30000
 #define PROBE_LIMIT_MS (30LL * 60 * 1000)
 /* A long probe need not finish: workers that fail do so at the start. */
@@ -17,8 +20,11 @@
 quarantine (struct gr_core *core, struct gr_core_worker *worker)
 {
   worker->quarantined = true;
-  worker->probe_interval_ms = PROBE_FIRST_MS;
-  worker->probe_due_ms = core->now_ms + PROBE_FIRST_MS;
+  worker->probe_interval_ms =
+      worker->probe_interval_ms == 0
+          ? PROBE_FIRST_MS
+          : MIN (worker->probe_interval_ms * 2, PROBE_LIMIT_MS);
+  worker->probe_due_ms = core->now_ms + worker->probe_interval_ms;
   g_ptr_array_add (core->quarantined, worker);
   gr_worker_update (core, worker);
 }
@@ -38,6 +44,15 @@
     }
 }
 
+static void
+avoid (const struct gr_core *core,
+       const struct gr_core_worker *worker,
+       struct gr_core_job *job)
+{
+  g_strlcpy (job->failed_worker, worker->name, sizeof job->failed_worker);
+  job->avoid_until_ms = core->now_ms + AVOID_MS;
+}
+
 void
 gr_worker_failed (struct gr_core *core,
                   struct gr_core_worker *worker,
@@ -54,18 +69,18 @@
               MIN (worker->probe_interval_ms * 2, PROBE_LIMIT_MS);
           worker->probe_due_ms = core->now_ms + worker->probe_interval_ms;
         }
-      g_strlcpy (job->failed_worker, worker->name, sizeof job->failed_worker);
+      avoid (core, worker, job);
       return;
     }
   /* A worker with failures of other jobs is in doubt itself. */
-  if (worker->failures == 0 || worker->last_failed == job || second)
+  if (worker->failures == 0 || worker->last_failed == job)
     job->record.failures++;
   if (second && worker->failures == 0)
     forgive (core, job);
   else if (worker->last_failed != job)
     worker->failures++;
   worker->last_failed = job;
-  g_strlcpy (job->failed_worker, worker->name, sizeof job->failed_worker);
+  avoid (core, worker, job);
   if (worker->failures >= MAX_FAILURES)
     quarantine (core, worker);
 }
@@ -75,6 +90,7 @@
 {
   worker->failures = 0;
   worker->last_failed = NULL;
+  worker->probe_interval_ms = 0;
   if (!worker->quarantined)
     return;
   worker->quarantined = false;
@@ -127,6 +143,18 @@
   return NULL;
 }
 
+/* With nothing to probe it with, the worker is used again until the next
+ * failure: a gang that needs the whole pool would wait for ever otherwise. */
+static void
+release_on_trial (struct gr_core *core, struct gr_core_worker *worker)
+{
+  worker->quarantined = false;
+  worker->failures = MAX_FAILURES - 1;
+  worker->last_failed = NULL;
+  g_ptr_array_remove_fast (core->quarantined, worker);
+  gr_worker_update (core, worker);
+}
+
 static void
 probe (struct gr_core *core, struct gr_core_worker *worker)
 {
@@ -137,7 +165,11 @@
   uint32_t need;
 
   if (job == NULL)
-    return;
+    {
+      if (core->jobs_waiting > 0)
+        release_on_trial (core, worker);
+      return;
+    }
   gr_search_for_job (core, job, &search);
   need = search.need[worker->type];
   part.mask = (1U << need) - 1;
--- a/sched/reclaim.c
+++ b/sched/reclaim.c
@@ -124,7 +124,8 @@
         gr_reserve_drop (core, job);
       else if (core->durable && ripe
                && gr_quota_allows (job->account,
-                                   gr_cell_accelerators (&job->reserve)))
+                                   gr_cell_accelerators (&job->reserve)
+                                       + job->account->quota_demand))
         {
           struct gr_cell cell = job->reserve;
 
@@ -160,45 +161,68 @@
 
 /* --- Guarantees --------------------------------------------------------- */
 
+/* Accelerators of the account that its guaranteed work may get from its own
+ * borrowed work, and those of them that are being freed already. */
+static uint32_t
+count_borrowed (const struct gr_core_account *account, uint32_t *coming)
+{
+  uint32_t borrowed = 0;
+
+  *coming = 0;
+  for (GList *link = account->active.head; link != NULL; link = link->next)
+    {
+      const struct gr_core_job *job = link->data;
+
+      if (!job->pinned)
+        borrowed += job->held;
+      if (job->phase >= GR_PHASE_CHECKPOINTING)
+        *coming += job->held;
+    }
+  return borrowed;
+}
+
+static struct gr_core_job *
+least_loss (const struct gr_core *core, const struct gr_core_account *account)
+{
+  struct gr_core_job *best = NULL;
+  int64_t best_loss = 0;
+
+  for (GList *link = account->active.head; link != NULL; link = link->next)
+    {
+      struct gr_core_job *job = link->data;
+      int64_t loss = gr_loss_of_stop (core, job);
+
+      if (job->pinned || job->phase >= GR_PHASE_CHECKPOINTING
+          || (best != NULL && loss >= best_loss))
+        continue;
+      best = job;
+      best_loss = loss;
+    }
+  return best;
+}
+
 /* The account's own borrowed work gives way to its guarantee when the quota
- * does not hold both. */
+ * does not hold both. Until then it starts no other borrowed work. */
 static void
 make_room_in_quota (struct gr_core *core,
                     struct gr_core_account *account,
                     uint32_t n)
 {
   uint32_t quota = account->settings.quota_accelerators;
-  uint32_t coming = 0;
+  uint32_t coming;
+  uint32_t borrowed = count_borrowed (account, &coming);
 
-  if (n > quota)
+  if (account->used + account->claimed + n > quota + borrowed)
     return;
-  for (GList *link = account->active.head; link != NULL; link = link->next)
-    {
-      const struct gr_core_job *job = link->data;
-
-      if (job->phase >= GR_PHASE_CHECKPOINTING)
-        coming += job->held;
-    }
+  account->quota_demand = n;
   while (account->used + account->claimed + n > quota + coming)
     {
-      struct gr_core_job *best = NULL;
-      int64_t best_loss = 0;
-
-      for (GList *link = account->active.head; link != NULL; link = link->next)
-        {
-          struct gr_core_job *job = link->data;
-          int64_t loss = gr_loss_of_stop (core, job);
+      struct gr_core_job *job = least_loss (core, account);
 
-          if (job->pinned || job->phase >= GR_PHASE_CHECKPOINTING
-              || (best != NULL && loss >= best_loss))
-            continue;
-          best = job;
-          best_loss = loss;
-        }
-      if (best == NULL)
+      if (job == NULL)
         return;
-      coming += best->held;
-      gr_gang_stop (core, best, GR_STOP_PREEMPT,
+      coming += job->held;
+      gr_gang_stop (core, job, GR_STOP_PREEMPT,
                     "stopped for guaranteed work of the account");
     }
 }
@@ -212,6 +236,8 @@
 {
   uint32_t n = gr_cell_accelerators (cell);
 
+  /* It may have claimed a cell as borrowed work. */
+  gr_claim_drop (core, job);
   if (!gr_quota_allows (job->account, n))
     {
       make_room_in_quota (core, job->account, n);
@@ -280,14 +306,6 @@
     { GR_SEARCH_UNIT, true },
   };
   const GPtrArray *units = job->account->units;
-  uint32_t wanted = job->record.spec.shape.workers
-                    * job->record.spec.shape.accelerators_per_worker;
-
-  if (!gr_quota_allows (job->account, wanted))
-    {
-      make_room_in_quota (core, job->account, wanted);
-      return false;
-    }
   for (uint32_t r = 0; r < G_N_ELEMENTS (rounds); r++)
     {
       const struct gr_core_unit *failed = NULL;
@@ -322,6 +340,7 @@
 {
   uint32_t misses = 0;
 
+  account->quota_demand = 0;
   for (uint32_t priority = 0; priority < GR_N_PRIORITIES; priority++)
     {
       const struct gr_job_spec *failed = NULL;
--- a/sched/report.c
+++ b/sched/report.c
@@ -85,13 +85,13 @@
 
 /* --- Reports ------------------------------------------------------------ */
 
-/* A restarted worker has lost its leases and tasks. False for a late report
- * of the former incarnation. */
+/* False for a late report of a former incarnation. */
 static bool
-check_incarnation (struct gr_core *core,
-                   struct gr_core_worker *worker,
-                   const char *incarnation)
+check_incarnation (struct gr_core_worker *worker,
+                   const char *incarnation,
+                   bool *restarted)
 {
+  *restarted = false;
   if (strcmp (worker->incarnation, incarnation) == 0)
     return true;
   if (strcmp (worker->old_incarnation, incarnation) == 0)
@@ -100,9 +100,7 @@
              sizeof worker->old_incarnation);
   g_strlcpy (worker->incarnation, incarnation, sizeof worker->incarnation);
   worker->leaving = false;
-  for (uint32_t a = 0; a < worker->accelerators; a++)
-    if (worker->holder[a] != NULL)
-      gr_member_lost (core, worker->holder[a]);
+  *restarted = true;
   return true;
 }
 
@@ -131,6 +129,7 @@
           gr_member_unbind (core, member);
           gr_member_bind (core, member, worker);
         }
+      member->seen_report = core->n_reports;
       if (!member->lost)
         gr_member_granted (core, member);
     }
@@ -170,7 +169,8 @@
 }
 
 /* A lease that was granted and is missing has expired. A report can be as old
- * as a call may take, so that younger facts win. */
+ * as a call may take, and older if this process was paused, so that younger
+ * facts win and pauses do not count. */
 static void
 find_lost (struct gr_core *core, struct gr_core_worker *worker)
 {
@@ -179,11 +179,27 @@
       struct gr_core_member *member = worker->holder[a];
 
       if (member != NULL && member->granted
-          && core->now_ms - member->confirmed_ms > core->config.call_timeout_ms)
+          && core->active_ms - member->confirmed_active_ms
+                 > core->config.call_timeout_ms)
         gr_member_lost (core, member);
     }
 }
 
+/* A restarted worker has lost its leases. A missing one may also have been
+ * granted after the report was made, so that it is released and not taken for
+ * gone. */
+static void
+stop_missing (struct gr_core *core, struct gr_core_worker *worker)
+{
+  for (uint32_t a = 0; a < worker->accelerators; a++)
+    {
+      struct gr_core_member *member = worker->holder[a];
+
+      if (member != NULL && member->seen_report != core->n_reports)
+        gr_member_silent (core, member);
+    }
+}
+
 /* Adopted members that the first report of their worker does not show. */
 static void
 find_not_adopted (struct gr_core *core, struct gr_core_worker *worker)
@@ -205,18 +221,22 @@
                        int64_t now_ms)
 {
   struct gr_core_worker *worker;
+  bool restarted;
 
   gr_core_set_now (core, now_ms);
   if (core->config.data_centre[0] != '\0'
       && strcmp (core->config.data_centre, report->data_centre) != 0)
     return;
   worker = gr_worker_get (core, report);
-  if (!check_incarnation (core, worker, report->incarnation))
+  if (!check_incarnation (worker, report->incarnation, &restarted))
     return;
+  core->n_reports++;
   worker->leaving = worker->leaving || report->leaving;
   read_leases (core, worker, report);
   for (uint32_t i = 0; i < report->n_tasks; i++)
     read_task (core, &report->tasks[i]);
+  if (restarted)
+    stop_missing (core, worker);
   find_lost (core, worker);
   find_not_adopted (core, worker);
   gr_worker_heard (core, worker);
--- a/sched/steps.c
+++ b/sched/steps.c
@@ -25,8 +25,17 @@
     gr_learn (job->account, &job->record.spec,
               core->now_ms - job->running_since_ms + job->record.saved_ms);
   for (uint32_t i = 0; i < job->n_members; i++)
-    if (job->members[i].worker != NULL)
-      gr_worker_succeeded (core, job->members[i].worker);
+    {
+      struct gr_core_member *member = &job->members[i];
+
+      gr_worker_succeeded (core, member->worker);
+      if (job->phase == GR_PHASE_RUNNING)
+        continue;
+      /* The worker keeps the result under the lease until the record is
+       * durable. */
+      gr_member_renew (core, member, core->config.run_lease_term_ms);
+      gr_renew_add (core, member->worker);
+    }
   gr_job_end (core, job, GR_JOB_FINISHED, "");
   gr_gang_set_phase (core, job, GR_PHASE_ENDING);
 }
--- a/sched/tables.c
+++ b/sched/tables.c
@@ -240,7 +240,10 @@
   struct gr_core_job *job = data;
 
   for (uint32_t i = 0; i < job->n_members; i++)
-    g_free (job->members[i].id);
+    {
+      g_free (job->members[i].id);
+      g_free (job->members[i].reporter);
+    }
   g_free (job->members);
   gr_cell_clear (&job->claim);
   gr_cell_clear (&job->reserve);
--- a/sched/tables.h
+++ b/sched/tables.h
@@ -39,8 +39,9 @@
   struct gr_account_settings settings;
   bool known; /* false: only old jobs refer to it */
   GPtrArray *units;
-  uint32_t used;    /* accelerators held by its jobs */
-  uint32_t claimed; /* accelerators of claims of its waiting jobs */
+  uint32_t used;         /* accelerators held by its jobs */
+  uint32_t claimed;      /* accelerators of claims of its waiting jobs */
+  uint32_t quota_demand; /* kept free for guaranteed work that waits */
   GQueue waiting[GR_N_PRIORITIES];
   GQueue active;       /* jobs that hold accelerators */
   GHashTable *learned; /* shape -> struct gr_learned */
@@ -108,9 +109,12 @@
   struct gr_core_job *job;
   struct gr_core_worker *worker; /* NULL: adopted, not yet reported */
   char *id;
+  char *reporter; /* adopted: name of the worker, until it reports */
   uint32_t mask;
-  int64_t sent_ms;           /* last call of the present phase */
-  int64_t confirmed_ms;      /* last proof that the lease lived */
+  int64_t sent_ms;             /* last call of the present phase */
+  int64_t confirmed_active_ms; /* last proof that the lease lived, in time of
+                                  core->active_ms */
+  uint64_t seen_report; /* number of the last report that shows the lease */
   int64_t may_live_until_ms; /* the lease lives at most as long */
   int64_t ran_ms;
   int64_t checkpoint_ms;
@@ -187,8 +191,9 @@
   bool unthrottle_sent;      /* from here on it may have run */
   bool failure_counts;       /* the failing worker looked healthy */
   bool probe;                /* runs on a quarantined worker */
-  char failed_worker[GR_NAME_MAX]; /* avoided by the next attempt */
-  struct gr_cell claim;            /* kept free until it can start there */
+  char failed_worker[GR_NAME_MAX];
+  int64_t avoid_until_ms; /* until then it is not used again */
+  struct gr_cell claim;   /* kept free until it can start there */
   struct gr_core_unit *claim_unit;
   struct gr_cell reserve;
   int64_t reserve_start_ms; /* expected */
@@ -245,6 +250,7 @@
   int64_t next_reserve_ms;
   int64_t next_admit_ms;
   uint64_t next_sequence;
+  uint64_t n_reports;
   uint64_t next_attempt; /* makes lease ids unique under one epoch */
   uint32_t check_cursor;
   uint32_t search_cursor; /* rack where the next bounded search begins */
--- /dev/null
+++ b/tests/sched-messages.c
@@ -0,0 +1,279 @@
+/* Messages between the core, the workers and the store of the model. */
+#include "tests/sched-model.h"
+
+#include <string.h>
+
+#define REPORT_MS 1000
+
+/* An answer, a report or a commit that arrives later. */
+struct event
+{
+  int64_t at_ms;
+  bool is_report;
+  bool is_commit;
+  bool is_command; /* a call that is under way for long */
+  struct gr_command late;
+  enum gr_command_kind command;
+  enum gr_error_kind kind;
+  char id[GR_ID_MAX];
+  uint64_t version;
+  struct gr_worker_report report;
+};
+
+static void
+event_free (void *data)
+{
+  struct event *event = data;
+
+  g_free (event->report.leases);
+  g_free (event->report.tasks);
+  g_free (event);
+}
+
+GPtrArray *
+model_events_create (void)
+{
+  return g_ptr_array_new_with_free_func (event_free);
+}
+
+void
+model_drop_events (struct model *model)
+{
+  /* Answers to the former owner do not reach the new one; its calls do reach
+   * the workers. */
+  for (uint32_t i = model->events->len; i > 0; i--)
+    {
+      const struct event *event = g_ptr_array_index (model->events, i - 1);
+
+      if (!event->is_command)
+        g_ptr_array_remove_index_fast (model->events, i - 1);
+    }
+}
+
+static struct event *
+add_event (struct model *model)
+{
+  struct event *event = g_new0 (struct event, 1);
+
+  event->at_ms = model->now_ms;
+  if (!model->instant)
+    event->at_ms += g_rand_int_range (model->rand, 1, 200);
+  /* Some are much later, but not later than a call may take. */
+  if (model->loss > 0 && g_rand_double (model->rand) < 0.02)
+    event->at_ms += g_rand_int_range (model->rand, 1, 2700);
+  g_ptr_array_add (model->events, event);
+  return event;
+}
+
+static void
+add_answer (struct model *model,
+            const struct gr_command *command,
+            enum gr_error_kind kind)
+{
+  bool twice = model->loss > 0 && g_rand_double (model->rand) < 0.05;
+
+  for (int i = 0; i <= (twice ? 1 : 0); i++)
+    {
+      struct event *event = add_event (model);
+
+      event->command = command->kind;
+      event->kind = kind;
+      g_strlcpy (event->id, command->lease, sizeof event->id);
+    }
+}
+
+/* The store takes a commit at once, and the core hears of it later. While the
+ * store is down the commit waits. */
+static void
+add_commit (struct model *model, const struct gr_command *command)
+{
+  const struct gr_job_record *record = gr_core_find (model->core, command->job);
+  struct event *event = add_event (model);
+
+  g_assert (record != NULL && record->version == command->version);
+  event->is_commit = true;
+  event->version = command->version;
+  g_strlcpy (event->id, command->job, sizeof event->id);
+  if (model->durable)
+    model_store (model, record);
+  else
+    event->kind = GR_ERROR_STORE_UNAVAILABLE;
+}
+
+/* A commit that had to wait for the store takes the newest record. */
+static bool
+commit_again (struct model *model, struct event *event)
+{
+  const struct gr_job_record *record = gr_core_find (model->core, event->id);
+
+  if (!model->durable)
+    return false;
+  if (record != NULL)
+    {
+      event->version = record->version;
+      model_store (model, record);
+    }
+  event->kind = GR_ERROR_NONE;
+  return true;
+}
+
+static void
+send_report (struct model *model, const struct model_worker *worker)
+{
+  struct event *event = add_event (model);
+  struct gr_worker_report *report = &event->report;
+
+  event->is_report = true;
+  g_strlcpy (report->worker, worker->name, sizeof report->worker);
+  g_snprintf (report->incarnation, sizeof report->incarnation, "%u",
+              worker->incarnation);
+  g_strlcpy (report->rack, worker->rack, sizeof report->rack);
+  report->rack_slot = worker->slot;
+  g_strlcpy (report->data_centre, "dc1", sizeof report->data_centre);
+  report->accelerators = MODEL_ACCELERATORS;
+  report->cores = 64;
+  report->memory_mb = 256000;
+  report->n_leases = worker->tasks->len;
+  report->leases = g_new0 (struct gr_lease_report, worker->tasks->len + 1);
+  report->tasks = g_new0 (struct gr_task_report, worker->tasks->len + 1);
+  for (uint32_t i = 0; i < worker->tasks->len; i++)
+    {
+      const struct model_task *task = g_ptr_array_index (worker->tasks, i);
+      struct gr_task_report *to = &report->tasks[report->n_tasks];
+
+      g_strlcpy (report->leases[i].lease, task->id, GR_ID_MAX);
+      report->leases[i].accelerators = task->accelerators;
+      report->leases[i].remaining_ms = task->expires_ms - model->now_ms;
+      if (!task->started)
+        continue;
+      report->n_tasks++;
+      g_strlcpy (to->task, task->id, GR_ID_MAX);
+      to->state = task->state;
+      to->throttle_percent = task->running ? 100 : 0;
+      to->ran_ms = task->ran_ms;
+      to->checkpoint_ms = task->checkpoint_ms;
+    }
+}
+
+static bool
+is_lost (struct model *model)
+{
+  return model->loss > 0 && g_rand_double (model->rand) < model->loss;
+}
+
+static bool
+is_reachable (const struct model_worker *worker)
+{
+  return !worker->dead && !worker->cut;
+}
+
+/* A call that the core has given up, from this owner or a former one. */
+static void
+run_late (struct model *model, const struct gr_command *command)
+{
+  struct model_worker *worker = model_worker (model, command->worker);
+
+  if (!is_reachable (worker))
+    return;
+  model->is_late = true;
+  model_command (model, worker, command);
+  model->is_late = false;
+}
+
+static void
+run_command (struct model *model, const struct gr_command *command)
+{
+  struct model_worker *worker;
+  enum gr_error_kind kind;
+
+  model->n_commands[command->kind]++;
+  if (command->kind == GR_COMMAND_COMMIT)
+    {
+      add_commit (model, command);
+      return;
+    }
+  worker = model_worker (model, command->worker);
+  if (!is_reachable (worker))
+    add_answer (model, command, GR_ERROR_NO_TARGET);
+  else if (is_lost (model))
+    {
+      add_answer (model, command, GR_ERROR_TIMEOUT);
+      if (g_rand_boolean (model->rand))
+        {
+          struct event *event = add_event (model);
+
+          event->at_ms += g_rand_int_range (model->rand, 1, 2700);
+          event->is_command = true;
+          event->late = *command;
+          event->late.spec = NULL;
+        }
+    }
+  else
+    {
+      kind = model_command (model, worker, command);
+      add_answer (model, command, is_lost (model) ? GR_ERROR_TIMEOUT : kind);
+    }
+}
+
+static void
+deliver (struct model *model, struct event *event)
+{
+  if (event->is_command)
+    run_late (model, &event->late);
+  else if (event->is_report)
+    gr_core_worker_report (model->core, &event->report, model->now_ms);
+  else if (event->is_commit)
+    gr_core_committed (model->core, event->id, event->version, model->now_ms);
+  else
+    gr_core_answer (model->core, event->command, event->id, event->kind,
+                    model->now_ms);
+}
+
+static void
+deliver_due (struct model *model)
+{
+  for (uint32_t i = 0; i < model->events->len;)
+    {
+      struct event *event = g_ptr_array_index (model->events, i);
+
+      if (event->at_ms > model->now_ms
+          || (event->is_commit && event->kind != GR_ERROR_NONE
+              && !commit_again (model, event)))
+        {
+          i++;
+          continue;
+        }
+      deliver (model, event);
+      g_ptr_array_remove_index_fast (model->events, i);
+    }
+}
+
+void
+model_step (struct model *model)
+{
+  model->now_ms += MODEL_TICK_MS;
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    {
+      struct model_worker *worker = &model->workers[i];
+
+      model_run_worker (model, worker);
+      if (is_reachable (worker)
+          && (model->now_ms / MODEL_TICK_MS + i) % (REPORT_MS / MODEL_TICK_MS)
+                 == 0)
+        send_report (model, worker);
+    }
+  deliver_due (model);
+  g_array_set_size (model->out, 0);
+  gr_core_tick (model->core, model->now_ms, model->now_ms, model->durable,
+                model->out);
+  gr_core_check_all (model->core);
+  for (uint32_t i = 0; i < model->out->len; i++)
+    run_command (model, &g_array_index (model->out, struct gr_command, i));
+}
+
+void
+model_run (struct model *model, int64_t for_ms)
+{
+  for (int64_t end_ms = model->now_ms + for_ms; model->now_ms < end_ms;)
+    model_step (model);
+}
--- a/tests/sched-model.h
+++ b/tests/sched-model.h
@@ -7,6 +7,7 @@
 #include "sched/invariants.h"
 
 #define MODEL_TICK_MS 100
+#define MODEL_ACCELERATORS 8
 
 struct model_task
 {
@@ -14,6 +15,7 @@
   char job[GR_ID_MAX];
   uint32_t accelerators;
   int64_t expires_ms; /* of the lease */
+  bool late;          /* granted by a call that was under way for long */
   bool started;
   bool running;
   enum gr_task_state state;
@@ -29,6 +31,7 @@
   uint32_t slot;
   uint32_t incarnation;
   bool dead;
+  bool cut;         /* runs on, but no call or report gets through */
   bool failing;     /* every task that it starts fails */
   GPtrArray *tasks; /* struct model_task, one for each lease */
 };
@@ -41,16 +44,21 @@
   int64_t now_ms;
   bool durable;
   bool instant; /* answers and commits come before the next tick */
+  bool is_late; /* while a late call runs */
   double loss;  /* probability that a call or its answer is lost */
   uint32_t n_workers;
   struct model_worker *workers;
   GHashTable *by_name;
-  GHashTable *records;  /* job -> durable record */
-  GHashTable *run_ms;   /* job -> real run time */
-  GHashTable *ran;      /* non-idempotent job -> attempt that ran */
-  GHashTable *started;  /* attempt -> number of its started tasks */
-  GHashTable *accounts; /* name -> struct gr_account_settings */
-  GPtrArray *events;    /* answers and reports under way */
+  GHashTable *records;     /* job -> durable record */
+  GHashTable *run_ms;      /* job -> real run time */
+  GHashTable *ran;         /* non-idempotent job -> attempt that ran */
+  GHashTable *started;     /* attempt -> number of its started tasks */
+  GHashTable *committed;   /* attempt -> tasks in its record as running */
+  GHashTable *finished;    /* job -> tasks of one attempt that finished */
+  GHashTable *any_started; /* tasks */
+  GHashTable *any_ran;     /* jobs of which a task was unthrottled */
+  GHashTable *accounts;    /* name -> struct gr_account_settings */
+  GPtrArray *events;       /* answers and reports under way */
   GArray *out;
   uint64_t n_commands[GR_COMMAND_COMMIT + 1];
 };
@@ -91,3 +99,12 @@
 
 /* Loses all that a worker holds. */
 void model_kill (struct model *model, struct model_worker *worker);
+
+/* Shared by the files of the model. */
+GPtrArray *model_events_create (void);
+void model_drop_events (struct model *model);
+enum gr_error_kind model_command (struct model *model,
+                                  struct model_worker *worker,
+                                  const struct gr_command *command);
+void model_store (struct model *model, const struct gr_job_record *record);
+void model_run_worker (struct model *model, struct model_worker *worker);
