settings: table of keys, document checks and typed views

All keys of the three document kinds stand in one const table, from which the checks, the typed views and the printed reference are derived.

GKeyFile stops at the first malformed line and merges duplicate sections without notice, so a duplicate guarantee would have been lost. The lines are therefore scanned first; GKeyFile gets only well-formed ones, and every problem is reported in one pass. A comment after a value (' ;') is removed for single values, but is an error in lists, where ';' separates names. Reading numbers with g_ascii_strtod () alone was ruled out: it takes nan, inf and exponents.

settings/process.h holds the options that all binaries share.

--- a/settings/document.h
+++ b/settings/document.h
@@ -7,7 +7,7 @@
 #include <glib.h>
 
 /* Longest document that is accepted, in bytes. */
-#define GR_DOCUMENT_MAX_BYTES (64 * 1024)
+#define GR_DOCUMENT_MAX_BYTES 65536
 
 enum gr_document_kind
 {
@@ -55,7 +55,7 @@
 
 /* Checks a whole document. Appends one line for each error to problems:
  * section, key, what was found and what is allowed. Returns true if there is
- * none. An empty document is valid: it deletes the path. */
+ * none. An empty document of a path is valid: it deletes the path. */
 bool gr_document_check (enum gr_document_kind kind,
                         const char *text,
                         GPtrArray *problems);
--- /dev/null
+++ b/settings/process.c
@@ -0,0 +1,190 @@
+#include "settings/process.h"
+
+#include "common/log.h"
+
+#include <string.h>
+
+struct options
+{
+  char *settings;
+  char *check;
+  gboolean print;
+  gboolean version;
+};
+
+/* Reads a whole file as text; prints the reason and returns NULL if it cannot
+ * be a document. */
+static char *
+read_document (const char *file)
+{
+  GError *error = NULL;
+  char *text;
+  gsize length;
+
+  if (!g_file_get_contents (file, &text, &length, &error))
+    {
+      g_printerr ("%s: %s\n", file, error->message);
+      g_error_free (error);
+      return NULL;
+    }
+  if (strlen (text) != length)
+    {
+      g_printerr ("%s: document: found a NUL byte at offset %zu, allowed: "
+                  "UTF-8 text\n",
+                  file, strlen (text));
+      g_free (text);
+      return NULL;
+    }
+  return text;
+}
+
+static bool
+check_text (const char *file, const char *text)
+{
+  GPtrArray *problems = g_ptr_array_new_with_free_func (g_free);
+  bool valid = gr_document_check (GR_DOCUMENT_PROCESS, text, problems);
+
+  for (guint i = 0; i < problems->len; i++)
+    g_printerr ("%s: %s\n", file, (const char *)problems->pdata[i]);
+  g_ptr_array_unref (problems);
+  return valid;
+}
+
+bool
+gr_process_load (const char *file, struct gr_process_settings *settings)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  char *text = read_document (file);
+  bool loaded = false;
+
+  memset (settings, 0, sizeof *settings);
+  if (text != NULL && check_text (file, text))
+    loaded = gr_document_process (text, settings, &error);
+  g_free (text);
+  return loaded;
+}
+
+static void
+print_settings (void)
+{
+  GString *out = g_string_new ("# Process file\n\n");
+
+  gr_document_print_keys (GR_DOCUMENT_PROCESS, out);
+  g_string_append (out, "\n# Document platform\n\n");
+  gr_document_print_keys (GR_DOCUMENT_PLATFORM, out);
+  g_string_append (out, "\n# Document teams/NAME\n\n");
+  gr_document_print_keys (GR_DOCUMENT_TEAM, out);
+  g_print ("%s", out->str);
+  g_string_free (out, TRUE);
+}
+
+static bool
+parse_options (int argc,
+               char **argv,
+               const char *summary,
+               const GOptionEntry *extra,
+               struct options *options)
+{
+  const GOptionEntry entries[] = {
+    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &options->settings,
+      "Process file", "FILE" },
+    { "check-settings", 0, 0, G_OPTION_ARG_FILENAME, &options->check,
+      "Check a process file and exit", "FILE" },
+    { "print-settings", 0, 0, G_OPTION_ARG_NONE, &options->print,
+      "Print all keys of all documents and exit", NULL },
+    { "version", 0, 0, G_OPTION_ARG_NONE, &options->version,
+      "Print the version and exit", NULL },
+    { NULL, 0, 0, 0, NULL, NULL, NULL },
+  };
+  GOptionContext *context = g_option_context_new (NULL);
+  GError *error = NULL;
+  bool parsed;
+
+  g_option_context_set_summary (context, summary);
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (extra != NULL)
+    g_option_context_add_main_entries (context, extra, NULL);
+  parsed = g_option_context_parse (context, &argc, &argv, &error);
+  if (!parsed)
+    g_printerr ("%s\n", error->message);
+  else if (argc > 1)
+    g_printerr ("unexpected argument '%s'\n", argv[1]);
+  g_clear_error (&error);
+  g_option_context_free (context);
+  return parsed && argc == 1;
+}
+
+static GLogLevelFlags
+log_level (const char *name)
+{
+  if (g_str_equal (name, "debug"))
+    return G_LOG_LEVEL_DEBUG;
+  if (g_str_equal (name, "warning"))
+    return G_LOG_LEVEL_WARNING;
+  return G_LOG_LEVEL_INFO;
+}
+
+/* Handles the options that end the process; true if one did. */
+static bool
+handle_informational (const struct options *options,
+                      const char *binary,
+                      int *exit_code)
+{
+  struct gr_process_settings settings;
+
+  *exit_code = 0;
+  if (options->version)
+    g_print ("%s %s\n", binary, GR_VERSION);
+  else if (options->print)
+    print_settings ();
+  else if (options->check == NULL)
+    return false;
+  else if (gr_process_load (options->check, &settings))
+    gr_process_settings_clear (&settings);
+  else
+    *exit_code = GR_EXIT_USAGE;
+  return true;
+}
+
+/* Loads the process file that the options name. */
+static bool
+load_for (const struct options *options,
+          const char *binary,
+          struct gr_process_settings *settings)
+{
+  if (options->settings == NULL)
+    {
+      g_printerr ("%s: --settings FILE is required\n", binary);
+      return false;
+    }
+  if (!gr_process_load (options->settings, settings))
+    return false;
+  gr_log_init (binary, settings->instance);
+  gr_log_set_level (log_level (settings->log_level));
+  return true;
+}
+
+bool
+gr_process_start (int argc,
+                  char **argv,
+                  const char *binary,
+                  const char *summary,
+                  const GOptionEntry *extra,
+                  struct gr_process_settings *settings,
+                  int *exit_code)
+{
+  struct options options = { 0 };
+  bool go_on = false;
+
+  memset (settings, 0, sizeof *settings);
+  *exit_code = GR_EXIT_USAGE;
+  if (parse_options (argc, argv, summary, extra, &options)
+      && !handle_informational (&options, binary, exit_code))
+    {
+      go_on = load_for (&options, binary, settings);
+      *exit_code = go_on ? 0 : GR_EXIT_USAGE;
+    }
+  g_free (options.settings);
+  g_free (options.check);
+  return go_on;
+}
--- /dev/null
+++ b/tests/test-settings.c
@@ -0,0 +1,282 @@
+/* Documents: checks, typed views and paths. */
+#include "settings/document.h"
+#include "settings/print.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const char *const team_text = "; a team\n"
+                                     "[account]\n"
+                                     "priority = urgent   ; customers wait\n"
+                                     "rate_per_s = 200.5\n"
+                                     "quota_accelerators = 64\n"
+                                     "[guarantee \"counter\"]\n"
+                                     "workers = 2\n"
+                                     "accelerators_per_worker = 8\n"
+                                     "data_centre = dc1\n"
+                                     "[guarantee \"desk\"]\n"
+                                     "workers = 1\n"
+                                     "accelerators_per_worker = 4\n"
+                                     "data_centre = dc2\n"
+                                     "count = 3\n";
+
+static GPtrArray *
+problems_of (enum gr_document_kind kind, const char *text)
+{
+  GPtrArray *problems = g_ptr_array_new_with_free_func (g_free);
+  bool valid = gr_document_check (kind, text, problems);
+
+  ck_assert_int_eq (valid, problems->len == 0);
+  return problems;
+}
+
+static bool
+any_contains (const GPtrArray *problems, const char *text)
+{
+  for (guint i = 0; i < problems->len; i++)
+    if (strstr (problems->pdata[i], text) != NULL)
+      return true;
+  return false;
+}
+
+/* One document with one fault each; the text that its problem must contain. */
+struct fault
+{
+  enum gr_document_kind kind;
+  const char *text;
+  const char *problem;
+};
+
+static const struct fault faults[] = {
+  { GR_DOCUMENT_TEAM, "[account]\nrate_per_s = -1\n",
+    "[account] rate_per_s: found '-1', allowed: a decimal number from 0" },
+  { GR_DOCUMENT_TEAM, "[account]\nrate_per_s = nan\n", "found 'nan'" },
+  { GR_DOCUMENT_TEAM, "[account]\nrate_per_s = 1e3\n", "found '1e3'" },
+  { GR_DOCUMENT_TEAM, "[account]\nrate_per_s = 1000001\n", "to 1000000" },
+  { GR_DOCUMENT_TEAM, "[account]\nquota_accelerators = 4294967296\n",
+    "found '4294967296'" },
+  { GR_DOCUMENT_TEAM,
+    "[account]\nquota_accelerators = 99999999999999999999999\n",
+    "found '99999999999999999999999'" },
+  { GR_DOCUMENT_TEAM, "[account]\nquota_accelerators = 0x10\n", "0x10" },
+  { GR_DOCUMENT_TEAM, "[account]\npriority = soon\n",
+    "allowed: urgent, normal, batch" },
+  { GR_DOCUMENT_TEAM, "[account]\ntoken_sha256 = abc\n", "64 hexadecimal" },
+  { GR_DOCUMENT_TEAM, "[account]\nrate = 1\n", "rate: found an unknown key" },
+  { GR_DOCUMENT_TEAM, "[acount]\n", "[acount]: found an unknown section" },
+  { GR_DOCUMENT_TEAM, "[guarantee]\nworkers = 1\n", "unknown section" },
+  { GR_DOCUMENT_TEAM,
+    "[guarantee \"A b\"]\nworkers=1\naccelerators_per_worker=1\n"
+    "data_centre=dc1\n",
+    "NAME: found 'A b'" },
+  { GR_DOCUMENT_TEAM,
+    "[guarantee \"a\"]\nworkers=1\naccelerators_per_worker=17\n"
+    "data_centre=dc1\n",
+    "from 1 to 16" },
+  { GR_DOCUMENT_TEAM, "[guarantee \"a\"]\nworkers=1\ndata_centre=dc1\n",
+    "accelerators_per_worker: found nothing" },
+  { GR_DOCUMENT_TEAM,
+    "[account]\nquota_accelerators=7\n[guarantee \"a\"]\nworkers=1\n"
+    "accelerators_per_worker=8\ndata_centre=dc1\n",
+    "at least the 8 accelerators" },
+  { GR_DOCUMENT_TEAM, "[account]\n[account]\n",
+    "line 2: found '[account]', allowed: each section once" },
+  { GR_DOCUMENT_TEAM, "[account]\nrate_per_s=1\nrate_per_s=2\n",
+    "line 3: found 'rate_per_s=2', allowed: each key once" },
+  { GR_DOCUMENT_TEAM, "rate_per_s=1\n", "before the first key" },
+  { GR_DOCUMENT_TEAM, "[account]\nurgent\n", "KEY = VALUE" },
+  { GR_DOCUMENT_TEAM, "[account\n", "[SECTION]" },
+  { GR_DOCUMENT_TEAM, "[account]\npriority = \xff\n", "allowed: UTF-8" },
+  { GR_DOCUMENT_PLATFORM, "[shards]\nnames = dc1;dc1\n", "different names" },
+  { GR_DOCUMENT_PLATFORM, "[shards]\nnames = dc1 ; dc2\n",
+    "found 'dc1 ; dc2'" },
+  { GR_DOCUMENT_PLATFORM, "[shards]\nowner_lease_ttl_s = 40\n",
+    "more than owner_lease_ttl_s" },
+  { GR_DOCUMENT_PROCESS, "", "[platform] kv_url: found nothing" },
+  { GR_DOCUMENT_PROCESS, "[process]\nhttp_address = localhost:80\n",
+    "found 'localhost:80', allowed: IP:PORT" },
+  { GR_DOCUMENT_PROCESS, "[process]\nrpc_address = 127.0.0.1:65536\n",
+    "found '127.0.0.1:65536'" },
+  { GR_DOCUMENT_PROCESS, "[platform]\nkv_url = http://store:2379\n",
+    "allowed: http://IP:PORT" },
+};
+
+/* Guards against a faulty document that is accepted, or a problem that does
+ * not say where it is and what is allowed. */
+START_TEST (each_fault_is_reported)
+{
+  const struct fault *fault = &faults[_i];
+  GPtrArray *problems = problems_of (fault->kind, fault->text);
+
+  ck_assert_msg (any_contains (problems, fault->problem), "%s gave %s",
+                 fault->text,
+                 problems->len > 0 ? (char *)problems->pdata[0] : "nothing");
+  g_ptr_array_unref (problems);
+}
+END_TEST
+
+/* Guards against a check that stops at the first problem. */
+START_TEST (all_problems_are_reported_at_once)
+{
+  GPtrArray *problems = problems_of (GR_DOCUMENT_TEAM, "[account]\n"
+                                                       "priority = soon\n"
+                                                       "what\n"
+                                                       "rate_per_s = -2\n"
+                                                       "[other]\n"
+                                                       "[guarantee \"a\"]\n"
+                                                       "workers = 0\n");
+
+  ck_assert_uint_eq (problems->len, 7);
+  g_ptr_array_unref (problems);
+}
+END_TEST
+
+/* Guards against fields that the table fills in wrongly. */
+START_TEST (team_view_has_all_values)
+{
+  struct gr_account_settings team;
+  struct gr_error error = GR_ERROR_INIT;
+
+  ck_assert (gr_document_team ("presses", team_text, &team, &error));
+  ck_assert_str_eq (team.name, "presses");
+  ck_assert_int_eq (team.priority, GR_PRIORITY_URGENT);
+  ck_assert_double_eq (team.rate_per_s, 200.5);
+  ck_assert_uint_eq (team.quota_accelerators, 64);
+  ck_assert_str_eq (team.token_sha256, "");
+  ck_assert_uint_eq (team.n_guarantees, 2);
+  ck_assert_str_eq (team.guarantees[0].name, "counter");
+  ck_assert_uint_eq (team.guarantees[0].shape.workers, 2);
+  ck_assert_uint_eq (team.guarantees[0].count, 1);
+  ck_assert_str_eq (team.guarantees[1].data_centre, "dc2");
+  ck_assert_uint_eq (team.guarantees[1].count, 3);
+  ck_assert (!gr_document_team ("presses", "[other]", &team, &error));
+  ck_assert_int_eq (error.kind, GR_ERROR_BAD_SETTINGS);
+}
+END_TEST
+
+/* Guards against a default in the table that its own check would refuse. */
+START_TEST (printed_defaults_are_valid)
+{
+  struct gr_platform_settings platform;
+  struct gr_error error = GR_ERROR_INIT;
+  GString *text = g_string_new (NULL);
+  GPtrArray *problems;
+
+  gr_document_print_keys (GR_DOCUMENT_PLATFORM, text);
+  ck_assert (gr_document_platform (text->str, &platform, &error));
+  ck_assert_str_eq (platform.shards, "dc1;dc2;dc3");
+  ck_assert_uint_eq (platform.entry_instances, 9);
+  g_string_truncate (text, 0);
+  gr_document_print_keys (GR_DOCUMENT_TEAM, text);
+  g_string_truncate (text,
+                     (gsize)(strstr (text->str, "[guarantee") - text->str));
+  problems = problems_of (GR_DOCUMENT_TEAM, text->str);
+  ck_assert_uint_eq (problems->len, 0);
+  g_ptr_array_unref (problems);
+  g_string_free (text, TRUE);
+}
+END_TEST
+
+START_TEST (process_view_has_values_and_defaults)
+{
+  struct gr_process_settings process;
+  struct gr_error error = GR_ERROR_INIT;
+
+  ck_assert (gr_document_process ("[process]\n"
+                                  "instance = e1\n"
+                                  "data_centre = dc1\n"
+                                  "http_address = [::1]:80\n"
+                                  "[platform]\n"
+                                  "kv_url = http://127.0.0.1:2379\n"
+                                  "instances_url = http://127.0.0.1:2380\n",
+                                  &process, &error));
+  ck_assert_str_eq (process.instance, "e1");
+  ck_assert_str_eq (process.http_address, "[::1]:80");
+  ck_assert_str_eq (process.tls_key, "");
+  ck_assert_uint_eq (process.kv_timeout_ms, 2000);
+  ck_assert_str_eq (process.log_level, "info");
+  gr_process_settings_clear (&process);
+  ck_assert (!gr_document_process ("", &process, &error));
+}
+END_TEST
+
+/* Guards against documents that no instance could hold in memory. */
+START_TEST (oversized_document_is_refused)
+{
+  char *text = g_strnfill (GR_DOCUMENT_MAX_BYTES + 1, '\n');
+  GPtrArray *problems = problems_of (GR_DOCUMENT_TEAM, text);
+
+  ck_assert (any_contains (problems, "allowed: at most 65536"));
+  ck_assert_uint_eq (problems->len, 1);
+  g_ptr_array_unref (problems);
+  text[GR_DOCUMENT_MAX_BYTES] = '\0';
+  problems = problems_of (GR_DOCUMENT_TEAM, text);
+  ck_assert_uint_eq (problems->len, 0);
+  g_ptr_array_unref (problems);
+  g_free (text);
+}
+END_TEST
+
+/* Guards against more guarantees than the typed view can hold. */
+START_TEST (too_many_guarantees_are_refused)
+{
+  GString *text = g_string_new (NULL);
+  GPtrArray *problems;
+
+  for (int i = 0; i <= GR_MAX_GUARANTEES; i++)
+    g_string_append_printf (text,
+                            "[guarantee \"g%d\"]\nworkers=1\n"
+                            "accelerators_per_worker=1\ndata_centre=dc1\n",
+                            i);
+  problems = problems_of (GR_DOCUMENT_TEAM, text->str);
+  ck_assert (any_contains (problems, "found 17 guarantees"));
+  g_ptr_array_unref (problems);
+  g_string_free (text, TRUE);
+}
+END_TEST
+
+/* Guards against paths that would reach keys of another kind. */
+START_TEST (paths_are_closed)
+{
+  static const char *const bad[] = { "",          "teams/",   "teams/A",
+                                     "teams/a/b", "teams",    "platform/",
+                                     "/platform", "teams/..", "history/x" };
+  enum gr_document_kind kind;
+  struct gr_error error = GR_ERROR_INIT;
+
+  ck_assert (gr_document_kind_of_path ("platform", &kind, &error));
+  ck_assert_int_eq (kind, GR_DOCUMENT_PLATFORM);
+  ck_assert (gr_document_kind_of_path ("teams/a-1", &kind, &error));
+  ck_assert_int_eq (kind, GR_DOCUMENT_TEAM);
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      ck_assert (!gr_document_kind_of_path (bad[i], &kind, &error));
+      ck_assert_int_eq (error.kind, GR_ERROR_BAD_REQUEST);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("settings");
+  TCase *tcase = tcase_create ("document");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_loop_test (tcase, each_fault_is_reported, 0,
+                       (int)G_N_ELEMENTS (faults));
+  tcase_add_test (tcase, all_problems_are_reported_at_once);
+  tcase_add_test (tcase, team_view_has_all_values);
+  tcase_add_test (tcase, printed_defaults_are_valid);
+  tcase_add_test (tcase, process_view_has_values_and_defaults);
+  tcase_add_test (tcase, oversized_document_is_refused);
+  tcase_add_test (tcase, too_many_guarantees_are_refused);
+  tcase_add_test (tcase, paths_are_closed);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
