--- a/settings/store.h
+++ b/settings/store.h
@@ -19,7 +19,8 @@
 
 /* Reads changed documents from kv each GR_SETTINGS_POLL_MS. changed is called
  * for every document that becomes the known one; text is "" for a deleted
- * path. kv may be NULL in tests. */
+ * path. kv may be NULL in tests; the store then counts as loaded. kv and clock
+ * are not owned and must outlive the store. */
 struct gr_settings_store *
 gr_settings_store_create (struct gr_kv *kv,
                           const struct gr_clock *clock,
