--- /dev/null
+++ b/ctl/cluster.c
@@ -0,0 +1,229 @@
+/* Commands on the system as a whole: status, members, shards, workers, drain.
+ */
+#include "ctl/commands.h"
+
+#include <string.h>
+
+static const char *const member_columns[] = {
+  "name", "role", "state", "settings_revision", "heard_ms_ago", NULL
+};
+
+static const char *const shard_columns[] = { "name",  "owner",  "address",
+                                             "epoch", "counts", NULL };
+
+static const char *const worker_columns[] = { "name",         "rack",
+                                              "accelerators", "used",
+                                              "silent",       "leaving",
+                                              "quarantined",  NULL };
+
+int
+gr_ctl_members (struct gr_ctl *ctl, int argc, char **argv)
+{
+  (void)argc;
+  (void)argv;
+  return gr_ctl_show_list (ctl, "/v1/members", "", 0, member_columns);
+}
+
+int
+gr_ctl_shards (struct gr_ctl *ctl, int argc, char **argv)
+{
+  (void)argc;
+  (void)argv;
+  return gr_ctl_show_list (ctl, "/v1/shards", "", 0, shard_columns);
+}
+
+int
+gr_ctl_workers (struct gr_ctl *ctl, int argc, char **argv)
+{
+  char *escaped;
+  char *query;
+  int exit_code;
+
+  if (argc == 0)
+    return gr_ctl_show_list (ctl, "/v1/workers", "", 0, worker_columns);
+  escaped = g_uri_escape_string (argv[0], NULL, FALSE);
+  query = g_strconcat ("shard=", escaped, NULL);
+  exit_code = gr_ctl_show_list (ctl, "/v1/workers", query, 0, worker_columns);
+  g_free (escaped);
+  g_free (query);
+  return exit_code;
+}
+
+int
+gr_ctl_drain (struct gr_ctl *ctl, int argc, char **argv)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_ctl_answer answer;
+  char *path;
+  int exit_code = 0;
+
+  if (g_str_equal (argv[0], "entry") && argc == 1)
+    {
+      /* Which of several entries would stop depends on which one answers. */
+      if (g_strv_length (ctl->entries) != 1)
+        return gr_ctl_usage (ctl, "drain entry takes exactly one --entry");
+      path = g_strdup ("/v1/drain");
+    }
+  else if (g_str_equal (argv[0], "shard") && argc == 2)
+    {
+      char *name = g_uri_escape_string (argv[1], NULL, FALSE);
+
+      path = g_strdup_printf ("/v1/shards/%s/drain", name);
+      g_free (name);
+    }
+  else
+    return gr_ctl_usage (ctl, "drain takes 'entry' or 'shard NAME'");
+  if (!gr_ctl_call (ctl, "POST", path, NULL, NULL, -1, &answer, &error))
+    exit_code = gr_ctl_fail (ctl, &error, &answer);
+  else if (answer.json != NULL)
+    gr_ctl_print_object (ctl, answer.json);
+  gr_ctl_answer_clear (&answer);
+  g_free (path);
+  return exit_code;
+}
+
+/* --- status --------------------------------------------------------------- */
+
+struct status
+{
+  bool ready;
+  char *not_ready; /* the reason; NULL if ready */
+  JsonArray *members;
+  JsonArray *shards;
+  JsonArray *accounts;
+};
+
+static void
+read_ready (struct gr_ctl *ctl, struct status *status, int *exit_code)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_ctl_answer answer;
+
+  status->ready =
+      gr_ctl_call (ctl, "GET", "/readyz", NULL, NULL, -1, &answer, &error);
+  /* Without an answer the other calls fail as well. */
+  if (answer.status == 0)
+    *exit_code = gr_ctl_fail (ctl, &error, &answer);
+  else if (!status->ready)
+    status->not_ready = g_strdup (error.message);
+  gr_ctl_answer_clear (&answer);
+}
+
+static guint
+count_members (const struct status *status, const char *state)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < json_array_get_length (status->members); i++)
+    count += g_str_equal (
+        gr_ctl_string (json_array_get_object_element (status->members, i),
+                       "state", ""),
+        state);
+  return count;
+}
+
+static bool
+has_owner (JsonObject *shard)
+{
+  return gr_ctl_string (shard, "owner", "")[0] != '\0';
+}
+
+/* True if the guarantees of the account cannot be satisfied at present. */
+static bool
+is_impossible (JsonObject *account)
+{
+  return gr_ctl_bool (account, "guarantee_impossible")
+         || gr_ctl_int (account, "guarantee_impossible", 0) > 0;
+}
+
+static void
+print_status (struct gr_ctl *ctl, const struct status *status)
+{
+  fprintf (ctl->out, "entry: %s%s%s\n", status->ready ? "ready" : "not ready",
+           status->not_ready == NULL ? "" : ": ",
+           status->not_ready == NULL ? "" : status->not_ready);
+  fprintf (ctl->out, "members: %u, of which %u ready\n",
+           json_array_get_length (status->members),
+           count_members (status, "ready"));
+  for (guint i = 0; i < json_array_get_length (status->shards); i++)
+    {
+      JsonObject *shard = json_array_get_object_element (status->shards, i);
+
+      fprintf (ctl->out, "shard %s: %s%s\n", gr_ctl_string (shard, "name", "-"),
+               has_owner (shard) ? "owned by " : "no owner",
+               gr_ctl_string (shard, "owner", ""));
+    }
+  for (guint i = 0; i < json_array_get_length (status->accounts); i++)
+    {
+      JsonObject *account = json_array_get_object_element (status->accounts, i);
+
+      if (is_impossible (account))
+        fprintf (ctl->out, "account %s: guarantees cannot be satisfied\n",
+                 gr_ctl_string (account, "name", "-"));
+    }
+}
+
+static void
+print_status_json (struct gr_ctl *ctl, const struct status *status)
+{
+  JsonObject *object = json_object_new ();
+  JsonNode *node = json_node_new (JSON_NODE_OBJECT);
+
+  json_object_set_boolean_member (object, "ready", status->ready);
+  if (status->not_ready != NULL)
+    json_object_set_string_member (object, "detail", status->not_ready);
+  json_object_set_array_member (object, "members",
+                                json_array_ref (status->members));
+  json_object_set_array_member (object, "shards",
+                                json_array_ref (status->shards));
+  json_object_set_array_member (object, "accounts",
+                                json_array_ref (status->accounts));
+  json_node_take_object (node, object);
+  gr_ctl_print_json (ctl, node);
+  json_node_unref (node);
+}
+
+static int
+status_exit_code (const struct status *status)
+{
+  if (!status->ready)
+    return gr_error_answer (GR_ERROR_OVERLOADED)->exit_code;
+  for (guint i = 0; i < json_array_get_length (status->shards); i++)
+    if (!has_owner (json_array_get_object_element (status->shards, i)))
+      return gr_error_answer (GR_ERROR_NO_OWNER)->exit_code;
+  for (guint i = 0; i < json_array_get_length (status->accounts); i++)
+    if (is_impossible (json_array_get_object_element (status->accounts, i)))
+      return gr_error_answer (GR_ERROR_OVERLOADED)->exit_code;
+  return 0;
+}
+
+int
+gr_ctl_status (struct gr_ctl *ctl, int argc, char **argv)
+{
+  struct status status = { 0 };
+  int exit_code = 0;
+
+  (void)argc;
+  (void)argv;
+  read_ready (ctl, &status, &exit_code);
+  if (exit_code == 0)
+    status.members = gr_ctl_fetch_list (ctl, "/v1/members", "", 0, &exit_code);
+  if (status.members != NULL)
+    status.shards = gr_ctl_fetch_list (ctl, "/v1/shards", "", 0, &exit_code);
+  if (status.shards != NULL)
+    status.accounts =
+        gr_ctl_fetch_list (ctl, "/v1/accounts", "", 0, &exit_code);
+  if (status.accounts != NULL)
+    {
+      if (ctl->json)
+        print_status_json (ctl, &status);
+      else
+        print_status (ctl, &status);
+      exit_code = status_exit_code (&status);
+    }
+  g_clear_pointer (&status.members, json_array_unref);
+  g_clear_pointer (&status.shards, json_array_unref);
+  g_clear_pointer (&status.accounts, json_array_unref);
+  g_free (status.not_ready);
+  return exit_code;
+}
--- /dev/null
+++ b/ctl/table.c
@@ -0,0 +1,341 @@
+/* Lists and objects as text or JSON. */
+#include "ctl/context.h"
+
+#include <string.h>
+
+/* Bounds the pages that are fetched, so that a server that always names a next
+ * page cannot hold the command for ever. A page has at most 1000 items. */
+#define MAX_PAGES 10000
+
+void
+gr_ctl_print_json (struct gr_ctl *ctl, JsonNode *node)
+{
+  char *text = json_to_string (node, FALSE);
+
+  fprintf (ctl->out, "%s\n", text);
+  g_free (text);
+}
+
+/* The member if it is a value of a type, or NULL. */
+static JsonNode *
+value_member (JsonObject *object, const char *name, GType type)
+{
+  JsonNode *node = json_object_get_member (object, name);
+
+  if (node == NULL || !JSON_NODE_HOLDS_VALUE (node)
+      || json_node_get_value_type (node) != type)
+    return NULL;
+  return node;
+}
+
+const char *
+gr_ctl_string (JsonObject *object, const char *name, const char *fallback)
+{
+  JsonNode *node = value_member (object, name, G_TYPE_STRING);
+
+  return node == NULL ? fallback : json_node_get_string (node);
+}
+
+int64_t
+gr_ctl_int (JsonObject *object, const char *name, int64_t fallback)
+{
+  JsonNode *node = value_member (object, name, G_TYPE_INT64);
+
+  return node == NULL ? fallback : json_node_get_int (node);
+}
+
+bool
+gr_ctl_bool (JsonObject *object, const char *name)
+{
+  JsonNode *node = value_member (object, name, G_TYPE_BOOLEAN);
+
+  return node != NULL && json_node_get_boolean (node);
+}
+
+static char *
+node_text (JsonNode *node)
+{
+  if (node == NULL || JSON_NODE_HOLDS_NULL (node))
+    return g_strdup ("-");
+  if (!JSON_NODE_HOLDS_VALUE (node))
+    return json_to_string (node, FALSE);
+  if (json_node_get_value_type (node) == G_TYPE_STRING)
+    {
+      const char *text = json_node_get_string (node);
+
+      return g_strdup (text[0] == '\0' ? "-" : text);
+    }
+  if (json_node_get_value_type (node) == G_TYPE_BOOLEAN)
+    return g_strdup (json_node_get_boolean (node) ? "yes" : "no");
+  return json_to_string (node, FALSE);
+}
+
+char *
+gr_ctl_member_text (JsonObject *object, const char *path)
+{
+  char **parts = g_strsplit (path, ".", -1);
+  JsonNode *node = NULL;
+  char *text;
+
+  for (guint i = 0; parts[i] != NULL; i++)
+    {
+      node = json_object_get_member (object, parts[i]);
+      if (node == NULL || parts[i + 1] == NULL)
+        break;
+      if (!JSON_NODE_HOLDS_OBJECT (node))
+        {
+          node = NULL;
+          break;
+        }
+      object = json_node_get_object (node);
+    }
+  text = node_text (node);
+  g_strfreev (parts);
+  return text;
+}
+
+static void
+print_cell (struct gr_ctl *ctl, const char *text, size_t width, bool last)
+{
+  fputs (text, ctl->out);
+  for (size_t i = (size_t)g_utf8_strlen (text, -1); i < width + 2 && !last; i++)
+    fputc (' ', ctl->out);
+  if (last)
+    fputc ('\n', ctl->out);
+}
+
+/* The title of a column: the last part of its path. */
+static const char *
+column_title (const char *column)
+{
+  const char *dot = strrchr (column, '.');
+
+  return dot == NULL ? column : dot + 1;
+}
+
+static char *
+item_text (JsonNode *item, const char *column)
+{
+  if (!JSON_NODE_HOLDS_OBJECT (item))
+    return g_strdup ("-");
+  return gr_ctl_member_text (json_node_get_object (item), column);
+}
+
+void
+gr_ctl_print_table (struct gr_ctl *ctl,
+                    JsonArray *items,
+                    const char *const *columns)
+{
+  guint n_columns = g_strv_length ((char **)columns);
+  guint n_items = json_array_get_length (items);
+  char **cells = g_new0 (char *, (gsize)(n_items + 1) * n_columns);
+  size_t *widths = g_new0 (size_t, n_columns);
+
+  for (guint row = 0; row <= n_items; row++)
+    for (guint column = 0; column < n_columns; column++)
+      {
+        char **cell = &cells[row * n_columns + column];
+
+        if (row == 0)
+          *cell = g_strdup (column_title (columns[column]));
+        else
+          *cell = item_text (json_array_get_element (items, row - 1),
+                             columns[column]);
+        widths[column] =
+            MAX (widths[column], (size_t)g_utf8_strlen (*cell, -1));
+      }
+  for (guint row = 0; row <= n_items; row++)
+    for (guint column = 0; column < n_columns; column++)
+      {
+        char *cell = cells[row * n_columns + column];
+
+        print_cell (ctl, cell, widths[column], column == n_columns - 1);
+        g_free (cell);
+      }
+  g_free (cells);
+  g_free (widths);
+}
+
+void
+gr_ctl_print_object (struct gr_ctl *ctl, JsonNode *node)
+{
+  JsonObject *object;
+  GList *names;
+
+  if (ctl->json || !JSON_NODE_HOLDS_OBJECT (node))
+    {
+      gr_ctl_print_json (ctl, node);
+      return;
+    }
+  object = json_node_get_object (node);
+  names = json_object_get_members (object);
+  for (GList *name = names; name != NULL; name = name->next)
+    {
+      char *text = gr_ctl_member_text (object, name->data);
+
+      fprintf (ctl->out, "%s: %s\n", (const char *)name->data, text);
+      g_free (text);
+    }
+  g_list_free (names);
+}
+
+/* Appends the objects of one page; returns the name to go on after, or NULL
+ * with an error set if the page is not a list. "" ends the list. */
+static char *
+take_page (JsonNode *page, JsonArray *all, struct gr_error *error)
+{
+  JsonObject *object;
+  JsonArray *items;
+  JsonNode *node;
+
+  if (page == NULL || !JSON_NODE_HOLDS_OBJECT (page))
+    {
+      gr_error_set (error, GR_ERROR_PROTOCOL,
+                    "the answer is not a JSON object");
+      return NULL;
+    }
+  object = json_node_get_object (page);
+  node = json_object_get_member (object, "items");
+  if (node == NULL || !JSON_NODE_HOLDS_ARRAY (node))
+    {
+      gr_error_set (error, GR_ERROR_PROTOCOL,
+                    "the answer has no array 'items'");
+      return NULL;
+    }
+  items = json_node_get_array (node);
+  for (guint i = 0; i < json_array_get_length (items); i++)
+    {
+      JsonNode *item = json_array_get_element (items, i);
+
+      if (JSON_NODE_HOLDS_OBJECT (item))
+        json_array_add_element (all, json_node_copy (item));
+    }
+  return g_strdup (gr_ctl_string (object, "next", ""));
+}
+
+static char *
+page_path (const char *path, const char *query, const char *after)
+{
+  GString *full = g_string_new (path);
+  char separator = '?';
+
+  if (query[0] != '\0')
+    {
+      g_string_append_printf (full, "?%s", query);
+      separator = '&';
+    }
+  if (after[0] != '\0')
+    {
+      char *escaped = g_uri_escape_string (after, NULL, FALSE);
+
+      g_string_append_printf (full, "%cafter=%s", separator, escaped);
+      g_free (escaped);
+    }
+  return g_string_free (full, FALSE);
+}
+
+/* Adds the page that follows after, which then names the end of that page; ""
+ * if it was the last one. */
+static bool
+fetch_page (struct gr_ctl *ctl,
+            const char *path,
+            const char *query,
+            char **after,
+            JsonArray *all,
+            int *exit_code)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_ctl_answer answer;
+  char *full = page_path (path, query, *after);
+  bool done = gr_ctl_call (ctl, "GET", full, NULL, NULL, -1, &answer, &error);
+  char *next = done ? take_page (answer.json, all, &error) : NULL;
+
+  if (next == NULL)
+    *exit_code = gr_ctl_fail (ctl, &error, done ? NULL : &answer);
+  gr_ctl_answer_clear (&answer);
+  g_free (full);
+  g_free (*after);
+  *after = next;
+  return next != NULL;
+}
+
+JsonArray *
+gr_ctl_fetch_list (struct gr_ctl *ctl,
+                   const char *path,
+                   const char *query,
+                   int64_t max_items,
+                   int *exit_code)
+{
+  JsonArray *all = json_array_new ();
+  char *after = g_strdup ("");
+  bool done = true;
+
+  for (guint page = 0; page < MAX_PAGES && done; page++)
+    {
+      done = fetch_page (ctl, path, query, &after, all, exit_code);
+      if (!done || after[0] == '\0'
+          || (max_items > 0 && json_array_get_length (all) >= max_items))
+        break;
+    }
+  g_free (after);
+  if (!done)
+    {
+      json_array_unref (all);
+      return NULL;
+    }
+  while (max_items > 0 && json_array_get_length (all) > max_items)
+    json_array_remove_element (all, json_array_get_length (all) - 1);
+  *exit_code = 0;
+  return all;
+}
+
+static void
+print_items_json (struct gr_ctl *ctl, JsonArray *items)
+{
+  JsonObject *object = json_object_new ();
+  JsonNode *node = json_node_new (JSON_NODE_OBJECT);
+
+  json_object_set_array_member (object, "items", json_array_ref (items));
+  json_node_take_object (node, object);
+  gr_ctl_print_json (ctl, node);
+  json_node_unref (node);
+}
+
+int
+gr_ctl_show_list (struct gr_ctl *ctl,
+                  const char *path,
+                  const char *query,
+                  int64_t max_items,
+                  const char *const *columns)
+{
+  int exit_code;
+  JsonArray *items =
+      gr_ctl_fetch_list (ctl, path, query, max_items, &exit_code);
+
+  if (items == NULL)
+    return exit_code;
+  if (ctl->json)
+    print_items_json (ctl, items);
+  else
+    gr_ctl_print_table (ctl, items, columns);
+  json_array_unref (items);
+  return 0;
+}
+
+int
+gr_ctl_show_object (struct gr_ctl *ctl, const char *path)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_ctl_answer answer;
+  int exit_code = 0;
+
+  if (gr_ctl_call (ctl, "GET", path, NULL, NULL, -1, &answer, &error)
+      && answer.json == NULL)
+    gr_error_set (&error, GR_ERROR_PROTOCOL, "the answer is not JSON");
+  if (error.kind != GR_ERROR_NONE)
+    exit_code = gr_ctl_fail (ctl, &error, &answer);
+  else
+    gr_ctl_print_object (ctl, answer.json);
+  gr_ctl_answer_clear (&answer);
+  return exit_code;
+}
--- a/settings/process.c
+++ b/settings/process.c
@@ -4,14 +4,6 @@
 
 #include <string.h>
 
-struct options
-{
-  char *settings;
-  char *check;
-  gboolean print;
-  gboolean version;
-};
-
 /* Reads a whole file as text; prints the reason and returns NULL if it cannot
  * be a document. */
 static char *
@@ -78,30 +70,46 @@
   g_string_free (out, TRUE);
 }
 
-static bool
-parse_options (int argc,
-               char **argv,
-               const char *summary,
-               const GOptionEntry *extra,
-               struct options *options)
+void
+gr_process_options_add (GOptionContext *context,
+                        struct gr_process_options *options)
 {
   const GOptionEntry entries[] = {
-    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &options->settings,
+    { "settings", 0, 0, G_OPTION_ARG_FILENAME, &options->settings,
       "Process file", "FILE" },
-    { "check-settings", 0, 0, G_OPTION_ARG_FILENAME, &options->check,
+    { "check-settings", 0, 0, G_OPTION_ARG_FILENAME, &options->check_settings,
       "Check a process file and exit", "FILE" },
-    { "print-settings", 0, 0, G_OPTION_ARG_NONE, &options->print,
+    { "print-settings", 0, 0, G_OPTION_ARG_NONE, &options->print_settings,
       "Print all keys of all documents and exit", NULL },
     { "version", 0, 0, G_OPTION_ARG_NONE, &options->version,
       "Print the version and exit", NULL },
     { NULL, 0, 0, 0, NULL, NULL, NULL },
   };
+
+  g_option_context_add_main_entries (context, entries, NULL);
+}
+
+void
+gr_process_options_clear (struct gr_process_options *options)
+{
+  g_free (options->settings);
+  g_free (options->check_settings);
+  memset (options, 0, sizeof *options);
+}
+
+static bool
+parse_options (int argc,
+               char **argv,
+               const char *summary,
+               const GOptionEntry *extra,
+               struct gr_process_options *options)
+{
   GOptionContext *context = g_option_context_new (NULL);
   GError *error = NULL;
   bool parsed;
 
   g_option_context_set_summary (context, summary);
-  g_option_context_add_main_entries (context, entries, NULL);
+  gr_process_options_add (context, options);
   if (extra != NULL)
     g_option_context_add_main_entries (context, extra, NULL);
   parsed = g_option_context_parse (context, &argc, &argv, &error);
@@ -124,22 +132,21 @@
   return G_LOG_LEVEL_INFO;
 }
 
-/* Handles the options that end the process; true if one did. */
-static bool
-handle_informational (const struct options *options,
-                      const char *binary,
-                      int *exit_code)
+bool
+gr_process_options_handle (const struct gr_process_options *options,
+                           const char *binary,
+                           int *exit_code)
 {
   struct gr_process_settings settings;
 
   *exit_code = 0;
   if (options->version)
     g_print ("%s %s\n", binary, GR_VERSION);
-  else if (options->print)
+  else if (options->print_settings)
     print_settings ();
-  else if (options->check == NULL)
+  else if (options->check_settings == NULL)
     return false;
-  else if (gr_process_load (options->check, &settings))
+  else if (gr_process_load (options->check_settings, &settings))
     gr_process_settings_clear (&settings);
   else
     *exit_code = GR_EXIT_USAGE;
@@ -148,7 +155,7 @@
 
 /* Loads the process file that the options name. */
 static bool
-load_for (const struct options *options,
+load_for (const struct gr_process_options *options,
           const char *binary,
           struct gr_process_settings *settings)
 {
@@ -173,18 +180,17 @@
                   struct gr_process_settings *settings,
                   int *exit_code)
 {
-  struct options options = { 0 };
+  struct gr_process_options options = { 0 };
   bool go_on = false;
 
   memset (settings, 0, sizeof *settings);
   *exit_code = GR_EXIT_USAGE;
   if (parse_options (argc, argv, summary, extra, &options)
-      && !handle_informational (&options, binary, exit_code))
+      && !gr_process_options_handle (&options, binary, exit_code))
     {
       go_on = load_for (&options, binary, settings);
       *exit_code = go_on ? 0 : GR_EXIT_USAGE;
     }
-  g_free (options.settings);
-  g_free (options.check);
+  gr_process_options_clear (&options);
   return go_on;
 }
--- a/settings/process.h
+++ b/settings/process.h
@@ -10,6 +10,27 @@
 /* Exit code for wrong arguments and for settings that are not valid. */
 #define GR_EXIT_USAGE 2
 
+/* Values of the options that all binaries take. */
+struct gr_process_options
+{
+  char *settings;
+  char *check_settings;
+  gboolean print_settings;
+  gboolean version;
+};
+
+/* For binaries that run without a process file: adds the options to context;
+ * options must live until they are parsed and is cleared by the caller. */
+void gr_process_options_add (GOptionContext *context,
+                             struct gr_process_options *options);
+void gr_process_options_clear (struct gr_process_options *options);
+
+/* Does what --version, --print-settings and --check-settings ask for. Returns
+ * true if one was given; the process is then to exit with *exit_code. */
+bool gr_process_options_handle (const struct gr_process_options *options,
+                                const char *binary,
+                                int *exit_code);
+
 /* Parses the options --settings FILE, --check-settings FILE, --print-settings
  * and --version, and those of extra, which may be NULL. Returns true if the
  * process is to go on: settings then holds the checked settings, to be cleared
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -257,6 +257,49 @@
 }
 END_TEST
 
+static void
+check_sample (const char *directory,
+              const char *name,
+              enum gr_document_kind kind)
+{
+  char *file = g_build_filename (g_getenv ("GR_SOURCE_DIR"), "etc", directory,
+                                 name, NULL);
+  GPtrArray *problems;
+  char *text;
+
+  ck_assert_msg (g_file_get_contents (file, &text, NULL, NULL), "%s", file);
+  problems = problems_of (kind, text);
+  ck_assert_msg (problems->len == 0, "%s: %s", file,
+                 problems->len > 0 ? (char *)problems->pdata[0] : "");
+  g_ptr_array_unref (problems);
+  g_free (text);
+  g_free (file);
+}
+
+/* Guards against sample settings that a process would refuse. */
+START_TEST (samples_are_valid)
+{
+  static const char *const teams[2][5] = {
+    { "cedar", "clinics", "shelters", "households", "overnight" },
+    { "himal", "counter", "presses", "bindery", "batch" },
+  };
+
+  for (int i = 0; i < 2; i++)
+    {
+      check_sample (teams[i][0], "platform.ini", GR_DOCUMENT_PLATFORM);
+      check_sample (teams[i][0], "entry.ini", GR_DOCUMENT_PROCESS);
+      check_sample (teams[i][0], "scheduler.ini", GR_DOCUMENT_PROCESS);
+      for (int j = 1; j < 5; j++)
+        {
+          char *name = g_strdup_printf ("teams/%s.ini", teams[i][j]);
+
+          check_sample (teams[i][0], name, GR_DOCUMENT_TEAM);
+          g_free (name);
+        }
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -274,6 +317,7 @@
   tcase_add_test (tcase, oversized_document_is_refused);
   tcase_add_test (tcase, too_many_guarantees_are_refused);
   tcase_add_test (tcase, paths_are_closed);
+  tcase_add_test (tcase, samples_are_valid);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
