platform: clients of the key-value service, instance list, workers, executors

The entry and scheduler processes need asynchronous clients, and all tests need something to talk to. Adds the clients over libsoup and json-glib, an HTTP server with limits on its own listening socket, and the stand-ins as one program with the modes kv, instances, worker, executor and relay.

--- /dev/null
+++ b/standins/instances.h
@@ -0,0 +1,12 @@
+/* Stand-in of the platform's instance list. */
+#pragma once
+
+#include "standins/base.h"
+
+struct gr_standin_instances;
+
+struct gr_standin_instances *
+gr_standin_instances_create (const char *listen, struct gr_error *error);
+void gr_standin_instances_destroy (struct gr_standin_instances *instances);
+struct gr_standin *
+gr_standin_instances_base (struct gr_standin_instances *instances);
--- /dev/null
+++ b/standins/main.c
@@ -0,0 +1,365 @@
+#include "common/log.h"
+#include "standins/executor.h"
+#include "standins/instances.h"
+#include "standins/kv.h"
+#include "standins/relay.h"
+#include "standins/worker.h"
+
+#include <glib-unix.h>
+#include <stdio.h>
+#include <string.h>
+
+#define MAX_TARGETS 200
+
+struct options
+{
+  char *listen;
+  char *control;
+  char *target;
+  char *name;
+  char *data_centre;
+  char *rack;
+  char *instances_url;
+  int workers;
+  int executors;
+  int slots;
+  int per_rack;
+  int accelerators;
+  int cores;
+  int memory_mb;
+};
+
+struct standins
+{
+  struct options options;
+  struct gr_standin_kv *kv;
+  struct gr_standin_instances *instances;
+  struct gr_relay *relay;
+  GPtrArray *workers;
+  GPtrArray *executors;
+};
+
+static void
+print_ready (const char *address, const char *name)
+{
+  printf ("listening http=%s%s%s\n", address, name ? " name=" : "",
+          name ? name : "");
+  fflush (stdout);
+}
+
+static bool
+start_kv (struct standins *standins, struct gr_error *error)
+{
+  standins->kv = gr_standin_kv_create (standins->options.listen, error);
+  if (standins->kv == NULL)
+    return false;
+  print_ready (gr_standin_address (gr_standin_kv_base (standins->kv)), NULL);
+  return true;
+}
+
+static bool
+start_instances (struct standins *standins, struct gr_error *error)
+{
+  standins->instances =
+      gr_standin_instances_create (standins->options.listen, error);
+  if (standins->instances == NULL)
+    return false;
+  print_ready (
+      gr_standin_address (gr_standin_instances_base (standins->instances)),
+      NULL);
+  return true;
+}
+
+/* Name of the target with this index; the plain name if there is only one. */
+static char *
+target_name (const struct options *options,
+             const char *role,
+             int index,
+             int count)
+{
+  const char *name = options->name ? options->name : role;
+
+  return count == 1 ? g_strdup (name) : g_strdup_printf ("%s-%d", name, index);
+}
+
+/* A fixed port is that of the first target; the others follow. */
+static char *
+target_listen (const struct options *options, int index)
+{
+  const char *colon = strrchr (options->listen, ':');
+  guint64 port = colon ? g_ascii_strtoull (colon + 1, NULL, 10) : 0;
+
+  if (port == 0)
+    return g_strdup (options->listen);
+  return g_strdup_printf ("%.*s:%" G_GUINT64_FORMAT,
+                          (int)(colon - options->listen), options->listen,
+                          port + (guint64)index);
+}
+
+static bool
+start_worker (struct standins *standins, int index, struct gr_error *error)
+{
+  const struct options *options = &standins->options;
+  char *name = target_name (options, "worker", index, options->workers);
+  char *listen = target_listen (options, index);
+  char *rack =
+      g_strdup_printf ("%s-%d", options->rack, index / options->per_rack);
+  struct gr_standin_worker_settings settings = {
+    .name = name,
+    .rack = rack,
+    .rack_slot = (uint32_t)(index % options->per_rack),
+    .data_centre = options->data_centre,
+    .accelerators = (uint32_t)options->accelerators,
+    .cores = (uint32_t)options->cores,
+    .memory_mb = (uint64_t)options->memory_mb,
+    .instances_url = options->instances_url,
+  };
+  struct gr_standin_worker *worker =
+      gr_standin_worker_create (listen, &settings, error);
+
+  if (worker != NULL)
+    {
+      g_ptr_array_add (standins->workers, worker);
+      print_ready (gr_standin_address (gr_standin_worker_base (worker)), name);
+    }
+  g_free (name);
+  g_free (listen);
+  g_free (rack);
+  return worker != NULL;
+}
+
+static bool
+start_workers (struct standins *standins, struct gr_error *error)
+{
+  for (int i = 0; i < standins->options.workers; i++)
+    if (!start_worker (standins, i, error))
+      return false;
+  return true;
+}
+
+static bool
+start_executor (struct standins *standins, int index, struct gr_error *error)
+{
+  const struct options *options = &standins->options;
+  char *name = target_name (options, "executor", index, options->executors);
+  char *listen = target_listen (options, index);
+  struct gr_standin_executor_settings settings = {
+    .name = name,
+    .data_centre = options->data_centre,
+    .slots = (uint32_t)options->slots,
+    .instances_url = options->instances_url,
+  };
+  struct gr_standin_executor *executor =
+      gr_standin_executor_create (listen, &settings, error);
+
+  if (executor != NULL)
+    {
+      g_ptr_array_add (standins->executors, executor);
+      print_ready (gr_standin_address (gr_standin_executor_base (executor)),
+                   name);
+    }
+  g_free (name);
+  g_free (listen);
+  return executor != NULL;
+}
+
+static bool
+start_executors (struct standins *standins, struct gr_error *error)
+{
+  for (int i = 0; i < standins->options.executors; i++)
+    if (!start_executor (standins, i, error))
+      return false;
+  return true;
+}
+
+static bool
+start_relay (struct standins *standins, struct gr_error *error)
+{
+  const struct options *options = &standins->options;
+
+  if (options->target == NULL)
+    return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
+                         "relay needs --target=IP:PORT");
+  standins->relay = gr_relay_create (options->listen, options->target,
+                                     options->control, error);
+  if (standins->relay == NULL)
+    return false;
+  printf ("listening tcp=%s http=%s\n", gr_relay_address (standins->relay),
+          gr_standin_address (gr_relay_base (standins->relay)));
+  fflush (stdout);
+  return true;
+}
+
+static const struct
+{
+  const char *name;
+  bool (*start) (struct standins *standins, struct gr_error *error);
+} modes[] = {
+  { "kv", start_kv },          { "instances", start_instances },
+  { "worker", start_workers }, { "executor", start_executors },
+  { "relay", start_relay },
+};
+
+static bool
+check_options (const struct options *options, struct gr_error *error)
+{
+  if (options->workers < 1 || options->workers > MAX_TARGETS
+      || options->executors < 1 || options->executors > MAX_TARGETS)
+    return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
+                         "--workers and --executors take 1 to %d", MAX_TARGETS);
+  if (options->accelerators < 1 || options->accelerators > GR_MAX_ACCELERATORS)
+    return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
+                         "--accelerators takes 1 to %d", GR_MAX_ACCELERATORS);
+  if (options->slots < 1 || options->per_rack < 1 || options->cores < 0
+      || options->memory_mb < 0)
+    return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
+                         "a number is out of range");
+  return true;
+}
+
+static bool
+start_mode (struct standins *standins, const char *mode, struct gr_error *error)
+{
+  if (!check_options (&standins->options, error))
+    return false;
+  for (size_t i = 0; mode != NULL && i < G_N_ELEMENTS (modes); i++)
+    if (strcmp (modes[i].name, mode) == 0)
+      return modes[i].start (standins, error);
+  return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
+                       "the mode must be kv, instances, worker, executor or "
+                       "relay");
+}
+
+static bool
+parse_options (struct options *options, int *argc, char ***argv)
+{
+  const GOptionEntry entries[] = {
+    { "listen", 0, 0, G_OPTION_ARG_STRING, &options->listen,
+      "Address to listen on; port 0 takes a free one", "IP:PORT" },
+    { "control", 0, 0, G_OPTION_ARG_STRING, &options->control,
+      "Control address of a relay", "IP:PORT" },
+    { "target", 0, 0, G_OPTION_ARG_STRING, &options->target,
+      "Where a relay connects to", "IP:PORT" },
+    { "instances-url", 0, 0, G_OPTION_ARG_STRING, &options->instances_url,
+      "Instance list to register in", "URL" },
+    { "name", 0, 0, G_OPTION_ARG_STRING, &options->name,
+      "Name, or beginning of the names", "NAME" },
+    { "data-centre", 0, 0, G_OPTION_ARG_STRING, &options->data_centre,
+      "Data centre", "NAME" },
+    { "rack", 0, 0, G_OPTION_ARG_STRING, &options->rack,
+      "Beginning of the rack names", "NAME" },
+    { "per-rack", 0, 0, G_OPTION_ARG_INT, &options->per_rack,
+      "Workers in a rack", "N" },
+    { "workers", 0, 0, G_OPTION_ARG_INT, &options->workers,
+      "Workers in this process", "N" },
+    { "executors", 0, 0, G_OPTION_ARG_INT, &options->executors,
+      "Executors in this process", "N" },
+    { "slots", 0, 0, G_OPTION_ARG_INT, &options->slots, "Slots of an executor",
+      "N" },
+    { "accelerators", 0, 0, G_OPTION_ARG_INT, &options->accelerators,
+      "Accelerators of a worker", "N" },
+    { "cores", 0, 0, G_OPTION_ARG_INT, &options->cores, "Cores of a worker",
+      "N" },
+    { "memory-mb", 0, 0, G_OPTION_ARG_INT, &options->memory_mb,
+      "Memory of a worker", "MB" },
+    { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
+  };
+  GOptionContext *context = g_option_context_new (
+      "kv|instances|worker|executor|relay - stand-ins of the platform");
+  GError *problem = NULL;
+  bool valid;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  valid = g_option_context_parse (context, argc, argv, &problem);
+  if (!valid)
+    {
+      fprintf (stderr, "geraniumrack-standin: %s\n", problem->message);
+      g_error_free (problem);
+    }
+  g_option_context_free (context);
+  return valid;
+}
+
+static gboolean
+stop (gpointer data)
+{
+  g_main_loop_quit (data);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+run_until_stopped (void)
+{
+  GMainLoop *loop = g_main_loop_new (NULL, FALSE);
+
+  g_unix_signal_add (SIGTERM, stop, loop);
+  g_unix_signal_add (SIGINT, stop, loop);
+  g_main_loop_run (loop);
+  g_main_loop_unref (loop);
+}
+
+static void
+standins_clear (struct standins *standins)
+{
+  gr_standin_kv_destroy (standins->kv);
+  gr_standin_instances_destroy (standins->instances);
+  gr_relay_destroy (standins->relay);
+  g_ptr_array_unref (standins->workers);
+  g_ptr_array_unref (standins->executors);
+  g_free (standins->options.listen);
+  g_free (standins->options.control);
+  g_free (standins->options.target);
+  g_free (standins->options.name);
+  g_free (standins->options.data_centre);
+  g_free (standins->options.rack);
+  g_free (standins->options.instances_url);
+}
+
+static void
+worker_free (void *worker)
+{
+  gr_standin_worker_destroy (worker);
+}
+
+static void
+executor_free (void *executor)
+{
+  gr_standin_executor_destroy (executor);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct standins standins = {
+    .options = {
+      .listen = g_strdup ("127.0.0.1:0"),
+      .control = g_strdup ("127.0.0.1:0"),
+      .data_centre = g_strdup ("dc1"),
+      .rack = g_strdup ("rack"),
+      .workers = 1,
+      .executors = 1,
+      .slots = 8,
+      .per_rack = 8,
+      .accelerators = 8,
+      .cores = 130,
+      .memory_mb = 250000,
+    },
+    .workers = g_ptr_array_new_with_free_func (worker_free),
+    .executors = g_ptr_array_new_with_free_func (executor_free),
+  };
+  struct gr_error error = GR_ERROR_INIT;
+  int code = 2;
+
+  if (parse_options (&standins.options, &argc, &argv))
+    {
+      if (start_mode (&standins, argc == 2 ? argv[1] : NULL, &error))
+        {
+          run_until_stopped ();
+          code = 0;
+        }
+      else
+        fprintf (stderr, "geraniumrack-standin: %s\n", error.message);
+    }
+  standins_clear (&standins);
+  return code;
+}
--- /dev/null
+++ b/standins/relay.c
@@ -0,0 +1,339 @@
+#include "standins/relay.h"
+
+#include "platform/json.h"
+
+#include <string.h>
+
+#define PIECE_BYTES 16384
+
+struct relay_link;
+
+/* One direction of a relayed connection. */
+struct relay_direction
+{
+  struct relay_link *link;
+  GSocketConnection *from;
+  GSocketConnection *to;
+  GSource *timer;
+  gsize size;
+  char piece[PIECE_BYTES];
+};
+
+struct relay_link
+{
+  struct gr_relay *relay; /* NULL once it was cut */
+  GCancellable *cancellable;
+  GSocketConnection *client;
+  GSocketConnection *target;
+  struct relay_direction to_target;
+  struct relay_direction to_client;
+  int operations;
+};
+
+struct gr_relay
+{
+  struct gr_standin *base;
+  GSocketService *service;
+  GHashTable *links;
+  char *address;
+  char *target;
+  bool drop;
+  bool refuse;
+  int64_t delay_ms;
+  int64_t relayed_bytes;
+  int64_t dropped_bytes;
+};
+
+static void read_piece (struct relay_direction *direction);
+
+static void
+link_unref (struct relay_link *link)
+{
+  if (--link->operations > 0)
+    return;
+  if (link->relay != NULL)
+    g_hash_table_remove (link->relay->links, link);
+  g_clear_object (&link->client);
+  g_clear_object (&link->target);
+  g_clear_object (&link->cancellable);
+  g_free (link);
+}
+
+static void
+cut_link (struct relay_link *link)
+{
+  if (link->relay == NULL)
+    return;
+  g_hash_table_remove (link->relay->links, link);
+  link->relay = NULL;
+  g_cancellable_cancel (link->cancellable);
+  g_io_stream_close (G_IO_STREAM (link->client), NULL, NULL);
+  if (link->target != NULL)
+    g_io_stream_close (G_IO_STREAM (link->target), NULL, NULL);
+}
+
+static void
+end_direction (struct relay_direction *direction)
+{
+  if (direction->link->relay != NULL)
+    g_socket_shutdown (g_socket_connection_get_socket (direction->to), FALSE,
+                       TRUE, NULL);
+  link_unref (direction->link);
+}
+
+static void
+write_done (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct relay_direction *direction = data;
+
+  if (!g_output_stream_write_all_finish (G_OUTPUT_STREAM (source), result, NULL,
+                                         NULL))
+    cut_link (direction->link);
+  if (direction->link->relay == NULL)
+    end_direction (direction);
+  else
+    read_piece (direction);
+}
+
+static gboolean
+write_piece (gpointer data)
+{
+  struct relay_direction *direction = data;
+
+  g_clear_pointer (&direction->timer, g_source_unref);
+  if (direction->link->relay == NULL)
+    {
+      end_direction (direction);
+      return G_SOURCE_REMOVE;
+    }
+  direction->link->relay->relayed_bytes += (int64_t)direction->size;
+  g_output_stream_write_all_async (
+      g_io_stream_get_output_stream (G_IO_STREAM (direction->to)),
+      direction->piece, direction->size, G_PRIORITY_DEFAULT,
+      direction->link->cancellable, write_done, direction);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+read_done (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct relay_direction *direction = data;
+  struct gr_relay *relay = direction->link->relay;
+  gssize size =
+      g_input_stream_read_finish (G_INPUT_STREAM (source), result, NULL);
+
+  if (relay == NULL || size <= 0)
+    {
+      if (size < 0)
+        cut_link (direction->link);
+      end_direction (direction);
+      return;
+    }
+  direction->size = (gsize)size;
+  if (relay->drop)
+    {
+      relay->dropped_bytes += size;
+      read_piece (direction);
+      return;
+    }
+  direction->timer = g_timeout_source_new ((guint)relay->delay_ms);
+  g_source_set_callback (direction->timer, write_piece, direction, NULL);
+  g_source_attach (direction->timer, NULL);
+}
+
+static void
+read_piece (struct relay_direction *direction)
+{
+  g_input_stream_read_async (
+      g_io_stream_get_input_stream (G_IO_STREAM (direction->from)),
+      direction->piece, PIECE_BYTES, G_PRIORITY_DEFAULT,
+      direction->link->cancellable, read_done, direction);
+}
+
+static void
+start_direction (struct relay_direction *direction,
+                 struct relay_link *link,
+                 GSocketConnection *from,
+                 GSocketConnection *to)
+{
+  direction->link = link;
+  direction->from = from;
+  direction->to = to;
+  link->operations++;
+  read_piece (direction);
+}
+
+static void
+connect_done (GObject *source, GAsyncResult *result, gpointer data)
+{
+  struct relay_link *link = data;
+
+  link->target = g_socket_client_connect_to_host_finish (
+      G_SOCKET_CLIENT (source), result, NULL);
+  if (link->relay != NULL && link->target == NULL)
+    cut_link (link);
+  if (link->relay != NULL)
+    {
+      start_direction (&link->to_target, link, link->client, link->target);
+      start_direction (&link->to_client, link, link->target, link->client);
+    }
+  link_unref (link);
+}
+
+static gboolean
+incoming (GSocketService *service,
+          GSocketConnection *client,
+          GObject *source,
+          gpointer data)
+{
+  struct gr_relay *relay = data;
+  GSocketClient *connector;
+  struct relay_link *link;
+
+  (void)service;
+  (void)source;
+  if (relay->refuse)
+    {
+      g_io_stream_close (G_IO_STREAM (client), NULL, NULL);
+      return TRUE;
+    }
+  link = g_new0 (struct relay_link, 1);
+  link->relay = relay;
+  link->client = g_object_ref (client);
+  link->cancellable = g_cancellable_new ();
+  link->operations = 1;
+  g_hash_table_add (relay->links, link);
+  connector = g_socket_client_new ();
+  g_socket_client_set_enable_proxy (connector, FALSE);
+  g_socket_client_connect_to_host_async (connector, relay->target, 0,
+                                         link->cancellable, connect_done, link);
+  g_object_unref (connector);
+  return TRUE;
+}
+
+static void
+cut_all (struct gr_relay *relay)
+{
+  GList *links = g_hash_table_get_keys (relay->links);
+
+  for (GList *item = links; item != NULL; item = item->next)
+    cut_link (item->data);
+  g_list_free (links);
+}
+
+static bool
+half_close (struct gr_relay *relay, const char *side)
+{
+  bool client = strcmp (side, "client") == 0;
+  GHashTableIter iter;
+  void *key;
+
+  if (!client && strcmp (side, "target") != 0)
+    return false;
+  g_hash_table_iter_init (&iter, relay->links);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct relay_link *link = key;
+      GSocketConnection *stream = client ? link->client : link->target;
+
+      if (stream != NULL)
+        g_socket_shutdown (g_socket_connection_get_socket (stream), FALSE, TRUE,
+                           NULL);
+    }
+  return true;
+}
+
+static bool
+control (JsonObject *body, void *context)
+{
+  struct gr_relay *relay = context;
+  const char *side = gr_json_peek_string (body, "half_close");
+  bool cut = false;
+
+  if (!gr_json_get_bool (body, "drop", relay->drop, &relay->drop)
+      || !gr_json_get_bool (body, "refuse", relay->refuse, &relay->refuse)
+      || !gr_json_get_bool (body, "cut", false, &cut)
+      || !gr_json_get_int (body, "delay_ms", 0, 600000, relay->delay_ms,
+                           &relay->delay_ms))
+    return false;
+  if (cut)
+    cut_all (relay);
+  return side == NULL || half_close (relay, side);
+}
+
+static void
+describe (JsonObject *answer, void *context)
+{
+  const struct gr_relay *relay = context;
+
+  json_object_set_string_member (answer, "target", relay->target);
+  json_object_set_int_member (answer, "connections",
+                              g_hash_table_size (relay->links));
+  json_object_set_int_member (answer, "relayed_bytes", relay->relayed_bytes);
+  json_object_set_int_member (answer, "dropped_bytes", relay->dropped_bytes);
+}
+
+static void
+apply (struct gr_standin_call *call, void *context)
+{
+  (void)context;
+  gr_standin_reply (call, 404, NULL);
+}
+
+static const struct gr_standin_ops ops = {
+  .apply = apply,
+  .describe = describe,
+  .control = control,
+};
+
+struct gr_relay *
+gr_relay_create (const char *listen,
+                 const char *target,
+                 const char *control_listen,
+                 struct gr_error *error)
+{
+  struct gr_relay *relay = g_new0 (struct gr_relay, 1);
+
+  relay->target = g_strdup (target);
+  relay->links = g_hash_table_new (NULL, NULL);
+  relay->service = g_socket_service_new ();
+  relay->base = gr_standin_create (control_listen, &ops, relay, error);
+  if (relay->base != NULL)
+    relay->address = gr_listen (relay->service, listen, error);
+  if (relay->address == NULL)
+    {
+      gr_relay_destroy (relay);
+      return NULL;
+    }
+  g_signal_connect (relay->service, "incoming", G_CALLBACK (incoming), relay);
+  return relay;
+}
+
+void
+gr_relay_destroy (struct gr_relay *relay)
+{
+  if (relay == NULL)
+    return;
+  g_signal_handlers_disconnect_by_data (relay->service, relay);
+  g_socket_service_stop (relay->service);
+  g_socket_listener_close (G_SOCKET_LISTENER (relay->service));
+  cut_all (relay);
+  g_object_unref (relay->service);
+  g_hash_table_destroy (relay->links);
+  gr_standin_destroy (relay->base);
+  g_free (relay->address);
+  g_free (relay->target);
+  g_free (relay);
+}
+
+const char *
+gr_relay_address (const struct gr_relay *relay)
+{
+  return relay->address;
+}
+
+struct gr_standin *
+gr_relay_base (struct gr_relay *relay)
+{
+  return relay->base;
+}
--- /dev/null
+++ b/standins/worker-model.c
@@ -0,0 +1,457 @@
+#include "standins/worker-model.h"
+
+#include <string.h>
+
+/* Ended tasks stay in the report for this long. */
+#define KEEP_ENDED_MS 60000
+
+/* Enough for a long test; later starts are not recorded. */
+#define MAX_RECORDS 200000
+
+struct model_lease
+{
+  char id[GR_ID_MAX];
+  char holder[GR_NAME_MAX];
+  uint32_t accelerators;
+  int64_t expires_ms;
+};
+
+struct model_task
+{
+  char id[GR_ID_MAX];
+  char lease[GR_ID_MAX];
+  enum gr_task_state state;
+  bool fails;
+  uint32_t throttle_percent;
+  double ran_ms; /* up to since_ms */
+  int64_t run_ms;
+  int64_t checkpoint_ms;
+  int64_t since_ms;
+  int64_t ended_ms;
+  guint record; /* index in starts; above its length if not recorded */
+};
+
+struct gr_worker_model
+{
+  uint32_t accelerators;
+  bool fail_all;
+  GHashTable *leases;
+  GHashTable *tasks;
+  GArray *starts;
+};
+
+int64_t
+gr_spec_number (const char *text,
+                size_t size,
+                const char *name,
+                int64_t missing)
+{
+  const char *end = text + size;
+  const char *at = size ? memmem (text, size, name, strlen (name)) : NULL;
+  int64_t number = 0;
+
+  if (at == NULL)
+    return missing;
+  at += strlen (name);
+  while (at < end && strchr ("\"=: ", *at) != NULL && *at != '\0')
+    at++;
+  if (at == end || !g_ascii_isdigit (*at))
+    return missing;
+  while (at < end && g_ascii_isdigit (*at) && number < INT32_MAX)
+    number = number * 10 + (*at++ - '0');
+  return number;
+}
+
+struct gr_worker_model *
+gr_worker_model_create (uint32_t accelerators)
+{
+  struct gr_worker_model *model = g_new0 (struct gr_worker_model, 1);
+
+  model->accelerators = accelerators;
+  model->leases = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  model->tasks = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  model->starts =
+      g_array_new (FALSE, FALSE, sizeof (struct gr_worker_start_record));
+  return model;
+}
+
+void
+gr_worker_model_destroy (struct gr_worker_model *model)
+{
+  if (model == NULL)
+    return;
+  g_hash_table_destroy (model->leases);
+  g_hash_table_destroy (model->tasks);
+  g_array_free (model->starts, TRUE);
+  g_free (model);
+}
+
+void
+gr_worker_model_set_fail_all (struct gr_worker_model *model, bool fail)
+{
+  model->fail_all = fail;
+}
+
+static struct gr_worker_start_record *
+record_of (struct gr_worker_model *model, const struct model_task *task)
+{
+  if (task->record >= model->starts->len)
+    return NULL;
+  return &g_array_index (model->starts, struct gr_worker_start_record,
+                         task->record);
+}
+
+/* Adds the time since the last event to a running task. */
+static void
+account (struct model_task *task, int64_t now_ms)
+{
+  if (task->state != GR_TASK_RUNNING)
+    return;
+  task->ran_ms +=
+      (double)(now_ms - task->since_ms) * task->throttle_percent / 100.0;
+  task->ran_ms = MIN (task->ran_ms, (double)task->run_ms);
+  task->since_ms = now_ms;
+}
+
+static void
+end_task (struct gr_worker_model *model,
+          struct model_task *task,
+          enum gr_task_state state,
+          int64_t now_ms)
+{
+  struct gr_worker_start_record *record = record_of (model, task);
+
+  account (task, now_ms);
+  task->state = state;
+  task->ended_ms = now_ms;
+  if (record == NULL)
+    return;
+  record->state = state;
+  record->ended_ms = now_ms;
+  record->ran_ms = (int64_t)task->ran_ms;
+}
+
+static void
+end_lease (struct gr_worker_model *model,
+           const char *lease,
+           bool forget_tasks,
+           int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, model->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct model_task *task = value;
+
+      if (strcmp (task->lease, lease) != 0)
+        continue;
+      if (task->state == GR_TASK_RUNNING)
+        end_task (model, task, GR_TASK_STOPPED, now_ms);
+      if (forget_tasks)
+        g_hash_table_iter_remove (&iter);
+    }
+}
+
+/* When a running task reaches its run time, INT64_MAX if it is throttled to
+ * zero. */
+static int64_t
+finish_time (const struct model_task *task)
+{
+  double left_ms = (double)task->run_ms - task->ran_ms;
+
+  if (task->throttle_percent == 0)
+    return INT64_MAX;
+  return task->since_ms + (int64_t)(left_ms * 100.0 / task->throttle_percent)
+         + 1;
+}
+
+static int64_t
+advance_tasks (struct gr_worker_model *model, int64_t now_ms)
+{
+  int64_t next_ms = INT64_MAX;
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, model->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct model_task *task = value;
+
+      if (task->state != GR_TASK_RUNNING)
+        {
+          if (task->ended_ms + KEEP_ENDED_MS <= now_ms)
+            g_hash_table_iter_remove (&iter);
+        }
+      else if (finish_time (task) <= now_ms)
+        end_task (model, task, task->fails ? GR_TASK_FAILED : GR_TASK_FINISHED,
+                  now_ms);
+      else
+        next_ms = MIN (next_ms, finish_time (task));
+    }
+  return next_ms;
+}
+
+int64_t
+gr_worker_model_advance (struct gr_worker_model *model, int64_t now_ms)
+{
+  int64_t next_ms = advance_tasks (model, now_ms);
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, model->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct model_lease *lease = value;
+
+      if (lease->expires_ms <= now_ms)
+        {
+          end_lease (model, lease->id, false, now_ms);
+          g_hash_table_iter_remove (&iter);
+        }
+      else
+        next_ms = MIN (next_ms, lease->expires_ms);
+    }
+  return next_ms;
+}
+
+void
+gr_worker_model_restart (struct gr_worker_model *model, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, model->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    end_lease (model, ((struct model_lease *)value)->id, true, now_ms);
+  g_hash_table_remove_all (model->leases);
+  g_hash_table_remove_all (model->tasks);
+}
+
+static bool
+is_held (const struct gr_worker_model *model, uint32_t accelerators)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, model->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct model_lease *)value)->accelerators & accelerators)
+      return true;
+  return false;
+}
+
+enum gr_model_result
+gr_worker_model_grant (struct gr_worker_model *model,
+                       const char *lease,
+                       const char *holder,
+                       uint32_t accelerators,
+                       int64_t term_ms,
+                       int64_t now_ms)
+{
+  struct model_lease *held = g_hash_table_lookup (model->leases, lease);
+
+  if (accelerators == 0 || accelerators >> model->accelerators != 0)
+    return GR_MODEL_CONFLICT;
+  if (held != NULL)
+    {
+      if (held->accelerators != accelerators
+          || strcmp (held->holder, holder) != 0)
+        return GR_MODEL_CONFLICT;
+      held->expires_ms = now_ms + term_ms;
+      return GR_MODEL_OK;
+    }
+  if (is_held (model, accelerators))
+    return GR_MODEL_CONFLICT;
+  held = g_new0 (struct model_lease, 1);
+  g_strlcpy (held->id, lease, sizeof held->id);
+  g_strlcpy (held->holder, holder, sizeof held->holder);
+  held->accelerators = accelerators;
+  held->expires_ms = now_ms + term_ms;
+  g_hash_table_insert (model->leases, held->id, held);
+  return GR_MODEL_OK;
+}
+
+enum gr_model_result
+gr_worker_model_renew (struct gr_worker_model *model,
+                       const char *lease,
+                       int64_t term_ms,
+                       int64_t now_ms)
+{
+  struct model_lease *held = g_hash_table_lookup (model->leases, lease);
+
+  if (held == NULL)
+    return GR_MODEL_NOT_FOUND;
+  held->expires_ms = now_ms + term_ms;
+  return GR_MODEL_OK;
+}
+
+enum gr_model_result
+gr_worker_model_release (struct gr_worker_model *model,
+                         const char *lease,
+                         int64_t now_ms)
+{
+  struct model_lease *held = g_hash_table_lookup (model->leases, lease);
+
+  end_lease (model, lease, true, now_ms);
+  if (held == NULL)
+    return GR_MODEL_NOT_FOUND;
+  g_hash_table_remove (model->leases, held->id);
+  return GR_MODEL_OK;
+}
+
+static void
+add_record (struct gr_worker_model *model, struct model_task *task)
+{
+  struct gr_worker_start_record record = {
+    .started_ms = task->since_ms,
+    .unthrottled_ms = task->throttle_percent > 0 ? task->since_ms : -1,
+    .ended_ms = -1,
+    .state = GR_TASK_RUNNING,
+  };
+
+  task->record = model->starts->len;
+  if (model->starts->len >= MAX_RECORDS)
+    {
+      task->record = G_MAXUINT;
+      return;
+    }
+  g_strlcpy (record.task, task->id, sizeof record.task);
+  g_strlcpy (record.lease, task->lease, sizeof record.lease);
+  g_array_append_val (model->starts, record);
+}
+
+enum gr_model_result
+gr_worker_model_start (struct gr_worker_model *model,
+                       const char *lease,
+                       const char *task_id,
+                       uint32_t throttle_percent,
+                       const char *spec,
+                       int64_t now_ms)
+{
+  struct model_task *task = g_hash_table_lookup (model->tasks, task_id);
+  size_t size = strlen (spec);
+
+  /* A repeated call whose answer was lost. */
+  if (task != NULL)
+    return strcmp (task->lease, lease) == 0 ? GR_MODEL_OK : GR_MODEL_CONFLICT;
+  if (g_hash_table_lookup (model->leases, lease) == NULL)
+    return GR_MODEL_CONFLICT;
+  task = g_new0 (struct model_task, 1);
+  g_strlcpy (task->id, task_id, sizeof task->id);
+  g_strlcpy (task->lease, lease, sizeof task->lease);
+  task->state = GR_TASK_RUNNING;
+  task->fails = gr_spec_number (spec, size, "fail", 0) != 0;
+  task->run_ms = gr_spec_number (spec, size, "run_ms", 1000);
+  task->throttle_percent = throttle_percent;
+  task->since_ms = now_ms;
+  g_hash_table_insert (model->tasks, task->id, task);
+  add_record (model, task);
+  if (model->fail_all)
+    end_task (model, task, GR_TASK_FAILED, now_ms);
+  return GR_MODEL_OK;
+}
+
+enum gr_model_result
+gr_worker_model_throttle (struct gr_worker_model *model,
+                          const char *task_id,
+                          uint32_t throttle_percent,
+                          int64_t now_ms)
+{
+  struct model_task *task = g_hash_table_lookup (model->tasks, task_id);
+  struct gr_worker_start_record *record;
+
+  if (task == NULL)
+    return GR_MODEL_NOT_FOUND;
+  if (task->state != GR_TASK_RUNNING)
+    return GR_MODEL_CONFLICT;
+  account (task, now_ms);
+  task->throttle_percent = throttle_percent;
+  record = record_of (model, task);
+  if (record != NULL && throttle_percent > 0 && record->unthrottled_ms < 0)
+    record->unthrottled_ms = now_ms;
+  return GR_MODEL_OK;
+}
+
+enum gr_model_result
+gr_worker_model_checkpoint (struct gr_worker_model *model,
+                            const char *task_id,
+                            int64_t now_ms)
+{
+  struct model_task *task = g_hash_table_lookup (model->tasks, task_id);
+
+  if (task == NULL)
+    return GR_MODEL_NOT_FOUND;
+  if (task->state != GR_TASK_RUNNING)
+    return GR_MODEL_CONFLICT;
+  account (task, now_ms);
+  task->checkpoint_ms = (int64_t)task->ran_ms;
+  return GR_MODEL_OK;
+}
+
+enum gr_model_result
+gr_worker_model_stop (struct gr_worker_model *model,
+                      const char *task_id,
+                      int64_t now_ms)
+{
+  struct model_task *task = g_hash_table_lookup (model->tasks, task_id);
+
+  if (task == NULL)
+    return GR_MODEL_NOT_FOUND;
+  if (task->state == GR_TASK_RUNNING)
+    end_task (model, task, GR_TASK_STOPPED, now_ms);
+  return GR_MODEL_OK;
+}
+
+static void
+fill_task (const struct model_task *task,
+           int64_t now_ms,
+           struct gr_task_report *report)
+{
+  struct model_task current = *task;
+
+  account (&current, now_ms);
+  g_strlcpy (report->task, task->id, sizeof report->task);
+  g_strlcpy (report->lease, task->lease, sizeof report->lease);
+  report->state = task->state;
+  report->throttle_percent = task->throttle_percent;
+  report->ran_ms = (int64_t)current.ran_ms;
+  report->checkpoint_ms = task->checkpoint_ms;
+}
+
+void
+gr_worker_model_report (const struct gr_worker_model *model,
+                        int64_t now_ms,
+                        struct gr_worker_report *report)
+{
+  GHashTableIter iter;
+  void *value;
+
+  report->leases =
+      g_new0 (struct gr_lease_report, g_hash_table_size (model->leases) + 1);
+  report->tasks =
+      g_new0 (struct gr_task_report, g_hash_table_size (model->tasks) + 1);
+  report->n_leases = 0;
+  report->n_tasks = 0;
+  g_hash_table_iter_init (&iter, model->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct model_lease *lease = value;
+      struct gr_lease_report *out = &report->leases[report->n_leases++];
+
+      g_strlcpy (out->lease, lease->id, sizeof out->lease);
+      g_strlcpy (out->holder, lease->holder, sizeof out->holder);
+      out->accelerators = lease->accelerators;
+      out->remaining_ms = MAX (lease->expires_ms - now_ms, 0);
+    }
+  g_hash_table_iter_init (&iter, model->tasks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    fill_task (value, now_ms, &report->tasks[report->n_tasks++]);
+}
+
+const GArray *
+gr_worker_model_starts (const struct gr_worker_model *model)
+{
+  return model->starts;
+}
