docs: reference of settings and of the administration interface

docs/settings.md is generated by make docs; test-settings compares it with the table. geraniumrack-timeline names the events that its check leaves out because of dropped lines.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEEDS ?= 10
 SECONDS ?= 20
 
-.PHONY: all deps build check demo format lint model soak bench sanitize clean
+.PHONY: all deps build check demo format lint model soak bench sanitize docs clean
 
 all: build
 
@@ -40,5 +40,8 @@
 bench: build
 	tools/bench.sh $(BUILD)
 
+docs: build
+	$(BUILD)/settings/print-reference > docs/settings.md
+
 clean:
 	rm -rf build build-asan
--- a/settings/print.h
+++ b/settings/print.h
@@ -3,5 +3,5 @@
 
 #include "settings/document.h"
 
-/* Appends one Markdown table for each section of a kind. */
-void gr_document_print_markdown (enum gr_document_kind kind, GString *out);
+/* Appends the whole page docs/settings.md. */
+void gr_document_print_reference (GString *out);
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -300,6 +300,23 @@
 }
 END_TEST
 
+/* Guards against a reference that was not generated again with the table. */
+START_TEST (reference_is_up_to_date)
+{
+  char *file = g_build_filename (g_getenv ("GR_SOURCE_DIR"), "docs",
+                                 "settings.md", NULL);
+  GString *reference = g_string_new (NULL);
+  char *text;
+
+  ck_assert (g_file_get_contents (file, &text, NULL, NULL));
+  gr_document_print_reference (reference);
+  ck_assert_msg (g_str_equal (text, reference->str), "run make docs");
+  g_string_free (reference, TRUE);
+  g_free (text);
+  g_free (file);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -318,6 +335,7 @@
   tcase_add_test (tcase, too_many_guarantees_are_refused);
   tcase_add_test (tcase, paths_are_closed);
   tcase_add_test (tcase, samples_are_valid);
+  tcase_add_test (tcase, reference_is_up_to_date);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
--- a/timeline/check.c
+++ b/timeline/check.c
@@ -105,10 +105,34 @@
   return g_string_free (key, FALSE);
 }
 
-/* First record of each cause and keys. Lines of an event that the rate limit
- * dropped may have been causes, so the event is no longer one to check by. */
+static gint
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+GPtrArray *
+gr_timeline_dropped_events (struct gr_timeline *timeline)
+{
+  const GPtrArray *records = gr_timeline_records (timeline);
+  GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
+
+  for (guint i = 0; i < records->len; i++)
+    {
+      struct gr_record *record = records->pdata[i];
+
+      if (gr_record_get (record, "dropped") != NULL
+          && !g_ptr_array_find_with_equal_func (names, record->event,
+                                                g_str_equal, NULL))
+        g_ptr_array_add (names, g_strdup (record->event));
+    }
+  g_ptr_array_sort (names, compare_names);
+  return names;
+}
+
+/* First record of each cause and keys. */
 static GHashTable *
-first_causes (const GPtrArray *records, GHashTable *dropped)
+first_causes (const GPtrArray *records)
 {
   GHashTable *first =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -117,8 +141,6 @@
     {
       struct gr_record *record = records->pdata[i];
 
-      if (gr_record_get (record, "dropped") != NULL)
-        g_hash_table_add (dropped, record->event);
       for (size_t p = 0; p < G_N_ELEMENTS (pairs); p++)
         {
           char *key;
@@ -155,8 +177,8 @@
 {
   const GPtrArray *records = gr_timeline_records (timeline);
   GPtrArray *violations = g_ptr_array_new_with_free_func (g_free);
-  GHashTable *dropped = g_hash_table_new (g_str_hash, g_str_equal);
-  GHashTable *first = first_causes (records, dropped);
+  GPtrArray *dropped = gr_timeline_dropped_events (timeline);
+  GHashTable *first = first_causes (records);
 
   check_lanes (records, violations);
   for (guint i = 0; i < records->len; i++)
@@ -165,10 +187,11 @@
         const struct gr_record *record = records->pdata[i];
 
         if (g_str_equal (pairs[p].effect, record->event)
-            && !g_hash_table_contains (dropped, pairs[p].cause))
+            && !g_ptr_array_find_with_equal_func (dropped, pairs[p].cause,
+                                                  g_str_equal, NULL))
           check_pair (&pairs[p], record, first, violations);
       }
   g_hash_table_destroy (first);
-  g_hash_table_destroy (dropped);
+  g_ptr_array_unref (dropped);
   return violations;
 }
--- a/timeline/run.c
+++ b/timeline/run.c
@@ -68,14 +68,21 @@
 report_violations (struct gr_timeline *timeline, FILE *err)
 {
   GPtrArray *violations = gr_timeline_check (timeline);
+  GPtrArray *dropped = gr_timeline_dropped_events (timeline);
   int exit_code = violations->len == 0 ? 0 : EXIT_VIOLATIONS;
 
   for (guint i = 0; i < violations->len; i++)
     fprintf (err, "%s\n", (const char *)violations->pdata[i]);
+  for (guint i = 0; i < dropped->len; i++)
+    fprintf (err,
+             "geraniumrack-timeline: lines of %s were dropped; what follows "
+             "from it is not checked\n",
+             (const char *)dropped->pdata[i]);
   if (gr_timeline_skipped (timeline) > 0)
     fprintf (err, "geraniumrack-timeline: %u lines are not log records\n",
              gr_timeline_skipped (timeline));
   g_ptr_array_unref (violations);
+  g_ptr_array_unref (dropped);
   return exit_code;
 }
 
--- a/timeline/timeline.h
+++ b/timeline/timeline.h
@@ -68,6 +68,10 @@
  * g_ptr_array_unref (). */
 GPtrArray *gr_timeline_check (struct gr_timeline *timeline);
 
+/* Names of events with lines that the rate limit dropped; the check does not
+ * use them as causes. Owned strings, sorted; free with g_ptr_array_unref (). */
+GPtrArray *gr_timeline_dropped_events (struct gr_timeline *timeline);
+
 /* Value of a field, or NULL. */
 const char *gr_record_get (const struct gr_record *record, const char *name);
 
