members: membership table and heartbeats

Cause: entries and schedulers need one view of live members, owners of shards and leaving targets. Change: the table merges the lagging list, heartbeats and direct evidence. Settings of a member are taken only from answers to calls of this process, since a call may have waited in a socket during a pause. Signs that a target is leaving travel as ages and are spread for 10 s, so that members do not renew each other's signs; a sign counts for 60 s. The heartbeat carries a digest of all settings revisions, because the highest revision alone does not say that an earlier document of another path is held. Ruled out: names without ages in heartbeats (two members would keep a sign alive for ever).

--- /dev/null
+++ b/members/members.c
@@ -0,0 +1,432 @@
+#include "members/members.h"
+
+#include <string.h>
+
+struct member_record
+{
+  struct gr_member member;
+  enum gr_member_state said; /* UNKNOWN until it was heard from */
+  bool listed;
+  bool listed_leaving;
+  int64_t listed_ms; /* last time that it was on the list */
+};
+
+struct target_record
+{
+  struct gr_target target;
+  bool listed_leaving;
+  int64_t listed_ms;
+};
+
+struct gr_members
+{
+  GHashTable *members; /* "ROLE/NAME" to struct member_record: an entry and a
+                          scheduler of one instance may share a name */
+  GHashTable *targets; /* name to struct target_record */
+  GHashTable *signs;   /* target name to int64_t *seen_ms */
+};
+
+static const char *const state_names[] = {
+  [GR_MEMBER_UNKNOWN] = "unknown",
+  [GR_MEMBER_READY] = "ready",
+  [GR_MEMBER_STALE] = "stale",
+  [GR_MEMBER_LEAVING] = "leaving",
+};
+
+const char *
+gr_member_state_name (enum gr_member_state state)
+{
+  return state_names[state];
+}
+
+struct gr_members *
+gr_members_create (void)
+{
+  struct gr_members *members = g_new0 (struct gr_members, 1);
+
+  members->members =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  members->targets =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  members->signs =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return members;
+}
+
+void
+gr_members_destroy (struct gr_members *members)
+{
+  if (members == NULL)
+    return;
+  g_hash_table_destroy (members->members);
+  g_hash_table_destroy (members->targets);
+  g_hash_table_destroy (members->signs);
+  g_free (members);
+}
+
+static struct member_record *
+ensure_member (struct gr_members *members,
+               enum gr_instance_role role,
+               const char *name)
+{
+  char *key = g_strdup_printf ("%d/%s", (int)role, name);
+  struct member_record *record = g_hash_table_lookup (members->members, key);
+
+  if (record != NULL)
+    {
+      g_free (key);
+      return record;
+    }
+  record = g_new0 (struct member_record, 1);
+  record->member.role = role;
+  g_strlcpy (record->member.name, name, sizeof record->member.name);
+  g_hash_table_insert (members->members, key, record);
+  return record;
+}
+
+static struct target_record *
+ensure_target (struct gr_members *members, const char *name)
+{
+  struct target_record *record = g_hash_table_lookup (members->targets, name);
+
+  if (record != NULL)
+    return record;
+  record = g_new0 (struct target_record, 1);
+  g_strlcpy (record->target.name, name, sizeof record->target.name);
+  g_hash_table_insert (members->targets, g_strdup (name), record);
+  return record;
+}
+
+static bool
+heard_in_time (const struct member_record *record, int64_t now_ms)
+{
+  return record->said != GR_MEMBER_UNKNOWN
+         && now_ms - record->member.heard_ms < GR_MEMBER_TIMEOUT_MS;
+}
+
+static void
+set_state (struct member_record *record)
+{
+  record->member.state =
+      record->listed_leaving ? GR_MEMBER_LEAVING : record->said;
+}
+
+static void
+list_member (struct gr_members *members,
+             const struct gr_instance *instance,
+             int64_t now_ms)
+{
+  struct member_record *record =
+      ensure_member (members, instance->role, instance->name);
+
+  record->listed = true;
+  record->listed_ms = now_ms;
+  record->listed_leaving = instance->leaving;
+  set_state (record);
+  /* The list lags: what a live member says of itself is newer. */
+  if (heard_in_time (record, now_ms))
+    return;
+  g_strlcpy (record->member.address, instance->address,
+             sizeof record->member.address);
+  g_strlcpy (record->member.data_centre, instance->data_centre,
+             sizeof record->member.data_centre);
+}
+
+static void
+list_target (struct gr_members *members,
+             const struct gr_instance *instance,
+             int64_t now_ms)
+{
+  struct target_record *record = ensure_target (members, instance->name);
+
+  record->target.role = instance->role;
+  record->target.listed = true;
+  record->listed_ms = now_ms;
+  record->listed_leaving = instance->leaving;
+  g_strlcpy (record->target.address, instance->address,
+             sizeof record->target.address);
+  g_strlcpy (record->target.data_centre, instance->data_centre,
+             sizeof record->target.data_centre);
+}
+
+static void
+clear_listed (struct gr_members *members)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, members->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct member_record *)value)->listed = false;
+  g_hash_table_iter_init (&iter, members->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct target_record *)value)->target.listed = false;
+}
+
+static void
+forget_old (struct gr_members *members, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, members->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct member_record *record = value;
+      int64_t seen_ms = MAX (record->listed_ms, record->member.heard_ms);
+
+      if (!record->listed && now_ms - seen_ms > GR_MEMBER_FORGET_MS)
+        g_hash_table_iter_remove (&iter);
+    }
+  g_hash_table_iter_init (&iter, members->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct target_record *record = value;
+
+      if (!record->target.listed
+          && now_ms - record->listed_ms > GR_MEMBER_FORGET_MS)
+        g_hash_table_iter_remove (&iter);
+    }
+  g_hash_table_iter_init (&iter, members->signs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_ms - *(int64_t *)value > GR_LEAVING_KEEP_MS)
+      g_hash_table_iter_remove (&iter);
+}
+
+void
+gr_members_apply_list (struct gr_members *members,
+                       const struct gr_instance *list,
+                       uint32_t count,
+                       int64_t now_ms)
+{
+  clear_listed (members);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (list[i].role == GR_ROLE_ENTRY || list[i].role == GR_ROLE_SCHEDULER)
+        list_member (members, &list[i], now_ms);
+      else
+        list_target (members, &list[i], now_ms);
+    }
+  forget_old (members, now_ms);
+}
+
+/* Copies what the member said. The settings of the last answer stay: a call may
+ * be older than the answer. */
+static struct member_record *
+take_said (struct gr_members *members,
+           const struct gr_member *said,
+           int64_t heard_ms)
+{
+  struct member_record *record =
+      ensure_member (members, said->role, said->name);
+  struct gr_member before = record->member;
+
+  /* A call and an answer may cross; the older one changes nothing. */
+  if (record->said != GR_MEMBER_UNKNOWN && heard_ms < record->member.heard_ms)
+    return record;
+  record->member = *said;
+  record->member.heard_ms = heard_ms;
+  record->member.answered_ms = before.answered_ms;
+  if (before.answered_ms > 0)
+    {
+      record->member.settings_revision = before.settings_revision;
+      record->member.settings_digest = before.settings_digest;
+    }
+  record->said = said->state;
+  set_state (record);
+  return record;
+}
+
+void
+gr_members_heard (struct gr_members *members,
+                  const struct gr_member *said,
+                  int64_t now_ms)
+{
+  take_said (members, said, now_ms);
+}
+
+void
+gr_members_answered (struct gr_members *members,
+                     const struct gr_member *said,
+                     int64_t sent_ms)
+{
+  struct member_record *record = take_said (members, said, sent_ms);
+
+  if (sent_ms < record->member.answered_ms)
+    return;
+  /* The settings go with answered_ms: they were read after the call was sent.
+   */
+  record->member.answered_ms = sent_ms;
+  record->member.settings_revision = said->settings_revision;
+  record->member.settings_digest = said->settings_digest;
+}
+
+bool
+gr_members_target_leaving (struct gr_members *members,
+                           const char *target,
+                           int64_t seen_ms)
+{
+  int64_t *known = g_hash_table_lookup (members->signs, target);
+
+  if (known != NULL)
+    {
+      *known = MAX (*known, seen_ms);
+      return false;
+    }
+  known = g_new (int64_t, 1);
+  *known = seen_ms;
+  g_hash_table_insert (members->signs, g_strdup (target), known);
+  return true;
+}
+
+GArray *
+gr_members_leaving_signs (const struct gr_members *members, int64_t now_ms)
+{
+  GArray *signs = g_array_new (FALSE, TRUE, sizeof (struct gr_leaving_sign));
+  GHashTableIter iter;
+  void *name;
+  void *value;
+
+  g_hash_table_iter_init (&iter, members->signs);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      struct gr_leaving_sign sign = { .seen_ms = *(int64_t *)value };
+
+      if (now_ms - sign.seen_ms > GR_LEAVING_SPREAD_MS)
+        continue;
+      g_strlcpy (sign.target, name, sizeof sign.target);
+      g_array_append_val (signs, sign);
+    }
+  return signs;
+}
+
+static int
+compare_members (const void *a, const void *b)
+{
+  const struct gr_member *left = a;
+  const struct gr_member *right = b;
+  int order = strcmp (left->name, right->name);
+
+  return order != 0 ? order : (int)left->role - (int)right->role;
+}
+
+GArray *
+gr_members_list (const struct gr_members *members)
+{
+  GArray *list = g_array_new (FALSE, TRUE, sizeof (struct gr_member));
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, members->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_array_append_vals (list, &((struct member_record *)value)->member, 1);
+  g_array_sort (list, compare_members);
+  return list;
+}
+
+static bool
+has_sign (const struct gr_members *members, const char *target, int64_t now_ms)
+{
+  const int64_t *seen_ms = g_hash_table_lookup (members->signs, target);
+
+  return seen_ms != NULL && now_ms - *seen_ms <= GR_LEAVING_KEEP_MS;
+}
+
+static int
+compare_targets (const void *a, const void *b)
+{
+  return strcmp (((const struct gr_target *)a)->name,
+                 ((const struct gr_target *)b)->name);
+}
+
+GArray *
+gr_members_targets (const struct gr_members *members,
+                    enum gr_instance_role role,
+                    int64_t now_ms)
+{
+  GArray *list = g_array_new (FALSE, TRUE, sizeof (struct gr_target));
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, members->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct target_record *record = value;
+      struct gr_target target = record->target;
+
+      if (target.role != role)
+        continue;
+      target.leaving =
+          record->listed_leaving || has_sign (members, target.name, now_ms);
+      g_array_append_val (list, target);
+    }
+  g_array_sort (list, compare_targets);
+  return list;
+}
+
+bool
+gr_member_is_ready (const struct gr_member *member, int64_t now_ms)
+{
+  return member->state == GR_MEMBER_READY
+         && now_ms - member->heard_ms < GR_MEMBER_TIMEOUT_MS;
+}
+
+GPtrArray *
+gr_members_ready (const struct gr_members *members,
+                  enum gr_instance_role role,
+                  int64_t now_ms)
+{
+  GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
+  GArray *list = gr_members_list (members);
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct gr_member *member =
+          &g_array_index (list, struct gr_member, i);
+
+      if (member->role == role && gr_member_is_ready (member, now_ms))
+        g_ptr_array_add (names, g_strdup (member->name));
+    }
+  g_array_unref (list);
+  return names;
+}
+
+static const struct gr_member_shard *
+find_claim (const struct gr_member *member, const char *shard)
+{
+  for (uint32_t i = 0; i < member->n_shards; i++)
+    if (strcmp (member->shards[i].name, shard) == 0)
+      return &member->shards[i];
+  return NULL;
+}
+
+const char *
+gr_members_shard_owner (const struct gr_members *members,
+                        const char *shard,
+                        int64_t now_ms,
+                        uint64_t *epoch)
+{
+  const char *address = NULL;
+  GHashTableIter iter;
+  void *value;
+
+  *epoch = 0;
+  g_hash_table_iter_init (&iter, members->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct member_record *record = value;
+      const struct gr_member_shard *claim;
+
+      /* A leaving owner still serves until it has handed the shard over. */
+      if (record->member.role != GR_ROLE_SCHEDULER
+          || !heard_in_time (record, now_ms))
+        continue;
+      claim = find_claim (&record->member, shard);
+      if (claim != NULL && (address == NULL || claim->epoch > *epoch))
+        {
+          address = record->member.address;
+          *epoch = claim->epoch;
+        }
+    }
+  return address;
+}
--- a/members/members.h
+++ b/members/members.h
@@ -18,6 +18,11 @@
  * the last sign of it. */
 #define GR_LEAVING_KEEP_MS 60000
 
+/* Signs that are older are not spread any more, so that members do not keep
+ * renewing each other's signs. All members exchange heartbeats directly, so a
+ * sign has reached them long before. */
+#define GR_LEAVING_SPREAD_MS 10000
+
 struct gr_members;
 
 enum gr_member_state
@@ -42,9 +47,12 @@
   char data_centre[GR_NAME_MAX];
   char incarnation[GR_NAME_MAX];
   enum gr_member_state state;
-  int64_t heard_ms; /* start of the last call that was answered */
+  int64_t heard_ms;    /* start of the last call that was answered, or the last
+                          call that it made */
+  int64_t answered_ms; /* start of the last call that was answered */
   int64_t settings_revision;
-  uint32_t n_shards; /* owned, of a scheduler */
+  uint64_t settings_digest; /* of all paths and revisions that it holds */
+  uint32_t n_shards;        /* owned, of a scheduler */
   struct gr_member_shard shards[16];
 };
 
@@ -58,6 +66,9 @@
   bool leaving; /* by any source */
 };
 
+/* "unknown", "ready", "stale" or "leaving". */
+const char *gr_member_state_name (enum gr_member_state state);
+
 struct gr_members *gr_members_create (void);
 void gr_members_destroy (struct gr_members *members);
 
@@ -68,27 +79,41 @@
                             uint32_t count,
                             int64_t now_ms);
 
-/* Takes what a peer said of itself. sent_ms: when the heartbeat was sent that
- * it answered, or now_ms if the peer called us. */
+/* Takes what a peer said of itself in a call that it made. The call may have
+ * waited in a socket while this process was paused, so it says nothing about
+ * when the peer's settings were read. */
 void gr_members_heard (struct gr_members *members,
                        const struct gr_member *said,
-                       int64_t sent_ms);
+                       int64_t now_ms);
 
-/* A target is leaving, learned from itself or from a peer. */
-void gr_members_target_leaving (struct gr_members *members,
+/* The same from the answer to a heartbeat that was sent at sent_ms. */
+void gr_members_answered (struct gr_members *members,
+                          const struct gr_member *said,
+                          int64_t sent_ms);
+
+/* A target is leaving, learned from itself or from a peer; seen_ms is the time
+ * of the sign. Returns true if it was not known to be leaving before. */
+bool gr_members_target_leaving (struct gr_members *members,
                                 const char *target,
-                                int64_t now_ms);
+                                int64_t seen_ms);
+
+struct gr_leaving_sign
+{
+  char target[GR_NAME_MAX];
+  int64_t seen_ms;
+};
 
-/* Names of targets that are leaving by evidence other than the list, to be
- * spread in heartbeats. Owned strings; free with g_ptr_array_unref (). */
-GPtrArray *gr_members_leaving_targets (const struct gr_members *members,
-                                       int64_t now_ms);
+/* Signs to be spread in heartbeats: struct gr_leaving_sign; free with
+ * g_array_unref (). */
+GArray *gr_members_leaving_signs (const struct gr_members *members,
+                                  int64_t now_ms);
 
 /* All members, arrays of struct gr_member and struct gr_target; free with
  * g_array_unref (). */
 GArray *gr_members_list (const struct gr_members *members);
 GArray *gr_members_targets (const struct gr_members *members,
-                            enum gr_instance_role role);
+                            enum gr_instance_role role,
+                            int64_t now_ms);
 
 /* A member counts as ready if it says so and was heard from in time. */
 bool gr_member_is_ready (const struct gr_member *member, int64_t now_ms);
--- /dev/null
+++ b/tests/test-members.c
@@ -0,0 +1,263 @@
+/* The membership table, and heartbeats between processes. */
+#include "members/peers.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+static struct gr_instance
+instance (const char *name, enum gr_instance_role role, const char *address)
+{
+  struct gr_instance made = { .role = role };
+
+  g_strlcpy (made.name, name, sizeof made.name);
+  g_strlcpy (made.address, address, sizeof made.address);
+  g_strlcpy (made.data_centre, "dc1", sizeof made.data_centre);
+  return made;
+}
+
+static struct gr_member
+said (const char *name, enum gr_instance_role role, enum gr_member_state state)
+{
+  struct gr_member made = { .role = role, .state = state };
+
+  g_strlcpy (made.name, name, sizeof made.name);
+  g_snprintf (made.address, sizeof made.address, "new-%s", name);
+  return made;
+}
+
+static bool
+target_leaves (const struct gr_members *members, int64_t now_ms)
+{
+  GArray *targets = gr_members_targets (members, GR_ROLE_EXECUTOR, now_ms);
+  bool leaving;
+
+  ck_assert_uint_eq (targets->len, 1);
+  leaving = g_array_index (targets, struct gr_target, 0).leaving;
+  g_array_unref (targets);
+  return leaving;
+}
+
+/* Guards against a lagging list that overrides what a live member says, and
+ * against silent members that count as ready. */
+START_TEST (live_members_win_over_the_list)
+{
+  struct gr_members *members = gr_members_create ();
+  struct gr_instance list = instance ("e1", GR_ROLE_ENTRY, "old-e1");
+  struct gr_member member = said ("e1", GR_ROLE_ENTRY, GR_MEMBER_READY);
+  GPtrArray *ready;
+  GArray *all;
+
+  gr_members_apply_list (members, &list, 1, 1000);
+  ready = gr_members_ready (members, GR_ROLE_ENTRY, 1000);
+  ck_assert_uint_eq (ready->len, 0);
+  g_ptr_array_unref (ready);
+  gr_members_answered (members, &member, 1500);
+  gr_members_apply_list (members, &list, 1, 2000);
+  all = gr_members_list (members);
+  ck_assert_str_eq (g_array_index (all, struct gr_member, 0).address, "new-e1");
+  g_array_unref (all);
+  ready = gr_members_ready (members, GR_ROLE_ENTRY, 3499);
+  ck_assert_uint_eq (ready->len, 1);
+  g_ptr_array_unref (ready);
+  ready = gr_members_ready (members, GR_ROLE_ENTRY, 3500);
+  ck_assert_uint_eq (ready->len, 0);
+  g_ptr_array_unref (ready);
+  gr_members_apply_list (members, &list, 1, 4000);
+  all = gr_members_list (members);
+  ck_assert_str_eq (g_array_index (all, struct gr_member, 0).address, "old-e1");
+  g_array_unref (all);
+  gr_members_apply_list (members, NULL, 0, 5000);
+  gr_members_apply_list (members, NULL, 0, 4001 + GR_MEMBER_FORGET_MS);
+  all = gr_members_list (members);
+  ck_assert_uint_eq (all->len, 0);
+  g_array_unref (all);
+  gr_members_destroy (members);
+}
+END_TEST
+
+/* Guards against an old call, read late from a socket, that makes this process
+ * believe that the settings of its sender were read now. */
+START_TEST (calls_do_not_confirm_settings)
+{
+  struct gr_members *members = gr_members_create ();
+  struct gr_member member = said ("e1", GR_ROLE_ENTRY, GR_MEMBER_READY);
+  const struct gr_member *held;
+  GArray *all;
+
+  member.settings_revision = 7;
+  gr_members_answered (members, &member, 1000);
+  member.settings_revision = 5;
+  gr_members_heard (members, &member, 9000);
+  all = gr_members_list (members);
+  held = &g_array_index (all, struct gr_member, 0);
+  ck_assert_int_eq (held->heard_ms, 9000);
+  ck_assert_int_eq (held->answered_ms, 1000);
+  ck_assert_int_eq (held->settings_revision, 7);
+  g_array_unref (all);
+  gr_members_destroy (members);
+}
+END_TEST
+
+/* Guards against targets that get work again because one source forgets them,
+ * and against members that renew each other's signs for ever. */
+START_TEST (leaving_comes_from_any_source_and_ends)
+{
+  struct gr_members *members = gr_members_create ();
+  struct gr_instance list = instance ("x1", GR_ROLE_EXECUTOR, "x1:1");
+  GArray *signs;
+
+  gr_members_apply_list (members, &list, 1, 1000);
+  ck_assert (!target_leaves (members, 1000));
+  ck_assert (gr_members_target_leaving (members, "x1", 2000));
+  ck_assert (!gr_members_target_leaving (members, "x1", 1500));
+  ck_assert (target_leaves (members, 2000));
+  signs = gr_members_leaving_signs (members, 2000 + GR_LEAVING_SPREAD_MS);
+  ck_assert_uint_eq (signs->len, 1);
+  g_array_unref (signs);
+  signs = gr_members_leaving_signs (members, 2001 + GR_LEAVING_SPREAD_MS);
+  ck_assert_uint_eq (signs->len, 0);
+  g_array_unref (signs);
+  gr_members_apply_list (members, &list, 1, 30000);
+  ck_assert (target_leaves (members, 30000));
+  ck_assert (!target_leaves (members, 2001 + GR_LEAVING_KEEP_MS));
+  list.leaving = true;
+  gr_members_apply_list (members, &list, 1, 70000);
+  ck_assert (target_leaves (members, 70000));
+  gr_members_destroy (members);
+}
+END_TEST
+
+/* Guards against calls sent to a former owner that still claims the shard. */
+START_TEST (owner_is_the_claim_with_the_highest_epoch)
+{
+  struct gr_members *members = gr_members_create ();
+  struct gr_member old = said ("s1", GR_ROLE_SCHEDULER, GR_MEMBER_READY);
+  struct gr_member new = said ("s2", GR_ROLE_SCHEDULER, GR_MEMBER_LEAVING);
+  uint64_t epoch;
+
+  old.n_shards = new.n_shards = 1;
+  g_strlcpy (old.shards[0].name, "dc1", GR_NAME_MAX);
+  g_strlcpy (new.shards[0].name, "dc1", GR_NAME_MAX);
+  old.shards[0].epoch = 8;
+  new.shards[0].epoch = 9;
+  gr_members_heard (members, &new, 1000);
+  gr_members_heard (members, &old, 1100);
+  ck_assert_str_eq (gr_members_shard_owner (members, "dc1", 1200, &epoch),
+                    "new-s2");
+  ck_assert_uint_eq (epoch, 9);
+  ck_assert_str_eq (gr_members_shard_owner (members, "dc1", 3050, &epoch),
+                    "new-s1");
+  ck_assert_ptr_null (gr_members_shard_owner (members, "dc2", 1200, &epoch));
+  gr_members_destroy (members);
+}
+END_TEST
+
+struct process
+{
+  struct gr_clock *clock;
+  struct gr_members *members;
+  struct gr_peers *peers;
+  struct gr_rpc_server *server;
+  int rounds;
+};
+
+static void
+handle (struct gr_rpc_call *call,
+        const char *method,
+        const msgpack_object *body,
+        void *context)
+{
+  struct process *process = context;
+
+  ck_assert_str_eq (method, "peer.heartbeat");
+  gr_peers_handle (process->peers, call, body);
+}
+
+static void
+fill (struct gr_member *self, void *context)
+{
+  (void)context;
+  self->state = GR_MEMBER_READY;
+  self->settings_revision = 42;
+}
+
+static void
+count_round (int64_t sent_ms, void *context)
+{
+  (void)sent_ms;
+  ((struct process *)context)->rounds++;
+}
+
+static void
+start (struct process *process, const char *name)
+{
+  struct gr_error error = GR_ERROR_INIT;
+
+  process->clock = gr_clock_create ();
+  process->members = gr_members_create ();
+  process->server =
+      gr_rpc_server_create ("127.0.0.1:0", handle, process, &error);
+  process->peers =
+      gr_peers_create (process->members, process->clock, name, GR_ROLE_ENTRY,
+                       gr_rpc_server_address (process->server), "dc1", fill,
+                       count_round, process);
+}
+
+static void
+stop (struct process *process)
+{
+  gr_peers_destroy (process->peers);
+  gr_rpc_server_destroy (process->server);
+  gr_members_destroy (process->members);
+  gr_clock_destroy (process->clock);
+}
+
+/* Guards against a process that knows only those it calls itself, and against
+ * a leaving sign that stays with the process that saw it. */
+START_TEST (heartbeats_teach_both_sides)
+{
+  struct process a = { 0 };
+  struct process b = { 0 };
+  struct gr_instance list[2];
+  GPtrArray *ready;
+
+  start (&a, "a");
+  start (&b, "b");
+  list[0] = instance ("b", GR_ROLE_ENTRY, gr_rpc_server_address (b.server));
+  list[1] = instance ("x1", GR_ROLE_EXECUTOR, "x1:1");
+  gr_members_apply_list (a.members, list, 2, gr_clock_now_ms (a.clock));
+  gr_members_apply_list (b.members, list + 1, 1, gr_clock_now_ms (b.clock));
+  gr_members_target_leaving (a.members, "x1", gr_clock_now_ms (a.clock));
+  while (a.rounds < 1 || !target_leaves (b.members, gr_clock_now_ms (b.clock)))
+    g_main_context_iteration (NULL, TRUE);
+  ready =
+      gr_members_ready (b.members, GR_ROLE_ENTRY, gr_clock_now_ms (b.clock));
+  ck_assert_uint_ge (ready->len, 1);
+  ck_assert_str_eq (ready->pdata[0], "a");
+  g_ptr_array_unref (ready);
+  stop (&a);
+  stop (&b);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("members");
+  TCase *tcase = tcase_create ("members");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tcase, 30);
+  tcase_add_test (tcase, live_members_win_over_the_list);
+  tcase_add_test (tcase, calls_do_not_confirm_settings);
+  tcase_add_test (tcase, leaving_comes_from_any_source_and_ends);
+  tcase_add_test (tcase, owner_is_the_claim_with_the_highest_epoch);
+  tcase_add_test (tcase, heartbeats_teach_both_sides);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
