entry: request path, job path, settings publication, administration API

Change: binary geraniumrack-entry: authentication, admission, queue, executor choice, marks with read-back of lost answers, settings by compare-and-swap with majority acknowledgement, allotments between entries, jobs forwarded to shard owners, planned stop. The history of a path keeps the writer id of each change, so that a change whose answer was lost is found again. Ruled out: one transaction per mark in a conflict; the batch is divided by what the failed transaction read.

--- /dev/null
+++ b/entry/documents.c
@@ -0,0 +1,280 @@
+#include "entry/documents.h"
+
+#include "entry/history.h"
+#include "entry/publish.h"
+
+#include <string.h>
+
+#define TEAM_PREFIX "teams/"
+
+bool
+gr_documents_may (struct gr_exchange *exchange,
+                  const char *path,
+                  struct gr_error *error)
+{
+  if (g_str_has_prefix (path, TEAM_PREFIX))
+    return gr_exchange_may (exchange, path + strlen (TEAM_PREFIX), error);
+  return gr_exchange_is_operator (exchange, error);
+}
+
+/* Checks path and caller; answers and returns false if one does not fit. */
+static bool
+check_path (struct gr_exchange *exchange, enum gr_document_kind *kind)
+{
+  struct gr_error error = GR_ERROR_INIT;
+
+  if (gr_document_kind_of_path (exchange->rest, kind, &error)
+      && gr_documents_may (exchange, exchange->rest, &error))
+    return true;
+  gr_exchange_fail (exchange, &error);
+  return false;
+}
+
+void
+gr_documents_list (struct gr_exchange *exchange)
+{
+  struct gr_entry *entry = exchange->entry;
+  const char *prefix = gr_exchange_query (exchange, "prefix");
+  GPtrArray *paths =
+      gr_settings_store_paths (entry->store, prefix != NULL ? prefix : "");
+  JsonObject *answer = json_object_new ();
+  JsonArray *list = json_array_new ();
+
+  for (guint i = 0; i < paths->len; i++)
+    {
+      struct gr_error error = GR_ERROR_INIT;
+      JsonObject *item;
+      int64_t revision;
+
+      if (!gr_documents_may (exchange, paths->pdata[i], &error))
+        continue;
+      gr_settings_store_get (entry->store, paths->pdata[i], &revision);
+      item = json_object_new ();
+      json_object_set_string_member (item, "path", paths->pdata[i]);
+      json_object_set_int_member (item, "revision", revision);
+      json_array_add_object_element (list, item);
+    }
+  g_ptr_array_unref (paths);
+  json_object_set_array_member (answer, "paths", list);
+  gr_exchange_json (exchange, 200, answer);
+}
+
+void
+gr_documents_get (struct gr_exchange *exchange)
+{
+  struct gr_entry *entry = exchange->entry;
+  struct gr_error error = GR_ERROR_INIT;
+  enum gr_document_kind kind;
+  const char *text;
+  int64_t revision;
+  char etag[32];
+
+  if (!check_path (exchange, &kind))
+    return;
+  text = gr_settings_store_get (entry->store, exchange->rest, &revision);
+  if (!gr_settings_store_is_current (entry->store))
+    {
+      gr_error_set (&error, GR_ERROR_STALE_SETTINGS,
+                    "this instance cannot know the current document");
+      gr_exchange_fail (exchange, &error);
+      return;
+    }
+  if (text == NULL || text[0] == '\0')
+    {
+      gr_error_set (&error, GR_ERROR_NOT_FOUND, "there is no document \"%s\"",
+                    exchange->rest);
+      gr_exchange_fail (exchange, &error);
+      return;
+    }
+  g_snprintf (etag, sizeof etag, "\"%" G_GINT64_FORMAT "\"", (gint64)revision);
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (exchange->message), "ETag",
+      etag);
+  gr_exchange_bytes (exchange, 200, "text/plain; charset=utf-8",
+                     g_bytes_new (text, strlen (text)));
+}
+
+/* Revision of the header If-Match. */
+static bool
+read_if_match (struct gr_exchange *exchange,
+               int64_t *revision,
+               struct gr_error *error)
+{
+  const char *header = gr_exchange_header (exchange, "If-Match");
+  char *text;
+  size_t size;
+  guint64 value = 0;
+  bool valid;
+
+  if (header == NULL)
+    return gr_error_set (error, GR_ERROR_PRECONDITION_REQUIRED,
+                         "send If-Match: \"REVISION\", \"0\" for a new path");
+  text = g_strstrip (g_strdup (header));
+  size = strlen (text);
+  if (size >= 2 && text[0] == '"' && text[size - 1] == '"')
+    {
+      text[size - 1] = '\0';
+      memmove (text, text + 1, size - 1);
+    }
+  valid = g_ascii_string_to_unsigned (text, 10, 0, INT64_MAX, &value, NULL);
+  g_free (text);
+  *revision = (int64_t)value;
+  return valid
+         || gr_error_set (error, GR_ERROR_BAD_REQUEST,
+                          "If-Match must be a revision in quotes");
+}
+
+/* "0" means that there is no document: the key is absent, or deleted. */
+static int64_t
+expected_of (struct gr_exchange *exchange, int64_t if_match)
+{
+  int64_t revision;
+  const char *text =
+      gr_settings_store_get (exchange->entry->store, exchange->rest, &revision);
+
+  if (if_match == 0 && text != NULL && text[0] == '\0')
+    return revision;
+  return if_match;
+}
+
+static void
+fail_problems (struct gr_exchange *exchange, GPtrArray *problems)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  JsonObject *extra = json_object_new ();
+  JsonArray *list = json_array_new ();
+
+  for (guint i = 0; i < problems->len; i++)
+    {
+      char *valid = g_utf8_make_valid (problems->pdata[i], -1);
+
+      json_array_add_string_element (list, valid);
+      g_free (valid);
+    }
+  json_object_set_array_member (extra, "problems", list);
+  gr_error_set (&error, GR_ERROR_BAD_SETTINGS, "%s",
+                problems->len > 0 ? (char *)problems->pdata[0] : "");
+  gr_exchange_fail_with (exchange, &error, extra);
+}
+
+/* The body as text; NULL and error if it cannot be a document. */
+static char *
+read_text (struct gr_exchange *exchange, struct gr_error *error)
+{
+  gsize size;
+  const char *data = g_bytes_get_data (exchange->body, &size);
+
+  if (size > GR_DOCUMENT_MAX_BYTES)
+    {
+      gr_error_set (error, GR_ERROR_TOO_LARGE,
+                    "the document is longer than %d bytes",
+                    GR_DOCUMENT_MAX_BYTES);
+      return NULL;
+    }
+  if (size == 0 || !g_utf8_validate_len (data, size, NULL))
+    {
+      gr_error_set (error, GR_ERROR_BAD_REQUEST,
+                    "the document is empty or not UTF-8 text");
+      return NULL;
+    }
+  return g_strndup (data, size);
+}
+
+void
+gr_documents_put (struct gr_exchange *exchange)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  enum gr_document_kind kind;
+  GPtrArray *problems;
+  int64_t if_match = 0;
+  char *text;
+
+  if (!check_path (exchange, &kind))
+    return;
+  text = read_text (exchange, &error);
+  if (text == NULL || !read_if_match (exchange, &if_match, &error))
+    {
+      g_free (text);
+      gr_exchange_fail (exchange, &error);
+      return;
+    }
+  problems = g_ptr_array_new_with_free_func (g_free);
+  if (gr_document_check (kind, text, problems))
+    gr_publish_begin (exchange, exchange->rest, text,
+                      expected_of (exchange, if_match));
+  else
+    fail_problems (exchange, problems);
+  g_ptr_array_unref (problems);
+  g_free (text);
+}
+
+void
+gr_documents_delete (struct gr_exchange *exchange)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  enum gr_document_kind kind;
+  int64_t if_match = 0;
+
+  if (!check_path (exchange, &kind))
+    return;
+  if (!read_if_match (exchange, &if_match, &error))
+    gr_exchange_fail (exchange, &error);
+  else if (if_match == 0)
+    {
+      gr_error_set (&error, GR_ERROR_BAD_REQUEST,
+                    "If-Match must be the revision of the document");
+      gr_exchange_fail (exchange, &error);
+    }
+  else
+    gr_publish_begin (exchange, exchange->rest, "", if_match);
+}
+
+static void
+history_read (const struct gr_kv_result *result,
+              const struct gr_error *error,
+              void *context)
+{
+  struct gr_exchange *exchange = context;
+  struct gr_error problem = GR_ERROR_INIT;
+  const struct gr_kv_entry *held;
+  JsonArray *versions;
+  JsonObject *answer;
+
+  if (error != NULL)
+    {
+      gr_error_set_retry (&problem, GR_ERROR_STORE_UNAVAILABLE,
+                          error->retry_after_ms, "%s", error->message);
+      gr_exchange_fail (exchange, &problem);
+      return;
+    }
+  held = result->n_entries > 0 ? &result->entries[0] : NULL;
+  if (held == NULL)
+    {
+      gr_error_set (&problem, GR_ERROR_NOT_FOUND, "\"%s\" has no history",
+                    exchange->rest);
+      gr_exchange_fail (exchange, &problem);
+      return;
+    }
+  versions = gr_history_parse (held->value, held->size, held->mod_revision);
+  answer = json_object_new ();
+  json_object_set_array_member (answer, "versions",
+                                gr_history_public (versions));
+  json_array_unref (versions);
+  gr_exchange_json (exchange, 200, answer);
+}
+
+void
+gr_documents_history (struct gr_exchange *exchange)
+{
+  struct gr_entry *entry = exchange->entry;
+  enum gr_document_kind kind;
+  char *key;
+
+  if (!check_path (exchange, &kind))
+    return;
+  gr_exchange_pause (exchange);
+  key = g_strconcat (GR_HISTORY_PREFIX, exchange->rest, NULL);
+  gr_kv_range (entry->kv, "settings-history", key, false, 0,
+               entry->process->kv_timeout_ms, history_read, exchange);
+  g_free (key);
+}
--- a/entry/marks.c
+++ b/entry/marks.c
@@ -308,8 +308,8 @@
         }
       return;
     }
-  if (ours && (mark->operation == OPERATION_REMOVE
-               || entry->value[writer] == '\0'))
+  if (ours
+      && (mark->operation == OPERATION_REMOVE || entry->value[writer] == '\0'))
     enqueue (mark, 0);
   else
     mark_free (mark);
--- a/entry/marks.h
+++ b/entry/marks.h
@@ -38,13 +38,13 @@
  * of the store being lost is not an error: the mark is read back until it is
  * known. NULL is returned and done is not called if too many wait or the key is
  * being marked by this process already; see error. */
-struct gr_mark *
-gr_mark_write (struct gr_marks *marks,
-               const char *account,
-               const char *key,
-               void (*done) (const struct gr_error *error, void *context),
-               void *context,
-               struct gr_error *error);
+struct gr_mark *gr_mark_write (struct gr_marks *marks,
+                               const char *account,
+                               const char *key,
+                               void (*done) (const struct gr_error *error,
+                                             void *context),
+                               void *context,
+                               struct gr_error *error);
 
 /* The request gave up before done. The mark is removed if it was written. */
 void gr_mark_abandon (struct gr_mark *mark);
--- /dev/null
+++ b/entry/request.c
@@ -0,0 +1,511 @@
+#include "entry/request.h"
+
+#include "common/log.h"
+#include "entry/request-data.h"
+#include "route/spread.h"
+
+#include <string.h>
+
+/* Requests that wait for a slot. */
+#define QUEUE_TICK_MS 10
+
+/* One in this many requests whose learned run time does not fit its deadline
+ * is let through, so that a wrong estimate is corrected. */
+#define PROBE_ONE_IN 16
+
+static bool
+check_caller (struct gr_request *request, struct gr_error *error)
+{
+  const struct gr_account_settings *account;
+
+  if (!gr_entry_is_ready (request->entry, error))
+    return false;
+  account = gr_entry_account (request->entry, request->account);
+  if (account == NULL)
+    return gr_error_set (error, GR_ERROR_UNKNOWN_ACCOUNT,
+                         "there is no account \"%s\"", request->account);
+  /* Work is charged to an account, so a local caller needs a token too. */
+  if (request->exchange->local)
+    return gr_error_set (error, GR_ERROR_UNAUTHENTICATED,
+                         "the header Authorization: Bearer TOKEN is missing");
+  request->priority = account->priority;
+  return gr_exchange_may (request->exchange, request->account, error);
+}
+
+static void
+request_free (struct gr_request *request)
+{
+  g_clear_handle_id (&request->deadline_timer, g_source_remove);
+  g_clear_handle_id (&request->overrun_timer, g_source_remove);
+  g_hash_table_remove (request->entry->requests, request);
+  g_free (request->log_id);
+  g_free (request);
+}
+
+/* Ends the request. An error that says it was not run becomes may-have-run if
+ * any of its tries may have run it. */
+static void
+refuse (struct gr_request *request, const struct gr_error *error)
+{
+  struct gr_exchange *exchange = request->exchange;
+  struct gr_error truth = *error;
+  const struct gr_error_answer *answer;
+
+  if (request->started
+      && gr_error_answer (truth.kind)->run_state != GR_RUN_MAY_HAVE_RUN)
+    truth.kind = GR_ERROR_MAY_HAVE_RUN;
+  answer = gr_error_answer (truth.kind);
+  if (request->mark != NULL)
+    {
+      if (request->started)
+        gr_mark_keep (request->mark);
+      else
+        gr_mark_remove (request->mark);
+    }
+  gr_log_event ("request-refused", "request", request->log_id, "account",
+                request->account, "kind", answer->name, "run_state",
+                gr_run_state_name (answer->run_state), "message", truth.message,
+                NULL);
+  gr_entry_count (request->entry, "requests_total", "result", answer->name);
+  request_free (request);
+  gr_exchange_fail (exchange, &truth);
+}
+
+/* Requests per second that end at present. */
+static double
+service_per_s (const struct gr_entry *entry)
+{
+  int64_t mean_ms = MAX (gr_classes_mean_ms (entry->classes), 1);
+
+  return MAX (gr_executors_in_flight (entry->executors), 1U) * 1000.0
+         / (double)mean_ms;
+}
+
+static int64_t
+retry_after_ms (const struct gr_entry *entry, int64_t wait_ms)
+{
+  return gr_spread_ms (wait_ms, gr_queue_length (entry->queue) + 1,
+                       service_per_s (entry), entry->random);
+}
+
+static void
+refuse_overloaded (struct gr_request *request, const char *reason)
+{
+  struct gr_error error = GR_ERROR_INIT;
+
+  gr_error_set_retry (&error, GR_ERROR_OVERLOADED,
+                      retry_after_ms (request->entry, 100), "%s", reason);
+  refuse (request, &error);
+}
+
+static void
+refuse_deadline (struct gr_request *request, int64_t wait_ms)
+{
+  struct gr_error error = GR_ERROR_INIT;
+
+  gr_error_set_retry (
+      &error, GR_ERROR_DEADLINE, retry_after_ms (request->entry, wait_ms),
+      "about %" G_GINT64_FORMAT " ms of waiting and %" G_GINT64_FORMAT
+      " ms of running do not fit the deadline",
+      (gint64)wait_ms, (gint64)request->estimate_ms);
+  refuse (request, &error);
+}
+
+static int64_t
+expected_wait_ms (const struct gr_request *request)
+{
+  const struct gr_entry *entry = request->entry;
+  uint32_t ahead =
+      gr_queue_ahead (entry->queue, request->priority, request->is_long,
+                      request->deadline_ms - request->estimate_ms);
+
+  if (ahead == 0)
+    return 0;
+  return (int64_t)(ahead * 1000.0 / service_per_s (entry));
+}
+
+/* False if the request was refused. The rate comes last, so that a request
+ * that is refused for another reason does not use it up. */
+static bool
+admit (struct gr_request *request)
+{
+  struct gr_entry *entry = request->entry;
+  struct gr_error error = GR_ERROR_INIT;
+  int64_t wait_ms;
+
+  request->estimate_ms =
+      gr_classes_estimate_ms (entry->classes, request->account, request->kind);
+  request->is_long = request->estimate_ms >= GR_LONG_MS;
+  wait_ms = expected_wait_ms (request);
+  if (gr_executors_count (entry->executors) == 0)
+    {
+      gr_error_set_retry (&error, GR_ERROR_NO_TARGET,
+                          gr_spread_ms (1000, 1, 1, entry->random),
+                          "no executor is known that takes work");
+      refuse (request, &error);
+      return false;
+    }
+  if (request->received_ms + wait_ms + request->estimate_ms
+      > request->deadline_ms)
+    {
+      if (wait_ms > 0 || !request->idempotent
+          || g_rand_int_range (entry->random, 0, PROBE_ONE_IN) != 0)
+        {
+          refuse_deadline (request, wait_ms);
+          return false;
+        }
+      request->estimate_ms = 0;
+    }
+  if (gr_limits_take (entry->limits, request->account, request->received_ms,
+                      entry->random, &error))
+    return true;
+  refuse (request, &error);
+  return false;
+}
+
+static gboolean
+queue_tick (gpointer data)
+{
+  struct gr_entry *entry = data;
+
+  gr_request_pump (entry);
+  if (gr_queue_length (entry->queue) > 0)
+    return G_SOURCE_CONTINUE;
+  entry->queue_timer = 0;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+enqueue (struct gr_request *request)
+{
+  struct gr_entry *entry = request->entry;
+  struct gr_request *evicted;
+
+  evicted = gr_queue_add (entry->queue, request->priority, request->is_long,
+                          request->deadline_ms - request->estimate_ms, request);
+  if (evicted != NULL)
+    refuse_overloaded (evicted, "too many requests wait for a slot");
+  if (entry->queue_timer == 0)
+    entry->queue_timer = g_timeout_add (QUEUE_TICK_MS, queue_tick, entry);
+}
+
+static void
+mark_done (const struct gr_error *error, void *context)
+{
+  struct gr_request *request = context;
+  struct gr_entry *entry = request->entry;
+
+  g_clear_handle_id (&request->deadline_timer, g_source_remove);
+  if (error != NULL)
+    {
+      request->mark = NULL;
+      refuse (request, error);
+      return;
+    }
+  gr_log_event ("request-mark-written", "request", request->log_id, NULL);
+  enqueue (request);
+  gr_request_pump (entry);
+}
+
+/* The store has not answered in time. Nothing was sent. */
+static gboolean
+mark_too_late (gpointer data)
+{
+  struct gr_request *request = data;
+  struct gr_error error = GR_ERROR_INIT;
+
+  request->deadline_timer = 0;
+  gr_mark_abandon (request->mark);
+  request->mark = NULL;
+  gr_error_set_retry (&error, GR_ERROR_STORE_UNAVAILABLE,
+                      gr_spread_ms (1000, 1, 1, request->entry->random),
+                      "the mark could not be written before the deadline");
+  refuse (request, &error);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+write_mark (struct gr_request *request)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  int64_t left_ms = request->deadline_ms - request->estimate_ms
+                    - gr_clock_now_ms (request->entry->clock);
+
+  request->mark = gr_mark_write (request->entry->marks, request->account,
+                                 request->key, mark_done, request, &error);
+  if (request->mark == NULL)
+    refuse (request, &error);
+  else
+    request->deadline_timer =
+        g_timeout_add ((guint)CLAMP (left_ms, 1, GR_REQUEST_MAX_DEADLINE_MS),
+                       mark_too_late, request);
+}
+
+void
+gr_request_begin (struct gr_exchange *exchange)
+{
+  struct gr_entry *entry = exchange->entry;
+  struct gr_request *request = g_new0 (struct gr_request, 1);
+  struct gr_error error = GR_ERROR_INIT;
+  bool readable;
+
+  request->entry = entry;
+  request->exchange = exchange;
+  request->received_ms = gr_clock_now_ms (entry->clock);
+  g_hash_table_add (entry->requests, request);
+  gr_exchange_pause (exchange);
+  readable = gr_request_read (request, &error);
+  request->log_id =
+      readable ? g_strconcat (request->account, "/", request->key, NULL)
+               : g_strdup ("-");
+  if (!readable || !check_caller (request, &error))
+    {
+      refuse (request, &error);
+      return;
+    }
+  gr_log_event ("request-received", "request", request->log_id, "account",
+                request->account, "request_kind", request->kind, NULL);
+  if (!admit (request))
+    return;
+  gr_retries_first_try (entry->retries, request->account);
+  if (request->idempotent)
+    enqueue (request);
+  else
+    write_mark (request);
+  gr_request_pump (entry);
+}
+
+/* Work that was taken for short and runs long counts as long from now on. */
+static gboolean
+overrun (gpointer data)
+{
+  struct gr_request *request = data;
+  struct gr_entry *entry = request->entry;
+
+  request->overrun_timer = 0;
+  request->is_long = true;
+  gr_executors_overrun (entry->executors,
+                        request->executors[request->tries - 1]);
+  gr_classes_overrun (entry->classes, request->account, request->kind);
+  gr_entry_count (entry, "requests_reclassed_total", "account",
+                  request->account);
+  return G_SOURCE_REMOVE;
+}
+
+static enum gr_try_result
+result_of (const struct gr_error *error, int64_t spent_ms)
+{
+  if (error == NULL)
+    return GR_TRY_OK;
+  switch (error->kind)
+    {
+    case GR_ERROR_OVERLOADED:
+      return GR_TRY_BUSY;
+    case GR_ERROR_SHUTTING_DOWN:
+      return GR_TRY_LEAVING;
+    case GR_ERROR_NO_TARGET:
+      return GR_TRY_UNREACHABLE;
+    case GR_ERROR_CANCELLED:
+      return GR_TRY_GIVEN_UP;
+    case GR_ERROR_TIMEOUT:
+      /* A short deadline says nothing of the executor. */
+      return spent_ms < GR_LONG_MS ? GR_TRY_GIVEN_UP : GR_TRY_FAILED;
+    default:
+      return GR_TRY_FAILED;
+    }
+}
+
+static void
+answer (struct gr_request *request, const struct gr_executor_answer *result)
+{
+  struct gr_exchange *exchange = request->exchange;
+  struct gr_entry *entry = request->entry;
+  int64_t now_ms = gr_clock_now_ms (entry->clock);
+  const char *type =
+      result->content_type ? result->content_type : "application/octet-stream";
+  char spent[24];
+
+  gr_classes_learn (entry->classes, request->account, request->kind,
+                    now_ms - request->sent_ms);
+  gr_histogram_observe (gr_counters_histogram (entry->counters, "request_ms",
+                                               request->is_long
+                                                   ? "class=\"long\""
+                                                   : "class=\"short\""),
+                        now_ms - request->received_ms);
+  if (request->mark != NULL)
+    gr_mark_finish (request->mark, "finished");
+  g_snprintf (spent, sizeof spent, "%" G_GINT64_FORMAT,
+              (gint64)(now_ms - request->received_ms));
+  gr_log_event ("request-answered", "request", request->log_id, "account",
+                request->account, "target",
+                request->executors[request->tries - 1], "ms", spent, NULL);
+  gr_entry_count (entry, "requests_total", "result", "answered");
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (exchange->message),
+      "Idempotency-Key", request->key);
+  request_free (request);
+  gr_exchange_bytes (exchange, 200, type, g_bytes_ref (result->body));
+}
+
+static bool
+may_try_again (struct gr_request *request, enum gr_try_result result)
+{
+  struct gr_entry *entry = request->entry;
+  int64_t now_ms = gr_clock_now_ms (entry->clock);
+
+  if (entry->ending || request->tries >= GR_REQUEST_MAX_TRIES
+      || now_ms + request->estimate_ms >= request->deadline_ms)
+    return false;
+  /* The executor never had it, so this is no retry: a planned stop or a dead
+   * executor must not interrupt a request. */
+  if (result == GR_TRY_LEAVING || result == GR_TRY_UNREACHABLE)
+    return true;
+  if (result == GR_TRY_FAILED && !request->idempotent)
+    return false;
+  if (result == GR_TRY_GIVEN_UP)
+    return false;
+  if (!gr_retries_take (entry->retries, request->account))
+    return false;
+  gr_entry_count (entry, "retries_total", "account", request->account);
+  return true;
+}
+
+static void
+refuse_failed (struct gr_request *request, const struct gr_error *last)
+{
+  struct gr_error error = *last;
+
+  if (error.kind == GR_ERROR_SHUTTING_DOWN)
+    error.kind = GR_ERROR_NO_TARGET;
+  if (gr_error_answer (error.kind)->run_state == GR_RUN_NOT_RUN)
+    error.retry_after_ms = retry_after_ms (request->entry, 200);
+  refuse (request, &error);
+}
+
+static void
+try_done (const struct gr_executor_answer *result,
+          const struct gr_error *error,
+          void *context)
+{
+  struct gr_request *request = context;
+  struct gr_entry *entry = request->entry;
+  const char *executor = request->executors[request->tries - 1];
+  int64_t now_ms = gr_clock_now_ms (entry->clock);
+  int64_t spent_ms = now_ms - request->sent_ms;
+  enum gr_try_result outcome = result_of (error, spent_ms);
+
+  g_clear_handle_id (&request->overrun_timer, g_source_remove);
+  gr_executors_done (entry->executors, executor, request->is_long, outcome,
+                     result != NULL ? result->slots_busy : -1, spent_ms,
+                     now_ms);
+  if (result != NULL && result->leaving)
+    gr_entry_target_leaving (entry, executor);
+  if (outcome == GR_TRY_FAILED || outcome == GR_TRY_GIVEN_UP)
+    request->started = true;
+  request->failed[request->tries - 1] = outcome != GR_TRY_BUSY;
+  if (outcome == GR_TRY_OK && result != NULL)
+    answer (request, result);
+  else if (may_try_again (request, outcome))
+    enqueue (request);
+  else
+    refuse_failed (request, error);
+  gr_request_pump (entry);
+}
+
+static void
+send_to (struct gr_request *request, const char *executor, int64_t now_ms)
+{
+  struct gr_entry *entry = request->entry;
+  struct gr_executor_info info;
+  char *request_key = g_strconcat (request->account, ".", request->key, NULL);
+
+  request->sent_ms = now_ms;
+  g_strlcpy (request->executors[request->tries++], executor, GR_NAME_MAX);
+  gr_executors_get (entry->executors, executor, &info);
+  if (!request->is_long)
+    request->overrun_timer = g_timeout_add (GR_LONG_MS, overrun, request);
+  gr_log_event ("request-sent", "request", request->log_id, "target", executor,
+                NULL);
+  gr_executor_run (entry->executor_client, info.address, request_key,
+                   request->idempotent, request->exchange->body,
+                   (uint32_t)MAX (request->deadline_ms - now_ms, 1), try_done,
+                   request);
+  g_free (request_key);
+}
+
+/* Returns false if no executor can take it now. */
+static bool
+dispatch (struct gr_request *request, int64_t now_ms)
+{
+  struct gr_entry *entry = request->entry;
+  const char *tried[GR_REQUEST_MAX_TRIES + 1] = { NULL };
+  uint32_t n_tried = 0;
+  const char *executor;
+
+  for (uint32_t i = 0; i < request->tries; i++)
+    if (request->failed[i])
+      tried[n_tried++] = request->executors[i];
+  if (n_tried >= gr_executors_count (entry->executors))
+    tried[0] = NULL; /* there is no other one */
+  executor =
+      gr_executors_take (entry->executors, request->is_long,
+                         request->idempotent, tried, now_ms, entry->random);
+  if (executor == NULL)
+    return false;
+  send_to (request, executor, now_ms);
+  return true;
+}
+
+static void
+refuse_expired (struct gr_entry *entry, int64_t now_ms)
+{
+  struct gr_request *request;
+
+  while ((request = gr_queue_take_expired (entry->queue, now_ms)) != NULL)
+    refuse_overloaded (request, "no slot became free before the deadline");
+}
+
+/* A caller that has gone is not served. */
+static bool
+drop_if_gone (struct gr_request *request)
+{
+  struct gr_error error = GR_ERROR_INIT;
+
+  if (!request->exchange->gone)
+    return false;
+  gr_error_set (&error, GR_ERROR_OVERLOADED,
+                "the caller closed the connection while it waited");
+  refuse (request, &error);
+  return true;
+}
+
+void
+gr_request_pump (struct gr_entry *entry)
+{
+  int64_t now_ms = gr_clock_now_ms (entry->clock);
+  bool allow[2] = { true, true }; /* short, long */
+  struct gr_request *request;
+
+  if (entry->ending)
+    return;
+  refuse_expired (entry, now_ms);
+  while ((request = gr_queue_take (entry->queue, allow[0], allow[1])) != NULL)
+    {
+      if (drop_if_gone (request) || dispatch (request, now_ms))
+        continue;
+      allow[request->is_long ? 1 : 0] = false;
+      gr_queue_add (entry->queue, request->priority, request->is_long,
+                    request->deadline_ms - request->estimate_ms, request);
+    }
+}
+
+void
+gr_request_cancel_waiting (struct gr_entry *entry)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_request *request;
+
+  gr_error_set (&error, GR_ERROR_SHUTTING_DOWN, "this process ends");
+  while ((request = gr_queue_take (entry->queue, true, true)) != NULL)
+    refuse (request, &error);
+}
--- /dev/null
+++ b/entry/shares.c
@@ -0,0 +1,302 @@
+#include "entry/shares.h"
+
+#include "common/hash.h"
+
+#include <string.h>
+
+/* A later answer could not be used any more. */
+#define REPORT_TIMEOUT_MS (GR_LIMIT_TERM_MS - 100)
+
+/* What a home gave in its last answer, to be echoed. */
+struct stamp
+{
+  int64_t stamp_ms;
+  char incarnation[GR_NAME_MAX];
+};
+
+struct gr_shares
+{
+  struct gr_entry *entry;
+  GHashTable *stamps; /* home to struct stamp */
+  guint timer;
+};
+
+/* Reports to one home in one call. */
+struct report
+{
+  struct gr_shares *shares;
+  char home[GR_NAME_MAX];
+  int64_t sent_ms;
+};
+
+static const struct stamp *
+stamp_of (const struct gr_shares *shares, const char *home)
+{
+  return g_hash_table_lookup (shares->stamps, home);
+}
+
+static void
+note_stamp (struct gr_shares *shares,
+            const char *home,
+            int64_t stamp_ms,
+            const char *incarnation)
+{
+  struct stamp *stamp = g_new0 (struct stamp, 1);
+
+  stamp->stamp_ms = stamp_ms;
+  g_strlcpy (stamp->incarnation, incarnation, sizeof stamp->incarnation);
+  g_hash_table_replace (shares->stamps, g_strdup (home), stamp);
+}
+
+static void
+report_done (const msgpack_object *body,
+             const struct gr_error *error,
+             void *context)
+{
+  struct report *report = context;
+  struct gr_entry *entry = report->shares->entry;
+  const msgpack_object *elements;
+  char *incarnation;
+  size_t count;
+
+  if (error != NULL || entry->ending)
+    {
+      g_free (report);
+      return;
+    }
+  incarnation = gr_unpack_string (body, "incarnation");
+  if (incarnation != NULL)
+    note_stamp (report->shares, report->home, gr_unpack_int (body, "stamp", -1),
+                incarnation);
+  elements = gr_unpack_array (body, "allotments", &count);
+  for (size_t i = 0; i < count; i++)
+    {
+      char *account = gr_unpack_string (&elements[i], "account");
+      double rate = gr_unpack_double (&elements[i], "rate_per_s", 0);
+
+      if (account != NULL && rate >= 0)
+        gr_limits_allotted (entry->limits, account, report->home,
+                            report->sent_ms, rate);
+      g_free (account);
+    }
+  g_free (incarnation);
+  g_free (report);
+}
+
+static void
+report_to_self (struct gr_entry *entry, GPtrArray *accounts, int64_t now_ms)
+{
+  const char *self = entry->process->instance;
+
+  for (guint i = 0; i < accounts->len; i++)
+    {
+      const char *account = accounts->pdata[i];
+      double demand;
+      double rate;
+
+      if (!gr_limits_report (entry->limits, account, self, now_ms, &demand))
+        continue;
+      rate =
+          gr_allot_report (entry->allot, account, self, demand, now_ms, now_ms);
+      gr_limits_allotted (entry->limits, account, self, now_ms, rate);
+    }
+}
+
+static const char *
+address_of (const GArray *members, const char *home)
+{
+  for (guint i = 0; i < members->len; i++)
+    {
+      const struct gr_member *member =
+          &g_array_index (members, struct gr_member, i);
+
+      if (member->role == GR_ROLE_ENTRY && strcmp (member->name, home) == 0)
+        return member->address;
+    }
+  return NULL;
+}
+
+static void
+report_to (struct gr_shares *shares,
+           const char *home,
+           const char *address,
+           GPtrArray *accounts,
+           int64_t now_ms)
+{
+  struct gr_entry *entry = shares->entry;
+  const struct stamp *stamp = stamp_of (shares, home);
+  struct gr_packer *body = gr_packer_create ();
+  struct report *report = g_new0 (struct report, 1);
+
+  report->shares = shares;
+  report->sent_ms = now_ms;
+  g_strlcpy (report->home, home, sizeof report->home);
+  gr_pack_string (body, "home", home);
+  gr_pack_string (body, "entry", entry->process->instance);
+  gr_pack_int (body, "stamp", stamp != NULL ? stamp->stamp_ms : -1);
+  gr_pack_string (body, "stamp_of", stamp != NULL ? stamp->incarnation : "");
+  gr_pack_array_begin (body, "reports");
+  for (guint i = 0; i < accounts->len; i++)
+    {
+      double demand;
+      struct gr_packer *element;
+
+      if (!gr_limits_report (entry->limits, accounts->pdata[i], home, now_ms,
+                             &demand))
+        continue;
+      element = gr_packer_create ();
+      gr_pack_string (element, "account", accounts->pdata[i]);
+      gr_pack_double (element, "demand_per_s", demand);
+      gr_pack_array_add (body, element);
+    }
+  gr_pack_array_end (body);
+  gr_rpc_call (gr_peers_client (entry->peers, address), "limits.report", body,
+               REPORT_TIMEOUT_MS, report_done, report);
+  gr_packer_destroy (body);
+}
+
+/* Home entry of each account, as this entry sees it now. */
+static GHashTable *
+accounts_by_home (struct gr_entry *entry, int64_t now_ms)
+{
+  GPtrArray *ready = gr_members_ready (entry->members, GR_ROLE_ENTRY, now_ms);
+  GPtrArray *accounts = gr_limits_accounts (entry->limits);
+  GHashTable *by_home = g_hash_table_new_full (
+      g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+
+  for (guint i = 0; i < accounts->len && ready->len > 0; i++)
+    {
+      int chosen = gr_hash_choose (
+          accounts->pdata[i], (const char *const *)ready->pdata, ready->len);
+      const char *home = ready->pdata[chosen];
+      GPtrArray *list = g_hash_table_lookup (by_home, home);
+
+      if (list == NULL)
+        {
+          list = g_ptr_array_new ();
+          g_hash_table_insert (by_home, g_strdup (home), list);
+        }
+      g_ptr_array_add (list, accounts->pdata[i]);
+    }
+  g_ptr_array_unref (accounts);
+  g_ptr_array_unref (ready);
+  return by_home;
+}
+
+static gboolean
+send_reports (gpointer data)
+{
+  struct gr_shares *shares = data;
+  struct gr_entry *entry = shares->entry;
+  int64_t now_ms = gr_clock_now_ms (entry->clock);
+  GHashTable *by_home = accounts_by_home (entry, now_ms);
+  GArray *members = gr_members_list (entry->members);
+  GHashTableIter iter;
+  void *home;
+  void *accounts;
+
+  g_hash_table_iter_init (&iter, by_home);
+  while (g_hash_table_iter_next (&iter, &home, &accounts))
+    {
+      const char *address = address_of (members, home);
+
+      if (strcmp (home, entry->process->instance) == 0)
+        report_to_self (entry, accounts, now_ms);
+      else if (address != NULL)
+        report_to (shares, home, address, accounts, now_ms);
+    }
+  g_array_unref (members);
+  g_hash_table_destroy (by_home);
+  return G_SOURCE_CONTINUE;
+}
+
+struct gr_shares *
+gr_shares_create (struct gr_entry *entry)
+{
+  struct gr_shares *shares = g_new0 (struct gr_shares, 1);
+
+  shares->entry = entry;
+  shares->stamps =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  shares->timer = g_timeout_add (GR_LIMIT_REPORT_MS, send_reports, shares);
+  return shares;
+}
+
+void
+gr_shares_destroy (struct gr_shares *shares)
+{
+  if (shares == NULL)
+    return;
+  g_source_remove (shares->timer);
+  g_hash_table_destroy (shares->stamps);
+  g_free (shares);
+}
+
+static void
+pack_allotments (struct gr_shares *shares,
+                 struct gr_packer *answer,
+                 const msgpack_object *body,
+                 const char *from,
+                 int64_t stamp_ms,
+                 int64_t now_ms)
+{
+  size_t count;
+  const msgpack_object *reports = gr_unpack_array (body, "reports", &count);
+
+  gr_pack_array_begin (answer, "allotments");
+  for (size_t i = 0; i < count; i++)
+    {
+      char *account = gr_unpack_string (&reports[i], "account");
+      double demand = gr_unpack_double (&reports[i], "demand_per_s", 0);
+      struct gr_packer *element;
+
+      if (account == NULL)
+        continue;
+      element = gr_packer_create ();
+      gr_pack_string (element, "account", account);
+      gr_pack_double (element, "rate_per_s",
+                      gr_allot_report (shares->entry->allot, account, from,
+                                       MAX (demand, 0), stamp_ms, now_ms));
+      gr_pack_array_add (answer, element);
+      g_free (account);
+    }
+  gr_pack_array_end (answer);
+}
+
+void
+gr_shares_handle (struct gr_shares *shares,
+                  struct gr_rpc_call *call,
+                  const msgpack_object *body)
+{
+  struct gr_entry *entry = shares->entry;
+  const char *incarnation = gr_peers_incarnation (entry->peers);
+  int64_t now_ms = gr_clock_now_ms (entry->clock);
+  int64_t stamp_ms = gr_unpack_int (body, "stamp", -1);
+  char *home = gr_unpack_string (body, "home");
+  char *from = gr_unpack_string (body, "entry");
+  char *of = gr_unpack_string (body, "stamp_of");
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_packer *answer;
+
+  if (from == NULL || g_strcmp0 (home, entry->process->instance) != 0)
+    {
+      gr_error_set (&error, GR_ERROR_BAD_REQUEST,
+                    "the report is for another home than this entry");
+      gr_rpc_fail (call, &error);
+    }
+  else
+    {
+      if (g_strcmp0 (of, incarnation) != 0)
+        stamp_ms = -1;
+      answer = gr_packer_create ();
+      gr_pack_int (answer, "stamp", now_ms);
+      gr_pack_string (answer, "incarnation", incarnation);
+      gr_pack_int (answer, "term_ms", GR_LIMIT_TERM_MS);
+      pack_allotments (shares, answer, body, from, stamp_ms, now_ms);
+      gr_rpc_answer (call, answer);
+      gr_packer_destroy (answer);
+    }
+  g_free (home);
+  g_free (from);
+  g_free (of);
+}
--- a/route/executors.c
+++ b/route/executors.c
@@ -410,13 +410,14 @@
     }
 }
 
-bool
-gr_executors_any (const struct gr_executors *executors)
+uint32_t
+gr_executors_count (const struct gr_executors *executors)
 {
+  uint32_t count = 0;
+
   for (guint i = 0; i < executors->table->len; i++)
-    if (in_use (executors->table->pdata[i]))
-      return true;
-  return false;
+    count += in_use (executors->table->pdata[i]) ? 1 : 0;
+  return count;
 }
 
 uint32_t
--- a/route/executors.h
+++ b/route/executors.h
@@ -104,8 +104,8 @@
                         int64_t latency_ms,
                         int64_t now_ms);
 
-/* Whether any executor is on the list and not leaving. */
-bool gr_executors_any (const struct gr_executors *executors);
+/* Executors that are on the list and not leaving. */
+uint32_t gr_executors_count (const struct gr_executors *executors);
 
 /* Requests of this entry in flight. */
 uint32_t gr_executors_in_flight (const struct gr_executors *executors);
--- a/tests/test-route.c
+++ b/tests/test-route.c
@@ -397,7 +397,7 @@
                     "x1");
   gr_executors_list_begin (executors);
   gr_executors_list_end (executors);
-  ck_assert (!gr_executors_any (executors));
+  ck_assert_uint_eq (gr_executors_count (executors), 0);
   gr_executors_done (executors, "x1", false, GR_TRY_OK, -1, 1, 6000);
   gr_executors_destroy (executors);
 }
