--- /dev/null
+++ b/scheduler/journal.c
@@ -0,0 +1,631 @@
+#include "scheduler/journal.h"
+
+#include "scheduler/ownership.h"
+#include "scheduler/pages.h"
+
+#include <string.h>
+
+#define FIRST_RETRY_MS 100
+#define MAX_RETRY_MS 1000
+#define LOAD_RETRIES 10
+
+/* One write. It is sent again, unchanged, until its outcome is known. */
+struct write
+{
+  uint64_t sequence;
+  uint64_t epoch;          /* of the condition of the last attempt */
+  GBytes *pages[GR_PAGES]; /* NULL: not part of it */
+  GArray *changes;         /* struct gr_page_change */
+  bool waiting;            /* sent, no answer yet */
+  bool unknown;            /* an answer of it was lost */
+  int64_t first_sent_ms;
+};
+
+struct gr_journal
+{
+  struct gr_kv *kv;
+  const struct gr_clock *clock;
+  struct gr_journal_config config;
+  struct gr_journal_events events;
+  void *context;
+  char *owner_key;
+  char *commit_key;
+  struct gr_pages *pages;
+  uint64_t sequence;       /* of the last write */
+  int64_t commit_revision; /* mod revision of the commit key; 0: absent */
+  struct write *write;     /* NULL: none in flight */
+  bool busy;               /* a write or a read-back is in flight */
+  bool up;
+  bool contested;
+  int calls; /* in flight; they keep the struct alive */
+  bool destroyed;
+  guint timer;
+  uint32_t retry_ms;
+  uint32_t load_page;
+  uint32_t load_retries;
+  uint32_t unreadable;
+  void (*visit) (const struct gr_job_record *record, void *context);
+  void (*loaded) (const struct gr_error *error, void *context);
+  struct gr_counter *commits;
+  struct gr_counter *read_backs;
+  struct gr_counter *bytes;
+  struct gr_histogram *latency;
+};
+
+static void send_write (struct gr_journal *journal);
+static void read_back (struct gr_journal *journal);
+static void load_next (struct gr_journal *journal);
+
+static void
+write_free (struct write *write)
+{
+  if (write == NULL)
+    return;
+  for (uint32_t i = 0; i < GR_PAGES; i++)
+    g_clear_pointer (&write->pages[i], g_bytes_unref);
+  g_array_unref (write->changes);
+  g_free (write);
+}
+
+static void
+journal_free (struct gr_journal *journal)
+{
+  write_free (journal->write);
+  gr_pages_destroy (journal->pages);
+  g_free (journal->config.shard);
+  g_free (journal->config.writer);
+  g_free (journal->owner_key);
+  g_free (journal->commit_key);
+  g_free (journal);
+}
+
+static bool
+call_ended (struct gr_journal *journal)
+{
+  journal->calls--;
+  if (!journal->destroyed)
+    return true;
+  if (journal->calls == 0)
+    journal_free (journal);
+  return false;
+}
+
+static void
+note_store (struct gr_journal *journal, bool up)
+{
+  journal->up = up;
+  journal->events.store (up, journal->context);
+}
+
+/* --- Timer -------------------------------------------------------------- */
+
+static void begin_write (struct gr_journal *journal);
+
+static gboolean
+timer_due (gpointer data)
+{
+  struct gr_journal *journal = data;
+
+  journal->timer = 0;
+  if (journal->write == NULL)
+    begin_write (journal);
+  else if (journal->busy)
+    return G_SOURCE_REMOVE;
+  else if (journal->write->unknown)
+    read_back (journal);
+  else if (!journal->contested)
+    send_write (journal);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+set_timer (struct gr_journal *journal, uint32_t delay_ms)
+{
+  if (journal->timer == 0)
+    journal->timer = g_timeout_add (delay_ms, timer_due, journal);
+}
+
+static void
+retry_later (struct gr_journal *journal)
+{
+  note_store (journal, false);
+  set_timer (journal, journal->retry_ms);
+  journal->retry_ms = MIN (journal->retry_ms * 2, MAX_RETRY_MS);
+}
+
+static bool
+any_dirty (const struct gr_journal *journal)
+{
+  for (uint32_t i = 0; i < GR_PAGES; i++)
+    if (gr_pages_is_dirty (journal->pages, i))
+      return true;
+  return false;
+}
+
+static void
+schedule_write (struct gr_journal *journal)
+{
+  if (journal->write == NULL && !journal->contested && any_dirty (journal))
+    set_timer (journal, journal->config.interval_ms);
+}
+
+/* --- Outcome of a write ------------------------------------------------- */
+
+static void
+write_applied (struct gr_journal *journal, int64_t commit_revision)
+{
+  struct write *write = journal->write;
+  const struct gr_page_change *changes =
+      (const struct gr_page_change *)(void *)write->changes->data;
+  guint count = write->changes->len;
+
+  journal->write = NULL;
+  journal->commit_revision = commit_revision;
+  journal->retry_ms = FIRST_RETRY_MS;
+  gr_pages_durable (journal->pages, changes, count);
+  gr_counter_add (journal->commits, 1);
+  gr_histogram_observe (journal->latency, gr_clock_now_ms (journal->clock)
+                                              - write->first_sent_ms);
+  journal->calls++; /* an event may destroy the journal */
+  for (guint i = 0; i < count && !journal->destroyed; i++)
+    journal->events.committed (changes[i].job, changes[i].version,
+                               journal->context);
+  write_free (write);
+  if (call_ended (journal))
+    schedule_write (journal);
+}
+
+/* The write that is in flight, by writer id and sequence. */
+static bool
+is_own_write (const struct gr_journal *journal, const struct gr_kv_entry *entry)
+{
+  msgpack_unpacked unpacked;
+  char *writer = NULL;
+  int64_t sequence = -1;
+
+  if (journal->write == NULL)
+    return false;
+  msgpack_unpacked_init (&unpacked);
+  if (msgpack_unpack_next (&unpacked, entry->value, entry->size, NULL)
+      == MSGPACK_UNPACK_SUCCESS)
+    {
+      writer = gr_unpack_string (&unpacked.data, "writer");
+      sequence = gr_unpack_int (&unpacked.data, "sequence", -1);
+    }
+  msgpack_unpacked_destroy (&unpacked);
+  if (g_strcmp0 (writer, journal->config.writer) != 0)
+    sequence = -1;
+  g_free (writer);
+  return sequence == (int64_t)journal->write->sequence;
+}
+
+static const struct gr_kv_entry *
+find_entry (const struct gr_kv_result *result, const char *key)
+{
+  for (size_t i = 0; i < result->n_entries; i++)
+    if (strcmp (result->entries[i].key, key) == 0)
+      return &result->entries[i];
+  return NULL;
+}
+
+/* When this owner's key still stands, but somebody has changed the commit key,
+ * what this process knows of the shard is wrong. The owner key is reported as
+ * absent then, which ends in a new start from the store. */
+static void
+compare_failed (struct gr_journal *journal, const struct gr_kv_result *result)
+{
+  const struct gr_kv_entry *owner = find_entry (result, journal->owner_key);
+  const struct gr_kv_entry *commit = find_entry (result, journal->commit_key);
+  bool still_owner =
+      owner != NULL && owner->create_revision == (int64_t)journal->config.epoch;
+
+  if (journal->write->epoch != journal->config.epoch)
+    {
+      set_timer (journal, 0);
+      return;
+    }
+  journal->calls++; /* an event may destroy the journal */
+  journal->contested = !still_owner;
+  if (commit != NULL && is_own_write (journal, commit))
+    write_applied (journal, commit->mod_revision);
+  else
+    journal->contested = true;
+  if (!journal->destroyed && journal->contested)
+    journal->events.contested (still_owner ? NULL : owner, journal->context);
+  call_ended (journal);
+}
+
+static void
+write_done (const struct gr_kv_result *result,
+            const struct gr_error *error,
+            void *context)
+{
+  struct gr_journal *journal = context;
+
+  if (!call_ended (journal))
+    return;
+  journal->busy = false;
+  journal->write->waiting = false;
+  if (error != NULL)
+    {
+      if (error->kind != GR_ERROR_STORE_UNAVAILABLE)
+        journal->write->unknown = true;
+      retry_later (journal);
+      return;
+    }
+  note_store (journal, true);
+  if (result->succeeded)
+    write_applied (journal, result->revision);
+  else
+    compare_failed (journal, result);
+}
+
+static void
+read_back_done (const struct gr_kv_result *result,
+                const struct gr_error *error,
+                void *context)
+{
+  struct gr_journal *journal = context;
+
+  if (!call_ended (journal))
+    return;
+  journal->busy = false;
+  if (error != NULL)
+    {
+      retry_later (journal);
+      return;
+    }
+  note_store (journal, true);
+  if (result->n_entries > 0 && is_own_write (journal, &result->entries[0]))
+    write_applied (journal, result->entries[0].mod_revision);
+  else if (!journal->contested)
+    send_write (journal);
+}
+
+static void
+read_back (struct gr_journal *journal)
+{
+  gr_counter_add (journal->read_backs, 1);
+  journal->busy = true;
+  journal->calls++;
+  gr_kv_range (journal->kv, "journal", journal->commit_key, false, 0,
+               journal->config.call_timeout_ms, read_back_done, journal);
+}
+
+/* --- Sending ------------------------------------------------------------ */
+
+static void
+add_conditions (const struct gr_journal *journal, struct gr_kv_txn *txn)
+{
+  gr_kv_txn_if_created_at (txn, journal->owner_key,
+                           (int64_t)journal->config.epoch);
+  if (journal->commit_revision == 0)
+    gr_kv_txn_if_created_at (txn, journal->commit_key, 0);
+  else
+    gr_kv_txn_if_modified_at (txn, journal->commit_key,
+                              journal->commit_revision);
+  gr_kv_txn_else_get (txn, journal->owner_key);
+  gr_kv_txn_else_get (txn, journal->commit_key);
+}
+
+static void
+add_commit_key (const struct gr_journal *journal, struct gr_kv_txn *txn)
+{
+  struct gr_packer *value = gr_packer_create ();
+  const void *data;
+  size_t size;
+
+  gr_pack_int (value, "sequence", (int64_t)journal->write->sequence);
+  gr_pack_string (value, "writer", journal->config.writer);
+  data = gr_packer_data (value, &size);
+  gr_kv_txn_put (txn, journal->commit_key, data, size, 0);
+  gr_packer_destroy (value);
+}
+
+static void
+add_pages (const struct gr_journal *journal, struct gr_kv_txn *txn)
+{
+  for (uint32_t i = 0; i < GR_PAGES; i++)
+    {
+      GBytes *bytes = journal->write->pages[i];
+      char name[16];
+      char *key;
+      gsize size;
+      const void *data;
+
+      if (bytes == NULL)
+        continue;
+      g_snprintf (name, sizeof name, "jobs/%02u", i);
+      key = gr_shard_key (journal->config.shard, name);
+      data = g_bytes_get_data (bytes, &size);
+      gr_kv_txn_put (txn, key, data, size, 0);
+      gr_counter_add (journal->bytes, (int64_t)size);
+      g_free (key);
+    }
+}
+
+static void
+send_write (struct gr_journal *journal)
+{
+  struct gr_kv_txn *txn = gr_kv_txn_create ();
+
+  add_conditions (journal, txn);
+  add_pages (journal, txn);
+  add_commit_key (journal, txn);
+  journal->write->epoch = journal->config.epoch;
+  journal->write->waiting = true;
+  journal->busy = true;
+  journal->calls++;
+  gr_kv_commit (journal->kv, "journal", txn, journal->config.call_timeout_ms,
+                write_done, journal);
+}
+
+static void
+begin_write (struct gr_journal *journal)
+{
+  struct write *write;
+  size_t total = 0;
+
+  if (journal->contested || !any_dirty (journal))
+    return;
+  write = g_new0 (struct write, 1);
+  write->changes = g_array_new (FALSE, FALSE, sizeof (struct gr_page_change));
+  write->sequence = ++journal->sequence;
+  write->first_sent_ms = gr_clock_now_ms (journal->clock);
+  for (uint32_t i = 0; i < GR_PAGES; i++)
+    {
+      size_t size = gr_pages_bytes (journal->pages, i);
+
+      if (!gr_pages_is_dirty (journal->pages, i)
+          || (total > 0 && total + size > GR_JOURNAL_MAX_TXN_BYTES))
+        continue;
+      write->pages[i] = gr_pages_take (journal->pages, i, write->changes);
+      total += size;
+    }
+  journal->write = write;
+  send_write (journal);
+}
+
+/* --- Loading ------------------------------------------------------------ */
+
+static gboolean
+load_again (gpointer data)
+{
+  struct gr_journal *journal = data;
+
+  journal->timer = 0;
+  load_next (journal);
+  return G_SOURCE_REMOVE;
+}
+
+static bool
+load_entry (struct gr_journal *journal,
+            const struct gr_kv_entry *entry,
+            struct gr_error *error)
+{
+  if (journal->load_page == GR_PAGES)
+    {
+      journal->commit_revision = entry->mod_revision;
+      return true;
+    }
+  return gr_pages_load (journal->pages, journal->load_page, entry->value,
+                        entry->size, journal->visit, journal->context,
+                        &journal->unreadable, error);
+}
+
+static void
+load_ended (struct gr_journal *journal, const struct gr_error *error)
+{
+  if (error == NULL && journal->unreadable > 0)
+    g_warning ("shard %s: %u job records cannot be read and are kept as they "
+               "are",
+               journal->config.shard, journal->unreadable);
+  journal->loaded (error, journal->context);
+}
+
+static void
+load_done (const struct gr_kv_result *result,
+           const struct gr_error *error,
+           void *context)
+{
+  struct gr_journal *journal = context;
+  struct gr_error failure = GR_ERROR_INIT;
+
+  if (!call_ended (journal))
+    return;
+  note_store (journal, error == NULL);
+  if (error != NULL && journal->load_retries++ < LOAD_RETRIES)
+    {
+      journal->timer = g_timeout_add (FIRST_RETRY_MS, load_again, journal);
+      return;
+    }
+  if (error != NULL)
+    {
+      load_ended (journal, error);
+      return;
+    }
+  if (result->n_entries > 0
+      && !load_entry (journal, &result->entries[0], &failure))
+    {
+      load_ended (journal, &failure);
+      return;
+    }
+  if (journal->load_page == 0)
+    {
+      load_ended (journal, NULL);
+      return;
+    }
+  journal->load_page--;
+  load_next (journal);
+}
+
+/* Reads the commit key first, then the pages from the last to the first. They
+ * do not change meanwhile: commits of former owners fail on the owner key. */
+static void
+load_next (struct gr_journal *journal)
+{
+  char name[16] = "commit";
+  char *key;
+
+  if (journal->load_page < GR_PAGES)
+    g_snprintf (name, sizeof name, "jobs/%02u", journal->load_page);
+  key = gr_shard_key (journal->config.shard, name);
+  journal->calls++;
+  gr_kv_range (journal->kv, "recovery", key, false, 0,
+               journal->config.call_timeout_ms, load_done, journal);
+  g_free (key);
+}
+
+void
+gr_journal_load (struct gr_journal *journal,
+                 void (*visit) (const struct gr_job_record *record,
+                                void *context),
+                 void (*done) (const struct gr_error *error, void *context))
+{
+  journal->visit = visit;
+  journal->loaded = done;
+  journal->load_page = GR_PAGES;
+  journal->load_retries = 0;
+  load_next (journal);
+}
+
+/* --- Records ------------------------------------------------------------ */
+
+void
+gr_journal_put (struct gr_journal *journal, const struct gr_job_record *record)
+{
+  if (gr_pages_put (journal->pages, record))
+    schedule_write (journal);
+}
+
+void
+gr_journal_remove (struct gr_journal *journal, const char *job)
+{
+  gr_pages_remove (journal->pages, job);
+}
+
+bool
+gr_journal_have_room (const struct gr_journal *journal,
+                      const char *job,
+                      const struct gr_job_spec *spec,
+                      struct gr_error *error)
+{
+  if (gr_pages_have_room (journal->pages, job, spec))
+    return true;
+  return gr_error_set_retry (error, GR_ERROR_OVERLOADED, 10000,
+                             "shard %s holds too many large job records",
+                             journal->config.shard);
+}
+
+size_t
+gr_journal_fullest_page_bytes (const struct gr_journal *journal)
+{
+  return gr_pages_fullest_bytes (journal->pages);
+}
+
+bool
+gr_journal_store_is_up (const struct gr_journal *journal)
+{
+  return journal->up;
+}
+
+bool
+gr_journal_is_idle (const struct gr_journal *journal)
+{
+  return journal->write == NULL && !any_dirty (journal);
+}
+
+uint64_t
+gr_journal_durable_version (const struct gr_journal *journal, const char *job)
+{
+  return gr_pages_durable_version (journal->pages, job);
+}
+
+bool
+gr_journal_end_is_durable (const struct gr_journal *journal, const char *job)
+{
+  return gr_pages_end_is_durable (journal->pages, job);
+}
+
+bool
+gr_journal_is_in_flight (const struct gr_journal *journal, const char *job)
+{
+  const struct write *write = journal->write;
+
+  if (write == NULL || (!write->waiting && !write->unknown))
+    return false;
+  for (guint i = 0; i < write->changes->len; i++)
+    if (strcmp (g_array_index (write->changes, struct gr_page_change, i).job,
+                job)
+        == 0)
+      return true;
+  return false;
+}
+
+bool
+gr_journal_commit_unchanged (const struct gr_journal *journal,
+                             const struct gr_kv_entry *entry)
+{
+  int64_t revision = entry != NULL ? entry->mod_revision : 0;
+
+  return revision == journal->commit_revision
+         || (entry != NULL && is_own_write (journal, entry));
+}
+
+void
+gr_journal_set_epoch (struct gr_journal *journal, uint64_t epoch)
+{
+  journal->config.epoch = epoch;
+  journal->contested = false;
+  if (journal->write == NULL)
+    schedule_write (journal);
+  else if (!journal->busy)
+    set_timer (journal, 0);
+}
+
+struct gr_journal *
+gr_journal_create (struct gr_kv *kv,
+                   const struct gr_clock *clock,
+                   struct gr_counters *counters,
+                   const struct gr_journal_config *config,
+                   const struct gr_journal_events *events,
+                   void *context)
+{
+  struct gr_journal *journal = g_new0 (struct gr_journal, 1);
+  char *labels = g_strdup_printf ("shard=\"%s\"", config->shard);
+
+  journal->kv = kv;
+  journal->clock = clock;
+  journal->config = *config;
+  journal->config.shard = g_strdup (config->shard);
+  journal->config.writer = g_strdup (config->writer);
+  journal->events = *events;
+  journal->context = context;
+  journal->owner_key = gr_shard_key (config->shard, "owner");
+  journal->commit_key = gr_shard_key (config->shard, "commit");
+  journal->pages = gr_pages_create ();
+  journal->up = true;
+  journal->retry_ms = FIRST_RETRY_MS;
+  journal->commits =
+      gr_counters_get (counters, "journal_commits_total", labels);
+  journal->read_backs =
+      gr_counters_get (counters, "journal_read_backs_total", labels);
+  journal->bytes = gr_counters_get (counters, "journal_bytes_total", labels);
+  journal->latency =
+      gr_counters_histogram (counters, "journal_commit_ms", labels);
+  g_free (labels);
+  return journal;
+}
+
+void
+gr_journal_destroy (struct gr_journal *journal)
+{
+  if (journal == NULL)
+    return;
+  if (journal->timer != 0)
+    g_source_remove (journal->timer);
+  journal->timer = 0;
+  journal->destroyed = true;
+  if (journal->calls == 0)
+    journal_free (journal);
+}
