--- a/scheduler/journal.c
+++ b/scheduler/journal.c
@@ -35,7 +35,7 @@
   int64_t commit_revision; /* mod revision of the commit key; 0: absent */
   struct write *write;     /* NULL: none in flight */
   bool busy;               /* a write or a read-back is in flight */
-  bool up;
+  uint32_t failures;       /* since the last answer */
   bool contested;
   int calls; /* in flight; they keep the struct alive */
   bool destroyed;
@@ -91,10 +91,15 @@
 }
 
 static void
-note_store (struct gr_journal *journal, bool up)
+note_store (struct gr_journal *journal, const struct gr_error *error)
 {
-  journal->up = up;
-  journal->events.store (up, journal->context);
+  if (error == NULL)
+    journal->failures = 0;
+  else if (error->kind == GR_ERROR_STORE_UNAVAILABLE)
+    journal->failures += GR_JOURNAL_DOWN_FAILURES;
+  else
+    journal->failures++;
+  journal->events.store (gr_journal_store_is_up (journal), journal->context);
 }
 
 /* --- Timer -------------------------------------------------------------- */
@@ -126,9 +131,9 @@
 }
 
 static void
-retry_later (struct gr_journal *journal)
+retry_later (struct gr_journal *journal, const struct gr_error *error)
 {
-  note_store (journal, false);
+  note_store (journal, error);
   set_timer (journal, journal->retry_ms);
   journal->retry_ms = MIN (journal->retry_ms * 2, MAX_RETRY_MS);
 }
@@ -169,6 +174,7 @@
   journal->calls++; /* an event may destroy the journal */
   for (guint i = 0; i < count && !journal->destroyed; i++)
     journal->events.committed (changes[i].job, changes[i].version,
+                               changes[i].state, changes[i].new_state,
                                journal->context);
   write_free (write);
   if (call_ended (journal))
@@ -250,10 +256,10 @@
     {
       if (error->kind != GR_ERROR_STORE_UNAVAILABLE)
         journal->write->unknown = true;
-      retry_later (journal);
+      retry_later (journal, error);
       return;
     }
-  note_store (journal, true);
+  note_store (journal, NULL);
   if (result->succeeded)
     write_applied (journal, result->revision);
   else
@@ -272,10 +278,10 @@
   journal->busy = false;
   if (error != NULL)
     {
-      retry_later (journal);
+      retry_later (journal, error);
       return;
     }
-  note_store (journal, true);
+  note_store (journal, NULL);
   if (result->n_entries > 0 && is_own_write (journal, &result->entries[0]))
     write_applied (journal, result->entries[0].mod_revision);
   else if (!journal->contested)
@@ -433,7 +439,7 @@
 
   if (!call_ended (journal))
     return;
-  note_store (journal, error == NULL);
+  note_store (journal, error);
   if (error != NULL && journal->load_retries++ < LOAD_RETRIES)
     {
       journal->timer = g_timeout_add (FIRST_RETRY_MS, load_again, journal);
@@ -499,9 +505,11 @@
 }
 
 void
-gr_journal_remove (struct gr_journal *journal, const char *job)
+gr_journal_prune (struct gr_journal *journal,
+                  bool (*keep) (const char *job, void *context),
+                  void *context)
 {
-  gr_pages_remove (journal->pages, job);
+  gr_pages_prune (journal->pages, keep, context);
 }
 
 bool
@@ -526,7 +534,7 @@
 bool
 gr_journal_store_is_up (const struct gr_journal *journal)
 {
-  return journal->up;
+  return journal->failures < GR_JOURNAL_DOWN_FAILURES;
 }
 
 bool
@@ -604,7 +612,6 @@
   journal->owner_key = gr_shard_key (config->shard, "owner");
   journal->commit_key = gr_shard_key (config->shard, "commit");
   journal->pages = gr_pages_create ();
-  journal->up = true;
   journal->retry_ms = FIRST_RETRY_MS;
   journal->commits =
       gr_counters_get (counters, "journal_commits_total", labels);
--- a/scheduler/journal.h
+++ b/scheduler/journal.h
@@ -16,6 +16,10 @@
 /* Page bytes of one transaction; a single page may be larger. */
 #define GR_JOURNAL_MAX_TXN_BYTES 1000000
 
+/* Lost answers in a row after which the store counts as down. A call that could
+ * not be made at all counts as many. */
+#define GR_JOURNAL_DOWN_FAILURES 2
+
 struct gr_journal_config
 {
   char *shard;
@@ -27,8 +31,13 @@
 
 struct gr_journal_events
 {
-  /* The record of the job with this version is durable. */
-  void (*committed) (const char *job, uint64_t version, void *context);
+  /* The record of the job with this version is durable. new_state: the record
+   * that was durable before had another state. */
+  void (*committed) (const char *job,
+                     uint64_t version,
+                     enum gr_job_state state,
+                     bool new_state,
+                     void *context);
 
   /* A commit failed on the compare with the owner key; owner is that key now,
    * or NULL if it is absent. Nothing was written. No commit is sent until
@@ -60,8 +69,10 @@
 void gr_journal_put (struct gr_journal *journal,
                      const struct gr_job_record *record);
 
-/* A record that is no longer needed is left out from now on. */
-void gr_journal_remove (struct gr_journal *journal, const char *job);
+/* Leaves out records for which keep is false from now on. */
+void gr_journal_prune (struct gr_journal *journal,
+                       bool (*keep) (const char *job, void *context),
+                       void *context);
 
 /* False with kind overloaded if a page of the store could become too large. */
 bool gr_journal_have_room (const struct gr_journal *journal,
@@ -70,7 +81,7 @@
                            struct gr_error *error);
 size_t gr_journal_fullest_page_bytes (const struct gr_journal *journal);
 
-/* Whether the last call was answered: writes can be expected to succeed. */
+/* Whether writes can be expected to succeed. */
 bool gr_journal_store_is_up (const struct gr_journal *journal);
 
 /* Nothing is waiting to be written, and no write is in flight. */
--- a/scheduler/ownership.c
+++ b/scheduler/ownership.c
@@ -18,7 +18,8 @@
   enum gr_ownership_state state;
   int calls; /* in flight; they keep the struct alive */
   bool destroyed;
-  bool polling; /* a read of the owner key is in flight */
+  uint32_t failures; /* of calls to the store; 2 and more: it is down */
+  bool polling;      /* a read of the owner key is in flight */
   guint poll_timer;
   guint renew_timer;
   guint retry_timer;
@@ -79,6 +80,18 @@
   *timer = 0;
 }
 
+/* One lost answer does not mean that the store is down; a call that could not
+ * be made does. */
+static void
+note_store (struct gr_ownership *own, const struct gr_error *error)
+{
+  if (error == NULL)
+    own->failures = 0;
+  else
+    own->failures += error->kind == GR_ERROR_STORE_UNAVAILABLE ? 2 : 1;
+  own->events.store (gr_ownership_store_is_up (own), own->context);
+}
+
 static bool
 is_unknown (const struct gr_error *error)
 {
@@ -188,7 +201,7 @@
   own->heard_ms = own->lease_asked_ms;
   schedule_renewal (own, own->lease_asked_ms + renew_interval_ms (own)
                              - now_ms (own));
-  own->events.store (true, own->context);
+  note_store (own, NULL);
   if (again)
     own->events.reacquired (own->epoch, own->context);
   else
@@ -363,7 +376,7 @@
       create_owner_key (own);
       return;
     }
-  own->events.store (error == NULL, own->context);
+  note_store (own, error);
   if (own->state == GR_OWNERSHIP_RECLAIMING)
     own->retry_timer = g_timeout_add (READ_BACK_MS, grant_again, own);
   else
@@ -410,7 +423,7 @@
   own->polling = false;
   if (own->state != GR_OWNERSHIP_WAITING)
     return;
-  own->events.store (error == NULL, own->context);
+  note_store (own, error);
   if (error != NULL)
     return;
   if (result->n_entries == 0)
@@ -517,7 +530,7 @@
   if (!call_ended (own) || own->state != GR_OWNERSHIP_OWNER
       || own->renewed_lease != own->lease)
     return;
-  own->events.store (error == NULL, own->context);
+  note_store (own, error);
   own->heard_ms = own->lease_asked_ms;
   if (error != NULL)
     schedule_renewal (own, renew_interval_ms (own) / 3);
@@ -638,3 +651,16 @@
   return own->state == GR_OWNERSHIP_OWNER
          && now_ms (own) - own->heard_ms < own->config.ttl_s * 1000;
 }
+
+bool
+gr_ownership_may_renew (const struct gr_ownership *own)
+{
+  return own->state == GR_OWNERSHIP_RECLAIMING
+         || gr_ownership_may_command (own);
+}
+
+bool
+gr_ownership_store_is_up (const struct gr_ownership *own)
+{
+  return own->failures < 2;
+}
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -87,6 +87,14 @@
  * answered or has been found unreachable. */
 bool gr_ownership_may_command (const struct gr_ownership *ownership);
 
+/* Whether the store answers. */
+bool gr_ownership_store_is_up (const struct gr_ownership *ownership);
+
+/* Whether worker leases may be renewed: also while the owner key is created
+ * again, because a renewal starts nothing and running work would end without
+ * it. */
+bool gr_ownership_may_renew (const struct gr_ownership *ownership);
+
 /* A commit failed on the compare with the owner key, which is now owner, or
  * NULL if there is none. Ends in lost or reacquired. */
 void gr_ownership_contested (struct gr_ownership *ownership,
--- a/scheduler/pages.c
+++ b/scheduler/pages.c
@@ -17,6 +17,9 @@
   size_t reserved;
   uint64_t version;
   uint64_t durable_version;
+  enum gr_job_state state;
+  enum gr_job_state durable_state;
+  bool unreadable;
   bool cancel_or_end;
   bool durable_end;
 };
@@ -160,6 +163,7 @@
            gr_job_state_is_final (record->state) ? 0 : entry->reserved);
   page->reserved += entry->reserved;
   entry->version = record->version;
+  entry->state = record->state;
   entry->cancel_or_end =
       record->cancel_asked || gr_job_state_is_final (record->state);
 }
@@ -179,17 +183,35 @@
   return true;
 }
 
-void
-gr_pages_remove (struct gr_pages *pages, const char *job)
+static void
+prune_page (struct page *page,
+            bool (*keep) (const char *job, void *context),
+            void *context)
 {
-  struct page *page = page_of (pages, job);
-  struct entry *entry = g_hash_table_lookup (page->entries, job);
+  GHashTableIter iter;
+  void *key;
+  void *value;
 
-  if (entry == NULL)
-    return;
-  page->bytes -= g_bytes_get_size (entry->bytes);
-  page->reserved -= entry->reserved;
-  g_hash_table_remove (page->entries, job);
+  g_hash_table_iter_init (&iter, page->entries);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const struct entry *entry = value;
+
+      if (entry->unreadable || keep (key, context))
+        continue;
+      page->bytes -= g_bytes_get_size (entry->bytes);
+      page->reserved -= entry->reserved;
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+void
+gr_pages_prune (struct gr_pages *pages,
+                bool (*keep) (const char *job, void *context),
+                void *context)
+{
+  for (uint32_t i = 0; i < GR_PAGES; i++)
+    prune_page (&pages->pages[i], keep, context);
 }
 
 bool
@@ -219,6 +241,10 @@
 append_change (const char *job, const struct entry *entry, GArray *changes)
 {
   struct gr_page_change change = { .version = entry->version,
+                                   .state = entry->state,
+                                   .new_state =
+                                       entry->durable_version == 0
+                                       || entry->state != entry->durable_state,
                                    .cancel_or_end = entry->cancel_or_end };
 
   if (entry->version == entry->durable_version)
@@ -272,6 +298,7 @@
       if (entry == NULL)
         continue;
       entry->durable_version = changes[i].version;
+      entry->durable_state = changes[i].state;
       entry->durable_end = changes[i].cancel_or_end;
     }
 }
@@ -309,6 +336,7 @@
   g_bytes_unref (entry->bytes);
   entry->bytes = g_bytes_new (buffer.data, buffer.size);
   entry->reserved = buffer.size;
+  entry->unreadable = true;
   page->reserved += buffer.size;
   page->bytes += buffer.size;
   msgpack_sbuffer_destroy (&buffer);
@@ -322,6 +350,7 @@
 
   set_entry (page, entry, record);
   entry->durable_version = record->version;
+  entry->durable_state = record->state;
   entry->durable_end = entry->cancel_or_end;
 }
 
--- a/scheduler/pages.h
+++ b/scheduler/pages.h
@@ -20,6 +20,8 @@
 {
   char job[GR_ID_MAX];
   uint64_t version;
+  enum gr_job_state state;
+  bool new_state;     /* the durable record has another state */
   bool cancel_or_end; /* the record says that its end is asked for, or came */
 };
 
@@ -39,8 +41,11 @@
  * page changed. */
 bool gr_pages_put (struct gr_pages *pages, const struct gr_job_record *record);
 
-/* Takes a record out; its page is written without it at the next change. */
-void gr_pages_remove (struct gr_pages *pages, const char *job);
+/* Takes the records out for which keep is false; a page is written without them
+ * at its next change. */
+void gr_pages_prune (struct gr_pages *pages,
+                     bool (*keep) (const char *job, void *context),
+                     void *context);
 
 bool gr_pages_is_dirty (const struct gr_pages *pages, uint32_t page);
 
--- /dev/null
+++ b/scheduler/shard-jobs.c
@@ -0,0 +1,452 @@
+/* Calls about jobs. Submissions and cancellations are answered when their
+ * record is durable. */
+#include "scheduler/shard-private.h"
+
+#include "rpc/job-codec.h"
+
+#include <string.h>
+
+/* A call that does not say how long it waits is answered by then. */
+#define DEFAULT_WAIT_MS 4000
+#define MAX_WAIT_MS 60000
+
+#define RETRY_AFTER_MS 1000
+
+#define DEFAULT_LIMIT 100
+#define MAX_LIMIT 1000
+
+/* Below GR_FRAME_MAX_BYTES, with room for the frame. */
+#define MAX_LIST_BYTES 700000
+
+/* A call that waits for a commit. */
+struct waiter
+{
+  struct gr_shard *shard;
+  struct gr_rpc_call *call;
+  char job[GR_ID_MAX];
+  bool end; /* waits for the cancellation, else for the job as such */
+  guint timer;
+};
+
+static void
+waiter_free (struct waiter *waiter)
+{
+  if (waiter->timer != 0)
+    g_source_remove (waiter->timer);
+  g_free (waiter);
+}
+
+void
+gr_shard_init_waiters (struct gr_shard *shard)
+{
+  shard->waiters =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+}
+
+static void
+answer_record (struct gr_shard *shard,
+               struct gr_rpc_call *call,
+               const char *job)
+{
+  const struct gr_job_record *record = gr_core_find (shard->core, job);
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_packer *body;
+
+  if (record == NULL)
+    {
+      gr_error_set (&error, GR_ERROR_NOT_FOUND, "no job \"%s\"", job);
+      gr_rpc_fail (call, &error);
+      return;
+    }
+  body = gr_pack_job_record (record);
+  gr_rpc_answer (call, body);
+  gr_packer_destroy (body);
+}
+
+static bool
+is_satisfied (const struct waiter *waiter)
+{
+  const struct gr_journal *journal = waiter->shard->journal;
+
+  if (waiter->end)
+    return gr_journal_end_is_durable (journal, waiter->job);
+  return gr_journal_durable_version (journal, waiter->job) > 0;
+}
+
+/* The list of waiters of a job, without its entry in the table. */
+static GSList *
+take_waiters (struct gr_shard *shard, const char *job)
+{
+  void *key = NULL;
+  void *list = NULL;
+
+  if (!g_hash_table_steal_extended (shard->waiters, job, &key, &list))
+    return NULL;
+  g_free (key);
+  return list;
+}
+
+static void
+add_waiter (struct waiter *waiter)
+{
+  GSList *list = take_waiters (waiter->shard, waiter->job);
+
+  list = g_slist_prepend (list, waiter);
+  g_hash_table_insert (waiter->shard->waiters, g_strdup (waiter->job), list);
+}
+
+void
+gr_shard_job_durable (struct gr_shard *shard, const char *job)
+{
+  GSList *list = take_waiters (shard, job);
+
+  for (GSList *link = list; link != NULL; link = link->next)
+    {
+      struct waiter *waiter = link->data;
+
+      if (!is_satisfied (waiter))
+        {
+          add_waiter (waiter);
+          continue;
+        }
+      answer_record (shard, waiter->call, job);
+      waiter_free (waiter);
+    }
+  g_slist_free (list);
+}
+
+/* Whoever asked must not conclude that nothing will happen: the record may be
+ * in the store, or the job is still known here and will be written. */
+static void
+fail_unconfirmed (struct gr_rpc_call *call, const char *job)
+{
+  struct gr_error error = GR_ERROR_INIT;
+
+  gr_error_set_retry (&error, GR_ERROR_UNCONFIRMED, RETRY_AFTER_MS,
+                      "the record of job %s is not known to be durable", job);
+  gr_rpc_fail (call, &error);
+}
+
+static gboolean
+wait_ended (gpointer data)
+{
+  struct waiter *waiter = data;
+  GSList *list = take_waiters (waiter->shard, waiter->job);
+
+  waiter->timer = 0;
+  list = g_slist_remove (list, waiter);
+  if (list != NULL)
+    g_hash_table_insert (waiter->shard->waiters, g_strdup (waiter->job), list);
+  fail_unconfirmed (waiter->call, waiter->job);
+  waiter_free (waiter);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+fail_waiter (struct waiter *waiter)
+{
+  struct gr_error error = GR_ERROR_INIT;
+
+  if (gr_journal_is_in_flight (waiter->shard->journal, waiter->job))
+    {
+      fail_unconfirmed (waiter->call, waiter->job);
+      return;
+    }
+  gr_error_set_retry (&error, GR_ERROR_NO_OWNER, RETRY_AFTER_MS,
+                      "shard %s changes its owner", waiter->shard->name);
+  gr_rpc_fail (waiter->call, &error);
+}
+
+void
+gr_shard_fail_waiters (struct gr_shard *shard)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, shard->waiters);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      GSList *list = value;
+
+      for (GSList *link = list; link != NULL; link = link->next)
+        {
+          fail_waiter (link->data);
+          waiter_free (link->data);
+        }
+      g_slist_free (list);
+    }
+  g_hash_table_destroy (shard->waiters);
+}
+
+/* Answers now if the store has the record, or when it has it. */
+static void
+answer_when_durable (struct gr_shard *shard,
+                     struct gr_rpc_call *call,
+                     const char *job,
+                     bool end,
+                     const msgpack_object *body)
+{
+  int64_t wait_ms = gr_unpack_int (body, "timeout_ms", DEFAULT_WAIT_MS);
+  struct waiter *waiter = g_new0 (struct waiter, 1);
+
+  waiter->shard = shard;
+  waiter->call = call;
+  waiter->end = end;
+  g_strlcpy (waiter->job, job, sizeof waiter->job);
+  if (is_satisfied (waiter))
+    {
+      answer_record (shard, call, job);
+      waiter_free (waiter);
+      return;
+    }
+  waiter->timer = g_timeout_add ((guint)CLAMP (wait_ms, 1, MAX_WAIT_MS),
+                                 wait_ended, waiter);
+  add_waiter (waiter);
+}
+
+/* --- Submissions and cancellations -------------------------------------- */
+
+static bool
+check_writable (struct gr_shard *shard, struct gr_error *error)
+{
+  if (!gr_shard_is_ready (shard))
+    return gr_error_set_retry (error, GR_ERROR_NO_OWNER, RETRY_AFTER_MS,
+                               "shard %s changes its owner", shard->name);
+  if (!gr_shard_takes_writes (shard))
+    return gr_error_set_retry (error, GR_ERROR_STORE_UNAVAILABLE,
+                               RETRY_AFTER_MS,
+                               "the record cannot be made durable now");
+  if (!gr_settings_store_is_current (shard->env.settings))
+    return gr_error_set_retry (error, GR_ERROR_STALE_SETTINGS, RETRY_AFTER_MS,
+                               "settings cannot be confirmed now");
+  return true;
+}
+
+/* A job that the store has already needs no write. */
+static bool
+check_submission (struct gr_shard *shard,
+                  const struct gr_job_spec *spec,
+                  struct gr_error *error)
+{
+  char job[GR_ID_MAX];
+
+  g_snprintf (job, sizeof job, "%s.%s.%s", shard->name, spec->account,
+              spec->key);
+  if (gr_core_find (shard->core, job) != NULL)
+    return gr_shard_is_ready (shard) || check_writable (shard, error);
+  return check_writable (shard, error)
+         && gr_journal_have_room (shard->journal, job, spec, error);
+}
+
+void
+gr_shard_submit (struct gr_shard *shard,
+                 struct gr_rpc_call *call,
+                 const msgpack_object *body)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  const struct gr_job_record *record = NULL;
+  struct gr_job_spec spec;
+  char job[GR_ID_MAX];
+
+  if (!gr_unpack_job_spec (body, &spec, &error))
+    {
+      gr_rpc_fail (call, &error);
+      return;
+    }
+  if (!check_submission (shard, &spec, &error)
+      || !gr_core_submit (shard->core, &spec,
+                          gr_clock_now_ms (shard->env.clock),
+                          gr_clock_unix_ms (), &record, &error))
+    {
+      gr_job_spec_clear (&spec);
+      gr_rpc_fail (call, &error);
+      return;
+    }
+  gr_job_spec_clear (&spec);
+  g_strlcpy (job, record->id, sizeof job);
+  gr_journal_put (shard->journal, record);
+  answer_when_durable (shard, call, job, false, body);
+}
+
+static char *
+job_of_body (const msgpack_object *body, struct gr_error *error)
+{
+  char *job = gr_unpack_string (body, "job");
+
+  if (job == NULL)
+    gr_error_set (error, GR_ERROR_BAD_REQUEST, "\"job\" is missing");
+  return job;
+}
+
+static bool
+cancel_job (struct gr_shard *shard, const char *job, struct gr_error *error)
+{
+  return check_writable (shard, error)
+         && gr_core_cancel (shard->core, job,
+                            gr_clock_now_ms (shard->env.clock), error);
+}
+
+void
+gr_shard_cancel (struct gr_shard *shard,
+                 struct gr_rpc_call *call,
+                 const msgpack_object *body)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  char *job = job_of_body (body, &error);
+
+  if (job == NULL || !cancel_job (shard, job, &error))
+    {
+      gr_rpc_fail (call, &error);
+      g_free (job);
+      return;
+    }
+  gr_journal_put (shard->journal, gr_core_find (shard->core, job));
+  gr_shard_tick_within (shard, 0);
+  answer_when_durable (shard, call, job, true, body);
+  g_free (job);
+}
+
+/* --- Reading ------------------------------------------------------------ */
+
+static bool
+check_readable (const struct gr_shard *shard, struct gr_error *error)
+{
+  if (shard->phase != GR_SHARD_RECOVERING)
+    return true;
+  return gr_error_set_retry (error, GR_ERROR_NO_OWNER, RETRY_AFTER_MS,
+                             "shard %s is being recovered", shard->name);
+}
+
+void
+gr_shard_show (struct gr_shard *shard,
+               struct gr_rpc_call *call,
+               const msgpack_object *body)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  char *job = job_of_body (body, &error);
+
+  if (job == NULL || !check_readable (shard, &error))
+    gr_rpc_fail (call, &error);
+  else
+    answer_record (shard, call, job);
+  g_free (job);
+}
+
+struct list_query
+{
+  char *account; /* NULL: all */
+  char *after;
+  bool any_state;
+  enum gr_job_state state;
+  uint32_t limit;
+  GPtrArray *found; /* const struct gr_job_record */
+};
+
+static void
+match_record (const struct gr_job_record *record, void *context)
+{
+  struct list_query *query = context;
+
+  if (query->account != NULL
+      && strcmp (query->account, record->spec.account) != 0)
+    return;
+  if (!query->any_state && record->state != query->state)
+    return;
+  if (query->after != NULL && strcmp (record->id, query->after) <= 0)
+    return;
+  g_ptr_array_add (query->found, (void *)record);
+}
+
+static gint
+compare_ids (gconstpointer a, gconstpointer b)
+{
+  const struct gr_job_record *const *left = a;
+  const struct gr_job_record *const *right = b;
+
+  return strcmp ((*left)->id, (*right)->id);
+}
+
+/* Records of a list are without placements, which can be 200 KB for one gang
+ * of 1024; job.show has them. */
+static struct gr_packer *
+pack_list (const struct list_query *query)
+{
+  struct gr_packer *body = gr_packer_create ();
+  size_t total = 0;
+  guint i;
+
+  gr_pack_array_begin (body, "jobs");
+  for (i = 0; i < query->found->len && i < query->limit; i++)
+    {
+      struct gr_job_record record =
+          *(const struct gr_job_record *)query->found->pdata[i];
+      struct gr_packer *element;
+      size_t size;
+
+      record.n_placements = 0;
+      element = gr_pack_job_record (&record);
+      gr_packer_data (element, &size);
+      total += size;
+      gr_pack_array_add (body, element);
+      if (total > MAX_LIST_BYTES)
+        {
+          i++;
+          break;
+        }
+    }
+  gr_pack_array_end (body);
+  if (i > 0 && i < query->found->len)
+    {
+      const struct gr_job_record *last = query->found->pdata[i - 1];
+
+      gr_pack_string (body, "next", last->id);
+    }
+  return body;
+}
+
+static bool
+read_query (const msgpack_object *body,
+            struct list_query *query,
+            struct gr_error *error)
+{
+  char *state = gr_unpack_string (body, "state");
+  int64_t limit = gr_unpack_int (body, "limit", DEFAULT_LIMIT);
+  bool known;
+
+  query->any_state = state == NULL || state[0] == '\0';
+  known = query->any_state || gr_job_state_from_name (state, &query->state);
+  if (!known)
+    gr_error_set (error, GR_ERROR_BAD_REQUEST, "no job state \"%s\"", state);
+  g_free (state);
+  query->limit = (uint32_t)CLAMP (limit, 1, MAX_LIMIT);
+  query->account = gr_unpack_string (body, "account");
+  if (query->account != NULL && query->account[0] == '\0')
+    g_clear_pointer (&query->account, g_free);
+  query->after = gr_unpack_string (body, "after");
+  query->found = g_ptr_array_new ();
+  return known;
+}
+
+void
+gr_shard_list (struct gr_shard *shard,
+               struct gr_rpc_call *call,
+               const msgpack_object *body)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct list_query query = { 0 };
+  struct gr_packer *answer;
+
+  if (!read_query (body, &query, &error) || !check_readable (shard, &error))
+    gr_rpc_fail (call, &error);
+  else
+    {
+      gr_core_each_job (shard->core, match_record, &query);
+      g_ptr_array_sort (query.found, compare_ids);
+      answer = pack_list (&query);
+      gr_rpc_answer (call, answer);
+      gr_packer_destroy (answer);
+    }
+  g_free (query.account);
+  g_free (query.after);
+  g_ptr_array_unref (query.found);
+}
--- /dev/null
+++ b/scheduler/worker-io.c
@@ -0,0 +1,524 @@
+#include "scheduler/worker-io.h"
+
+#include <string.h>
+
+/* Wait before a command is tried again, or until commands may be sent. */
+#define RETRY_MS 100
+
+#define MAX_RENEWALS_PER_CALL 64
+
+enum call_kind
+{
+  CALL_COMMAND,
+  CALL_REPORT,
+};
+
+/* An element of the queue of a worker. */
+struct call
+{
+  enum call_kind kind;
+  struct gr_command command;
+  char *spec;
+};
+
+struct worker
+{
+  struct gr_worker_io *io; /* NULL once removed */
+  char name[GR_NAME_MAX];
+  char address[GR_NAME_MAX];
+  bool listed;
+  bool named; /* since the last gr_worker_io_targets_done () */
+  bool busy;
+  bool silent; /* the last call was not answered */
+  bool in_flight;
+  bool report_queued;
+  GQueue calls; /* struct call; the head is the one in flight */
+  uint32_t batch;
+  uint32_t tries;
+  int64_t heard_ms;
+  guint next_timer;
+  guint report_timer;
+};
+
+struct gr_worker_io
+{
+  struct gr_worker_client *client;
+  const struct gr_clock *clock;
+  char *holder;
+  struct gr_worker_io_events events;
+  void *context;
+  GHashTable *workers; /* name to struct worker */
+  uint32_t pending;
+  struct gr_counter *commands;
+  struct gr_counter *reports;
+  struct gr_counter *failures;
+};
+
+static void start_next (struct worker *worker);
+static void schedule_report (struct worker *worker, uint32_t delay_ms);
+
+static void
+call_free (void *data)
+{
+  struct call *call = data;
+
+  g_free (call->spec);
+  g_free (call);
+}
+
+static void
+stop_timer (guint *timer)
+{
+  if (*timer != 0)
+    g_source_remove (*timer);
+  *timer = 0;
+}
+
+static void
+worker_free (struct worker *worker)
+{
+  g_queue_clear_full (&worker->calls, call_free);
+  g_free (worker);
+}
+
+/* The struct stays until the answer of the call in flight is there. */
+static void
+worker_remove (void *data)
+{
+  struct worker *worker = data;
+
+  stop_timer (&worker->next_timer);
+  stop_timer (&worker->report_timer);
+  worker->io = NULL;
+  if (!worker->in_flight)
+    worker_free (worker);
+}
+
+static gboolean
+next_due (gpointer data)
+{
+  struct worker *worker = data;
+
+  worker->next_timer = 0;
+  start_next (worker);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+start_later (struct worker *worker, uint32_t delay_ms)
+{
+  if (worker->next_timer == 0)
+    worker->next_timer = g_timeout_add (delay_ms, next_due, worker);
+}
+
+/* --- Answers ------------------------------------------------------------ */
+
+static const char *
+answer_id (const struct gr_command *command)
+{
+  switch (command->kind)
+    {
+    case GR_COMMAND_GRANT:
+    case GR_COMMAND_RENEW:
+    case GR_COMMAND_RELEASE:
+      return command->lease;
+    default:
+      return command->task;
+    }
+}
+
+static bool
+is_silence (enum gr_error_kind kind)
+{
+  return kind == GR_ERROR_TIMEOUT || kind == GR_ERROR_IO
+         || kind == GR_ERROR_NO_TARGET;
+}
+
+static void
+note_heard (struct worker *worker, enum gr_error_kind kind)
+{
+  worker->silent = is_silence (kind);
+  if (worker->silent)
+    gr_counter_add (worker->io->failures, 1);
+  else
+    worker->heard_ms = gr_clock_now_ms (worker->io->clock);
+}
+
+/* Takes the batch at the head of the queue off and reports its outcome. */
+static void
+finish_batch (struct worker *worker, enum gr_error_kind kind)
+{
+  struct gr_worker_io *io = worker->io;
+  uint32_t batch = worker->batch;
+
+  worker->batch = 0;
+  worker->tries = 0;
+  for (uint32_t i = 0; i < batch; i++)
+    {
+      struct call *call = g_queue_pop_head (&worker->calls);
+
+      io->pending--;
+      io->events.answer (call->command.kind, answer_id (&call->command), kind,
+                         io->context);
+      call_free (call);
+    }
+}
+
+static void
+command_done (const struct gr_error *error, void *context)
+{
+  struct worker *worker = context;
+  enum gr_error_kind kind = error != NULL ? error->kind : GR_ERROR_NONE;
+  /* A worker that was silent before this command gets one try. */
+  uint32_t max_tries =
+      worker->tries == 0 && worker->silent ? 1 : GR_WORKER_TRIES;
+
+  worker->in_flight = false;
+  if (worker->io == NULL)
+    {
+      worker_free (worker);
+      return;
+    }
+  note_heard (worker, kind);
+  worker->tries++;
+  if (worker->silent && worker->tries < max_tries)
+    {
+      start_later (worker, RETRY_MS);
+      return;
+    }
+  finish_batch (worker, kind);
+  start_next (worker);
+}
+
+static void
+report_done (const struct gr_worker_report *report,
+             const struct gr_error *error,
+             void *context)
+{
+  struct worker *worker = context;
+  struct gr_worker_io *io = worker->io;
+  uint32_t delay_ms = GR_REPORT_BUSY_MS;
+
+  worker->in_flight = false;
+  if (io == NULL)
+    {
+      worker_free (worker);
+      return;
+    }
+  call_free (g_queue_pop_head (&worker->calls));
+  worker->report_queued = false;
+  note_heard (worker, error != NULL ? error->kind : GR_ERROR_NONE);
+  if (report != NULL)
+    {
+      worker->busy = report->n_leases > 0 || report->n_tasks > 0;
+      if (!worker->busy)
+        delay_ms = GR_REPORT_IDLE_MS;
+      io->events.report (report, io->context);
+    }
+  schedule_report (worker, delay_ms);
+  start_next (worker);
+}
+
+/* --- Calls -------------------------------------------------------------- */
+
+static void
+send_renewals (struct worker *worker)
+{
+  const char *leases[MAX_RENEWALS_PER_CALL];
+  const struct call *first = g_queue_peek_head (&worker->calls);
+  uint32_t n = 0;
+
+  for (GList *link = worker->calls.head;
+       link != NULL && n < MAX_RENEWALS_PER_CALL; link = link->next)
+    {
+      const struct call *call = link->data;
+
+      if (call->kind != CALL_COMMAND || call->command.kind != GR_COMMAND_RENEW
+          || call->command.term_ms != first->command.term_ms)
+        break;
+      leases[n++] = call->command.lease;
+    }
+  worker->batch = n;
+  gr_worker_renew (worker->io->client, worker->address, leases, n,
+                   first->command.term_ms, GR_WORKER_CALL_MS, command_done,
+                   worker);
+}
+
+static void
+send_action (struct worker *worker,
+             const struct gr_command *command,
+             enum gr_task_action action)
+{
+  gr_worker_act (worker->io->client, worker->address, command->task, action,
+                 100, GR_WORKER_CALL_MS, command_done, worker);
+}
+
+static void
+send_command (struct worker *worker, const struct call *call)
+{
+  const struct gr_command *command = &call->command;
+  struct gr_worker_io *io = worker->io;
+
+  worker->in_flight = true;
+  worker->batch = 1;
+  gr_counter_add (io->commands, 1);
+  switch (command->kind)
+    {
+    case GR_COMMAND_GRANT:
+      gr_worker_grant (io->client, worker->address, command->lease, io->holder,
+                       command->accelerators, command->term_ms,
+                       GR_WORKER_CALL_MS, command_done, worker);
+      break;
+    case GR_COMMAND_RENEW:
+      send_renewals (worker);
+      break;
+    case GR_COMMAND_RELEASE:
+      gr_worker_release (io->client, worker->address, command->lease,
+                         GR_WORKER_CALL_MS, command_done, worker);
+      break;
+    case GR_COMMAND_START:
+      gr_worker_start (io->client, worker->address, command->lease,
+                       command->task, 0, call->spec, GR_WORKER_CALL_MS,
+                       command_done, worker);
+      break;
+    case GR_COMMAND_UNTHROTTLE:
+      send_action (worker, command, GR_TASK_THROTTLE);
+      break;
+    case GR_COMMAND_CHECKPOINT:
+      send_action (worker, command, GR_TASK_CHECKPOINT);
+      break;
+    case GR_COMMAND_STOP:
+      send_action (worker, command, GR_TASK_STOP);
+      break;
+    case GR_COMMAND_COMMIT:
+      g_assert_not_reached ();
+    }
+}
+
+static void
+start_report (struct worker *worker)
+{
+  worker->in_flight = true;
+  gr_counter_add (worker->io->reports, 1);
+  gr_worker_get_report (worker->io->client, worker->address, GR_WORKER_CALL_MS,
+                        report_done, worker);
+}
+
+/* Moves the first call that may go ahead of held commands to the head. */
+static const struct call *
+pass_held_commands (struct worker *worker)
+{
+  struct gr_worker_io *io = worker->io;
+  bool may_renew = io->events.may_renew (io->context);
+
+  for (GList *link = worker->calls.head; link != NULL; link = link->next)
+    {
+      struct call *call = link->data;
+
+      if (call->kind != CALL_REPORT
+          && !(may_renew && call->command.kind == GR_COMMAND_RENEW))
+        continue;
+      g_queue_unlink (&worker->calls, link);
+      g_queue_push_head_link (&worker->calls, link);
+      return call;
+    }
+  return NULL;
+}
+
+static void
+start_next (struct worker *worker)
+{
+  const struct call *call = g_queue_peek_head (&worker->calls);
+
+  if (worker->in_flight || worker->next_timer != 0 || call == NULL)
+    return;
+  if (call->kind == CALL_COMMAND
+      && !worker->io->events.may_command (worker->io->context))
+    call = pass_held_commands (worker);
+  if (call == NULL)
+    start_later (worker, RETRY_MS);
+  else if (call->kind == CALL_REPORT)
+    start_report (worker);
+  else
+    send_command (worker, call);
+}
+
+/* --- Reports ------------------------------------------------------------ */
+
+static gboolean
+report_due (gpointer data)
+{
+  struct worker *worker = data;
+  struct call *call;
+
+  worker->report_timer = 0;
+  if (worker->report_queued)
+    return G_SOURCE_REMOVE;
+  worker->report_queued = true;
+  call = g_new0 (struct call, 1);
+  call->kind = CALL_REPORT;
+  g_queue_push_tail (&worker->calls, call);
+  start_next (worker);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+schedule_report (struct worker *worker, uint32_t delay_ms)
+{
+  stop_timer (&worker->report_timer);
+  worker->report_timer = g_timeout_add (delay_ms, report_due, worker);
+}
+
+void
+gr_worker_io_poll_all (struct gr_worker_io *io)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, io->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    schedule_report (value, 0);
+}
+
+/* --- Workers ------------------------------------------------------------ */
+
+void
+gr_worker_io_target (struct gr_worker_io *io,
+                     const char *name,
+                     const char *address,
+                     bool listed)
+{
+  struct worker *worker = g_hash_table_lookup (io->workers, name);
+
+  if (worker == NULL)
+    {
+      worker = g_new0 (struct worker, 1);
+      worker->io = io;
+      worker->heard_ms = gr_clock_now_ms (io->clock);
+      g_strlcpy (worker->name, name, sizeof worker->name);
+      g_queue_init (&worker->calls);
+      g_hash_table_insert (io->workers, worker->name, worker);
+      schedule_report (worker, 0);
+    }
+  g_strlcpy (worker->address, address, sizeof worker->address);
+  worker->listed = listed;
+  worker->named = true;
+}
+
+/* Commands for a worker that is gone are answered as not delivered. */
+static void
+answer_all (struct worker *worker)
+{
+  struct gr_worker_io *io = worker->io;
+  struct call *call;
+
+  while ((call = g_queue_pop_head (&worker->calls)) != NULL)
+    {
+      if (call->kind == CALL_COMMAND)
+        {
+          io->pending--;
+          io->events.answer (call->command.kind, answer_id (&call->command),
+                             GR_ERROR_NO_TARGET, io->context);
+        }
+      call_free (call);
+    }
+}
+
+static bool
+is_gone (const struct worker *worker)
+{
+  return !worker->listed && worker->silent && !worker->in_flight
+         && gr_clock_now_ms (worker->io->clock) - worker->heard_ms
+                >= GR_WORKER_GONE_MS;
+}
+
+void
+gr_worker_io_targets_done (struct gr_worker_io *io)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, io->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct worker *worker = value;
+
+      worker->listed = worker->listed && worker->named;
+      worker->named = false;
+      if (!is_gone (worker))
+        continue;
+      answer_all (worker);
+      io->events.gone (worker->name, io->context);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+void
+gr_worker_io_send (struct gr_worker_io *io, const struct gr_command *command)
+{
+  struct worker *worker = g_hash_table_lookup (io->workers, command->worker);
+  struct call *call;
+
+  if (worker == NULL)
+    {
+      io->events.answer (command->kind, answer_id (command), GR_ERROR_NO_TARGET,
+                         io->context);
+      return;
+    }
+  call = g_new0 (struct call, 1);
+  call->kind = CALL_COMMAND;
+  call->command = *command;
+  call->command.spec = NULL;
+  call->spec = g_strdup (command->spec);
+  g_queue_push_tail (&worker->calls, call);
+  io->pending++;
+  if (!worker->busy)
+    {
+      worker->busy = true;
+      if (!worker->report_queued)
+        schedule_report (worker, GR_REPORT_BUSY_MS);
+    }
+  start_next (worker);
+}
+
+uint32_t
+gr_worker_io_pending (const struct gr_worker_io *io)
+{
+  return io->pending;
+}
+
+struct gr_worker_io *
+gr_worker_io_create (struct gr_worker_client *client,
+                     const struct gr_clock *clock,
+                     struct gr_counters *counters,
+                     const char *shard,
+                     const char *holder,
+                     const struct gr_worker_io_events *events,
+                     void *context)
+{
+  struct gr_worker_io *io = g_new0 (struct gr_worker_io, 1);
+  char *labels = g_strdup_printf ("shard=\"%s\"", shard);
+
+  io->client = client;
+  io->clock = clock;
+  io->holder = g_strdup (holder);
+  io->events = *events;
+  io->context = context;
+  io->workers =
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, worker_remove);
+  io->commands = gr_counters_get (counters, "worker_commands_total", labels);
+  io->reports = gr_counters_get (counters, "worker_reports_total", labels);
+  io->failures = gr_counters_get (counters, "worker_failures_total", labels);
+  g_free (labels);
+  return io;
+}
+
+void
+gr_worker_io_destroy (struct gr_worker_io *io)
+{
+  if (io == NULL)
+    return;
+  g_hash_table_destroy (io->workers);
+  g_free (io->holder);
+  g_free (io);
+}
