route: limits, allotments, executor choice, queue and retry budget

Cause: the request path needs its decisions as pure tables. Change: rate limits with floor, home allotment and static split; executor table with two choices, long share, connection limit, quarantine and probes; learned run times; bounded queue; retry budget. Ruled out: a share of long work counted by each entry alone, since the sum over entries is then unbounded; the part of the executors for long kinds is found by hash, the same on all entries.

--- /dev/null
+++ b/route/executors.c
@@ -0,0 +1,462 @@
+#include "route/executors.h"
+
+#include "common/hash.h"
+
+#include <string.h>
+
+struct executor
+{
+  struct gr_executor_info info;
+  bool listed;
+  bool long_allowed; /* in the part that long kinds may use */
+  uint64_t order;    /* position in the order that decides on that part */
+  uint32_t failures; /* in a row */
+  uint32_t refusals; /* in a row */
+  int64_t busy_until_ms;
+  int64_t quarantine_ms; /* 0: not in quarantine */
+  int64_t probe_at_ms;
+};
+
+struct gr_executors
+{
+  GPtrArray *table;
+  GHashTable *by_name;
+  enum gr_choice choice;
+  uint32_t connections;
+  uint32_t long_share_percent;
+  uint32_t total_slots;
+  uint32_t in_flight;
+  uint32_t long_in_flight;
+};
+
+struct gr_executors *
+gr_executors_create (void)
+{
+  struct gr_executors *executors = g_new0 (struct gr_executors, 1);
+
+  executors->table = g_ptr_array_new_with_free_func (g_free);
+  executors->by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  executors->choice = GR_CHOICE_TWO_CHOICES;
+  executors->connections = 6;
+  executors->long_share_percent = 50;
+  return executors;
+}
+
+void
+gr_executors_destroy (struct gr_executors *executors)
+{
+  if (executors == NULL)
+    return;
+  g_hash_table_destroy (executors->by_name);
+  g_ptr_array_unref (executors->table);
+  g_free (executors);
+}
+
+static bool
+in_use (const struct executor *executor)
+{
+  return executor->listed && !executor->info.leaving;
+}
+
+static int
+compare_order (const void *a, const void *b)
+{
+  const struct executor *left = *(struct executor *const *)a;
+  const struct executor *right = *(struct executor *const *)b;
+
+  return left->order < right->order ? -1 : left->order > right->order;
+}
+
+/* Long kinds use the first executors, in an order by hash, whose slots are at
+ * most the share of all. All entries find the same part without talking to
+ * each other, so the rest stays free of long work (Hawk, ATC 2015). */
+static void
+divide (struct gr_executors *executors)
+{
+  uint64_t part = 0;
+  bool first = true;
+
+  executors->total_slots = 0;
+  g_ptr_array_sort (executors->table, compare_order);
+  for (guint i = 0; i < executors->table->len; i++)
+    {
+      const struct executor *executor = executors->table->pdata[i];
+
+      if (in_use (executor))
+        executors->total_slots += executor->info.slots;
+    }
+  for (guint i = 0; i < executors->table->len; i++)
+    {
+      struct executor *executor = executors->table->pdata[i];
+
+      executor->long_allowed = false;
+      if (!in_use (executor))
+        continue;
+      part += executor->info.slots;
+      executor->long_allowed =
+          executors->long_share_percent > 0
+          && (first
+              || part * 100 <= (uint64_t)executors->total_slots
+                                   * executors->long_share_percent);
+      first = false;
+    }
+}
+
+void
+gr_executors_configure (struct gr_executors *executors,
+                        enum gr_choice choice,
+                        uint32_t connections,
+                        uint32_t long_share_percent)
+{
+  executors->choice = choice;
+  executors->connections = connections;
+  executors->long_share_percent = long_share_percent;
+  divide (executors);
+}
+
+void
+gr_executors_list_begin (struct gr_executors *executors)
+{
+  for (guint i = 0; i < executors->table->len; i++)
+    ((struct executor *)executors->table->pdata[i])->listed = false;
+}
+
+void
+gr_executors_list_add (struct gr_executors *executors,
+                       const char *name,
+                       const char *address,
+                       bool leaving)
+{
+  struct executor *executor = g_hash_table_lookup (executors->by_name, name);
+
+  if (executor == NULL)
+    {
+      executor = g_new0 (struct executor, 1);
+      g_strlcpy (executor->info.name, name, sizeof executor->info.name);
+      executor->info.slots = GR_EXECUTOR_DEFAULT_SLOTS;
+      executor->order = gr_hash_weight ("long", name);
+      g_ptr_array_add (executors->table, executor);
+      g_hash_table_insert (executors->by_name, executor->info.name, executor);
+    }
+  if (strcmp (executor->info.address, address) != 0)
+    {
+      /* A new process under the same name: nothing is known of it. */
+      g_strlcpy (executor->info.address, address,
+                 sizeof executor->info.address);
+      executor->failures = 0;
+      executor->quarantine_ms = 0;
+      executor->info.others_busy = 0;
+    }
+  executor->listed = true;
+  executor->info.leaving = leaving;
+}
+
+void
+gr_executors_list_end (struct gr_executors *executors)
+{
+  for (guint i = executors->table->len; i > 0; i--)
+    {
+      struct executor *executor = executors->table->pdata[i - 1];
+
+      if (executor->listed || executor->info.in_flight > 0)
+        continue;
+      g_hash_table_remove (executors->by_name, executor->info.name);
+      g_ptr_array_remove_index_fast (executors->table, i - 1);
+    }
+  divide (executors);
+}
+
+static void
+note_busy (struct executor *executor, int32_t busy)
+{
+  if (busy >= 0)
+    executor->info.others_busy =
+        MAX (0, busy - (int32_t)executor->info.in_flight);
+}
+
+void
+gr_executors_report (struct gr_executors *executors,
+                     const char *name,
+                     int32_t slots,
+                     int32_t busy,
+                     bool leaving)
+{
+  struct executor *executor = g_hash_table_lookup (executors->by_name, name);
+
+  if (executor == NULL)
+    return;
+  if (slots >= 1)
+    executor->info.slots = (uint32_t)slots;
+  note_busy (executor, busy);
+  executor->info.leaving = executor->info.leaving || leaving;
+  divide (executors);
+}
+
+static uint32_t
+load_of (const struct executor *executor)
+{
+  return executor->info.in_flight + (uint32_t)executor->info.others_busy;
+}
+
+static bool
+was_tried (const struct executor *executor, const char *const *not_this)
+{
+  for (; not_this != NULL && *not_this != NULL; not_this++)
+    if (strcmp (*not_this, executor->info.name) == 0)
+      return true;
+  return false;
+}
+
+/* One request at a time probes an executor in quarantine. It must be one that
+ * may run twice, since it will probably fail. */
+static bool
+may_probe (const struct executor *executor, bool idempotent, int64_t now_ms)
+{
+  return idempotent && now_ms >= executor->probe_at_ms
+         && executor->info.in_flight == 0;
+}
+
+static bool
+is_eligible (const struct gr_executors *executors,
+             const struct executor *executor,
+             bool is_long,
+             bool idempotent,
+             const char *const *not_this,
+             int64_t now_ms)
+{
+  if (!in_use (executor) || executor->info.in_flight >= executors->connections
+      || now_ms < executor->busy_until_ms || was_tried (executor, not_this))
+    return false;
+  if (executor->quarantine_ms > 0 && !may_probe (executor, idempotent, now_ms))
+    return false;
+  if (executors->choice == GR_CHOICE_RANDOM)
+    return true;
+  return load_of (executor) < executor->info.slots
+         && (!is_long || executor->long_allowed);
+}
+
+static bool
+long_share_is_used_up (const struct gr_executors *executors)
+{
+  uint64_t allowed =
+      (uint64_t)executors->total_slots * executors->long_share_percent / 100;
+
+  if (executors->choice == GR_CHOICE_RANDOM)
+    return false;
+  if (executors->long_share_percent > 0)
+    allowed = MAX (allowed, 1);
+  return executors->long_in_flight >= allowed;
+}
+
+static bool
+is_better (const struct executor *a, const struct executor *b)
+{
+  /* A probe goes first, else an executor in quarantine never comes back. */
+  if ((a->quarantine_ms > 0) != (b->quarantine_ms > 0))
+    return a->quarantine_ms > 0;
+  if (load_of (a) != load_of (b))
+    return load_of (a) < load_of (b);
+  return a->info.latency_ms < b->info.latency_ms;
+}
+
+static struct executor *
+choose (const struct gr_executors *executors,
+        GPtrArray *eligible,
+        GRand *random)
+{
+  gint32 count = (gint32)eligible->len;
+  gint32 first;
+  gint32 second;
+  struct executor *a;
+  struct executor *b;
+
+  if (count == 0)
+    return NULL;
+  first = g_rand_int_range (random, 0, count);
+  a = eligible->pdata[first];
+  if (executors->choice == GR_CHOICE_RANDOM || count == 1)
+    return a;
+  second = g_rand_int_range (random, 0, count - 1);
+  if (second >= first)
+    second++;
+  b = eligible->pdata[second];
+  return is_better (b, a) ? b : a;
+}
+
+const char *
+gr_executors_take (struct gr_executors *executors,
+                   bool is_long,
+                   bool idempotent,
+                   const char *const *not_this,
+                   int64_t now_ms,
+                   GRand *random)
+{
+  GPtrArray *eligible;
+  struct executor *chosen;
+
+  if (is_long && long_share_is_used_up (executors))
+    return NULL;
+  eligible = g_ptr_array_sized_new (executors->table->len);
+  for (guint i = 0; i < executors->table->len; i++)
+    {
+      struct executor *executor = executors->table->pdata[i];
+
+      if (is_eligible (executors, executor, is_long, idempotent, not_this,
+                       now_ms))
+        g_ptr_array_add (eligible, executor);
+    }
+  chosen = choose (executors, eligible, random);
+  g_ptr_array_unref (eligible);
+  if (chosen == NULL)
+    return NULL;
+  chosen->info.in_flight++;
+  executors->in_flight++;
+  if (is_long)
+    {
+      chosen->info.long_in_flight++;
+      executors->long_in_flight++;
+    }
+  return chosen->info.name;
+}
+
+void
+gr_executors_overrun (struct gr_executors *executors, const char *name)
+{
+  struct executor *executor = g_hash_table_lookup (executors->by_name, name);
+
+  if (executor == NULL)
+    return;
+  executor->info.long_in_flight++;
+  executors->long_in_flight++;
+}
+
+static void
+quarantine (struct executor *executor, int64_t now_ms)
+{
+  if (executor->quarantine_ms == 0)
+    executor->quarantine_ms = GR_QUARANTINE_MIN_MS;
+  else if (now_ms >= executor->probe_at_ms)
+    executor->quarantine_ms =
+        MIN (executor->quarantine_ms * 2, GR_QUARANTINE_MAX_MS);
+  executor->probe_at_ms = now_ms + executor->quarantine_ms;
+}
+
+static void
+note_failure (struct executor *executor, bool unreachable, int64_t now_ms)
+{
+  executor->failures++;
+  if (unreachable || executor->failures >= GR_QUARANTINE_FAILURES)
+    quarantine (executor, now_ms);
+}
+
+static void
+note_success (struct executor *executor, int64_t latency_ms)
+{
+  executor->failures = 0;
+  executor->refusals = 0;
+  executor->quarantine_ms = 0;
+  if (executor->info.latency_ms == 0)
+    executor->info.latency_ms = latency_ms;
+  executor->info.latency_ms = (executor->info.latency_ms * 7 + latency_ms) / 8;
+}
+
+static void
+note_refusal (struct executor *executor, int64_t now_ms)
+{
+  int64_t pause_ms = (int64_t)GR_BUSY_MIN_MS << MIN (executor->refusals, 10);
+
+  executor->refusals++;
+  executor->busy_until_ms = now_ms + MIN (pause_ms, GR_BUSY_MAX_MS);
+}
+
+void
+gr_executors_done (struct gr_executors *executors,
+                   const char *name,
+                   bool is_long,
+                   enum gr_try_result result,
+                   int32_t busy,
+                   int64_t latency_ms,
+                   int64_t now_ms)
+{
+  struct executor *executor = g_hash_table_lookup (executors->by_name, name);
+
+  g_return_if_fail (executor != NULL && executor->info.in_flight > 0);
+  executor->info.in_flight--;
+  executors->in_flight--;
+  if (is_long)
+    {
+      executor->info.long_in_flight--;
+      executors->long_in_flight--;
+    }
+  note_busy (executor, busy);
+  switch (result)
+    {
+    case GR_TRY_OK:
+      note_success (executor, latency_ms);
+      break;
+    case GR_TRY_BUSY:
+      note_refusal (executor, now_ms);
+      break;
+    case GR_TRY_LEAVING:
+      executor->info.leaving = true;
+      divide (executors);
+      break;
+    case GR_TRY_UNREACHABLE:
+    case GR_TRY_FAILED:
+      note_failure (executor, result == GR_TRY_UNREACHABLE, now_ms);
+      break;
+    case GR_TRY_GIVEN_UP:
+      break;
+    }
+}
+
+bool
+gr_executors_any (const struct gr_executors *executors)
+{
+  for (guint i = 0; i < executors->table->len; i++)
+    if (in_use (executors->table->pdata[i]))
+      return true;
+  return false;
+}
+
+uint32_t
+gr_executors_in_flight (const struct gr_executors *executors)
+{
+  return executors->in_flight;
+}
+
+static void
+copy_info (const struct executor *executor, struct gr_executor_info *info)
+{
+  *info = executor->info;
+  info->quarantined = executor->quarantine_ms > 0;
+}
+
+bool
+gr_executors_get (const struct gr_executors *executors,
+                  const char *name,
+                  struct gr_executor_info *info)
+{
+  const struct executor *executor =
+      g_hash_table_lookup (executors->by_name, name);
+
+  if (executor == NULL)
+    return false;
+  copy_info (executor, info);
+  return true;
+}
+
+GArray *
+gr_executors_all (const struct gr_executors *executors)
+{
+  GArray *all = g_array_new (FALSE, TRUE, sizeof (struct gr_executor_info));
+
+  for (guint i = 0; i < executors->table->len; i++)
+    {
+      struct gr_executor_info info;
+
+      copy_info (executors->table->pdata[i], &info);
+      g_array_append_val (all, info);
+    }
+  return all;
+}
--- /dev/null
+++ b/route/retry.c
@@ -0,0 +1,65 @@
+#include "route/retry.h"
+
+#include <glib.h>
+
+struct gr_retries
+{
+  GHashTable *saved; /* account to int64_t *hundredths of a retry */
+  uint32_t percent;
+};
+
+struct gr_retries *
+gr_retries_create (uint32_t percent)
+{
+  struct gr_retries *retries = g_new0 (struct gr_retries, 1);
+
+  retries->saved =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  retries->percent = percent;
+  return retries;
+}
+
+void
+gr_retries_destroy (struct gr_retries *retries)
+{
+  if (retries == NULL)
+    return;
+  g_hash_table_destroy (retries->saved);
+  g_free (retries);
+}
+
+void
+gr_retries_set_percent (struct gr_retries *retries, uint32_t percent)
+{
+  retries->percent = percent;
+}
+
+void
+gr_retries_first_try (struct gr_retries *retries, const char *account)
+{
+  int64_t *saved = g_hash_table_lookup (retries->saved, account);
+
+  if (saved == NULL)
+    {
+      saved = g_new0 (int64_t, 1);
+      g_hash_table_insert (retries->saved, g_strdup (account), saved);
+    }
+  *saved = MIN (*saved + retries->percent, 100 * GR_RETRY_MAX_SAVED);
+}
+
+bool
+gr_retries_take (struct gr_retries *retries, const char *account)
+{
+  int64_t *saved = g_hash_table_lookup (retries->saved, account);
+
+  if (saved == NULL || *saved < 100)
+    return false;
+  *saved -= 100;
+  return true;
+}
+
+void
+gr_retries_forget (struct gr_retries *retries, const char *account)
+{
+  g_hash_table_remove (retries->saved, account);
+}
--- /dev/null
+++ b/tests/test-route.c
@@ -0,0 +1,502 @@
+/* Decisions on requests: limits, allotments, executors, queue and retries. */
+#include "route/allot.h"
+#include "route/classes.h"
+#include "route/executors.h"
+#include "route/limit.h"
+#include "route/queue.h"
+#include "route/retry.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ENTRIES 3
+#define RATE 400.0
+
+static GRand *rng;
+
+static void
+setup (void)
+{
+  rng = g_rand_new_with_seed (7);
+}
+
+static void
+teardown (void)
+{
+  g_rand_free (rng);
+}
+
+static int
+admit (struct gr_limits *limits, int64_t now_ms, int tries)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  int admitted = 0;
+
+  for (int i = 0; i < tries; i++)
+    admitted += gr_limits_take (limits, "a", now_ms, rng, &error) ? 1 : 0;
+  return admitted;
+}
+
+/* Guards against a floor above its part of the rate, against bursts at the
+ * start of a second, and against come-back times that are all the same. */
+START_TEST (floor_is_paced_and_refusals_are_spread)
+{
+  struct gr_limits *limits =
+      gr_limits_create (GR_LIMIT_ALLOTTED, GR_PACING_WINDOWS, 0);
+  struct gr_error error = GR_ERROR_INIT;
+  int64_t lowest = INT64_MAX;
+  int64_t highest = 0;
+
+  gr_limits_set_instances (limits, ENTRIES);
+  gr_limits_set_account (limits, "a", RATE, 100000);
+  ck_assert_int_eq (admit (limits, 100000, 100), 5);
+  ck_assert_int_eq (admit (limits, 100050, 100), 0);
+  ck_assert_int_eq (admit (limits, 100300, 100), 15);
+  ck_assert_int_eq (admit (limits, 100999, 100), 30);
+  for (int i = 0; i < 50; i++)
+    {
+      ck_assert (!gr_limits_take (limits, "a", 100999, rng, &error));
+      ck_assert_int_eq (error.kind, GR_ERROR_RATE_LIMITED);
+      lowest = MIN (lowest, error.retry_after_ms);
+      highest = MAX (highest, error.retry_after_ms);
+    }
+  ck_assert_int_ge (lowest, GR_LIMIT_WINDOW_MS);
+  ck_assert_int_gt (highest - lowest, 100);
+  ck_assert (!gr_limits_take (limits, "b", 100999, rng, &error));
+  ck_assert_int_eq (error.kind, GR_ERROR_UNKNOWN_ACCOUNT);
+  gr_limits_set_account (limits, "a", 2, 100999);
+  ck_assert_int_ge (admit (limits, 106000, 10), 1);
+  gr_limits_destroy (limits);
+}
+END_TEST
+
+/* Guards against a paused member that wakes up and uses its old allotment. */
+START_TEST (allotment_ends_one_term_after_its_report)
+{
+  struct gr_limits *limits =
+      gr_limits_create (GR_LIMIT_ALLOTTED, GR_PACING_WINDOWS, 0);
+  double demand;
+
+  gr_limits_set_instances (limits, ENTRIES);
+  gr_limits_set_account (limits, "a", RATE, 50000);
+  ck_assert (gr_limits_report (limits, "a", "h1", 50000, &demand));
+  gr_limits_allotted (limits, "a", "h1", 50000, 100);
+  ck_assert (gr_limits_rate (limits, "a", 50999) > 149);
+  /* The first of ten windows began before the allotment. */
+  ck_assert_int_eq (admit (limits, 50900, 500), 10 * 5 + 9 * 10);
+  ck_assert (gr_limits_rate (limits, "a", 51000) < 51);
+  ck_assert_int_le (admit (limits, 55000, 500), 6);
+  gr_limits_destroy (limits);
+}
+END_TEST
+
+/* Guards against a member that counts for two homes within one term, and
+ * against late answers of a former home. */
+START_TEST (member_reports_to_one_home_at_a_time)
+{
+  struct gr_limits *limits =
+      gr_limits_create (GR_LIMIT_ALLOTTED, GR_PACING_WINDOWS, 49500);
+  double demand;
+
+  gr_limits_set_account (limits, "a", RATE, 49500);
+  ck_assert (!gr_limits_report (limits, "a", "h1", 50000, &demand));
+  ck_assert (gr_limits_report (limits, "a", "h1", 50501, &demand));
+  gr_limits_allotted (limits, "a", "h1", 50501, 100);
+  ck_assert (!gr_limits_report (limits, "a", "h2", 50800, &demand));
+  ck_assert (gr_limits_rate (limits, "a", 50800) < 25);
+  ck_assert (!gr_limits_report (limits, "a", "h2", 51501, &demand));
+  ck_assert (gr_limits_report (limits, "a", "h2", 51502, &demand));
+  gr_limits_allotted (limits, "a", "h1", 50501, 100);
+  ck_assert (gr_limits_rate (limits, "a", 51502) < 25);
+  ck_assert (!gr_limits_report (limits, "a", "h1", 51800, &demand));
+  ck_assert (gr_limits_report (limits, "a", "h1", 52503, &demand));
+  gr_limits_allotted (limits, "a", "h1", 50501, 100);
+  ck_assert (gr_limits_rate (limits, "a", 52503) < 25);
+  gr_limits_destroy (limits);
+}
+END_TEST
+
+/* A small world of entries that each are member and home, with a network that
+ * loses and delays reports and entries that pause. */
+#define WORLD_ENTRIES (ENTRIES + 1)
+
+struct world
+{
+  struct gr_limits *member[WORLD_ENTRIES];
+  struct gr_allot *home[WORLD_ENTRIES];
+  int64_t stamp[WORLD_ENTRIES][WORLD_ENTRIES]; /* of member, from home */
+  int64_t paused_until[WORLD_ENTRIES];
+  int view[WORLD_ENTRIES]; /* the home that a member believes in */
+};
+
+static const char *const names[WORLD_ENTRIES] = { "e0", "e1", "e2", "e3" };
+
+static void
+world_init (struct world *world)
+{
+  memset (world, 0, sizeof *world);
+  for (int i = 0; i < WORLD_ENTRIES; i++)
+    {
+      world->member[i] =
+          gr_limits_create (GR_LIMIT_ALLOTTED, GR_PACING_WINDOWS, 0);
+      gr_limits_set_instances (world->member[i], ENTRIES);
+      gr_limits_set_account (world->member[i], "a", RATE, 0);
+      world->home[i] = gr_allot_create (ENTRIES);
+      gr_allot_set_account (world->home[i], "a", RATE);
+      for (int j = 0; j < WORLD_ENTRIES; j++)
+        world->stamp[i][j] = -1;
+    }
+}
+
+static void
+world_clear (struct world *world)
+{
+  for (int i = 0; i < WORLD_ENTRIES; i++)
+    {
+      gr_limits_destroy (world->member[i]);
+      gr_allot_destroy (world->home[i]);
+    }
+}
+
+static double
+report (struct world *world, int member, int64_t now_ms)
+{
+  int home = world->view[member];
+  double demand = 0;
+  double rate;
+
+  if (!gr_limits_report (world->member[member], "a", names[home], now_ms,
+                         &demand)
+      || now_ms < world->paused_until[home])
+    return -1;
+  rate = gr_allot_report (world->home[home], "a", names[member], 300,
+                          world->stamp[member][home], now_ms);
+  world->stamp[member][home] = now_ms;
+  gr_limits_allotted (world->member[member], "a", names[home], now_ms, rate);
+  return rate;
+}
+
+static double
+rate_of_all (const struct world *world, int64_t now_ms)
+{
+  double sum = 0;
+
+  for (int i = 0; i < WORLD_ENTRIES; i++)
+    sum += gr_limits_rate (world->member[i], "a", now_ms);
+  return sum;
+}
+
+static void
+run (struct world *world, int64_t from_ms, int64_t to_ms)
+{
+  for (int64_t now = from_ms; now < to_ms; now += 50)
+    {
+      for (int i = 0; i < WORLD_ENTRIES; i++)
+        if (now >= world->paused_until[i] && now / 50 % 6 == i)
+          report (world, i, now);
+      ck_assert_msg (rate_of_all (world, now) <= RATE + 0.001,
+                     "%.1f at %" G_GINT64_FORMAT, rate_of_all (world, now),
+                     (gint64)now);
+    }
+}
+
+/* Guards against a limit that is not used up, and against a dead home whose
+ * half is lost for good or allotted twice. */
+START_TEST (another_home_takes_over_from_a_dead_one)
+{
+  struct world world;
+
+  world_init (&world);
+  run (&world, 2000, 8000);
+  ck_assert (rate_of_all (&world, 8000) > RATE * 0.95);
+  world.paused_until[0] = INT64_MAX;
+  run (&world, 8000, 10000);
+  ck_assert (rate_of_all (&world, 10000) < RATE * 0.51);
+  for (int i = 1; i < WORLD_ENTRIES; i++)
+    world.view[i] = 1;
+  run (&world, 10000, 12000);
+  ck_assert (rate_of_all (&world, 12000) < RATE * 0.51);
+  run (&world, 12000, 18000);
+  ck_assert (rate_of_all (&world, 18000) > RATE * 0.95);
+  world_clear (&world);
+}
+END_TEST
+
+/* Guards against two homes that both allot the half: members change their
+ * views at any moment, all reports count, entries pause and wake. run () checks
+ * the sum at each step. */
+START_TEST (two_homes_never_allot_the_same_half)
+{
+  struct world world;
+
+  world_init (&world);
+  for (int64_t now = 2000; now < 400000; now += 500)
+    {
+      int who = g_rand_int_range (rng, 0, WORLD_ENTRIES);
+      int what = g_rand_int_range (rng, 0, 24);
+
+      if (what < 2)
+        world.view[who] = what;
+      else if (what == 2)
+        world.paused_until[who] = now + g_rand_int_range (rng, 100, 4000);
+      else if (what == 3)
+        for (int i = 0; i < WORLD_ENTRIES; i++)
+          world.view[i] = who % 2;
+      run (&world, now, now + 500);
+    }
+  world_clear (&world);
+}
+END_TEST
+
+/* Guards against a home that wakes from a pause, reads reports that were sent
+ * long ago and takes them for new ones. */
+START_TEST (old_reports_make_no_majority)
+{
+  struct gr_allot *home = gr_allot_create (ENTRIES);
+
+  gr_allot_set_account (home, "a", RATE);
+  for (int64_t now = 10000; now < 16000; now += 300)
+    for (int i = 0; i < WORLD_ENTRIES; i++)
+      ck_assert (gr_allot_report (home, "a", names[i], 300, 8900, now) <= 0);
+  for (int64_t now = 16000; now < 18000; now += 300)
+    for (int i = 0; i < 2; i++)
+      ck_assert (gr_allot_report (home, "a", names[i], 300, now - 300, now)
+                 <= 0);
+  for (int64_t now = 18000; now < 19500; now += 300)
+    for (int i = 0; i < 3; i++)
+      ck_assert (gr_allot_report (home, "a", names[i], 300, now - 300, now)
+                 <= 0);
+  /* A gap of more than a term: two terms must pass again. */
+  for (int64_t now = 21000; now < 23000; now += 300)
+    for (int i = 0; i < 3; i++)
+      ck_assert (gr_allot_report (home, "a", names[i], 300, now - 300, now)
+                 <= 0);
+  ck_assert (gr_allot_report (home, "a", names[0], 300, 23000, 23100) > 0);
+  gr_allot_destroy (home);
+}
+END_TEST
+
+static struct gr_executors *
+some_executors (int count)
+{
+  struct gr_executors *executors = gr_executors_create ();
+
+  gr_executors_list_begin (executors);
+  for (int i = 0; i < count; i++)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "x%d", i);
+      gr_executors_list_add (executors, name, name, false);
+    }
+  gr_executors_list_end (executors);
+  return executors;
+}
+
+/* Guards against more connections than agreed, and against long work that
+ * holds every slot, also when it was taken for short at first. */
+START_TEST (connections_and_long_share_are_bounded)
+{
+  struct gr_executors *executors = some_executors (4);
+  int taken = 0;
+
+  gr_executors_configure (executors, GR_CHOICE_TWO_CHOICES, 6, 50);
+  while (gr_executors_take (executors, true, true, NULL, 1000, rng) != NULL)
+    taken++;
+  ck_assert_int_eq (taken, 12);
+  while (gr_executors_take (executors, false, true, NULL, 1000, rng) != NULL)
+    taken++;
+  ck_assert_int_eq (taken, 24);
+  gr_executors_destroy (executors);
+  executors = some_executors (1);
+  gr_executors_configure (executors, GR_CHOICE_TWO_CHOICES, 6, 25);
+  ck_assert_ptr_nonnull (
+      gr_executors_take (executors, true, true, NULL, 1000, rng));
+  ck_assert_ptr_nonnull (
+      gr_executors_take (executors, false, true, NULL, 1000, rng));
+  gr_executors_overrun (executors, "x0");
+  ck_assert_ptr_null (
+      gr_executors_take (executors, true, true, NULL, 1000, rng));
+  gr_executors_done (executors, "x0", true, GR_TRY_OK, -1, 2000, 1000);
+  ck_assert_ptr_nonnull (
+      gr_executors_take (executors, true, true, NULL, 1000, rng));
+  gr_executors_destroy (executors);
+}
+END_TEST
+
+/* Guards against a broken executor that answers fast and so looks idle. */
+START_TEST (executors_that_fail_everything_are_quarantined)
+{
+  struct gr_executors *executors = some_executors (2);
+  struct gr_executor_info info;
+  int64_t now = 1000;
+  int failed = 0;
+
+  for (int i = 0; i < 200; i++)
+    {
+      const char *name =
+          gr_executors_take (executors, false, true, NULL, now, rng);
+      bool broken = strcmp (name, "x0") == 0;
+
+      failed += broken ? 1 : 0;
+      gr_executors_done (executors, name, false,
+                         broken ? GR_TRY_FAILED : GR_TRY_OK, -1, 5, now);
+      now++;
+    }
+  ck_assert_int_eq (failed, GR_QUARANTINE_FAILURES);
+  ck_assert (gr_executors_get (executors, "x0", &info) && info.quarantined);
+  now += GR_QUARANTINE_MIN_MS;
+  for (int i = 0; i < 20; i++)
+    {
+      ck_assert_str_eq (
+          gr_executors_take (executors, false, false, NULL, now, rng), "x1");
+      gr_executors_done (executors, "x1", false, GR_TRY_OK, -1, 5, now);
+    }
+  ck_assert_str_eq (gr_executors_take (executors, false, true, NULL, now, rng),
+                    "x0");
+  ck_assert_str_eq (gr_executors_take (executors, false, true, NULL, now, rng),
+                    "x1");
+  gr_executors_done (executors, "x0", false, GR_TRY_OK, -1, 5, now);
+  ck_assert (gr_executors_get (executors, "x0", &info) && !info.quarantined);
+  gr_executors_destroy (executors);
+}
+END_TEST
+
+/* Guards against new work for executors that are leaving, gone from the list,
+ * busy by their own word, or tried before. */
+START_TEST (unfit_executors_get_no_work)
+{
+  static const char *const tried[] = { "x1", NULL };
+  struct gr_executors *executors = some_executors (3);
+
+  gr_executors_report (executors, "x0", 8, 8, false);
+  ck_assert_str_eq (gr_executors_take (executors, false, true, tried, 1, rng),
+                    "x2");
+  gr_executors_done (executors, "x2", false, GR_TRY_LEAVING, -1, 1, 2);
+  ck_assert_ptr_null (
+      gr_executors_take (executors, false, true, tried, 5000, rng));
+  gr_executors_done (
+      executors, gr_executors_take (executors, false, true, NULL, 5000, rng),
+      false, GR_TRY_BUSY, -1, 1, 5000);
+  ck_assert_ptr_null (
+      gr_executors_take (executors, false, true, NULL, 5001, rng));
+  ck_assert_str_eq (gr_executors_take (executors, false, true, NULL, 6000, rng),
+                    "x1");
+  gr_executors_list_begin (executors);
+  gr_executors_list_end (executors);
+  ck_assert (!gr_executors_any (executors));
+  gr_executors_done (executors, "x1", false, GR_TRY_OK, -1, 1, 6000);
+  gr_executors_destroy (executors);
+}
+END_TEST
+
+/* Guards against kinds that are taken for short until their first run ends,
+ * and against kinds without number in memory. */
+START_TEST (run_times_are_learned)
+{
+  struct gr_classes *classes = gr_classes_create ();
+  char kind[16];
+
+  ck_assert_int_eq (gr_classes_estimate_ms (classes, "a", "k"), 0);
+  gr_classes_overrun (classes, "a", "k");
+  ck_assert (gr_classes_is_long (classes, "a", "k"));
+  ck_assert (!gr_classes_is_long (classes, "b", "k"));
+  for (int i = 0; i < 20; i++)
+    gr_classes_learn (classes, "a", "k", 30);
+  gr_classes_learn (classes, "a", "k", 60000);
+  ck_assert_int_eq (gr_classes_estimate_ms (classes, "a", "k"), 30);
+  for (int i = 0; i < GR_CLASSES_MAX; i++)
+    {
+      g_snprintf (kind, sizeof kind, "%d", i);
+      gr_classes_learn (classes, "a", kind, 5);
+    }
+  ck_assert_int_eq (gr_classes_estimate_ms (classes, "a", "k"), 0);
+  gr_classes_destroy (classes);
+}
+END_TEST
+
+/* Guards against urgent work behind batch work, short behind long, a queue
+ * without bound, and items that outlive their callers. */
+START_TEST (queue_is_ordered_and_bounded)
+{
+  struct gr_queue *queue = gr_queue_create (3);
+  int urgent;
+  int batch;
+  int later;
+  int slow;
+
+  ck_assert_ptr_null (
+      gr_queue_add (queue, GR_PRIORITY_BATCH, false, 100, &batch));
+  ck_assert_ptr_null (
+      gr_queue_add (queue, GR_PRIORITY_URGENT, true, 300, &slow));
+  ck_assert_ptr_null (
+      gr_queue_add (queue, GR_PRIORITY_URGENT, false, 900, &later));
+  ck_assert_uint_eq (gr_queue_ahead (queue, GR_PRIORITY_BATCH, false, 500), 2);
+  ck_assert_ptr_eq (gr_queue_add (queue, GR_PRIORITY_BATCH, false, 50, &urgent),
+                    &urgent);
+  ck_assert_ptr_eq (
+      gr_queue_add (queue, GR_PRIORITY_URGENT, false, 400, &urgent), &batch);
+  ck_assert_ptr_eq (gr_queue_take_expired (queue, 301), &slow);
+  ck_assert_ptr_null (gr_queue_take_expired (queue, 301));
+  ck_assert_ptr_null (
+      gr_queue_add (queue, GR_PRIORITY_URGENT, true, 350, &slow));
+  ck_assert_ptr_eq (gr_queue_take (queue, true, false), &urgent);
+  ck_assert_ptr_eq (gr_queue_take (queue, true, true), &slow);
+  ck_assert (gr_queue_remove (queue, &later));
+  ck_assert (!gr_queue_remove (queue, &later));
+  ck_assert_uint_eq (gr_queue_length (queue), 0);
+  gr_queue_destroy (queue);
+}
+END_TEST
+
+/* Guards against storms of retries when everything fails. */
+START_TEST (retries_stay_within_the_budget)
+{
+  struct gr_retries *retries = gr_retries_create (10);
+  int granted = 0;
+
+  for (int i = 0; i < 1000; i++)
+    {
+      gr_retries_first_try (retries, "a");
+      granted += gr_retries_take (retries, "a") ? 1 : 0;
+    }
+  ck_assert_int_eq (granted, 100);
+  ck_assert (!gr_retries_take (retries, "b"));
+  for (int i = 0; i < 1000; i++)
+    gr_retries_first_try (retries, "a");
+  for (granted = 0; gr_retries_take (retries, "a");)
+    granted++;
+  ck_assert_int_eq (granted, GR_RETRY_MAX_SAVED);
+  gr_retries_destroy (retries);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("route");
+  TCase *tcase = tcase_create ("route");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_checked_fixture (tcase, setup, teardown);
+  tcase_set_timeout (tcase, 30);
+  tcase_add_test (tcase, floor_is_paced_and_refusals_are_spread);
+  tcase_add_test (tcase, allotment_ends_one_term_after_its_report);
+  tcase_add_test (tcase, member_reports_to_one_home_at_a_time);
+  tcase_add_test (tcase, another_home_takes_over_from_a_dead_one);
+  tcase_add_test (tcase, two_homes_never_allot_the_same_half);
+  tcase_add_test (tcase, old_reports_make_no_majority);
+  tcase_add_test (tcase, connections_and_long_share_are_bounded);
+  tcase_add_test (tcase, executors_that_fail_everything_are_quarantined);
+  tcase_add_test (tcase, unfit_executors_get_no_work);
+  tcase_add_test (tcase, run_times_are_learned);
+  tcase_add_test (tcase, queue_is_ordered_and_bounded);
+  tcase_add_test (tcase, retries_stay_within_the_budget);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
