--- /dev/null
+++ b/scheduler/acquire.c
@@ -0,0 +1,275 @@
+/* Creating the owner key, for the first time or again. */
+#include "scheduler/ownership-private.h"
+
+#include "rpc/pack.h"
+
+#include <string.h>
+
+#define READ_BACK_MS 200
+
+static void create_owner_key (struct gr_ownership *own);
+
+static bool
+is_unknown (const struct gr_error *error)
+{
+  return error != NULL && error->kind != GR_ERROR_STORE_UNAVAILABLE;
+}
+
+static void
+become_owner (struct gr_ownership *own, int64_t create_revision)
+{
+  bool again = own->state == GR_OWNERSHIP_RECLAIMING;
+
+  own->state = GR_OWNERSHIP_OWNER;
+  own->epoch = (uint64_t)create_revision;
+  own->heard_ms = own->lease_asked_ms;
+  gr_own_schedule_renewal (own, own->lease_asked_ms
+                                    + gr_own_renew_interval_ms (own)
+                                    - gr_own_now_ms (own));
+  gr_own_note_store (own, NULL);
+  if (again)
+    own->events.reacquired (own->epoch, own->context);
+  else
+    own->events.acquired (own->epoch, own->context);
+}
+
+/* A key under the lease cannot outlive it, so the attempt is over then. */
+static bool
+attempt_is_over (const struct gr_ownership *own)
+{
+  return gr_own_now_ms (own) >= own->lease_asked_ms + own->term_ms;
+}
+
+static void read_commit_key (struct gr_ownership *own);
+
+static void read_back_done (const struct gr_kv_result *result,
+                            const struct gr_error *error,
+                            void *context);
+
+/* A reclaim goes on for as long as nobody else has become owner. */
+static void
+end_attempt (struct gr_ownership *own)
+{
+  if (own->state == GR_OWNERSHIP_RECLAIMING)
+    read_commit_key (own);
+  else
+    gr_own_lose (own, "the owner key could not be created in time");
+}
+
+static gboolean
+read_back (gpointer data)
+{
+  struct gr_ownership *own = data;
+
+  own->retry_timer = 0;
+  if (attempt_is_over (own))
+    {
+      end_attempt (own);
+      return G_SOURCE_REMOVE;
+    }
+  own->calls++;
+  gr_kv_range (own->kv, "owner", own->owner_key, false, 0,
+               own->config.call_timeout_ms, read_back_done, own);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+schedule_read_back (struct gr_ownership *own)
+{
+  gr_own_stop_timer (&own->retry_timer);
+  own->retry_timer = g_timeout_add (READ_BACK_MS, read_back, own);
+}
+
+/* The first creation may still arrive when the key is absent now. Creating it
+ * once more with the same lease and value is safe: whichever comes second
+ * fails on the compare. */
+static void
+read_back_done (const struct gr_kv_result *result,
+                const struct gr_error *error,
+                void *context)
+{
+  struct gr_ownership *own = context;
+  const struct gr_kv_entry *entry;
+
+  if (!gr_own_call_ended (own))
+    return;
+  if (error != NULL)
+    {
+      schedule_read_back (own);
+      return;
+    }
+  entry = gr_own_first_entry (result);
+  if (entry == NULL)
+    create_owner_key (own);
+  else if (gr_own_is_own (own, entry))
+    become_owner (own, entry->create_revision);
+  else
+    gr_own_lose (own, "another scheduler owns the shard");
+}
+
+static const struct gr_kv_entry *
+find_entry (const struct gr_kv_result *result, const char *key)
+{
+  for (size_t i = 0; i < result->n_entries; i++)
+    if (strcmp (result->entries[i].key, key) == 0)
+      return &result->entries[i];
+  return NULL;
+}
+
+static void
+create_done (const struct gr_kv_result *result,
+             const struct gr_error *error,
+             void *context)
+{
+  struct gr_ownership *own = context;
+  const struct gr_kv_entry *entry;
+
+  if (!gr_own_call_ended (own))
+    return;
+  if (is_unknown (error)
+      || (error != NULL && own->state == GR_OWNERSHIP_RECLAIMING))
+    {
+      schedule_read_back (own);
+      return;
+    }
+  if (error != NULL)
+    {
+      gr_own_lose (own, error->message);
+      return;
+    }
+  if (result->succeeded)
+    {
+      become_owner (own, result->revision);
+      return;
+    }
+  entry = find_entry (result, own->owner_key);
+  if (entry != NULL && gr_own_is_own (own, entry))
+    become_owner (own, entry->create_revision);
+  else
+    gr_own_lose (own, "another scheduler owned the shard meanwhile");
+}
+
+static void
+create_owner_key (struct gr_ownership *own)
+{
+  struct gr_kv_txn *txn = gr_kv_txn_create ();
+  struct gr_packer *value = gr_packer_create ();
+  const void *data;
+  size_t size;
+
+  gr_pack_string (value, "instance", own->config.instance);
+  gr_pack_string (value, "address", own->config.address);
+  gr_pack_string (value, "writer", own->config.writer);
+  data = gr_packer_data (value, &size);
+  gr_kv_txn_if_created_at (txn, own->owner_key, 0);
+  if (own->commit_revision == 0)
+    gr_kv_txn_if_created_at (txn, own->commit_key, 0);
+  else if (own->commit_revision > 0)
+    gr_kv_txn_if_modified_at (txn, own->commit_key, own->commit_revision);
+  gr_kv_txn_put (txn, own->owner_key, data, size, own->lease);
+  gr_kv_txn_else_get (txn, own->owner_key);
+  own->calls++;
+  gr_kv_commit (own->kv, "owner", txn, own->config.call_timeout_ms, create_done,
+                own);
+  gr_packer_destroy (value);
+}
+
+void gr_own_acquire (struct gr_ownership *own);
+
+static gboolean
+grant_again (gpointer data)
+{
+  struct gr_ownership *own = data;
+
+  own->retry_timer = 0;
+  gr_own_acquire (own);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+grant_done (const struct gr_kv_result *result,
+            const struct gr_error *error,
+            void *context)
+{
+  struct gr_ownership *own = context;
+
+  if (!gr_own_call_ended (own))
+    return;
+  if (error == NULL && result->lease != 0)
+    {
+      own->lease = result->lease;
+      create_owner_key (own);
+      return;
+    }
+  gr_own_note_store (own, error);
+  if (own->state == GR_OWNERSHIP_RECLAIMING)
+    own->retry_timer = g_timeout_add (READ_BACK_MS, grant_again, own);
+  else
+    gr_own_lose (own, "no store lease was granted");
+}
+
+void
+gr_own_acquire (struct gr_ownership *own)
+{
+  own->lease_asked_ms = gr_own_now_ms (own);
+  own->term_ms = own->config.ttl_s * 1000;
+  own->calls++;
+  gr_kv_lease_grant (own->kv, "owner", own->config.ttl_s,
+                     own->config.call_timeout_ms, grant_done, own);
+}
+
+static gboolean
+read_commit_again (gpointer data)
+{
+  struct gr_ownership *own = data;
+
+  own->retry_timer = 0;
+  read_commit_key (own);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+commit_key_done (const struct gr_kv_result *result,
+                 const struct gr_error *error,
+                 void *context)
+{
+  struct gr_ownership *own = context;
+  const struct gr_kv_entry *entry;
+
+  if (!gr_own_call_ended (own) || own->state != GR_OWNERSHIP_RECLAIMING)
+    return;
+  if (error != NULL)
+    {
+      own->retry_timer = g_timeout_add (READ_BACK_MS, read_commit_again, own);
+      return;
+    }
+  entry = gr_own_first_entry (result);
+  if (!own->events.commit_unchanged (entry, own->context))
+    {
+      gr_own_lose (own, "another scheduler has committed");
+      return;
+    }
+  own->commit_revision = entry != NULL ? entry->mod_revision : 0;
+  gr_own_acquire (own);
+}
+
+static void
+read_commit_key (struct gr_ownership *own)
+{
+  own->calls++;
+  gr_kv_range (own->kv, "owner", own->commit_key, false, 0,
+               own->config.call_timeout_ms, commit_key_done, own);
+}
+
+/* The lease has expired, so no commit on condition of the former owner key can
+ * take effect any more. If the commit key is unchanged too, nobody has started
+ * anything, and what the core knows is still true. */
+void
+gr_own_reclaim (struct gr_ownership *own)
+{
+  if (own->state != GR_OWNERSHIP_OWNER)
+    return;
+  own->state = GR_OWNERSHIP_RECLAIMING;
+  gr_own_stop_timer (&own->renew_timer);
+  read_commit_key (own);
+}
--- a/scheduler/journal.c
+++ b/scheduler/journal.c
@@ -1,63 +1,16 @@
-#include "scheduler/journal.h"
-
+#include "scheduler/journal-private.h"
 #include "scheduler/ownership.h"
-#include "scheduler/pages.h"
 
 #include <string.h>
 
 #define FIRST_RETRY_MS 100
 #define MAX_RETRY_MS 1000
-#define LOAD_RETRIES 10
-
-/* One write. It is sent again, unchanged, until its outcome is known. */
-struct write
-{
-  uint64_t sequence;
-  uint64_t epoch;          /* of the condition of the last attempt */
-  GBytes *pages[GR_PAGES]; /* NULL: not part of it */
-  GArray *changes;         /* struct gr_page_change */
-  bool waiting;            /* sent, no answer yet */
-  bool unknown;            /* an answer of it was lost */
-  int64_t first_sent_ms;
-};
-
-struct gr_journal
-{
-  struct gr_kv *kv;
-  const struct gr_clock *clock;
-  struct gr_journal_config config;
-  struct gr_journal_events events;
-  void *context;
-  char *owner_key;
-  char *commit_key;
-  struct gr_pages *pages;
-  uint64_t sequence;       /* of the last write */
-  int64_t commit_revision; /* mod revision of the commit key; 0: absent */
-  struct write *write;     /* NULL: none in flight */
-  bool busy;               /* a write or a read-back is in flight */
-  uint32_t failures;       /* since the last answer */
-  bool contested;
-  int calls; /* in flight; they keep the struct alive */
-  bool destroyed;
-  guint timer;
-  uint32_t retry_ms;
-  uint32_t load_page;
-  uint32_t load_retries;
-  uint32_t unreadable;
-  void (*visit) (const struct gr_job_record *record, void *context);
-  void (*loaded) (const struct gr_error *error, void *context);
-  struct gr_counter *commits;
-  struct gr_counter *read_backs;
-  struct gr_counter *bytes;
-  struct gr_histogram *latency;
-};
 
 static void send_write (struct gr_journal *journal);
 static void read_back (struct gr_journal *journal);
-static void load_next (struct gr_journal *journal);
 
 static void
-write_free (struct write *write)
+write_free (struct gr_write *write)
 {
   if (write == NULL)
     return;
@@ -79,8 +32,8 @@
   g_free (journal);
 }
 
-static bool
-call_ended (struct gr_journal *journal)
+bool
+gr_journal_call_ended (struct gr_journal *journal)
 {
   journal->calls--;
   if (!journal->destroyed)
@@ -90,8 +43,8 @@
   return false;
 }
 
-static void
-note_store (struct gr_journal *journal, const struct gr_error *error)
+void
+gr_journal_note_store (struct gr_journal *journal, const struct gr_error *error)
 {
   if (error == NULL)
     journal->failures = 0;
@@ -133,7 +86,7 @@
 static void
 retry_later (struct gr_journal *journal, const struct gr_error *error)
 {
-  note_store (journal, error);
+  gr_journal_note_store (journal, error);
   set_timer (journal, journal->retry_ms);
   journal->retry_ms = MIN (journal->retry_ms * 2, MAX_RETRY_MS);
 }
@@ -159,7 +112,7 @@
 static void
 write_applied (struct gr_journal *journal, int64_t commit_revision)
 {
-  struct write *write = journal->write;
+  struct gr_write *write = journal->write;
   const struct gr_page_change *changes =
       (const struct gr_page_change *)(void *)write->changes->data;
   guint count = write->changes->len;
@@ -177,7 +130,7 @@
                                changes[i].state, changes[i].new_state,
                                journal->context);
   write_free (write);
-  if (call_ended (journal))
+  if (gr_journal_call_ended (journal))
     schedule_write (journal);
 }
 
@@ -238,7 +191,7 @@
     journal->contested = true;
   if (!journal->destroyed && journal->contested)
     journal->events.contested (still_owner ? NULL : owner, journal->context);
-  call_ended (journal);
+  gr_journal_call_ended (journal);
 }
 
 static void
@@ -248,7 +201,7 @@
 {
   struct gr_journal *journal = context;
 
-  if (!call_ended (journal))
+  if (!gr_journal_call_ended (journal))
     return;
   journal->busy = false;
   journal->write->waiting = false;
@@ -259,7 +212,7 @@
       retry_later (journal, error);
       return;
     }
-  note_store (journal, NULL);
+  gr_journal_note_store (journal, NULL);
   if (result->succeeded)
     write_applied (journal, result->revision);
   else
@@ -273,7 +226,7 @@
 {
   struct gr_journal *journal = context;
 
-  if (!call_ended (journal))
+  if (!gr_journal_call_ended (journal))
     return;
   journal->busy = false;
   if (error != NULL)
@@ -281,7 +234,7 @@
       retry_later (journal, error);
       return;
     }
-  note_store (journal, NULL);
+  gr_journal_note_store (journal, NULL);
   if (result->n_entries > 0 && is_own_write (journal, &result->entries[0]))
     write_applied (journal, result->entries[0].mod_revision);
   else if (!journal->contested)
@@ -369,12 +322,12 @@
 static void
 begin_write (struct gr_journal *journal)
 {
-  struct write *write;
+  struct gr_write *write;
   size_t total = 0;
 
   if (journal->contested || !any_dirty (journal))
     return;
-  write = g_new0 (struct write, 1);
+  write = g_new0 (struct gr_write, 1);
   write->changes = g_array_new (FALSE, FALSE, sizeof (struct gr_page_change));
   write->sequence = ++journal->sequence;
   write->first_sent_ms = gr_clock_now_ms (journal->clock);
@@ -392,109 +345,6 @@
   send_write (journal);
 }
 
-/* --- Loading ------------------------------------------------------------ */
-
-static gboolean
-load_again (gpointer data)
-{
-  struct gr_journal *journal = data;
-
-  journal->timer = 0;
-  load_next (journal);
-  return G_SOURCE_REMOVE;
-}
-
-static bool
-load_entry (struct gr_journal *journal,
-            const struct gr_kv_entry *entry,
-            struct gr_error *error)
-{
-  if (journal->load_page == GR_PAGES)
-    {
-      journal->commit_revision = entry->mod_revision;
-      return true;
-    }
-  return gr_pages_load (journal->pages, journal->load_page, entry->value,
-                        entry->size, journal->visit, journal->context,
-                        &journal->unreadable, error);
-}
-
-static void
-load_ended (struct gr_journal *journal, const struct gr_error *error)
-{
-  if (error == NULL && journal->unreadable > 0)
-    g_warning ("shard %s: %u job records cannot be read and are kept as they "
-               "are",
-               journal->config.shard, journal->unreadable);
-  journal->loaded (error, journal->context);
-}
-
-static void
-load_done (const struct gr_kv_result *result,
-           const struct gr_error *error,
-           void *context)
-{
-  struct gr_journal *journal = context;
-  struct gr_error failure = GR_ERROR_INIT;
-
-  if (!call_ended (journal))
-    return;
-  note_store (journal, error);
-  if (error != NULL && journal->load_retries++ < LOAD_RETRIES)
-    {
-      journal->timer = g_timeout_add (FIRST_RETRY_MS, load_again, journal);
-      return;
-    }
-  if (error != NULL)
-    {
-      load_ended (journal, error);
-      return;
-    }
-  if (result->n_entries > 0
-      && !load_entry (journal, &result->entries[0], &failure))
-    {
-      load_ended (journal, &failure);
-      return;
-    }
-  if (journal->load_page == 0)
-    {
-      load_ended (journal, NULL);
-      return;
-    }
-  journal->load_page--;
-  load_next (journal);
-}
-
-/* Reads the commit key first, then the pages from the last to the first. They
- * do not change meanwhile: commits of former owners fail on the owner key. */
-static void
-load_next (struct gr_journal *journal)
-{
-  char name[16] = "commit";
-  char *key;
-
-  if (journal->load_page < GR_PAGES)
-    g_snprintf (name, sizeof name, "jobs/%02u", journal->load_page);
-  key = gr_shard_key (journal->config.shard, name);
-  journal->calls++;
-  gr_kv_range (journal->kv, "recovery", key, false, 0,
-               journal->config.call_timeout_ms, load_done, journal);
-  g_free (key);
-}
-
-void
-gr_journal_load (struct gr_journal *journal,
-                 void (*visit) (const struct gr_job_record *record,
-                                void *context),
-                 void (*done) (const struct gr_error *error, void *context))
-{
-  journal->visit = visit;
-  journal->loaded = done;
-  journal->load_page = GR_PAGES;
-  journal->load_retries = 0;
-  load_next (journal);
-}
-
 /* --- Records ------------------------------------------------------------ */
 
 void
@@ -558,7 +408,7 @@
 bool
 gr_journal_is_in_flight (const struct gr_journal *journal, const char *job)
 {
-  const struct write *write = journal->write;
+  const struct gr_write *write = journal->write;
 
   if (write == NULL || (!write->waiting && !write->unknown))
     return false;
@@ -580,6 +430,12 @@
          || (entry != NULL && is_own_write (journal, entry));
 }
 
+void
+gr_journal_set_interval (struct gr_journal *journal, uint32_t interval_ms)
+{
+  journal->config.interval_ms = interval_ms;
+}
+
 void
 gr_journal_set_epoch (struct gr_journal *journal, uint64_t epoch)
 {
--- a/scheduler/journal.h
+++ b/scheduler/journal.h
@@ -105,5 +105,7 @@
 bool gr_journal_commit_unchanged (const struct gr_journal *journal,
                                   const struct gr_kv_entry *entry);
 
+void gr_journal_set_interval (struct gr_journal *journal, uint32_t interval_ms);
+
 /* The owner key was created again; commits go on. */
 void gr_journal_set_epoch (struct gr_journal *journal, uint64_t epoch);
--- /dev/null
+++ b/scheduler/main.c
@@ -0,0 +1,78 @@
+#include "scheduler/scheduler.h"
+#include "settings/process.h"
+
+#include <glib-unix.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+struct process
+{
+  GMainLoop *loop;
+  struct gr_scheduler *scheduler;
+};
+
+static void
+on_stopped (void *context)
+{
+  struct process *process = context;
+
+  g_main_loop_quit (process->loop);
+}
+
+static gboolean
+on_signal (gpointer data)
+{
+  struct process *process = data;
+
+  gr_scheduler_stop (process->scheduler);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+print_ready (const struct gr_scheduler *scheduler)
+{
+  printf ("listening rpc=%s\n", gr_scheduler_address (scheduler));
+  fflush (stdout);
+}
+
+static int
+run (const struct gr_process_settings *settings)
+{
+  struct process process = { .loop = g_main_loop_new (NULL, FALSE) };
+  struct gr_clock *clock = gr_clock_create ();
+  struct gr_counters *counters = gr_counters_create ();
+  struct gr_error error = GR_ERROR_INIT;
+
+  process.scheduler = gr_scheduler_create (settings, clock, counters,
+                                           on_stopped, &process, &error);
+  if (process.scheduler != NULL)
+    {
+      g_unix_signal_add (SIGTERM, on_signal, &process);
+      g_unix_signal_add (SIGINT, on_signal, &process);
+      print_ready (process.scheduler);
+      g_main_loop_run (process.loop);
+    }
+  else
+    fprintf (stderr, "%s\n", error.message);
+  gr_scheduler_destroy (process.scheduler);
+  gr_counters_destroy (counters);
+  gr_clock_destroy (clock);
+  g_main_loop_unref (process.loop);
+  return error.kind == GR_ERROR_NONE ? EXIT_SUCCESS
+                                     : gr_error_answer (error.kind)->exit_code;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct gr_process_settings settings;
+  int exit_code;
+
+  if (!gr_process_start (argc, argv, "geraniumrack-scheduler",
+                         "Owner of shards: places jobs on workers.", NULL,
+                         &settings, &exit_code))
+    return exit_code;
+  exit_code = run (&settings);
+  gr_process_settings_clear (&settings);
+  return exit_code;
+}
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -95,6 +95,9 @@
  * it. */
 bool gr_ownership_may_renew (const struct gr_ownership *ownership);
 
+/* Counts from the next lease. */
+void gr_ownership_set_ttl (struct gr_ownership *ownership, int64_t ttl_s);
+
 /* A commit failed on the compare with the owner key, which is now owner, or
  * NULL if there is none. Ends in lost or reacquired. */
 void gr_ownership_contested (struct gr_ownership *ownership,
--- a/scheduler/shard.c
+++ b/scheduler/shard.c
@@ -264,7 +264,8 @@
 void
 gr_shard_update_workers (struct gr_shard *shard)
 {
-  GArray *targets = gr_members_targets (shard->env.members, GR_ROLE_WORKER);
+  GArray *targets =
+      gr_members_targets (shard->env.members, GR_ROLE_WORKER, now_ms (shard));
 
   for (guint i = 0; i < targets->len; i++)
     {
@@ -558,6 +559,21 @@
   gr_shard_tick_within (shard, EVENT_TICK_MS);
 }
 
+bool
+gr_shard_commit_unchanged (const struct gr_shard *shard,
+                           const struct gr_kv_entry *entry)
+{
+  return gr_journal_commit_unchanged (shard->journal, entry);
+}
+
+void
+gr_shard_apply_platform (struct gr_shard *shard,
+                         const struct gr_platform_settings *platform)
+{
+  shard->platform = *platform;
+  gr_journal_set_interval (shard->journal, platform->commit_interval_ms);
+}
+
 void
 gr_shard_apply_account (struct gr_shard *shard,
                         const struct gr_account_settings *account)
--- a/scheduler/shard.h
+++ b/scheduler/shard.h
@@ -57,6 +57,15 @@
 /* The owner key was created again after its lease had expired. */
 void gr_shard_reacquired (struct gr_shard *shard, uint64_t epoch);
 
+/* Whether the commit key is as the shard left it; entry is NULL if there is
+ * none. */
+bool gr_shard_commit_unchanged (const struct gr_shard *shard,
+                                const struct gr_kv_entry *entry);
+
+/* Terms and attempts count from the next change of owner, the rest at once. */
+void gr_shard_apply_platform (struct gr_shard *shard,
+                              const struct gr_platform_settings *platform);
+
 /* A document changed. */
 void gr_shard_apply_account (struct gr_shard *shard,
                              const struct gr_account_settings *account);
--- /dev/null
+++ b/scheduler/slots.c
@@ -0,0 +1,331 @@
+#include "scheduler/scheduler-private.h"
+
+#include "common/hash.h"
+#include "common/log.h"
+
+#include <string.h>
+
+#define OWNER_POLL_MS 1000
+
+/* After a failed recovery this instance leaves the shard to others. */
+#define RECOVERY_RETRY_MS 5000
+
+static void
+log_shard (const char *event, const struct gr_slot *slot, const char *reason)
+{
+  char epoch[24];
+
+  g_snprintf (epoch, sizeof epoch, "%" G_GUINT64_FORMAT, slot->epoch);
+  gr_log_event (event, "shard", slot->name, "epoch", epoch, "reason", reason,
+                NULL);
+}
+
+static void
+set_owned (const struct gr_slot *slot, bool owned)
+{
+  char *labels = g_strdup_printf ("shard=\"%s\"", slot->name);
+
+  gr_counter_set (
+      gr_counters_get (slot->scheduler->counters, "shard_owned", labels),
+      owned);
+  g_free (labels);
+}
+
+static void
+count_event (const struct gr_slot *slot, const char *name)
+{
+  char *labels = g_strdup_printf ("shard=\"%s\"", slot->name);
+
+  gr_counter_add (gr_counters_get (slot->scheduler->counters, name, labels), 1);
+  g_free (labels);
+}
+
+static void
+answer_drains (struct gr_slot *slot, const char *state)
+{
+  struct gr_packer *body = gr_packer_create ();
+
+  gr_pack_string (body, "shard", slot->name);
+  gr_pack_string (body, "state", state);
+  for (guint i = 0; i < slot->drains->len; i++)
+    gr_rpc_answer (slot->drains->pdata[i], body);
+  g_ptr_array_set_size (slot->drains, 0);
+  gr_packer_destroy (body);
+}
+
+/* --- Events of a shard -------------------------------------------------- */
+
+static void
+on_failed (const struct gr_error *error, void *context)
+{
+  struct gr_slot *slot = context;
+
+  gr_log_problem ("shard-recovery-failed", "shard", slot->name, "message",
+                  error->message, NULL);
+  gr_ownership_abandon (slot->ownership, RECOVERY_RETRY_MS);
+}
+
+static void
+on_shard_stopped (void *context)
+{
+  struct gr_slot *slot = context;
+
+  gr_ownership_release (slot->ownership);
+}
+
+static void
+on_store (bool up, void *context)
+{
+  struct gr_slot *slot = context;
+
+  gr_scheduler_note_store (slot->scheduler, up);
+}
+
+static void
+create_shard (struct gr_slot *slot)
+{
+  static const struct gr_shard_events events = {
+    .failed = on_failed,
+    .store = on_store,
+    .stopped = on_shard_stopped,
+  };
+  struct gr_scheduler *scheduler = slot->scheduler;
+  struct gr_shard_env env = {
+    .kv = scheduler->kv,
+    .clock = scheduler->clock,
+    .counters = scheduler->counters,
+    .workers = scheduler->workers,
+    .settings = scheduler->settings,
+    .members = scheduler->members,
+    .instance = scheduler->instance,
+    .writer = gr_peers_incarnation (scheduler->peers),
+    .call_timeout_ms = scheduler->kv_timeout_ms,
+  };
+
+  slot->shard = gr_shard_create (&env, slot->name, slot->ownership,
+                                 &scheduler->platform, &events, slot);
+}
+
+/* --- Events of an ownership --------------------------------------------- */
+
+/* The list of ready members may lack this process at the start. */
+static bool
+on_preferred (void *context)
+{
+  const struct gr_slot *slot = context;
+  const struct gr_scheduler *scheduler = slot->scheduler;
+  GPtrArray *names = gr_members_ready (scheduler->members, GR_ROLE_SCHEDULER,
+                                       gr_clock_now_ms (scheduler->clock));
+  int first;
+  bool preferred;
+
+  if (!g_ptr_array_find_with_equal_func (names, scheduler->instance,
+                                         g_str_equal, NULL))
+    g_ptr_array_add (names, g_strdup (scheduler->instance));
+  first = gr_hash_choose (slot->name, (const char *const *)names->pdata,
+                          names->len);
+  preferred = strcmp (names->pdata[first], scheduler->instance) == 0;
+  g_ptr_array_unref (names);
+  return preferred;
+}
+
+static bool
+on_eligible (void *context)
+{
+  const struct gr_slot *slot = context;
+
+  return slot->named && !slot->scheduler->stopping;
+}
+
+static void
+on_acquired (uint64_t epoch, void *context)
+{
+  struct gr_slot *slot = context;
+
+  slot->epoch = epoch;
+  if (!on_eligible (slot))
+    {
+      gr_ownership_release (slot->ownership);
+      return;
+    }
+  log_shard ("shard-acquired", slot, NULL);
+  count_event (slot, "shard_acquired_total");
+  set_owned (slot, true);
+  create_shard (slot);
+}
+
+static void
+on_reacquired (uint64_t epoch, void *context)
+{
+  struct gr_slot *slot = context;
+
+  slot->epoch = epoch;
+  log_shard ("shard-reacquired", slot, NULL);
+  gr_shard_reacquired (slot->shard, epoch);
+}
+
+static bool
+on_commit_unchanged (const struct gr_kv_entry *entry, void *context)
+{
+  const struct gr_slot *slot = context;
+
+  return slot->shard != NULL && gr_shard_commit_unchanged (slot->shard, entry);
+}
+
+static void
+drop_shard (struct gr_slot *slot)
+{
+  set_owned (slot, false);
+  g_clear_pointer (&slot->shard, gr_shard_destroy);
+  answer_drains (slot, "released");
+}
+
+static void
+on_lost (const char *reason, void *context)
+{
+  struct gr_slot *slot = context;
+
+  log_shard ("shard-lost", slot, reason);
+  count_event (slot, "shard_lost_total");
+  drop_shard (slot);
+}
+
+static void
+on_released (void *context)
+{
+  struct gr_slot *slot = context;
+
+  if (slot->shard != NULL)
+    log_shard ("shard-released", slot, NULL);
+  drop_shard (slot);
+}
+
+/* --- Slots -------------------------------------------------------------- */
+
+static struct gr_ownership *
+create_ownership (struct gr_slot *slot)
+{
+  static const struct gr_ownership_events events = {
+    .preferred = on_preferred,
+    .eligible = on_eligible,
+    .acquired = on_acquired,
+    .reacquired = on_reacquired,
+    .commit_unchanged = on_commit_unchanged,
+    .lost = on_lost,
+    .released = on_released,
+    .store = on_store,
+  };
+  struct gr_scheduler *scheduler = slot->scheduler;
+  struct gr_ownership_config config = {
+    .shard = slot->name,
+    .instance = scheduler->instance,
+    .address = (char *)gr_rpc_server_address (scheduler->server),
+    .writer = (char *)gr_peers_incarnation (scheduler->peers),
+    .ttl_s = scheduler->platform.owner_lease_ttl_s,
+    .poll_ms = OWNER_POLL_MS,
+    .call_timeout_ms = scheduler->kv_timeout_ms,
+  };
+
+  return gr_ownership_create (scheduler->kv, scheduler->clock, &config, &events,
+                              slot);
+}
+
+static struct gr_slot *
+slot_create (struct gr_scheduler *scheduler, const char *name)
+{
+  struct gr_slot *slot = g_new0 (struct gr_slot, 1);
+
+  slot->scheduler = scheduler;
+  g_strlcpy (slot->name, name, sizeof slot->name);
+  slot->drains = g_ptr_array_new ();
+  slot->ownership = create_ownership (slot);
+  return slot;
+}
+
+void
+gr_slot_free (void *data)
+{
+  struct gr_slot *slot = data;
+
+  gr_shard_destroy (slot->shard);
+  gr_ownership_destroy (slot->ownership);
+  answer_drains (slot, "stopped");
+  g_ptr_array_unref (slot->drains);
+  g_free (slot);
+}
+
+static void
+set_all_unnamed (struct gr_scheduler *scheduler)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, scheduler->slots);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct gr_slot *slot = value;
+
+      slot->named = false;
+    }
+}
+
+static void
+follow_settings (struct gr_scheduler *scheduler)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, scheduler->slots);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct gr_slot *slot = value;
+
+      gr_ownership_set_ttl (slot->ownership,
+                            scheduler->platform.owner_lease_ttl_s);
+      if (slot->shard != NULL)
+        gr_shard_apply_platform (slot->shard, &scheduler->platform);
+      if (!slot->named)
+        gr_slot_drain (slot, NULL);
+    }
+}
+
+void
+gr_slots_update (struct gr_scheduler *scheduler)
+{
+  char **names = g_strsplit (scheduler->platform.shards, ";", -1);
+
+  set_all_unnamed (scheduler);
+  for (char **name = names; *name != NULL; name++)
+    {
+      const char *trimmed = g_strstrip (*name);
+      struct gr_slot *slot = g_hash_table_lookup (scheduler->slots, trimmed);
+
+      if (trimmed[0] == '\0' || strlen (trimmed) >= GR_NAME_MAX)
+        continue;
+      if (slot == NULL)
+        {
+          slot = slot_create (scheduler, trimmed);
+          g_hash_table_insert (scheduler->slots, slot->name, slot);
+        }
+      slot->named = true;
+    }
+  g_strfreev (names);
+  follow_settings (scheduler);
+}
+
+void
+gr_slot_drain (struct gr_slot *slot, struct gr_rpc_call *call)
+{
+  if (call != NULL)
+    g_ptr_array_add (slot->drains, call);
+  if (slot->shard != NULL)
+    gr_shard_stop (slot->shard);
+  else if (call != NULL)
+    answer_drains (slot, "not-owned");
+}
+
+bool
+gr_slot_is_free (const struct gr_slot *slot)
+{
+  return gr_ownership_state (slot->ownership) == GR_OWNERSHIP_WAITING;
+}
