--- a/scheduler/acquire.c
+++ b/scheduler/acquire.c
@@ -126,6 +126,12 @@
 
   if (!gr_own_call_ended (own))
     return;
+  if (error != NULL && error->kind == GR_ERROR_NOT_FOUND)
+    {
+      /* The lease is gone, so no earlier attempt has left a key behind. */
+      end_attempt (own);
+      return;
+    }
   if (is_unknown (error)
       || (error != NULL && own->state == GR_OWNERSHIP_RECLAIMING))
     {
--- a/scheduler/ownership.c
+++ b/scheduler/ownership.c
@@ -230,16 +230,19 @@
             void *context)
 {
   struct gr_ownership *own = context;
+  bool lease_gone;
 
   if (!gr_own_call_ended (own) || own->state != GR_OWNERSHIP_OWNER
       || own->renewed_lease != own->lease)
     return;
-  gr_own_note_store (own, error);
+  lease_gone =
+      error != NULL ? error->kind == GR_ERROR_NOT_FOUND : result->ttl_s <= 0;
+  gr_own_note_store (own, lease_gone ? NULL : error);
   own->heard_ms = own->lease_asked_ms;
-  if (error != NULL)
-    gr_own_schedule_renewal (own, gr_own_renew_interval_ms (own) / 3);
-  else if (result->ttl_s <= 0)
+  if (lease_gone)
     gr_own_reclaim (own);
+  else if (error != NULL)
+    gr_own_schedule_renewal (own, gr_own_renew_interval_ms (own) / 3);
   else
     gr_own_schedule_renewal (own, own->lease_asked_ms
                                       + gr_own_renew_interval_ms (own)
