--- a/route/allot.c
+++ b/route/allot.c
@@ -257,11 +257,7 @@
   reporter->demand_per_s = demand_per_s;
   check_majority (allot, account, now_ms);
   if (account->held_since_ms < 0
-<<<<<<< HEAD
-      || now_ms - account->held_since_ms < 2 * GR_LIMIT_TERM_MS
-=======
       || now_ms - account->held_since_ms < 2LL * GR_LIMIT_TERM_MS
->>>>>>> c455445
       || !is_fresh (reporter, now_ms))
     return 0;
   free_per_s = account->rate_per_s / 2
--- a/route/retry.c
+++ b/route/retry.c
@@ -44,11 +44,7 @@
       saved = g_new0 (int64_t, 1);
       g_hash_table_insert (retries->saved, g_strdup (account), saved);
     }
-<<<<<<< HEAD
-  *saved = MIN (*saved + retries->percent, 100 * GR_RETRY_MAX_SAVED);
-=======
   *saved = MIN (*saved + retries->percent, 100LL * GR_RETRY_MAX_SAVED);
->>>>>>> c455445
 }
 
 bool
--- a/tests/test-route.c
+++ b/tests/test-route.c
@@ -127,12 +127,8 @@
   struct gr_allot *home[WORLD_ENTRIES];
   int64_t stamp[WORLD_ENTRIES][WORLD_ENTRIES]; /* of member, from home */
   int64_t paused_until[WORLD_ENTRIES];
-<<<<<<< HEAD
-  int view[WORLD_ENTRIES]; /* the home that a member believes in */
-=======
   int view[WORLD_ENTRIES];            /* the home that a member believes in */
   int64_t flaps_until[WORLD_ENTRIES]; /* view changes at each report */
->>>>>>> c455445
 };
 
 static const char *const names[WORLD_ENTRIES] = { "e0", "e1", "e2", "e3" };
@@ -198,10 +194,6 @@
   for (int64_t now = from_ms; now < to_ms; now += 50)
     {
       for (int i = 0; i < WORLD_ENTRIES; i++)
-<<<<<<< HEAD
-        if (now >= world->paused_until[i] && now / 50 % 6 == i)
-          report (world, i, now);
-=======
         {
           if (now < world->paused_until[i] || now / 50 % 6 != i)
             continue;
@@ -209,7 +201,6 @@
             world->view[i] = 1 - world->view[i];
           report (world, i, now);
         }
->>>>>>> c455445
       ck_assert_msg (rate_of_all (world, now) <= RATE + 0.001,
                      "%.1f at %" G_GINT64_FORMAT, rate_of_all (world, now),
                      (gint64)now);
@@ -255,11 +246,6 @@
         world.view[who] = what;
       else if (what == 2)
         world.paused_until[who] = now + g_rand_int_range (rng, 100, 4000);
-<<<<<<< HEAD
-      else if (what == 3)
-        for (int i = 0; i < WORLD_ENTRIES; i++)
-          world.view[i] = who % 2;
-=======
       else if (what == 3) /* all but one see another home */
         for (int i = 0; i < WORLD_ENTRIES; i++)
           world.view[i] = i == who ? world.view[i] : 1 - world.view[who];
@@ -269,7 +255,6 @@
             world.view[i] = i % 2;
             world.flaps_until[i] = i < 2 ? 0 : now + 6000;
           }
->>>>>>> c455445
       run (&world, now, now + 500);
     }
   world_clear (&world);
--- a/tests/test-scheduler-store.c
+++ b/tests/test-scheduler-store.c
@@ -559,7 +559,7 @@
       ck_assert (!gr_pages_put (pages, &record));
       gr_job_record_clear (&record);
     }
-  ck_assert_int_ge (accepted, GR_PAGES * 2);
+  ck_assert_int_ge (accepted, 2 * (intmax_t)GR_PAGES);
   ck_assert_int_lt (accepted, 400);
   for (uint32_t i = 0; i < GR_PAGES; i++)
     {
