--- a/tests/test-scheduler-store.c
+++ b/tests/test-scheduler-store.c
@@ -331,6 +331,7 @@
   wait_for (&the->a.acquired, 1);
   ck_assert_int_eq (the->faults->lose_answers, 0);
   ck_assert_int_eq (the->faults->lose_requests, 0);
+  ck_assert_int_eq (gr_standin_count (base, "/v3/lease/grant"), 1);
   party_start (&the->b, "writer-b", 9);
   run_for (200);
   ck_assert_int_eq (the->b.acquired, 0);
