sched: bounded work for each tick, silence by report interval

The scheduler polls idle workers every 5 s, which counted as silence after 3 s. An urgent task of one accelerator stopped a checkpointable gang of 1024, since all checkpointable work had the same loss.

Change: sizes of free blocks are kept for each rack; waiting jobs are in sequences; starts and commands of a tick are bounded; searches that look at running work stop after 128 candidates in large pools. Silence is counted from the report interval (new fields report_busy_ms and report_idle_ms of struct gr_core_config, 0 is 2 s and 5 s) plus call_timeout_ms; a refused connection excludes a worker from new work at once. The loss of a stop grows with the accelerators held. Urgent work of an account may stop its own less urgent work inside the same guaranteed shape.

--- a/sched/cells.c
+++ b/sched/cells.c
@@ -26,6 +26,26 @@
   return mask;
 }
 
+/* Pinned accelerators, less those of less urgent work of the same unit. */
+static uint32_t
+pinned_for (const struct gr_core_worker *worker, const struct gr_search *search)
+{
+  uint32_t mask = worker->pinned;
+
+  g_assert (search->job != NULL);
+  for (uint32_t i = 0; i < worker->accelerators; i++)
+    {
+      const struct gr_core_member *member = worker->holder[i];
+
+      if (member != NULL && member->job->unit == search->unit
+          && member->job->record.spec.idempotent
+          && member->job->record.spec.priority
+                 > search->job->record.spec.priority)
+        mask &= ~(1U << i);
+    }
+  return mask;
+}
+
 static uint32_t
 own_unit_mask (const struct gr_core_worker *worker,
                const struct gr_core_unit *unit)
@@ -87,6 +107,9 @@
       taken = worker->pinned | worker->firm
               | (worker->in_unit & ~own_unit_mask (worker, search->unit));
       break;
+    case GR_SEARCH_OWN:
+      taken = pinned_for (worker, search) | worker->firm;
+      break;
     case GR_SEARCH_PREEMPT:
       taken = worker->claimed | worker->foreign
               | reserved_mask (worker, search->job)
@@ -193,38 +216,6 @@
   cell->n = n;
 }
 
-static uint32_t
-largest_block (uint32_t free, uint32_t limit)
-{
-  uint32_t best = 0;
-
-  for (uint32_t offset = 0; offset < limit; offset++)
-    if ((free & (1U << offset)) != 0)
-      best = MAX (best, MAX (1, buddy_size (free, offset, 1, limit)));
-  return best;
-}
-
-static uint32_t
-rack_max_free (struct gr_core_rack *rack)
-{
-  if (!rack->dirty)
-    return rack->max_free_block;
-  rack->dirty = false;
-  rack->max_free_block = 0;
-  for (uint32_t i = 0; i < rack->workers->len; i++)
-    {
-      const struct gr_core_worker *worker =
-          g_ptr_array_index (rack->workers, i);
-      uint32_t free = worker->all & ~(worker->held | worker->foreign);
-
-      if (worker->usable)
-        rack->max_free_block = MAX (rack->max_free_block,
-                                    /* sizes in between fit a larger block */
-                                    2 * largest_block (free, 16) - 1);
-    }
-  return rack->max_free_block;
-}
-
 static uint32_t
 min_need (const struct gr_core *core, const struct gr_search *search)
 {
@@ -241,7 +232,7 @@
 {
   if (search->mode < GR_SEARCH_UNIT || core->rack_list->len == 0
       || g_hash_table_size (core->workers) <= GR_MAX_COSTLY_CANDIDATES)
-    return 0;
+    return search->first_rack;
   core->search_cursor = (core->search_cursor + 97) % core->rack_list->len;
   return core->search_cursor;
 }
@@ -252,6 +243,25 @@
   return g_ptr_array_index (core->rack_list, index % core->rack_list->len);
 }
 
+/* The least score that a worker of the rack can have; -1 if none has a block.
+ * Other modes than those for free accelerators are not bounded. */
+int64_t
+gr_rack_bound (const struct gr_core *core,
+               const struct gr_search *search,
+               struct gr_core_rack *rack)
+{
+  uint32_t align = gr_block_align (min_need (core, search));
+  uint32_t sizes;
+
+  if (search->mode >= GR_SEARCH_UNIT)
+    return 0;
+  gr_rack_refresh (rack);
+  sizes = search->mode == GR_SEARCH_FREE_OUTSIDE ? rack->outside_sizes
+                                                 : rack->free_sizes;
+  sizes &= ~(align - 1);
+  return sizes == 0 ? -1 : (int64_t)(sizes & -sizes) - align;
+}
+
 static bool
 search_single (struct gr_core *core,
                const struct gr_search *search,
@@ -259,7 +269,6 @@
 {
   struct gr_core_worker *best_worker = NULL;
   struct gr_candidate best = { 0, 0 };
-  uint32_t need = min_need (core, search);
   bool only_free = search->mode < GR_SEARCH_UNIT;
   uint32_t first = gr_first_rack (core, search);
   uint32_t candidates = 0;
@@ -267,8 +276,9 @@
   for (uint32_t r = 0; r < core->rack_list->len; r++)
     {
       struct gr_core_rack *rack = gr_rack_at (core, first + r);
+      int64_t bound = gr_rack_bound (core, search, rack);
 
-      if (only_free && rack_max_free (rack) < need)
+      if (bound < 0 || (best_worker != NULL && bound >= best.score))
         continue;
       for (uint32_t i = 0; i < rack->workers->len; i++)
         {
--- a/sched/cells.h
+++ b/sched/cells.h
@@ -11,6 +11,7 @@
   GR_SEARCH_BACKFILL,     /* free, also those that are reserved */
   GR_SEARCH_UNIT_FREE,    /* free and outside cells of other units */
   GR_SEARCH_UNIT,         /* stoppable and outside cells of other units */
+  GR_SEARCH_OWN,          /* also held by less urgent jobs of the unit itself */
   GR_SEARCH_PREEMPT,      /* free or held by work that gives way to the job */
   GR_SEARCH_RESERVE,      /* everything that becomes free by itself */
 };
@@ -23,6 +24,7 @@
   const struct gr_core_unit *unit;    /* whose cell may be used, or NULL */
   uint32_t need[GR_MAX_WORKER_TYPES]; /* accelerators, 0: does not fit */
   bool first_fit;                     /* take the first, not the best */
+  uint32_t first_rack;                /* index of the rack where to begin */
 };
 
 /* For a job: need is what its cores and memory take, in accelerators, so that
@@ -44,6 +46,9 @@
                         const struct gr_search *search,
                         struct gr_cell *cell);
 
+/* Computes the numbers of the rack again if something changed. */
+struct gr_core_rack *gr_rack_refresh (struct gr_core_rack *rack);
+
 /* True if some set of known workers, in whatever state, holds the shape. */
 bool gr_shape_fits (const struct gr_core *core, const struct gr_job_spec *spec);
 
--- a/sched/core.c
+++ b/sched/core.c
@@ -11,7 +11,10 @@
 
 /* Ticks further apart than this mean that the process was paused: silence in
  * that time says nothing about the workers. */
-#define MAX_TICK_MS 1000
+#define MAX_TICK_MS 1500
+
+#define REPORT_BUSY_MS 2000
+#define REPORT_IDLE_MS 5000
 
 static void
 free_list (void *data)
@@ -25,6 +28,10 @@
   struct gr_core *core = g_new0 (struct gr_core, 1);
 
   core->config = *config;
+  if (config->report_busy_ms == 0)
+    core->config.report_busy_ms = REPORT_BUSY_MS;
+  if (config->report_idle_ms == 0)
+    core->config.report_idle_ms = REPORT_IDLE_MS;
   core->rand = rand;
   core->first_ms = -1;
   core->renew_slot_ms = MAX (1, config->run_lease_term_ms / 3 / GR_RENEW_SLOTS);
@@ -41,6 +48,9 @@
   core->members = g_hash_table_new (g_str_hash, g_str_equal);
   core->unbound =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_list);
+  for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
+    for (uint32_t c = 0; c < GR_N_CLASSES; c++)
+      core->waiting[p][c] = g_sequence_new (NULL);
   core->homeless = g_ptr_array_new ();
   core->reserving = g_ptr_array_new ();
   core->claiming = g_ptr_array_new ();
@@ -56,6 +66,9 @@
 {
   if (core == NULL)
     return;
+  for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
+    for (uint32_t c = 0; c < GR_N_CLASSES; c++)
+      g_sequence_free (core->waiting[p][c]);
   g_hash_table_destroy (core->members);
   g_hash_table_destroy (core->unbound);
   g_hash_table_destroy (core->jobs);
@@ -98,9 +111,10 @@
   gr_witness_set_guarantees (core, account, &none);
   account->settings.n_guarantees = 0;
   for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
-    while (account->waiting[p].head != NULL)
+    while (!g_sequence_is_empty (account->waiting[p]))
       {
-        struct gr_core_job *job = account->waiting[p].head->data;
+        struct gr_core_job *job =
+            g_sequence_get (g_sequence_get_begin_iter (account->waiting[p]));
 
         gr_job_end (core, job,
                     job->record.started_unix_ms != 0 ? GR_JOB_FAILED
@@ -159,7 +173,7 @@
   fresh.state = GR_JOB_ACCEPTED;
   fresh.submitted_unix_ms = unix_ms;
   job = gr_job_row_create (core, &fresh);
-  gr_job_enqueue (core, job, false);
+  gr_job_enqueue (core, job);
   gr_job_touch (core, job);
   *record = &job->record;
   return true;
@@ -209,7 +223,7 @@
   else if (record->state == GR_JOB_ACCEPTED || record->n_placements == 0)
     {
       job->record.state = GR_JOB_ACCEPTED;
-      gr_job_enqueue (core, job, false);
+      gr_job_enqueue (core, job);
     }
   else
     gr_gang_restore (core, job);
--- a/sched/core.h
+++ b/sched/core.h
@@ -30,9 +30,14 @@
   enum gr_core_policy policy;
   int64_t start_lease_term_ms; /* 10 000 */
   int64_t run_lease_term_ms;   /* 30 000 */
-  int64_t call_timeout_ms;     /* a worker that answers nothing for this
-                                  long is silent; 3 000 */
-  uint32_t max_attempts;       /* 3 */
+  int64_t call_timeout_ms;     /* a call or report that takes longer counts
+                                  as lost; 3 000 */
+  /* Time between two reports of a worker that holds leases, and of one that
+   * holds none; 0 is 2 000 and 5 000. A worker of which nothing was heard for
+   * this long and call_timeout_ms more is silent. */
+  int64_t report_busy_ms;
+  int64_t report_idle_ms;
+  uint32_t max_attempts; /* 3 */
 };
 
 enum gr_command_kind
--- a/sched/fit.c
+++ b/sched/fit.c
@@ -8,6 +8,10 @@
  * so that two jobs do not stop each other in turn. */
 #define MIN_QUANTUM_MS 600000
 #define MIN_WAIT_MS 30000
+/* Each accelerator of a stopped job is idle for about a minute until the job
+ * has a place again and has loaded its data. Without it a checkpointable gang
+ * of a thousand tasks would be stopped for one accelerator. */
+#define RESTART_S 60
 
 /* Accelerators that a task of the job takes on a worker of the type. */
 static uint32_t
@@ -65,12 +69,12 @@
 int64_t
 gr_loss_of_stop (const struct gr_core *core, const struct gr_core_job *job)
 {
-  int64_t attained = gr_attained_ms (core, job) / 1000 + 1;
+  int64_t lost_s = RESTART_S;
 
-  /* A checkpoint saves the work; what is lost is the time to load it. */
-  if (job->record.spec.checkpointable)
-    return 1;
-  return 1 + MIN (attained, G_MAXINT32) * job->held;
+  /* A checkpoint saves the work. */
+  if (!job->record.spec.checkpointable)
+    lost_s += gr_attained_ms (core, job) / 1000;
+  return lost_s * MAX (job->held, 1);
 }
 
 bool
--- a/sched/gang.c
+++ b/sched/gang.c
@@ -62,9 +62,12 @@
 gr_member_hold (struct gr_core *core, struct gr_core_member *member)
 {
   struct gr_core_worker *worker = member->worker;
+  bool was_idle = worker->held == 0;
 
   g_assert ((worker->held & member->mask) == 0);
   worker->held |= member->mask;
+  if (was_idle)
+    gr_worker_busy_changed (core, worker);
   if (member->job->pinned)
     worker->pinned |= member->mask;
   for (uint32_t a = 0; a < worker->accelerators; a++)
@@ -149,6 +152,7 @@
     gr_unit_use (unit);
   gr_job_dequeue (core, job);
   core->next_attempt++;
+  core->placed++;
   job->record.attempt++;
   job->record.state = GR_JOB_STARTING;
   job->record.reason[0] = '\0';
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -13,7 +13,6 @@
   gr_job_record_copy (&job->record, record);
   job->account = gr_account_get (core, record->spec.account);
   job->sequence = core->next_sequence++;
-  job->waiting_link.data = job;
   job->account_link.data = job;
   job->step_link.data = job;
   job->commit_link.data = job;
@@ -54,49 +53,30 @@
 }
 
 /* First in, first out knows no priorities. */
-static GQueue *
+static GSequence *
 queue_of (struct gr_core *core, const struct gr_core_job *job)
 {
   if (core->config.policy == GR_POLICY_FIFO)
-    return &core->waiting[0][0];
-  return &core->waiting[job->record.spec.priority][job->class];
+    return core->waiting[0][0];
+  return core->waiting[job->record.spec.priority][job->class];
 }
 
-static bool
-is_before (const struct gr_core_job *a, const struct gr_core_job *b)
+/* Order of submission, which preempted jobs keep. */
+static int
+compare_jobs (const void *a, const void *b, void *context)
 {
-  if (a->record.submitted_unix_ms != b->record.submitted_unix_ms)
-    return a->record.submitted_unix_ms < b->record.submitted_unix_ms;
-  return a->sequence < b->sequence;
-}
-
-/* Keeps the order of submission; job is nearly always the last, or among the
- * first after a preemption. */
-static void
-insert_sorted (GQueue *queue, GList *link, bool first)
-{
-  const struct gr_core_job *job = link->data;
-  GList *at;
-
-  if (first)
-    {
-      at = queue->head;
-      while (at != NULL && is_before (at->data, job))
-        at = at->next;
-      g_queue_insert_before_link (queue, at, link);
-      return;
-    }
-  at = queue->tail;
-  while (at != NULL && is_before (job, at->data))
-    at = at->prev;
-  if (at == NULL)
-    g_queue_push_head_link (queue, link);
-  else
-    g_queue_insert_after_link (queue, at, link);
+  const struct gr_core_job *left = a;
+  const struct gr_core_job *right = b;
+
+  (void)context;
+  if (left->record.submitted_unix_ms != right->record.submitted_unix_ms)
+    return left->record.submitted_unix_ms < right->record.submitted_unix_ms ? -1
+                                                                            : 1;
+  return left->sequence < right->sequence ? -1 : 1;
 }
 
 void
-gr_job_enqueue (struct gr_core *core, struct gr_core_job *job, bool first)
+gr_job_enqueue (struct gr_core *core, struct gr_core_job *job)
 {
   enum gr_priority priority = job->record.spec.priority;
 
@@ -105,8 +85,10 @@
   job->phase = GR_PHASE_WAITING;
   job->waiting_since_ms = core->now_ms;
   job->in_waiting = true;
-  insert_sorted (queue_of (core, job), &job->waiting_link, first);
-  insert_sorted (&job->account->waiting[priority], &job->account_link, first);
+  job->waiting_iter =
+      g_sequence_insert_sorted (queue_of (core, job), job, compare_jobs, NULL);
+  job->account_iter = g_sequence_insert_sorted (job->account->waiting[priority],
+                                                job, compare_jobs, NULL);
   core->jobs_waiting++;
   core->place_dirty = true;
 }
@@ -114,13 +96,11 @@
 void
 gr_job_dequeue (struct gr_core *core, struct gr_core_job *job)
 {
-  enum gr_priority priority = job->record.spec.priority;
-
   g_assert (job->in_waiting);
   gr_reserve_drop (core, job);
   gr_claim_drop (core, job);
-  g_queue_unlink (queue_of (core, job), &job->waiting_link);
-  g_queue_unlink (&job->account->waiting[priority], &job->account_link);
+  g_sequence_remove (job->waiting_iter);
+  g_sequence_remove (job->account_iter);
   job->in_waiting = false;
   core->jobs_waiting--;
 }
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -15,7 +15,7 @@
 
 /* Puts a job that holds nothing into the queue of its class, or takes it
  * out. */
-void gr_job_enqueue (struct gr_core *core, struct gr_core_job *job, bool first);
+void gr_job_enqueue (struct gr_core *core, struct gr_core_job *job);
 void gr_job_dequeue (struct gr_core *core, struct gr_core_job *job);
 
 /* Final state of the record. The attempt, if there is one, is released
--- a/sched/member.c
+++ b/sched/member.c
@@ -149,6 +149,8 @@
         if (worker->holder[a] == member)
           worker->holder[a] = NULL;
       worker->held &= ~member->mask;
+      if (worker->held == 0)
+        gr_worker_busy_changed (core, worker);
       worker->pinned &= ~member->mask;
       if (worker->probing && job->probe)
         gr_worker_probe_ended (core, worker);
--- a/sched/place.c
+++ b/sched/place.c
@@ -6,7 +6,6 @@
 #include "sched/learn.h"
 
 /* Bounds on the work of one tick; what is left over waits for the next. */
-#define MAX_PLACED 512
 #define MAX_LOOKED_AT 20000
 #define MAX_FAILED_SHAPES 16
 #define MAX_PREEMPT_SEARCHES 16
@@ -23,7 +22,6 @@
 
 struct pass
 {
-  uint32_t placed;
   uint32_t looked_at;
   uint32_t preempt_searches;
   uint32_t n_failed;
@@ -96,11 +94,13 @@
   core->next_admit_ms = core->now_ms + ADMIT_PAUSE_MS;
   for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
     for (uint32_t c = 0; c < GR_N_CLASSES; c++)
-      for (GList *link = core->waiting[p][c].head; link != NULL;)
+      for (GSequenceIter *iter =
+               g_sequence_get_begin_iter (core->waiting[p][c]);
+           !g_sequence_iter_is_end (iter);)
         {
-          struct gr_core_job *job = link->data;
+          struct gr_core_job *job = g_sequence_get (iter);
 
-          link = link->next;
+          iter = g_sequence_iter_next (iter);
           admit_job (core, job);
         }
 }
@@ -252,10 +252,7 @@
   if (!is_hopeless (core, pass, &job->record.spec))
     {
       if (place_free (core, job))
-        {
-          pass->placed++;
-          return true;
-        }
+        return true;
       remember_failure (core, pass, job);
     }
   if (policy == GR_POLICY_FIFO)
@@ -285,12 +282,14 @@
 
   for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
     for (uint32_t c = 0; c < GR_N_CLASSES; c++)
-      for (GList *link = core->waiting[p][c].head; link != NULL;)
+      for (GSequenceIter *iter =
+               g_sequence_get_begin_iter (core->waiting[p][c]);
+           !g_sequence_iter_is_end (iter);)
         {
-          struct gr_core_job *job = link->data;
+          struct gr_core_job *job = g_sequence_get (iter);
 
-          link = link->next;
-          if (++pass.looked_at > MAX_LOOKED_AT || pass.placed >= MAX_PLACED
+          iter = g_sequence_iter_next (iter);
+          if (++pass.looked_at > MAX_LOOKED_AT || core->placed >= GR_MAX_PLACED
               || !place_job (core, job, &pass))
             return;
         }
@@ -299,6 +298,7 @@
 void
 gr_system_place (struct gr_core *core)
 {
+  core->placed = 0;
   gr_serve_claims (core);
   if (!core->durable
       || (!core->place_dirty && core->now_ms < core->next_place_ms))
--- a/sched/place.h
+++ b/sched/place.h
@@ -3,6 +3,9 @@
 
 #include "sched/tables.h"
 
+/* Bound on the starts of one tick; what is left over waits for the next. */
+#define GR_MAX_PLACED 512
+
 /* Refuses waiting jobs that no set of known workers can hold. */
 void gr_system_admit (struct gr_core *core);
 
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -130,10 +130,12 @@
       {
         uint32_t seen = 0;
 
-        for (GList *link = core->waiting[priority][class].head;
-             link != NULL && seen < 16; link = link->next, seen++)
+        for (GSequenceIter *iter =
+                 g_sequence_get_begin_iter (core->waiting[priority][class]);
+             !g_sequence_iter_is_end (iter) && seen < 16;
+             iter = g_sequence_iter_next (iter), seen++)
           {
-            struct gr_core_job *job = link->data;
+            struct gr_core_job *job = g_sequence_get (iter);
 
             if (may_probe (core, job)
                 && strcmp (job->failed_worker, worker->name) != 0)
--- a/sched/reclaim.c
+++ b/sched/reclaim.c
@@ -30,7 +30,6 @@
 
           if ((cell->parts[i].mask & (1U << a)) == 0 || member == NULL)
             continue;
-          g_assert (!member->job->pinned);
           gr_gang_stop (core, member->job, GR_STOP_PREEMPT,
                         "stopped for other work");
         }
@@ -291,50 +290,64 @@
   return found;
 }
 
-/* Tries the account's units in three rounds: free room as it is, an unused
- * unit moved to free accelerators, and last stopping other work. */
+/* One way to find room in the units of an account. */
+struct attempt
+{
+  enum gr_search_mode mode;
+  bool in_use; /* look at units that are used in part, or at unused ones */
+  bool move;   /* an unused unit may get another cell */
+};
+
+/* Free room as it is, in units that are used anyway first; then an unused unit
+ * moved to free accelerators; then stopping other work; and last less urgent
+ * work of the account itself. */
+static const struct attempt attempts[] = {
+  { GR_SEARCH_UNIT_FREE, true, false }, { GR_SEARCH_UNIT_FREE, false, false },
+  { GR_SEARCH_UNIT_FREE, false, true }, { GR_SEARCH_UNIT, false, true },
+  { GR_SEARCH_UNIT, true, false },      { GR_SEARCH_OWN, true, false },
+};
+
 static bool
-place_guaranteed_job (struct gr_core *core, struct gr_core_job *job)
+same_shape (const struct gr_core_unit *a, const struct gr_core_unit *b)
+{
+  return a->shape.workers == b->shape.workers
+         && a->shape.accelerators_per_worker
+                == b->shape.accelerators_per_worker;
+}
+
+static bool
+try_units (struct gr_core *core,
+           struct gr_core_job *job,
+           const struct attempt *attempt)
 {
-  static const struct
-  {
-    enum gr_search_mode mode;
-    bool move;
-  } rounds[] = {
-    { GR_SEARCH_UNIT_FREE, false },
-    { GR_SEARCH_UNIT_FREE, true },
-    { GR_SEARCH_UNIT, true },
-  };
   const GPtrArray *units = job->account->units;
-  for (uint32_t r = 0; r < G_N_ELEMENTS (rounds); r++)
-    {
-      const struct gr_core_unit *failed = NULL;
+  const struct gr_core_unit *failed = NULL;
 
-      for (uint32_t i = 0; i < units->len; i++)
-        {
-          struct gr_core_unit *unit = g_ptr_array_index (units, i);
-          bool move = rounds[r].move && unit->in_use == 0;
+  for (uint32_t i = 0; i < units->len; i++)
+    {
+      struct gr_core_unit *unit = g_ptr_array_index (units, i);
 
-          if (unit->cell.n == 0
-              || !gr_job_fits_unit (core, &job->record.spec, unit))
-            continue;
-          if (move && failed != NULL
-              && failed->shape.workers == unit->shape.workers
-              && failed->shape.accelerators_per_worker
-                     == unit->shape.accelerators_per_worker)
-            continue;
-          if (move && !move_unit (core, unit, rounds[r].mode))
-            {
-              failed = unit;
-              continue;
-            }
-          if (place_in_unit (core, job, unit, rounds[r].mode))
-            return true;
-        }
+      if (unit->cell.n == 0 || (unit->in_use > 0) != attempt->in_use
+          || !gr_job_fits_unit (core, &job->record.spec, unit)
+          || (attempt->move && failed != NULL && same_shape (failed, unit)))
+        continue;
+      if (attempt->move && !move_unit (core, unit, attempt->mode))
+        failed = unit;
+      else if (place_in_unit (core, job, unit, attempt->mode))
+        return true;
     }
   return false;
 }
 
+static bool
+place_guaranteed_job (struct gr_core *core, struct gr_core_job *job)
+{
+  for (uint32_t i = 0; i < G_N_ELEMENTS (attempts); i++)
+    if (try_units (core, job, &attempts[i]))
+      return true;
+  return false;
+}
+
 static void
 place_account (struct gr_core *core, struct gr_core_account *account)
 {
@@ -344,14 +357,16 @@
   for (uint32_t priority = 0; priority < GR_N_PRIORITIES; priority++)
     {
       const struct gr_job_spec *failed = NULL;
-      GList *link = account->waiting[priority].head;
+      GSequenceIter *iter =
+          g_sequence_get_begin_iter (account->waiting[priority]);
 
-      while (link != NULL && misses < MAX_GUARANTEED_MISSES)
+      while (!g_sequence_iter_is_end (iter) && misses < MAX_GUARANTEED_MISSES
+             && core->placed < GR_MAX_PLACED)
         {
-          struct gr_core_job *job = link->data;
+          struct gr_core_job *job = g_sequence_get (iter);
           const struct gr_job_spec *spec = &job->record.spec;
 
-          link = link->next;
+          iter = g_sequence_iter_next (iter);
           if (job->claim_unit != NULL || job->not_before_ms > core->now_ms
               || (failed != NULL && failed->shape.workers <= spec->shape.workers
                   && failed->shape.accelerators_per_worker
@@ -368,10 +383,15 @@
 void
 gr_place_guaranteed (struct gr_core *core)
 {
-  for (uint32_t i = 0; i < core->account_list->len; i++)
+  uint32_t n = core->account_list->len;
+
+  /* Another account is first each time, since the starts of a tick are
+   * bounded. */
+  core->account_cursor++;
+  for (uint32_t i = 0; i < n; i++)
     {
-      struct gr_core_account *account =
-          g_ptr_array_index (core->account_list, i);
+      struct gr_core_account *account = g_ptr_array_index (
+          core->account_list, (core->account_cursor + i) % n);
 
       if (account->units->len > 0)
         place_account (core, account);
--- a/sched/report.c
+++ b/sched/report.c
@@ -34,22 +34,31 @@
     }
 }
 
-void
-gr_system_silence (struct gr_core *core)
+static void
+silence_queue (struct gr_core *core, GQueue *queue, int64_t after_ms)
 {
-  while (core->heard.head != NULL)
+  while (queue->head != NULL)
     {
-      struct gr_core_worker *worker = core->heard.head->data;
+      struct gr_core_worker *worker = queue->head->data;
 
-      if (core->active_ms - worker->heard_active_ms
-          <= core->config.call_timeout_ms)
-        break;
-      g_queue_unlink (&core->heard, &worker->heard_link);
-      worker->in_heard = false;
+      if (core->active_ms - worker->heard_active_ms <= after_ms)
+        return;
+      gr_worker_forget_heard (worker);
       worker->silent = true;
       gr_worker_update (core, worker);
       fail_members (core, worker);
     }
+}
+
+void
+gr_system_silence (struct gr_core *core)
+{
+  const struct gr_core_config *config = &core->config;
+
+  silence_queue (core, &core->heard_busy,
+                 config->call_timeout_ms + config->report_busy_ms);
+  silence_queue (core, &core->heard_idle,
+                 config->call_timeout_ms + config->report_idle_ms);
   forget_gone (core);
 }
 
@@ -74,9 +83,7 @@
     return;
   worker->gone = true;
   worker->silent = true;
-  if (worker->in_heard)
-    g_queue_unlink (&core->heard, &worker->heard_link);
-  worker->in_heard = false;
+  gr_worker_forget_heard (worker);
   if (!g_ptr_array_find (core->gone, worker, NULL))
     g_ptr_array_add (core->gone, worker);
   gr_worker_update (core, worker);
@@ -365,6 +372,11 @@
     return;
   if (is_unanswered (kind))
     {
+      if (kind == GR_ERROR_NO_TARGET)
+        {
+          member->worker->suspect = true;
+          gr_worker_update (core, member->worker);
+        }
       call_again (core, member);
       gr_job_wake (core, member->job);
       return;
--- a/sched/status.c
+++ b/sched/status.c
@@ -1,7 +1,7 @@
-#include "sched/tables.h"
+#include "sched/cells.h"
 
 static uint32_t
-aligned_block (uint32_t free, uint32_t limit)
+block_max (uint32_t free, uint32_t limit)
 {
   for (uint32_t size = GR_MAX_ACCELERATORS; size > 0; size /= 2)
     for (uint32_t offset = 0; offset + size <= MIN (limit, GR_MAX_ACCELERATORS);
@@ -15,34 +15,77 @@
   return 0;
 }
 
-/* Whole free workers side by side, or the largest block of one worker. */
+/* Sizes of the maximal free aligned blocks. A whole free worker counts as the
+ * next power of two. */
+static uint32_t
+block_sizes (const struct gr_core_worker *worker, uint32_t free)
+{
+  uint32_t sizes = 0;
+
+  if (free == worker->all)
+    return gr_block_align (worker->accelerators);
+  while (free != 0)
+    {
+      uint32_t size = block_max (free, worker->accelerators);
+
+      sizes |= size;
+      for (uint32_t offset = 0;
+           offset + size <= MIN (worker->accelerators, GR_MAX_ACCELERATORS);
+           offset += size)
+        {
+          uint32_t block = ((1U << size) - 1) << offset;
+
+          if ((free & block) == block)
+            free &= ~block;
+        }
+    }
+  return sizes;
+}
+
+/* Whole free workers side by side count as one block. */
 static void
-add_rack (const struct gr_core_rack *rack, struct gr_core_status *status)
+add_worker (struct gr_core_rack *rack,
+            const struct gr_core_worker *worker,
+            uint32_t *run)
+{
+  uint32_t free = worker->all & ~(worker->held | worker->foreign);
+  uint32_t block = block_max (free, worker->accelerators);
+
+  rack->usable += worker->accelerators;
+  rack->free += gr_mask_count (free);
+  *run = free == worker->all ? *run + worker->accelerators : 0;
+  rack->largest_free = MAX (rack->largest_free, MAX (*run, block));
+  rack->free_sizes |= block_sizes (worker, free);
+  rack->outside_sizes |= block_sizes (worker, free & ~worker->in_unit);
+}
+
+struct gr_core_rack *
+gr_rack_refresh (struct gr_core_rack *rack)
 {
   uint32_t run = 0;
 
+  if (!rack->dirty)
+    return rack;
+  rack->dirty = false;
+  rack->free_sizes = 0;
+  rack->outside_sizes = 0;
+  rack->usable = 0;
+  rack->free = 0;
+  rack->largest_free = 0;
   for (uint32_t i = 0; i < rack->workers->len; i++)
     {
       const struct gr_core_worker *worker =
           g_ptr_array_index (rack->workers, i);
       const struct gr_core_worker *before =
           i > 0 ? g_ptr_array_index (rack->workers, i - 1) : NULL;
-      uint32_t free = worker->all & ~(worker->held | worker->foreign);
 
-      if (before != NULL && worker->rack_slot != before->rack_slot + 1)
+      if (!worker->usable
+          || (before != NULL && worker->rack_slot != before->rack_slot + 1))
         run = 0;
-      if (!worker->usable)
-        {
-          run = 0;
-          continue;
-        }
-      status->accelerators += worker->accelerators;
-      status->free += gr_mask_count (free);
-      run = free == worker->all ? run + worker->accelerators : 0;
-      status->largest_free_block =
-          MAX (status->largest_free_block,
-               MAX (run, aligned_block (free, worker->accelerators)));
+      if (worker->usable)
+        add_worker (rack, worker, &run);
     }
+  return rack;
 }
 
 void
@@ -51,7 +94,15 @@
   struct gr_core_status fresh = { 0 };
 
   for (uint32_t i = 0; i < core->rack_list->len; i++)
-    add_rack (g_ptr_array_index (core->rack_list, i), &fresh);
+    {
+      const struct gr_core_rack *rack =
+          gr_rack_refresh (g_ptr_array_index (core->rack_list, i));
+
+      fresh.accelerators += rack->usable;
+      fresh.free += rack->free;
+      fresh.largest_free_block =
+          MAX (fresh.largest_free_block, rack->largest_free);
+    }
   fresh.jobs_waiting = core->jobs_waiting;
   fresh.jobs_running = core->jobs_running;
   fresh.preemptions = core->preemptions;
@@ -82,9 +133,10 @@
         status->borrowed += job->held;
     }
   for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
-    for (GList *link = account->waiting[p].head; link; link = link->next)
+    for (GSequenceIter *iter = g_sequence_get_begin_iter (account->waiting[p]);
+         !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
       {
-        const struct gr_core_job *job = link->data;
+        const struct gr_core_job *job = g_sequence_get (iter);
 
         status->waiting_jobs++;
         status->waiting += job->record.spec.shape.workers
--- a/sched/steps.c
+++ b/sched/steps.c
@@ -221,7 +221,7 @@
   gr_gang_free_attempt (core, job);
   job->phase = GR_PHASE_ENDED;
   if (!gr_job_state_is_final (job->record.state))
-    gr_job_enqueue (core, job, true);
+    gr_job_enqueue (core, job);
 }
 
 /* Finds the guaranteed shape that an adopted job runs in. */
@@ -325,6 +325,9 @@
     renew_start (core, job);
 }
 
+/* A wave of stops is spread over several ticks, so that none takes long. */
+#define MAX_COMMANDS 8192
+
 /* Timers of a phase are checked this often; events are served at once. */
 #define CHECK_MS 250
 
@@ -340,7 +343,7 @@
 {
   GList *link = core->steps.head;
 
-  while (link != NULL)
+  while (link != NULL && core->out->len < MAX_COMMANDS)
     {
       struct gr_core_job *job = link->data;
       GList *next = link->next;
--- a/sched/tables.c
+++ b/sched/tables.c
@@ -54,6 +54,8 @@
   account = g_new0 (struct gr_core_account, 1);
   g_strlcpy (account->settings.name, name, sizeof account->settings.name);
   account->units = g_ptr_array_new ();
+  for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
+    account->waiting[p] = g_sequence_new (NULL);
   account->learned = gr_learned_table_create ();
   g_hash_table_insert (core->accounts, account->settings.name, account);
   g_ptr_array_add (core->account_list, account);
@@ -69,6 +71,8 @@
   for (uint32_t i = 0; i < account->units->len; i++)
     gr_unit_free (g_ptr_array_index (account->units, i));
   g_ptr_array_free (account->units, TRUE);
+  for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
+    g_sequence_free (account->waiting[p]);
   g_hash_table_destroy (account->learned);
   g_free (account);
 }
@@ -117,6 +121,8 @@
   g_hash_table_insert (core->racks, rack->name, rack);
   g_ptr_array_add (core->rack_list, rack);
   g_ptr_array_sort (core->rack_list, compare_racks);
+  for (uint32_t i = 0; i < core->rack_list->len; i++)
+    ((struct gr_core_rack *)g_ptr_array_index (core->rack_list, i))->index = i;
   return rack;
 }
 
@@ -191,8 +197,7 @@
 gr_worker_remove (struct gr_core *core, struct gr_core_worker *worker)
 {
   g_assert (worker->held == 0 && worker->in_unit == 0);
-  if (worker->in_heard)
-    g_queue_unlink (&core->heard, &worker->heard_link);
+  gr_worker_forget_heard (worker);
   if (worker->in_renew)
     g_queue_unlink (&core->renewals[worker->renew_slot], &worker->renew_link);
   g_ptr_array_remove_fast (core->quarantined, worker);
@@ -211,8 +216,8 @@
 void
 gr_worker_update (struct gr_core *core, struct gr_core_worker *worker)
 {
-  bool usable = !worker->silent && !worker->leaving && !worker->gone
-                && !worker->quarantined;
+  bool usable = !worker->silent && !worker->suspect && !worker->leaving
+                && !worker->gone && !worker->quarantined;
 
   if (usable == worker->usable)
     return;
@@ -222,14 +227,37 @@
 }
 
 void
-gr_worker_heard (struct gr_core *core, struct gr_core_worker *worker)
+gr_worker_forget_heard (struct gr_core_worker *worker)
+{
+  if (worker->heard_queue != NULL)
+    g_queue_unlink (worker->heard_queue, &worker->heard_link);
+  worker->heard_queue = NULL;
+}
+
+static void
+queue_heard (struct gr_core *core, struct gr_core_worker *worker)
 {
+  gr_worker_forget_heard (worker);
   worker->heard_active_ms = core->active_ms;
-  if (worker->in_heard)
-    g_queue_unlink (&core->heard, &worker->heard_link);
-  g_queue_push_tail_link (&core->heard, &worker->heard_link);
-  worker->in_heard = true;
+  worker->heard_queue =
+      worker->held != 0 ? &core->heard_busy : &core->heard_idle;
+  g_queue_push_tail_link (worker->heard_queue, &worker->heard_link);
+}
+
+void
+gr_worker_busy_changed (struct gr_core *core, struct gr_core_worker *worker)
+{
+  /* Counts from now: a call to the worker has just been made or answered. */
+  if (worker->heard_queue != NULL)
+    queue_heard (core, worker);
+}
+
+void
+gr_worker_heard (struct gr_core *core, struct gr_core_worker *worker)
+{
+  queue_heard (core, worker);
   worker->silent = false;
+  worker->suspect = false;
   worker->gone = false;
   gr_worker_update (core, worker);
 }
--- a/sched/tables.h
+++ b/sched/tables.h
@@ -42,19 +42,25 @@
   uint32_t used;         /* accelerators held by its jobs */
   uint32_t claimed;      /* accelerators of claims of its waiting jobs */
   uint32_t quota_demand; /* kept free for guaranteed work that waits */
-  GQueue waiting[GR_N_PRIORITIES];
-  GQueue active;       /* jobs that hold accelerators */
-  GHashTable *learned; /* shape -> struct gr_learned */
-  double ratio_log2;   /* learned run time against the declared one */
+  GSequence *waiting[GR_N_PRIORITIES]; /* jobs by time of submission */
+  GQueue active;                       /* jobs that hold accelerators */
+  GHashTable *learned;                 /* shape -> struct gr_learned */
+  double ratio_log2; /* learned run time against the declared one */
   uint32_t n_ratio;
 };
 
 struct gr_core_rack
 {
   char name[GR_NAME_MAX];
-  GPtrArray *workers; /* by rack_slot */
-  bool dirty;         /* max_free_block must be computed again */
-  uint32_t max_free_block;
+  GPtrArray *workers;     /* by rack_slot */
+  uint32_t index;         /* in core->rack_list */
+  bool dirty;             /* the numbers below must be computed again */
+  uint32_t free_sizes;    /* sizes of free aligned blocks, as a sum of powers
+                             of two */
+  uint32_t outside_sizes; /* the same outside the cells of units */
+  uint32_t usable;        /* accelerators of usable workers */
+  uint32_t free;
+  uint32_t largest_free; /* adjacent */
 };
 
 /* Workers with equal capacity share a type, so that the accelerators that a
@@ -85,16 +91,17 @@
   uint32_t in_unit;               /* covered by cells of units */
   struct gr_core_member *holder[GR_MAX_ACCELERATORS];
   struct gr_core_unit *unit[GR_MAX_ACCELERATORS];
-  bool usable; /* may get new work: none of the next four */
+  bool usable; /* may get new work: none of the next five */
   bool silent;
+  bool suspect; /* refused a connection and was not heard from since */
   bool leaving;
   bool gone;
   bool quarantined;
   bool probing;            /* the probe is running */
   int64_t heard_active_ms; /* in time of core->active_ms */
   GList heard_link;
-  bool in_heard;
-  uint32_t failures; /* starts that failed since the last success */
+  GQueue *heard_queue; /* NULL while the worker is silent */
+  uint32_t failures;   /* starts that failed since the last success */
   const struct gr_core_job *last_failed; /* compared only, never followed */
   int64_t probe_interval_ms;
   int64_t probe_due_ms;
@@ -168,8 +175,9 @@
   uint64_t sequence; /* order of submission */
   uint32_t class;    /* by attained service or expected run time */
   bool in_waiting;
-  GList waiting_link; /* in core->waiting */
-  GList account_link; /* in account->waiting or account->active */
+  GSequenceIter *waiting_iter; /* in core->waiting */
+  GSequenceIter *account_iter; /* in account->waiting */
+  GList account_link;          /* in account->active */
   bool in_active;
   bool in_steps;
   bool due; /* an event came since the last step */
@@ -231,10 +239,11 @@
   GHashTable *unbound; /* worker name -> array of adopted members */
   uint32_t n_types;
   struct gr_worker_type types[GR_MAX_WORKER_TYPES];
-  GQueue waiting[GR_N_PRIORITIES][GR_N_CLASSES];
-  GQueue steps;   /* jobs that are not in a stable phase */
-  GQueue commits; /* jobs whose record must be written */
-  GQueue heard;   /* workers, the one silent for longest first */
+  GSequence *waiting[GR_N_PRIORITIES][GR_N_CLASSES];
+  GQueue steps;      /* jobs that are not in a stable phase */
+  GQueue commits;    /* jobs whose record must be written */
+  GQueue heard_busy; /* workers, the one heard from longest ago first */
+  GQueue heard_idle;
   GQueue renewals[GR_RENEW_SLOTS];
   int64_t renew_slot_ms;
   int64_t renew_done;   /* number of the last slot that was served */
@@ -251,7 +260,9 @@
   int64_t next_admit_ms;
   uint64_t next_sequence;
   uint64_t n_reports;
-  uint64_t next_attempt; /* makes lease ids unique under one epoch */
+  uint64_t next_attempt;   /* makes lease ids unique under one epoch */
+  uint32_t placed;         /* in the present tick */
+  uint32_t account_cursor; /* account that is served first */
   uint32_t check_cursor;
   uint32_t search_cursor; /* rack where the next bounded search begins */
   uint32_t jobs_running;
@@ -278,6 +289,11 @@
 void gr_worker_touch (struct gr_core *core, struct gr_core_worker *worker);
 /* An answer or a report came from the worker. */
 void gr_worker_heard (struct gr_core *core, struct gr_core_worker *worker);
+/* The worker took its first lease or lost its last one: it reports at other
+ * times. */
+void gr_worker_busy_changed (struct gr_core *core,
+                             struct gr_core_worker *worker);
+void gr_worker_forget_heard (struct gr_core_worker *worker);
 /* Marks workers that were not heard from as silent. */
 void gr_system_silence (struct gr_core *core);
 
--- a/sched/windows.c
+++ b/sched/windows.c
@@ -81,9 +81,11 @@
 
   for (uint32_t r = 0; r < core->rack_list->len; r++)
     {
-      const struct gr_core_rack *rack = gr_rack_at (core, first + r);
+      struct gr_core_rack *rack = gr_rack_at (core, first + r);
       int64_t score;
 
+      if (gr_rack_bound (core, search, rack) < 0)
+        continue;
       scan_rack (core, search, rack, &window);
       if (window.best_score == G_MAXINT64)
         continue;
--- a/sched/windows.h
+++ b/sched/windows.h
@@ -4,8 +4,8 @@
 #include "sched/cells.h"
 
 /* Searches that look at what runs in each cell are bounded in large pools:
- * the best of 512 cells loses hardly more than the best of all. */
-#define GR_MAX_COSTLY_CANDIDATES 512
+ * the best of 128 cells loses hardly more than the best of all. */
+#define GR_MAX_COSTLY_CANDIDATES 128
 
 struct gr_candidate
 {
@@ -28,6 +28,10 @@
 uint32_t gr_first_rack (struct gr_core *core, const struct gr_search *search);
 struct gr_core_rack *gr_rack_at (const struct gr_core *core, uint32_t index);
 
+int64_t gr_rack_bound (const struct gr_core *core,
+                       const struct gr_search *search,
+                       struct gr_core_rack *rack);
+
 /* Adjacent workers of one rack. */
 bool gr_search_rack (struct gr_core *core,
                      const struct gr_search *search,
--- a/sched/witness.c
+++ b/sched/witness.c
@@ -96,6 +96,21 @@
       }
 }
 
+static int
+compare_sizes (const void *a, const void *b)
+{
+  const struct gr_core_unit *const *left = a;
+  const struct gr_core_unit *const *right = b;
+  uint32_t left_size =
+      (*left)->shape.workers * (*left)->shape.accelerators_per_worker;
+  uint32_t right_size =
+      (*right)->shape.workers * (*right)->shape.accelerators_per_worker;
+
+  if (left_size != right_size)
+    return left_size < right_size ? -1 : 1;
+  return 0;
+}
+
 static struct gr_core_unit *
 unit_create (struct gr_core *core,
              struct gr_core_account *account,
@@ -184,6 +199,8 @@
     }
   for (uint32_t i = 0; i < old->len; i++)
     unit_remove (core, g_ptr_array_index (old, i));
+  /* Small jobs take the smallest unit that holds them. */
+  g_ptr_array_sort (account->units, compare_sizes);
   g_ptr_array_free (old, TRUE);
   core->witness_dirty = true;
   core->next_repack_ms = 0;
@@ -331,36 +348,23 @@
   return NULL;
 }
 
-static int
-compare_sizes (const void *a, const void *b)
-{
-  const struct gr_core_unit *const *left = a;
-  const struct gr_core_unit *const *right = b;
-  uint32_t left_size =
-      (*left)->shape.workers * (*left)->shape.accelerators_per_worker;
-  uint32_t right_size =
-      (*right)->shape.workers * (*right)->shape.accelerators_per_worker;
-
-  if (left_size != right_size)
-    return left_size > right_size ? -1 : 1;
-  return 0;
-}
-
 /* Finds cells for the units in core->homeless; false if some have none. */
 static bool
 house_all (struct gr_core *core, bool first_fit)
 {
   g_autoptr (GPtrArray) units = g_ptr_array_copy (core->homeless, NULL, NULL);
+  uint32_t first_rack = 0;
 
   g_ptr_array_sort (units, compare_sizes);
-  for (uint32_t i = 0; i < units->len; i++)
+  for (uint32_t i = units->len; i > 0; i--)
     {
-      struct gr_core_unit *unit = g_ptr_array_index (units, i);
+      struct gr_core_unit *unit = g_ptr_array_index (units, i - 1);
       struct gr_cell cell = { 0, NULL };
       struct gr_search search;
 
       gr_search_for_unit (core, unit, &search);
       search.first_fit = first_fit;
+      search.first_rack = first_rack;
       search.mode = GR_SEARCH_UNIT_FREE;
       if (first_fit || !gr_search_all (core, &search, &cell))
         {
@@ -369,6 +373,9 @@
             continue;
         }
       gr_unit_set_cell (core, unit, &cell);
+      /* The next unit is not larger, so that the racks before were full for
+       * it, too, or hold it as well as others. */
+      first_rack = cell.parts[0].worker->rack->index;
       gr_cell_clear (&cell);
     }
   return core->homeless->len == 0;
--- a/tests/sched-model.c
+++ b/tests/sched-model.c
@@ -60,6 +60,8 @@
     .start_lease_term_ms = 10000,
     .run_lease_term_ms = 30000,
     .call_timeout_ms = 3000,
+    .report_busy_ms = 1000,
+    .report_idle_ms = 1000,
     .max_attempts = 3,
   };
   model_restart (model);
