sched: own reservations, faulty jobs and claims of removed guarantees

Cause: the random run now delays writes to the store, loses them at a change of owner, and changes guarantees while work runs; tests of classes, learned run times and quotas were missing.

Change, for faults that this showed: a claim in a guarantee that was removed started non-idempotent work outside any guarantee; a job did not look for room in its own reserved cell; a faulty gang could fail for ever on a worker that it had brought into doubt itself; the quota was compared with the accelerators asked for, not with those that cores and memory take, so that a job could wait for ever.

Ruled out: making way for adopted work when its worker first reports, because a worker has no guaranteed cells before that.

--- a/sched/cells.h
+++ b/sched/cells.h
@@ -52,6 +52,11 @@
 /* True if some set of known workers, in whatever state, holds the shape. */
 bool gr_shape_fits (const struct gr_core *core, const struct gr_job_spec *spec);
 
+/* Accelerators that a task takes on the worker that suits it best, with its
+ * share of cores and memory; 0 if it fits none of the known workers. */
+uint32_t gr_least_need (const struct gr_core *core,
+                        const struct gr_job_spec *spec);
+
 /* True if the job fits into the guaranteed shape. */
 bool gr_job_fits_unit (const struct gr_core *core,
                        const struct gr_job_spec *spec,
--- a/sched/fit.c
+++ b/sched/fit.c
@@ -96,23 +96,30 @@
          && core->now_ms - job->waiting_since_ms >= MIN_WAIT_MS;
 }
 
-bool
-gr_job_fits_unit (const struct gr_core *core,
-                  const struct gr_job_spec *spec,
-                  const struct gr_core_unit *unit)
+uint32_t
+gr_least_need (const struct gr_core *core, const struct gr_job_spec *spec)
 {
-  if (spec->shape.workers > unit->shape.workers
-      || spec->shape.accelerators_per_worker
-             > unit->shape.accelerators_per_worker)
-    return false;
+  uint32_t least = 0;
+
   for (uint32_t i = 0; i < core->n_types; i++)
     {
       uint32_t need = job_need (&core->types[i], spec);
 
-      if (need != 0 && need <= unit->shape.accelerators_per_worker)
-        return true;
+      if (need != 0 && (least == 0 || need < least))
+        least = need;
     }
-  return core->n_types == 0;
+  return least;
+}
+
+bool
+gr_job_fits_unit (const struct gr_core *core,
+                  const struct gr_job_spec *spec,
+                  const struct gr_core_unit *unit)
+{
+  return spec->shape.workers <= unit->shape.workers
+         && spec->shape.accelerators_per_worker
+                <= unit->shape.accelerators_per_worker
+         && gr_least_need (core, spec) <= unit->shape.accelerators_per_worker;
 }
 
 bool
--- a/sched/gang.c
+++ b/sched/gang.c
@@ -159,6 +159,7 @@
   gr_gang_reset (job, cell->n);
   job->unit = unit;
   job->pinned = unit != NULL;
+  g_assert (job->pinned || job->record.spec.idempotent);
   for (uint32_t i = 0; i < cell->n; i++)
     {
       struct gr_core_member *member = &job->members[i];
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -228,6 +228,27 @@
     }
 }
 
+void
+gr_reserve_lift (struct gr_core_job *job)
+{
+  for (uint32_t i = 0; i < job->reserve.n; i++)
+    job->reserve.parts[i].worker->soft[job->record.spec.priority] &=
+        ~job->reserve.parts[i].mask;
+}
+
+void
+gr_reserve_restore (struct gr_core_job *job)
+{
+  for (uint32_t i = 0; i < job->reserve.n; i++)
+    {
+      const struct gr_cell_part *part = &job->reserve.parts[i];
+      uint32_t *soft = &part->worker->soft[job->record.spec.priority];
+
+      g_assert ((*soft & part->mask) == 0);
+      *soft |= part->mask;
+    }
+}
+
 void
 gr_reserve_set (struct gr_core *core,
                 struct gr_core_job *job,
@@ -237,13 +258,7 @@
   g_assert (job->reserve.n == 0);
   job->reserve = copy_cell (cell);
   job->reserve_start_ms = start_ms;
-  for (uint32_t i = 0; i < cell->n; i++)
-    {
-      uint32_t *soft = &cell->parts[i].worker->soft[job->record.spec.priority];
-
-      g_assert ((*soft & cell->parts[i].mask) == 0);
-      *soft |= cell->parts[i].mask;
-    }
+  gr_reserve_restore (job);
   g_ptr_array_add (core->reserving, job);
 }
 
@@ -252,13 +267,9 @@
 {
   if (job->reserve.n == 0)
     return;
+  gr_reserve_lift (job);
   for (uint32_t i = 0; i < job->reserve.n; i++)
-    {
-      struct gr_core_worker *worker = job->reserve.parts[i].worker;
-
-      worker->soft[job->record.spec.priority] &= ~job->reserve.parts[i].mask;
-      gr_worker_touch (core, worker);
-    }
+    gr_worker_touch (core, job->reserve.parts[i].worker);
   gr_cell_clear (&job->reserve);
   g_ptr_array_remove_fast (core->reserving, job);
 }
--- a/sched/jobs.h
+++ b/sched/jobs.h
@@ -43,6 +43,11 @@
                      int64_t start_ms);
 void gr_reserve_drop (struct gr_core *core, struct gr_core_job *job);
 
+/* Takes the marks of the reservation off the workers, or puts them back, so
+ * that the job's own searches may use the cell. */
+void gr_reserve_lift (struct gr_core_job *job);
+void gr_reserve_restore (struct gr_core_job *job);
+
 /* Drops all claims and reservations on a worker that is forgotten. */
 void gr_claims_forget_worker (struct gr_core *core,
                               const struct gr_core_worker *worker);
--- a/sched/member.c
+++ b/sched/member.c
@@ -1,7 +1,6 @@
 #include "sched/gang.h"
 #include "sched/jobs.h"
 #include "sched/quarantine.h"
-#include "sched/witness.h"
 
 #include <string.h>
 
@@ -231,6 +230,4 @@
     }
   member->worker = worker;
   gr_member_hold (core, member);
-  if (member->job->pinned)
-    gr_witness_make_way (core, worker, member->mask, NULL);
 }
--- a/sched/place.c
+++ b/sched/place.c
@@ -36,7 +36,9 @@
   const struct gr_core_account *account =
       g_hash_table_lookup (core->accounts, spec->account);
   uint32_t quota = account->settings.quota_accelerators;
-  uint32_t wanted = spec->shape.workers * spec->shape.accelerators_per_worker;
+  uint32_t wanted =
+      spec->shape.workers
+      * MAX (spec->shape.accelerators_per_worker, gr_least_need (core, spec));
   bool in_unit = false;
 
   if (quota > 0 && wanted > quota)
@@ -241,31 +243,43 @@
       job->account, spec->shape.workers * spec->shape.accelerators_per_worker);
 }
 
-/* False if the pass must end: nothing may overtake the job. */
+/* Tries to start the job now, or as soon as others have stopped for it. */
 static bool
-place_job (struct gr_core *core, struct gr_core_job *job, struct pass *pass)
+start_job (struct gr_core *core, struct gr_core_job *job, struct pass *pass)
 {
-  enum gr_core_policy policy = core->config.policy;
-
-  if (!may_place (core, job))
-    return true;
   if (!is_hopeless (core, pass, &job->record.spec))
     {
       if (place_free (core, job))
         return true;
       remember_failure (core, pass, job);
     }
-  if (policy == GR_POLICY_FIFO)
+  if (core->config.policy == GR_POLICY_FIFO
+      || pass->preempt_searches >= MAX_PREEMPT_SEARCHES)
     return false;
-  if (pass->preempt_searches < MAX_PREEMPT_SEARCHES
-      && (job->record.spec.priority == GR_PRIORITY_URGENT
-          || (policy == GR_POLICY_DEFAULT && pass->preempt_searches == 0)))
-    {
-      pass->preempt_searches++;
-      if (place_by_stopping (core, job))
-        return true;
-    }
-  if (policy == GR_POLICY_DEFAULT && job->reserve.n == 0
+  if (job->record.spec.priority != GR_PRIORITY_URGENT
+      && (core->config.policy != GR_POLICY_DEFAULT
+          || pass->preempt_searches > 0))
+    return false;
+  pass->preempt_searches++;
+  return place_by_stopping (core, job);
+}
+
+/* False if the pass must end: nothing may overtake the job. */
+static bool
+place_job (struct gr_core *core, struct gr_core_job *job, struct pass *pass)
+{
+  bool started;
+
+  if (!may_place (core, job))
+    return true;
+  gr_reserve_lift (job);
+  started = start_job (core, job, pass);
+  if (started)
+    return true;
+  gr_reserve_restore (job);
+  if (core->config.policy == GR_POLICY_FIFO)
+    return false;
+  if (core->config.policy == GR_POLICY_DEFAULT && job->reserve.n == 0
       && core->reserving->len < MAX_RESERVATIONS
       && core->now_ms >= core->next_reserve_ms)
     {
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -61,6 +61,11 @@
   bool second = job->failed_worker[0] != '\0'
                 && strcmp (job->failed_worker, worker->name) != 0;
 
+  /* A worker with failures of other jobs is in doubt itself, but a job that
+   * fails on it twice in turn counts as at fault as well: otherwise a faulty
+   * job could fail for ever on a worker that it brought into doubt. */
+  if (worker->failures == 0 || worker->last_failed == job)
+    job->record.failures++;
   if (worker->quarantined)
     {
       if (worker->probing)
@@ -69,12 +74,10 @@
               MIN (worker->probe_interval_ms * 2, PROBE_LIMIT_MS);
           worker->probe_due_ms = core->now_ms + worker->probe_interval_ms;
         }
+      worker->last_failed = job;
       avoid (core, worker, job);
       return;
     }
-  /* A worker with failures of other jobs is in doubt itself. */
-  if (worker->failures == 0 || worker->last_failed == job)
-    job->record.failures++;
   if (second && worker->failures == 0)
     forgive (core, job);
   else if (worker->last_failed != job)
@@ -152,7 +155,6 @@
 {
   worker->quarantined = false;
   worker->failures = MAX_FAILURES - 1;
-  worker->last_failed = NULL;
   g_ptr_array_remove_fast (core->quarantined, worker);
   gr_worker_update (core, worker);
 }
--- a/sched/witness.c
+++ b/sched/witness.c
@@ -1,6 +1,7 @@
 #include "sched/witness.h"
 
 #include "sched/cells.h"
+#include "sched/jobs.h"
 
 /* A repack that failed is not tried again before this, because it searches
  * the pool once for each unit. */
@@ -146,13 +147,14 @@
             member->worker->pinned &= ~member->mask;
         }
     }
-  for (uint32_t i = 0; i < core->claiming->len; i++)
+  for (uint32_t i = core->claiming->len; i > 0; i--)
     {
-      struct gr_core_job *job = g_ptr_array_index (core->claiming, i);
+      struct gr_core_job *job = g_ptr_array_index (core->claiming, i - 1);
 
       if (job->claim_unit == unit)
-        job->claim_unit = NULL;
+        gr_claim_drop (core, job);
     }
+  unit->in_use = 0;
   if (unit->cell.n > 0)
     drop_cell (core, unit);
   else
@@ -219,17 +221,17 @@
       make_homeless (core, worker->unit[a]);
 }
 
-void
-gr_witness_make_way (struct gr_core *core,
-                     struct gr_core_worker *worker,
-                     uint32_t mask,
-                     const struct gr_core_unit *except)
+/* Takes the cells of other unused units off the accelerators. */
+static void
+make_way (struct gr_core *core,
+          const struct gr_cell_part *part,
+          const struct gr_core_unit *except)
 {
-  for (uint32_t a = 0; a < worker->accelerators; a++)
+  for (uint32_t a = 0; a < part->worker->accelerators; a++)
     {
-      struct gr_core_unit *unit = worker->unit[a];
+      struct gr_core_unit *unit = part->worker->unit[a];
 
-      if ((mask & (1U << a)) != 0 && unit != NULL && unit != except
+      if ((part->mask & (1U << a)) != 0 && unit != NULL && unit != except
           && unit->in_use == 0)
         make_homeless (core, unit);
     }
@@ -336,8 +338,7 @@
           && may_take (&cell, job))
         {
           for (uint32_t p = 0; p < cell.n; p++)
-            gr_witness_make_way (core, cell.parts[p].worker, cell.parts[p].mask,
-                                 unit);
+            make_way (core, &cell.parts[p], unit);
           gr_unit_set_cell (core, unit, &cell);
           taken = true;
         }
--- a/sched/witness.h
+++ b/sched/witness.h
@@ -25,13 +25,6 @@
 void gr_unit_use (struct gr_core_unit *unit);
 void gr_unit_leave (struct gr_core *core, struct gr_core_unit *unit);
 
-/* Takes the cells of other unused units off accelerators that adopted work
- * pins. */
-void gr_witness_make_way (struct gr_core *core,
-                          struct gr_core_worker *worker,
-                          uint32_t mask,
-                          const struct gr_core_unit *except);
-
 /* Finds a unit of the job's account around adopted members; NULL if there is
  * none. */
 struct gr_core_unit *gr_witness_attach (struct gr_core *core,
--- a/tests/sched-messages.c
+++ b/tests/sched-messages.c
@@ -30,6 +30,28 @@
   g_free (event);
 }
 
+/* A record on its way into the store. */
+struct write
+{
+  int64_t at_ms;
+  struct gr_job_record record;
+};
+
+static void
+write_free (void *data)
+{
+  struct write *write = data;
+
+  gr_job_record_clear (&write->record);
+  g_free (write);
+}
+
+GPtrArray *
+model_writes_create (void)
+{
+  return g_ptr_array_new_with_free_func (write_free);
+}
+
 GPtrArray *
 model_events_create (void)
 {
@@ -39,6 +61,20 @@
 void
 model_drop_events (struct model *model)
 {
+  /* A part of the last writes takes effect without anyone hearing of it. */
+  if (model->durable && model->writes->len > 0)
+    {
+      uint32_t n = (uint32_t)g_rand_int_range (model->rand, 0,
+                                               (gint32)model->writes->len + 1);
+
+      for (uint32_t i = 0; i < n; i++)
+        {
+          const struct write *write = g_ptr_array_index (model->writes, i);
+
+          model_store (model, &write->record);
+        }
+    }
+  g_ptr_array_set_size (model->writes, 0);
   /* Answers to the former owner do not reach the new one; its calls do reach
    * the workers. */
   for (uint32_t i = model->events->len; i > 0; i--)
@@ -82,39 +118,51 @@
     }
 }
 
-/* The store takes a commit at once, and the core hears of it later. While the
- * store is down the commit waits. */
+/* Writes reach the store in their order, some time after the command. */
 static void
 add_commit (struct model *model, const struct gr_command *command)
 {
   const struct gr_job_record *record = gr_core_find (model->core, command->job);
-  struct event *event = add_event (model);
+  struct write *write = g_new0 (struct write, 1);
 
   g_assert (record != NULL && record->version == command->version);
-  event->is_commit = true;
-  event->version = command->version;
-  g_strlcpy (event->id, command->job, sizeof event->id);
-  if (model->durable)
-    model_store (model, record);
-  else
-    event->kind = GR_ERROR_STORE_UNAVAILABLE;
+  gr_job_record_copy (&write->record, record);
+  write->at_ms = model->now_ms;
+  if (!model->instant)
+    write->at_ms += g_rand_int_range (model->rand, 0, 300);
+  if (model->writes->len > 0)
+    {
+      const struct write *last =
+          g_ptr_array_index (model->writes, model->writes->len - 1);
+
+      write->at_ms = MAX (write->at_ms, last->at_ms);
+    }
+  g_ptr_array_add (model->writes, write);
 }
 
-/* A commit that had to wait for the store takes the newest record. */
-static bool
-commit_again (struct model *model, struct event *event)
+/* The core hears of a write later than it took effect. */
+static void
+run_writes (struct model *model)
 {
-  const struct gr_job_record *record = gr_core_find (model->core, event->id);
+  uint32_t n = 0;
 
   if (!model->durable)
-    return false;
-  if (record != NULL)
+    return;
+  for (; n < model->writes->len; n++)
     {
-      event->version = record->version;
-      model_store (model, record);
+      const struct write *write = g_ptr_array_index (model->writes, n);
+      struct event *event;
+
+      if (write->at_ms > model->now_ms)
+        break;
+      model_store (model, &write->record);
+      event = add_event (model);
+      event->is_commit = true;
+      event->version = write->record.version;
+      g_strlcpy (event->id, write->record.id, sizeof event->id);
     }
-  event->kind = GR_ERROR_NONE;
-  return true;
+  if (n > 0)
+    g_ptr_array_remove_range (model->writes, 0, n);
 }
 
 static void
@@ -236,9 +284,7 @@
     {
       struct event *event = g_ptr_array_index (model->events, i);
 
-      if (event->at_ms > model->now_ms
-          || (event->is_commit && event->kind != GR_ERROR_NONE
-              && !commit_again (model, event)))
+      if (event->at_ms > model->now_ms)
         {
           i++;
           continue;
@@ -262,6 +308,7 @@
                  == 0)
         send_report (model, worker);
     }
+  run_writes (model);
   deliver_due (model);
   g_array_set_size (model->out, 0);
   gr_core_tick (model->core, model->now_ms, model->now_ms, model->durable,
--- a/tests/sched-model.c
+++ b/tests/sched-model.c
@@ -51,6 +51,7 @@
   model->accounts =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   model->events = model_events_create ();
+  model->writes = model_writes_create ();
   model->out = g_array_new (FALSE, FALSE, sizeof (struct gr_command));
   model->config = (struct gr_core_config){
     .shard = "dc1",
@@ -86,6 +87,7 @@
   g_hash_table_destroy (model->any_started);
   g_hash_table_destroy (model->accounts);
   g_ptr_array_free (model->events, TRUE);
+  g_ptr_array_free (model->writes, TRUE);
   g_array_free (model->out, TRUE);
   g_rand_free (model->rand);
   g_free (model);
--- a/tests/sched-model.h
+++ b/tests/sched-model.h
@@ -58,6 +58,7 @@
   GHashTable *any_started; /* tasks */
   GHashTable *any_ran;     /* jobs of which a task was unthrottled */
   GHashTable *accounts;    /* name -> struct gr_account_settings */
+  GPtrArray *writes;       /* records on their way into the store */
   GPtrArray *events;       /* answers and reports under way */
   GArray *out;
   uint64_t n_commands[GR_COMMAND_COMMIT + 1];
@@ -102,6 +103,7 @@
 
 /* Shared by the files of the model. */
 GPtrArray *model_events_create (void);
+GPtrArray *model_writes_create (void);
 void model_drop_events (struct model *model);
 enum gr_error_kind model_command (struct model *model,
                                   struct model_worker *worker,
--- a/tests/test-sched-random.c
+++ b/tests/test-sched-random.c
@@ -41,7 +41,7 @@
 }
 
 static void
-set_accounts (struct run *run)
+set_accounts (struct run *run, bool again)
 {
   uint32_t pool = run->n_racks * run->per_rack;
 
@@ -53,8 +53,9 @@
       uint32_t count = below (run, 1 + pool / (2 * N_ACCOUNTS * workers));
 
       g_snprintf (name, sizeof name, "a%u", i);
-      model_set_account (run->model, name, chance (run, 0.5) ? 0 : 48, workers,
-                         accelerators, count);
+      /* A lower quota does not stop what runs, so that it is not changed. */
+      model_set_account (run->model, name, i % 2 == 0 ? 0 : 48, workers,
+                         accelerators, again && chance (run, 0.5) ? 0 : count);
     }
 }
 
@@ -77,6 +78,7 @@
   spec.priority = (enum gr_priority)below (run, 3);
   spec.idempotent = !chance (run, 0.3);
   spec.checkpointable = chance (run, 0.3);
+  spec.cores_per_task = chance (run, 0.2) ? below (run, 40) : 0;
   if (chance (run, 0.05))
     run_ms = -run_ms;
   model_submit (run->model, &spec, run_ms, &error);
@@ -140,6 +142,9 @@
     fault_worker (run, worker);
   if (chance (run, 0.02))
     heal_worker (run, worker);
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    if (model->workers[i].cut && chance (run, 0.01))
+      model->workers[i].cut = false;
   if (chance (run, 0.001))
     for (uint32_t i = 0; i < model->n_workers; i++)
       if (strcmp (model->workers[i].rack, worker->rack) == 0)
@@ -158,6 +163,8 @@
     model_restart (model);
   if (chance (run, 0.001))
     model->now_ms += below (run, 15000);
+  if (chance (run, 0.001))
+    set_accounts (run, true);
   if (chance (run, 0.002))
     for (uint32_t i = 0; i < 200; i++)
       cancel_random (run);
@@ -228,9 +235,23 @@
   g_hash_table_insert (table, g_strdup (key), GUINT_TO_POINTER (sum));
 }
 
+/* Two attempts of one job never run at the same time. */
+static void
+check_attempt (GHashTable *attempts, const struct model_task *task)
+{
+  char *attempt = g_strndup (task->id, strrchr (task->id, '.') - task->id);
+  const char *other = g_hash_table_lookup (attempts, task->job);
+
+  if (other != NULL)
+    g_assert (strcmp (other, attempt) == 0);
+  g_hash_table_insert (attempts, g_strdup (task->job), attempt);
+}
+
 static void
 check_outside (struct run *run)
 {
+  g_autoptr (GHashTable) attempts =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g_autoptr (GHashTable) running =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_autoptr (GHashTable) active =
@@ -255,6 +276,7 @@
             add_to (running, task->job, 1);
           if (!task->running)
             continue;
+          check_attempt (attempts, task);
           add_to (running, task->job, 1);
           add_to (active, task->job, 1);
           add_to (accelerators, record->spec.account,
@@ -421,7 +443,7 @@
                                        : (enum gr_core_policy)below (&run, 3));
   run.partial_since =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  set_accounts (&run);
+  set_accounts (&run, false);
   run.model->loss = chance (&run, 0.5) ? 0.03 : 0;
   for (uint32_t i = 0; i < FAULT_STEPS; i++)
     {
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -97,7 +97,7 @@
   model->durable = false;
   submit (model, &spec, 1000);
   model_run (model, 30000);
-  ck_assert_uint_eq (model->n_commands[GR_COMMAND_START], 0);
+  ck_assert_uint_eq (model->n_commands[GR_COMMAND_GRANT], 0);
   model->durable = true;
   model_run (model, 5000);
   ck_assert_int_eq (model_state (model, "a.j"), GR_JOB_FINISHED);
@@ -297,8 +297,12 @@
   char key[16];
 
   model->workers[0].failing = true;
-  spec = model_spec ("a", "faulty", 1, 1);
-  submit (model, &spec, -1000);
+  for (int i = 0; i < 5; i++)
+    {
+      g_snprintf (key, sizeof key, "faulty%d", i);
+      spec = model_spec ("a", key, 1, 1);
+      submit (model, &spec, -1000);
+    }
   for (int i = 0; i < 20; i++)
     {
       g_snprintf (key, sizeof key, "j%d", i);
@@ -311,7 +315,11 @@
       g_snprintf (key, sizeof key, "a.j%d", i);
       ck_assert_int_eq (model_state (model, key), GR_JOB_FINISHED);
     }
-  ck_assert_int_eq (model_state (model, "a.faulty"), GR_JOB_FAILED);
+  for (int i = 0; i < 5; i++)
+    {
+      g_snprintf (key, sizeof key, "a.faulty%d", i);
+      ck_assert_int_eq (model_state (model, key), GR_JOB_FAILED);
+    }
   workers = gr_core_worker_status (model->core);
   for (uint32_t i = 0; i < workers->len; i++)
     ck_assert (
@@ -466,6 +474,195 @@
 }
 END_TEST
 
+/* Guards against a result that is lost when the owner changes while the store
+ * is down: the leases may only be released after the final record is durable.
+ */
+START_TEST (result_outlives_outage_and_owner)
+{
+  struct model *model = setup (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "j", 2, 8);
+
+  submit (model, &spec, 5000);
+  model_run (model, 2000);
+  model->durable = false;
+  model_run (model, 60000);
+  ck_assert_uint_eq (model->n_commands[GR_COMMAND_RELEASE], 0);
+  model->durable = true;
+  model_restart (model);
+  model_run (model, 5000);
+  ck_assert_int_eq (model_state (model, "a.j"), GR_JOB_FINISHED);
+  ck_assert_uint_eq (gr_core_find (model->core, "dc1.a.j")->attempt, 1);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against urgent work of an account that waits behind batches of its
+ * own inside the guaranteed shape. */
+START_TEST (urgent_work_takes_the_own_guarantee)
+{
+  struct model *model = setup (1, 2);
+  struct gr_job_spec spec;
+  char key[16];
+
+  model_set_account (model, "owner", 0, 1, 8, 2);
+  model_run (model, 500);
+  for (int i = 0; i < 4; i++)
+    {
+      g_snprintf (key, sizeof key, "b%d", i);
+      spec = model_spec ("owner", key, 1, 4);
+      spec.priority = GR_PRIORITY_BATCH;
+      submit (model, &spec, 600000);
+    }
+  model_run (model, 3000);
+  spec = model_spec ("owner", "urgent", 1, 8);
+  spec.priority = GR_PRIORITY_URGENT;
+  spec.idempotent = false;
+  submit (model, &spec, 5000);
+  model_run (model, 3900);
+  ck_assert_int_eq (model_state (model, "owner.urgent"), GR_JOB_RUNNING);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against long work that keeps its class although it has run for hours,
+ * and so blocks short work of its priority. */
+START_TEST (long_work_gives_way_to_short_work)
+{
+  struct model *model = setup (1, 1);
+  struct gr_job_spec spec = model_spec ("a", "long", 1, 8);
+
+  spec.checkpointable = true;
+  submit (model, &spec, 5LL * 3600000);
+  model_run (model, 3LL * 3600000);
+  spec = model_spec ("a", "short", 1, 8);
+  submit (model, &spec, 60000);
+  model_run (model, 40000);
+  ck_assert_int_eq (model_state (model, "a.short"), GR_JOB_RUNNING);
+  model_run (model, 100000);
+  ck_assert_int_eq (model_state (model, "a.long"), GR_JOB_RUNNING);
+  ck_assert_int_gt (gr_core_find (model->core, "dc1.a.long")->saved_ms,
+                    2LL * 3600000);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against declared run times that are believed after the work has shown
+ * that they are wrong. */
+START_TEST (learned_run_times_order_work)
+{
+  struct model *model = setup (1, 1);
+  struct gr_job_spec spec;
+  char key[16];
+
+  for (int i = 0; i < 4; i++)
+    {
+      /* Declared as a minute, but takes twenty. */
+      g_snprintf (key, sizeof key, "l%d", i);
+      spec = model_spec ("a", key, 1, 8);
+      submit (model, &spec, 1200000);
+    }
+  model_run (model, 4LL * 1210000);
+  spec = model_spec ("a", "now", 1, 8);
+  submit (model, &spec, 20000);
+  model_run (model, 1000);
+  spec = model_spec ("a", "long", 1, 8);
+  submit (model, &spec, 1200000);
+  spec = model_spec ("a", "short", 1, 4);
+  /* Corrected by the account's usual error this is a minute. */
+  spec.run_ms = 3000;
+  submit (model, &spec, 60000);
+  model_run (model, 25000);
+  ck_assert_int_eq (model_state (model, "a.short"), GR_JOB_RUNNING);
+  ck_assert_int_eq (model_state (model, "a.long"), GR_JOB_ACCEPTED);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against accelerators that stand idle although short work would end
+ * before the reserved start. */
+START_TEST (short_work_backfills)
+{
+  struct model *model = setup (1, 2);
+  struct gr_job_spec spec = model_spec ("a", "first", 1, 8);
+
+  submit (model, &spec, 60000);
+  model_run (model, 1000);
+  spec = model_spec ("a", "large", 2, 8);
+  submit (model, &spec, 10000);
+  model_run (model, 1000);
+  spec = model_spec ("a", "short", 1, 8);
+  spec.run_ms = 20000;
+  submit (model, &spec, 20000);
+  spec = model_spec ("a", "long", 1, 8);
+  spec.run_ms = 200000;
+  submit (model, &spec, 200000);
+  model_run (model, 3000);
+  ck_assert_int_eq (model_state (model, "a.short"), GR_JOB_RUNNING);
+  model_run (model, 25000);
+  ck_assert_int_eq (model_state (model, "a.short"), GR_JOB_FINISHED);
+  ck_assert_int_eq (model_state (model, "a.long"), GR_JOB_ACCEPTED);
+  model_run (model, 40000);
+  ck_assert_int_eq (model_state (model, "a.large"), GR_JOB_RUNNING);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against a guarantee that the account's own borrowed work keeps from
+ * it by filling the quota. */
+START_TEST (guarantee_comes_before_borrowed_work_in_the_quota)
+{
+  struct model *model = setup (1, 4);
+  struct gr_job_spec spec;
+  char key[16];
+
+  model_set_account (model, "b", 16, 1, 8, 1);
+  model_run (model, 500);
+  for (int i = 0; i < 8; i++)
+    {
+      /* Too wide for the guarantee, so that it is borrowed. */
+      g_snprintf (key, sizeof key, "w%d", i);
+      spec = model_spec ("b", key, 2, 2);
+      submit (model, &spec, 600000);
+    }
+  model_run (model, 3000);
+  spec = model_spec ("b", "mine", 1, 8);
+  spec.idempotent = false;
+  submit (model, &spec, 5000);
+  model_run (model, 3900);
+  ck_assert_int_eq (model_state (model, "b.mine"), GR_JOB_RUNNING);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against work of a removed account or guarantee that is stopped
+ * although it must not run again, or that waits for ever. */
+START_TEST (settings_changes_keep_running_work)
+{
+  struct model *model = setup (1, 2);
+  struct gr_job_spec spec;
+
+  model_set_account (model, "b", 0, 1, 8, 1);
+  model_run (model, 500);
+  spec = model_spec ("b", "once", 1, 8);
+  spec.idempotent = false;
+  submit (model, &spec, 30000);
+  spec = model_spec ("b", "waits", 1, 8);
+  spec.idempotent = false;
+  submit (model, &spec, 30000);
+  model_run (model, 2000);
+  model_set_account (model, "b", 0, 0, 0, 0);
+  model_set_account (model, "c", 0, 1, 8, 2);
+  model_run (model, 5000);
+  ck_assert_int_eq (model_state (model, "b.once"), GR_JOB_RUNNING);
+  ck_assert_int_eq (model_state (model, "b.waits"), GR_JOB_ACCEPTED);
+  gr_core_remove_account (model->core, "b");
+  ck_assert_int_eq (model_state (model, "b.waits"), GR_JOB_REFUSED);
+  model_run (model, 40000);
+  ck_assert_int_eq (model_state (model, "b.once"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -490,6 +687,13 @@
   tcase_add_test (tcase, gang_of_1024_spans_adjacent_racks);
   tcase_add_test (tcase, pause_of_the_owner_is_not_silence);
   tcase_add_test (tcase, first_in_first_out_does_not_overtake);
+  tcase_add_test (tcase, result_outlives_outage_and_owner);
+  tcase_add_test (tcase, urgent_work_takes_the_own_guarantee);
+  tcase_add_test (tcase, long_work_gives_way_to_short_work);
+  tcase_add_test (tcase, learned_run_times_order_work);
+  tcase_add_test (tcase, settings_changes_keep_running_work);
+  tcase_add_test (tcase, short_work_backfills);
+  tcase_add_test (tcase, guarantee_comes_before_borrowed_work_in_the_quota);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
