sched: replaced workers, data centre of a job, claims under test

Cause: a worker that came back under its name in another rack or with less capacity kept its old row; a job for another data centre was accepted.

Change: such a worker is forgotten when it holds nothing and becomes known anew; such a job is refused as never-fits. An end before the first tick of an owner gets the time of the submission instead of 0. Tests for claims and replaced workers.

--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -114,7 +114,9 @@
   g_assert (gr_job_state_is_final (state));
   g_assert (!gr_job_state_is_final (job->record.state));
   job->record.state = state;
-  job->record.ended_unix_ms = core->unix_ms;
+  /* No time is known before the first tick of a new owner. */
+  job->record.ended_unix_ms =
+      MAX (core->unix_ms, job->record.submitted_unix_ms);
   g_strlcpy (job->record.reason, reason, sizeof job->record.reason);
   g_clear_pointer (&job->record.placements, g_free);
   job->record.n_placements = 0;
--- a/sched/place.c
+++ b/sched/place.c
@@ -5,6 +5,8 @@
 #include "sched/jobs.h"
 #include "sched/learn.h"
 
+#include <string.h>
+
 /* Bounds on the work of one tick; what is left over waits for the next. */
 #define MAX_LOOKED_AT 20000
 #define MAX_FAILED_SHAPES 16
@@ -41,6 +43,11 @@
       * MAX (spec->shape.accelerators_per_worker, gr_least_need (core, spec));
   bool in_unit = false;
 
+  if (spec->data_centre[0] != '\0'
+      && strcmp (spec->data_centre, core->config.data_centre) != 0)
+    return !gr_error_set (error, GR_ERROR_NEVER_FITS,
+                          "this shard has no workers in data centre \"%s\"",
+                          spec->data_centre);
   if (quota > 0 && wanted > quota)
     return !gr_error_set (error, GR_ERROR_NEVER_FITS,
                           "%u accelerators are above the quota of %u", wanted,
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -211,7 +211,7 @@
       if (worker->probing && probe_passed (core, worker))
         gr_worker_succeeded (core, worker);
       else if (core->durable && !worker->probing && !worker->silent
-               && !worker->leaving && !worker->gone
+               && !worker->leaving && !worker->gone && !worker->replaced
                && worker->probe_due_ms <= core->now_ms)
         probe (core, worker);
     }
--- a/sched/report.c
+++ b/sched/report.c
@@ -24,10 +24,12 @@
     {
       struct gr_core_worker *worker = g_ptr_array_index (core->gone, i - 1);
 
-      if (worker->gone && (worker->held | worker->in_unit) != 0)
+      bool forget = worker->gone || worker->replaced;
+
+      if (forget && (worker->held | worker->in_unit) != 0)
         continue;
       g_ptr_array_remove_index_fast (core->gone, i - 1);
-      if (!worker->gone)
+      if (!forget)
         continue;
       gr_claims_forget_worker (core, worker);
       gr_worker_remove (core, worker);
@@ -73,13 +75,10 @@
   gr_worker_update (core, worker);
 }
 
-void
-gr_core_worker_gone (struct gr_core *core, const char *name, int64_t now_ms)
+static void
+lose_worker (struct gr_core *core, struct gr_core_worker *worker)
 {
-  struct gr_core_worker *worker = gr_worker_find (core, name);
-
-  gr_core_set_now (core, now_ms);
-  if (worker == NULL || worker->gone)
+  if (worker->gone)
     return;
   worker->gone = true;
   worker->silent = true;
@@ -90,6 +89,16 @@
   fail_members (core, worker);
 }
 
+void
+gr_core_worker_gone (struct gr_core *core, const char *name, int64_t now_ms)
+{
+  struct gr_core_worker *worker = gr_worker_find (core, name);
+
+  gr_core_set_now (core, now_ms);
+  if (worker != NULL)
+    lose_worker (core, worker);
+}
+
 /* --- Reports ------------------------------------------------------------ */
 
 /* False for a late report of a former incarnation. */
@@ -111,6 +120,21 @@
   return true;
 }
 
+/* True if another instance reports under the name of the worker. */
+static bool
+is_replaced (const struct gr_core *core,
+             const struct gr_core_worker *worker,
+             const struct gr_worker_report *report)
+{
+  const struct gr_worker_type *type = &core->types[worker->type];
+
+  return strcmp (worker->rack->name, report->rack) != 0
+         || worker->rack_slot != report->rack_slot
+         || worker->accelerators
+                != MIN (report->accelerators, GR_MAX_ACCELERATORS)
+         || type->cores > report->cores || type->memory_mb > report->memory_mb;
+}
+
 /* Marks the reported leases that are known, and binds adopted members. */
 static void
 read_leases (struct gr_core *core,
@@ -237,6 +261,13 @@
   worker = gr_worker_get (core, report);
   if (!check_incarnation (worker, report->incarnation, &restarted))
     return;
+  if (is_replaced (core, worker, report))
+    {
+      /* Becomes known anew after what it held has ended. */
+      worker->replaced = true;
+      lose_worker (core, worker);
+      return;
+    }
   core->n_reports++;
   worker->leaving = worker->leaving || report->leaving;
   read_leases (core, worker, report);
--- a/sched/tables.c
+++ b/sched/tables.c
@@ -217,7 +217,7 @@
 gr_worker_update (struct gr_core *core, struct gr_core_worker *worker)
 {
   bool usable = !worker->silent && !worker->suspect && !worker->leaving
-                && !worker->gone && !worker->quarantined;
+                && !worker->gone && !worker->replaced && !worker->quarantined;
 
   if (usable == worker->usable)
     return;
--- a/sched/tables.h
+++ b/sched/tables.h
@@ -91,11 +91,12 @@
   uint32_t in_unit;               /* covered by cells of units */
   struct gr_core_member *holder[GR_MAX_ACCELERATORS];
   struct gr_core_unit *unit[GR_MAX_ACCELERATORS];
-  bool usable; /* may get new work: none of the next five */
+  bool usable; /* may get new work: none of the next six */
   bool silent;
   bool suspect; /* refused a connection and was not heard from since */
   bool leaving;
   bool gone;
+  bool replaced; /* by another instance; forgotten when it holds nothing */
   bool quarantined;
   bool probing;            /* the probe is running */
   int64_t heard_active_ms; /* in time of core->active_ms */
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -578,6 +578,61 @@
 }
 END_TEST
 
+/* Guards against small jobs that take the accelerators which others were
+ * stopped to free for a larger one. */
+START_TEST (freed_accelerators_stay_claimed)
+{
+  struct model *model = setup (1, 2);
+  struct gr_job_spec spec;
+  char key[16];
+
+  for (int i = 0; i < 2; i++)
+    {
+      g_snprintf (key, sizeof key, "b%d", i);
+      spec = model_spec ("a", key, 1, 8);
+      spec.priority = GR_PRIORITY_BATCH;
+      spec.checkpointable = i == 0;
+      submit (model, &spec, 600000);
+    }
+  model_run (model, 3000);
+  spec = model_spec ("a", "large", 2, 8);
+  spec.priority = GR_PRIORITY_URGENT;
+  submit (model, &spec, 10000);
+  for (int i = 0; i < 20; i++)
+    {
+      model_step (model);
+      g_snprintf (key, sizeof key, "s%d", i);
+      spec = model_spec ("a", key, 1, 1);
+      spec.priority = GR_PRIORITY_URGENT;
+      submit (model, &spec, 600000);
+    }
+  model_run (model, 1900);
+  ck_assert_int_eq (model_state (model, "a.large"), GR_JOB_RUNNING);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against the old shape of a worker that was replaced under its
+ * name. */
+START_TEST (replaced_worker_is_known_anew)
+{
+  struct model *model = setup (2, 2);
+  struct gr_job_spec spec = model_spec ("a", "j", 2, 8);
+  struct gr_core_status status;
+
+  submit (model, &spec, 20000);
+  model_run (model, 2000);
+  g_strlcpy (model->workers[0].rack, "r9", sizeof model->workers[0].rack);
+  model_kill (model, &model->workers[0]);
+  model->workers[0].dead = false;
+  model_run (model, 50000);
+  gr_core_get_status (model->core, &status);
+  ck_assert_uint_eq (status.accelerators, 32);
+  ck_assert_int_eq (model_state (model, "a.j"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
 /* Guards against accelerators that stand idle although short work would end
  * before the reserved start. */
 START_TEST (short_work_backfills)
@@ -694,6 +749,8 @@
   tcase_add_test (tcase, settings_changes_keep_running_work);
   tcase_add_test (tcase, short_work_backfills);
   tcase_add_test (tcase, guarantee_comes_before_borrowed_work_in_the_quota);
+  tcase_add_test (tcase, freed_accelerators_stay_claimed);
+  tcase_add_test (tcase, replaced_worker_is_known_anew);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
