--- a/entry/marks.c
+++ b/entry/marks.c
@@ -22,6 +22,9 @@
 #define LIVE_RETRY_MS 100
 #define RETRY_MS 1000
 
+/* Wait after a lease was not granted; requests are refused meanwhile. */
+#define LEASE_RETRY_MS 200
+
 enum operation
 {
   OPERATION_CREATE,
@@ -65,6 +68,7 @@
   guint timer;
   int64_t lease;
   int64_t lease_until_ms;
+  int64_t next_grant_ms;
   bool granting;
   bool stopping;
 };
@@ -204,16 +208,20 @@
       marks->lease_until_ms = gr_clock_now_ms (marks->clock) + LEASE_USE_MS;
     }
   else
-    gr_log_problem ("mark-lease-failed", "message", error->message, NULL);
+    {
+      gr_log_problem ("mark-lease-failed", "message", error->message, NULL);
+      marks->next_grant_ms = gr_clock_now_ms (marks->clock) + LEASE_RETRY_MS;
+    }
   schedule (marks, 0);
 }
 
 static void
 ensure_lease (struct gr_marks *marks)
 {
-  if (marks->granting
-      || (marks->lease != 0
-          && gr_clock_now_ms (marks->clock) < marks->lease_until_ms))
+  int64_t now_ms = gr_clock_now_ms (marks->clock);
+
+  if (marks->granting || now_ms < marks->next_grant_ms
+      || (marks->lease != 0 && now_ms < marks->lease_until_ms))
     return;
   marks->granting = true;
   gr_kv_lease_grant (marks->kv, "marks", LEASE_TTL_S, marks->timeout_ms,
--- a/entry/publish.c
+++ b/entry/publish.c
@@ -22,6 +22,7 @@
   int64_t expected;
   int64_t revision; /* 0 until it is known to be written */
   int64_t deadline_ms;
+  uint32_t majority;   /* the larger one if the change alters it */
   bool unknown;        /* a write was sent and its answer was lost */
   uint32_t calls;      /* in flight; they hold the struct */
   GHashTable *held_by; /* names of entries that hold it */
@@ -110,12 +111,6 @@
   fail (publish, &error, publish->unknown ? describe (publish) : NULL);
 }
 
-static bool
-is_confirmed (const struct gr_publish *publish, uint32_t majority)
-{
-  return g_hash_table_size (publish->held_by) >= majority;
-}
-
 static void
 check_confirmed (struct gr_publish *publish)
 {
@@ -123,8 +118,7 @@
   JsonObject *answer;
 
   if (exchange == NULL
-      || !is_confirmed (publish,
-                        gr_majority (publish->entry->platform.entry_instances)))
+      || g_hash_table_size (publish->held_by) < publish->majority)
     return;
   publish->exchange = NULL;
   g_clear_handle_id (&publish->timer, g_source_remove);
@@ -201,7 +195,7 @@
                 "written with revision %" G_GINT64_FORMAT
                 "; %u of %u entries are known to hold it",
                 (gint64)publish->revision, g_hash_table_size (publish->held_by),
-                gr_majority (publish->entry->platform.entry_instances));
+                publish->majority);
   fail (publish, &error, describe (publish));
   release (publish);
   return G_SOURCE_REMOVE;
@@ -213,8 +207,11 @@
   struct gr_entry *entry = publish->entry;
 
   publish->revision = revision;
+  publish->majority = gr_majority (entry->platform.entry_instances);
   gr_settings_store_apply (entry->store, publish->path, publish->text,
                            revision);
+  publish->majority =
+      MAX (publish->majority, gr_majority (entry->platform.entry_instances));
   g_hash_table_add (publish->held_by, g_strdup (entry->process->instance));
   push_to_members (publish);
   publish->timer = g_timeout_add (PUSH_INTERVAL_MS, push_again, publish);
--- a/entry/request.c
+++ b/entry/request.c
@@ -485,18 +485,29 @@
   int64_t now_ms = gr_clock_now_ms (entry->clock);
   bool allow[2] = { true, true }; /* short, long */
   struct gr_request *request;
+  GPtrArray *aside;
 
   if (entry->ending)
     return;
   refuse_expired (entry, now_ms);
+  aside = g_ptr_array_new ();
   while ((request = gr_queue_take (entry->queue, allow[0], allow[1])) != NULL)
     {
       if (drop_if_gone (request) || dispatch (request, now_ms))
         continue;
-      allow[request->is_long ? 1 : 0] = false;
+      /* One that waits for another executor than those it was sent to must not
+       * hold back the others. */
+      if (request->tries == 0)
+        allow[request->is_long ? 1 : 0] = false;
+      g_ptr_array_add (aside, request);
+    }
+  for (guint i = 0; i < aside->len; i++)
+    {
+      request = aside->pdata[i];
       gr_queue_add (entry->queue, request->priority, request->is_long,
                     request->deadline_ms - request->estimate_ms, request);
     }
+  g_ptr_array_unref (aside);
 }
 
 void
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -122,7 +122,8 @@
   if (error == NULL && !entry->ending)
     {
       gr_executors_report (entry->executors, call->name, status->slots,
-                           status->slots_busy, status->leaving);
+                           status->slots_busy, status->leaving,
+                           gr_clock_now_ms (entry->clock));
       if (status->leaving)
         gr_entry_target_leaving (entry, call->name);
     }
--- a/members/members.c
+++ b/members/members.c
@@ -16,6 +16,7 @@
   struct gr_target target;
   bool listed_leaving;
   int64_t listed_ms;
+  int64_t signs_from_ms; /* older signs are of a former process */
 };
 
 struct gr_members
@@ -139,6 +140,10 @@
 {
   struct target_record *record = ensure_target (members, instance->name);
 
+  /* A new process under the name of one that left. */
+  if (record->target.address[0] != '\0'
+      && strcmp (record->target.address, instance->address) != 0)
+    record->signs_from_ms = now_ms;
   record->target.role = instance->role;
   record->target.listed = true;
   record->listed_ms = now_ms;
@@ -325,11 +330,15 @@
 }
 
 static bool
-has_sign (const struct gr_members *members, const char *target, int64_t now_ms)
+has_sign (const struct gr_members *members,
+          const struct target_record *record,
+          int64_t now_ms)
 {
-  const int64_t *seen_ms = g_hash_table_lookup (members->signs, target);
+  const int64_t *seen_ms =
+      g_hash_table_lookup (members->signs, record->target.name);
 
-  return seen_ms != NULL && now_ms - *seen_ms <= GR_LEAVING_KEEP_MS;
+  return seen_ms != NULL && now_ms - *seen_ms <= GR_LEAVING_KEEP_MS
+         && *seen_ms >= record->signs_from_ms;
 }
 
 static int
@@ -357,7 +366,7 @@
       if (target.role != role)
         continue;
       target.leaving =
-          record->listed_leaving || has_sign (members, target.name, now_ms);
+          record->listed_leaving || has_sign (members, record, now_ms);
       g_array_append_val (list, target);
     }
   g_array_sort (list, compare_targets);
--- a/route/executors.c
+++ b/route/executors.c
@@ -13,6 +13,7 @@
   uint32_t failures; /* in a row */
   uint32_t refusals; /* in a row */
   int64_t busy_until_ms;
+  int64_t reported_ms;   /* when others_busy was reported */
   int64_t quarantine_ms; /* 0: not in quarantine */
   int64_t probe_at_ms;
 };
@@ -167,11 +168,13 @@
 }
 
 static void
-note_busy (struct executor *executor, int32_t busy)
+note_busy (struct executor *executor, int32_t busy, int64_t now_ms)
 {
-  if (busy >= 0)
-    executor->info.others_busy =
-        MAX (0, busy - (int32_t)executor->info.in_flight);
+  if (busy < 0)
+    return;
+  executor->info.others_busy =
+      MAX (0, busy - (int32_t)executor->info.in_flight);
+  executor->reported_ms = now_ms;
 }
 
 void
@@ -179,7 +182,8 @@
                      const char *name,
                      int32_t slots,
                      int32_t busy,
-                     bool leaving)
+                     bool leaving,
+                     int64_t now_ms)
 {
   struct executor *executor = g_hash_table_lookup (executors->by_name, name);
 
@@ -187,7 +191,9 @@
     return;
   if (slots >= 1)
     executor->info.slots = (uint32_t)slots;
-  note_busy (executor, busy);
+  if (executor->failures < GR_QUARANTINE_FAILURES)
+    executor->quarantine_ms = 0;
+  note_busy (executor, busy, now_ms);
   executor->info.leaving = executor->info.leaving || leaving;
   divide (executors);
 }
@@ -198,6 +204,14 @@
   return executor->info.in_flight + (uint32_t)executor->info.others_busy;
 }
 
+static bool
+is_full (const struct executor *executor, int64_t now_ms)
+{
+  if (now_ms - executor->reported_ms < GR_FULL_REPORT_MS)
+    return load_of (executor) >= executor->info.slots;
+  return executor->info.in_flight >= executor->info.slots;
+}
+
 static bool
 was_tried (const struct executor *executor, const char *const *not_this)
 {
@@ -231,8 +245,7 @@
     return false;
   if (executors->choice == GR_CHOICE_RANDOM)
     return true;
-  return load_of (executor) < executor->info.slots
-         && (!is_long || executor->long_allowed);
+  return !is_full (executor, now_ms) && (!is_long || executor->long_allowed);
 }
 
 static bool
@@ -344,7 +357,10 @@
 static void
 note_failure (struct executor *executor, bool unreachable, int64_t now_ms)
 {
-  executor->failures++;
+  /* A refused connection says that the process is gone, not that it is
+   * broken; a status report then ends the quarantine. */
+  if (!unreachable)
+    executor->failures++;
   if (unreachable || executor->failures >= GR_QUARANTINE_FAILURES)
     quarantine (executor, now_ms);
 }
@@ -388,7 +404,7 @@
       executor->info.long_in_flight--;
       executors->long_in_flight--;
     }
-  note_busy (executor, busy);
+  note_busy (executor, busy, now_ms);
   switch (result)
     {
     case GR_TRY_OK:
--- a/route/executors.h
+++ b/route/executors.h
@@ -24,6 +24,11 @@
 #define GR_BUSY_MIN_MS 20
 #define GR_BUSY_MAX_MS 1000
 
+/* A report that all slots are busy keeps work away for this long only: slots
+ * become free within the run time of short requests, and an executor without
+ * work of this entry reports only every two seconds. */
+#define GR_FULL_REPORT_MS 100
+
 struct gr_executors;
 
 enum gr_choice
@@ -74,12 +79,14 @@
                             bool leaving);
 void gr_executors_list_end (struct gr_executors *executors);
 
-/* Takes a status report. slots < 1: not given; busy < 0: not given. */
+/* Takes a status report. It ends a quarantine that is due to refused
+ * connections alone. */
 void gr_executors_report (struct gr_executors *executors,
                           const char *name,
                           int32_t slots,
                           int32_t busy,
-                          bool leaving);
+                          bool leaving,
+                          int64_t now_ms);
 
 /* Chooses an executor and counts the request as in flight there. Returns its
  * name, owned by the table, or NULL if none can take it now. not_this may be
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -121,6 +121,11 @@
   gr_members_apply_list (members, &list, 1, 30000);
   ck_assert (target_leaves (members, 30000));
   ck_assert (!target_leaves (members, 2001 + GR_LEAVING_KEEP_MS));
+  gr_members_target_leaving (members, "x1", 65000);
+  ck_assert (target_leaves (members, 66000));
+  list = instance ("x1", GR_ROLE_EXECUTOR, "x1:2");
+  gr_members_apply_list (members, &list, 1, 67000);
+  ck_assert (!target_leaves (members, 67000));
   list.leaving = true;
   gr_members_apply_list (members, &list, 1, 70000);
   ck_assert (target_leaves (members, 70000));
