entry: remove the flag for callers that have gone

libsoup does not read from the connection of a paused message, so it reports the end of the connection only when the answer is written; the flag was never set. A caller that has gone is bounded by its deadline.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -8,15 +8,6 @@
 #define DEFAULT_LIMIT 100
 #define MAX_LIMIT 1000
 
-static void
-caller_gone (SoupServerMessage *message, gpointer data)
-{
-  struct gr_exchange *exchange = data;
-
-  (void)message;
-  exchange->gone = true;
-}
-
 /* Equal hashes and different ones take the same time. */
 static bool
 same_hash (const char *a, const char *b)
@@ -80,8 +71,6 @@
   exchange->rest = exchange->path + strlen (exchange->path);
   exchange->query = query != NULL ? g_hash_table_ref (query) : NULL;
   exchange->body = soup_message_body_flatten (body);
-  g_signal_connect (message, "disconnected", G_CALLBACK (caller_gone),
-                    exchange);
   g_hash_table_add (entry->exchanges, exchange);
   read_identity (exchange);
   return exchange;
@@ -91,7 +80,6 @@
 exchange_end (struct gr_exchange *exchange)
 {
   g_hash_table_remove (exchange->entry->exchanges, exchange);
-  g_signal_handlers_disconnect_by_data (exchange->message, exchange);
   if (exchange->paused)
     soup_server_message_unpause (exchange->message);
   g_object_unref (exchange->message);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -15,7 +15,6 @@
   GHashTable *query;
   GBytes *body;
   bool paused;
-  bool gone;        /* the caller has closed the connection */
   bool is_operator; /* may use all resources */
   bool local; /* a loopback caller without a token, taken as an operator */
   char token_sha256[GR_SHA256_HEX_BYTES]; /* "": none was sent */
--- a/entry/request.c
+++ b/entry/request.c
@@ -465,20 +465,6 @@
     refuse_overloaded (request, "no slot became free before the deadline");
 }
 
-/* A caller that has gone is not served. */
-static bool
-drop_if_gone (struct gr_request *request)
-{
-  struct gr_error error = GR_ERROR_INIT;
-
-  if (!request->exchange->gone)
-    return false;
-  gr_error_set (&error, GR_ERROR_OVERLOADED,
-                "the caller closed the connection while it waited");
-  refuse (request, &error);
-  return true;
-}
-
 void
 gr_request_pump (struct gr_entry *entry)
 {
@@ -493,7 +479,7 @@
   aside = g_ptr_array_new ();
   while ((request = gr_queue_take (entry->queue, allow[0], allow[1])) != NULL)
     {
-      if (drop_if_gone (request) || dispatch (request, now_ms))
+      if (dispatch (request, now_ms))
         continue;
       /* One that waits for another executor than those it was sent to must not
        * hold back the others. */
