platform: keep connections safely, tell cut answers, tests

Cause: SoupServer 3.2.3 never frees a kept connection whose client has gone (it reads the end of the stream and then waits for nothing), closes connections that it did not accept itself after one request, and the client takes a chunked body that breaks off between two chunks for a whole one. With "Connection: close" it also takes a body that is shorter than its Content-Length for whole.

A planned stop answers what is on its way, including the listen queue. Paused messages are resumed through gr_http_server_resume (), which is safe after the client has gone; soup_server_message_unpause () is not.

Ruled out: SoupServer's own listener, because stealing a stuck connection crashes; closing after each request, which costs a handshake for each; shutting down the socket of a stuck connection, which libsoup ignores.

--- a/standins/base.c
+++ b/standins/base.c
@@ -86,7 +86,7 @@
 static void
 send_answer (struct gr_standin_call *call)
 {
-  soup_server_message_unpause (call->message);
+  gr_http_server_resume (call->message);
   gr_standin_forget (call);
 }
 
@@ -223,6 +223,27 @@
     apply_call (call);
 }
 
+/* Ids in paths would make the table of counts grow without a bound, so they are
+ * counted as "*". */
+static void
+count_path (struct gr_standin *standin, const char *path)
+{
+  char **parts = g_strsplit (path, "/", 5);
+  char *name;
+  int count;
+
+  if (g_strv_length (parts) >= 4)
+    {
+      g_free (parts[3]);
+      parts[3] = g_strdup ("*");
+    }
+  name = g_str_has_prefix (path, "/v3/") ? g_strdup (path)
+                                         : g_strjoinv ("/", parts);
+  count = GPOINTER_TO_INT (g_hash_table_lookup (standin->counts, name));
+  g_hash_table_replace (standin->counts, name, GINT_TO_POINTER (count + 1));
+  g_strfreev (parts);
+}
+
 static void
 handle (SoupServerMessage *message,
         const char *path,
@@ -232,7 +253,6 @@
   struct gr_standin *standin = context;
   struct gr_error ignored = GR_ERROR_INIT;
   struct gr_standin_call *call;
-  int count;
 
   (void)query;
   if (strcmp (path, "/control") == 0)
@@ -240,9 +260,7 @@
       handle_control (standin, message);
       return;
     }
-  count = GPOINTER_TO_INT (g_hash_table_lookup (standin->counts, path));
-  g_hash_table_replace (standin->counts, g_strdup (path),
-                        GINT_TO_POINTER (count + 1));
+  count_path (standin, path);
   call = g_new0 (struct gr_standin_call, 1);
   call->standin = standin;
   call->message = g_object_ref (message);
--- a/standins/executor.c
+++ b/standins/executor.c
@@ -16,6 +16,8 @@
   FAULT_CLOSE_AFTER_READ, /* starts the run, closes without an answer */
   FAULT_DUPLICATE,        /* sends its answer twice */
   FAULT_NO_LENGTH,        /* sends half of a body without a length */
+  FAULT_CUT_CHUNK,        /* closes in the middle of a chunk */
+  FAULT_CUT_CHUNKS,       /* closes between two chunks */
   N_FAULTS
 };
 
@@ -28,6 +30,8 @@
   [FAULT_CLOSE_AFTER_READ] = "close_after_read",
   [FAULT_DUPLICATE] = "duplicate",
   [FAULT_NO_LENGTH] = "no_length",
+  [FAULT_CUT_CHUNK] = "cut_chunk",
+  [FAULT_CUT_CHUNKS] = "cut_chunks",
 };
 
 struct gr_standin_executor
@@ -104,24 +108,43 @@
   gr_standin_reply (call, 503, NULL);
 }
 
+/* The head of an answer as text. header may be "". */
+static GString *
+raw_head (struct gr_standin_call *call, const char *header)
+{
+  GString *text = g_string_new ("HTTP/1.1 200 OK\r\n");
+
+  g_string_append_printf (text, "Request-Key: %s\r\n%s\r\n", request_key (call),
+                          header);
+  return text;
+}
+
 /* An answer as text, of which only the first part_bytes of the body are
  * there. */
 static GString *
-raw_answer (struct gr_standin_call *call, size_t part_bytes, bool with_length)
+raw_answer (struct gr_standin_call *call, size_t part_bytes)
 {
   gsize size = 0;
   const char *data = g_bytes_get_data (call->raw, &size);
-  GString *text = g_string_new ("HTTP/1.1 200 OK\r\n");
+  char *length =
+      g_strdup_printf ("Content-Length: %" G_GSIZE_FORMAT "\r\n", size);
+  GString *text = raw_head (call, length);
 
-  g_string_append_printf (text, "Request-Key: %s\r\n", request_key (call));
-  if (with_length)
-    g_string_append_printf (text, "Content-Length: %" G_GSIZE_FORMAT "\r\n",
-                            size);
-  g_string_append (text, "\r\n");
   g_string_append_len (text, data, (gssize)MIN (part_bytes, size));
+  g_free (length);
   return text;
 }
 
+static GString *
+raw_unfinished (struct gr_standin_call *call,
+                const char *header,
+                const char *body)
+{
+  GString *text = raw_head (call, header);
+
+  return g_string_append (text, body);
+}
+
 static void
 send_raw (struct gr_standin_call *call, GString *text)
 {
@@ -133,8 +156,8 @@
 static void
 send_duplicate (struct gr_standin_call *call)
 {
-  GString *text = raw_answer (call, SIZE_MAX, true);
-  GString *again = raw_answer (call, SIZE_MAX, true);
+  GString *text = raw_answer (call, SIZE_MAX);
+  GString *again = raw_answer (call, SIZE_MAX);
 
   g_string_append_len (text, again->str, (gssize)again->len);
   g_string_free (again, TRUE);
@@ -176,15 +199,20 @@
 static void
 answer_run (struct gr_standin_call *call)
 {
+  static const char chunked[] = "Transfer-Encoding: chunked\r\n";
   struct gr_standin_executor *executor = executor_of (call);
   size_t half = g_bytes_get_size (call->raw) / 2;
 
   if (executor->faults[FAULT_CLOSE_AFTER_READ])
     gr_standin_drop (call);
   else if (executor->faults[FAULT_TRUNCATE])
-    send_raw (call, raw_answer (call, half, true));
+    send_raw (call, raw_answer (call, half));
   else if (executor->faults[FAULT_NO_LENGTH])
-    send_raw (call, raw_answer (call, half, false));
+    send_raw (call, raw_unfinished (call, "", "half"));
+  else if (executor->faults[FAULT_CUT_CHUNK])
+    send_raw (call, raw_unfinished (call, chunked, "8\r\nhalf"));
+  else if (executor->faults[FAULT_CUT_CHUNKS])
+    send_raw (call, raw_unfinished (call, chunked, "4\r\nhalf\r\n"));
   else if (executor->faults[FAULT_DUPLICATE])
     send_duplicate (call);
   else
--- a/standins/relay.c
+++ b/standins/relay.c
@@ -1,5 +1,6 @@
 #include "standins/relay.h"
 
+#include "platform/http-listen.h"
 #include "platform/json.h"
 
 #include <string.h>
@@ -211,8 +212,8 @@
   return TRUE;
 }
 
-static void
-cut_all (struct gr_relay *relay)
+void
+gr_relay_cut (struct gr_relay *relay)
 {
   GList *links = g_hash_table_get_keys (relay->links);
 
@@ -257,7 +258,7 @@
                            &relay->delay_ms))
     return false;
   if (cut)
-    cut_all (relay);
+    gr_relay_cut (relay);
   return side == NULL || half_close (relay, side);
 }
 
@@ -293,18 +294,22 @@
                  struct gr_error *error)
 {
   struct gr_relay *relay = g_new0 (struct gr_relay, 1);
+  GSocket *socket = NULL;
 
   relay->target = g_strdup (target);
   relay->links = g_hash_table_new (NULL, NULL);
   relay->service = g_socket_service_new ();
   relay->base = gr_standin_create (control_listen, &ops, relay, error);
   if (relay->base != NULL)
-    relay->address = gr_listen (relay->service, listen, error);
-  if (relay->address == NULL)
+    socket = gr_listen (listen, &relay->address, error);
+  if (socket == NULL)
     {
       gr_relay_destroy (relay);
       return NULL;
     }
+  g_socket_listener_add_socket (G_SOCKET_LISTENER (relay->service), socket,
+                                NULL, NULL);
+  g_object_unref (socket);
   g_signal_connect (relay->service, "incoming", G_CALLBACK (incoming), relay);
   return relay;
 }
@@ -317,7 +322,7 @@
   g_signal_handlers_disconnect_by_data (relay->service, relay);
   g_socket_service_stop (relay->service);
   g_socket_listener_close (G_SOCKET_LISTENER (relay->service));
-  cut_all (relay);
+  gr_relay_cut (relay);
   g_object_unref (relay->service);
   g_hash_table_destroy (relay->links);
   gr_standin_destroy (relay->base);
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -17,3 +17,6 @@
 void gr_relay_destroy (struct gr_relay *relay);
 const char *gr_relay_address (const struct gr_relay *relay);
 struct gr_standin *gr_relay_base (struct gr_relay *relay);
+
+/* Closes all connections now. */
+void gr_relay_cut (struct gr_relay *relay);
--- /dev/null
+++ b/tests/test-http-server.c
@@ -0,0 +1,407 @@
+/* Limits of the HTTP server, with raw sockets as clients. */
+#include "platform/http-server.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <dirent.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LIMIT_MS INT64_C (20000)
+
+#define REQUEST "GET /small HTTP/1.1\r\nHost: a\r\n\r\n"
+
+struct fixture
+{
+  struct gr_http_server *server;
+  GPtrArray *held; /* messages of requests for /hold */
+  int requests;
+  size_t body_bytes;
+};
+
+static void
+handle (SoupServerMessage *message,
+        const char *path,
+        GHashTable *query,
+        void *context)
+{
+  struct fixture *fixture = context;
+
+  (void)query;
+  fixture->requests++;
+  fixture->body_bytes =
+      (size_t)soup_server_message_get_request_body (message)->length;
+  if (strcmp (path, "/hold") == 0)
+    {
+      g_ptr_array_add (fixture->held, g_object_ref (message));
+      soup_server_message_pause (message);
+      return;
+    }
+  soup_server_message_set_status (message, 200, NULL);
+  if (strcmp (path, "/large") == 0)
+    soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE,
+                                      g_strnfill (30000000, 'x'), 30000000);
+  else
+    soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_STATIC,
+                                      "small", 5);
+}
+
+static void
+setup (struct fixture *fixture, const struct gr_http_server_limits *limits)
+{
+  struct gr_error error = GR_ERROR_INIT;
+
+  memset (fixture, 0, sizeof *fixture);
+  fixture->held = g_ptr_array_new_with_free_func (g_object_unref);
+  fixture->server = gr_http_server_create ("127.0.0.1:0", limits, NULL, handle,
+                                           fixture, &error);
+  ck_assert_msg (fixture->server != NULL, "%s", error.message);
+}
+
+static SoupServerMessage *
+last_held (const struct fixture *fixture)
+{
+  return g_ptr_array_index (fixture->held, fixture->held->len - 1);
+}
+
+static void
+resume (gpointer message, gpointer data)
+{
+  (void)data;
+  gr_http_server_resume (message);
+}
+
+static void
+teardown (struct fixture *fixture)
+{
+  gr_http_server_destroy (fixture->server);
+  g_ptr_array_unref (fixture->held);
+}
+
+static gboolean
+set_flag (gpointer data)
+{
+  *(bool *)data = true;
+  return G_SOURCE_REMOVE;
+}
+
+/* Runs the main loop until the number at *value is wanted. */
+static void
+wait_until (const int *value, int wanted)
+{
+  bool late = false;
+  guint timer = g_timeout_add ((guint)LIMIT_MS, set_flag, &late);
+
+  while (*value != wanted && !late)
+    g_main_context_iteration (NULL, TRUE);
+  ck_assert_msg (!late, "%d instead of %d", *value, wanted);
+  g_source_remove (timer);
+}
+
+static void
+wait_connections (struct gr_http_server *server, uint32_t wanted)
+{
+  gint64 end_us = g_get_monotonic_time () + LIMIT_MS * 1000;
+
+  while (gr_http_server_connections (server) != wanted
+         && g_get_monotonic_time () < end_us)
+    {
+      g_main_context_iteration (NULL, FALSE);
+      g_usleep (100);
+    }
+  ck_assert_uint_eq (gr_http_server_connections (server), wanted);
+}
+
+static int
+open_client (const struct gr_http_server *server)
+{
+  const char *address = gr_http_server_address (server);
+  struct sockaddr_in target = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  target.sin_port = htons ((uint16_t)atoi (strrchr (address, ':') + 1));
+  target.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  ck_assert_int_ge (fd, 0);
+  if (connect (fd, (struct sockaddr *)&target, sizeof target) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static void
+send_text (int fd, const char *text)
+{
+  ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL),
+                    (int)strlen (text));
+}
+
+/* What the server sends, until a text comes up or it closes. */
+static char *
+receive (int fd, const char *until)
+{
+  gint64 end_us = g_get_monotonic_time () + LIMIT_MS * 1000;
+  GString *text = g_string_new ("");
+  char piece[4096];
+  gssize size = -1;
+
+  while (size != 0 && (until == NULL || strstr (text->str, until) == NULL))
+    {
+      ck_assert_msg (g_get_monotonic_time () < end_us, "got: %s", text->str);
+      g_main_context_iteration (NULL, FALSE);
+      size = recv (fd, piece, sizeof piece, MSG_DONTWAIT);
+      if (size < 0 && errno != EAGAIN)
+        break;
+      if (size > 0)
+        g_string_append_len (text, piece, size);
+      else if (size < 0)
+        g_usleep (100);
+    }
+  return g_string_free (text, FALSE);
+}
+
+static void
+expect (int fd, const char *until)
+{
+  char *text = receive (fd, until);
+
+  ck_assert_msg (strstr (text, until) != NULL, "%s: got: %s", until, text);
+  g_free (text);
+}
+
+static void
+expect_closed (int fd)
+{
+  char *text = receive (fd, NULL);
+
+  ck_assert_msg (strstr (text, "200 OK") == NULL, "got: %s", text);
+  g_free (text);
+  close (fd);
+}
+
+static int
+count_descriptors (void)
+{
+  DIR *directory = opendir ("/proc/self/fd");
+  int count = 0;
+
+  while (readdir (directory) != NULL)
+    count++;
+  closedir (directory);
+  return count;
+}
+
+/* Guards against descriptors that stay open after clients have gone away, at
+ * any point of a request. */
+START_TEST (dropped_connections_release_descriptors)
+{
+  static const char *const sent[] = {
+    "",
+    "GET /sm",
+    REQUEST,
+    "POST /small HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\npart",
+    "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n",
+    "GET /large HTTP/1.1\r\nHost: a\r\n\r\n",
+    "nonsense\r\n\r\n",
+  };
+  struct gr_http_server_limits limits = gr_http_server_default_limits ();
+  struct fixture fixture;
+  int fds[200];
+  int before;
+
+  setup (&fixture, &limits);
+  before = count_descriptors ();
+  for (int round = 0; round < 20; round++)
+    {
+      for (int i = 0; i < 200; i++)
+        {
+          /* Large answers are few, because all of them are held in memory. */
+          int kind = i < 5 ? 5 : i % 5;
+
+          fds[i] = open_client (fixture.server);
+          ck_assert_int_ge (fds[i], 0);
+          send_text (fds[i], sent[i == 199 ? 6 : kind]);
+        }
+      for (int i = 0; i < round; i++)
+        g_main_context_iteration (NULL, FALSE);
+      for (int i = 0; i < 200; i++)
+        close (fds[i]);
+      /* Held requests end here; only then is it seen that they are alone. */
+      while (g_main_context_iteration (NULL, FALSE))
+        g_ptr_array_foreach (fixture.held, resume, NULL);
+      g_ptr_array_set_size (fixture.held, 0);
+    }
+  wait_connections (fixture.server, 0);
+  ck_assert_int_eq (count_descriptors (), before);
+  teardown (&fixture);
+}
+END_TEST
+
+/* Guards against clients that hold connections by being slow or silent. */
+START_TEST (slow_clients_are_cut_off)
+{
+  struct gr_http_server_limits limits = {
+    .max_connections = 4,
+    .idle_ms = 300,
+    .read_ms = 300,
+    .write_ms = 300,
+    .max_body_bytes = 1000,
+  };
+  struct fixture fixture;
+  int fds[5];
+
+  setup (&fixture, &limits);
+  for (int i = 0; i < 5; i++)
+    fds[i] = open_client (fixture.server);
+  send_text (fds[0], "GET /small HT");
+  send_text (fds[1],
+             "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nab");
+  send_text (fds[2], "GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
+  expect_closed (fds[4]); /* above max_connections */
+  wait_connections (fixture.server, 0);
+  ck_assert_int_eq (fixture.requests, 1);
+  ck_assert_uint_eq (gr_http_server_in_flight (fixture.server), 0);
+  for (int i = 0; i < 4; i++)
+    close (fds[i]);
+  teardown (&fixture);
+}
+END_TEST
+
+/* Guards against bodies that fill the memory, and off-by-one limits. */
+START_TEST (large_bodies_are_refused)
+{
+  static const struct
+  {
+    const char *head;
+    int body_bytes;
+    const char *tail;
+    const char *answer;
+  } cases[] = {
+    { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n", 1000, "",
+      "200 OK" },
+    { "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1001\r\n\r\n", 1001, "",
+      "413 " },
+    { "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3e8\r\n",
+      1000, "\r\n0\r\n\r\n", "200 OK" },
+    { "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3e9\r\n",
+      1001, "\r\n0\r\n\r\n", "413 " },
+    { "POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+      "Content-Length: 99999999999\r\n\r\n",
+      0, "", "413 " },
+  };
+  struct gr_http_server_limits limits = gr_http_server_default_limits ();
+  struct fixture fixture;
+
+  limits.max_body_bytes = 1000;
+  setup (&fixture, &limits);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int fd = open_client (fixture.server);
+      char *body = g_strnfill ((gsize)cases[i].body_bytes, 'x');
+
+      send_text (fd, cases[i].head);
+      send_text (fd, body);
+      send_text (fd, cases[i].tail);
+      expect (fd, cases[i].answer);
+      close (fd);
+      g_free (body);
+    }
+  ck_assert_int_eq (fixture.requests, 2);
+  ck_assert_uint_eq (fixture.body_bytes, 1000);
+  teardown (&fixture);
+}
+END_TEST
+
+/* Guards against a planned stop that breaks a request: one that is handled,
+ * one that arrives on a kept connection, and one in the listen queue. */
+START_TEST (planned_stop_interrupts_nothing)
+{
+  struct gr_http_server_limits limits = gr_http_server_default_limits ();
+  struct fixture fixture;
+  int handled;
+  int kept;
+  int queued;
+
+  setup (&fixture, &limits);
+  handled = open_client (fixture.server);
+  kept = open_client (fixture.server);
+  send_text (kept, REQUEST);
+  expect (kept, "small");
+  send_text (handled, "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+  wait_until (&fixture.requests, 2);
+  queued = open_client (fixture.server);
+  send_text (queued, REQUEST);
+  gr_http_server_stop_accepting (fixture.server);
+  ck_assert_int_lt (open_client (fixture.server), 0);
+  send_text (kept, REQUEST);
+  expect (kept, "Connection: close");
+  expect (queued, "small");
+  wait_connections (fixture.server, 1);
+  soup_server_message_set_status (last_held (&fixture), 200, NULL);
+  gr_http_server_resume (last_held (&fixture));
+  expect (handled, "Connection: close");
+  wait_connections (fixture.server, 0);
+  close (handled);
+  close (kept);
+  close (queued);
+  teardown (&fixture);
+}
+END_TEST
+
+/* Guards against use of freed memory when a held request ends after its client
+ * or its server has gone. */
+START_TEST (held_requests_may_end_late)
+{
+  struct gr_http_server_limits limits = gr_http_server_default_limits ();
+  struct fixture fixture;
+  int fd;
+
+  setup (&fixture, &limits);
+  fd = open_client (fixture.server);
+  send_text (fd, "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+  wait_until (&fixture.requests, 1);
+  close (fd);
+  soup_server_message_set_status (last_held (&fixture), 200, NULL);
+  gr_http_server_resume (last_held (&fixture));
+  wait_connections (fixture.server, 0);
+  gr_http_server_resume (last_held (&fixture));
+  fd = open_client (fixture.server);
+  send_text (fd, "GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+  wait_until (&fixture.requests, 2);
+  gr_http_server_destroy (fixture.server);
+  soup_server_message_set_status (last_held (&fixture), 200, NULL);
+  gr_http_server_resume (last_held (&fixture));
+  gr_http_server_drop (last_held (&fixture));
+  g_ptr_array_unref (fixture.held);
+  expect_closed (fd);
+}
+END_TEST
+
+static Suite *
+make_suite (void)
+{
+  Suite *suite = suite_create ("http-server");
+  TCase *tcase = tcase_create ("http-server");
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_test (tcase, dropped_connections_release_descriptors);
+  tcase_add_test (tcase, slow_clients_are_cut_off);
+  tcase_add_test (tcase, large_bodies_are_refused);
+  tcase_add_test (tcase, planned_stop_interrupts_nothing);
+  tcase_add_test (tcase, held_requests_may_end_late);
+  suite_add_tcase (suite, tcase);
+  return suite;
+}
+
+int
+main (void)
+{
+  SRunner *runner = srunner_create (make_suite ());
+  int failed;
+
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
