settings, ctl: tests of limits that nothing guarded

Trials with single lines changed on a scratch copy showed that six checks could be taken out without a failing test: the length of a list of names, the pair of TLS files, the order of lease terms, NUL bytes in a process file, and in the store a confirmation that goes back. Each now has a test. The message for a list of names that is too long names the limit.

settings watch goes on after failures that may pass, such as a busy entry.

--- a/ctl/settings-commands.c
+++ b/ctl/settings-commands.c
@@ -384,6 +384,15 @@
   g_hash_table_destroy (listed);
 }
 
+/* Exit codes of failures that a later poll may not have: no capacity or
+ * connection at present, and broken connections. */
+static bool
+is_passing (int exit_code)
+{
+  return exit_code == gr_error_answer (GR_ERROR_OVERLOADED)->exit_code
+         || exit_code == gr_error_answer (GR_ERROR_IO)->exit_code;
+}
+
 int
 gr_ctl_settings_watch (struct gr_ctl *ctl, int argc, char **argv)
 {
@@ -396,10 +405,14 @@
     {
       JsonArray *paths = fetch_paths (ctl, argc > 0 ? argv[0] : "", &exit_code);
 
-      if (paths == NULL)
+      if (paths == NULL && !is_passing (exit_code))
         break;
-      print_changes (ctl, paths, known);
-      json_array_unref (paths);
+      if (paths != NULL)
+        {
+          print_changes (ctl, paths, known);
+          json_array_unref (paths);
+          exit_code = 0;
+        }
       gr_ctl_sleep ((int64_t)(ctl->interval_s * 1000));
     }
   g_hash_table_destroy (known);
--- a/settings/value.c
+++ b/settings/value.c
@@ -173,8 +173,9 @@
     case GR_KEY_NAMES:
       g_string_append_printf (out,
                               "%.0f to %.0f different names separated by ';', "
-                              "each 1 to 40 of a-z, 0-9 and '-'",
-                              key->min, key->max);
+                              "each 1 to 40 of a-z, 0-9 and '-', in less than "
+                              "%zu bytes",
+                              key->min, key->max, key->size);
       return;
     case GR_KEY_UINT:
       append_range (key, "a whole number", out);
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -341,6 +341,7 @@
 {
   REPLY ({ 200, NULL, "{\"paths\":[{\"path\":\"platform\",\"revision\":4}]}" },
          { 200, NULL, "{\"paths\":[{\"path\":\"platform\",\"revision\":3}]}" },
+         { 503, NULL, "{\"kind\":\"overloaded\"}" },
          { 200, NULL, "{\"paths\":[{\"path\":\"platform\",\"revision\":6}]}" },
          { 200, NULL, "{\"paths\":[]}" });
   ck_assert_int_eq (RUN ("--entry", url, "--interval", "0.1", "--timeout", "2",
--- a/tests/test-settings-store.c
+++ b/tests/test-settings-store.c
@@ -160,7 +160,7 @@
   reads[1].done = NULL;
   ck_assert (!gr_settings_store_is_current (store));
   gr_settings_store_confirm (store, 4000);
-  gr_settings_store_confirm (store, 2000);
+  gr_settings_store_confirm (store, 500);
   ck_assert (gr_settings_store_is_current (store));
 }
 END_TEST
--- a/tests/test-settings.c
+++ b/tests/test-settings.c
@@ -1,10 +1,12 @@
 /* Documents: checks, typed views and paths. */
 #include "settings/document.h"
 #include "settings/print.h"
+#include "settings/process.h"
 
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 static const char *const team_text = "; a team\n"
                                      "[account]\n"
@@ -93,6 +95,14 @@
     "found 'dc1 ; dc2'" },
   { GR_DOCUMENT_PLATFORM, "[shards]\nowner_lease_ttl_s = 40\n",
     "more than owner_lease_ttl_s" },
+  { GR_DOCUMENT_PLATFORM,
+    "[shards]\nstart_lease_term_ms = 20000\nrun_lease_term_ms = 15000\n",
+    "at least start_lease_term_ms" },
+  { GR_DOCUMENT_PROCESS,
+    "[process]\ninstance = e\ndata_centre = d\ntls_key = /k\n"
+    "[platform]\nkv_url = http://[::1]:1\ninstances_url = http://1.2.3.4:5\n",
+    "[process] tls_certificate: found nothing" },
+  { GR_DOCUMENT_PROCESS, "[process]\ntls_key = k\n", "absolute file name" },
   { GR_DOCUMENT_PROCESS, "", "[platform] kv_url: found nothing" },
   { GR_DOCUMENT_PROCESS, "[process]\nhttp_address = localhost:80\n",
     "found 'localhost:80', allowed: IP:PORT" },
@@ -218,6 +228,69 @@
 }
 END_TEST
 
+/* Guards against a list of names that the typed view would cut. */
+START_TEST (long_list_of_names_is_refused)
+{
+  GString *text = g_string_new ("[shards]\nnames = ");
+  GPtrArray *problems;
+
+  for (int i = 0; i < 25; i++)
+    g_string_append_printf (text, "%040d;", i);
+  problems = problems_of (GR_DOCUMENT_PLATFORM, text->str);
+  ck_assert (any_contains (problems, "in less than 1024 bytes"));
+  g_ptr_array_unref (problems);
+  g_string_free (text, TRUE);
+}
+END_TEST
+
+static int
+start_with (const char *option, const char *text, gssize length, bool *started)
+{
+  char *name = NULL;
+  int fd = g_file_open_tmp ("geraniumrack-XXXXXX", &name, NULL);
+  char *argv[] = { (char *)"test", (char *)option, name, NULL };
+  struct gr_process_settings settings;
+  int exit_code;
+
+  ck_assert_int_ge (fd, 0);
+  close (fd);
+  ck_assert (g_file_set_contents (name, text, length, NULL));
+  *started =
+      gr_process_start (3, argv, "test", "", NULL, &settings, &exit_code);
+  gr_process_settings_clear (&settings);
+  unlink (name);
+  g_free (name);
+  return exit_code;
+}
+
+/* Guards against a process that starts with a file that it cannot use whole,
+ * and against a check that starts it. */
+START_TEST (process_starts_only_with_a_valid_file)
+{
+  const char *valid = "[process]\ninstance = e\ndata_centre = d\n"
+                      "[platform]\nkv_url = http://127.0.0.1:1\n"
+                      "instances_url = http://127.0.0.1:2\n";
+  gssize length = (gssize)strlen (valid);
+  bool started;
+
+  ck_assert_int_eq (start_with ("--settings", valid, length, &started), 0);
+  ck_assert (started);
+  ck_assert_int_eq (start_with ("--check-settings", valid, length, &started),
+                    0);
+  ck_assert (!started);
+  /* A NUL byte would hide the rest of the file from the check. */
+  ck_assert_int_eq (start_with ("--settings", valid, length + 1, &started), 2);
+  ck_assert (!started);
+  ck_assert_int_eq (start_with ("--settings", "[log]\n", -1, &started), 2);
+  ck_assert (!started);
+  ck_assert_int_eq (start_with ("--check-settings", "[log]\n", -1, &started),
+                    2);
+  ck_assert (!started);
+  ck_assert_int_eq (start_with ("--wrong", valid, length, &started), 2);
+  ck_assert (!started);
+}
+END_TEST
+
 /* Guards against more guarantees than the typed view can hold. */
 START_TEST (too_many_guarantees_are_refused)
 {
@@ -333,6 +406,8 @@
   tcase_add_test (tcase, process_view_has_values_and_defaults);
   tcase_add_test (tcase, oversized_document_is_refused);
   tcase_add_test (tcase, too_many_guarantees_are_refused);
+  tcase_add_test (tcase, long_list_of_names_is_refused);
+  tcase_add_test (tcase, process_starts_only_with_a_valid_file);
   tcase_add_test (tcase, paths_are_closed);
   tcase_add_test (tcase, samples_are_valid);
   tcase_add_test (tcase, reference_is_up_to_date);
