ctl, scheduler: missing shards are reported; owners log acceptance

A list without the part of a shard that did not answer looked whole: the command printed it and ended with 0. It now names the shard and ends with the code of no-owner. The columns of shards follow the entry's answer.

The owner logs job-accepted when the record is durable. Only the entry did, on the owner's answer, and a job may start before that answer arrives, which the timeline would report as an effect before its cause.

--- a/ctl/cluster.c
+++ b/ctl/cluster.c
@@ -8,8 +8,13 @@
   "name", "role", "state", "settings_revision", "heard_ms_ago", NULL
 };
 
-static const char *const shard_columns[] = { "name",  "owner",  "address",
-                                             "epoch", "counts", NULL };
+static const char *const shard_columns[] = {
+  "name",          "owner",
+  "address",       "epoch",
+  "jobs_waiting",  "jobs_running",
+  "free",          "largest_free_block",
+  "witness_holds", NULL
+};
 
 static const char *const worker_columns[] = { "name",         "rack",
                                               "accelerators", "used",
@@ -219,7 +224,9 @@
         print_status_json (ctl, &status);
       else
         print_status (ctl, &status);
-      exit_code = status_exit_code (&status);
+      exit_code = gr_ctl_report_missing (ctl);
+      if (exit_code == 0)
+        exit_code = status_exit_code (&status);
     }
   g_clear_pointer (&status.members, json_array_unref);
   g_clear_pointer (&status.shards, json_array_unref);
--- a/ctl/context.h
+++ b/ctl/context.h
@@ -24,6 +24,7 @@
   gboolean has_timeout;  /* set by --timeout */
   int64_t revision;      /* of --revision; -1: not set */
   double interval_s;
+  GHashTable *missing; /* names of shards that did not answer */
   FILE *out;
   FILE *err;
 };
@@ -111,13 +112,18 @@
 void gr_ctl_print_object (struct gr_ctl *ctl, JsonNode *node);
 
 /* GETs all pages of a list; query may be "" or like "account=a". max_items 0:
- * all. Returns NULL after printing an error, with *exit_code set. */
+ * all. Returns NULL after printing an error, with *exit_code set. Shards whose
+ * part is not in the list are added to ctl->missing. */
 JsonArray *gr_ctl_fetch_list (struct gr_ctl *ctl,
                               const char *path,
                               const char *query,
                               int64_t max_items,
                               int *exit_code);
 
+/* Prints the shards that are missing in what was fetched. Returns the exit
+ * code: 0 if there is none, else that of no-owner. */
+int gr_ctl_report_missing (struct gr_ctl *ctl);
+
 /* Fetches a list and prints it as a table or as JSON; returns the exit code. */
 int gr_ctl_show_list (struct gr_ctl *ctl,
                       const char *path,
--- a/ctl/run.c
+++ b/ctl/run.c
@@ -118,7 +118,8 @@
         g_string_append_c (out, '\n');
     }
   g_string_append (out, "5 is also the exit code of jobs wait for a job that "
-                        "was refused, 8 for one\nthat may have run.\n");
+                        "was refused, 8 for one\nthat may have run, 7 that "
+                        "of lists in which the part of a shard is missing.\n");
 }
 
 static char *
@@ -365,6 +366,7 @@
   GError *error = NULL;
   int exit_code;
 
+  ctl.missing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (int i = 0; i < argc; i++)
     strv[i] = g_strdup (argv[i]);
   if (!g_option_context_parse_strv (context, &strv, &error))
@@ -374,6 +376,7 @@
     exit_code = run_command (&ctl, &arguments);
   g_clear_error (&error);
   g_clear_object (&ctl.session);
+  g_hash_table_destroy (ctl.missing);
   g_option_context_free (context);
   gr_process_options_clear (&arguments.process);
   g_strfreev (strv);
--- a/ctl/table.c
+++ b/ctl/table.c
@@ -179,10 +179,30 @@
   g_list_free (names);
 }
 
+static void
+take_missing (JsonObject *page, GHashTable *missing)
+{
+  JsonNode *node = json_object_get_member (page, "missing_shards");
+  JsonArray *names;
+
+  if (node == NULL || !JSON_NODE_HOLDS_ARRAY (node))
+    return;
+  names = json_node_get_array (node);
+  for (guint i = 0; i < json_array_get_length (names); i++)
+    {
+      char *name = node_text (json_array_get_element (names, i));
+
+      g_hash_table_add (missing, name);
+    }
+}
+
 /* Appends the objects of one page; returns the name to go on after, or NULL
  * with an error set if the page is not a list. "" ends the list. */
 static char *
-take_page (JsonNode *page, JsonArray *all, struct gr_error *error)
+take_page (JsonNode *page,
+           JsonArray *all,
+           GHashTable *missing,
+           struct gr_error *error)
 {
   JsonObject *object;
   JsonArray *items;
@@ -195,6 +215,7 @@
       return NULL;
     }
   object = json_node_get_object (page);
+  take_missing (object, missing);
   node = json_object_get_member (object, "items");
   if (node == NULL || !JSON_NODE_HOLDS_ARRAY (node))
     {
@@ -248,7 +269,7 @@
   struct gr_ctl_answer answer;
   char *full = page_path (path, query, *after);
   bool done = gr_ctl_call (ctl, "GET", full, NULL, NULL, -1, &answer, &error);
-  char *next = done ? take_page (answer.json, all, &error) : NULL;
+  char *next = done ? take_page (answer.json, all, ctl->missing, &error) : NULL;
 
   if (next == NULL)
     *exit_code = gr_ctl_fail (ctl, &error, done ? NULL : &answer);
@@ -294,13 +315,39 @@
 {
   JsonObject *object = json_object_new ();
   JsonNode *node = json_node_new (JSON_NODE_OBJECT);
+  JsonArray *missing = json_array_new ();
+  GHashTableIter iter;
+  gpointer name;
 
   json_object_set_array_member (object, "items", json_array_ref (items));
+  g_hash_table_iter_init (&iter, ctl->missing);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    json_array_add_string_element (missing, name);
+  if (json_array_get_length (missing) > 0)
+    json_object_set_array_member (object, "missing_shards",
+                                  json_array_ref (missing));
+  json_array_unref (missing);
   json_node_take_object (node, object);
   gr_ctl_print_json (ctl, node);
   json_node_unref (node);
 }
 
+int
+gr_ctl_report_missing (struct gr_ctl *ctl)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  if (g_hash_table_size (ctl->missing) == 0)
+    return 0;
+  g_hash_table_iter_init (&iter, ctl->missing);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    fprintf (ctl->err,
+             "geraniumrackctl: shard %s did not answer; its part is missing\n",
+             (const char *)name);
+  return gr_error_answer (GR_ERROR_NO_OWNER)->exit_code;
+}
+
 int
 gr_ctl_show_list (struct gr_ctl *ctl,
                   const char *path,
@@ -319,7 +366,7 @@
   else
     gr_ctl_print_table (ctl, items, columns);
   json_array_unref (items);
-  return 0;
+  return gr_ctl_report_missing (ctl);
 }
 
 int
--- a/scheduler/shard.c
+++ b/scheduler/shard.c
@@ -159,7 +159,11 @@
            const char *job,
            enum gr_job_state state)
 {
-  if (state == GR_JOB_STARTING)
+  /* Logged here and not only by the entry that answers the caller: the job may
+   * start before the answer has reached that entry. */
+  if (state == GR_JOB_ACCEPTED)
+    gr_log_event ("job-accepted", "job", job, "shard", shard->name, NULL);
+  else if (state == GR_JOB_STARTING)
     gr_log_event ("job-starting", "job", job, "shard", shard->name, NULL);
   else if (state == GR_JOB_RUNNING)
     gr_log_event ("job-running", "job", job, "shard", shard->name, NULL);
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -295,6 +295,20 @@
 }
 END_TEST
 
+/* Guards against a list without the part of a shard that passes for whole. */
+START_TEST (missing_shards_are_reported)
+{
+  REPLY ({ 200, NULL,
+           "{\"items\":[],\"next\":\"x\",\"missing_shards\":[\"dc2\"]}" },
+         { 200, NULL,
+           "{\"items\":[{\"id\":\"a\"}],\"missing_shards\":[\"dc2\"]}" });
+  ck_assert_int_eq (RUN ("--entry", url, "--json", "jobs", "list"), 7);
+  ck_assert_str_eq (
+      out, "{\"items\":[{\"id\":\"a\"}],\"missing_shards\":[\"dc2\"]}\n");
+  ck_assert_ptr_nonnull (strstr (err, "shard dc2 did not answer"));
+}
+END_TEST
+
 struct wait_case
 {
   const char *final;
@@ -395,6 +409,7 @@
   tcase_add_test (tcase, invalid_document_is_not_sent);
   tcase_add_test (tcase, edit_keeps_the_other_lines);
   tcase_add_test (tcase, lists_are_read_to_the_end);
+  tcase_add_test (tcase, missing_shards_are_reported);
   tcase_add_loop_test (tcase, wait_ends_with_the_state_of_the_job, 0,
                        (int)G_N_ELEMENTS (waits));
   tcase_add_test (tcase, wait_ends_at_its_timeout);
--- a/timeline/run.c
+++ b/timeline/run.c
@@ -39,8 +39,9 @@
                "checks that no\neffect stands before its cause.");
   g_option_context_set_description (
       context,
-      "FILE is the standard error output of a process, - is standard input. "
-      "The check\ncovers all events, also those that filters leave out.\n\n"
+      "FILE is the standard error output of a process from its start to its "
+      "end, - is\nstandard input. The check covers all events, also those that "
+      "filters leave out.\n\n"
       "Exit codes: 0 if the order is right, 1 if it is not (the lines are "
       "printed on\nstandard error), 2 for wrong arguments and files that "
       "cannot be read.\n\n"
