--- a/scheduler/journal.c
+++ b/scheduler/journal.c
@@ -52,7 +52,8 @@
     journal->failures += GR_JOURNAL_DOWN_FAILURES;
   else
     journal->failures++;
-  journal->events.store (gr_journal_store_is_up (journal), journal->context);
+  if (error == NULL || !gr_journal_store_is_up (journal))
+    journal->events.store (error == NULL, journal->context);
 }
 
 /* --- Timer -------------------------------------------------------------- */
--- a/scheduler/journal.h
+++ b/scheduler/journal.h
@@ -44,7 +44,7 @@
    * gr_journal_set_epoch (). */
   void (*contested) (const struct gr_kv_entry *owner, void *context);
 
-  /* The store answered, or did not. */
+  /* The store answered, or counts as down. */
   void (*store) (bool up, void *context);
 };
 
--- a/scheduler/ownership.c
+++ b/scheduler/ownership.c
@@ -59,7 +59,8 @@
     own->failures = 0;
   else
     own->failures += error->kind == GR_ERROR_STORE_UNAVAILABLE ? 2 : 1;
-  own->events.store (gr_ownership_store_is_up (own), own->context);
+  if (error == NULL || !gr_ownership_store_is_up (own))
+    own->events.store (error == NULL, own->context);
 }
 
 const struct gr_kv_entry *
@@ -337,6 +338,7 @@
   own->not_before_ms = INT64_MIN;
   own->commit_revision = -1;
   own->poll_timer = g_timeout_add (config->poll_ms, poll_owner, own);
+  poll_owner (own);
   return own;
 }
 
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -60,7 +60,7 @@
   void (*lost) (const char *reason, void *context);
   void (*released) (void *context);
 
-  /* The store answered, or did not. */
+  /* The store answered, or counts as down. */
   void (*store) (bool up, void *context);
 };
 
--- a/scheduler/scheduler.c
+++ b/scheduler/scheduler.c
@@ -81,10 +81,8 @@
              void *context)
 {
   struct gr_scheduler *scheduler = context;
-  char number[24];
 
-  g_snprintf (number, sizeof number, "%" G_GINT64_FORMAT, revision);
-  gr_log_event ("settings-applied", "path", path, "revision", number, NULL);
+  (void)revision;
   if (strcmp (path, "platform") == 0)
     apply_platform (scheduler, text);
   else if (g_str_has_prefix (path, "teams/"))
--- a/scheduler/shard.c
+++ b/scheduler/shard.c
@@ -9,8 +9,9 @@
 #define EVENT_TICK_MS 5
 
 /* Tick interval while nothing waits and nothing was commanded. Renewals are
- * due every third of a lease term, 3.3 s at the least. */
-#define IDLE_TICK_MS 1000
+ * due every third of a lease term, 3.3 s by default. The core takes more than
+ * a second between two ticks for a pause. */
+#define IDLE_TICK_MS 900
 
 /* A tick that comes this late means that the process was paused. */
 #define PAUSE_MS 1500
@@ -441,7 +442,7 @@
     .policy = GR_POLICY_DEFAULT,
     .start_lease_term_ms = shard->platform.start_lease_term_ms,
     .run_lease_term_ms = shard->platform.run_lease_term_ms,
-    .call_timeout_ms = 3000,
+    .call_timeout_ms = GR_WORKER_SILENT_MS,
     .max_attempts = shard->platform.max_attempts,
   };
 
--- a/scheduler/worker-io.c
+++ b/scheduler/worker-io.c
@@ -207,6 +207,8 @@
     }
   call_free (g_queue_pop_head (&worker->calls));
   worker->report_queued = false;
+  if (error != NULL && !worker->silent)
+    delay_ms = GR_REPORT_RETRY_MS;
   note_heard (worker, error != NULL ? error->kind : GR_ERROR_NONE);
   if (report != NULL)
     {
@@ -278,8 +280,8 @@
       break;
     case GR_COMMAND_START:
       gr_worker_start (io->client, worker->address, command->lease,
-                       command->task, 0, call->spec, GR_WORKER_CALL_MS,
-                       command_done, worker);
+                       command->task, 0, call->spec != NULL ? call->spec : "",
+                       GR_WORKER_CALL_MS, command_done, worker);
       break;
     case GR_COMMAND_UNTHROTTLE:
       send_action (worker, command, GR_TASK_THROTTLE);
--- a/scheduler/worker-io.h
+++ b/scheduler/worker-io.h
@@ -13,13 +13,20 @@
 /* Time between two reports of a worker that has leases or tasks, and of one
  * that has none. */
 #define GR_REPORT_BUSY_MS 2000
-#define GR_REPORT_IDLE_MS 5000
+#define GR_REPORT_IDLE_MS 3000
+
+/* Wait before a report is asked for again after the first failure in a row. */
+#define GR_REPORT_RETRY_MS 200
 
 /* Time limit of one call, and number of tries of one command. Three tries fit
  * into a third of the shortest lease term (10 s). */
 #define GR_WORKER_CALL_MS 1000
 #define GR_WORKER_TRIES 3
 
+/* A worker is silent after this time. One report that fails, and one answer to
+ * the next, fit in: 3000 + 1000 + 200 ms. */
+#define GR_WORKER_SILENT_MS 4500
+
 /* A worker that is not listed any more and does not answer for this long is
  * gone. */
 #define GR_WORKER_GONE_MS 30000
