--- /dev/null
+++ b/tests/test-worker-io.c
@@ -0,0 +1,267 @@
+/* Calls to workers, against the worker stand-in. */
+#include "scheduler/worker-io.h"
+#include "standins/worker.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WAIT_MS 15000
+#define MAX_ANSWERS 32
+
+struct fixture
+{
+  struct gr_clock *clock;
+  struct gr_counters *counters;
+  struct gr_standin_worker *worker;
+  struct gr_standin *base;
+  struct gr_worker_client *client;
+  struct gr_worker_io *io;
+  bool may_command;
+  bool may_renew;
+  int reports;
+  int answers;
+  enum gr_command_kind kinds[MAX_ANSWERS];
+  enum gr_error_kind outcomes[MAX_ANSWERS];
+};
+
+static struct fixture *the;
+
+static gboolean
+set_flag (gpointer data)
+{
+  bool *flag = data;
+
+  *flag = true;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+wait_for (const int *value, int wanted)
+{
+  bool late = false;
+  guint timer = g_timeout_add (WAIT_MS, set_flag, &late);
+
+  while (*value < wanted && !late)
+    g_main_context_iteration (NULL, TRUE);
+  ck_assert_int_ge (*value, wanted);
+  if (!late)
+    g_source_remove (timer);
+}
+
+static void
+on_report (const struct gr_worker_report *report, void *context)
+{
+  ck_assert_str_eq (report->worker, "w1");
+  ((struct fixture *)context)->reports++;
+}
+
+static void
+on_gone (const char *worker, void *context)
+{
+  (void)context;
+  ck_abort_msg ("worker %s is not gone", worker);
+}
+
+static void
+on_answer (enum gr_command_kind command,
+           const char *id,
+           enum gr_error_kind kind,
+           void *context)
+{
+  struct fixture *fixture = context;
+
+  ck_assert_int_lt (fixture->answers, MAX_ANSWERS);
+  ck_assert (g_str_has_prefix (id, command == GR_COMMAND_GRANT
+                                           || command == GR_COMMAND_RENEW
+                                       ? "lease-"
+                                       : "task-"));
+  fixture->kinds[fixture->answers] = command;
+  fixture->outcomes[fixture->answers] = kind;
+  fixture->answers++;
+}
+
+static bool
+on_may_command (void *context)
+{
+  return ((struct fixture *)context)->may_command;
+}
+
+static bool
+on_may_renew (void *context)
+{
+  return ((struct fixture *)context)->may_renew;
+}
+
+static void
+set_up (void)
+{
+  static const struct gr_worker_io_events events = {
+    .report = on_report,
+    .gone = on_gone,
+    .answer = on_answer,
+    .may_command = on_may_command,
+    .may_renew = on_may_renew,
+  };
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_standin_worker_settings settings = {
+    .name = "w1",
+    .rack = "r1",
+    .data_centre = "dc1",
+    .accelerators = 8,
+    .cores = 60,
+    .memory_mb = 1000,
+  };
+
+  the = g_new0 (struct fixture, 1);
+  the->clock = gr_clock_create ();
+  the->counters = gr_counters_create ();
+  the->worker = gr_standin_worker_create ("127.0.0.1:0", &settings, &error);
+  the->base = gr_standin_worker_base (the->worker);
+  the->client = gr_worker_client_create ();
+  the->may_command = true;
+  the->io = gr_worker_io_create (the->client, the->clock, the->counters, "dc1",
+                                 "holder", &events, the);
+  gr_worker_io_target (the->io, "w1", gr_standin_address (the->base), true);
+  gr_worker_io_targets_done (the->io);
+  wait_for (&the->reports, 1);
+}
+
+static void
+tear_down (void)
+{
+  gr_worker_io_destroy (the->io);
+  gr_worker_client_destroy (the->client);
+  gr_standin_worker_destroy (the->worker);
+  gr_counters_destroy (the->counters);
+  gr_clock_destroy (the->clock);
+  g_clear_pointer (&the, g_free);
+}
+
+static void
+send (enum gr_command_kind kind, int number)
+{
+  struct gr_command command = { .kind = kind, .term_ms = 5000 };
+
+  g_strlcpy (command.worker, "w1", sizeof command.worker);
+  g_snprintf (command.lease, sizeof command.lease, "lease-%d", number);
+  g_snprintf (command.task, sizeof command.task, "task-%d", number);
+  command.accelerators = 1U << number;
+  command.spec = "run_ms=10000";
+  gr_worker_io_send (the->io, &command);
+}
+
+static void
+check_answer (int index, enum gr_command_kind kind, enum gr_error_kind outcome)
+{
+  ck_assert_int_eq (the->kinds[index], kind);
+  ck_assert_int_eq (the->outcomes[index], outcome);
+}
+
+/* Guards against a start that overtakes its lease, and against one renewal
+ * call for each lease. */
+START_TEST (commands_keep_their_order)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      send (GR_COMMAND_GRANT, i);
+      send (GR_COMMAND_START, i);
+      send (GR_COMMAND_UNTHROTTLE, i);
+    }
+  for (int i = 0; i < 3; i++)
+    send (GR_COMMAND_RENEW, i);
+  wait_for (&the->answers, 12);
+  for (int i = 0; i < 9; i += 3)
+    {
+      check_answer (i, GR_COMMAND_GRANT, GR_ERROR_NONE);
+      check_answer (i + 1, GR_COMMAND_START, GR_ERROR_NONE);
+      check_answer (i + 2, GR_COMMAND_UNTHROTTLE, GR_ERROR_NONE);
+    }
+  check_answer (11, GR_COMMAND_RENEW, GR_ERROR_NONE);
+  ck_assert_int_eq (gr_standin_count (the->base, "/v1/renew"), 1);
+  ck_assert_uint_eq (gr_worker_io_pending (the->io), 0);
+}
+END_TEST
+
+/* Guards against a second start after a lost answer, and against a start that
+ * is given up after one. */
+START_TEST (lost_answers_are_tried_again)
+{
+  gr_standin_faults (the->base)->lose_answers = 1;
+  send (GR_COMMAND_GRANT, 0);
+  wait_for (&the->answers, 1);
+  check_answer (0, GR_COMMAND_GRANT, GR_ERROR_NONE);
+  gr_standin_faults (the->base)->lose_answers = 1;
+  send (GR_COMMAND_START, 0);
+  wait_for (&the->answers, 2);
+  check_answer (1, GR_COMMAND_START, GR_ERROR_NONE);
+  ck_assert_uint_eq (gr_standin_worker_starts (the->worker, "task-0"), 1);
+}
+END_TEST
+
+/* Guards against calls to a silent worker that end never, or that hold the
+ * next command up as long as the first. */
+START_TEST (silent_worker_ends_commands)
+{
+  gr_standin_faults (the->base)->down = 1;
+  send (GR_COMMAND_GRANT, 0);
+  send (GR_COMMAND_START, 0);
+  wait_for (&the->answers, 2);
+  check_answer (0, GR_COMMAND_GRANT, GR_ERROR_IO);
+  check_answer (1, GR_COMMAND_START, GR_ERROR_IO);
+  /* libsoup repeats a call on a kept connection that was closed, so there can
+   * be more calls than tries. */
+  ck_assert_int_ge (gr_standin_count (the->base, "/v1/leases"),
+                    GR_WORKER_TRIES);
+  ck_assert_int_le (gr_standin_count (the->base, "/v1/tasks"), 2);
+  gr_standin_faults (the->base)->down = 0;
+  wait_for (&the->reports, 2);
+}
+END_TEST
+
+/* Guards against commands of an owner that does not know whether it still is
+ * one, and against running work that ends because its renewals wait too. */
+START_TEST (held_commands_wait)
+{
+  int reports;
+
+  send (GR_COMMAND_GRANT, 0);
+  wait_for (&the->answers, 1);
+  the->may_command = false;
+  the->may_renew = true;
+  reports = the->reports;
+  send (GR_COMMAND_GRANT, 1);
+  send (GR_COMMAND_START, 1);
+  send (GR_COMMAND_RENEW, 0);
+  gr_worker_io_poll_all (the->io);
+  wait_for (&the->reports, reports + 1);
+  wait_for (&the->answers, 2);
+  check_answer (1, GR_COMMAND_RENEW, GR_ERROR_NONE);
+  ck_assert_int_eq (gr_standin_count (the->base, "/v1/leases"), 1);
+  the->may_command = true;
+  wait_for (&the->answers, 4);
+  check_answer (2, GR_COMMAND_GRANT, GR_ERROR_NONE);
+  check_answer (3, GR_COMMAND_START, GR_ERROR_NONE);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("worker-io");
+  TCase *tcase = tcase_create ("worker-io");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tcase, 60);
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_test (tcase, commands_keep_their_order);
+  tcase_add_test (tcase, lost_answers_are_tried_again);
+  tcase_add_test (tcase, silent_worker_ends_commands);
+  tcase_add_test (tcase, held_commands_wait);
+  suite_add_tcase (suite, tcase);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
