entry: fewer refusals at full load, true run states, first platform document

Half of the refusals as busy came from this process: the next request was sent from the callback of a call whose connection still counted. The rest came from entries that each sent up to six requests to eight slots. Change: the pump runs after the callback. Each entry has a window for an executor that a refusal as busy cuts to what is in flight and that grows with whole answers, slowly while few slots are free. Answers of a stopping entry close the connection, so that callers leave before idle ones are closed. The default of entry_instances does not count for the majority of the first platform document; without one, a majority confirms nothing. Ruled out: retries beyond the budget for work that provably was not run.

--- a/entry/confirm.c
+++ b/entry/confirm.c
@@ -75,6 +75,16 @@
   return confirm->digest;
 }
 
+bool
+gr_confirm_has_platform (const struct gr_confirm *confirm)
+{
+  int64_t revision;
+  const char *text =
+      gr_settings_store_get (confirm->entry->store, "platform", &revision);
+
+  return text != NULL && text[0] != '\0';
+}
+
 static bool
 lacks (const struct gr_confirm *confirm, const char *path, int64_t revision)
 {
@@ -190,7 +200,8 @@
       else if (g_rand_int_range (entry->random, 0, ++differing) == 0)
         other = member; /* any of them, with the same chance */
     }
-  if (agreeing >= gr_majority (entry->platform.entry_instances))
+  if (gr_confirm_has_platform (confirm)
+      && agreeing >= gr_majority (entry->platform.entry_instances))
     gr_settings_store_confirm (entry->store, sent_ms);
   if (other != NULL)
     fetch_from (confirm, other);
--- a/entry/confirm.h
+++ b/entry/confirm.h
@@ -16,6 +16,11 @@
                          const char *path,
                          int64_t revision);
 
+/* Whether the number of entries is known from a platform document. Without one
+ * a majority confirms nothing, and settings are current by reads of the store
+ * alone. */
+bool gr_confirm_has_platform (const struct gr_confirm *confirm);
+
 uint64_t gr_confirm_digest (const struct gr_confirm *confirm);
 
 /* After a round of heartbeats that was sent at sent_ms. */
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -391,6 +391,7 @@
     return;
   entry->ending = true;
   g_clear_handle_id (&entry->queue_timer, g_source_remove);
+  g_clear_handle_id (&entry->pump_source, g_source_remove);
   g_clear_handle_id (&entry->stop_timer, g_source_remove);
   gr_watch_stop (entry);
   gr_instances_destroy (entry->instances);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -108,6 +108,9 @@
       soup_server_message_get_response_headers (exchange->message);
 
   soup_server_message_set_status (exchange->message, status, NULL);
+  /* Callers leave a stopping instance before it closes kept connections. */
+  if (exchange->entry->stopping)
+    soup_message_headers_replace (headers, "Connection", "close");
   if (content_type != NULL)
     soup_message_headers_replace (headers, "Content-Type", content_type);
   soup_message_body_append_bytes (
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -59,6 +59,7 @@
   GHashTable *exchanges; /* set of struct gr_exchange */
   GHashTable *publishes; /* set of struct gr_publish */
   guint queue_timer;
+  guint pump_source;
   guint status_timer;
   guint stop_timer;
   int64_t idle_since_ms; /* during a planned stop; 0: not idle */
--- a/entry/publish.c
+++ b/entry/publish.c
@@ -1,6 +1,6 @@
 #include "entry/publish.h"
 
-#include "common/log.h"
+#include "entry/confirm.h"
 #include "entry/history.h"
 
 #include <string.h>
@@ -22,7 +22,8 @@
   int64_t expected;
   int64_t revision; /* 0 until it is known to be written */
   int64_t deadline_ms;
-  uint32_t majority;   /* the larger one if the change alters it */
+  uint32_t majority;   /* the larger one if the change alters it; the default
+                          counts only once there is a platform document */
   bool unknown;        /* a write was sent and its answer was lost */
   uint32_t calls;      /* in flight; they hold the struct */
   GHashTable *held_by; /* names of entries that hold it */
@@ -207,7 +208,8 @@
   struct gr_entry *entry = publish->entry;
 
   publish->revision = revision;
-  publish->majority = gr_majority (entry->platform.entry_instances);
+  if (gr_confirm_has_platform (entry->confirm))
+    publish->majority = gr_majority (entry->platform.entry_instances);
   gr_settings_store_apply (entry->store, publish->path, publish->text,
                            revision);
   publish->majority =
--- a/entry/request.c
+++ b/entry/request.c
@@ -163,6 +163,25 @@
   return false;
 }
 
+static gboolean
+pump_now (gpointer data)
+{
+  struct gr_entry *entry = data;
+
+  entry->pump_source = 0;
+  gr_request_pump (entry);
+  return G_SOURCE_REMOVE;
+}
+
+/* The connection of a call that ends is free only after its callback. */
+static void
+pump_soon (struct gr_entry *entry)
+{
+  if (entry->pump_source == 0 && !entry->ending)
+    entry->pump_source =
+        g_idle_add_full (G_PRIORITY_DEFAULT, pump_now, entry, NULL);
+}
+
 static gboolean
 queue_tick (gpointer data)
 {
@@ -409,7 +428,7 @@
     enqueue (request);
   else
     refuse_failed (request, error);
-  gr_request_pump (entry);
+  pump_soon (entry);
 }
 
 static void
--- a/route/executors.c
+++ b/route/executors.c
@@ -4,9 +4,16 @@
 
 #include <string.h>
 
+/* Growth of the window of an executor with each whole answer. With few free
+ * slots it is slow, so that refusals as busy stay rare at full load. */
+#define WINDOW_ROOM 3
+#define WINDOW_GROWTH 0.25
+#define WINDOW_GROWTH_FULL 0.02
+
 struct executor
 {
   struct gr_executor_info info;
+  double window; /* requests of this entry that it is believed to take */
   bool listed;
   bool long_allowed; /* in the part that long kinds may use */
   uint64_t order;    /* position in the order that decides on that part */
@@ -135,6 +142,7 @@
       executor = g_new0 (struct executor, 1);
       g_strlcpy (executor->info.name, name, sizeof executor->info.name);
       executor->info.slots = GR_EXECUTOR_DEFAULT_SLOTS;
+      executor->window = GR_EXECUTOR_DEFAULT_SLOTS;
       executor->order = gr_hash_weight ("long", name);
       g_ptr_array_add (executors->table, executor);
       g_hash_table_insert (executors->by_name, executor->info.name, executor);
@@ -245,7 +253,8 @@
     return false;
   if (executors->choice == GR_CHOICE_RANDOM)
     return true;
-  return !is_full (executor, now_ms) && (!is_long || executor->long_allowed);
+  return executor->info.in_flight < (uint32_t)executor->window
+         && !is_full (executor, now_ms) && (!is_long || executor->long_allowed);
 }
 
 static bool
@@ -366,8 +375,14 @@
 }
 
 static void
-note_success (struct executor *executor, int64_t latency_ms)
+note_success (struct executor *executor,
+              uint32_t connections,
+              int64_t latency_ms)
 {
+  bool has_room = load_of (executor) + WINDOW_ROOM <= executor->info.slots;
+
+  executor->window += has_room ? WINDOW_GROWTH : WINDOW_GROWTH_FULL;
+  executor->window = MIN (executor->window, connections);
   executor->failures = 0;
   executor->refusals = 0;
   executor->quarantine_ms = 0;
@@ -381,6 +396,7 @@
 {
   int64_t pause_ms = (int64_t)GR_BUSY_MIN_MS << MIN (executor->refusals, 10);
 
+  executor->window = MAX (1, executor->info.in_flight);
   executor->refusals++;
   executor->busy_until_ms = now_ms + MIN (pause_ms, GR_BUSY_MAX_MS);
 }
@@ -408,7 +424,7 @@
   switch (result)
     {
     case GR_TRY_OK:
-      note_success (executor, latency_ms);
+      note_success (executor, executors->connections, latency_ms);
       break;
     case GR_TRY_BUSY:
       note_refusal (executor, now_ms);
--- a/route/executors.h
+++ b/route/executors.h
@@ -31,6 +31,10 @@
 
 struct gr_executors;
 
+/* Entries share the slots of an executor without talking to each other: each
+ * has a window for it, which a refusal as busy cuts to what is in flight, and
+ * which whole answers let grow again. */
+
 enum gr_choice
 {
   GR_CHOICE_RANDOM,      /* baseline: any executor with a free connection */
--- a/tests/test-entry.c
+++ b/tests/test-entry.c
@@ -341,20 +341,144 @@
 }
 END_TEST
 
-/* Guards against storms of retries, and against idempotent work that fails with
- * one broken executor beside a healthy one. */
-START_TEST (idempotent_work_moves_to_another_executor)
+#define STORM 120
+
+/* One moment of faults, chosen by seed. */
+static void
+shake (GRand *random)
 {
-  struct reply reply;
-  char key[16];
-  int answered = 0;
+  struct gr_standin_faults *faults = world_kv_faults (&world);
 
+  memset (faults, 0, sizeof *faults);
+  switch (g_rand_int_range (random, 0, 6))
+    {
+    case 0:
+      faults->lose_answers = 2;
+      break;
+    case 1:
+      faults->lose_requests = 2;
+      break;
+    case 2:
+      faults->down = 1;
+      break;
+    case 3:
+      faults->answer_after_ms = 150;
+      break;
+    case 4:
+      world_control (&world, 0, "{\"close_after_read\":true}");
+      break;
+    default:
+      world_control (&world, 0, "{\"close_after_read\":false}");
+    }
+}
+
+/* Guards against work that runs twice, answers without a run, and refusals that
+ * say "not run" of work that ran, under several faults at once: every key is
+ * used twice, and the faults change all the time. */
+START_TEST (run_states_are_true_in_a_storm)
+{
+  const char *once =
+      "Geraniumrack-Idempotent: false\r\nGeraniumrack-Deadline-Ms: 600\r\n";
+  GRand *random = g_rand_new_with_seed (11);
+  struct client *clients[STORM] = { NULL };
+  struct reply replies[STORM] = { 0 };
+  char key[24];
+
+  for (int i = 0; i < STORM; i++)
+    {
+      char *text;
+
+      g_snprintf (key, sizeof key, "storm-%d", i / 2);
+      text = request_text (key, once, "run_ms=5 x");
+      clients[i] = client_open (&world, 0);
+      client_send (clients[i], text, strlen (text));
+      g_free (text);
+      world_sleep (g_rand_int_range (random, 0, 30));
+      if (i % 4 == 0)
+        shake (random);
+    }
+  for (int i = 0; i < STORM; i++)
+    client_read (clients[i], &replies[i]);
+  for (int i = 0; i < STORM; i += 2)
+    {
+      int answered =
+          (replies[i].status == 200) + (replies[i + 1].status == 200);
+      bool neither_ran = strstr (replies[i].body, "\"not-run\"") != NULL
+                         && strstr (replies[i + 1].body, "\"not-run\"") != NULL;
+      uint32_t started;
+
+      g_snprintf (key, sizeof key, "a.storm-%d", i / 2);
+      started = world_started (&world, key);
+      ck_assert_uint_le (started, 1);
+      ck_assert_int_le (answered, (int)started);
+      ck_assert (!neither_ran || started == 0);
+      for (int j = i; j < i + 2; j++)
+        {
+          ck_assert_int_ne (replies[j].status, 0);
+          reply_clear (&replies[j]);
+          client_close (clients[j]);
+        }
+    }
+  g_rand_free (random);
+}
+END_TEST
+
+/* Earns retry budget. */
+static void
+warm_up (void)
+{
   for (int i = 0; i < 100; i++)
     {
+      struct reply reply;
+      char key[16];
+
       g_snprintf (key, sizeof key, "warm-%d", i);
       reply = world_request (&world, 0, key, "", "x");
       expect_answer (&reply, "x");
     }
+}
+
+/* Guards against "not run" as the word of the last try, when an earlier try may
+ * have run. */
+START_TEST (all_tries_count_for_the_run_state)
+{
+  int ran = 0;
+
+  warm_up ();
+  world_control (&world, 0, "{\"close_after_read\":true}");
+  world_control (&world, 1, "{\"refuse_all\":true}");
+  for (int i = 0; i < 8; i++)
+    {
+      struct reply reply;
+      char key[16];
+      char full[24];
+
+      g_snprintf (key, sizeof key, "tries-%d", i);
+      g_snprintf (full, sizeof full, "a.%s", key);
+      reply = world_request (&world, 0, key,
+                             "Geraniumrack-Deadline-Ms: 300\r\n", "x");
+      ck_assert_int_ne (reply.status, 200);
+      if (world_started (&world, full) > 0)
+        {
+          ran++;
+          ck_assert_msg (strstr (reply.body, "\"may-have-run\"") != NULL, "%s",
+                         reply.body);
+        }
+      reply_clear (&reply);
+    }
+  ck_assert_int_gt (ran, 0);
+}
+END_TEST
+
+/* Guards against storms of retries, and against idempotent work that fails with
+ * one broken executor beside a healthy one. */
+START_TEST (idempotent_work_moves_to_another_executor)
+{
+  struct reply reply;
+  char key[16];
+  int answered = 0;
+
+  warm_up ();
   world_control (&world, 0, "{\"close_after_read\":true}");
   for (int i = 0; i < 50; i++)
     {
@@ -516,6 +640,8 @@
   tcase_add_test (requests, non_idempotent_work_runs_at_most_once);
   tcase_add_test (requests, lost_answers_to_marks_are_read_back);
   tcase_add_test (requests, store_outage_refuses_only_what_needs_a_mark);
+  tcase_add_test (requests, run_states_are_true_in_a_storm);
+  tcase_add_test (requests, all_tries_count_for_the_run_state);
   tcase_add_test (requests, idempotent_work_moves_to_another_executor);
   tcase_add_test (requests, leaving_executor_interrupts_nothing);
   tcase_add_test (requests, rate_is_limited);
--- a/tests/test-route.c
+++ b/tests/test-route.c
@@ -415,6 +415,38 @@
 }
 END_TEST
 
+/* Guards against an entry that sends on to an executor whose slots others hold,
+ * and against one that stays small when they have gone. */
+START_TEST (window_follows_refusals_and_answers)
+{
+  struct gr_executors *executors = some_executors (1);
+  int taken = 0;
+
+  gr_executors_configure (executors, GR_CHOICE_TWO_CHOICES, 6, 50);
+  for (int i = 0; i < 3; i++)
+    gr_executors_take (executors, false, true, NULL, 1000, rng);
+  gr_executors_done (executors, "x0", false, GR_TRY_BUSY, 8, 1, 1000);
+  ck_assert_ptr_null (
+      gr_executors_take (executors, false, true, NULL, 5000, rng));
+  for (int i = 0; i < 40; i++)
+    {
+      gr_executors_done (executors, "x0", false, GR_TRY_OK, 7, 5, 5000 + i);
+      gr_executors_take (executors, false, true, NULL, 5000 + i, rng);
+    }
+  ck_assert_ptr_null (
+      gr_executors_take (executors, false, true, NULL, 5040, rng));
+  for (int i = 0; i < 40; i++)
+    {
+      gr_executors_done (executors, "x0", false, GR_TRY_OK, 1, 5, 6000 + i);
+      gr_executors_take (executors, false, true, NULL, 6000 + i, rng);
+    }
+  while (gr_executors_take (executors, false, true, NULL, 6040, rng) != NULL)
+    taken++;
+  ck_assert_int_eq (taken, 4);
+  gr_executors_destroy (executors);
+}
+END_TEST
+
 /* Guards against kinds that are taken for short until their first run ends,
  * and against kinds without number in memory. */
 START_TEST (run_times_are_learned)
@@ -515,6 +547,7 @@
   tcase_add_test (tcase, connections_and_long_share_are_bounded);
   tcase_add_test (tcase, executors_that_fail_everything_are_quarantined);
   tcase_add_test (tcase, unfit_executors_get_no_work);
+  tcase_add_test (tcase, window_follows_refusals_and_answers);
   tcase_add_test (tcase, run_times_are_learned);
   tcase_add_test (tcase, queue_is_ordered_and_bounded);
   tcase_add_test (tcase, retries_stay_within_the_budget);
