standins: load tool that compares statements with what has run

The guarantees to callers (a refusal is true, work that must run once runs at most once, an answer is the caller's own) can only be seen from outside, by comparing what callers were told with what the targets say has run.

Adds the mode load: a bounded mix of requests and jobs to loopback entries, counts and latencies by outcome, then the comparison with GET /control of all executors and workers. Starts on workers now record the beginning of the spec, because task ids do not name the job.

--- /dev/null
+++ b/standins/load-stats.h
@@ -0,0 +1,18 @@
+/* Counts and latencies by kind of outcome. Internal to the load tool. */
+#pragma once
+
+#include <glib.h>
+#include <stdint.h>
+
+struct gr_load_stats;
+
+struct gr_load_stats *gr_load_stats_create (void);
+void gr_load_stats_destroy (struct gr_load_stats *stats);
+
+/* kind is for example "request ok". */
+void gr_load_stats_add (struct gr_load_stats *stats,
+                        const char *kind,
+                        int64_t latency_us);
+
+/* One line for each kind: count, p50, p99 and max. */
+void gr_load_stats_print (const struct gr_load_stats *stats, GString *text);
--- a/standins/main.c
+++ b/standins/main.c
@@ -2,6 +2,7 @@
 #include "standins/executor.h"
 #include "standins/instances.h"
 #include "standins/kv.h"
+#include "standins/load-mode.h"
 #include "standins/relay.h"
 #include "standins/worker.h"
 
@@ -37,6 +38,9 @@
   struct gr_relay *relay;
   GPtrArray *workers;
   GPtrArray *executors;
+  struct gr_load_mode *load;
+  GMainLoop *loop;
+  int exit_code;
 };
 
 static void
@@ -190,6 +194,22 @@
   return true;
 }
 
+static void
+load_done (uint32_t violations, void *context)
+{
+  struct standins *standins = context;
+
+  standins->exit_code = violations == 0 ? 0 : 1;
+  g_main_loop_quit (standins->loop);
+}
+
+static bool
+start_load (struct standins *standins, struct gr_error *error)
+{
+  return gr_load_mode_start (standins->load, standins->options.instances_url,
+                             load_done, standins, error);
+}
+
 static const struct
 {
   const char *name;
@@ -197,7 +217,7 @@
 } modes[] = {
   { "kv", start_kv },          { "instances", start_instances },
   { "worker", start_workers }, { "executor", start_executors },
-  { "relay", start_relay },
+  { "relay", start_relay },    { "load", start_load },
 };
 
 static bool
@@ -226,13 +246,14 @@
     if (strcmp (modes[i].name, mode) == 0)
       return modes[i].start (standins, error);
   return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
-                       "the mode must be kv, instances, worker, executor or "
-                       "relay");
+                       "the mode must be kv, instances, worker, executor, "
+                       "relay or load");
 }
 
 static bool
-parse_options (struct options *options, int *argc, char ***argv)
+parse_options (struct standins *standins, int *argc, char ***argv)
 {
+  struct options *options = &standins->options;
   const GOptionEntry entries[] = {
     { "listen", 0, 0, G_OPTION_ARG_STRING, &options->listen,
       "Address to listen on; port 0 takes a free one", "IP:PORT" },
@@ -265,11 +286,12 @@
     { NULL, 0, 0, G_OPTION_ARG_NONE, NULL, NULL, NULL },
   };
   GOptionContext *context = g_option_context_new (
-      "kv|instances|worker|executor|relay - stand-ins of the platform");
+      "kv|instances|worker|executor|relay|load - stand-ins of the platform");
   GError *problem = NULL;
   bool valid;
 
   g_option_context_add_main_entries (context, entries, NULL);
+  g_option_context_add_group (context, gr_load_mode_options (standins->load));
   valid = g_option_context_parse (context, argc, argv, &problem);
   if (!valid)
     {
@@ -288,14 +310,11 @@
 }
 
 static void
-run_until_stopped (void)
+run_until_stopped (struct standins *standins)
 {
-  GMainLoop *loop = g_main_loop_new (NULL, FALSE);
-
-  g_unix_signal_add (SIGTERM, stop, loop);
-  g_unix_signal_add (SIGINT, stop, loop);
-  g_main_loop_run (loop);
-  g_main_loop_unref (loop);
+  g_unix_signal_add (SIGTERM, stop, standins->loop);
+  g_unix_signal_add (SIGINT, stop, standins->loop);
+  g_main_loop_run (standins->loop);
 }
 
 static void
@@ -304,6 +323,8 @@
   gr_standin_kv_destroy (standins->kv);
   gr_standin_instances_destroy (standins->instances);
   gr_relay_destroy (standins->relay);
+  gr_load_mode_destroy (standins->load);
+  g_main_loop_unref (standins->loop);
   g_ptr_array_unref (standins->workers);
   g_ptr_array_unref (standins->executors);
   g_free (standins->options.listen);
@@ -346,16 +367,18 @@
     },
     .workers = g_ptr_array_new_with_free_func (worker_free),
     .executors = g_ptr_array_new_with_free_func (executor_free),
+    .load = gr_load_mode_create (),
+    .loop = g_main_loop_new (NULL, FALSE),
   };
   struct gr_error error = GR_ERROR_INIT;
   int code = 2;
 
-  if (parse_options (&standins.options, &argc, &argv))
+  if (parse_options (&standins, &argc, &argv))
     {
       if (start_mode (&standins, argc == 2 ? argv[1] : NULL, &error))
         {
-          run_until_stopped ();
-          code = 0;
+          run_until_stopped (&standins);
+          code = standins.exit_code;
         }
       else
         fprintf (stderr, "geraniumrack-standin: %s\n", error.message);
--- a/standins/worker-model.c
+++ b/standins/worker-model.c
@@ -302,7 +302,9 @@
 }
 
 static void
-add_record (struct gr_worker_model *model, struct model_task *task)
+add_record (struct gr_worker_model *model,
+            struct model_task *task,
+            const char *spec)
 {
   struct gr_worker_start_record record = {
     .started_ms = task->since_ms,
@@ -319,6 +321,7 @@
     }
   g_strlcpy (record.task, task->id, sizeof record.task);
   g_strlcpy (record.lease, task->lease, sizeof record.lease);
+  g_strlcpy (record.spec, spec, sizeof record.spec);
   g_array_append_val (model->starts, record);
 }
 
@@ -347,7 +350,7 @@
   task->throttle_percent = throttle_percent;
   task->since_ms = now_ms;
   g_hash_table_insert (model->tasks, task->id, task);
-  add_record (model, task);
+  add_record (model, task, spec);
   if (model->fail_all)
     end_task (model, task, GR_TASK_FAILED, now_ms);
   return GR_MODEL_OK;
--- a/standins/worker-model.h
+++ b/standins/worker-model.h
@@ -13,6 +13,7 @@
 {
   char task[GR_ID_MAX];
   char lease[GR_ID_MAX];
+  char spec[64]; /* its beginning */
   int64_t started_ms;
   int64_t unthrottled_ms; /* first time that it could run; -1: never */
   int64_t ended_ms;       /* -1: still there */
--- a/standins/worker.c
+++ b/standins/worker.c
@@ -294,6 +294,7 @@
 
       json_object_set_string_member (item, "task", record->task);
       json_object_set_string_member (item, "lease", record->lease);
+      json_object_set_string_member (item, "spec", record->spec);
       json_object_set_int_member (item, "started_ms", record->started_ms);
       json_object_set_int_member (item, "unthrottled_ms",
                                   record->unthrottled_ms);
