--- a/standins/instances.c
+++ b/standins/instances.c
@@ -188,3 +188,10 @@
 {
   return instances->base;
 }
+
+void
+gr_standin_instances_set_lag (struct gr_standin_instances *instances,
+                              int64_t lag_ms)
+{
+  instances->lag_ms = lag_ms;
+}
--- a/tests/test-executor.c
+++ b/tests/test-executor.c
@@ -5,6 +5,7 @@
 #include "standins/relay.h"
 
 #include <check.h>
+#include <dirent.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -243,13 +244,27 @@
 }
 END_TEST
 
+static int
+count_descriptors (void)
+{
+  DIR *directory = opendir ("/proc/self/fd");
+  int count = 0;
+
+  while (readdir (directory) != NULL)
+    count++;
+  closedir (directory);
+  return count;
+}
+
 /* Guards against an answer that comes after its call has timed out and reaches
- * the next call. */
+ * the next call, and against connections that stay open after a timeout. */
 START_TEST (late_answers_reach_nobody)
 {
   struct fixture fixture;
+  int before;
 
   setup (&fixture, 1);
+  before = count_descriptors ();
   for (int i = 0; i < 20; i++)
     {
       enum gr_error_kind kind =
@@ -261,6 +276,10 @@
       ck_assert_int_eq (kind, GR_ERROR_NONE);
       ck_assert_str_eq (fixture.outcome.body, "run_ms=0 quick");
     }
+  gr_executor_client_destroy (g_steal_pointer (&fixture.client));
+  for (int i = 0; i < 100 && count_descriptors () > before; i++)
+    run_for (20);
+  ck_assert_int_eq (count_descriptors (), before);
   teardown (&fixture);
 }
 END_TEST
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -708,6 +708,7 @@
   };
   struct gr_standin_executor *executor =
       gr_standin_executor_create ("127.0.0.1:0", &settings, &error);
+  struct gr_standin_executor *late;
   struct gr_instances *instances = gr_instances_create (
       url, 10, instances_changed, instances_failed, &outcome);
 
@@ -719,7 +720,19 @@
     wait_calls (&outcome, outcome.calls + 1);
   ck_assert_uint_eq (outcome.n_instances, 1);
   gr_standin_faults (gr_standin_instances_base (standin))->down = 0;
+  gr_standin_instances_set_lag (standin, 500);
+  settings.name = "e2";
+  late = gr_standin_executor_create ("127.0.0.1:0", &settings, &error);
+  while (
+      gr_standin_count (gr_standin_instances_base (standin), "/v1/instances/*")
+      < 2)
+    wait_calls (&outcome, outcome.calls + 1);
+  wait_calls (&outcome, outcome.calls + 2);
+  ck_assert_uint_eq (outcome.n_instances, 1);
+  while (outcome.n_instances < 2)
+    wait_calls (&outcome, outcome.calls + 1);
   gr_instances_destroy (instances);
+  gr_standin_executor_destroy (late);
   gr_standin_executor_destroy (executor);
   gr_standin_instances_destroy (standin);
   g_free (url);
