tools: sanitizer build without -Werror; tests: held requests that arrive late

Cause: GCC 12 warns wrongly about msgpack.h when the sanitizers are on, so tools/sanitize.sh never built. In one of six runs on a busy instance, dropped_connections_release_descriptors saw two connections that stayed: their /hold requests arrived after the last round, and the test never answered them. A server cannot see that the client of a held request has gone.

Change: warnings are errors in the normal build only. The test answers held requests until no connection is left; what it asserts is unchanged.

--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -192,6 +192,22 @@
   return count;
 }
 
+/* On a busy instance, some requests arrive only after their round. A server
+ * learns that the client of a held request has gone when it answers. */
+static void
+wait_abandoned (struct fixture *fixture)
+{
+  gint64 end_us = g_get_monotonic_time () + LIMIT_MS * 1000;
+
+  while (gr_http_server_connections (fixture->server) > 0
+         && g_get_monotonic_time () < end_us)
+    {
+      g_main_context_iteration (NULL, FALSE);
+      g_ptr_array_foreach (fixture->held, resume, NULL);
+      g_usleep (100);
+    }
+}
+
 /* Guards against descriptors that stay open after clients have gone away, at
  * any point of a request. */
 START_TEST (dropped_connections_release_descriptors)
@@ -232,6 +248,7 @@
         g_ptr_array_foreach (fixture.held, resume, NULL);
       g_ptr_array_set_size (fixture.held, 0);
     }
+  wait_abandoned (&fixture);
   wait_connections (fixture.server, 0);
   ck_assert_int_eq (count_descriptors (), before);
   teardown (&fixture);
--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -2,9 +2,11 @@
 # All tests under the address and undefined behaviour sanitizers.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+# GCC 12 warns wrongly about msgpack.h when the sanitizers are on. Warnings are
+# errors in the normal build.
 [ -e build-asan/build.ninja ] ||
   meson setup build-asan -Db_sanitize=address,undefined -Db_lundef=false \
-    >/dev/null
+    -Dwerror=false >/dev/null
 ninja -C build-asan --quiet
 ASAN_OPTIONS=detect_leaks=1 meson test -C build-asan --no-rebuild \
   --print-errorlogs --timeout-multiplier 4
