--- a/entry/request.c
+++ b/entry/request.c
@@ -163,6 +163,25 @@
   return false;
 }
 
+static gboolean
+pump_now (gpointer data)
+{
+  struct gr_entry *entry = data;
+
+  entry->pump_source = 0;
+  gr_request_pump (entry);
+  return G_SOURCE_REMOVE;
+}
+
+/* The connection of a call that ends is free only after its callback. */
+static void
+pump_soon (struct gr_entry *entry)
+{
+  if (entry->pump_source == 0 && !entry->ending)
+    entry->pump_source =
+        g_idle_add_full (G_PRIORITY_DEFAULT, pump_now, entry, NULL);
+}
+
 static gboolean
 queue_tick (gpointer data)
 {
@@ -409,7 +428,7 @@
     enqueue (request);
   else
     refuse_failed (request, error);
-  gr_request_pump (entry);
+  pump_soon (entry);
 }
 
 static void
@@ -465,38 +484,35 @@
     refuse_overloaded (request, "no slot became free before the deadline");
 }
 
-/* A caller that has gone is not served. */
-static bool
-drop_if_gone (struct gr_request *request)
-{
-  struct gr_error error = GR_ERROR_INIT;
-
-  if (!request->exchange->gone)
-    return false;
-  gr_error_set (&error, GR_ERROR_OVERLOADED,
-                "the caller closed the connection while it waited");
-  refuse (request, &error);
-  return true;
-}
-
 void
 gr_request_pump (struct gr_entry *entry)
 {
   int64_t now_ms = gr_clock_now_ms (entry->clock);
   bool allow[2] = { true, true }; /* short, long */
   struct gr_request *request;
+  GPtrArray *aside;
 
   if (entry->ending)
     return;
   refuse_expired (entry, now_ms);
+  aside = g_ptr_array_new ();
   while ((request = gr_queue_take (entry->queue, allow[0], allow[1])) != NULL)
     {
-      if (drop_if_gone (request) || dispatch (request, now_ms))
+      if (dispatch (request, now_ms))
         continue;
-      allow[request->is_long ? 1 : 0] = false;
+      /* One that waits for another executor than those it was sent to must not
+       * hold back the others. */
+      if (request->tries == 0)
+        allow[request->is_long ? 1 : 0] = false;
+      g_ptr_array_add (aside, request);
+    }
+  for (guint i = 0; i < aside->len; i++)
+    {
+      request = aside->pdata[i];
       gr_queue_add (entry->queue, request->priority, request->is_long,
                     request->deadline_ms - request->estimate_ms, request);
     }
+  g_ptr_array_unref (aside);
 }
 
 void
--- a/route/executors.c
+++ b/route/executors.c
@@ -4,15 +4,23 @@
 
 #include <string.h>
 
+/* Growth of the window of an executor with each whole answer. With few free
+ * slots it is slow, so that refusals as busy stay rare at full load. */
+#define WINDOW_ROOM 3
+#define WINDOW_GROWTH 0.25
+#define WINDOW_GROWTH_FULL 0.02
+
 struct executor
 {
   struct gr_executor_info info;
+  double window; /* requests of this entry that it is believed to take */
   bool listed;
   bool long_allowed; /* in the part that long kinds may use */
   uint64_t order;    /* position in the order that decides on that part */
   uint32_t failures; /* in a row */
   uint32_t refusals; /* in a row */
   int64_t busy_until_ms;
+  int64_t reported_ms;   /* when others_busy was reported */
   int64_t quarantine_ms; /* 0: not in quarantine */
   int64_t probe_at_ms;
 };
@@ -134,6 +142,7 @@
       executor = g_new0 (struct executor, 1);
       g_strlcpy (executor->info.name, name, sizeof executor->info.name);
       executor->info.slots = GR_EXECUTOR_DEFAULT_SLOTS;
+      executor->window = GR_EXECUTOR_DEFAULT_SLOTS;
       executor->order = gr_hash_weight ("long", name);
       g_ptr_array_add (executors->table, executor);
       g_hash_table_insert (executors->by_name, executor->info.name, executor);
@@ -167,11 +176,13 @@
 }
 
 static void
-note_busy (struct executor *executor, int32_t busy)
+note_busy (struct executor *executor, int32_t busy, int64_t now_ms)
 {
-  if (busy >= 0)
-    executor->info.others_busy =
-        MAX (0, busy - (int32_t)executor->info.in_flight);
+  if (busy < 0)
+    return;
+  executor->info.others_busy =
+      MAX (0, busy - (int32_t)executor->info.in_flight);
+  executor->reported_ms = now_ms;
 }
 
 void
@@ -179,7 +190,8 @@
                      const char *name,
                      int32_t slots,
                      int32_t busy,
-                     bool leaving)
+                     bool leaving,
+                     int64_t now_ms)
 {
   struct executor *executor = g_hash_table_lookup (executors->by_name, name);
 
@@ -187,7 +199,9 @@
     return;
   if (slots >= 1)
     executor->info.slots = (uint32_t)slots;
-  note_busy (executor, busy);
+  if (executor->failures < GR_QUARANTINE_FAILURES)
+    executor->quarantine_ms = 0;
+  note_busy (executor, busy, now_ms);
   executor->info.leaving = executor->info.leaving || leaving;
   divide (executors);
 }
@@ -198,6 +212,14 @@
   return executor->info.in_flight + (uint32_t)executor->info.others_busy;
 }
 
+static bool
+is_full (const struct executor *executor, int64_t now_ms)
+{
+  if (now_ms - executor->reported_ms < GR_FULL_REPORT_MS)
+    return load_of (executor) >= executor->info.slots;
+  return executor->info.in_flight >= executor->info.slots;
+}
+
 static bool
 was_tried (const struct executor *executor, const char *const *not_this)
 {
@@ -231,8 +253,8 @@
     return false;
   if (executors->choice == GR_CHOICE_RANDOM)
     return true;
-  return load_of (executor) < executor->info.slots
-         && (!is_long || executor->long_allowed);
+  return executor->info.in_flight < (uint32_t)executor->window
+         && !is_full (executor, now_ms) && (!is_long || executor->long_allowed);
 }
 
 static bool
@@ -344,14 +366,23 @@
 static void
 note_failure (struct executor *executor, bool unreachable, int64_t now_ms)
 {
-  executor->failures++;
+  /* A refused connection says that the process is gone, not that it is
+   * broken; a status report then ends the quarantine. */
+  if (!unreachable)
+    executor->failures++;
   if (unreachable || executor->failures >= GR_QUARANTINE_FAILURES)
     quarantine (executor, now_ms);
 }
 
 static void
-note_success (struct executor *executor, int64_t latency_ms)
+note_success (struct executor *executor,
+              uint32_t connections,
+              int64_t latency_ms)
 {
+  bool has_room = load_of (executor) + WINDOW_ROOM <= executor->info.slots;
+
+  executor->window += has_room ? WINDOW_GROWTH : WINDOW_GROWTH_FULL;
+  executor->window = MIN (executor->window, connections);
   executor->failures = 0;
   executor->refusals = 0;
   executor->quarantine_ms = 0;
@@ -365,6 +396,7 @@
 {
   int64_t pause_ms = (int64_t)GR_BUSY_MIN_MS << MIN (executor->refusals, 10);
 
+  executor->window = MAX (1, executor->info.in_flight);
   executor->refusals++;
   executor->busy_until_ms = now_ms + MIN (pause_ms, GR_BUSY_MAX_MS);
 }
@@ -388,11 +420,11 @@
       executor->info.long_in_flight--;
       executors->long_in_flight--;
     }
-  note_busy (executor, busy);
+  note_busy (executor, busy, now_ms);
   switch (result)
     {
     case GR_TRY_OK:
-      note_success (executor, latency_ms);
+      note_success (executor, executors->connections, latency_ms);
       break;
     case GR_TRY_BUSY:
       note_refusal (executor, now_ms);
--- a/scheduler/scheduler.c
+++ b/scheduler/scheduler.c
@@ -81,10 +81,8 @@
              void *context)
 {
   struct gr_scheduler *scheduler = context;
-  char number[24];
 
-  g_snprintf (number, sizeof number, "%" G_GINT64_FORMAT, revision);
-  gr_log_event ("settings-applied", "path", path, "revision", number, NULL);
+  (void)revision;
   if (strcmp (path, "platform") == 0)
     apply_platform (scheduler, text);
   else if (g_str_has_prefix (path, "teams/"))
@@ -161,6 +159,20 @@
     gr_slots_update (scheduler);
 }
 
+const char *
+gr_scheduler_not_ready (const struct gr_scheduler *scheduler)
+{
+  switch (own_state (scheduler))
+    {
+    case GR_MEMBER_READY:
+      return NULL;
+    case GR_MEMBER_LEAVING:
+      return "stopping\n";
+    default:
+      return "the settings have not been read\n";
+    }
+}
+
 /* --- Stop --------------------------------------------------------------- */
 
 static bool
--- a/tests/test-route.c
+++ b/tests/test-route.c
@@ -382,10 +382,11 @@
   static const char *const tried[] = { "x1", NULL };
   struct gr_executors *executors = some_executors (3);
 
-  gr_executors_report (executors, "x0", 8, 8, false);
+  gr_executors_report (executors, "x0", 8, 8, false, 1);
   ck_assert_str_eq (gr_executors_take (executors, false, true, tried, 1, rng),
                     "x2");
   gr_executors_done (executors, "x2", false, GR_TRY_LEAVING, -1, 1, 2);
+  gr_executors_report (executors, "x0", 8, 8, false, 4990);
   ck_assert_ptr_null (
       gr_executors_take (executors, false, true, tried, 5000, rng));
   gr_executors_done (
@@ -393,8 +394,19 @@
       false, GR_TRY_BUSY, -1, 1, 5000);
   ck_assert_ptr_null (
       gr_executors_take (executors, false, true, NULL, 5001, rng));
+  gr_executors_report (executors, "x0", 8, 8, false, 5950);
   ck_assert_str_eq (gr_executors_take (executors, false, true, NULL, 6000, rng),
                     "x1");
+  gr_executors_report (executors, "x0", 8, 0, false, 5999);
+  ck_assert_str_eq (
+      gr_executors_take (executors, false, true, tried, 6000, rng), "x0");
+  gr_executors_done (executors, "x0", false, GR_TRY_UNREACHABLE, -1, 1, 6000);
+  ck_assert_ptr_null (
+      gr_executors_take (executors, false, true, tried, 6001, rng));
+  gr_executors_report (executors, "x0", 8, 0, false, 6002);
+  ck_assert_str_eq (
+      gr_executors_take (executors, false, false, tried, 6002, rng), "x0");
+  gr_executors_done (executors, "x0", false, GR_TRY_GIVEN_UP, -1, 1, 6002);
   gr_executors_list_begin (executors);
   gr_executors_list_end (executors);
   ck_assert_uint_eq (gr_executors_count (executors), 0);
@@ -403,6 +415,38 @@
 }
 END_TEST
 
+/* Guards against an entry that sends on to an executor whose slots others hold,
+ * and against one that stays small when they have gone. */
+START_TEST (window_follows_refusals_and_answers)
+{
+  struct gr_executors *executors = some_executors (1);
+  int taken = 0;
+
+  gr_executors_configure (executors, GR_CHOICE_TWO_CHOICES, 6, 50);
+  for (int i = 0; i < 3; i++)
+    gr_executors_take (executors, false, true, NULL, 1000, rng);
+  gr_executors_done (executors, "x0", false, GR_TRY_BUSY, 8, 1, 1000);
+  ck_assert_ptr_null (
+      gr_executors_take (executors, false, true, NULL, 5000, rng));
+  for (int i = 0; i < 40; i++)
+    {
+      gr_executors_done (executors, "x0", false, GR_TRY_OK, 7, 5, 5000 + i);
+      gr_executors_take (executors, false, true, NULL, 5000 + i, rng);
+    }
+  ck_assert_ptr_null (
+      gr_executors_take (executors, false, true, NULL, 5040, rng));
+  for (int i = 0; i < 40; i++)
+    {
+      gr_executors_done (executors, "x0", false, GR_TRY_OK, 1, 5, 6000 + i);
+      gr_executors_take (executors, false, true, NULL, 6000 + i, rng);
+    }
+  while (gr_executors_take (executors, false, true, NULL, 6040, rng) != NULL)
+    taken++;
+  ck_assert_int_eq (taken, 4);
+  gr_executors_destroy (executors);
+}
+END_TEST
+
 /* Guards against kinds that are taken for short until their first run ends,
  * and against kinds without number in memory. */
 START_TEST (run_times_are_learned)
@@ -503,6 +547,7 @@
   tcase_add_test (tcase, connections_and_long_share_are_bounded);
   tcase_add_test (tcase, executors_that_fail_everything_are_quarantined);
   tcase_add_test (tcase, unfit_executors_get_no_work);
+  tcase_add_test (tcase, window_follows_refusals_and_answers);
   tcase_add_test (tcase, run_times_are_learned);
   tcase_add_test (tcase, queue_is_ordered_and_bounded);
   tcase_add_test (tcase, retries_stay_within_the_budget);
