route: sudden demand is met by the next report

Cause: idle entries held the whole shared half of a rate, so an entry with new demand had to wait until their allotments had expired (over 1 s). Change: of what nobody wants, half stays with the home. A refusal by the rate makes the next report early (100 ms), and the demand is projected from the second that has begun.

--- a/entry/shares.c
+++ b/entry/shares.c
@@ -7,6 +7,10 @@
 /* A later answer could not be used any more. */
 #define REPORT_TIMEOUT_MS (GR_LIMIT_TERM_MS - 100)
 
+/* Timers fire a little late or early; without it a report could slip by a
+ * whole tick. */
+#define TIMER_SLACK_MS 20
+
 /* What a home gave in its last answer, to be echoed. */
 struct stamp
 {
@@ -19,6 +23,7 @@
   struct gr_entry *entry;
   GHashTable *stamps; /* home to struct stamp */
   guint timer;
+  int64_t sent_ms; /* of the last reports */
 };
 
 /* Reports to one home in one call. */
@@ -183,12 +188,10 @@
   return by_home;
 }
 
-static gboolean
-send_reports (gpointer data)
+static void
+send_reports (struct gr_shares *shares, int64_t now_ms)
 {
-  struct gr_shares *shares = data;
   struct gr_entry *entry = shares->entry;
-  int64_t now_ms = gr_clock_now_ms (entry->clock);
   GHashTable *by_home = accounts_by_home (entry, now_ms);
   GArray *members = gr_members_list (entry->members);
   GHashTableIter iter;
@@ -207,6 +210,20 @@
     }
   g_array_unref (members);
   g_hash_table_destroy (by_home);
+}
+
+static gboolean
+on_timer (gpointer data)
+{
+  struct gr_shares *shares = data;
+  int64_t now_ms = gr_clock_now_ms (shares->entry->clock);
+
+  /* A refusal by the rate is reported early: more may be allotted at once. */
+  if (now_ms - shares->sent_ms < GR_LIMIT_REPORT_MS - TIMER_SLACK_MS
+      && !gr_limits_refused (shares->entry->limits))
+    return G_SOURCE_CONTINUE;
+  shares->sent_ms = now_ms;
+  send_reports (shares, now_ms);
   return G_SOURCE_CONTINUE;
 }
 
@@ -218,7 +235,7 @@
   shares->entry = entry;
   shares->stamps =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  shares->timer = g_timeout_add (GR_LIMIT_REPORT_MS, send_reports, shares);
+  shares->timer = g_timeout_add (GR_LIMIT_URGENT_REPORT_MS, on_timer, shares);
   return shares;
 }
 
--- a/route/allot.c
+++ b/route/allot.c
@@ -4,7 +4,7 @@
 
 /* Allotments to one entry that may be valid at the same time: one term of
  * reports, and some to spare. */
-#define MAX_GRANTS 8
+#define MAX_GRANTS 16
 
 struct grant
 {
@@ -174,7 +174,9 @@
 }
 
 /* Max-min fair share of the half: small demands are met, the rest is divided
- * equally; what nobody wants is divided equally too. */
+ * equally. Of what nobody wants, one part is divided equally for sudden demand,
+ * the other is kept for the next one that asks, who would else have to wait
+ * until the allotments of others have expired. */
 static double
 fair_share (const struct gr_allot *allot,
             const struct account *account,
@@ -206,7 +208,7 @@
         return MIN (wanted (allot, account, self), level_per_s);
       left_per_s -= demand_per_s;
     }
-  return wanted (allot, account, self) + left_per_s / MAX (1, demands->len);
+  return wanted (allot, account, self) + left_per_s / 2 / MAX (1, demands->len);
 }
 
 static struct reporter *
--- a/route/limit.c
+++ b/route/limit.c
@@ -37,6 +37,7 @@
   enum gr_limit_pacing pacing;
   uint32_t entry_instances;
   int64_t started_ms;
+  bool refused; /* since the last call of gr_limits_refused () */
 };
 
 struct gr_limits *
@@ -217,6 +218,7 @@
   if (take_credit (limit))
     return true;
   limit->refused++;
+  limits->refused = true;
   rate_per_s = gr_limits_rate (limits, account, now_ms);
   return gr_error_set_retry (
       error, GR_ERROR_RATE_LIMITED,
@@ -233,6 +235,16 @@
   limit->allotted_until_ms = 0;
 }
 
+/* Demand of the second that has begun, projected to its end. */
+static double
+projected_per_s (const struct limit *limit, int64_t now_ms)
+{
+  int64_t passed_ms = now_ms - limit->demand_second * 1000;
+
+  return limit->wanted * 1000.0
+         / (double)MAX (passed_ms, 2LL * GR_LIMIT_WINDOW_MS);
+}
+
 bool
 gr_limits_report (struct gr_limits *limits,
                   const char *account,
@@ -255,10 +267,19 @@
       limit->home_since_ms = now_ms;
     }
   limit->reported_ms = now_ms;
-  *demand_per_s = MAX (limit->demand_per_s, limit->wanted);
+  *demand_per_s = MAX (limit->demand_per_s, projected_per_s (limit, now_ms));
   return true;
 }
 
+bool
+gr_limits_refused (struct gr_limits *limits)
+{
+  bool refused = limits->refused;
+
+  limits->refused = false;
+  return refused;
+}
+
 void
 gr_limits_allotted (struct gr_limits *limits,
                     const char *account,
--- a/route/limit.h
+++ b/route/limit.h
@@ -13,9 +13,10 @@
  * the report, so that a paused member finds its allotment expired. */
 #define GR_LIMIT_TERM_MS 1000
 
-/* Reports are sent this often, so that two lost ones do not end an allotment.
- */
+/* Reports are sent this often, so that two lost ones do not end an allotment;
+ * after a refusal, this often. */
 #define GR_LIMIT_REPORT_MS 300
+#define GR_LIMIT_URGENT_REPORT_MS 100
 
 /* Rates are paced in parts of a second of this length. */
 #define GR_LIMIT_WINDOW_MS 100
@@ -74,6 +75,10 @@
                        int64_t now_ms,
                        double *demand_per_s);
 
+/* Whether a request was refused since the last call; then the demand should be
+ * reported without waiting for the usual time. */
+bool gr_limits_refused (struct gr_limits *limits);
+
 /* Takes the answer to the report that was sent at sent_ms. Answers from
  * another home than the present one, and from before a change of home, change
  * nothing. */
--- a/tests/test-entry.c
+++ b/tests/test-entry.c
@@ -574,6 +574,33 @@
 }
 END_TEST
 
+/* Guards against work that is taken although its learned run time cannot meet
+ * the deadline. */
+START_TEST (hopeless_deadlines_are_refused_early)
+{
+  const char *headers = "Geraniumrack-Kind: slow\r\n"
+                        "Geraniumrack-Idempotent: false\r\n"
+                        "Geraniumrack-Deadline-Ms: 200\r\n";
+  struct reply reply;
+
+  for (int i = 0; i < 3; i++)
+    {
+      char key[16];
+
+      g_snprintf (key, sizeof key, "learn-%d", i);
+      reply = world_request (&world, 0, key, "Geraniumrack-Kind: slow\r\n",
+                             "run_ms=300 x");
+      expect_answer (&reply, "run_ms=300 x");
+    }
+  reply = world_request (&world, 0, "late", headers, "run_ms=300 x");
+  expect_refusal (&reply, 503, "deadline", "not-run");
+  ck_assert_uint_eq (world_started (&world, "a.late"), 0);
+  reply = world_request (&world, 0, "quick",
+                         "Geraniumrack-Deadline-Ms: 200\r\n", "run_ms=1 x");
+  expect_answer (&reply, "run_ms=1 x");
+}
+END_TEST
+
 static bool
 flag_is_set (void *context)
 {
@@ -647,6 +674,7 @@
   tcase_add_test (requests, rate_is_limited);
   tcase_add_test (load, broken_answers_are_not_passed_on);
   tcase_add_test (load, overload_is_refused_in_time);
+  tcase_add_test (load, hopeless_deadlines_are_refused_early);
   tcase_add_test (load, planned_stop_finishes_what_is_in_flight);
   srunner_set_fork_status (runner, CK_NOFORK);
   srunner_run_all (runner, CK_NORMAL);
--- a/tests/test-route.c
+++ b/tests/test-route.c
@@ -62,6 +62,8 @@
       highest = MAX (highest, error.retry_after_ms);
     }
   ck_assert_int_ge (lowest, GR_LIMIT_WINDOW_MS);
+  ck_assert (gr_limits_refused (limits));
+  ck_assert (!gr_limits_refused (limits));
   ck_assert_int_gt (highest - lowest, 100);
   ck_assert (!gr_limits_take (limits, "b", 100999, rng, &error));
   ck_assert_int_eq (error.kind, GR_ERROR_UNKNOWN_ACCOUNT);
@@ -261,6 +263,23 @@
 }
 END_TEST
 
+/* Guards against a limit whose idle half is bound by entries that do not need
+ * it: sudden demand at one entry is met by its next report. */
+START_TEST (sudden_demand_is_met)
+{
+  struct gr_allot *home = gr_allot_create (ENTRIES);
+  double rate;
+
+  gr_allot_set_account (home, "a", RATE);
+  for (int64_t now = 10000; now < 16000; now += 300)
+    for (int i = 0; i < WORLD_ENTRIES; i++)
+      gr_allot_report (home, "a", names[i], 0, now - 300, now);
+  rate = gr_allot_report (home, "a", names[0], 150, 15900, 16000);
+  ck_assert_msg (rate > 100 && rate <= RATE / 2, "%f", rate);
+  gr_allot_destroy (home);
+}
+END_TEST
+
 /* Guards against a home that wakes from a pause, reads reports that were sent
  * long ago and takes them for new ones. */
 START_TEST (old_reports_make_no_majority)
@@ -543,6 +562,7 @@
   tcase_add_test (tcase, member_reports_to_one_home_at_a_time);
   tcase_add_test (tcase, another_home_takes_over_from_a_dead_one);
   tcase_add_test (tcase, two_homes_never_allot_the_same_half);
+  tcase_add_test (tcase, sudden_demand_is_met);
   tcase_add_test (tcase, old_reports_make_no_majority);
   tcase_add_test (tcase, connections_and_long_share_are_bounded);
   tcase_add_test (tcase, executors_that_fail_everything_are_quarantined);
