scheduler: reports follow the start of a task more closely

Cause: a task of 200 ms held its accelerators until the next report, up to 2 s later.

Change: the first report comes 250 ms after a task was let run, the next ones after twice the time each, up to 2 s. shard.status is answered no-owner until the records are read.

--- a/scheduler/shard-jobs.c
+++ b/scheduler/shard-jobs.c
@@ -308,8 +308,8 @@
 
 /* --- Reading ------------------------------------------------------------ */
 
-static bool
-check_readable (const struct gr_shard *shard, struct gr_error *error)
+bool
+gr_shard_check_readable (const struct gr_shard *shard, struct gr_error *error)
 {
   if (shard->phase != GR_SHARD_RECOVERING)
     return true;
@@ -325,7 +325,7 @@
   struct gr_error error = GR_ERROR_INIT;
   char *job = job_of_body (body, &error);
 
-  if (job == NULL || !check_readable (shard, &error))
+  if (job == NULL || !gr_shard_check_readable (shard, &error))
     gr_rpc_fail (call, &error);
   else
     answer_record (shard, call, job);
@@ -436,7 +436,8 @@
   struct list_query query = { 0 };
   struct gr_packer *answer;
 
-  if (!read_query (body, &query, &error) || !check_readable (shard, &error))
+  if (!read_query (body, &query, &error)
+      || !gr_shard_check_readable (shard, &error))
     gr_rpc_fail (call, &error);
   else
     {
--- a/scheduler/shard-private.h
+++ b/scheduler/shard-private.h
@@ -62,5 +62,9 @@
 void gr_shard_job_durable (struct gr_shard *shard, const char *job);
 void gr_shard_fail_waiters (struct gr_shard *shard);
 
+/* False with kind no-owner while the records are being read. */
+bool gr_shard_check_readable (const struct gr_shard *shard,
+                              struct gr_error *error);
+
 /* shard-status.c: events and gauges that follow the status of the core. */
 void gr_shard_watch_status (struct gr_shard *shard);
--- a/scheduler/shard-status.c
+++ b/scheduler/shard-status.c
@@ -60,9 +60,16 @@
 void
 gr_shard_status (struct gr_shard *shard, struct gr_rpc_call *call)
 {
-  struct gr_packer *body = gr_packer_create ();
+  struct gr_error error = GR_ERROR_INIT;
   struct gr_core_status status;
+  struct gr_packer *body;
 
+  if (!gr_shard_check_readable (shard, &error))
+    {
+      gr_rpc_fail (call, &error);
+      return;
+    }
+  body = gr_packer_create ();
   gr_core_get_status (shard->core, &status);
   gr_pack_string (body, "shard", shard->name);
   gr_pack_int (body, "epoch", (int64_t)gr_ownership_epoch (shard->ownership));
--- a/scheduler/worker-io.c
+++ b/scheduler/worker-io.c
@@ -35,6 +35,7 @@
   GQueue calls; /* struct call; the head is the one in flight */
   uint32_t batch;
   uint32_t tries;
+  uint32_t report_ms; /* until the next report while busy */
   int64_t heard_ms;
   guint next_timer;
   guint report_timer;
@@ -144,6 +145,20 @@
     worker->heard_ms = gr_clock_now_ms (worker->io->clock);
 }
 
+/* Asks for reports more often after the head of the queue has let a task run.
+ */
+static void
+note_running (struct worker *worker)
+{
+  const struct call *call = g_queue_peek_head (&worker->calls);
+
+  if (call->command.kind != GR_COMMAND_UNTHROTTLE)
+    return;
+  worker->report_ms = GR_REPORT_FIRST_MS;
+  if (!worker->report_queued)
+    schedule_report (worker, worker->report_ms);
+}
+
 /* Takes the batch at the head of the queue off and reports its outcome. */
 static void
 finish_batch (struct worker *worker, enum gr_error_kind kind)
@@ -153,6 +168,8 @@
 
   worker->batch = 0;
   worker->tries = 0;
+  if (kind == GR_ERROR_NONE)
+    note_running (worker);
   for (uint32_t i = 0; i < batch; i++)
     {
       struct call *call = g_queue_pop_head (&worker->calls);
@@ -197,7 +214,7 @@
 {
   struct worker *worker = context;
   struct gr_worker_io *io = worker->io;
-  uint32_t delay_ms = GR_REPORT_BUSY_MS;
+  uint32_t delay_ms;
 
   worker->in_flight = false;
   if (io == NULL)
@@ -207,6 +224,8 @@
     }
   call_free (g_queue_pop_head (&worker->calls));
   worker->report_queued = false;
+  worker->report_ms = MIN (worker->report_ms * 2, GR_REPORT_BUSY_MS);
+  delay_ms = worker->report_ms;
   if (error != NULL && !worker->silent)
     delay_ms = GR_REPORT_RETRY_MS;
   note_heard (worker, error != NULL ? error->kind : GR_ERROR_NONE);
@@ -396,6 +415,7 @@
     {
       worker = g_new0 (struct worker, 1);
       worker->io = io;
+      worker->report_ms = GR_REPORT_BUSY_MS;
       worker->heard_ms = gr_clock_now_ms (io->clock);
       g_strlcpy (worker->name, name, sizeof worker->name);
       g_queue_init (&worker->calls);
--- a/scheduler/worker-io.h
+++ b/scheduler/worker-io.h
@@ -15,6 +15,11 @@
 #define GR_REPORT_BUSY_MS 2000
 #define GR_REPORT_IDLE_MS 3000
 
+/* The first report after a task has begun to run comes this soon, the next ones
+ * after twice the time each, up to GR_REPORT_BUSY_MS: a short task must not
+ * hold its accelerators for two seconds more. */
+#define GR_REPORT_FIRST_MS 250
+
 /* Wait before a report is asked for again after the first failure in a row. */
 #define GR_REPORT_RETRY_MS 200
 
