sched: accelerators that urgent work used lately are kept for it

Cause: between two urgent jobs their accelerators were lent to batch work, so that the next urgent job had to stop it: 105 ms instead of 65 ms until it ran. Change: free accelerators of workers on which urgent work started or ended within 60 s are not lent to other work, and a reservation on them is not ripe. Ruled out: by guaranteed cells only (p99 unchanged, borrowed urgent work is not covered); not excluding them from PREEMPT and reservations (batch claims took them, p99 unchanged); excluding them from the search for reservations (large jobs of himal at 95 % load waited 995 s instead of 877 s); 15 s and 180 s (p99 ratio of cedar stayed at 1.6).

--- a/bench/limits.c
+++ b/bench/limits.c
@@ -37,8 +37,8 @@
 struct scenario
 {
   const char *name;
+  double hot; /* share of the demand at one entry; 0: even */
   enum fault fault;
-  double hot;  /* share of the demand at one entry; 0: even */
   bool moving; /* the hot entry changes every 5 s */
 };
 
--- a/sched/cells.c
+++ b/sched/cells.c
@@ -5,6 +5,11 @@
 
 #include <string.h>
 
+/* Urgent work comes back within seconds. A cell that is lent in between must
+ * be taken back by stopping work, which costs two more calls to the worker and
+ * what that work has done. */
+#define KEEP_MS 60000
+
 static uint32_t
 stubborn_mask (const struct gr_core *core,
                const struct gr_core_worker *worker,
@@ -60,6 +65,18 @@
   return mask;
 }
 
+uint32_t
+gr_kept_mask (const struct gr_core *core,
+              const struct gr_core_worker *worker,
+              const struct gr_core_job *job)
+{
+  if (core->config.policy != GR_POLICY_DEFAULT || job == NULL
+      || job->record.spec.priority == GR_PRIORITY_URGENT
+      || worker->urgent_ms == 0 || core->now_ms - worker->urgent_ms >= KEEP_MS)
+    return 0;
+  return worker->all & ~worker->held;
+}
+
 /* Reservations bind work of the same and of lower priorities. */
 static uint32_t
 reserved_mask (const struct gr_core_worker *worker,
@@ -94,10 +111,12 @@
       break;
     case GR_SEARCH_FREE:
       taken = worker->held | worker->foreign | worker->claimed
-              | reserved_mask (worker, search->job);
+              | reserved_mask (worker, search->job)
+              | gr_kept_mask (core, worker, search->job);
       break;
     case GR_SEARCH_BACKFILL:
-      taken = worker->held | worker->foreign | worker->claimed;
+      taken = worker->held | worker->foreign | worker->claimed
+              | gr_kept_mask (core, worker, search->job);
       break;
     case GR_SEARCH_UNIT_FREE:
       taken = worker->held | worker->foreign | worker->claimed
@@ -113,6 +132,7 @@
     case GR_SEARCH_PREEMPT:
       taken = worker->claimed | worker->foreign
               | reserved_mask (worker, search->job)
+              | gr_kept_mask (core, worker, search->job)
               | stubborn_mask (core, worker, search->job);
       break;
     case GR_SEARCH_RESERVE:
--- a/sched/cells.h
+++ b/sched/cells.h
@@ -61,6 +61,13 @@
 int64_t gr_loss_of_stop (const struct gr_core *core,
                          const struct gr_core_job *job);
 
+/* Free accelerators that are not lent to the job: urgent work started or ended
+ * on their worker lately and will probably come back. Urgent jobs may use
+ * them. */
+uint32_t gr_kept_mask (const struct gr_core *core,
+                       const struct gr_core_worker *worker,
+                       const struct gr_core_job *job);
+
 /* True if the running victim may be stopped to start the job. */
 bool gr_gives_way (const struct gr_core *core,
                    const struct gr_core_job *victim,
--- a/sched/gang.c
+++ b/sched/gang.c
@@ -68,6 +68,8 @@
   worker->held |= member->mask;
   if (was_idle)
     gr_worker_busy_changed (core, worker);
+  if (member->job->record.spec.priority == GR_PRIORITY_URGENT)
+    worker->urgent_ms = core->now_ms;
   if (member->job->pinned)
     worker->pinned |= member->mask;
   for (uint32_t a = 0; a < worker->accelerators; a++)
--- a/sched/member.c
+++ b/sched/member.c
@@ -149,6 +149,8 @@
         if (worker->holder[a] == member)
           worker->holder[a] = NULL;
       worker->held &= ~member->mask;
+      if (job->record.spec.priority == GR_PRIORITY_URGENT)
+        worker->urgent_ms = core->now_ms;
       if (worker->held == 0)
         gr_worker_busy_changed (core, worker);
       worker->pinned &= ~member->mask;
--- a/sched/reclaim.c
+++ b/sched/reclaim.c
@@ -90,16 +90,21 @@
     }
 }
 
-/* True if nothing in the cell has to end by itself. */
+/* True if nothing in the reserved cell has to end by itself. */
 static bool
-is_ripe (const struct gr_cell *cell)
+is_ripe (const struct gr_core *core, const struct gr_core_job *job)
 {
+  const struct gr_cell *cell = &job->reserve;
+
   for (uint32_t i = 0; i < cell->n; i++)
     {
       const struct gr_core_worker *worker = cell->parts[i].worker;
       uint32_t mask = cell->parts[i].mask;
 
-      if (((worker->foreign | worker->claimed | worker->pinned) & mask) != 0)
+      if (((worker->foreign | worker->claimed | worker->pinned
+            | gr_kept_mask (core, worker, job))
+           & mask)
+          != 0)
         return false;
       for (uint32_t a = 0; a < worker->accelerators; a++)
         if ((mask & (1U << a)) != 0 && worker->holder[a] != NULL
@@ -116,7 +121,7 @@
   for (uint32_t i = core->reserving->len; i > 0; i--)
     {
       struct gr_core_job *job = g_ptr_array_index (core->reserving, i - 1);
-      bool ripe = is_ripe (&job->reserve);
+      bool ripe = is_ripe (core, job);
 
       if (!all_usable (&job->reserve)
           || (!ripe && core->now_ms > job->reserve_start_ms))
--- a/sched/tables.h
+++ b/sched/tables.h
@@ -89,6 +89,7 @@
   uint32_t firm;    /* part of claimed that belongs to guaranteed jobs */
   uint32_t soft[GR_N_PRIORITIES]; /* reserved for jobs of the priority */
   uint32_t in_unit;               /* covered by cells of units */
+  int64_t urgent_ms; /* urgent work started or ended here; 0: never */
   struct gr_core_member *holder[GR_MAX_ACCELERATORS];
   struct gr_core_unit *unit[GR_MAX_ACCELERATORS];
   bool usable; /* may get new work: none of the next five */
