route: allotments follow demand within half a second

Cause: when demand moved between entries every 5 s, an account reached 57.5 % of its rate. Demand was an average over seconds, an allotment counted as outstanding for its whole term, a quarter of each demand was allotted on top, and what was left of an allotment was lost at the end of each second. Change: demand is smoothed over 100 ms windows; the stamp that a report echoes shows which allotment its entry has, so that earlier ones no longer count; 5 % on top instead of 25 %; up to one request of an allotment is carried over. Ruled out: floors of a tenth or a fifth of the rate instead of half.

--- a/route/allot.c
+++ b/route/allot.c
@@ -137,6 +137,17 @@
   return rate_per_s;
 }
 
+/* The echoed stamp shows which answer the entry has: allotments from before it
+ * are not used any more. Answers to one entry arrive in order, because they
+ * come over one connection. */
+static void
+drop_replaced (struct reporter *reporter, int64_t stamp_ms)
+{
+  for (uint32_t i = 0; i < MAX_GRANTS; i++)
+    if (reporter->grants[i].until_ms < stamp_ms + GR_LIMIT_TERM_MS)
+      reporter->grants[i].until_ms = 0;
+}
+
 static double
 outstanding_of_others (const struct account *account,
                        const struct reporter *self,
@@ -170,7 +181,7 @@
 {
   double floor_per_s = account->rate_per_s / 2 / (allot->entry_instances + 1);
 
-  return MAX (0, reporter->demand_per_s * 1.25 - floor_per_s);
+  return MAX (0, reporter->demand_per_s * 1.05 - floor_per_s);
 }
 
 /* Max-min fair share of the half: small demands are met, the rest is divided
@@ -254,6 +265,7 @@
   forget_silent (account, now_ms);
   reporter = ensure_reporter (account, entry);
   reporter->stamp_ms = MAX (reporter->stamp_ms, stamp_ms);
+  drop_replaced (reporter, reporter->stamp_ms);
   reporter->demand_per_s = demand_per_s;
   check_majority (allot, account, now_ms);
   if (account->held_since_ms < 0
--- a/route/limit.c
+++ b/route/limit.c
@@ -10,6 +10,10 @@
  * below one request per second would never admit any. */
 #define MAX_CARRIED 1.0
 
+/* Weight of the last window in the demand. */
+#define DEMAND_WEIGHT 0.25
+#define MAX_IDLE_WINDOWS 40 /* less than 0.001 % of the demand is left */
+
 struct limit
 {
   double rate_per_s;
@@ -24,10 +28,11 @@
   double allotted_per_s;
   int64_t allotted_until_ms;
 
-  int64_t demand_second;
-  uint32_t wanted;  /* in this second */
-  uint32_t refused; /* in this second */
+  int64_t demand_window;
+  uint32_t wanted; /* in this window */
   double demand_per_s;
+  int64_t refused_second;
+  uint32_t refused; /* in this second */
 };
 
 struct gr_limits
@@ -134,7 +139,7 @@
   if (window % WINDOWS_PER_S == 0)
     {
       limit->floor_credit = MIN (limit->floor_credit, MAX_CARRIED);
-      limit->allotted_credit = 0;
+      limit->allotted_credit = MIN (limit->allotted_credit, MAX_CARRIED);
     }
   else if (limits->pacing == GR_PACING_REFILL)
     return;
@@ -165,19 +170,25 @@
     limit->allotted_credit = 0;
 }
 
+/* Demand follows a change within about four windows, since it shifts between
+ * entries within seconds. */
 static void
 note_demand (struct limit *limit, int64_t now_ms)
 {
-  int64_t second = now_ms / 1000;
-
-  if (limit->demand_second == second)
+  int64_t window = now_ms / GR_LIMIT_WINDOW_MS;
+  int64_t idle = MIN (window - limit->demand_window - 1, MAX_IDLE_WINDOWS);
+  double wanted_per_s = (double)limit->wanted * WINDOWS_PER_S;
+
+  if (limit->refused_second != now_ms / 1000)
+    limit->refused = 0;
+  limit->refused_second = now_ms / 1000;
+  if (limit->demand_window == window)
     return;
-  limit->demand_per_s = second - limit->demand_second > 2
-                            ? limit->wanted / 2.0
-                            : (limit->demand_per_s + limit->wanted) / 2;
-  limit->demand_second = second;
+  limit->demand_per_s += (wanted_per_s - limit->demand_per_s) * DEMAND_WEIGHT;
+  for (; idle > 0; idle--)
+    limit->demand_per_s *= 1 - DEMAND_WEIGHT;
+  limit->demand_window = window;
   limit->wanted = 0;
-  limit->refused = 0;
 }
 
 static bool
@@ -255,7 +266,7 @@
       limit->home_since_ms = now_ms;
     }
   limit->reported_ms = now_ms;
-  *demand_per_s = MAX (limit->demand_per_s, limit->wanted);
+  *demand_per_s = limit->demand_per_s;
   return true;
 }
 
--- a/tests/test-route.c
+++ b/tests/test-route.c
@@ -289,6 +289,30 @@
 }
 END_TEST
 
+/* Guards against an allotment that counts for a whole term after the entry has
+ * shown that it has a smaller one: demand that moves would be served late. */
+START_TEST (allotment_follows_demand_that_moves)
+{
+  struct gr_allot *home = gr_allot_create (ENTRIES);
+  double rate[3] = { 0, 0, 0 };
+
+  gr_allot_set_account (home, "a", RATE);
+  for (int64_t now = 10000; now < 14900; now += 300)
+    for (int i = 0; i < 3; i++)
+      rate[i] = gr_allot_report (home, "a", names[i], i == 0 ? 1000 : 0,
+                                 now - 300, now);
+  ck_assert (rate[0] > RATE * 0.45);
+  ck_assert (rate[1] < 1);
+  /* The entry takes its smaller allotment, then shows that it has it. */
+  ck_assert (gr_allot_report (home, "a", names[1], 1000, 14800, 15100) < 1);
+  ck_assert (gr_allot_report (home, "a", names[0], 0, 14800, 15100) < 1);
+  ck_assert (gr_allot_report (home, "a", names[0], 0, 15100, 15400) < 1);
+  ck_assert (gr_allot_report (home, "a", names[1], 1000, 15100, 15400)
+             > RATE * 0.45);
+  gr_allot_destroy (home);
+}
+END_TEST
+
 static struct gr_executors *
 some_executors (int count)
 {
@@ -543,6 +567,7 @@
   tcase_add_test (tcase, member_reports_to_one_home_at_a_time);
   tcase_add_test (tcase, another_home_takes_over_from_a_dead_one);
   tcase_add_test (tcase, two_homes_never_allot_the_same_half);
+  tcase_add_test (tcase, allotment_follows_demand_that_moves);
   tcase_add_test (tcase, old_reports_make_no_majority);
   tcase_add_test (tcase, connections_and_long_share_are_bounded);
   tcase_add_test (tcase, executors_that_fail_everything_are_quarantined);
