sched: release members of a lost gang before all ends are known

Cause: after a member of a non-idempotent gang fell silent, the others were stopped but kept their leases until the silent one had expired, up to 33 s; the process test silent_member_stops_the_gang saw this.

Change: members are released as soon as the gang is stopped. Only a failed one is kept until the final record is durable, since its report tells a new owner of the failure. Nothing is lost by it: such a gang cannot end as finished.

--- a/sched/gang.c
+++ b/sched/gang.c
@@ -220,13 +220,18 @@
       gr_member_call (core, &job->members[i], GR_COMMAND_RELEASE);
 }
 
+/* A job that must not run again waits until the end of each member is known.
+ * Its result is not "finished" any more, so that members are released at once;
+ * a failed one is kept to tell a new owner of the failure. */
 static void
 start_stop (struct gr_core *core, struct gr_core_job *job)
 {
   gr_gang_set_phase (core, job, GR_PHASE_STOPPING);
   for (uint32_t i = 0; i < job->n_members; i++)
-    if (!job->members[i].settled)
-      gr_member_call (core, &job->members[i], GR_COMMAND_STOP);
+    if (job->members[i].lost)
+      gr_member_released (core, &job->members[i]);
+    else if (!job->members[i].failed)
+      gr_member_call (core, &job->members[i], GR_COMMAND_RELEASE);
 }
 
 static void
--- a/sched/member.c
+++ b/sched/member.c
@@ -115,8 +115,7 @@
                           : GR_STOP_ABORT,
                       "a member lost its lease");
     }
-  if (job->phase == GR_PHASE_RELEASING)
-    gr_member_released (core, member);
+  gr_member_released (core, member);
 }
 
 void
@@ -138,7 +137,8 @@
   struct gr_core_worker *worker = member->worker;
   struct gr_core_job *job = member->job;
 
-  if (member->released || job->phase != GR_PHASE_RELEASING)
+  if (member->released
+      || (job->phase != GR_PHASE_STOPPING && job->phase != GR_PHASE_RELEASING))
     return;
   job->account->used -= gr_mask_count (member->mask);
   g_hash_table_remove (core->members, member->id);
--- a/sched/report.c
+++ b/sched/report.c
@@ -346,10 +346,12 @@
 {
   if (kind != GR_ERROR_NONE && !is_gone (kind))
     call_again (core, member);
-  else if (command == GR_COMMAND_RELEASE)
-    gr_member_released (core, member);
   else
-    gr_member_stopped (core, member);
+    {
+      gr_member_stopped (core, member);
+      if (command == GR_COMMAND_RELEASE)
+        gr_member_released (core, member);
+    }
 }
 
 static void
--- a/sched/steps.c
+++ b/sched/steps.c
@@ -191,7 +191,7 @@
       gr_member_lost (core, &job->members[i]);
   if (job->n_settled < job->n_members)
     {
-      retry (core, job, GR_COMMAND_STOP,
+      retry (core, job, GR_COMMAND_RELEASE,
              offsetof (struct gr_core_member, settled));
       return;
     }
