scheduler: a silent worker is noticed after 3 s again

Cause: test-process-jobs, silent_member_stops_the_gang, failed once in one run: the other member of the gang still held its lease 15 s after its worker fell silent. Its limit is one run lease term of 12 s and 3 s to notice the silence; with 4.5 s the lease can last 16.5 s.

Change: reports have a time limit of 500 ms instead of 1 s, are asked for again 100 ms after a failure, and every worker is asked every 2 s, so that one failed report and an answer to the next one fit into 3 s.

Ruled out: 3 s between reports of idle workers. The core takes them for silent after 3 s too, and gives them no work.

--- a/scheduler/shard.c
+++ b/scheduler/shard.c
@@ -16,9 +16,9 @@
 /* A tick that comes this late means that the process was paused. */
 #define PAUSE_MS 1500
 
-/* After a pause the workers are asked for reports before the next decision;
- * their calls end within GR_WORKER_CALL_MS. */
-#define AFTER_PAUSE_MS (GR_WORKER_CALL_MS + 200)
+/* After a pause the workers are asked for reports before the next decision; a
+ * command that is under way may come first. */
+#define AFTER_PAUSE_MS (GR_WORKER_CALL_MS + GR_REPORT_CALL_MS)
 
 #define WATCH_MS 1000
 #define QUIESCE_MS 5000
--- a/scheduler/worker-io.c
+++ b/scheduler/worker-io.c
@@ -27,15 +27,14 @@
   char name[GR_NAME_MAX];
   char address[GR_NAME_MAX];
   bool listed;
-  bool named; /* since the last gr_worker_io_targets_done () */
-  bool busy;
+  bool named;  /* since the last gr_worker_io_targets_done () */
   bool silent; /* the last call was not answered */
   bool in_flight;
   bool report_queued;
   GQueue calls; /* struct call; the head is the one in flight */
   uint32_t batch;
   uint32_t tries;
-  uint32_t report_ms; /* until the next report while busy */
+  uint32_t report_ms; /* until the next report */
   int64_t heard_ms;
   guint next_timer;
   guint report_timer;
@@ -224,18 +223,13 @@
     }
   call_free (g_queue_pop_head (&worker->calls));
   worker->report_queued = false;
-  worker->report_ms = MIN (worker->report_ms * 2, GR_REPORT_BUSY_MS);
+  worker->report_ms = MIN (worker->report_ms * 2, GR_REPORT_MS);
   delay_ms = worker->report_ms;
   if (error != NULL && !worker->silent)
     delay_ms = GR_REPORT_RETRY_MS;
   note_heard (worker, error != NULL ? error->kind : GR_ERROR_NONE);
   if (report != NULL)
-    {
-      worker->busy = report->n_leases > 0 || report->n_tasks > 0;
-      if (!worker->busy)
-        delay_ms = GR_REPORT_IDLE_MS;
-      io->events.report (report, io->context);
-    }
+    io->events.report (report, io->context);
   schedule_report (worker, delay_ms);
   start_next (worker);
 }
@@ -321,7 +315,7 @@
 {
   worker->in_flight = true;
   gr_counter_add (worker->io->reports, 1);
-  gr_worker_get_report (worker->io->client, worker->address, GR_WORKER_CALL_MS,
+  gr_worker_get_report (worker->io->client, worker->address, GR_REPORT_CALL_MS,
                         report_done, worker);
 }
 
@@ -415,7 +409,7 @@
     {
       worker = g_new0 (struct worker, 1);
       worker->io = io;
-      worker->report_ms = GR_REPORT_BUSY_MS;
+      worker->report_ms = GR_REPORT_MS;
       worker->heard_ms = gr_clock_now_ms (io->clock);
       g_strlcpy (worker->name, name, sizeof worker->name);
       g_queue_init (&worker->calls);
@@ -494,12 +488,6 @@
   call->spec = g_strdup (command->spec);
   g_queue_push_tail (&worker->calls, call);
   io->pending++;
-  if (!worker->busy)
-    {
-      worker->busy = true;
-      if (!worker->report_queued)
-        schedule_report (worker, GR_REPORT_BUSY_MS);
-    }
   start_next (worker);
 }
 
--- a/scheduler/worker-io.h
+++ b/scheduler/worker-io.h
@@ -10,28 +10,28 @@
 #include "platform/worker.h"
 #include "sched/core.h"
 
-/* Time between two reports of a worker that has leases or tasks, and of one
- * that has none. */
-#define GR_REPORT_BUSY_MS 2000
-#define GR_REPORT_IDLE_MS 3000
+/* Time between two reports of a worker. */
+#define GR_REPORT_MS 2000
 
 /* The first report after a task has begun to run comes this soon, the next ones
- * after twice the time each, up to GR_REPORT_BUSY_MS: a short task must not
- * hold its accelerators for two seconds more. */
+ * after twice the time each, up to GR_REPORT_MS: a short task must not hold its
+ * accelerators for two seconds more. */
 #define GR_REPORT_FIRST_MS 250
 
-/* Wait before a report is asked for again after the first failure in a row. */
-#define GR_REPORT_RETRY_MS 200
+/* Time limit of a report, and wait before it is asked for again after the first
+ * failure in a row. */
+#define GR_REPORT_CALL_MS 500
+#define GR_REPORT_RETRY_MS 100
 
-/* Time limit of one call, and number of tries of one command. Three tries fit
- * into a third of the shortest lease term (10 s). */
+/* A worker is silent after this time. One report that fails, and an answer to
+ * the next one, fit in: 2000 + 500 + 100 ms. */
+#define GR_WORKER_SILENT_MS 3000
+
+/* Time limit of one command, and number of tries. Three tries fit into a third
+ * of the lease term of a start (10 s by default). */
 #define GR_WORKER_CALL_MS 1000
 #define GR_WORKER_TRIES 3
 
-/* A worker is silent after this time. One report that fails, and one answer to
- * the next, fit in: 3000 + 1000 + 200 ms. */
-#define GR_WORKER_SILENT_MS 4500
-
 /* A worker that is not listed any more and does not answer for this long is
  * gone. */
 #define GR_WORKER_GONE_MS 30000
