entry: marks are not waited for until the deadline in an outage

Cause: with a store that closes connections without an answer, a non-idempotent request was read back until its deadline (10 s by default), although the system had no prospect of sending it. Change: a request waits for its mark for two timeouts of the store at most: a write and a read back. It is then refused as not run, and the mark is removed if it was written.

--- a/entry/request.c
+++ b/entry/request.c
@@ -9,6 +9,10 @@
 /* Requests that wait for a slot. */
 #define QUEUE_TICK_MS 10
 
+/* Time for a mark, in timeouts of the store: a write and a read back. In an
+ * outage requests are then refused and not held until their deadline. */
+#define MARK_ATTEMPTS 2
+
 /* One in this many requests whose learned run time does not fit its deadline
  * is let through, so that a wrong estimate is corrected. */
 #define PROBE_ONE_IN 16
@@ -238,7 +242,7 @@
   request->mark = NULL;
   gr_error_set_retry (&error, GR_ERROR_STORE_UNAVAILABLE,
                       gr_spread_ms (1000, 1, 1, request->entry->random),
-                      "the mark could not be written before the deadline");
+                      "the key-value service did not confirm the mark in time");
   refuse (request, &error);
   return G_SOURCE_REMOVE;
 }
@@ -249,7 +253,10 @@
   struct gr_error error = GR_ERROR_INIT;
   int64_t left_ms = request->deadline_ms - request->estimate_ms
                     - gr_clock_now_ms (request->entry->clock);
+  int64_t patience_ms =
+      MARK_ATTEMPTS * (int64_t)request->entry->process->kv_timeout_ms;
 
+  left_ms = MIN (left_ms, patience_ms);
   request->mark = gr_mark_write (request->entry->marks, request->account,
                                  request->key, mark_done, request, &error);
   if (request->mark == NULL)
