--- a/route/limit.c
+++ b/route/limit.c
@@ -42,6 +42,7 @@
   enum gr_limit_pacing pacing;
   uint32_t entry_instances;
   int64_t started_ms;
+  bool refused; /* since the last call of gr_limits_refused () */
 };
 
 struct gr_limits *
@@ -228,6 +229,7 @@
   if (take_credit (limit))
     return true;
   limit->refused++;
+  limits->refused = true;
   rate_per_s = gr_limits_rate (limits, account, now_ms);
   return gr_error_set_retry (
       error, GR_ERROR_RATE_LIMITED,
@@ -270,6 +272,15 @@
   return true;
 }
 
+bool
+gr_limits_refused (struct gr_limits *limits)
+{
+  bool refused = limits->refused;
+
+  limits->refused = false;
+  return refused;
+}
+
 void
 gr_limits_allotted (struct gr_limits *limits,
                     const char *account,
