sched: a task that ends before its unthrottle counts against its worker

Cause: a worker that fails every task at its start answers the start and then refuses the unthrottle. The core took the refusal for a lost lease: the worker was never quarantined, the job came back to it every 10 s beyond max_attempts, and accelerators under a live lease were taken for free. Change: a refused unthrottle under a lease that was confirmed within the call timeout counts as a failed task. Ruled out: waiting for the next report, which lengthens the time in which the rest of a gang runs alone.

--- a/sched/report.c
+++ b/sched/report.c
@@ -336,6 +336,25 @@
     gr_member_failed (core, member);
 }
 
+/* A refusal under a lease that was confirmed a moment ago means that the task
+ * itself has ended. Taken for a lost lease, it would not count against a worker
+ * that fails everything. */
+static void
+answer_unthrottle (struct gr_core *core,
+                   struct gr_core_member *member,
+                   enum gr_error_kind kind)
+{
+  bool lease_lives = core->active_ms - member->confirmed_active_ms
+                     <= core->config.call_timeout_ms;
+
+  if (kind == GR_ERROR_NONE)
+    gr_member_unthrottled (core, member);
+  else if (is_gone (kind) && lease_lives)
+    gr_member_failed (core, member);
+  else if (is_gone (kind))
+    gr_member_lost (core, member);
+}
+
 /* For RELEASE and STOP a lease or task that is gone is as good. Another error
  * is tried again. */
 static void
@@ -373,10 +392,7 @@
       answer_start (core, member, kind);
       break;
     case GR_COMMAND_UNTHROTTLE:
-      if (kind == GR_ERROR_NONE)
-        gr_member_unthrottled (core, member);
-      else if (is_gone (kind))
-        gr_member_lost (core, member);
+      answer_unthrottle (core, member, kind);
       break;
     case GR_COMMAND_CHECKPOINT:
       if (kind == GR_ERROR_NONE)
--- a/tests/sched-model.c
+++ b/tests/sched-model.c
@@ -244,7 +244,7 @@
   if (worker->failing)
     return GR_ERROR_INTERNAL;
   task->started = true;
-  task->state = GR_TASK_RUNNING;
+  task->state = worker->ending ? GR_TASK_FAILED : GR_TASK_RUNNING;
   task->run_ms = ABS (*run_ms);
   /* A late call may start a task again that was released unstarted. */
   if (g_hash_table_add (model->any_started, g_strdup (task->id)))
--- a/tests/sched-model.h
+++ b/tests/sched-model.h
@@ -32,7 +32,8 @@
   uint32_t incarnation;
   bool dead;
   bool cut;         /* runs on, but no call or report gets through */
-  bool failing;     /* every task that it starts fails */
+  bool failing;     /* refuses every start */
+  bool ending;      /* every task fails between its start and its unthrottle */
   GPtrArray *tasks; /* struct model_task, one for each lease */
 };
 
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -287,6 +287,37 @@
 }
 END_TEST
 
+/* Guards against a worker on which every task ends before it is unthrottled:
+ * the refused unthrottle was taken for a lost lease, so the worker kept its
+ * good name and got the same job again and again. */
+START_TEST (tasks_that_end_before_their_unthrottle)
+{
+  struct model *model = setup (1, 4);
+  struct gr_job_spec spec;
+  GArray *workers;
+  char key[16];
+
+  model->workers[0].ending = true;
+  for (int i = 0; i < 12; i++)
+    {
+      g_snprintf (key, sizeof key, "j%d", i);
+      spec = model_spec ("a", key, 1, 8);
+      submit (model, &spec, 2000);
+    }
+  model_run (model, 60000);
+  for (int i = 0; i < 12; i++)
+    {
+      g_snprintf (key, sizeof key, "a.j%d", i);
+      ck_assert_int_eq (model_state (model, key), GR_JOB_FINISHED);
+    }
+  workers = gr_core_worker_status (model->core);
+  ck_assert (
+      g_array_index (workers, struct gr_core_worker_status, 0).quarantined);
+  g_array_unref (workers);
+  model_destroy (model);
+}
+END_TEST
+
 /* Guards against a worker that fails everything and draws all work, and
  * against healthy workers that are blamed for a faulty job. */
 START_TEST (failing_workers_and_jobs_are_told_apart)
@@ -736,6 +767,7 @@
   tcase_add_test (tcase, quota_and_size_are_enforced);
   tcase_add_test (tcase, reserved_start_is_not_delayed);
   tcase_add_test (tcase, urgent_work_overtakes_batches);
+  tcase_add_test (tcase, tasks_that_end_before_their_unthrottle);
   tcase_add_test (tcase, failing_workers_and_jobs_are_told_apart);
   tcase_add_test (tcase, new_owner_adopts_running_work);
   tcase_add_test (tcase, cancellation_wave_frees_everything);
