entry: a repeated job keeps its shard

Cause: without a data centre the shard follows from the account's guarantees and the list of shards. If these changed between a submission and its repeat, the same key reached another shard and the job could run twice. Change: the first choice is kept under jobs/ACCOUNT/KEY, created once, and read by every later submission of that key. One transaction for each such submission. Ruled out: a shard by hash alone, since the job must reach the data centre of its guarantee; asking all shards, which fails while one has no owner. Conclusion: a key is unique over shards unless the caller names another data centre itself.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -1,4 +1,5 @@
 #include "entry/entry.h"
+#include "entry/job-shard.h"
 
 #include "common/log.h"
 #include "entry/confirm.h"
@@ -276,6 +277,8 @@
   entry->marks = gr_marks_create (entry->kv, entry->clock, writer,
                                   entry->platform.commit_interval_ms,
                                   process->kv_timeout_ms);
+  entry->job_shards =
+      gr_job_shards_create (entry->kv, entry->clock, process->kv_timeout_ms);
   g_free (writer);
   apply_platform (entry, "");
   entry->shares = gr_shares_create (entry);
@@ -404,6 +407,7 @@
   gr_marks_destroy (entry->marks);
   gr_settings_store_destroy (entry->store);
   gr_kv_destroy (entry->kv);
+  gr_job_shards_destroy (entry->job_shards);
   drop_exchanges (entry);
   gr_http_server_destroy (entry->http);
   destroy_tables (entry);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -49,6 +49,7 @@
   struct gr_retries *retries;
   struct gr_queue *queue;
   struct gr_marks *marks;
+  struct gr_job_shards *job_shards;
   struct gr_shares *shares;
   struct gr_confirm *confirm;
   struct gr_platform_settings platform;
--- a/entry/jobs.c
+++ b/entry/jobs.c
@@ -3,6 +3,7 @@
 #include "common/hash.h"
 #include "common/log.h"
 #include "entry/job-json.h"
+#include "entry/job-shard.h"
 #include "entry/owner.h"
 #include "platform/json.h"
 #include "rpc/job-codec.h"
@@ -48,7 +49,7 @@
   return NULL;
 }
 
-/* The shard must follow from what a repeated submission states again. */
+/* Without a data centre the shard follows from settings; see job-shard.h. */
 static bool
 choose_shard (struct gr_entry *entry,
               const struct gr_job_spec *spec,
@@ -185,15 +186,51 @@
   return NULL;
 }
 
+/* A submission whose shard is being looked up. */
+struct submission
+{
+  struct gr_exchange *exchange;
+  struct gr_job_spec spec;
+};
+
+static void
+submit_to (struct gr_exchange *exchange,
+           const struct gr_job_spec *spec,
+           const char *shard)
+{
+  struct gr_packer *body = gr_packer_create ();
+  char id[GR_ID_MAX];
+
+  g_snprintf (id, sizeof id, "%s.%s.%s", shard, spec->account, spec->key);
+  gr_log_event ("job-submitted", "job", id, "shard", shard, "account",
+                spec->account, NULL);
+  gr_pack_string (body, "shard", shard);
+  gr_pack_job_spec (body, spec);
+  call_owner (exchange, JOB_SUBMIT, id, shard, "job.submit", body);
+  gr_packer_destroy (body);
+}
+
+static void
+shard_known (const char *shard, const struct gr_error *error, void *context)
+{
+  struct submission *submission = context;
+
+  if (error != NULL)
+    gr_exchange_fail (submission->exchange, error);
+  else
+    submit_to (submission->exchange, &submission->spec, shard);
+  gr_job_spec_clear (&submission->spec);
+  g_free (submission);
+}
+
 void
 gr_jobs_submit (struct gr_exchange *exchange)
 {
   const struct gr_account_settings *account = NULL;
   struct gr_error error = GR_ERROR_INIT;
-  struct gr_packer *body;
+  struct submission *submission;
   struct gr_job_spec spec;
   char shard[GR_NAME_MAX];
-  char id[GR_ID_MAX];
 
   if (gr_entry_is_ready (exchange->entry, &error))
     account = read_submission (exchange, &spec, &error);
@@ -208,15 +245,18 @@
       gr_exchange_fail (exchange, &error);
       return;
     }
-  g_snprintf (id, sizeof id, "%s.%s.%s", shard, spec.account, spec.key);
-  gr_log_event ("job-submitted", "job", id, "shard", shard, "account",
-                spec.account, NULL);
-  body = gr_packer_create ();
-  gr_pack_string (body, "shard", shard);
-  gr_pack_job_spec (body, &spec);
-  call_owner (exchange, JOB_SUBMIT, id, shard, "job.submit", body);
-  gr_packer_destroy (body);
-  gr_job_spec_clear (&spec);
+  if (spec.data_centre[0] != '\0')
+    {
+      submit_to (exchange, &spec, shard);
+      gr_job_spec_clear (&spec);
+      return;
+    }
+  submission = g_new0 (struct submission, 1);
+  submission->exchange = exchange;
+  submission->spec = spec;
+  gr_exchange_pause (exchange);
+  gr_job_shards_keep (exchange->entry->job_shards, spec.account, spec.key,
+                      shard, shard_known, submission);
 }
 
 /* Parts of SHARD.ACCOUNT.KEY. Free with g_strfreev (). */
--- a/tests/test-publish.c
+++ b/tests/test-publish.c
@@ -350,6 +350,36 @@
 }
 END_TEST
 
+/* Guards against a job that runs twice because settings changed between its
+ * submission and the repeat: the repeat went to another shard. */
+START_TEST (repeated_job_keeps_its_shard)
+{
+  static const char submission[] =
+      "{\"account\":\"a\",\"key\":\"twice\",\"workers\":1,"
+      "\"accelerators_per_worker\":8,\"run_ms\":5000}";
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_rpc_server *owner =
+      gr_rpc_server_create ("127.0.0.1:0", serve_owner, NULL, &error);
+  struct gr_settings_store *store = world.entries[0]->store;
+  struct reply reply;
+  const char *document;
+  int64_t revision;
+
+  claim_shard (owner);
+  reply = world_call (&world, 0, "POST", "/v1/jobs", TOKEN_A, submission);
+  expect_text (&reply, 201, "\"id\":\"dc1.a.twice\"");
+  gr_settings_store_get (store, "platform", &revision);
+  document = "[members]\nentry_instances = 3\n[shards]\nnames = dc2\n";
+  ck_assert (
+      gr_settings_store_apply (store, "platform", document, revision + 100));
+  claim_shard (owner);
+  reply = world_call (&world, 0, "POST", "/v1/jobs", TOKEN_A, submission);
+  expect_text (&reply, 201, "\"id\":\"dc1.a.twice\"");
+  gr_rpc_server_destroy (owner);
+  gr_job_record_clear (&record);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -367,6 +397,7 @@
   tcase_add_test (tcase, leaving_signs_spread);
   tcase_add_test (tcase, home_allots_the_shared_half);
   tcase_add_test (tcase, jobs_go_to_the_owner);
+  tcase_add_test (tcase, repeated_job_keeps_its_shard);
   suite_add_tcase (suite, tcase);
   srunner_set_fork_status (runner, CK_NOFORK);
   srunner_run_all (runner, CK_NORMAL);
