sched: calls that failed are sent again after 500 ms

Cause: workers that refuse connections answer at once, and the core sent the next release at each tick: four dead members got about 630 calls a second. Change: a call that failed is sent again after 500 ms at the earliest. Ruled out: the full call timeout of 4.5 s, which would delay the start of urgent work beyond 3.9 s after one failed connection.

--- a/sched/report.c
+++ b/sched/report.c
@@ -282,11 +282,15 @@
 
 /* --- Answers ------------------------------------------------------------ */
 
-/* The next check sends the call again. */
+/* Wait before a call that failed is sent again. A worker that refuses
+ * connections answers at once; without the wait four of them got 630 calls a
+ * second. */
+#define CALL_AGAIN_MS 500
+
 static void
 call_again (struct gr_core *core, struct gr_core_member *member)
 {
-  member->sent_ms = core->now_ms - core->config.call_timeout_ms;
+  member->sent_ms = core->now_ms - core->config.call_timeout_ms + CALL_AGAIN_MS;
 }
 
 static bool
--- a/tests/test-sched.c
+++ b/tests/test-sched.c
@@ -318,6 +318,28 @@
 }
 END_TEST
 
+/* Guards against a flood of calls to workers that refuse connections: a call
+ * was sent again at each tick. The limit is two calls a second to a member. */
+START_TEST (dead_workers_are_not_flooded)
+{
+  struct model *model = setup (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "gang", 4, 8);
+  uint64_t calls;
+
+  submit (model, &spec, 100000);
+  model_run (model, 5000);
+  ck_assert_int_eq (model_state (model, "a.gang"), GR_JOB_RUNNING);
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model_kill (model, &model->workers[i]);
+  calls = model->n_commands[GR_COMMAND_RELEASE];
+  model_run (model, 10000);
+  calls = model->n_commands[GR_COMMAND_RELEASE] - calls;
+  ck_assert_uint_gt (calls, 0);
+  ck_assert_uint_le (calls, (uint64_t)model->n_workers * 2 * 10);
+  model_destroy (model);
+}
+END_TEST
+
 /* Guards against a worker that fails everything and draws all work, and
  * against healthy workers that are blamed for a faulty job. */
 START_TEST (failing_workers_and_jobs_are_told_apart)
@@ -768,6 +790,7 @@
   tcase_add_test (tcase, reserved_start_is_not_delayed);
   tcase_add_test (tcase, urgent_work_overtakes_batches);
   tcase_add_test (tcase, tasks_that_end_before_their_unthrottle);
+  tcase_add_test (tcase, dead_workers_are_not_flooded);
   tcase_add_test (tcase, failing_workers_and_jobs_are_told_apart);
   tcase_add_test (tcase, new_owner_adopts_running_work);
   tcase_add_test (tcase, cancellation_wave_frees_everything);
