ctl: status shows a store outage, silent members and workers in quarantine

Change: readyz says when reads of the store fail, status ends with 7 then and counts silent and quarantined workers; members that are not heard from are silent; the scheduler logs job-accepted before a later first state; store_up is present from the start, in entries too. Ruled out: dropping the pair job-accepted, job-starting from the time line check, which guards starts before a durable acceptance.

--- a/ctl/cluster.c
+++ b/ctl/cluster.c
@@ -96,6 +96,8 @@
   JsonArray *members;
   JsonArray *shards;
   JsonArray *accounts;
+  JsonArray *workers;
+  bool store_answers;
 };
 
 static void
@@ -111,6 +113,8 @@
     *exit_code = gr_ctl_fail (ctl, &error, &answer);
   else if (!status->ready)
     status->not_ready = g_strdup (error.message);
+  status->store_answers =
+      status->ready && strstr (answer.body, "does not answer") == NULL;
   gr_ctl_answer_clear (&answer);
 }
 
@@ -127,6 +131,17 @@
   return count;
 }
 
+static guint
+count_workers (const struct status *status, const char *flag)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < json_array_get_length (status->workers); i++)
+    count +=
+        gr_ctl_bool (json_array_get_object_element (status->workers, i), flag);
+  return count;
+}
+
 static bool
 has_owner (JsonObject *shard)
 {
@@ -150,6 +165,14 @@
   fprintf (ctl->out, "members: %u, of which %u ready\n",
            json_array_get_length (status->members),
            count_members (status, "ready"));
+  if (status->ready && !status->store_answers)
+    fprintf (ctl->out, "key-value service: does not answer\n");
+  if (count_workers (status, "silent") > 0)
+    fprintf (ctl->out, "workers: %u silent\n",
+             count_workers (status, "silent"));
+  if (count_workers (status, "quarantined") > 0)
+    fprintf (ctl->out, "workers: %u in quarantine\n",
+             count_workers (status, "quarantined"));
   for (guint i = 0; i < json_array_get_length (status->shards); i++)
     {
       JsonObject *shard = json_array_get_object_element (status->shards, i);
@@ -183,6 +206,10 @@
                                 json_array_ref (status->shards));
   json_object_set_array_member (object, "accounts",
                                 json_array_ref (status->accounts));
+  json_object_set_array_member (object, "workers",
+                                json_array_ref (status->workers));
+  json_object_set_boolean_member (object, "store_answers",
+                                  status->store_answers);
   json_node_take_object (node, object);
   gr_ctl_print_json (ctl, node);
   json_node_unref (node);
@@ -193,6 +220,8 @@
 {
   if (!status->ready)
     return gr_error_answer (GR_ERROR_OVERLOADED)->exit_code;
+  if (!status->store_answers)
+    return gr_error_answer (GR_ERROR_STORE_UNAVAILABLE)->exit_code;
   for (guint i = 0; i < json_array_get_length (status->shards); i++)
     if (!has_owner (json_array_get_object_element (status->shards, i)))
       return gr_error_answer (GR_ERROR_NO_OWNER)->exit_code;
@@ -219,6 +248,8 @@
     status.accounts =
         gr_ctl_fetch_list (ctl, "/v1/accounts", "", 0, &exit_code);
   if (status.accounts != NULL)
+    status.workers = gr_ctl_fetch_list (ctl, "/v1/workers", "", 0, &exit_code);
+  if (status.workers != NULL)
     {
       if (ctl->json)
         print_status_json (ctl, &status);
@@ -231,6 +262,7 @@
   g_clear_pointer (&status.members, json_array_unref);
   g_clear_pointer (&status.shards, json_array_unref);
   g_clear_pointer (&status.accounts, json_array_unref);
+  g_clear_pointer (&status.workers, json_array_unref);
   g_free (status.not_ready);
   return exit_code;
 }
--- a/ctl/http.c
+++ b/ctl/http.c
@@ -262,9 +262,12 @@
       g_free (text);
       return row->exit_code;
     }
-  fprintf (ctl->err, "geraniumrackctl: %s: %s (%s)\n", row->name,
-           error->message[0] == '\0' ? row->title : error->message,
-           gr_run_state_name (row->run_state));
+  fprintf (ctl->err, "geraniumrackctl: %s: %s", row->name,
+           error->message[0] == '\0' ? row->title : error->message);
+  /* "never" would be read as advice not to repeat a corrected call. */
+  if (row->run_state != GR_RUN_NEVER)
+    fprintf (ctl->err, " (%s)", gr_run_state_name (row->run_state));
+  fputc ('\n', ctl->err);
   if (error->retry_after_ms > 0)
     fprintf (ctl->err, "retry after %" G_GINT64_FORMAT " ms\n",
              error->retry_after_ms);
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -393,6 +393,15 @@
                 render_workers);
 }
 
+/* What a member said of itself counts only as long as it is heard from. */
+static const char *
+member_state (const struct gr_member *member, int64_t now_ms)
+{
+  if (member->state == GR_MEMBER_READY && !gr_member_is_ready (member, now_ms))
+    return "silent";
+  return gr_member_state_name (member->state);
+}
+
 void
 gr_admin_members (struct gr_exchange *exchange)
 {
@@ -413,7 +422,7 @@
       json_object_set_string_member (item, "role",
                                      gr_instance_role_name (member->role));
       json_object_set_string_member (item, "state",
-                                     gr_member_state_name (member->state));
+                                     member_state (member, now_ms));
       json_object_set_string_member (item, "address", member->address);
       json_object_set_string_member (item, "data_centre", member->data_centre);
       json_object_set_int_member (item, "settings_revision",
--- a/entry/router.c
+++ b/entry/router.c
@@ -43,7 +43,10 @@
 
   if (!exchange->entry->stopping && gr_entry_is_ready (exchange->entry, &error))
     {
-      answer_text (exchange, "ready\n");
+      answer_text (exchange,
+                   gr_settings_store_reads (exchange->entry->store)
+                       ? "ready\n"
+                       : "ready; the key-value service does not answer\n");
       return;
     }
   if (exchange->entry->stopping)
@@ -74,6 +77,7 @@
              gr_settings_store_revision (entry->store));
   set_gauge (entry, "settings_current",
              gr_settings_store_is_current (entry->store) ? 1 : 0);
+  set_gauge (entry, "store_up", gr_settings_store_reads (entry->store) ? 1 : 0);
   gr_counters_print (entry->counters, text);
   gr_exchange_bytes (exchange, 200, "text/plain; version=0.0.4",
                      g_string_free_to_bytes (text));
--- a/scheduler/journal.c
+++ b/scheduler/journal.c
@@ -129,7 +129,7 @@
   for (guint i = 0; i < count && !journal->destroyed; i++)
     journal->events.committed (changes[i].job, changes[i].version,
                                changes[i].state, changes[i].new_state,
-                               journal->context);
+                               changes[i].first, journal->context);
   write_free (write);
   if (gr_journal_call_ended (journal))
     schedule_write (journal);
--- a/scheduler/journal.h
+++ b/scheduler/journal.h
@@ -32,11 +32,12 @@
 struct gr_journal_events
 {
   /* The record of the job with this version is durable. new_state: the record
-   * that was durable before had another state. */
+   * that was durable before had another state. first: there was none. */
   void (*committed) (const char *job,
                      uint64_t version,
                      enum gr_job_state state,
                      bool new_state,
+                     bool first,
                      void *context);
 
   /* A commit failed on the compare with the owner key; owner is that key now,
--- a/scheduler/pages.c
+++ b/scheduler/pages.c
@@ -246,6 +246,7 @@
                                    .new_state =
                                        entry->durable_version == 0
                                        || entry->state != entry->durable_state,
+                                   .first = entry->durable_version == 0,
                                    .cancel_or_end = entry->cancel_or_end };
 
   if (entry->version == entry->durable_version)
--- a/scheduler/pages.h
+++ b/scheduler/pages.h
@@ -23,6 +23,7 @@
   uint64_t version;
   enum gr_job_state state;
   bool new_state;     /* the durable record has another state */
+  bool first;         /* no record of the job was durable before */
   bool cancel_or_end; /* the record says that its end is asked for, or came */
 };
 
--- a/scheduler/scheduler.c
+++ b/scheduler/scheduler.c
@@ -260,6 +260,8 @@
   scheduler->stopped = stopped;
   scheduler->context = context;
   scheduler->store_up = true;
+  /* Present from the start, so that an alert on its value has a series. */
+  gr_counter_set (gr_counters_get (counters, "store_up", ""), 1);
   scheduler->slots =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gr_slot_free);
   scheduler->server = gr_rpc_server_create (
--- a/scheduler/shard.c
+++ b/scheduler/shard.c
@@ -178,10 +178,14 @@
               uint64_t version,
               enum gr_job_state state,
               bool new_state,
+              bool first,
               void *context)
 {
   struct gr_shard *shard = context;
 
+  /* The acceptance may be durable only together with a later state. */
+  if (first && state != GR_JOB_ACCEPTED)
+    log_state (shard, job, GR_JOB_ACCEPTED);
   if (new_state)
     log_state (shard, job, state);
   gr_core_committed (shard->core, job, version, now_ms (shard));
--- a/settings/store.c
+++ b/settings/store.c
@@ -32,6 +32,7 @@
   int64_t revision;      /* highest applied */
   int64_t read_revision; /* of the key-value service, at the last read */
   int64_t confirmed_ms;
+  int64_t read_ms; /* start of the last read that succeeded */
   bool loaded;
   guint timer;
 };
@@ -144,6 +145,7 @@
   apply_entries (store, result);
   store->read_revision = MAX (store->read_revision, result->revision);
   store->loaded = true;
+  store->read_ms = MAX (store->read_ms, began_ms);
   gr_settings_store_confirm (store, began_ms);
 }
 
@@ -192,6 +194,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, document_free);
   store->reads = g_ptr_array_new ();
   store->confirmed_ms = INT64_MIN;
+  store->read_ms = INT64_MIN;
   store->loaded = kv == NULL;
   if (kv == NULL)
     return store;
@@ -271,6 +274,14 @@
   return store->loaded;
 }
 
+bool
+gr_settings_store_reads (const struct gr_settings_store *store)
+{
+  return store->read_ms != INT64_MIN
+         && gr_clock_now_ms (store->clock) - store->read_ms
+                <= GR_SETTINGS_CURRENT_MS;
+}
+
 bool
 gr_settings_store_is_current (const struct gr_settings_store *store)
 {
--- a/settings/store.h
+++ b/settings/store.h
@@ -61,5 +61,9 @@
 /* Loaded, and confirmed within GR_SETTINGS_CURRENT_MS. */
 bool gr_settings_store_is_current (const struct gr_settings_store *store);
 
+/* Whether a read that began within GR_SETTINGS_CURRENT_MS has succeeded; false
+ * in an outage of the key-value service. */
+bool gr_settings_store_reads (const struct gr_settings_store *store);
+
 /* Reads now instead of at the next poll. */
 void gr_settings_store_poll (struct gr_settings_store *store);
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -372,13 +372,26 @@
   REPLY ({ 200, NULL, "{}" },
          { 200, NULL, "{\"items\":[{\"name\":\"e1\",\"state\":\"ready\"}]}" },
          { 200, NULL, "{\"items\":[{\"name\":\"dc1\",\"owner\":\"\"}]}" },
-         { 200, NULL, "{\"items\":[]}" });
+         { 200, NULL, "{\"items\":[]}" },
+         { 200, NULL, "{\"items\":[{\"name\":\"w1\",\"quarantined\":true}]}" });
   ck_assert_int_eq (RUN ("--entry", url, "status"), 7);
   ck_assert_str_eq (out, "entry: ready\nmembers: 1, of which 1 ready\n"
+                         "workers: 1 in quarantine\n"
                          "shard dc1: no owner\n");
 }
 END_TEST
 
+/* Guards against a status of 0 in an outage of the key-value service. */
+START_TEST (status_fails_in_a_store_outage)
+{
+  REPLY ({ 200, NULL, "ready; the key-value service does not answer\n" },
+         { 200, NULL, "{\"items\":[]}" }, { 200, NULL, "{\"items\":[]}" },
+         { 200, NULL, "{\"items\":[]}" }, { 200, NULL, "{\"items\":[]}" });
+  ck_assert_int_eq (RUN ("--entry", url, "status"), 7);
+  ck_assert_ptr_nonnull (strstr (out, "does not answer"));
+}
+END_TEST
+
 START_TEST (diff_shows_only_what_differs)
 {
   char *diff = gr_ctl_diff ("1\n2\n3\n4\n5\n6\n7\n", "1\n2\n3\n4\n5\nsix\n7\n");
@@ -415,6 +428,7 @@
   tcase_add_test (tcase, wait_ends_at_its_timeout);
   tcase_add_test (tcase, watch_reports_changes_once);
   tcase_add_test (tcase, status_fails_without_an_owner);
+  tcase_add_test (tcase, status_fails_in_a_store_outage);
   tcase_add_test (tcase, diff_shows_only_what_differs);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
--- a/tests/test-scheduler-store.c
+++ b/tests/test-scheduler-store.c
@@ -94,6 +94,7 @@
               uint64_t version,
               enum gr_job_state state,
               bool new_state,
+              bool first,
               void *context)
 {
   struct party *party = context;
@@ -101,6 +102,7 @@
   (void)version;
   (void)state;
   (void)new_state;
+  (void)first;
   party->committed++;
   g_strlcpy (party->last, job, sizeof party->last);
 }
