tests: broken connections to the store, through the relay

Cause: cuts, half-closed, delayed and silent connections between our processes and the store were not tested with real processes. Change: the harness can put the relay between them; one test with three rounds of five faults under load. Ruled out: the relay between entries: members announce their own addresses, so that peers would pass it by.

--- a/tests/process-cluster.c
+++ b/tests/process-cluster.c
@@ -83,6 +83,7 @@
     {
       char *http = word_value (*line, "http=");
       char *rpc = word_value (*line, "rpc=");
+      char *tcp = word_value (*line, "tcp=");
       char *name = word_value (*line, "name=");
 
       if (g_str_has_prefix (*line, "listening ") && *(line + 1) != NULL)
@@ -96,7 +97,12 @@
             g_hash_table_insert (cluster->addresses,
                                  g_strconcat (process->name, "/rpc", NULL),
                                  g_strdup (rpc));
+          if (tcp != NULL)
+            g_hash_table_insert (cluster->addresses,
+                                 g_strconcat (process->name, "/tcp", NULL),
+                                 g_strdup (tcp));
         }
+      g_free (tcp);
       g_free (http);
       g_free (rpc);
       g_free (name);
@@ -179,6 +185,24 @@
   g_free (number);
 }
 
+/* All processes reach the key-value service through the relay. */
+static void
+start_relay (struct cluster *cluster)
+{
+  char *program = binary ("standins", "geraniumrack-standin");
+  const char *arguments[] = { program,     "relay",
+                              "--listen",  "127.0.0.1:0",
+                              "--control", "127.0.0.1:0",
+                              "--target",  cluster_http (cluster, "kv"),
+                              NULL };
+
+  start_process (cluster, "relay", arguments, 1);
+  g_free (cluster->kv);
+  cluster->kv =
+      g_strconcat ("http://", cluster_http (cluster, "relay/tcp"), NULL);
+  g_free (program);
+}
+
 static void
 register_process (struct cluster *cluster, const char *name, const char *role)
 {
@@ -354,6 +378,8 @@
   cluster->kv = g_strconcat ("http://", cluster_http (cluster, "kv"), NULL);
   cluster->instances =
       g_strconcat ("http://", cluster_http (cluster, "instances"), NULL);
+  if (options->relay_kv)
+    start_relay (cluster);
   if (options->workers > 0)
     start_standin (cluster, "worker", "worker", "--workers", options->workers);
   if (options->executors > 0)
--- a/tests/process-cluster.h
+++ b/tests/process-cluster.h
@@ -15,6 +15,8 @@
   uint32_t schedulers;          /* scheduler-1 and so on */
   uint32_t workers;             /* in data centre dc1: worker-0 and so on */
   uint32_t executors;           /* executor-0 and so on */
+  bool relay_kv;                /* calls to the key-value service pass a relay
+                                   with the control "relay" */
   uint32_t owner_lease_ttl_s;   /* 0: 3 */
   uint32_t start_lease_term_ms; /* 0: 4000 */
   uint32_t run_lease_term_ms;   /* 0: 12000 */
--- a/tests/test-process-requests.c
+++ b/tests/test-process-requests.c
@@ -135,6 +135,44 @@
 }
 END_TEST
 
+/* Guards against cut, half-closed, delayed and silent connections to the store
+ * that are taken for an answer: requests are refused with the truth, and what
+ * must run once does. */
+START_TEST (connections_to_the_store_break)
+{
+  static const char *const faults[] = {
+    "{\"cut\":true}", "{\"half_close\":\"client\"}",
+    "{\"half_close\":\"target\"}", "{\"delay_ms\":300}", "{\"drop\":true}"
+  };
+  struct cluster_options options = request_options;
+  struct cluster *cluster;
+  struct load *load;
+  struct load_result result;
+  struct reply reply;
+
+  options.relay_kv = true;
+  cluster = cluster_create (&options);
+  load = load_start (cluster, three_entries, 6);
+  for (int round = 0; round < 3; round++)
+    for (size_t i = 0; i < G_N_ELEMENTS (faults); i++)
+      {
+        cluster_control (cluster, "relay", faults[i]);
+        g_usleep (400000);
+        cluster_control (cluster, "relay", "{\"delay_ms\":0,\"drop\":false}");
+        g_usleep (200000);
+      }
+  result = load_stop (load);
+  assert_truthful (&result);
+  ck_assert_uint_eq (result.broken, 0);
+  ck_assert_uint_gt (result.answered, 0);
+  run_load_for (3);
+  reply = cluster_request (cluster, "entry-1", "relay-1", false, 10);
+  ck_assert_msg (reply.status == 200, "%d %s", reply.status, reply.body);
+  reply_clear (&reply);
+  cluster_destroy (cluster);
+}
+END_TEST
+
 /* Guards against a store that answers in 2 s: callers are refused with the
  * truth or answered, and nothing runs twice. */
 START_TEST (slow_store)
@@ -262,6 +300,7 @@
   tcase_add_test (tcase, retry_elsewhere_does_not_run_again);
   tcase_add_test (tcase, store_down_keeps_idempotent_requests);
   tcase_add_test (tcase, lost_answers_of_the_store);
+  tcase_add_test (tcase, connections_to_the_store_break);
   tcase_add_test (tcase, slow_store);
   tcase_add_test (tcase, executors_that_answer_wrongly);
   tcase_add_test (tcase, leaving_target_gets_nothing_new);
