--- a/tests/test-process-settings.c
+++ b/tests/test-process-settings.c
@@ -173,6 +173,30 @@
 }
 END_TEST
 
+/* Guards against "accepted" without a majority: an instance that does not hold
+ * the change could go on in a store outage. Of three, three are needed. */
+START_TEST (acceptance_needs_a_majority)
+{
+  const struct cluster_options options = { .entries = 3 };
+  struct cluster *cluster = cluster_create (&options);
+  char *etag = current_etag (cluster, "entry-1", "teams/clinics");
+  char *document = team_document (55);
+  struct reply reply;
+
+  cluster_signal (cluster, "entry-3", SIGSTOP);
+  reply = put_settings (cluster, "entry-1", "teams/clinics", document, etag);
+  ck_assert_msg (reply.status == 504, "%d %s", reply.status, reply.body);
+  ck_assert_str_eq (reply_string (&reply, "kind"), "unconfirmed");
+  ck_assert_str_eq (reply_string (&reply, "run_state"), "may-have-run");
+  reply_clear (&reply);
+  cluster_signal (cluster, "entry-3", SIGCONT);
+  wait_rate (cluster, "entry-3", 55, g_get_monotonic_time ());
+  g_free (etag);
+  g_free (document);
+  cluster_destroy (cluster);
+}
+END_TEST
+
 /* Guards against an instance that serves although it cannot know that its
  * settings are current: it has neither the store nor a majority. */
 START_TEST (cut_off_entry_stops_serving)
@@ -214,6 +238,7 @@
   tcase_set_timeout (tcase, 180);
   tcase_add_test (tcase, in_force_on_nine_instances);
   tcase_add_test (tcase, accepting_entry_killed_after_the_write);
+  tcase_add_test (tcase, acceptance_needs_a_majority);
   tcase_add_test (tcase, operators_racing);
   tcase_add_test (tcase, cut_off_entry_stops_serving);
   suite_add_tcase (suite, tcase);
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -47,5 +47,5 @@
 mutant 8 "revisions are applied in rising order" settings/store.c \
   's/if (document != NULL \&\& revision <= document->revision)/if (false)/' settings-store
 mutant 8 "acceptance needs a majority" entry/publish.c \
-  's/|| g_hash_table_size (publish->held_by) < publish->majority)/|| g_hash_table_size (publish->held_by) < 1)/' publish
+  's/|| g_hash_table_size (publish->held_by) < publish->majority)/|| g_hash_table_size (publish->held_by) < 1)/' process-settings
 exit $missed
