ctl: status shows accounts and epochs

Cause: status named only accounts whose guarantees cannot be satisfied; on call one wants to see what each account is guaranteed, uses, borrows and waits for. Ruled out: a table in status, since accounts list prints it already. Conclusion: one command answers the first question on call.

--- a/ctl/cluster.c
+++ b/ctl/cluster.c
@@ -156,6 +156,20 @@
          || gr_ctl_int (account, "guarantee_impossible", 0) > 0;
 }
 
+/* Accelerators of an account. */
+static void
+print_account (struct gr_ctl *ctl, JsonObject *account)
+{
+  static const char *const names[] = { "guaranteed", "used", "borrowed",
+                                       "waiting" };
+
+  fprintf (ctl->out, "account %s:", gr_ctl_string (account, "name", "-"));
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    fprintf (ctl->out, "%s %s %" G_GINT64_FORMAT, i > 0 ? "," : "", names[i],
+             (gint64)gr_ctl_int (account, names[i], 0));
+  fputc ('\n', ctl->out);
+}
+
 static void
 print_status (struct gr_ctl *ctl, const struct status *status)
 {
@@ -177,14 +191,19 @@
     {
       JsonObject *shard = json_array_get_object_element (status->shards, i);
 
-      fprintf (ctl->out, "shard %s: %s%s\n", gr_ctl_string (shard, "name", "-"),
+      fprintf (ctl->out, "shard %s: %s%s", gr_ctl_string (shard, "name", "-"),
                has_owner (shard) ? "owned by " : "no owner",
                gr_ctl_string (shard, "owner", ""));
+      if (has_owner (shard))
+        fprintf (ctl->out, ", epoch %" G_GINT64_FORMAT,
+                 (gint64)gr_ctl_int (shard, "epoch", 0));
+      fputc ('\n', ctl->out);
     }
   for (guint i = 0; i < json_array_get_length (status->accounts); i++)
     {
       JsonObject *account = json_array_get_object_element (status->accounts, i);
 
+      print_account (ctl, account);
       if (is_impossible (account))
         fprintf (ctl->out, "account %s: guarantees cannot be satisfied\n",
                  gr_ctl_string (account, "name", "-"));
--- a/tests/test-ctl.c
+++ b/tests/test-ctl.c
@@ -372,12 +372,15 @@
   REPLY ({ 200, NULL, "{}" },
          { 200, NULL, "{\"items\":[{\"name\":\"e1\",\"state\":\"ready\"}]}" },
          { 200, NULL, "{\"items\":[{\"name\":\"dc1\",\"owner\":\"\"}]}" },
-         { 200, NULL, "{\"items\":[]}" },
+         { 200, NULL,
+           "{\"items\":[{\"name\":\"a\",\"guaranteed\":16,\"used\":8}]}" },
          { 200, NULL, "{\"items\":[{\"name\":\"w1\",\"quarantined\":true}]}" });
   ck_assert_int_eq (RUN ("--entry", url, "status"), 7);
   ck_assert_str_eq (out, "entry: ready\nmembers: 1, of which 1 ready\n"
                          "workers: 1 in quarantine\n"
-                         "shard dc1: no owner\n");
+                         "shard dc1: no owner\n"
+                         "account a: guaranteed 16, used 8, borrowed 0, "
+                         "waiting 0\n");
 }
 END_TEST
 
