sched: unstoppable_mask instead of a figurative name

Cause: reading as a newcomer, the name did not say what the mask holds. Change: the name. Ruled out: nothing. Conclusion: no change of behaviour.

--- a/sched/cells.c
+++ b/sched/cells.c
@@ -11,9 +11,9 @@
 #define KEEP_MS 60000
 
 static uint32_t
-stubborn_mask (const struct gr_core *core,
-               const struct gr_core_worker *worker,
-               const struct gr_core_job *job)
+unstoppable_mask (const struct gr_core *core,
+                  const struct gr_core_worker *worker,
+                  const struct gr_core_job *job)
 {
   uint32_t mask = worker->pinned;
   const struct gr_core_member *last = NULL;
@@ -133,7 +133,7 @@
       taken = worker->claimed | worker->foreign
               | reserved_mask (worker, search->job)
               | gr_kept_mask (core, worker, search->job)
-              | stubborn_mask (core, worker, search->job);
+              | unstoppable_mask (core, worker, search->job);
       break;
     case GR_SEARCH_RESERVE:
       taken = worker->claimed | worker->foreign
