tests: processes of a failed test end with it

Cause: a test that fails leaves by its assertion and never reached cluster_destroy (), so its stand-ins and processes ran on. Change: they get SIGKILL when their parent dies. Ruled out: a list of process ids that the next run ends, since ids are reused.

--- a/tests/process-cluster.c
+++ b/tests/process-cluster.c
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #define START_LIMIT_MS 15000
@@ -112,6 +113,15 @@
   return count;
 }
 
+/* A test that fails ends without cluster_destroy (); its processes must not
+ * outlive it. */
+static void
+end_with_parent (gpointer data)
+{
+  (void)data;
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
 static void
 start_process (struct cluster *cluster,
                const char *name,
@@ -129,6 +139,7 @@
                                        cluster->processes->len);
   g_subprocess_launcher_set_stdout_file_path (launcher, process->out_path);
   g_subprocess_launcher_set_stderr_file_path (launcher, log_path);
+  g_subprocess_launcher_set_child_setup (launcher, end_with_parent, NULL, NULL);
   process->subprocess =
       g_subprocess_launcher_spawnv (launcher, arguments, NULL);
   ck_assert_msg (process->subprocess != NULL, "cannot start %s", arguments[0]);
