http, kv, targets: plumbing leaves platform/

Cause: platform/ is to hold only the names, formats and calls of the users' platform. HTTP plumbing, the key-value client and the clients of workers and executors were in it. No code was changed. Ruled out: a second HTTP client for the platform; both protocols share http/.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -1,6 +1,6 @@
 #include "entry/exchange.h"
 
-#include "platform/json.h"
+#include "http/json.h"
 #include "route/spread.h"
 
 #include <string.h>
--- a/entry/history.c
+++ b/entry/history.c
@@ -1,6 +1,6 @@
 #include "entry/history.h"
 
-#include "platform/json.h"
+#include "http/json.h"
 
 #include <string.h>
 
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -5,11 +5,9 @@
 #include "common/counter.h"
 #include "entry/entry.h"
 #include "entry/marks.h"
+#include "http/http-server.h"
+#include "kv/kv.h"
 #include "members/peers.h"
-#include "platform/executor.h"
-#include "platform/http-server.h"
-#include "platform/instances.h"
-#include "platform/kv.h"
 #include "route/allot.h"
 #include "route/classes.h"
 #include "route/executors.h"
@@ -17,6 +15,8 @@
 #include "route/queue.h"
 #include "route/retry.h"
 #include "settings/store.h"
+#include "targets/executor.h"
+#include "targets/instances.h"
 
 /* Time for calls to a shard owner. */
 #define GR_OWNER_TIMEOUT_MS 5000
--- a/entry/job-json.c
+++ b/entry/job-json.c
@@ -1,6 +1,6 @@
 #include "entry/job-json.h"
 
-#include "platform/json.h"
+#include "http/json.h"
 
 #include <string.h>
 
--- a/entry/jobs.c
+++ b/entry/jobs.c
@@ -5,7 +5,7 @@
 #include "entry/job-json.h"
 #include "entry/job-shard.h"
 #include "entry/owner.h"
-#include "platform/json.h"
+#include "http/json.h"
 #include "rpc/job-codec.h"
 
 #include <string.h>
--- a/entry/marks.h
+++ b/entry/marks.h
@@ -7,7 +7,7 @@
 
 #include "common/clock.h"
 #include "common/error.h"
-#include "platform/kv.h"
+#include "kv/kv.h"
 
 /* Operations in one transaction. */
 #define GR_MARKS_MAX_BATCH 64
--- a/platform/http-listen.c
+++ b/http/http-listen.c
@@ -1,4 +1,4 @@
-#include "platform/http-listen.h"
+#include "http/http-listen.h"
 
 #include <fcntl.h>
 #include <unistd.h>
--- a/platform/http-server.c
+++ b/http/http-server.c
@@ -1,7 +1,7 @@
-#include "platform/http-server.h"
+#include "http/http-server.h"
 
-#include "platform/http-listen.h"
-#include "platform/http-stream.h"
+#include "http/http-listen.h"
+#include "http/http-stream.h"
 
 #include <string.h>
 #include <sys/socket.h>
--- a/platform/http-stream.c
+++ b/http/http-stream.c
@@ -1,4 +1,4 @@
-#include "platform/http-stream.h"
+#include "http/http-stream.h"
 
 #include <string.h>
 
--- a/platform/http.c
+++ b/http/http.c
@@ -1,4 +1,4 @@
-#include "platform/http.h"
+#include "http/http.h"
 
 #include "common/log.h"
 
--- a/platform/json.c
+++ b/http/json.c
@@ -1,4 +1,4 @@
-#include "platform/json.h"
+#include "http/json.h"
 
 #include <string.h>
 
--- a/platform/kv-codec.c
+++ b/kv/kv-codec.c
@@ -1,6 +1,6 @@
-#include "platform/kv-codec.h"
+#include "kv/kv-codec.h"
 
-#include "platform/json.h"
+#include "http/json.h"
 
 #include <string.h>
 
--- a/platform/kv-codec.h
+++ b/kv/kv-codec.h
@@ -1,7 +1,7 @@
 /* JSON bodies of the key-value service. Internal to platform/. */
 #pragma once
 
-#include "platform/kv.h"
+#include "kv/kv.h"
 
 #include <glib.h>
 
--- a/platform/kv.c
+++ b/kv/kv.c
@@ -1,7 +1,7 @@
-#include "platform/kv.h"
+#include "kv/kv.h"
 
-#include "platform/http.h"
-#include "platform/kv-codec.h"
+#include "http/http.h"
+#include "kv/kv-codec.h"
 
 /* Calls of one process run side by side: a poll, a commit, a keepalive and a
  * few marks. */
--- a/members/members.h
+++ b/members/members.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "common/error.h"
-#include "platform/instances.h"
+#include "targets/instances.h"
 
 #include <glib.h>
 
--- a/scheduler/health.c
+++ b/scheduler/health.c
@@ -1,6 +1,6 @@
 #include "scheduler/health.h"
 
-#include "platform/http-server.h"
+#include "http/http-server.h"
 
 #include <string.h>
 
--- a/scheduler/journal.h
+++ b/scheduler/journal.h
@@ -8,7 +8,7 @@
 
 #include "common/clock.h"
 #include "common/counter.h"
-#include "platform/kv.h"
+#include "kv/kv.h"
 #include "sched/job.h"
 
 struct gr_journal;
--- a/scheduler/ownership.h
+++ b/scheduler/ownership.h
@@ -4,7 +4,7 @@
 
 #include "common/clock.h"
 #include "common/counter.h"
-#include "platform/kv.h"
+#include "kv/kv.h"
 
 #define GR_SHARDS_PREFIX "/geraniumrack/shards/"
 
--- a/scheduler/shard.h
+++ b/scheduler/shard.h
@@ -4,10 +4,10 @@
 #pragma once
 
 #include "members/members.h"
-#include "platform/worker.h"
 #include "rpc/rpc.h"
 #include "scheduler/ownership.h"
 #include "settings/store.h"
+#include "targets/worker.h"
 
 struct gr_shard;
 
--- a/scheduler/worker-io.h
+++ b/scheduler/worker-io.h
@@ -7,8 +7,8 @@
 
 #include "common/clock.h"
 #include "common/counter.h"
-#include "platform/worker.h"
 #include "sched/core.h"
+#include "targets/worker.h"
 
 /* Time between two reports of a worker. */
 #define GR_REPORT_MS 2000
--- a/settings/store.h
+++ b/settings/store.h
@@ -3,7 +3,7 @@
 #pragma once
 
 #include "common/clock.h"
-#include "platform/kv.h"
+#include "kv/kv.h"
 #include "settings/document.h"
 
 /* Time within which what is known must have been confirmed for the process to
--- a/standins/base.c
+++ b/standins/base.c
@@ -1,6 +1,6 @@
 #include "standins/base.h"
 
-#include "platform/json.h"
+#include "http/json.h"
 
 #include <string.h>
 
--- a/standins/base.h
+++ b/standins/base.h
@@ -2,7 +2,7 @@
  * POST /control, and counts of calls by path that GET /control shows. */
 #pragma once
 
-#include "platform/http-server.h"
+#include "http/http-server.h"
 
 #include <json-glib/json-glib.h>
 
--- a/standins/executor.c
+++ b/standins/executor.c
@@ -1,6 +1,6 @@
 #include "standins/executor.h"
 
-#include "platform/json.h"
+#include "http/json.h"
 #include "standins/register.h"
 #include "standins/worker-model.h"
 
--- a/standins/instances.c
+++ b/standins/instances.c
@@ -1,6 +1,6 @@
 #include "standins/instances.h"
 
-#include "platform/json.h"
+#include "http/json.h"
 
 #include <string.h>
 
--- a/standins/kv.c
+++ b/standins/kv.c
@@ -1,6 +1,6 @@
 #include "standins/kv.h"
 
-#include "platform/json.h"
+#include "http/json.h"
 #include "standins/kv-store.h"
 
 #include <string.h>
--- a/standins/load-mode.c
+++ b/standins/load-mode.c
@@ -1,7 +1,7 @@
 #include "standins/load-mode.h"
 
-#include "platform/instances.h"
 #include "standins/load.h"
+#include "targets/instances.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/standins/load.c
+++ b/standins/load.c
@@ -1,7 +1,7 @@
 #include "standins/load.h"
 
-#include "platform/http.h"
-#include "platform/json.h"
+#include "http/http.h"
+#include "http/json.h"
 #include "standins/load-check.h"
 #include "standins/load-stats.h"
 
--- a/standins/register.c
+++ b/standins/register.c
@@ -1,6 +1,6 @@
 #include "standins/register.h"
 
-#include "platform/json.h"
+#include "http/json.h"
 
 #define RETRY_MS 500
 #define TIMEOUT_MS 2000
--- a/standins/register.h
+++ b/standins/register.h
@@ -1,7 +1,7 @@
 /* Registration of a stand-in's target in the instance list. */
 #pragma once
 
-#include "platform/http.h"
+#include "http/http.h"
 
 /* PUT URL/v1/instances/NAME; repeated until it succeeds. The result is to be
  * destroyed, which does not remove the instance from the list. NULL if
--- a/standins/relay.c
+++ b/standins/relay.c
@@ -1,7 +1,7 @@
 #include "standins/relay.h"
 
-#include "platform/http-listen.h"
-#include "platform/json.h"
+#include "http/http-listen.h"
+#include "http/json.h"
 
 #include <string.h>
 
--- a/standins/worker.c
+++ b/standins/worker.c
@@ -1,9 +1,9 @@
 #include "standins/worker.h"
 
-#include "platform/json.h"
-#include "platform/worker-report.h"
+#include "http/json.h"
 #include "standins/register.h"
 #include "standins/worker-model.h"
+#include "targets/worker-report.h"
 
 #include <string.h>
 
--- a/platform/executor.c
+++ b/targets/executor.c
@@ -1,7 +1,7 @@
-#include "platform/executor.h"
+#include "targets/executor.h"
 
-#include "platform/http.h"
-#include "platform/json.h"
+#include "http/http.h"
+#include "http/json.h"
 
 #include <string.h>
 
--- a/platform/instances.c
+++ b/targets/instances.c
@@ -1,7 +1,7 @@
-#include "platform/instances.h"
+#include "targets/instances.h"
 
-#include "platform/http.h"
-#include "platform/json.h"
+#include "http/http.h"
+#include "http/json.h"
 
 #include <string.h>
 
--- a/platform/worker-report.c
+++ b/targets/worker-report.c
@@ -1,6 +1,6 @@
-#include "platform/worker-report.h"
+#include "targets/worker-report.h"
 
-#include "platform/json.h"
+#include "http/json.h"
 
 #include <string.h>
 
--- a/platform/worker.c
+++ b/targets/worker.c
@@ -1,8 +1,8 @@
-#include "platform/worker.h"
+#include "targets/worker.h"
 
-#include "platform/http.h"
-#include "platform/json.h"
-#include "platform/worker-report.h"
+#include "http/http.h"
+#include "http/json.h"
+#include "targets/worker-report.h"
 
 /* Calls to one worker are few: reports, renewals and starts. */
 #define CONNECTIONS 4
--- a/tests/entry-world.c
+++ b/tests/entry-world.c
@@ -1,7 +1,7 @@
 #include "tests/entry-world.h"
 
 #include "common/log.h"
-#include "platform/json.h"
+#include "http/json.h"
 
 #include <check.h>
 #include <stdlib.h>
--- a/tests/platform-outcome.h
+++ b/tests/platform-outcome.h
@@ -1,8 +1,8 @@
 /* Callbacks of the platform's clients that note what they got. */
 #pragma once
 
-#include "platform/instances.h"
-#include "platform/worker.h"
+#include "targets/instances.h"
+#include "targets/worker.h"
 
 /* What the last callback got. */
 struct outcome
--- a/tests/test-executor.c
+++ b/tests/test-executor.c
@@ -1,8 +1,8 @@
 /* Client of the executors against the stand-in, in one process. */
-#include "platform/executor.h"
-#include "platform/http.h"
+#include "http/http.h"
 #include "standins/executor.h"
 #include "standins/relay.h"
+#include "targets/executor.h"
 
 #include <check.h>
 #include <dirent.h>
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -1,5 +1,5 @@
 /* Limits of the HTTP server, with raw sockets as clients. */
-#include "platform/http-server.h"
+#include "http/http-server.h"
 
 #include <arpa/inet.h>
 #include <check.h>
--- a/tests/test-http-tls.c
+++ b/tests/test-http-tls.c
@@ -1,6 +1,6 @@
 /* HTTPS of the HTTP server. A program of its own, because the leak sanitizer
  * crashes in threads that GIO starts for TLS, and runs without leak checks. */
-#include "platform/http-server.h"
+#include "http/http-server.h"
 
 #include <check.h>
 #include <stdlib.h>
--- a/tests/test-load.c
+++ b/tests/test-load.c
@@ -1,5 +1,5 @@
 /* Checks and figures of the load tool. */
-#include "platform/json.h"
+#include "http/json.h"
 #include "standins/load-check.h"
 #include "standins/load-stats.h"
 
--- a/tests/test-platform.c
+++ b/tests/test-platform.c
@@ -1,8 +1,8 @@
 /* Clients of the platform against the stand-ins, in one process. */
-#include "platform/executor.h"
-#include "platform/kv.h"
-#include "platform/worker.h"
+#include "kv/kv.h"
 #include "standins/kv.h"
+#include "targets/executor.h"
+#include "targets/worker.h"
 #include "tests/platform-outcome.h"
 
 #include <check.h>
--- a/tests/test-scheduler.c
+++ b/tests/test-scheduler.c
@@ -1,7 +1,7 @@
 /* Scheduler processes in one main context, against the stand-ins of the
  * key-value service, the instance list and the workers. */
 #include "common/log.h"
-#include "platform/kv.h"
+#include "kv/kv.h"
 #include "rpc/job-codec.h"
 #include "rpc/rpc.h"
 #include "scheduler/scheduler.h"
