--- a/common/clock.c
+++ b/common/clock.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <time.h>
 
 struct gr_clock
 {
@@ -34,9 +35,12 @@
 int64_t
 gr_clock_now_ms (const struct gr_clock *clock)
 {
+  struct timespec now;
+
   if (clock->manual)
     return clock->now_ms;
-  return g_get_monotonic_time () / 1000;
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
 
 void
--- a/common/clock.h
+++ b/common/clock.h
@@ -6,7 +6,8 @@
 
 struct gr_clock;
 
-/* A clock that follows the system's monotonic time. Owned by the caller. */
+/* A clock that follows the time since boot, which also counts while the machine
+ * is suspended: leases of others expire then. Owned by the caller. */
 struct gr_clock *gr_clock_create (void);
 
 /* A clock that moves only by gr_clock_advance (). Owned by the caller. */
--- /dev/null
+++ b/instance/config-view.c
@@ -0,0 +1,165 @@
+#include "instance/config-view.h"
+
+#include "common/log.h"
+
+/* Age of the knowledge grows with this; an empty answer to a watch says that
+ * there was no change. Also finds connections that went silent. */
+#define WATCH_WAIT_MS 1000
+#define WATCH_TIMEOUT_MS 1700
+#define READ_TIMEOUT_MS 1200
+#define RETRY_MS 200
+
+struct gr_config_view
+{
+  struct gr_metastore *store;
+  const struct gr_clock *clock;
+  struct gr_cluster_config *config;
+  int64_t watched_revision;
+  int64_t current_ms;
+  int64_t sent_ms; /* of the call that is open */
+  guint timer;
+  bool must_read;
+  bool lost; /* the last call failed */
+  void (*changed) (void *context);
+  void *context;
+};
+
+static void ask (struct gr_config_view *view);
+
+static gboolean
+ask_again (gpointer data)
+{
+  struct gr_config_view *view = data;
+
+  view->timer = 0;
+  ask (view);
+  return G_SOURCE_REMOVE;
+}
+
+void
+gr_config_view_confirm (struct gr_config_view *view, int64_t current_ms)
+{
+  view->current_ms = MAX (view->current_ms, current_ms);
+}
+
+void
+gr_config_view_apply (struct gr_config_view *view,
+                      const struct gr_metastore_item *item,
+                      int64_t current_ms)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_cluster_config *config;
+  char version[24];
+
+  if (!g_str_equal (item->key, gr_cluster_config_key) || item->deleted)
+    return;
+  if (view->config != NULL && item->revision <= view->config->revision)
+    {
+      if (item->revision == view->config->revision)
+        gr_config_view_confirm (view, current_ms);
+      return;
+    }
+  config = gr_cluster_config_decode (item->value, item->revision, &error);
+  if (config == NULL)
+    {
+      gr_log_problem ("config-unreadable", "reason", error.message, NULL);
+      return;
+    }
+  gr_cluster_config_destroy (view->config);
+  view->config = config;
+  gr_config_view_confirm (view, current_ms);
+  g_snprintf (version, sizeof version, "%" G_GINT64_FORMAT, config->version);
+  gr_log_event ("config-applied", "version", version, NULL);
+  view->changed (view->context);
+}
+
+static void
+note_store (struct gr_config_view *view, const struct gr_error *error)
+{
+  if (error != NULL && !view->lost)
+    gr_log_problem ("store-lost", "reason", error->message, NULL);
+  if (error == NULL && view->lost)
+    gr_log_event ("store-regained", NULL);
+  view->lost = error != NULL;
+}
+
+static void
+answered (const struct gr_metastore_result *result,
+          const struct gr_error *error,
+          void *context)
+{
+  struct gr_config_view *view = context;
+
+  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
+    return;
+  note_store (view, error);
+  if (error != NULL)
+    {
+      /* What a watch has missed is read. */
+      view->must_read = true;
+      view->timer = g_timeout_add (RETRY_MS, ask_again, view);
+      return;
+    }
+  for (size_t i = 0; i < result->n_items; i++)
+    gr_config_view_apply (view, &result->items[i], view->sent_ms);
+  if (view->config != NULL)
+    gr_config_view_confirm (view, view->sent_ms);
+  view->watched_revision = MAX (view->watched_revision, result->as_of);
+  view->must_read = view->config == NULL;
+  view->timer = g_timeout_add (view->must_read ? RETRY_MS : 0, ask_again, view);
+}
+
+static void
+ask (struct gr_config_view *view)
+{
+  struct gr_metastore_reply reply = { answered, view };
+
+  view->sent_ms = gr_clock_now_ms (view->clock);
+  if (view->must_read)
+    gr_metastore_range (view->store, gr_cluster_config_key, NULL, false,
+                        READ_TIMEOUT_MS, reply);
+  else
+    gr_metastore_watch (view->store, gr_cluster_config_key,
+                        view->watched_revision, WATCH_WAIT_MS, WATCH_TIMEOUT_MS,
+                        reply);
+}
+
+struct gr_config_view *
+gr_config_view_create (struct gr_metastore *store,
+                       const struct gr_clock *clock,
+                       void (*changed) (void *context),
+                       void *context)
+{
+  struct gr_config_view *view = g_new0 (struct gr_config_view, 1);
+
+  view->store = store;
+  view->clock = clock;
+  view->changed = changed;
+  view->context = context;
+  view->must_read = true;
+  ask (view);
+  return view;
+}
+
+void
+gr_config_view_destroy (struct gr_config_view *view)
+{
+  if (view == NULL)
+    return;
+  if (view->timer != 0)
+    g_source_remove (view->timer);
+  gr_cluster_config_destroy (view->config);
+  g_free (view);
+}
+
+const struct gr_cluster_config *
+gr_config_view_get (const struct gr_config_view *view)
+{
+  return view->config;
+}
+
+int64_t
+gr_config_view_current_ms (const struct gr_config_view *view)
+{
+  return view->current_ms;
+}
--- /dev/null
+++ b/instance/instance.c
@@ -0,0 +1,267 @@
+#include "instance/instance.h"
+
+#include "common/log.h"
+#include "http/http-server.h"
+#include "instance/clients.h"
+#include "instance/owner.h"
+#include "instance/ownership.h"
+
+/* After SIGTERM the balancer needs two of its checks, one a second, to notice
+ * that the instance is not ready; new connections are taken until then. */
+#define LEAVE_MS 2500
+
+/* The process has ended by itself this long before it would be killed. */
+#define GRACE_MARGIN_MS 700
+
+#define STOP_CHECK_MS 100
+
+struct gr_instance
+{
+  const struct gr_instance_settings *settings;
+  struct gr_clock *clock;
+  struct gr_counters *counters;
+  struct gr_metastore *store;
+  struct gr_config_view *config;
+  struct gr_mirror *mirror;
+  struct gr_ownership *ownership;
+  struct gr_owner *owner; /* NULL if another instance is it */
+  struct gr_clients *clients;
+  struct gr_http_server *ready;
+  struct gr_http_server *metrics;
+  int64_t stopping_ms; /* 0: not stopping */
+  bool accepting;
+  guint stop_timer;
+  guint lost_idle;
+  void (*stopped) (void *context);
+  void *context;
+};
+
+static void
+config_changed (void *context)
+{
+  struct gr_instance *instance = context;
+
+  if (instance->owner != NULL)
+    gr_owner_config_changed (instance->owner);
+}
+
+static void
+job_changed (const char *id, const struct gr_mirror_job *job, void *context)
+{
+  struct gr_instance *instance = context;
+
+  if (instance->owner != NULL)
+    gr_owner_job_changed (instance->owner, id, job);
+}
+
+static void
+owner_changed (void *context)
+{
+  struct gr_instance *instance = context;
+
+  if (instance->ownership != NULL)
+    gr_ownership_check (instance->ownership);
+}
+
+/* The owner is destroyed outside its own callbacks. */
+static gboolean
+resign (gpointer data)
+{
+  struct gr_instance *instance = data;
+
+  instance->lost_idle = 0;
+  gr_ownership_resign (instance->ownership, "superseded");
+  return G_SOURCE_REMOVE;
+}
+
+static void
+superseded (const char *reason, void *context)
+{
+  struct gr_instance *instance = context;
+
+  gr_log_event ("owner-superseded", "reason", reason, NULL);
+  if (instance->lost_idle == 0)
+    instance->lost_idle = g_idle_add (resign, instance);
+}
+
+static void
+acquired (int64_t epoch, int64_t revision, void *context)
+{
+  struct gr_instance *instance = context;
+  struct gr_owner_parts parts = {
+    .store = instance->store,
+    .mirror = instance->mirror,
+    .config = instance->config,
+    .clock = instance->clock,
+    .counters = instance->counters,
+    .settings = instance->settings,
+    .superseded = superseded,
+    .context = instance,
+  };
+
+  instance->owner = gr_owner_create (&parts, epoch, revision);
+}
+
+static void
+lost (const char *reason, void *context)
+{
+  struct gr_instance *instance = context;
+
+  (void)reason;
+  if (instance->lost_idle != 0)
+    g_source_remove (instance->lost_idle);
+  instance->lost_idle = 0;
+  g_clear_pointer (&instance->owner, gr_owner_destroy);
+}
+
+static bool
+is_ready (const struct gr_instance *instance)
+{
+  return instance->stopping_ms == 0 && gr_clients_ready (instance->clients);
+}
+
+static void
+handle_ready (SoupServerMessage *message,
+              const char *path,
+              GHashTable *query,
+              void *context)
+{
+  (void)path;
+  (void)query;
+  soup_server_message_set_status (message, is_ready (context) ? 200 : 503,
+                                  NULL);
+}
+
+static void
+handle_metrics (SoupServerMessage *message,
+                const char *path,
+                GHashTable *query,
+                void *context)
+{
+  struct gr_instance *instance = context;
+  GString *text = g_string_new (NULL);
+
+  (void)path;
+  (void)query;
+  gr_counters_print (instance->counters, text);
+  soup_server_message_set_status (message, 200, NULL);
+  soup_server_message_set_response (message, "text/plain; version=0.0.4",
+                                    SOUP_MEMORY_COPY, text->str, text->len);
+  g_string_free (text, TRUE);
+}
+
+static bool
+listen_all (struct gr_instance *instance, struct gr_error *error)
+{
+  struct gr_http_server_limits limits = gr_http_server_default_limits ();
+  struct gr_clients_parts parts = {
+    .store = instance->store,
+    .mirror = instance->mirror,
+    .config = instance->config,
+    .clock = instance->clock,
+    .counters = instance->counters,
+    .settings = instance->settings,
+  };
+
+  limits.max_connections = 64;
+  instance->clients = gr_clients_create (&parts, error);
+  if (instance->clients == NULL)
+    return false;
+  instance->ready =
+      gr_http_server_create (instance->settings->ready_address, &limits, NULL,
+                             handle_ready, instance, error);
+  if (instance->ready == NULL)
+    return false;
+  instance->metrics =
+      gr_http_server_create (instance->settings->metrics_address, &limits, NULL,
+                             handle_metrics, instance, error);
+  return instance->metrics != NULL;
+}
+
+struct gr_instance *
+gr_instance_create (const struct gr_instance_settings *settings,
+                    struct gr_error *error)
+{
+  struct gr_instance *instance = g_new0 (struct gr_instance, 1);
+
+  instance->settings = settings;
+  instance->accepting = true;
+  instance->clock = gr_clock_create ();
+  instance->counters = gr_counters_create ();
+  instance->store =
+      gr_metastore_create (settings->store_address, instance->counters);
+  instance->config = gr_config_view_create (instance->store, instance->clock,
+                                            config_changed, instance);
+  instance->mirror = gr_mirror_create (
+      instance->store, instance->clock,
+      &(struct gr_mirror_events){ job_changed, owner_changed, instance });
+  instance->ownership = gr_ownership_create (
+      instance->store, instance->mirror, instance->clock, settings->instance,
+      &(struct gr_ownership_events){ acquired, lost, instance });
+  if (listen_all (instance, error))
+    {
+      gr_log_event ("started", NULL);
+      return instance;
+    }
+  gr_instance_destroy (instance);
+  return NULL;
+}
+
+void
+gr_instance_destroy (struct gr_instance *instance)
+{
+  if (instance == NULL)
+    return;
+  if (instance->stop_timer != 0)
+    g_source_remove (instance->stop_timer);
+  if (instance->lost_idle != 0)
+    g_source_remove (instance->lost_idle);
+  gr_owner_destroy (instance->owner);
+  gr_clients_destroy (instance->clients);
+  gr_http_server_destroy (instance->ready);
+  gr_http_server_destroy (instance->metrics);
+  gr_metastore_destroy (instance->store);
+  gr_ownership_destroy (instance->ownership);
+  gr_mirror_destroy (instance->mirror);
+  gr_config_view_destroy (instance->config);
+  gr_counters_destroy (instance->counters);
+  gr_clock_destroy (instance->clock);
+  g_free (instance);
+}
+
+static gboolean
+check_stop (gpointer data)
+{
+  struct gr_instance *instance = data;
+  int64_t since_ms = gr_clock_now_ms (instance->clock) - instance->stopping_ms;
+  int64_t limit_ms =
+      (int64_t)instance->settings->grace_s * 1000 - GRACE_MARGIN_MS;
+
+  if (instance->accepting && since_ms >= LEAVE_MS)
+    {
+      instance->accepting = false;
+      gr_clients_stop_accepting (instance->clients);
+    }
+  if (since_ms < limit_ms
+      && (instance->accepting || !gr_clients_is_idle (instance->clients)))
+    return G_SOURCE_CONTINUE;
+  instance->stop_timer = 0;
+  gr_log_event ("stopped", NULL);
+  instance->stopped (instance->context);
+  return G_SOURCE_REMOVE;
+}
+
+void
+gr_instance_stop (struct gr_instance *instance,
+                  void (*stopped) (void *context),
+                  void *context)
+{
+  if (instance->stopping_ms != 0)
+    return;
+  gr_log_event ("stopping", NULL);
+  instance->stopping_ms = gr_clock_now_ms (instance->clock);
+  instance->stopped = stopped;
+  instance->context = context;
+  gr_ownership_stop (instance->ownership);
+  instance->stop_timer = g_timeout_add (STOP_CHECK_MS, check_stop, instance);
+}
--- /dev/null
+++ b/instance/mirror.c
@@ -0,0 +1,472 @@
+#include "instance/mirror.h"
+
+#include "common/log.h"
+
+#include <string.h>
+
+/* A watch is asked again after this time, so that a connection that went
+ * silent is noticed. */
+#define WATCH_WAIT_MS 1500
+#define WATCH_TIMEOUT_MS 2300
+
+/* Between two watches: changes in between come together, which saves calls. */
+#define WATCH_PAUSE_MS 20
+
+#define LOAD_TIMEOUT_MS 1500
+#define RETRY_MS 300
+
+struct gr_mirror
+{
+  struct gr_metastore *store;
+  const struct gr_clock *clock;
+  struct gr_mirror_events events;
+  GHashTable *jobs;      /* id -> struct gr_mirror_job */
+  GHashTable *published; /* ids of jobs that have begun */
+  int64_t begun_revision;
+  char *owner;
+  int64_t owner_revision;
+  int64_t owner_seen_revision; /* also of its removal */
+  int64_t generation;
+  int64_t generation_revision;
+  int64_t watched_revision;
+  int64_t current_ms;
+  bool loaded;
+  bool watching;
+  guint timer;
+  struct load *load; /* the one that runs, or NULL */
+};
+
+struct waiter
+{
+  void (*done) (bool loaded, void *context);
+  void *context;
+};
+
+struct load
+{
+  struct gr_mirror *mirror;
+  int64_t sent_ms;
+  int64_t first_as_of;
+  bool owner_found;
+  GSList *waiters;
+};
+
+static void start_watch (struct gr_mirror *mirror);
+static void load_page (struct load *load, const char *after);
+
+static void
+job_destroy (void *data)
+{
+  struct gr_mirror_job *job = data;
+
+  gr_job_spec_destroy (job->spec);
+  gr_job_progress_clear (&job->progress);
+  g_free (job);
+}
+
+static struct gr_mirror_job *
+get_job (struct gr_mirror *mirror, const char *id)
+{
+  struct gr_mirror_job *job = g_hash_table_lookup (mirror->jobs, id);
+
+  if (job != NULL)
+    return job;
+  job = g_new0 (struct gr_mirror_job, 1);
+  job->begun = g_hash_table_contains (mirror->published, id);
+  g_hash_table_insert (mirror->jobs, g_strdup (id), job);
+  return job;
+}
+
+static void
+log_unreadable (const char *key)
+{
+  gr_log_problem ("record-unreadable", "key", key, NULL);
+}
+
+static void
+apply_progress (struct gr_mirror *mirror,
+                struct gr_mirror_job *job,
+                const struct gr_metastore_item *item)
+{
+  struct gr_job_progress progress;
+
+  if (item->revision <= job->progress_revision)
+    return;
+  if (item->value == NULL
+      || !gr_record_decode_progress (item->value, &progress))
+    {
+      log_unreadable (item->key);
+      return;
+    }
+  gr_job_progress_clear (&job->progress);
+  job->progress = progress;
+  job->progress_revision = item->revision;
+  if (progress.state >= GR_JOB_COMPLETED && job->final_since_ms == 0)
+    job->final_since_ms = gr_clock_now_ms (mirror->clock);
+}
+
+static void
+apply_job_item (struct gr_mirror *mirror,
+                enum gr_record_kind kind,
+                const char *id,
+                const struct gr_metastore_item *item)
+{
+  struct gr_mirror_job *job;
+
+  if (item->deleted)
+    {
+      if (kind == GR_RECORD_JOB)
+        g_hash_table_remove (mirror->jobs, id);
+      return;
+    }
+  job = get_job (mirror, id);
+  if (kind == GR_RECORD_JOB && job->spec == NULL)
+    {
+      job->spec = item->value ? gr_record_decode_job (id, item->value) : NULL;
+      job->job_revision = item->revision;
+      if (job->spec == NULL)
+        log_unreadable (item->key);
+    }
+  else if (kind == GR_RECORD_PROGRESS)
+    apply_progress (mirror, job, item);
+  else if (kind == GR_RECORD_CANCEL)
+    job->cancel_revision = item->revision;
+  if (mirror->events.job_changed != NULL && job->spec != NULL)
+    mirror->events.job_changed (id, job, mirror->events.context);
+}
+
+static void
+apply_owner (struct gr_mirror *mirror, const struct gr_metastore_item *item)
+{
+  gsize size = 0;
+  const char *text = item->value ? g_bytes_get_data (item->value, &size) : NULL;
+
+  if (item->revision <= mirror->owner_seen_revision)
+    return;
+  mirror->owner_seen_revision = item->revision;
+  g_free (mirror->owner);
+  mirror->owner = text && !item->deleted ? g_strndup (text, size) : NULL;
+  mirror->owner_revision = item->deleted ? 0 : item->revision;
+  if (mirror->events.owner_changed != NULL)
+    mirror->events.owner_changed (mirror->events.context);
+}
+
+static char *
+text_of (const struct gr_metastore_item *item)
+{
+  gsize size = 0;
+  const char *text = item->value ? g_bytes_get_data (item->value, &size) : NULL;
+
+  return text ? g_strndup (text, size) : g_strdup ("");
+}
+
+static void
+apply_generation (struct gr_mirror *mirror,
+                  const struct gr_metastore_item *item)
+{
+  g_autofree char *text = text_of (item);
+
+  if (item->deleted || item->revision <= mirror->generation_revision)
+    return;
+  mirror->generation = g_ascii_strtoll (text, NULL, 10);
+  mirror->generation_revision = item->revision;
+}
+
+static void
+apply_begun (struct gr_mirror *mirror, const struct gr_metastore_item *item)
+{
+  g_autofree char *text = text_of (item);
+  g_auto (GStrv) ids = NULL;
+
+  if (item->deleted || item->revision <= mirror->begun_revision)
+    return;
+  mirror->begun_revision = item->revision;
+  ids = g_strsplit (text, "\n", -1);
+  g_hash_table_remove_all (mirror->published);
+  for (char **id = ids; *id != NULL; id++)
+    {
+      struct gr_mirror_job *job = g_hash_table_lookup (mirror->jobs, *id);
+
+      g_hash_table_add (mirror->published, g_strdup (*id));
+      if (job != NULL)
+        job->begun = true;
+    }
+}
+
+void
+gr_mirror_apply (struct gr_mirror *mirror, const struct gr_metastore_item *item)
+{
+  const char *id;
+  enum gr_record_kind kind = gr_record_kind (item->key, &id);
+
+  if (kind != GR_RECORD_OTHER)
+    apply_job_item (mirror, kind, id, item);
+  else if (g_str_equal (item->key, GR_RECORD_OWNER))
+    apply_owner (mirror, item);
+  else if (g_str_equal (item->key, GR_RECORD_GENERATION))
+    apply_generation (mirror, item);
+  else if (g_str_equal (item->key, GR_RECORD_BEGUN))
+    apply_begun (mirror, item);
+}
+
+static gboolean
+watch_again (gpointer data)
+{
+  struct gr_mirror *mirror = data;
+
+  mirror->timer = 0;
+  if (mirror->loaded)
+    start_watch (mirror);
+  else
+    gr_mirror_reload (mirror, NULL, NULL);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+watch_later (struct gr_mirror *mirror, uint32_t delay_ms)
+{
+  if (mirror->timer == 0)
+    mirror->timer = g_timeout_add (delay_ms, watch_again, mirror);
+}
+
+struct watch
+{
+  struct gr_mirror *mirror;
+  int64_t sent_ms;
+};
+
+static void
+watch_done (const struct gr_metastore_result *result,
+            const struct gr_error *error,
+            void *context)
+{
+  struct watch *watch = context;
+  struct gr_mirror *mirror = watch->mirror;
+  int64_t sent_ms = watch->sent_ms;
+
+  g_free (watch);
+  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
+    return;
+  mirror->watching = false;
+  if (error != NULL)
+    {
+      gr_log_event ("store-watch-failed", "reason", error->message, NULL);
+      /* Without its history the copy must be read anew. */
+      if (error->kind == GR_ERROR_STALE_SETTINGS)
+        gr_mirror_reload (mirror, NULL, NULL);
+      else
+        watch_later (mirror, RETRY_MS);
+      return;
+    }
+  mirror->current_ms = MAX (mirror->current_ms, sent_ms);
+  for (size_t i = 0; i < result->n_items; i++)
+    gr_mirror_apply (mirror, &result->items[i]);
+  mirror->watched_revision = MAX (mirror->watched_revision, result->as_of);
+  watch_later (mirror, WATCH_PAUSE_MS);
+}
+
+static void
+start_watch (struct gr_mirror *mirror)
+{
+  struct watch *watch;
+
+  if (mirror->watching)
+    return;
+  mirror->watching = true;
+  watch = g_new0 (struct watch, 1);
+  watch->mirror = mirror;
+  watch->sent_ms = gr_clock_now_ms (mirror->clock);
+  gr_metastore_watch (mirror->store, GR_RECORD_PREFIX, mirror->watched_revision,
+                      WATCH_WAIT_MS, WATCH_TIMEOUT_MS,
+                      (struct gr_metastore_reply){ watch_done, watch });
+}
+
+/* A range does not show what was removed while no watch looked. */
+static void
+owner_is_missing (struct load *load)
+{
+  char key[] = GR_RECORD_OWNER;
+  struct gr_metastore_item item = {
+    .key = key,
+    .revision = load->first_as_of,
+    .deleted = true,
+  };
+
+  apply_owner (load->mirror, &item);
+}
+
+static void
+load_end (struct load *load, bool loaded)
+{
+  struct gr_mirror *mirror = load->mirror;
+
+  mirror->load = NULL;
+  if (loaded)
+    {
+      mirror->loaded = true;
+      mirror->current_ms = MAX (mirror->current_ms, load->sent_ms);
+      mirror->watched_revision =
+          MAX (mirror->watched_revision, load->first_as_of);
+      if (!load->owner_found)
+        owner_is_missing (load);
+    }
+  watch_later (mirror, loaded ? 0 : RETRY_MS);
+  for (GSList *next = load->waiters; next != NULL; next = next->next)
+    {
+      struct waiter *waiter = next->data;
+
+      waiter->done (loaded, waiter->context);
+    }
+  g_slist_free_full (load->waiters, g_free);
+  g_free (load);
+}
+
+static void
+load_done (const struct gr_metastore_result *result,
+           const struct gr_error *error,
+           void *context)
+{
+  struct load *load = context;
+  struct gr_mirror *mirror = load->mirror;
+
+  if (error != NULL)
+    {
+      if (error->kind == GR_ERROR_CANCELLED)
+        {
+          g_slist_free_full (load->waiters, g_free);
+          g_free (load);
+          return;
+        }
+      gr_log_event ("store-load-failed", "reason", error->message, NULL);
+      load_end (load, false);
+      return;
+    }
+  if (load->first_as_of == 0)
+    load->first_as_of = result->as_of;
+  for (size_t i = 0; i < result->n_items; i++)
+    {
+      gr_mirror_apply (mirror, &result->items[i]);
+      if (g_str_equal (result->items[i].key, GR_RECORD_OWNER))
+        load->owner_found = true;
+    }
+  if (result->truncated && result->n_items > 0)
+    load_page (load, result->items[result->n_items - 1].key);
+  else
+    load_end (load, true);
+}
+
+static void
+load_page (struct load *load, const char *after)
+{
+  gr_metastore_range (load->mirror->store, GR_RECORD_PREFIX, after, false,
+                      LOAD_TIMEOUT_MS,
+                      (struct gr_metastore_reply){ load_done, load });
+}
+
+/* A load that runs already may have read before this call, so that it does not
+ * serve for done; without done it does. */
+void
+gr_mirror_reload (struct gr_mirror *mirror,
+                  void (*done) (bool loaded, void *context),
+                  void *context)
+{
+  struct load *load;
+
+  if (done == NULL && mirror->load != NULL)
+    return;
+  load = g_new0 (struct load, 1);
+  load->mirror = mirror;
+  load->sent_ms = gr_clock_now_ms (mirror->clock);
+  if (done != NULL)
+    {
+      struct waiter *waiter = g_new0 (struct waiter, 1);
+
+      waiter->done = done;
+      waiter->context = context;
+      load->waiters = g_slist_prepend (NULL, waiter);
+    }
+  mirror->load = load;
+  load_page (load, NULL);
+}
+
+struct gr_mirror *
+gr_mirror_create (struct gr_metastore *store,
+                  const struct gr_clock *clock,
+                  const struct gr_mirror_events *events)
+{
+  struct gr_mirror *mirror = g_new0 (struct gr_mirror, 1);
+
+  mirror->store = store;
+  mirror->clock = clock;
+  mirror->events = *events;
+  mirror->jobs =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, job_destroy);
+  mirror->published =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  gr_mirror_reload (mirror, NULL, NULL);
+  return mirror;
+}
+
+void
+gr_mirror_destroy (struct gr_mirror *mirror)
+{
+  if (mirror == NULL)
+    return;
+  if (mirror->timer != 0)
+    g_source_remove (mirror->timer);
+  g_hash_table_destroy (mirror->jobs);
+  g_hash_table_destroy (mirror->published);
+  g_free (mirror->owner);
+  g_free (mirror);
+}
+
+bool
+gr_mirror_is_loaded (const struct gr_mirror *mirror)
+{
+  return mirror->loaded;
+}
+
+int64_t
+gr_mirror_current_ms (const struct gr_mirror *mirror)
+{
+  return mirror->current_ms;
+}
+
+const struct gr_mirror_job *
+gr_mirror_find (const struct gr_mirror *mirror, const char *id)
+{
+  const struct gr_mirror_job *job = g_hash_table_lookup (mirror->jobs, id);
+
+  return job != NULL && job->spec != NULL ? job : NULL;
+}
+
+void
+gr_mirror_each (const struct gr_mirror *mirror,
+                void (*visit) (const char *id,
+                               const struct gr_mirror_job *job,
+                               void *context),
+                void *context)
+{
+  GHashTableIter iter;
+  void *key;
+  void *value;
+
+  g_hash_table_iter_init (&iter, mirror->jobs);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (((struct gr_mirror_job *)value)->spec != NULL)
+      visit (key, value, context);
+}
+
+int64_t
+gr_mirror_owner (const struct gr_mirror *mirror, const char **text)
+{
+  *text = mirror->owner;
+  return mirror->owner_revision;
+}
+
+int64_t
+gr_mirror_generation (const struct gr_mirror *mirror, int64_t *revision)
+{
+  *revision = mirror->generation_revision;
+  return mirror->generation;
+}
--- /dev/null
+++ b/instance/owner.c
@@ -0,0 +1,470 @@
+#include "instance/owner.h"
+
+#include "common/log.h"
+#include "instance/ownership.h"
+#include "instance/progress-log.h"
+#include "instance/worker-io.h"
+#include "platform/registry.h"
+
+#include <string.h>
+
+/* Time between two runs of the core when nothing happens. */
+#define TICK_MS 100
+
+/* The registry is read so often: a draining worker gets nothing new 2 s after
+ * it has said so (drain-ms), and a read may take a second. */
+#define REGISTRY_MS 600
+#define REGISTRY_TIMEOUT_MS 900
+
+/* Which jobs have begun is published so often; clients may see counts that
+ * are 2 s old. */
+#define PUBLISH_MS 900
+#define PUBLISH_TIMEOUT_MS 800
+
+struct gr_owner
+{
+  struct gr_owner_parts parts;
+  int64_t epoch;
+  int64_t revision;
+  struct gr_steps *steps;
+  struct gr_worker_io *io;
+  struct gr_progress_log *log;
+  GHashTable *registered; /* worker ids in the registry */
+  GHashTable *listed;     /* the same, of the read that runs */
+  bool loaded;
+  bool registry_read;
+  bool superseded;
+  char *published;
+  int64_t published_revision;
+  guint tick;
+  guint soon;
+  guint registry_timer;
+  guint publish_timer;
+  struct owner_call *calls[3];
+};
+
+/* A call of the owner that may outlive it. */
+struct owner_call
+{
+  struct gr_owner *owner; /* NULL when it was destroyed */
+  struct owner_call **slot;
+};
+
+enum call_slot
+{
+  SLOT_REGISTRY,
+  SLOT_PUBLISH,
+  SLOT_RELOAD,
+};
+
+static void run (struct gr_owner *owner);
+
+static struct owner_call *
+open_call (struct gr_owner *owner, enum call_slot slot)
+{
+  struct owner_call *call = g_new0 (struct owner_call, 1);
+
+  call->owner = owner;
+  call->slot = &owner->calls[slot];
+  owner->calls[slot] = call;
+  return call;
+}
+
+static struct gr_owner *
+end_call (struct owner_call *call)
+{
+  struct gr_owner *owner = call->owner;
+
+  if (owner != NULL)
+    *call->slot = NULL;
+  g_free (call);
+  return owner;
+}
+
+static void
+take_superseded (struct gr_owner *owner, const char *reason)
+{
+  if (owner->superseded)
+    return;
+  owner->superseded = true;
+  owner->parts.superseded (reason, owner->parts.context);
+}
+
+static void
+write_progress (struct gr_owner *owner)
+{
+  const char *id;
+
+  while ((id = gr_steps_take_changed (owner->steps)) != NULL)
+    {
+      struct gr_job_progress progress;
+      GBytes *value;
+
+      if (!gr_steps_progress (owner->steps, id, &progress))
+        continue;
+      value = gr_record_encode_progress (&progress);
+      gr_progress_log_add (owner->log, id, value);
+      g_bytes_unref (value);
+      gr_job_progress_clear (&progress);
+    }
+  gr_progress_log_flush (owner->log, gr_steps_sequence (owner->steps));
+}
+
+static void
+run (struct gr_owner *owner)
+{
+  if (!owner->loaded || !owner->registry_read || owner->superseded)
+    return;
+  gr_steps_tick (owner->steps, gr_clock_now_ms (owner->parts.clock),
+                 gr_clock_unix_ms ());
+  gr_worker_io_run (owner->io);
+  write_progress (owner);
+  if (gr_steps_fenced (owner->steps))
+    take_superseded (owner, "a worker has seen a higher epoch");
+}
+
+static gboolean
+run_soon (gpointer data)
+{
+  struct gr_owner *owner = data;
+
+  owner->soon = 0;
+  run (owner);
+  return G_SOURCE_REMOVE;
+}
+
+/* Several answers that arrive together are followed by one run. */
+static void
+schedule_run (void *context)
+{
+  struct gr_owner *owner = context;
+
+  if (owner->soon == 0 && !owner->superseded)
+    owner->soon =
+        g_idle_add_full (G_PRIORITY_DEFAULT_IDLE, run_soon, owner, NULL);
+}
+
+static gboolean
+on_tick (gpointer data)
+{
+  run (data);
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+committed (uint64_t sequence, void *context)
+{
+  struct gr_owner *owner = context;
+
+  gr_steps_committed (owner->steps, sequence);
+  schedule_run (owner);
+}
+
+static void
+not_owner (void *context)
+{
+  take_superseded (context, "a write was refused");
+}
+
+static void
+set_worker (struct gr_owner *owner, const struct gr_registry_entry *entry)
+{
+  struct gr_steps_worker worker = {
+    .id = entry->worker,
+    .service = entry->service,
+    .rack = entry->rack,
+    .labels = (const char *const *)entry->labels,
+    .capacity = entry->capacity,
+    .draining = entry->draining,
+    .born_unix_ms = entry->born_unix_ms,
+  };
+
+  gr_steps_set_worker (owner->steps, &worker,
+                       gr_clock_now_ms (owner->parts.clock));
+  gr_worker_io_set (owner->io, entry->worker, entry->address);
+  g_hash_table_add (owner->listed, g_strdup (entry->worker));
+}
+
+static void
+read_entry (struct gr_owner *owner, const struct gr_metastore_item *item)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_registry_entry *entry =
+      gr_registry_decode (item->key, item->value, &error);
+
+  if (entry == NULL)
+    {
+      gr_log_problem ("registry-entry-unreadable", "key", item->key, "reason",
+                      error.message, NULL);
+      return;
+    }
+  set_worker (owner, entry);
+  gr_registry_entry_destroy (entry);
+}
+
+static void
+remove_missing (struct gr_owner *owner)
+{
+  GHashTableIter iter;
+  void *id;
+
+  g_hash_table_iter_init (&iter, owner->registered);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    if (!g_hash_table_contains (owner->listed, id))
+      gr_steps_worker_gone (owner->steps, id,
+                            gr_clock_now_ms (owner->parts.clock));
+  g_hash_table_destroy (owner->registered);
+  owner->registered = g_steal_pointer (&owner->listed);
+}
+
+static void read_registry (struct gr_owner *owner, const char *after);
+
+static gboolean
+read_registry_again (gpointer data)
+{
+  struct gr_owner *owner = data;
+
+  owner->registry_timer = 0;
+  read_registry (owner, NULL);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+registry_done (const struct gr_metastore_result *result,
+               const struct gr_error *error,
+               void *context)
+{
+  struct gr_owner *owner = end_call (context);
+
+  if (owner == NULL || (error != NULL && error->kind == GR_ERROR_CANCELLED))
+    return;
+  if (error != NULL)
+    gr_log_event ("registry-not-read", "reason", error->message, NULL);
+  else
+    {
+      for (size_t i = 0; i < result->n_items; i++)
+        read_entry (owner, &result->items[i]);
+      if (result->truncated && result->n_items > 0)
+        {
+          read_registry (owner, result->items[result->n_items - 1].key);
+          return;
+        }
+      remove_missing (owner);
+      owner->registry_read = true;
+      schedule_run (owner);
+    }
+  owner->registry_timer = g_timeout_add (error ? REGISTRY_MS / 3 : REGISTRY_MS,
+                                         read_registry_again, owner);
+}
+
+static void
+read_registry (struct gr_owner *owner, const char *after)
+{
+  if (after == NULL)
+    {
+      g_clear_pointer (&owner->listed, g_hash_table_destroy);
+      owner->listed =
+          g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+    }
+  gr_metastore_range (owner->parts.store, gr_registry_prefix, after, false,
+                      REGISTRY_TIMEOUT_MS,
+                      (struct gr_metastore_reply){
+                          registry_done, open_call (owner, SLOT_REGISTRY) });
+}
+
+static void
+append_id (const char *id, void *context)
+{
+  GString *text = context;
+
+  g_string_append (text, id);
+  g_string_append_c (text, '\n');
+}
+
+static void
+publish_done (const struct gr_metastore_result *result,
+              const struct gr_error *error,
+              void *context)
+{
+  struct gr_owner *owner = end_call (context);
+
+  if (owner == NULL)
+    return;
+  /* It is written again with the next change, or after a failure. */
+  if (error != NULL || !result->conditions_held)
+    g_clear_pointer (&owner->published, g_free);
+}
+
+static gboolean
+publish (gpointer data)
+{
+  struct gr_owner *owner = data;
+  GString *text;
+  struct gr_metastore_txn *txn;
+
+  if (owner->calls[SLOT_PUBLISH] != NULL || owner->superseded || !owner->loaded)
+    return G_SOURCE_CONTINUE;
+  text = g_string_new (NULL);
+  gr_steps_each_begun (owner->steps, append_id, text);
+  if (owner->published != NULL && g_str_equal (owner->published, text->str))
+    {
+      g_string_free (text, TRUE);
+      return G_SOURCE_CONTINUE;
+    }
+  g_free (owner->published);
+  owner->published = g_string_free (text, FALSE);
+  txn = gr_metastore_txn_create ();
+  gr_metastore_txn_expect (txn, GR_RECORD_OWNER, owner->revision);
+  gr_metastore_txn_put (txn, GR_RECORD_BEGUN, owner->published,
+                        strlen (owner->published), 0);
+  gr_metastore_commit (owner->parts.store, txn, PUBLISH_TIMEOUT_MS,
+                       (struct gr_metastore_reply){
+                           publish_done, open_call (owner, SLOT_PUBLISH) });
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+add_job (struct gr_owner *owner,
+         const char *id,
+         const struct gr_mirror_job *job,
+         bool inherited)
+{
+  gr_steps_add_job (owner->steps, job->spec,
+                    job->progress_revision ? &job->progress : NULL, inherited,
+                    gr_clock_now_ms (owner->parts.clock));
+  if (job->cancel_revision != 0)
+    gr_steps_cancel_job (owner->steps, id);
+}
+
+static void
+inherit_job (const char *id, const struct gr_mirror_job *job, void *context)
+{
+  add_job (context, id, job, true);
+}
+
+void
+gr_owner_job_changed (struct gr_owner *owner,
+                      const char *id,
+                      const struct gr_mirror_job *job)
+{
+  if (!owner->loaded)
+    return;
+  add_job (owner, id, job, false);
+  schedule_run (owner);
+}
+
+void
+gr_owner_config_changed (struct gr_owner *owner)
+{
+  const struct gr_cluster_config *config =
+      gr_config_view_get (owner->parts.config);
+
+  if (config == NULL)
+    return;
+  for (size_t i = 0; i < config->n_queues; i++)
+    {
+      const struct gr_queue_config *row = &config->queues[i];
+      struct gr_steps_queue queue = {
+        .name = row->name,
+        .service = row->service,
+        .priority = row->priority,
+        .max_attempts = row->max_attempts,
+        .objective_ms = row->objective_ms,
+        .stretch = row->stretch,
+        .needs_advice = row->needs_advice,
+      };
+
+      gr_steps_set_queue (owner->steps, &queue);
+    }
+  for (size_t i = 0; i < config->n_accounts; i++)
+    gr_steps_set_guarantee (owner->steps, config->accounts[i].name,
+                            config->accounts[i].guaranteed_accelerators);
+  schedule_run (owner);
+}
+
+static void reload (struct gr_owner *owner);
+
+static void
+reload_done (bool loaded, void *context)
+{
+  struct owner_call *call = context;
+  struct gr_owner *owner = end_call (call);
+
+  if (owner == NULL)
+    return;
+  if (!loaded)
+    {
+      reload (owner);
+      return;
+    }
+  owner->loaded = true;
+  gr_mirror_each (owner->parts.mirror, inherit_job, owner);
+  schedule_run (owner);
+}
+
+/* Every record that was written before the takeover is read. */
+static void
+reload (struct gr_owner *owner)
+{
+  gr_mirror_reload (owner->parts.mirror, reload_done,
+                    open_call (owner, SLOT_RELOAD));
+}
+
+struct gr_owner *
+gr_owner_create (const struct gr_owner_parts *parts,
+                 int64_t epoch,
+                 int64_t revision)
+{
+  struct gr_owner *owner = g_new0 (struct gr_owner, 1);
+  const struct gr_instance_settings *settings = parts->settings;
+  struct gr_steps_settings core = {
+    .max_hold_ms = settings->max_hold_ms,
+    .gang_wait_ms = settings->gang_wait_ms,
+    .reclaim_ms = settings->reclaim_ms,
+    .isolation_ms = GR_OWNER_ISOLATION_MS,
+    .checkpoint_ms = (uint32_t)(settings->checkpoint_s * 1000),
+    .far_factor = settings->far_factor,
+  };
+
+  owner->parts = *parts;
+  owner->epoch = epoch;
+  owner->revision = revision;
+  owner->steps = gr_steps_create (&core, epoch, gr_clock_now_ms (parts->clock));
+  owner->io = gr_worker_io_create (
+      owner->steps, epoch, settings->max_hold_ms, parts->clock, parts->counters,
+      &(struct gr_worker_io_events){ schedule_run, owner });
+  owner->log = gr_progress_log_create (
+      parts->store, parts->mirror, revision,
+      &(struct gr_progress_log_events){ committed, not_owner, owner });
+  owner->registered =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  gr_owner_config_changed (owner);
+  owner->tick = g_timeout_add (TICK_MS, on_tick, owner);
+  owner->publish_timer = g_timeout_add (PUBLISH_MS, publish, owner);
+  reload (owner);
+  read_registry (owner, NULL);
+  return owner;
+}
+
+void
+gr_owner_destroy (struct gr_owner *owner)
+{
+  if (owner == NULL)
+    return;
+  for (size_t i = 0; i < G_N_ELEMENTS (owner->calls); i++)
+    if (owner->calls[i] != NULL)
+      owner->calls[i]->owner = NULL;
+  g_source_remove (owner->tick);
+  g_source_remove (owner->publish_timer);
+  if (owner->soon != 0)
+    g_source_remove (owner->soon);
+  if (owner->registry_timer != 0)
+    g_source_remove (owner->registry_timer);
+  gr_worker_io_destroy (owner->io);
+  gr_progress_log_destroy (owner->log);
+  gr_steps_destroy (owner->steps);
+  g_clear_pointer (&owner->listed, g_hash_table_destroy);
+  g_hash_table_destroy (owner->registered);
+  g_free (owner->published);
+  g_free (owner);
+}
--- /dev/null
+++ b/instance/ownership.c
@@ -0,0 +1,374 @@
+#include "instance/ownership.h"
+
+#include "common/log.h"
+
+#include <string.h>
+
+/* Term of the owner's lease, and time between renewals. A term of 2 s bridges
+ * slow answers of the store (up to 0.4 s were seen) and several lost renewals;
+ * a successor begins that long after the death of an owner at the latest. */
+#define LEASE_TTL_MS 2000
+#define RENEW_MS 500
+#define CALL_TIMEOUT_MS 700
+
+/* Instances try one after the other, so that few transactions are lost. */
+#define CONTEND_SPREAD_MS 150
+#define RETRY_MS 300
+
+enum state
+{
+  STATE_IDLE,
+  STATE_WAITING, /* until its turn to try */
+  STATE_GRANTING,
+  STATE_WRITING,
+  STATE_OWNER,
+  STATE_STOPPED,
+};
+
+struct gr_ownership
+{
+  struct gr_metastore *store;
+  struct gr_mirror *mirror;
+  const struct gr_clock *clock;
+  char *instance;
+  struct gr_ownership_events events;
+  enum state state;
+  int64_t lease;
+  int64_t epoch;
+  int64_t revision;
+  int64_t renewed_ms; /* when the last renewal that succeeded was sent */
+  int64_t sent_ms;
+  char *value; /* of the record, unique to the attempt */
+  uint32_t attempts;
+  bool stopping;
+  bool renewing;
+  guint timer;
+};
+
+static void try_acquire (struct gr_ownership *ownership);
+
+static void
+ignore_answer (const struct gr_metastore_result *result,
+               const struct gr_error *error,
+               void *context)
+{
+  (void)result;
+  (void)context;
+  if (error != NULL && error->kind != GR_ERROR_CANCELLED)
+    gr_log_event ("owner-lease-end-failed", "reason", error->message, NULL);
+}
+
+static void
+set_timer (struct gr_ownership *ownership, uint32_t delay_ms, GSourceFunc call)
+{
+  if (ownership->timer != 0)
+    g_source_remove (ownership->timer);
+  ownership->timer = g_timeout_add (delay_ms, call, ownership);
+}
+
+static void
+clear_timer (struct gr_ownership *ownership)
+{
+  if (ownership->timer != 0)
+    g_source_remove (ownership->timer);
+  ownership->timer = 0;
+}
+
+static void
+back_to_idle (struct gr_ownership *ownership)
+{
+  ownership->state = ownership->stopping ? STATE_STOPPED : STATE_IDLE;
+  ownership->lease = 0;
+}
+
+static gboolean
+check_later (gpointer data)
+{
+  struct gr_ownership *ownership = data;
+
+  ownership->timer = 0;
+  gr_ownership_check (ownership);
+  return G_SOURCE_REMOVE;
+}
+
+static void
+lose (struct gr_ownership *ownership, const char *reason)
+{
+  clear_timer (ownership);
+  back_to_idle (ownership);
+  gr_log_event ("owner-lost", "reason", reason, NULL);
+  ownership->events.lost (reason, ownership->events.context);
+  if (!ownership->stopping)
+    set_timer (ownership, RETRY_MS, check_later);
+}
+
+static void
+end_lease (struct gr_ownership *ownership)
+{
+  if (ownership->lease != 0)
+    gr_metastore_lease_end (ownership->store, ownership->lease, CALL_TIMEOUT_MS,
+                            (struct gr_metastore_reply){ ignore_answer, NULL });
+  ownership->lease = 0;
+}
+
+static gboolean renew (gpointer data);
+
+static void
+renewed (const struct gr_metastore_result *result,
+         const struct gr_error *error,
+         void *context)
+{
+  struct gr_ownership *ownership = context;
+
+  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
+    return;
+  ownership->renewing = false;
+  if (ownership->state != STATE_OWNER)
+    return;
+  if (error == NULL && result->ttl_ms > 0)
+    {
+      ownership->renewed_ms = MAX (ownership->renewed_ms, ownership->sent_ms);
+      return;
+    }
+  if (error != NULL && error->kind == GR_ERROR_NOT_FOUND)
+    {
+      lose (ownership, "the lease has ended");
+      return;
+    }
+  if (gr_clock_now_ms (ownership->clock)
+      > ownership->renewed_ms + LEASE_TTL_MS + GR_OWNER_ISOLATION_MS)
+    lose (ownership, "the store was not reached for too long");
+}
+
+static gboolean
+renew (gpointer data)
+{
+  struct gr_ownership *ownership = data;
+
+  if (ownership->renewing)
+    return G_SOURCE_CONTINUE;
+  ownership->renewing = true;
+  ownership->sent_ms = gr_clock_now_ms (ownership->clock);
+  gr_metastore_lease_renew (ownership->store, ownership->lease, CALL_TIMEOUT_MS,
+                            (struct gr_metastore_reply){ renewed, ownership });
+  return G_SOURCE_CONTINUE;
+}
+
+static void
+become_owner (struct gr_ownership *ownership, int64_t revision)
+{
+  char epoch[24];
+
+  ownership->state = STATE_OWNER;
+  ownership->revision = revision;
+  ownership->renewed_ms = ownership->sent_ms;
+  g_snprintf (epoch, sizeof epoch, "%" G_GINT64_FORMAT, ownership->epoch);
+  gr_log_event ("owner-acquired", "epoch", epoch, NULL);
+  set_timer (ownership, RENEW_MS, renew);
+  ownership->events.acquired (ownership->epoch, revision,
+                              ownership->events.context);
+}
+
+static void
+try_later (struct gr_ownership *ownership, const char *reason)
+{
+  gr_log_event ("owner-not-acquired", "reason", reason, NULL);
+  end_lease (ownership);
+  back_to_idle (ownership);
+  if (!ownership->stopping)
+    set_timer (ownership, RETRY_MS, check_later);
+}
+
+/* After a lost answer: the record tells whether the write took effect. */
+static void
+owner_read (const struct gr_metastore_result *result,
+            const struct gr_error *error,
+            void *context)
+{
+  struct gr_ownership *ownership = context;
+
+  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
+    return;
+  if (error == NULL && result->n_items == 1 && result->items[0].value != NULL)
+    {
+      gsize size = 0;
+      const char *text = g_bytes_get_data (result->items[0].value, &size);
+
+      if (size == strlen (ownership->value)
+          && memcmp (text, ownership->value, size) == 0)
+        {
+          become_owner (ownership, result->items[0].revision);
+          return;
+        }
+    }
+  try_later (ownership, "the write of the record was not confirmed");
+}
+
+static void
+written (const struct gr_metastore_result *result,
+         const struct gr_error *error,
+         void *context)
+{
+  struct gr_ownership *ownership = context;
+
+  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
+    return;
+  if (error != NULL && error->kind != GR_ERROR_STORE_UNAVAILABLE
+      && error->kind != GR_ERROR_NOT_FOUND)
+    {
+      gr_metastore_get (ownership->store, GR_RECORD_OWNER, CALL_TIMEOUT_MS,
+                        (struct gr_metastore_reply){ owner_read, ownership });
+      return;
+    }
+  if (error != NULL)
+    {
+      try_later (ownership, error->message);
+      return;
+    }
+  if (!result->conditions_held)
+    {
+      for (size_t i = 0; i < result->n_items; i++)
+        gr_mirror_apply (ownership->mirror, &result->items[i]);
+      try_later (ownership, "another instance was faster");
+      return;
+    }
+  become_owner (ownership, result->revision);
+}
+
+static void
+granted (const struct gr_metastore_result *result,
+         const struct gr_error *error,
+         void *context)
+{
+  struct gr_ownership *ownership = context;
+  struct gr_metastore_txn *txn;
+  int64_t generation_revision;
+  char generation[24];
+
+  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
+    return;
+  if (error != NULL)
+    {
+      try_later (ownership, error->message);
+      return;
+    }
+  ownership->lease = result->lease;
+  ownership->epoch =
+      gr_mirror_generation (ownership->mirror, &generation_revision) + 1;
+  ownership->state = STATE_WRITING;
+  g_free (ownership->value);
+  ownership->value =
+      g_strdup_printf ("%s %" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
+                       ownership->instance, ownership->epoch, ownership->lease);
+  g_snprintf (generation, sizeof generation, "%" G_GINT64_FORMAT,
+              ownership->epoch);
+  txn = gr_metastore_txn_create ();
+  gr_metastore_txn_expect (txn, GR_RECORD_OWNER, 0);
+  gr_metastore_txn_expect (txn, GR_RECORD_GENERATION, generation_revision);
+  gr_metastore_txn_put (txn, GR_RECORD_OWNER, ownership->value,
+                        strlen (ownership->value), ownership->lease);
+  gr_metastore_txn_put (txn, GR_RECORD_GENERATION, generation,
+                        strlen (generation), 0);
+  gr_metastore_commit (ownership->store, txn, CALL_TIMEOUT_MS,
+                       (struct gr_metastore_reply){ written, ownership });
+}
+
+static void
+try_acquire (struct gr_ownership *ownership)
+{
+  ownership->state = STATE_GRANTING;
+  ownership->sent_ms = gr_clock_now_ms (ownership->clock);
+  gr_metastore_lease_grant (ownership->store, LEASE_TTL_MS, CALL_TIMEOUT_MS,
+                            (struct gr_metastore_reply){ granted, ownership });
+}
+
+static gboolean
+turn_came (gpointer data)
+{
+  struct gr_ownership *ownership = data;
+  const char *owner;
+
+  ownership->timer = 0;
+  ownership->state = STATE_IDLE;
+  if (!ownership->stopping && gr_mirror_owner (ownership->mirror, &owner) == 0)
+    try_acquire (ownership);
+  return G_SOURCE_REMOVE;
+}
+
+void
+gr_ownership_check (struct gr_ownership *ownership)
+{
+  const char *owner;
+  int64_t revision = gr_mirror_owner (ownership->mirror, &owner);
+
+  if (!gr_mirror_is_loaded (ownership->mirror))
+    return;
+  if (ownership->state == STATE_OWNER)
+    {
+      if (revision != ownership->revision && revision != 0
+          && revision > ownership->revision)
+        lose (ownership, "another instance is the owner");
+      return;
+    }
+  if (ownership->state != STATE_IDLE || revision != 0 || ownership->stopping)
+    return;
+  ownership->state = STATE_WAITING;
+  set_timer (ownership, (guint32)g_random_int_range (0, CONTEND_SPREAD_MS),
+             turn_came);
+}
+
+struct gr_ownership *
+gr_ownership_create (struct gr_metastore *store,
+                     struct gr_mirror *mirror,
+                     const struct gr_clock *clock,
+                     const char *instance,
+                     const struct gr_ownership_events *events)
+{
+  struct gr_ownership *ownership = g_new0 (struct gr_ownership, 1);
+
+  ownership->store = store;
+  ownership->mirror = mirror;
+  ownership->clock = clock;
+  ownership->instance = g_strdup (instance);
+  ownership->events = *events;
+  return ownership;
+}
+
+void
+gr_ownership_destroy (struct gr_ownership *ownership)
+{
+  if (ownership == NULL)
+    return;
+  clear_timer (ownership);
+  g_free (ownership->instance);
+  g_free (ownership->value);
+  g_free (ownership);
+}
+
+bool
+gr_ownership_is_owner (const struct gr_ownership *ownership)
+{
+  return ownership->state == STATE_OWNER;
+}
+
+void
+gr_ownership_resign (struct gr_ownership *ownership, const char *reason)
+{
+  if (ownership->state != STATE_OWNER)
+    return;
+  end_lease (ownership);
+  lose (ownership, reason);
+}
+
+void
+gr_ownership_stop (struct gr_ownership *ownership)
+{
+  ownership->stopping = true;
+  if (ownership->state == STATE_OWNER)
+    gr_ownership_resign (ownership, "planned stop");
+  else if (ownership->state == STATE_WAITING)
+    {
+      clear_timer (ownership);
+      back_to_idle (ownership);
+    }
+}
--- /dev/null
+++ b/instance/worker-io.h
@@ -0,0 +1,35 @@
+/* Calls of the owner to the workers: sends the core's orders, looks at what
+ * runs, keeps the leases of runs alive. */
+#pragma once
+
+#include "common/clock.h"
+#include "common/counter.h"
+#include "steps/steps.h"
+
+struct gr_worker_io;
+
+struct gr_worker_io_events
+{
+  /* An answer has changed the core; it should be run soon. */
+  void (*changed) (void *context);
+  void *context;
+};
+
+/* The core must outlive it. max_hold_ms bounds the leases of runs. */
+struct gr_worker_io *
+gr_worker_io_create (struct gr_steps *steps,
+                     int64_t epoch,
+                     uint32_t max_hold_ms,
+                     const struct gr_clock *clock,
+                     struct gr_counters *counters,
+                     const struct gr_worker_io_events *events);
+void gr_worker_io_destroy (struct gr_worker_io *io);
+
+/* The worker is at this address (IP:PORT). */
+void gr_worker_io_set (struct gr_worker_io *io,
+                       const char *worker,
+                       const char *address);
+void gr_worker_io_remove (struct gr_worker_io *io, const char *worker);
+
+/* Sends what the core has ordered, and the looks that it needs. */
+void gr_worker_io_run (struct gr_worker_io *io);
--- a/settings/document.c
+++ b/settings/document.c
@@ -130,6 +130,7 @@
         [GR_DOCUMENT_PROCESS] = "process, platform, log",
         [GR_DOCUMENT_PLATFORM] = "members, store, shards, jobs, requests",
         [GR_DOCUMENT_TEAM] = "account, guarantee \"NAME\"",
+        [GR_DOCUMENT_INSTANCE] = "instance, platform, bounds, log",
       };
 
       g_ptr_array_add (problems,
@@ -331,7 +332,7 @@
     check_process (file, problems);
   else if (kind == GR_DOCUMENT_PLATFORM)
     check_platform (file, problems);
-  else
+  else if (kind == GR_DOCUMENT_TEAM)
     check_team (file, problems);
 }
 
@@ -341,7 +342,8 @@
 {
   guint before = problems->len;
   GKeyFile *file = gr_ini_parse (text, problems);
-  bool deleted = text[0] == '\0' && kind != GR_DOCUMENT_PROCESS;
+  bool local = kind == GR_DOCUMENT_PROCESS || kind == GR_DOCUMENT_INSTANCE;
+  bool deleted = text[0] == '\0' && !local;
 
   if (file == NULL)
     return NULL;
@@ -418,13 +420,41 @@
   return true;
 }
 
+static void
+clear_texts (enum gr_document_kind kind, void *base)
+{
+  for (size_t i = 0; i < gr_n_keys; i++)
+    if (gr_keys[i].kind == kind && gr_keys[i].size == 0
+        && gr_keys[i].type != GR_KEY_UINT && gr_keys[i].type != GR_KEY_NUMBER)
+      g_free (*(char **)((char *)base + gr_keys[i].offset));
+}
+
 void
 gr_process_settings_clear (struct gr_process_settings *settings)
 {
-  for (size_t i = 0; i < gr_n_keys; i++)
-    if (gr_keys[i].kind == GR_DOCUMENT_PROCESS && gr_keys[i].size == 0
-        && gr_keys[i].type != GR_KEY_UINT)
-      g_free (*(char **)((char *)settings + gr_keys[i].offset));
+  clear_texts (GR_DOCUMENT_PROCESS, settings);
+  memset (settings, 0, sizeof *settings);
+}
+
+bool
+gr_document_instance (const char *text,
+                      struct gr_instance_settings *settings,
+                      struct gr_error *error)
+{
+  GKeyFile *file = load_view (GR_DOCUMENT_INSTANCE, text, error);
+
+  memset (settings, 0, sizeof *settings);
+  if (file == NULL)
+    return false;
+  fill_document (GR_DOCUMENT_INSTANCE, file, settings);
+  g_key_file_free (file);
+  return true;
+}
+
+void
+gr_instance_settings_clear (struct gr_instance_settings *settings)
+{
+  clear_texts (GR_DOCUMENT_INSTANCE, settings);
   memset (settings, 0, sizeof *settings);
 }
 
--- a/settings/document.h
+++ b/settings/document.h
@@ -14,6 +14,7 @@
   GR_DOCUMENT_PROCESS,  /* local file of a process */
   GR_DOCUMENT_PLATFORM, /* path "platform" */
   GR_DOCUMENT_TEAM,     /* path "teams/NAME" */
+  GR_DOCUMENT_INSTANCE, /* local file of an instance on the users' platform */
 };
 
 /* Local settings of a process. Strings are owned by the struct. */
@@ -35,6 +36,30 @@
   char *log_level; /* [log] level: debug, info, warning */
 };
 
+/* Local settings of an instance on the users' platform. Strings are owned by
+ * the struct. */
+struct gr_instance_settings
+{
+  char *instance;         /* [instance] name */
+  char *data_centre;      /* [instance] data_centre */
+  char *client_address;   /* [instance] client_address */
+  char *ready_address;    /* [instance] ready_address */
+  char *metrics_address;  /* [instance] metrics_address */
+  char *store_address;    /* [platform] store_address */
+  char *advice_address;   /* [platform] advice_address, or "" */
+  char *machines_address; /* [platform] machines_address, or "" */
+  uint32_t revoke_ms;     /* [bounds] */
+  uint32_t grace_s;
+  uint32_t max_hold_ms;
+  uint32_t gang_wait_ms;
+  uint32_t reclaim_ms;
+  double checkpoint_s;
+  uint32_t state_kept_s;
+  uint32_t heartbeat_ms;
+  double far_factor;
+  char *log_level; /* [log] level */
+};
+
 /* Shared settings, path "platform". */
 struct gr_platform_settings
 {
@@ -72,6 +97,10 @@
                           struct gr_process_settings *settings,
                           struct gr_error *error);
 void gr_process_settings_clear (struct gr_process_settings *settings);
+bool gr_document_instance (const char *text,
+                           struct gr_instance_settings *settings,
+                           struct gr_error *error);
+void gr_instance_settings_clear (struct gr_instance_settings *settings);
 bool gr_document_platform (const char *text,
                            struct gr_platform_settings *settings,
                            struct gr_error *error);
--- a/settings/keys.c
+++ b/settings/keys.c
@@ -1,6 +1,7 @@
 #include "settings/keys.h"
 
 #define PROCESS(field) offsetof (struct gr_process_settings, field), 0
+#define INSTANCE(field) offsetof (struct gr_instance_settings, field), 0
 #define PLATFORM(field) offsetof (struct gr_platform_settings, field), 0
 #define ACCOUNT(field) offsetof (struct gr_account_settings, field), 0
 #define GUARANTEE(field) offsetof (struct gr_guarantee, field), 0
@@ -52,6 +53,60 @@
     "debug|info|warning", "info", PROCESS (log_level),
     "Lowest level that is logged." },
 
+  { GR_DOCUMENT_INSTANCE, GR_KEY_NAME, "instance", "name", "", 0, 0, NULL,
+    NULL, INSTANCE (instance), "Name of the instance." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_NAME, "instance", "data_centre", "", 0, 0,
+    NULL, NULL, INSTANCE (data_centre),
+    "Data centre that the instance runs in." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_ADDRESS, "instance", "client_address", "", 0,
+    0, NULL, NULL, INSTANCE (client_address),
+    "Address on which clients are served." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_ADDRESS, "instance", "ready_address", "", 0,
+    0, NULL, NULL, INSTANCE (ready_address),
+    "Address on which the load balancer asks whether to send connections." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_ADDRESS, "instance", "metrics_address", "", 0,
+    0, NULL, NULL, INSTANCE (metrics_address),
+    "Address on which counters are served at /metrics." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_ADDRESS, "platform", "store_address", "", 0,
+    0, NULL, NULL, INSTANCE (store_address), "Metadata store." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_OPTIONAL_ADDRESS, "platform", "advice_address", "", 0, 0,
+    NULL, "", INSTANCE (advice_address),
+    "Service that says which workers may run a step, IP:PORT or empty." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_OPTIONAL_ADDRESS, "platform", "machines_address", "", 0,
+    0, NULL, "", INSTANCE (machines_address),
+    "Interface to the workers' machines, IP:PORT or empty." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "platform", "heartbeat_ms", "ms", 100,
+    60000, NULL, "1500", INSTANCE (heartbeat_ms),
+    "Time between two entries that a worker writes about itself." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "bounds", "revoke_ms", "ms", 1000,
+    600000, NULL, "5000", INSTANCE (revoke_ms),
+    "A key that was taken away is refused everywhere after this time; an "
+    "instance whose configuration may be older refuses all calls." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "bounds", "grace_s", "s", 1, 3600,
+    NULL, "6", INSTANCE (grace_s),
+    "Time from SIGTERM until the process is killed." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "bounds", "max_hold_ms", "ms", 1000,
+    600000, NULL, "10000", INSTANCE (max_hold_ms),
+    "Longest lease that a worker gives its runs." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "bounds", "gang_wait_ms", "ms", 100,
+    600000, NULL, "3000", INSTANCE (gang_wait_ms),
+    "Time that a member of a gang waits for the others." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "bounds", "reclaim_ms", "ms", 100,
+    600000, NULL, "2700", INSTANCE (reclaim_ms),
+    "Guaranteed work begins within this time." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_NUMBER, "bounds", "checkpoint_s", "s", 0.001,
+    600, NULL, "1", INSTANCE (checkpoint_s),
+    "Work between two checkpoints of a task." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_NUMBER, "bounds", "far_factor", "", 1, 1000,
+    NULL, "3", INSTANCE (far_factor),
+    "Slowdown of a task that is not on the rack of its data." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "bounds", "state_kept_s", "s", 1,
+    1000000, NULL, "120", INSTANCE (state_kept_s),
+    "The state of a job can be read for this time after its end." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_CHOICE, "log", "level", "", 0, 0,
+    "debug|info|warning", "info", INSTANCE (log_level),
+    "Lowest level that is logged." },
+
   { GR_DOCUMENT_PLATFORM, GR_KEY_UINT, "members", "entry_instances",
     "instances", 1, 1000, NULL, "9", PLATFORM (entry_instances),
     "Number of entry instances. Majorities and rate floors are computed over "
--- a/settings/keys.h
+++ b/settings/keys.h
@@ -7,15 +7,16 @@
 
 enum gr_key_type
 {
-  GR_KEY_NAME,    /* 1 to 40 of a-z, 0-9 and '-' */
-  GR_KEY_NAMES,   /* names separated by ';' */
-  GR_KEY_UINT,    /* whole number from min to max */
-  GR_KEY_NUMBER,  /* decimal number from min to max */
-  GR_KEY_CHOICE,  /* one of choices, separated by '|' */
-  GR_KEY_SHA256,  /* 64 hexadecimal digits, or empty */
-  GR_KEY_ADDRESS, /* IP:PORT */
-  GR_KEY_URL,     /* http://IP:PORT */
-  GR_KEY_FILE,    /* absolute file name, or empty */
+  GR_KEY_NAME,             /* 1 to 40 of a-z, 0-9 and '-' */
+  GR_KEY_NAMES,            /* names separated by ';' */
+  GR_KEY_UINT,             /* whole number from min to max */
+  GR_KEY_NUMBER,           /* decimal number from min to max */
+  GR_KEY_CHOICE,           /* one of choices, separated by '|' */
+  GR_KEY_SHA256,           /* 64 hexadecimal digits, or empty */
+  GR_KEY_ADDRESS,          /* IP:PORT */
+  GR_KEY_OPTIONAL_ADDRESS, /* IP:PORT, or empty */
+  GR_KEY_URL,              /* http://IP:PORT */
+  GR_KEY_FILE,             /* absolute file name, or empty */
 };
 
 struct gr_key
--- a/settings/print.c
+++ b/settings/print.c
@@ -92,7 +92,12 @@
   print_tables (GR_DOCUMENT_PROCESS, out);
   g_string_append (out, "\n`tls_certificate` and `tls_key` are set both or "
                         "neither.\n\n"
-                        "## Document `platform`\n\n"
+                        "## Instance file\n\n"
+                        "The local file of an instance on the users' "
+                        "platform, rendered from\n"
+                        "`deploy/settings.ini`.\n");
+  print_tables (GR_DOCUMENT_INSTANCE, out);
+  g_string_append (out, "\n## Document `platform`\n\n"
                         "Shared settings of all processes.\n");
   print_tables (GR_DOCUMENT_PLATFORM, out);
   g_string_append (
--- a/settings/process.c
+++ b/settings/process.c
@@ -31,10 +31,10 @@
 }
 
 static bool
-check_text (const char *file, const char *text)
+check_text (enum gr_document_kind kind, const char *file, const char *text)
 {
   GPtrArray *problems = g_ptr_array_new_with_free_func (g_free);
-  bool valid = gr_document_check (GR_DOCUMENT_PROCESS, text, problems);
+  bool valid = gr_document_check (kind, text, problems);
 
   for (guint i = 0; i < problems->len; i++)
     g_printerr ("%s: %s\n", file, (const char *)problems->pdata[i]);
@@ -50,18 +50,34 @@
   bool loaded = false;
 
   memset (settings, 0, sizeof *settings);
-  if (text != NULL && check_text (file, text))
+  if (text != NULL && check_text (GR_DOCUMENT_PROCESS, file, text))
     loaded = gr_document_process (text, settings, &error);
   g_free (text);
   return loaded;
 }
 
+bool
+gr_instance_load (const char *file, struct gr_instance_settings *settings)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  char *text = read_document (file);
+  bool loaded = false;
+
+  memset (settings, 0, sizeof *settings);
+  if (text != NULL && check_text (GR_DOCUMENT_INSTANCE, file, text))
+    loaded = gr_document_instance (text, settings, &error);
+  g_free (text);
+  return loaded;
+}
+
 static void
 print_settings (void)
 {
   GString *out = g_string_new ("# Process file\n\n");
 
   gr_document_print_keys (GR_DOCUMENT_PROCESS, out);
+  g_string_append (out, "\n# Instance file\n\n");
+  gr_document_print_keys (GR_DOCUMENT_INSTANCE, out);
   g_string_append (out, "\n# Document platform\n\n");
   gr_document_print_keys (GR_DOCUMENT_PLATFORM, out);
   g_string_append (out, "\n# Document teams/NAME\n\n");
@@ -122,8 +138,8 @@
   return parsed && argc == 1;
 }
 
-static GLogLevelFlags
-log_level (const char *name)
+GLogLevelFlags
+gr_log_level_from_name (const char *name)
 {
   if (g_str_equal (name, "debug"))
     return G_LOG_LEVEL_DEBUG;
@@ -132,6 +148,59 @@
   return G_LOG_LEVEL_INFO;
 }
 
+static void
+check_instance_file (const char *file, int *exit_code)
+{
+  struct gr_instance_settings settings;
+
+  if (gr_instance_load (file, &settings))
+    gr_instance_settings_clear (&settings);
+  else
+    *exit_code = GR_EXIT_USAGE;
+}
+
+bool
+gr_instance_start (int argc,
+                   char **argv,
+                   const char *binary,
+                   const char *summary,
+                   const char **file,
+                   struct gr_instance_settings *settings,
+                   int *exit_code)
+{
+  struct gr_process_options options = { 0 };
+  bool go_on = false;
+
+  memset (settings, 0, sizeof *settings);
+  *exit_code = GR_EXIT_USAGE;
+  if (!parse_options (argc, argv, summary, NULL, &options))
+    {
+      gr_process_options_clear (&options);
+      return false;
+    }
+  if (options.check_settings != NULL)
+    {
+      *exit_code = 0;
+      check_instance_file (options.check_settings, exit_code);
+    }
+  else if (!gr_process_options_handle (&options, binary, exit_code))
+    {
+      if (options.settings != NULL)
+        *file = g_intern_string (options.settings);
+      if (*file == NULL)
+        g_printerr ("%s: --settings FILE is required\n", binary);
+      else
+        go_on = gr_instance_load (*file, settings);
+      *exit_code = go_on ? 0 : GR_EXIT_USAGE;
+    }
+  gr_process_options_clear (&options);
+  if (!go_on)
+    return false;
+  gr_log_init (binary, settings->instance);
+  gr_log_set_level (gr_log_level_from_name (settings->log_level));
+  return true;
+}
+
 bool
 gr_process_options_handle (const struct gr_process_options *options,
                            const char *binary,
@@ -167,7 +236,7 @@
   if (!gr_process_load (options->settings, settings))
     return false;
   gr_log_init (binary, settings->instance);
-  gr_log_set_level (log_level (settings->log_level));
+  gr_log_set_level (gr_log_level_from_name (settings->log_level));
   return true;
 }
 
--- a/settings/process.h
+++ b/settings/process.h
@@ -49,3 +49,21 @@
 
 /* Reads and checks a process file; the same, without the options. */
 bool gr_process_load (const char *file, struct gr_process_settings *settings);
+
+/* Reads and checks the file of an instance on the users' platform; prints the
+ * problems as gr_process_start () does. */
+bool gr_instance_load (const char *file, struct gr_instance_settings *settings);
+
+/* gr_process_start () for an instance on the users' platform. *file is the
+ * settings file if --settings is not given, and may be NULL; it is set to the
+ * one that was read. */
+bool gr_instance_start (int argc,
+                        char **argv,
+                        const char *binary,
+                        const char *summary,
+                        const char **file,
+                        struct gr_instance_settings *settings,
+                        int *exit_code);
+
+/* "debug", "warning", else info. */
+GLogLevelFlags gr_log_level_from_name (const char *name);
--- a/settings/value.c
+++ b/settings/value.c
@@ -131,6 +131,8 @@
       return value[0] == '\0' || is_sha256 (value);
     case GR_KEY_ADDRESS:
       return is_address (value);
+    case GR_KEY_OPTIONAL_ADDRESS:
+      return value[0] == '\0' || is_address (value);
     case GR_KEY_URL:
       return is_url (value);
     case GR_KEY_FILE:
@@ -192,6 +194,9 @@
     case GR_KEY_ADDRESS:
       g_string_append (out, "IP:PORT");
       return;
+    case GR_KEY_OPTIONAL_ADDRESS:
+      g_string_append (out, "IP:PORT, or empty");
+      return;
     case GR_KEY_URL:
       g_string_append (out, "http://IP:PORT");
       return;
--- a/standins/main.c
+++ b/standins/main.c
@@ -3,6 +3,7 @@
 #include "standins/instances.h"
 #include "standins/kv.h"
 #include "standins/load-mode.h"
+#include "standins/metastore.h"
 #include "standins/relay.h"
 #include "standins/worker.h"
 
@@ -39,6 +40,7 @@
   GPtrArray *workers;
   GPtrArray *executors;
   struct gr_load_mode *load;
+  struct gr_standin_platform *platform;
   GMainLoop *loop;
   int exit_code;
 };
@@ -61,6 +63,27 @@
   return true;
 }
 
+static bool
+start_platform (struct standins *standins, struct gr_error *error)
+{
+  const struct options *options = &standins->options;
+  struct gr_standin_platform_options platform = {
+    .listen = options->listen,
+    .workers = (uint32_t)options->workers,
+    .per_rack = (uint32_t)options->per_rack,
+    .accelerators = (uint32_t)options->accelerators,
+    .cores = (uint32_t)options->cores,
+    .memory_mb = (uint32_t)options->memory_mb,
+  };
+
+  standins->platform = gr_standin_platform_create (&platform, error);
+  if (standins->platform == NULL)
+    return false;
+  print_ready (
+      gr_standin_address (gr_standin_platform_base (standins->platform)), NULL);
+  return true;
+}
+
 static bool
 start_instances (struct standins *standins, struct gr_error *error)
 {
@@ -215,9 +238,13 @@
   const char *name;
   bool (*start) (struct standins *standins, struct gr_error *error);
 } modes[] = {
-  { "kv", start_kv },          { "instances", start_instances },
-  { "worker", start_workers }, { "executor", start_executors },
-  { "relay", start_relay },    { "load", start_load },
+  { "kv", start_kv },
+  { "instances", start_instances },
+  { "worker", start_workers },
+  { "executor", start_executors },
+  { "relay", start_relay },
+  { "load", start_load },
+  { "platform", start_platform },
 };
 
 static bool
@@ -247,7 +274,7 @@
       return modes[i].start (standins, error);
   return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
                        "the mode must be kv, instances, worker, executor, "
-                       "relay or load");
+                       "relay, load or platform");
 }
 
 static bool
@@ -324,6 +351,7 @@
   gr_standin_instances_destroy (standins->instances);
   gr_relay_destroy (standins->relay);
   gr_load_mode_destroy (standins->load);
+  gr_standin_platform_destroy (standins->platform);
   g_main_loop_unref (standins->loop);
   g_ptr_array_unref (standins->workers);
   g_ptr_array_unref (standins->executors);
--- /dev/null
+++ b/standins/metastore.c
@@ -0,0 +1,745 @@
+#include "standins/metastore.h"
+
+#include "http/json.h"
+#include "standins/platform-worker.h"
+
+#include <string.h>
+
+/* History that a watch can ask for, in changes. */
+#define HISTORY 5000
+
+#define EXPIRE_MS 50
+#define HEARTBEAT_MS 1000
+#define PAGE_ITEMS 500
+
+struct item
+{
+  char *key;
+  char *value; /* base64, as it was sent */
+  int64_t revision;
+  int64_t created;
+  int64_t lease;
+};
+
+struct change
+{
+  char *key;
+  char *value; /* NULL: removed */
+  int64_t revision;
+  int64_t created;
+  int64_t lease;
+};
+
+struct lease
+{
+  int64_t id;
+  int64_t ttl_ms;
+  int64_t ends_ms;
+};
+
+struct watcher
+{
+  struct gr_standin_call *call;
+  char *prefix;
+  int64_t after;
+};
+
+struct gr_standin_platform
+{
+  struct gr_standin *base;
+  GTree *items;       /* key -> struct item */
+  GQueue changes;     /* struct change, oldest first */
+  GHashTable *leases; /* id -> struct lease */
+  GList *watchers;
+  int64_t revision;
+  int64_t next_lease;
+  GSource *timer;
+  GSource *heartbeat;
+  GPtrArray *workers;
+  uint64_t sequence;
+};
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+static void
+item_free (void *data)
+{
+  struct item *item = data;
+
+  g_free (item->key);
+  g_free (item->value);
+  g_free (item);
+}
+
+static void
+change_free (void *data)
+{
+  struct change *change = data;
+
+  g_free (change->key);
+  g_free (change->value);
+  g_free (change);
+}
+
+static JsonObject *
+show_item (const struct item *item)
+{
+  JsonObject *object = json_object_new ();
+
+  json_object_set_string_member (object, "key", item->key);
+  json_object_set_string_member (object, "value", item->value);
+  json_object_set_int_member (object, "revision", item->revision);
+  json_object_set_int_member (object, "created-rev", item->created);
+  json_object_set_int_member (object, "lease", item->lease);
+  return object;
+}
+
+static JsonObject *
+show_change (const struct change *change)
+{
+  JsonObject *object = json_object_new ();
+
+  json_object_set_string_member (object, "key", change->key);
+  json_object_set_int_member (object, "revision", change->revision);
+  if (change->value == NULL)
+    {
+      json_object_set_boolean_member (object, "deleted", TRUE);
+      return object;
+    }
+  json_object_set_string_member (object, "value", change->value);
+  json_object_set_int_member (object, "created-rev", change->created);
+  json_object_set_int_member (object, "lease", change->lease);
+  return object;
+}
+
+static void
+add_change (struct gr_standin_platform *platform,
+            const char *key,
+            const struct item *item)
+{
+  struct change *change = g_new0 (struct change, 1);
+
+  change->key = g_strdup (key);
+  change->revision = platform->revision;
+  if (item != NULL)
+    {
+      change->value = g_strdup (item->value);
+      change->created = item->created;
+      change->lease = item->lease;
+    }
+  g_queue_push_tail (&platform->changes, change);
+  if (g_queue_get_length (&platform->changes) > HISTORY)
+    change_free (g_queue_pop_head (&platform->changes));
+}
+
+static void
+put_item (struct gr_standin_platform *platform,
+          const char *key,
+          const char *value,
+          int64_t lease)
+{
+  struct item *item = g_tree_lookup (platform->items, key);
+
+  if (item == NULL)
+    {
+      item = g_new0 (struct item, 1);
+      item->key = g_strdup (key);
+      item->created = platform->revision;
+      g_tree_insert (platform->items, item->key, item);
+    }
+  g_free (item->value);
+  item->value = g_strdup (value);
+  item->revision = platform->revision;
+  item->lease = lease;
+  add_change (platform, key, item);
+}
+
+static void
+remove_item (struct gr_standin_platform *platform, const char *key)
+{
+  g_autofree char *copy = g_strdup (key);
+
+  if (g_tree_remove (platform->items, copy))
+    add_change (platform, copy, NULL);
+}
+
+static bool
+answer_watch (struct gr_standin_platform *platform,
+              struct watcher *watcher,
+              bool at_once)
+{
+  JsonArray *events = json_array_new ();
+  JsonObject *body;
+
+  for (GList *next = platform->changes.head; next != NULL; next = next->next)
+    {
+      struct change *change = next->data;
+
+      if (change->revision > watcher->after
+          && g_str_has_prefix (change->key, watcher->prefix))
+        json_array_add_object_element (events, show_change (change));
+    }
+  if (json_array_get_length (events) == 0 && !at_once)
+    {
+      json_array_unref (events);
+      return false;
+    }
+  body = json_object_new ();
+  json_object_set_array_member (body, "events", events);
+  json_object_set_int_member (body, "as-of", platform->revision);
+  gr_standin_reply (watcher->call, 200, body);
+  return true;
+}
+
+static void
+watcher_free (struct gr_standin_platform *platform, struct watcher *watcher)
+{
+  platform->watchers = g_list_remove (platform->watchers, watcher);
+  g_free (watcher->prefix);
+  g_free (watcher);
+}
+
+static void
+wake_watchers (struct gr_standin_platform *platform)
+{
+  GList *next = platform->watchers;
+
+  while (next != NULL)
+    {
+      struct watcher *watcher = next->data;
+
+      next = next->next;
+      if (answer_watch (platform, watcher, false))
+        watcher_free (platform, watcher);
+    }
+}
+
+/* The base calls it back with the call when its wait is over. */
+static GHashTable *waiting;
+
+static void
+watch_over (struct gr_standin_call *call)
+{
+  struct gr_standin_platform *platform = g_hash_table_lookup (waiting, call);
+
+  g_hash_table_remove (waiting, call);
+  for (GList *next = platform->watchers; next != NULL; next = next->next)
+    {
+      struct watcher *watcher = next->data;
+
+      if (watcher->call != call)
+        continue;
+      answer_watch (platform, watcher, true);
+      watcher_free (platform, watcher);
+      return;
+    }
+}
+
+static GHashTable *
+query_of (struct gr_standin_call *call)
+{
+  const char *query =
+      g_uri_get_query (soup_server_message_get_uri (call->message));
+
+  return soup_form_decode (query ? query : "");
+}
+
+static int64_t
+query_int (GHashTable *query, const char *name)
+{
+  const char *text = g_hash_table_lookup (query, name);
+
+  return text ? g_ascii_strtoll (text, NULL, 10) : 0;
+}
+
+static void
+apply_watch (struct gr_standin_platform *platform, struct gr_standin_call *call)
+{
+  g_autoptr (GHashTable) query = query_of (call);
+  struct watcher *watcher = g_new0 (struct watcher, 1);
+  struct change *oldest = g_queue_peek_head (&platform->changes);
+  const char *prefix = g_hash_table_lookup (query, "prefix");
+
+  watcher->call = call;
+  watcher->prefix = g_strdup (prefix ? prefix : "");
+  watcher->after = query_int (query, "after");
+  if (oldest != NULL && g_queue_get_length (&platform->changes) >= HISTORY
+      && watcher->after < oldest->revision)
+    {
+      g_free (watcher->prefix);
+      g_free (watcher);
+      gr_standin_reply (call, 410, NULL);
+      return;
+    }
+  platform->watchers = g_list_prepend (platform->watchers, watcher);
+  if (answer_watch (platform, watcher, false))
+    {
+      watcher_free (platform, watcher);
+      return;
+    }
+  g_hash_table_insert (waiting, call, platform);
+  gr_standin_delay (call, query_int (query, "wait-ms"), watch_over);
+}
+
+static void
+apply_get (struct gr_standin_platform *platform, struct gr_standin_call *call)
+{
+  g_autoptr (GHashTable) query = query_of (call);
+  const char *key = g_hash_table_lookup (query, "key");
+  struct item *item = key ? g_tree_lookup (platform->items, key) : NULL;
+  JsonObject *body;
+
+  if (item == NULL)
+    {
+      gr_standin_reply (call, 404, NULL);
+      return;
+    }
+  body = show_item (item);
+  json_object_set_int_member (body, "as-of", platform->revision);
+  gr_standin_reply (call, 200, body);
+}
+
+struct page
+{
+  const char *prefix;
+  const char *after;
+  JsonArray *items;
+  bool truncated;
+};
+
+static gboolean
+add_to_page (gpointer key, gpointer value, gpointer data)
+{
+  struct page *page = data;
+
+  if (!g_str_has_prefix (key, page->prefix)
+      || (page->after != NULL && strcmp (key, page->after) <= 0))
+    return FALSE;
+  if (json_array_get_length (page->items) >= PAGE_ITEMS)
+    {
+      page->truncated = true;
+      return TRUE;
+    }
+  json_array_add_object_element (page->items, show_item (value));
+  return FALSE;
+}
+
+static void
+apply_range (struct gr_standin_platform *platform, struct gr_standin_call *call)
+{
+  g_autoptr (GHashTable) query = query_of (call);
+  const char *prefix = g_hash_table_lookup (query, "prefix");
+  struct page page = { prefix ? prefix : "",
+                       g_hash_table_lookup (query, "after"), json_array_new (),
+                       false };
+  JsonObject *body = json_object_new ();
+
+  g_tree_foreach (platform->items, add_to_page, &page);
+  json_object_set_array_member (body, "items", page.items);
+  json_object_set_boolean_member (body, "truncated", page.truncated);
+  json_object_set_int_member (body, "as-of", platform->revision);
+  gr_standin_reply (call, 200, body);
+}
+
+static int64_t
+revision_of (struct gr_standin_platform *platform, const char *key)
+{
+  const struct item *item = g_tree_lookup (platform->items, key);
+
+  return item ? item->revision : 0;
+}
+
+static bool
+conditions_hold (struct gr_standin_platform *platform, JsonArray *expected)
+{
+  for (guint i = 0; expected && i < json_array_get_length (expected); i++)
+    {
+      JsonObject *row = json_array_get_object_element (expected, i);
+
+      if (revision_of (platform, json_object_get_string_member (row, "key"))
+          != json_object_get_int_member (row, "revision"))
+        return false;
+    }
+  return true;
+}
+
+static void
+reply_conflict (struct gr_standin_platform *platform,
+                struct gr_standin_call *call,
+                JsonArray *expected)
+{
+  JsonObject *body = json_object_new ();
+  JsonArray *items = json_array_new ();
+
+  for (guint i = 0; i < json_array_get_length (expected); i++)
+    {
+      JsonObject *row = json_array_get_object_element (expected, i);
+      const struct item *item = g_tree_lookup (
+          platform->items, json_object_get_string_member (row, "key"));
+
+      if (item != NULL)
+        json_array_add_object_element (items, show_item (item));
+    }
+  json_object_set_array_member (body, "items", items);
+  json_object_set_int_member (body, "as-of", platform->revision);
+  gr_standin_reply (call, 412, body);
+}
+
+static bool
+leases_exist (struct gr_standin_platform *platform, JsonArray *writes)
+{
+  for (guint i = 0; writes && i < json_array_get_length (writes); i++)
+    {
+      JsonObject *row = json_array_get_object_element (writes, i);
+      int64_t id = json_object_get_int_member (row, "lease");
+
+      if (id != 0 && !g_hash_table_contains (platform->leases, &id))
+        return false;
+    }
+  return true;
+}
+
+static void
+apply_txn (struct gr_standin_platform *platform, struct gr_standin_call *call)
+{
+  JsonArray *expected = NULL;
+  JsonArray *writes = NULL;
+  JsonArray *removals = NULL;
+  JsonObject *body;
+
+  if (call->body == NULL
+      || !gr_json_get_array (call->body, "expected-rev", &expected)
+      || !gr_json_get_array (call->body, "writes", &writes)
+      || !gr_json_get_array (call->body, "remove", &removals))
+    {
+      gr_standin_reply (call, 400, NULL);
+      return;
+    }
+  if (!leases_exist (platform, writes))
+    {
+      gr_standin_reply (call, 404, NULL);
+      return;
+    }
+  if (!conditions_hold (platform, expected))
+    {
+      reply_conflict (platform, call, expected);
+      return;
+    }
+  platform->revision++;
+  for (guint i = 0; writes && i < json_array_get_length (writes); i++)
+    {
+      JsonObject *row = json_array_get_object_element (writes, i);
+
+      put_item (platform, json_object_get_string_member (row, "key"),
+                json_object_get_string_member (row, "value"),
+                json_object_get_int_member (row, "lease"));
+    }
+  for (guint i = 0; removals && i < json_array_get_length (removals); i++)
+    remove_item (platform, json_array_get_string_element (removals, i));
+  body = json_object_new ();
+  json_object_set_int_member (body, "revision", platform->revision);
+  gr_standin_reply (call, 200, body);
+  wake_watchers (platform);
+}
+
+static gboolean
+collect_leased (gpointer key, gpointer value, gpointer data)
+{
+  void **wanted = data;
+
+  if (((struct item *)value)->lease == *(int64_t *)wanted[0])
+    g_ptr_array_add (wanted[1], g_strdup (key));
+  return FALSE;
+}
+
+static void
+end_lease (struct gr_standin_platform *platform, int64_t id)
+{
+  GPtrArray *keys = g_ptr_array_new_with_free_func (g_free);
+  void *wanted[] = { &id, keys };
+
+  g_hash_table_remove (platform->leases, &id);
+  g_tree_foreach (platform->items, collect_leased, wanted);
+  if (keys->len > 0)
+    platform->revision++;
+  for (guint i = 0; i < keys->len; i++)
+    remove_item (platform, keys->pdata[i]);
+  g_ptr_array_unref (keys);
+  wake_watchers (platform);
+}
+
+static void
+reply_lease (struct gr_standin_call *call, const struct lease *lease)
+{
+  JsonObject *body = json_object_new ();
+
+  json_object_set_int_member (body, "lease", lease->id);
+  json_object_set_int_member (body, "ttl-ms", lease->ttl_ms);
+  gr_standin_reply (call, 200, body);
+}
+
+static void
+apply_grant (struct gr_standin_platform *platform, struct gr_standin_call *call)
+{
+  struct lease *lease = g_new0 (struct lease, 1);
+
+  lease->id = ++platform->next_lease;
+  if (call->body == NULL
+      || !gr_json_get_int (call->body, "ttl-ms", 1000, 600000, 1000,
+                           &lease->ttl_ms))
+    {
+      g_free (lease);
+      gr_standin_reply (call, 400, NULL);
+      return;
+    }
+  lease->ends_ms = now_ms () + lease->ttl_ms;
+  g_hash_table_insert (platform->leases, &lease->id, lease);
+  reply_lease (call, lease);
+}
+
+static void
+apply_lease_call (struct gr_standin_platform *platform,
+                  struct gr_standin_call *call,
+                  const char *id_text,
+                  bool ends)
+{
+  int64_t id = g_ascii_strtoll (id_text, NULL, 10);
+  struct lease *lease = g_hash_table_lookup (platform->leases, &id);
+
+  if (lease == NULL)
+    {
+      gr_standin_reply (call, 404, NULL);
+      return;
+    }
+  if (ends)
+    {
+      gr_standin_reply (call, 200, json_object_new ());
+      end_lease (platform, id);
+      return;
+    }
+  lease->ends_ms = now_ms () + lease->ttl_ms;
+  reply_lease (call, lease);
+}
+
+static void
+apply (struct gr_standin_call *call, void *context)
+{
+  static const char keep[] = "/v1/kv-keep/";
+  static const char end[] = "/v1/kv-lease-end/";
+  static const struct
+  {
+    const char *path;
+    void (*apply) (struct gr_standin_platform *, struct gr_standin_call *);
+  } calls[] = {
+    { "/v1/kv-key", apply_get },     { "/v1/kv-range", apply_range },
+    { "/v1/kv-watch", apply_watch }, { "/v1/kv-txn", apply_txn },
+    { "/v1/kv-lease", apply_grant },
+  };
+  struct gr_standin_platform *platform = context;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (calls); i++)
+    if (g_str_equal (calls[i].path, call->path))
+      {
+        calls[i].apply (platform, call);
+        return;
+      }
+  if (g_str_has_prefix (call->path, keep))
+    apply_lease_call (platform, call, call->path + strlen (keep), false);
+  else if (g_str_has_prefix (call->path, end))
+    apply_lease_call (platform, call, call->path + strlen (end), true);
+  else
+    gr_standin_reply (call, 404, NULL);
+}
+
+static bool
+is_write (const struct gr_standin_call *call)
+{
+  return g_str_equal (call->path, "/v1/kv-txn");
+}
+
+static void
+describe (JsonObject *answer, void *context)
+{
+  struct gr_standin_platform *platform = context;
+
+  json_object_set_int_member (answer, "revision", platform->revision);
+}
+
+/* {"put":{"key":"op/config","text":"..."}} writes a key. */
+static bool
+control (JsonObject *body, void *context)
+{
+  struct gr_standin_platform *platform = context;
+  JsonObject *put = NULL;
+
+  if (!gr_json_get_object (body, "put", &put))
+    return false;
+  if (put == NULL)
+    return true;
+  gr_standin_platform_put (platform, gr_json_peek_string (put, "key"),
+                           gr_json_peek_string (put, "text"));
+  return true;
+}
+
+static const struct gr_standin_ops ops = { is_write, apply, describe, control };
+
+void
+gr_standin_platform_put (struct gr_standin_platform *platform,
+                         const char *key,
+                         const char *text)
+{
+  g_autofree char *value =
+      g_base64_encode ((const guchar *)text, strlen (text));
+
+  platform->revision++;
+  put_item (platform, key, value, 0);
+  wake_watchers (platform);
+}
+
+static gboolean
+expire (gpointer data)
+{
+  struct gr_standin_platform *platform = data;
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, platform->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct lease *)value)->ends_ms <= now_ms ())
+      {
+        end_lease (platform, ((struct lease *)value)->id);
+        break;
+      }
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+heartbeat (gpointer data)
+{
+  struct gr_standin_platform *platform = data;
+
+  platform->sequence++;
+  for (guint i = 0; i < platform->workers->len; i++)
+    {
+      const struct gr_platform_worker *worker = platform->workers->pdata[i];
+      g_autofree char *key =
+          g_strconcat ("servers/", gr_platform_worker_id (worker), NULL);
+      g_autofree char *text =
+          gr_platform_worker_entry (worker, platform->sequence);
+
+      gr_standin_platform_put (platform, key, text);
+    }
+  return G_SOURCE_CONTINUE;
+}
+
+static gint
+compare_keys (gconstpointer a, gconstpointer b, gpointer data)
+{
+  (void)data;
+  return strcmp (a, b);
+}
+
+static GSource *
+start_timer (uint32_t interval_ms, GSourceFunc call, void *data)
+{
+  GSource *source = g_timeout_source_new (interval_ms);
+
+  g_source_set_callback (source, call, data, NULL);
+  g_source_attach (source, NULL);
+  return source;
+}
+
+struct gr_standin_platform *
+gr_standin_platform_create (const struct gr_standin_platform_options *options,
+                            struct gr_error *error)
+{
+  struct gr_standin_platform *platform = g_new0 (struct gr_standin_platform, 1);
+
+  if (waiting == NULL)
+    waiting = g_hash_table_new (NULL, NULL);
+  platform->items = g_tree_new_full (compare_keys, NULL, NULL, item_free);
+  g_queue_init (&platform->changes);
+  platform->leases =
+      g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  platform->workers = g_ptr_array_new_with_free_func (
+      (GDestroyNotify)gr_platform_worker_destroy);
+  platform->base = gr_standin_create (options->listen, &ops, platform, error);
+  platform->timer = start_timer (EXPIRE_MS, expire, platform);
+  platform->heartbeat = start_timer (HEARTBEAT_MS, heartbeat, platform);
+  for (uint32_t i = 0; platform->base != NULL && i < options->workers; i++)
+    {
+      struct gr_platform_worker *worker =
+          gr_platform_worker_create (i, options, error);
+
+      if (worker == NULL)
+        {
+          gr_standin_platform_destroy (platform);
+          return NULL;
+        }
+      g_ptr_array_add (platform->workers, worker);
+    }
+  if (platform->base == NULL)
+    {
+      gr_standin_platform_destroy (platform);
+      return NULL;
+    }
+  heartbeat (platform);
+  return platform;
+}
+
+void
+gr_standin_platform_destroy (struct gr_standin_platform *platform)
+{
+  if (platform == NULL)
+    return;
+  g_source_destroy (platform->timer);
+  g_source_unref (platform->timer);
+  g_source_destroy (platform->heartbeat);
+  g_source_unref (platform->heartbeat);
+  while (platform->watchers != NULL)
+    {
+      struct watcher *watcher = platform->watchers->data;
+
+      g_hash_table_remove (waiting, watcher->call);
+      watcher_free (platform, watcher);
+    }
+  g_ptr_array_unref (platform->workers);
+  if (platform->base != NULL)
+    gr_standin_destroy (platform->base);
+  g_tree_unref (platform->items);
+  g_hash_table_destroy (platform->leases);
+  g_queue_clear_full (&platform->changes, change_free);
+  g_free (platform);
+}
+
+struct gr_standin *
+gr_standin_platform_base (struct gr_standin_platform *platform)
+{
+  return platform->base;
+}
+
+uint32_t
+gr_standin_platform_starts (struct gr_standin_platform *platform,
+                            const char *task)
+{
+  uint32_t starts = 0;
+
+  for (guint i = 0; i < platform->workers->len; i++)
+    starts += gr_platform_worker_starts (platform->workers->pdata[i], task);
+  return starts;
+}
+
+uint32_t
+gr_standin_platform_running (struct gr_standin_platform *platform,
+                             const char *task)
+{
+  uint32_t running = 0;
+
+  for (guint i = 0; i < platform->workers->len; i++)
+    running += gr_platform_worker_running (platform->workers->pdata[i], task);
+  return running;
+}
--- /dev/null
+++ b/steps/core.c
@@ -0,0 +1,363 @@
+#include "steps/tables.h"
+
+#include <string.h>
+
+static void
+queue_destroy (void *data)
+{
+  struct queue *queue = data;
+
+  g_free (queue->name);
+  g_free (queue->service);
+  g_free (queue);
+}
+
+static void
+account_destroy (void *data)
+{
+  struct account *account = data;
+
+  g_free (account->name);
+  g_free (account);
+}
+
+struct gr_steps *
+gr_steps_create (const struct gr_steps_settings *settings,
+                 int64_t epoch,
+                 int64_t now_ms)
+{
+  struct gr_steps *steps = g_new0 (struct gr_steps, 1);
+
+  steps->settings = *settings;
+  steps->epoch = epoch;
+  steps->created_ms = now_ms;
+  steps->now_ms = now_ms;
+  steps->queues =
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, queue_destroy);
+  steps->accounts =
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, account_destroy);
+  steps->workers = g_hash_table_new (g_str_hash, g_str_equal);
+  steps->worker_rows = g_ptr_array_new ();
+  steps->jobs = g_hash_table_new (g_str_hash, g_str_equal);
+  steps->job_rows = g_ptr_array_new ();
+  g_queue_init (&steps->orders);
+  g_queue_init (&steps->changed);
+  return steps;
+}
+
+void
+gr_steps_destroy (struct gr_steps *steps)
+{
+  if (steps == NULL)
+    return;
+  gr_workers_destroy (steps);
+  for (guint i = 0; i < steps->job_rows->len; i++)
+    gr_job_destroy (steps->job_rows->pdata[i]);
+  g_ptr_array_unref (steps->job_rows);
+  g_hash_table_destroy (steps->jobs);
+  g_hash_table_destroy (steps->queues);
+  g_hash_table_destroy (steps->accounts);
+  g_queue_clear_full (&steps->orders, g_free);
+  g_queue_clear (&steps->changed);
+  g_free (steps);
+}
+
+static struct queue *
+get_queue (struct gr_steps *steps, const char *name)
+{
+  struct queue *queue = g_hash_table_lookup (steps->queues, name);
+
+  if (queue != NULL)
+    return queue;
+  queue = g_new0 (struct queue, 1);
+  queue->name = g_strdup (name);
+  queue->service = g_strdup ("");
+  queue->max_attempts = 1;
+  queue->stretch = 1;
+  g_hash_table_insert (steps->queues, queue->name, queue);
+  return queue;
+}
+
+static struct account *
+get_account (struct gr_steps *steps, const char *name)
+{
+  struct account *account = g_hash_table_lookup (steps->accounts, name);
+
+  if (account != NULL)
+    return account;
+  account = g_new0 (struct account, 1);
+  account->name = g_strdup (name);
+  g_hash_table_insert (steps->accounts, account->name, account);
+  return account;
+}
+
+void
+gr_steps_set_queue (struct gr_steps *steps, const struct gr_steps_queue *row)
+{
+  struct queue *queue = get_queue (steps, row->name);
+
+  g_free (queue->service);
+  queue->service = g_strdup (row->service);
+  queue->priority = row->priority;
+  queue->max_attempts = MAX (row->max_attempts, 1);
+  queue->objective_ms = row->objective_ms;
+  queue->stretch = row->stretch;
+  queue->needs_advice = row->needs_advice;
+}
+
+void
+gr_steps_set_guarantee (struct gr_steps *steps,
+                        const char *account,
+                        uint32_t accelerators)
+{
+  get_account (steps, account)->guaranteed = accelerators;
+}
+
+static void
+restore_task (struct task *task, const struct gr_task_progress *row)
+{
+  task->failures = row->failures;
+  if (row->checkpoint[0] != '\0')
+    task->checkpoint = g_strdup (row->checkpoint);
+  if (!row->done)
+    return;
+  task->state = TASK_DONE;
+  task->step->n_waiting--;
+  task->step->n_done++;
+}
+
+static void
+restore_occurrence (struct job *job, uint32_t number)
+{
+  struct occurrence *occurrence = gr_job_occurrence (job, number);
+
+  if (occurrence->complete)
+    return;
+  occurrence->complete = true;
+  job->n_complete++;
+  for (uint32_t s = 0; s < job->spec->n_steps; s++)
+    {
+      struct step *step = &occurrence->steps[s];
+
+      for (uint32_t k = 0; k < step->n_tasks; k++)
+        step->tasks[k].state = TASK_DONE;
+      step->n_waiting = 0;
+      step->n_done = step->n_tasks;
+    }
+}
+
+static void
+restore (struct job *job, const struct gr_job_progress *progress)
+{
+  uint32_t repeats = MAX (job->spec->repeats, 1);
+
+  for (size_t i = 0; i < progress->n_tasks; i++)
+    {
+      const struct gr_task_progress *row = &progress->tasks[i];
+      struct occurrence *occurrence;
+
+      if (row->occurrence >= repeats)
+        continue;
+      if (row->step == GR_PROGRESS_WHOLE_OCCURRENCE)
+        {
+          restore_occurrence (job, row->occurrence);
+          continue;
+        }
+      occurrence = gr_job_occurrence (job, row->occurrence);
+      if (row->step < job->spec->n_steps
+          && row->index < occurrence->steps[row->step].n_tasks)
+        restore_task (&occurrence->steps[row->step].tasks[row->index], row);
+    }
+}
+
+void
+gr_steps_add_job (struct gr_steps *steps,
+                  const struct gr_job_spec *spec,
+                  const struct gr_job_progress *progress,
+                  bool inherited,
+                  int64_t now_ms)
+{
+  struct job *job;
+
+  if (g_hash_table_contains (steps->jobs, spec->id)
+      || (progress != NULL && progress->state >= GR_JOB_COMPLETED))
+    return;
+  job = g_new0 (struct job, 1);
+  job->spec = gr_job_spec_copy (spec);
+  job->queue = get_queue (steps, spec->queue);
+  job->account = get_account (steps, spec->account);
+  job->inherited = inherited;
+  job->added_ms = now_ms;
+  job->accepted_ms = now_ms;
+  job->occurrences = g_ptr_array_new ();
+  if (progress != NULL)
+    restore (job, progress);
+  g_hash_table_insert (steps->jobs, job->spec->id, job);
+  g_ptr_array_add (steps->job_rows, job);
+}
+
+void
+gr_steps_cancel_job (struct gr_steps *steps, const char *id)
+{
+  struct job *job = g_hash_table_lookup (steps->jobs, id);
+
+  if (job != NULL)
+    gr_job_finish (steps, job, GR_JOB_CANCELLED);
+}
+
+void
+gr_steps_tick (struct gr_steps *steps, int64_t now_ms, int64_t unix_ms)
+{
+  steps->now_ms = now_ms;
+  gr_workers_tick (steps);
+  gr_jobs_tick (steps, unix_ms);
+  gr_orders_tick (steps);
+  gr_place_tick (steps);
+}
+
+const char *
+gr_steps_take_changed (struct gr_steps *steps)
+{
+  struct job *job = g_queue_pop_head (&steps->changed);
+
+  if (job == NULL)
+    return NULL;
+  job->changed = false;
+  return job->spec->id;
+}
+
+uint64_t
+gr_steps_sequence (const struct gr_steps *steps)
+{
+  return steps->sequence;
+}
+
+void
+gr_steps_set_fenced (struct gr_steps *steps)
+{
+  steps->fenced = true;
+}
+
+bool
+gr_steps_fenced (const struct gr_steps *steps)
+{
+  return steps->fenced;
+}
+
+static bool
+task_differs (const struct task *task)
+{
+  return task->state == TASK_DONE || task->failures > 0
+         || task->checkpoint != NULL;
+}
+
+static void
+append_task (GArray *rows, const struct task *task)
+{
+  struct gr_task_progress row = {
+    .occurrence = task->step->occurrence->number,
+    .step = task->step->number,
+    .index = task->index,
+    .done = task->state == TASK_DONE,
+    .failures = task->failures,
+  };
+
+  if (task->checkpoint != NULL)
+    g_strlcpy (row.checkpoint, task->checkpoint, sizeof row.checkpoint);
+  g_array_append_val (rows, row);
+}
+
+static void
+append_occurrence (GArray *rows, const struct occurrence *occurrence)
+{
+  struct gr_task_progress whole = {
+    .occurrence = occurrence->number,
+    .step = GR_PROGRESS_WHOLE_OCCURRENCE,
+    .done = true,
+  };
+
+  if (occurrence->complete)
+    {
+      g_array_append_val (rows, whole);
+      return;
+    }
+  for (uint32_t s = 0; s < occurrence->job->spec->n_steps; s++)
+    for (uint32_t k = 0; k < occurrence->steps[s].n_tasks; k++)
+      if (task_differs (&occurrence->steps[s].tasks[k]))
+        append_task (rows, &occurrence->steps[s].tasks[k]);
+}
+
+bool
+gr_steps_progress (const struct gr_steps *steps,
+                   const char *id,
+                   struct gr_job_progress *progress)
+{
+  const struct job *job = g_hash_table_lookup (steps->jobs, id);
+  GArray *rows;
+
+  *progress = (struct gr_job_progress){ 0 };
+  if (job == NULL)
+    return false;
+  progress->state = job->state;
+  if (gr_job_is_final (job))
+    return true;
+  rows = g_array_new (FALSE, FALSE, sizeof (struct gr_task_progress));
+  for (guint i = 0; i < job->occurrences->len; i++)
+    if (job->occurrences->pdata[i] != NULL)
+      append_occurrence (rows, job->occurrences->pdata[i]);
+  progress->n_tasks = rows->len;
+  progress->tasks = (struct gr_task_progress *)g_array_free (rows, FALSE);
+  return true;
+}
+
+void
+gr_steps_each_begun (const struct gr_steps *steps,
+                     void (*visit) (const char *id, void *context),
+                     void *context)
+{
+  for (guint i = 0; i < steps->job_rows->len; i++)
+    {
+      const struct job *job = steps->job_rows->pdata[i];
+
+      if (job->begun && !gr_job_is_final (job))
+        visit (job->spec->id, context);
+    }
+}
+
+static void
+count_job (const struct job *job, struct gr_steps_counts *counts)
+{
+  if (gr_job_is_final (job))
+    return;
+  counts->jobs++;
+  if (!job->begun)
+    counts->jobs_waiting++;
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      const struct occurrence *occurrence = job->occurrences->pdata[i];
+
+      for (uint32_t s = 0; occurrence != NULL && s < job->spec->n_steps; s++)
+        if (occurrence->steps[s].ready_ms != 0)
+          counts->tasks_waiting += occurrence->steps[s].n_waiting;
+    }
+}
+
+void
+gr_steps_counts (const struct gr_steps *steps, struct gr_steps_counts *counts)
+{
+  *counts = (struct gr_steps_counts){ 0 };
+  for (guint i = 0; i < steps->job_rows->len; i++)
+    count_job (steps->job_rows->pdata[i], counts);
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      const struct worker *worker = steps->worker_rows->pdata[i];
+
+      counts->workers++;
+      counts->tasks_running += worker->tasks->len;
+      counts->workers_usable += gr_worker_usable (steps, worker);
+      counts->workers_quarantined +=
+          steps->now_ms < worker->quarantine_until_ms;
+      counts->accelerators += worker->capacity.accelerators;
+      counts->accelerators_used += worker->used.accelerators;
+    }
+}
--- /dev/null
+++ b/steps/job.c
@@ -0,0 +1,222 @@
+#include "steps/tables.h"
+
+#include <string.h>
+
+/* Occurrences that are due are created; far ones are not held in memory. */
+
+static struct occurrence *
+occurrence_create (struct job *job, uint32_t number)
+{
+  const struct gr_job_spec *spec = job->spec;
+  struct occurrence *occurrence = g_new0 (struct occurrence, 1);
+
+  occurrence->job = job;
+  occurrence->number = number;
+  if (spec->repeats > 0)
+    occurrence->due_unix_ms =
+        spec->first_due_unix_ms + (int64_t)number * spec->interval_ms;
+  occurrence->steps = g_new0 (struct step, spec->n_steps);
+  for (uint32_t i = 0; i < spec->n_steps; i++)
+    {
+      struct step *step = &occurrence->steps[i];
+
+      step->occurrence = occurrence;
+      step->spec = &spec->steps[i];
+      step->number = i;
+      step->n_tasks = spec->steps[i].count;
+      step->n_waiting = step->n_tasks;
+      step->tasks = g_new0 (struct task, step->n_tasks);
+      for (uint32_t k = 0; k < step->n_tasks; k++)
+        {
+          step->tasks[k].step = step;
+          step->tasks[k].index = k;
+        }
+    }
+  return occurrence;
+}
+
+static void
+occurrence_destroy (struct occurrence *occurrence)
+{
+  if (occurrence == NULL)
+    return;
+  for (uint32_t i = 0; i < occurrence->job->spec->n_steps; i++)
+    {
+      struct step *step = &occurrence->steps[i];
+
+      for (uint32_t k = 0; k < step->n_tasks; k++)
+        g_free (step->tasks[k].checkpoint);
+      g_free (step->tasks);
+    }
+  g_free (occurrence->steps);
+  g_free (occurrence);
+}
+
+struct occurrence *
+gr_job_occurrence (struct job *job, uint32_t number)
+{
+  while (job->occurrences->len <= number)
+    g_ptr_array_add (job->occurrences, NULL);
+  if (job->occurrences->pdata[number] == NULL)
+    job->occurrences->pdata[number] = occurrence_create (job, number);
+  return job->occurrences->pdata[number];
+}
+
+void
+gr_job_destroy (struct job *job)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    occurrence_destroy (job->occurrences->pdata[i]);
+  g_ptr_array_unref (job->occurrences);
+  gr_job_spec_destroy (job->spec);
+  g_free (job);
+}
+
+bool
+gr_job_is_final (const struct job *job)
+{
+  return job->state >= GR_JOB_COMPLETED;
+}
+
+void
+gr_job_changed (struct gr_steps *steps, struct job *job)
+{
+  steps->sequence++;
+  if (job->changed)
+    return;
+  job->changed = true;
+  g_queue_push_tail (&steps->changed, job);
+}
+
+static void
+stop_all (struct gr_steps *steps, struct job *job)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      struct occurrence *occurrence = job->occurrences->pdata[i];
+
+      for (uint32_t s = 0; occurrence != NULL && s < job->spec->n_steps; s++)
+        for (uint32_t k = 0; k < occurrence->steps[s].n_tasks; k++)
+          if (gr_task_is_active (&occurrence->steps[s].tasks[k]))
+            gr_order_stop (steps, &occurrence->steps[s].tasks[k]);
+    }
+}
+
+void
+gr_job_finish (struct gr_steps *steps, struct job *job, enum gr_job_state state)
+{
+  if (gr_job_is_final (job))
+    return;
+  job->state = state;
+  gr_job_changed (steps, job);
+  if (state != GR_JOB_COMPLETED)
+    stop_all (steps, job);
+}
+
+int64_t
+gr_job_objective_ms (const struct job *job)
+{
+  int64_t longest = 0;
+
+  /* Steps are numbered so that each waits only for earlier ones; the sum is a
+   * bound of the longest chain, and most jobs have one step. */
+  for (uint32_t i = 0; i < job->spec->n_steps; i++)
+    longest += job->spec->steps[i].estimate_ms;
+  return (int64_t)((double)longest * job->queue->stretch)
+         + job->queue->objective_ms;
+}
+
+bool
+gr_step_is_ready (const struct step *step)
+{
+  const struct occurrence *occurrence = step->occurrence;
+
+  for (uint32_t i = 0; i < step->spec->n_after; i++)
+    {
+      const struct step *earlier = &occurrence->steps[step->spec->after[i]];
+
+      if (earlier->n_done < earlier->n_tasks)
+        return false;
+    }
+  return true;
+}
+
+static void
+make_due (struct job *job, int64_t unix_ms)
+{
+  const struct gr_job_spec *spec = job->spec;
+
+  if (spec->repeats == 0)
+    {
+      gr_job_occurrence (job, 0);
+      return;
+    }
+  while (job->occurrences->len < spec->repeats
+         && spec->first_due_unix_ms
+                    + (int64_t)job->occurrences->len * spec->interval_ms
+                <= unix_ms)
+    gr_job_occurrence (job, job->occurrences->len);
+}
+
+static void
+mark_ready (struct gr_steps *steps, struct job *job, int64_t unix_ms)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      struct occurrence *occurrence = job->occurrences->pdata[i];
+
+      if (occurrence == NULL || occurrence->complete
+          || occurrence->due_unix_ms > unix_ms)
+        continue;
+      for (uint32_t s = 0; s < job->spec->n_steps; s++)
+        {
+          struct step *step = &occurrence->steps[s];
+
+          if (step->ready_ms == 0 && gr_step_is_ready (step))
+            step->ready_ms = steps->now_ms;
+        }
+    }
+}
+
+static void
+forget_room (struct gr_steps *steps, const struct job *job)
+{
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      struct worker *worker = steps->worker_rows->pdata[i];
+
+      if (worker->room_for != NULL && gr_step_job (worker->room_for) == job)
+        worker->room_for = NULL;
+    }
+}
+
+/* A job that is final and has nothing on a worker leaves the table once its
+ * progress was taken. */
+void
+gr_jobs_tick (struct gr_steps *steps, int64_t unix_ms)
+{
+  for (guint i = steps->job_rows->len; i-- > 0;)
+    {
+      struct job *job = steps->job_rows->pdata[i];
+
+      if (!gr_job_is_final (job))
+        {
+          make_due (job, unix_ms);
+          mark_ready (steps, job, unix_ms);
+          continue;
+        }
+      if (job->active > 0 || job->changed)
+        continue;
+      forget_room (steps, job);
+      g_ptr_array_remove_index (steps->job_rows, i);
+      g_hash_table_remove (steps->jobs, job->spec->id);
+      gr_job_destroy (job);
+    }
+}
+
+void
+gr_job_progress_clear (struct gr_job_progress *progress)
+{
+  g_free (progress->tasks);
+  *progress = (struct gr_job_progress){ 0 };
+}
--- /dev/null
+++ b/steps/orders.c
@@ -0,0 +1,269 @@
+#include "steps/tables.h"
+
+#include "common/log.h"
+
+#include <string.h>
+
+/* A start that was not answered is sent again with the same run; a worker
+ * that has it answers so. After START_TRIES the run is stopped instead. */
+#define START_TRIES 4
+
+/* A worker does not begin a task later than this after its first order, so
+ * that an order that is carried out late has no effect. */
+#define START_LIMIT_MS 2000
+
+/* Time between two stop orders for one run; a stop takes at most 200 ms. */
+#define STOP_REPEAT_MS 400
+
+/* After a worker had less room than was computed, until its next look. */
+#define NO_ROOM_PAUSE_MS 250
+
+static void
+push_order (struct gr_steps *steps, const struct gr_order *order)
+{
+  g_queue_push_tail (&steps->orders, g_memdup2 (order, sizeof *order));
+}
+
+static const char *
+start_checkpoint (const struct task *task)
+{
+  const struct task *owner =
+      task->step->spec->gang ? &task->step->tasks[0] : task;
+
+  return owner->checkpoint ? owner->checkpoint : "";
+}
+
+static void
+send_start (struct gr_steps *steps, struct task *task)
+{
+  struct gr_order order = {
+    .kind = GR_ORDER_START,
+    .run = task->run,
+    .payload = gr_task_job (task)->spec->payload,
+  };
+
+  task->order_ms = steps->now_ms;
+  task->tries++;
+  gr_task_name (task, order.task);
+  g_strlcpy (order.worker, task->worker->id, sizeof order.worker);
+  g_strlcpy (order.checkpoint, start_checkpoint (task),
+             sizeof order.checkpoint);
+  order.start_limit_ms = task->placed_ms + START_LIMIT_MS;
+  push_order (steps, &order);
+}
+
+/* The task has a worker and a run. */
+void
+gr_order_start (struct gr_steps *steps, struct task *task)
+{
+  g_assert (task->state == TASK_WAITING && task->worker != NULL);
+  task->state = TASK_STARTING;
+  task->step->n_waiting--;
+  task->placed_ms = steps->now_ms;
+  task->tries = 0;
+  task->answered_ms = 0;
+  task->stop_answered_ms = 0;
+  task->percent = 0;
+  task->percent_ms = steps->now_ms;
+  task->first_percent_ms = 0;
+  send_start (steps, task);
+  gr_task_job (task)->begun = true;
+}
+
+void
+gr_order_stop_run (struct gr_steps *steps,
+                   const struct worker *worker,
+                   const char *task,
+                   uint32_t run)
+{
+  struct gr_order order = { .kind = GR_ORDER_STOP, .run = run };
+
+  g_strlcpy (order.worker, worker->id, sizeof order.worker);
+  g_strlcpy (order.task, task, sizeof order.task);
+  push_order (steps, &order);
+}
+
+void
+gr_order_stop (struct gr_steps *steps, struct task *task)
+{
+  char name[GR_TASK_NAME_SIZE];
+
+  g_assert (gr_task_is_active (task));
+  if (task->state == TASK_STOPPING)
+    return;
+  task->state = TASK_STOPPING;
+  task->stop_answered_ms = 0;
+  task->order_ms = steps->now_ms;
+  gr_task_name (task, name);
+  gr_order_stop_run (steps, task->worker, name, task->run);
+}
+
+void
+gr_gang_abort (struct gr_steps *steps, struct step *step)
+{
+  for (uint32_t i = 0; i < step->n_tasks; i++)
+    if (gr_task_is_active (&step->tasks[i]))
+      gr_order_stop (steps, &step->tasks[i]);
+}
+
+/* The run of this task is certainly not there. */
+static void
+not_begun (struct gr_steps *steps, struct task *task)
+{
+  struct step *step = task->step;
+
+  gr_task_release (steps, task);
+  if (step->spec->gang)
+    gr_gang_abort (steps, step);
+}
+
+/* An earlier order for the run may still be carried out. */
+static void
+give_up_start (struct gr_steps *steps, struct task *task)
+{
+  struct step *step = task->step;
+
+  gr_order_stop (steps, task);
+  if (step->spec->gang)
+    gr_gang_abort (steps, step);
+}
+
+static void
+start_result (struct gr_steps *steps,
+              struct task *task,
+              enum gr_order_result result)
+{
+  struct worker *worker = task->worker;
+  bool sole = task->tries <= 1;
+
+  switch (result)
+    {
+    case GR_ORDER_DONE:
+      if (task->state == TASK_STARTING)
+        task->state = TASK_RUNNING;
+      task->answered_ms = steps->now_ms;
+      return;
+    case GR_ORDER_FENCED:
+      steps->fenced = true;
+      return;
+    case GR_ORDER_NO_ROOM:
+      worker->full_until_ms = steps->now_ms + NO_ROOM_PAUSE_MS;
+      worker->look_soon = true;
+      break;
+    case GR_ORDER_TOO_LATE:
+    case GR_ORDER_NO_TICKET:
+    case GR_ORDER_REJECTED:
+      worker->look_soon = true;
+      break;
+    case GR_ORDER_OTHER_INCARNATION:
+      worker->registered = false;
+      worker->gone_ms = steps->now_ms;
+      break;
+    case GR_ORDER_UNHEALTHY:
+      gr_health_suspect (steps, worker, "it answers that it is unhealthy");
+      break;
+    case GR_ORDER_NOT_SENT:
+      worker->reachable = false;
+      break;
+    case GR_ORDER_RUN_TOO_OLD:
+      worker->look_soon = true;
+      sole = false;
+      break;
+    case GR_ORDER_UNKNOWN:
+      worker->look_soon = true;
+      return; /* repeated by gr_orders_tick () */
+    }
+  if (task->state != TASK_STARTING)
+    return;
+  if (sole)
+    not_begun (steps, task);
+  else
+    give_up_start (steps, task);
+}
+
+static void
+stop_result (struct gr_steps *steps,
+             struct task *task,
+             enum gr_order_result result)
+{
+  if (result == GR_ORDER_FENCED)
+    steps->fenced = true;
+  /* A run that is not there is rejected from now on; a run that was there is
+   * listed as ended. */
+  if (result == GR_ORDER_DONE || result == GR_ORDER_RUN_TOO_OLD
+      || result == GR_ORDER_REJECTED)
+    {
+      task->stop_answered_ms = steps->now_ms;
+      task->worker->look_soon = true;
+    }
+}
+
+void
+gr_steps_order_result (struct gr_steps *steps,
+                       const struct gr_order *order,
+                       enum gr_order_result result,
+                       int64_t now_ms)
+{
+  struct task *task = gr_task_find (steps, order->task);
+
+  steps->now_ms = now_ms;
+  if (result == GR_ORDER_FENCED)
+    steps->fenced = true;
+  if (task == NULL || !gr_task_is_active (task) || task->run != order->run
+      || !g_str_equal (task->worker->id, order->worker))
+    return;
+  if (order->kind == GR_ORDER_START)
+    start_result (steps, task, result);
+  else if (task->state == TASK_STOPPING)
+    stop_result (steps, task, result);
+}
+
+/* Orders without an answer. */
+static void
+repeat_order (struct gr_steps *steps, struct task *task)
+{
+  char name[GR_TASK_NAME_SIZE];
+
+  if (task->state == TASK_STARTING
+      && steps->now_ms - task->order_ms >= GR_ORDER_TIMEOUT_MS)
+    {
+      if (task->tries >= START_TRIES
+          || steps->now_ms >= task->placed_ms + START_LIMIT_MS)
+        give_up_start (steps, task);
+      else
+        send_start (steps, task);
+      return;
+    }
+  if (task->state != TASK_STOPPING
+      || steps->now_ms - task->order_ms < STOP_REPEAT_MS)
+    return;
+  task->order_ms = steps->now_ms;
+  task->worker->look_soon = true;
+  gr_task_name (task, name);
+  gr_order_stop_run (steps, task->worker, name, task->run);
+}
+
+void
+gr_orders_tick (struct gr_steps *steps)
+{
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      struct worker *worker = steps->worker_rows->pdata[i];
+
+      for (guint k = worker->tasks->len; k-- > 0;)
+        if (k < worker->tasks->len)
+          repeat_order (steps, worker->tasks->pdata[k]);
+    }
+}
+
+bool
+gr_steps_take_order (struct gr_steps *steps, struct gr_order *order)
+{
+  struct gr_order *next = g_queue_pop_head (&steps->orders);
+
+  if (next == NULL)
+    return false;
+  *order = *next;
+  g_free (next);
+  return true;
+}
--- /dev/null
+++ b/steps/place.c
@@ -0,0 +1,437 @@
+#include "steps/tables.h"
+
+#include "common/log.h"
+
+#include <string.h>
+
+/* Choice of workers. Answers a load of gangs of 1 to 8 workers and of many
+ * small tasks: steps are tried in order of urgency, each on the workers that
+ * it leaves with the least waste, and a gang on one rack if it asks for it. */
+
+/* An urgent gang that no single rack can take for so long is spread over
+ * racks: it is slow there, but it starts in time. A share of reclaim_ms. */
+#define SPREAD_AFTER_SHARE 0.55
+
+struct candidate
+{
+  struct worker *worker;
+  uint32_t slots;
+  uint32_t left; /* accelerators that stay free, the measure of the fit */
+};
+
+/* Steps in the order in which they are tried. */
+struct ranked
+{
+  struct step *step;
+  uint32_t class; /* lower first */
+  int64_t order;  /* lower first */
+};
+
+bool
+gr_account_within_guarantee (const struct account *account)
+{
+  return account->urgent_demand <= account->guaranteed;
+}
+
+static bool
+label_allowed (const struct worker *worker, const struct step *step)
+{
+  return step->spec->label == NULL
+         || gr_worker_has_label (worker, step->spec->label);
+}
+
+bool
+gr_worker_allowed (const struct gr_steps *steps,
+                   const struct worker *worker,
+                   const struct step *step)
+{
+  return gr_worker_usable (steps, worker)
+         && g_str_equal (worker->service, gr_step_job (step)->queue->service)
+         && label_allowed (worker, step);
+}
+
+struct gr_resources
+gr_worker_room (const struct worker *worker,
+                const struct step *step,
+                int64_t now_ms)
+{
+  struct gr_resources room = { 0 };
+
+  (void)now_ms;
+  if (worker->room_for != NULL && worker->room_for != step)
+    return room;
+  if (worker->capacity.cpu_milli > worker->used.cpu_milli)
+    room.cpu_milli = worker->capacity.cpu_milli - worker->used.cpu_milli;
+  if (worker->capacity.memory_mb > worker->used.memory_mb)
+    room.memory_mb = worker->capacity.memory_mb - worker->used.memory_mb;
+  if (worker->capacity.accelerators > worker->used.accelerators)
+    room.accelerators =
+        worker->capacity.accelerators - worker->used.accelerators;
+  return room;
+}
+
+static uint32_t
+tasks_of_step_on (const struct step *step, const struct worker *worker)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const struct task *task = worker->tasks->pdata[i];
+
+      if (task->step == step)
+        n++;
+    }
+  return n;
+}
+
+uint32_t
+gr_slots_in (const struct step *step,
+             const struct worker *worker,
+             const struct gr_resources *room)
+{
+  const struct gr_step_spec *spec = step->spec;
+  uint32_t slots = step->n_tasks;
+  uint32_t present;
+
+  if (spec->needs.cpu_milli > 0 && !spec->filler)
+    slots = MIN (slots, room->cpu_milli / spec->needs.cpu_milli);
+  if (spec->needs.memory_mb > 0)
+    slots = MIN (slots, room->memory_mb / spec->needs.memory_mb);
+  if (spec->needs.accelerators > 0)
+    slots = MIN (slots, room->accelerators / spec->needs.accelerators);
+  if (spec->max_per_worker == 0 || slots == 0)
+    return slots;
+  present = tasks_of_step_on (step, worker);
+  if (present >= spec->max_per_worker)
+    return 0;
+  return MIN (slots, spec->max_per_worker - present);
+}
+
+/* Workers with room, for a gang on one rack only those of the rack. */
+static GArray *
+find_candidates (struct gr_steps *steps, struct step *step, const char *rack)
+{
+  GArray *found = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      struct worker *worker = steps->worker_rows->pdata[i];
+      struct gr_resources room;
+      struct candidate candidate = { .worker = worker };
+
+      if ((rack != NULL && !g_str_equal (worker->rack, rack))
+          || !gr_worker_allowed (steps, worker, step))
+        continue;
+      room = gr_worker_room (worker, step, steps->now_ms);
+      candidate.slots = gr_slots_in (step, worker, &room);
+      candidate.left = room.accelerators;
+      if (candidate.slots > 0)
+        g_array_append_val (found, candidate);
+    }
+  return found;
+}
+
+/* Fullest workers first, so that whole workers stay free for large tasks. */
+static gint
+compare_candidates (gconstpointer left, gconstpointer right)
+{
+  const struct candidate *a = left;
+  const struct candidate *b = right;
+
+  if (a->left != b->left)
+    return a->left < b->left ? -1 : 1;
+  return strcmp (a->worker->id, b->worker->id);
+}
+
+static uint32_t
+total_slots (const GArray *candidates)
+{
+  uint64_t slots = 0;
+
+  for (guint i = 0; i < candidates->len; i++)
+    slots += g_array_index (candidates, struct candidate, i).slots;
+  return (uint32_t)MIN (slots, UINT32_MAX);
+}
+
+static void
+start_task (struct gr_steps *steps,
+            struct task *task,
+            struct worker *worker,
+            uint32_t run)
+{
+  char name[GR_TASK_NAME_SIZE];
+  char text[16];
+
+  gr_task_assign (task, worker);
+  task->run = run;
+  gr_order_start (steps, task);
+  gr_task_name (task, name);
+  g_snprintf (text, sizeof text, "%u", run);
+  gr_log_event ("run-placed", "task", name, "run", text, "worker", worker->id,
+                NULL);
+}
+
+static void
+start_gang_on (struct gr_steps *steps, struct step *step, GArray *candidates)
+{
+  uint32_t highest = step->gang_run;
+  uint32_t next = 0;
+
+  g_array_sort (candidates, compare_candidates);
+  for (uint32_t i = 0; i < step->n_tasks; i++)
+    highest = MAX (highest, step->tasks[i].run);
+  step->gang_run = gr_next_run (steps, highest);
+  for (guint i = 0; i < candidates->len && next < step->n_tasks; i++)
+    {
+      const struct candidate *candidate =
+          &g_array_index (candidates, struct candidate, i);
+
+      for (uint32_t k = 0; k < candidate->slots && next < step->n_tasks; k++)
+        start_task (steps, &step->tasks[next++], candidate->worker,
+                    step->gang_run);
+    }
+  g_assert (next == step->n_tasks);
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      struct worker *worker = steps->worker_rows->pdata[i];
+
+      if (worker->room_for == step)
+        worker->room_for = NULL;
+    }
+}
+
+/* Of the racks that can take the whole gang, the one with the least room. */
+static GArray *
+best_rack (struct gr_steps *steps, struct step *step)
+{
+  g_autoptr (GHashTable) tried = g_hash_table_new (g_str_hash, g_str_equal);
+  GArray *best = NULL;
+  uint64_t best_left = UINT64_MAX;
+
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      struct worker *worker = steps->worker_rows->pdata[i];
+      GArray *candidates;
+      uint64_t left = 0;
+
+      if (!g_hash_table_add (tried, worker->rack))
+        continue;
+      candidates = find_candidates (steps, step, worker->rack);
+      for (guint k = 0; k < candidates->len; k++)
+        left += g_array_index (candidates, struct candidate, k).left;
+      if (step->spec->data_rack != NULL
+          && g_str_equal (worker->rack, step->spec->data_rack))
+        left = 0;
+      if (total_slots (candidates) < step->n_tasks || left >= best_left)
+        {
+          g_array_unref (candidates);
+          continue;
+        }
+      if (best != NULL)
+        g_array_unref (best);
+      best = candidates;
+      best_left = left;
+    }
+  return best;
+}
+
+static bool
+may_spread (const struct gr_steps *steps, const struct step *step)
+{
+  if (!step->spec->one_rack)
+    return true;
+  return gr_step_job (step)->queue->priority == 0
+         && steps->now_ms - step->ready_ms
+                >= (int64_t)(steps->settings.reclaim_ms * SPREAD_AFTER_SHARE);
+}
+
+static bool
+place_gang (struct gr_steps *steps, struct step *step)
+{
+  GArray *candidates;
+  bool fits;
+
+  if (step->n_waiting < step->n_tasks)
+    return true;
+  candidates = best_rack (steps, step);
+  if (candidates == NULL && may_spread (steps, step))
+    candidates = find_candidates (steps, step, NULL);
+  if (candidates == NULL)
+    return false;
+  fits = total_slots (candidates) >= step->n_tasks;
+  if (fits)
+    start_gang_on (steps, step, candidates);
+  g_array_unref (candidates);
+  return fits;
+}
+
+/* The worker that fits best: the data's rack, then not the one that failed the
+ * task, then the fullest. */
+static struct worker *
+best_worker (struct gr_steps *steps, const struct task *task)
+{
+  struct step *step = task->step;
+  struct worker *best = NULL;
+  uint64_t best_score = UINT64_MAX;
+
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      struct worker *worker = steps->worker_rows->pdata[i];
+      struct gr_resources room;
+      uint64_t score;
+
+      if (!gr_worker_allowed (steps, worker, step))
+        continue;
+      room = gr_worker_room (worker, step, steps->now_ms);
+      if (gr_slots_in (step, worker, &room) == 0)
+        continue;
+      score = room.accelerators;
+      if (step->spec->data_rack != NULL
+          && !g_str_equal (worker->rack, step->spec->data_rack))
+        score += (uint64_t)1 << 32;
+      if (g_str_equal (task->avoid, worker->id))
+        score += (uint64_t)1 << 33;
+      if (score >= best_score)
+        continue;
+      best = worker;
+      best_score = score;
+    }
+  return best;
+}
+
+/* False if a task is left that has no room. */
+static bool
+place_tasks (struct gr_steps *steps, struct step *step)
+{
+  for (uint32_t i = 0; i < step->n_tasks && step->n_waiting > 0; i++)
+    {
+      struct task *task = &step->tasks[i];
+      struct worker *worker;
+
+      if (task->state != TASK_WAITING)
+        continue;
+      worker = best_worker (steps, task);
+      if (worker == NULL)
+        return false;
+      start_task (steps, task, worker, gr_next_run (steps, task->run));
+    }
+  return true;
+}
+
+/* A step whose job is late but still worth something comes after those that
+ * can be in time, and one that is worth nothing any more comes last. */
+#define LATE_FACTOR 3
+
+static uint32_t
+rank_class (const struct gr_steps *steps, const struct step *step)
+{
+  const struct job *job = gr_step_job (step);
+  int64_t age_ms = steps->now_ms - job->accepted_ms;
+  int64_t objective_ms = gr_job_objective_ms (job);
+  uint32_t late = 0;
+
+  if (job->queue->priority == 0 && gr_account_within_guarantee (job->account))
+    return 0;
+  if (age_ms > objective_ms * LATE_FACTOR)
+    late = 2;
+  else if (age_ms > objective_ms)
+    late = 1;
+  return 1 + MIN (job->queue->priority, 100) * 3 + late;
+}
+
+static gint
+compare_ranked (gconstpointer left, gconstpointer right)
+{
+  const struct ranked *a = left;
+  const struct ranked *b = right;
+
+  if (a->class != b->class)
+    return a->class < b->class ? -1 : 1;
+  if (a->order != b->order)
+    return a->order < b->order ? -1 : 1;
+  return 0;
+}
+
+static void
+add_ranked (struct gr_steps *steps, struct job *job, GArray *ranked)
+{
+  if (gr_job_is_final (job) || (job->inherited && !steps->all_located))
+    return;
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      struct occurrence *occurrence = job->occurrences->pdata[i];
+
+      if (occurrence == NULL || occurrence->complete)
+        continue;
+      for (uint32_t s = 0; s < job->spec->n_steps; s++)
+        {
+          struct step *step = &occurrence->steps[s];
+          struct ranked row = { .step = step };
+
+          if (step->ready_ms == 0 || step->n_waiting == 0)
+            continue;
+          row.class = rank_class (steps, step);
+          row.order = job->accepted_ms;
+          g_array_append_val (ranked, row);
+        }
+    }
+}
+
+/* Demand of accounts for urgent work; decides who is within its guarantee. */
+static void
+sum_accounts (struct gr_steps *steps)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, steps->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct account *)value)->urgent_demand = 0;
+  for (guint i = 0; i < steps->job_rows->len; i++)
+    {
+      struct job *job = steps->job_rows->pdata[i];
+      uint32_t demand = 0;
+
+      if (gr_job_is_final (job) || job->queue->priority != 0)
+        continue;
+      for (uint32_t s = 0; s < job->spec->n_steps; s++)
+        demand +=
+            job->spec->steps[s].count * job->spec->steps[s].needs.accelerators;
+      job->account->urgent_demand += demand;
+    }
+}
+
+/* A gang of which only a part was found, once nothing else can turn up. */
+static bool
+repair_gang (struct gr_steps *steps, struct step *step)
+{
+  if (!step->spec->gang || step->n_waiting == step->n_tasks)
+    return false;
+  gr_gang_abort (steps, step);
+  return true;
+}
+
+void
+gr_place_tick (struct gr_steps *steps)
+{
+  GArray *ranked = g_array_new (FALSE, FALSE, sizeof (struct ranked));
+
+  sum_accounts (steps);
+  for (guint i = 0; i < steps->job_rows->len; i++)
+    add_ranked (steps, steps->job_rows->pdata[i], ranked);
+  g_array_sort (ranked, compare_ranked);
+  for (guint i = 0; i < ranked->len; i++)
+    {
+      struct step *step = g_array_index (ranked, struct ranked, i).step;
+      bool placed;
+
+      if (repair_gang (steps, step))
+        continue;
+      placed = step->spec->gang ? place_gang (steps, step)
+                                : place_tasks (steps, step);
+      if (!placed && gr_step_job (step)->queue->priority == 0)
+        gr_reclaim_room (steps, step);
+    }
+  g_array_unref (ranked);
+}
--- /dev/null
+++ b/steps/workers.c
@@ -0,0 +1,313 @@
+#include "steps/tables.h"
+
+#include "common/log.h"
+
+#include <string.h>
+
+/* A worker's clock can be 2 % slow (platform's pages); 1 % more for ours. */
+#define CLOCK_SLACK 1.03
+
+/* For the way of an order that is carried out while it is on its way back. */
+#define LAPSE_SLACK_MS 200
+
+/* A reservation that its step has not used by then is dropped: stops take
+ * 200 ms, and ends are read within some 100 ms more. */
+#define ROOM_TERM_MS 1500
+
+struct worker *
+gr_worker_find (struct gr_steps *steps, const char *id)
+{
+  return g_hash_table_lookup (steps->workers, id);
+}
+
+/* Before this owner has looked at a worker, runs of a former owner can go on
+ * there until that owner has stopped and the longest lease has expired. */
+static int64_t
+blackout_ms (const struct gr_steps *steps)
+{
+  return steps->settings.isolation_ms
+         + (int64_t)(steps->settings.max_hold_ms * CLOCK_SLACK)
+         + LAPSE_SLACK_MS;
+}
+
+static bool
+may_run_unseen (const struct gr_steps *steps, const struct worker *worker)
+{
+  return !worker->seen
+         && steps->now_ms < steps->created_ms + blackout_ms (steps);
+}
+
+bool
+gr_worker_usable (const struct gr_steps *steps, const struct worker *worker)
+{
+  return worker->registered && !worker->draining && worker->reachable
+         && worker->seen && steps->now_ms >= worker->quarantine_until_ms
+         && steps->now_ms >= worker->full_until_ms;
+}
+
+bool
+gr_worker_has_label (const struct worker *worker, const char *label)
+{
+  for (char **own = worker->labels; *own != NULL; own++)
+    if (g_str_equal (*own, label))
+      return true;
+  return false;
+}
+
+/* What ran on an incarnation that has ended is gone. */
+static void
+release_all (struct gr_steps *steps, struct worker *worker, const char *reason)
+{
+  while (worker->tasks->len > 0)
+    {
+      struct task *task = worker->tasks->pdata[worker->tasks->len - 1];
+      struct step *step = task->step;
+      char name[GR_TASK_NAME_SIZE];
+      char run[16];
+
+      gr_task_name (task, name);
+      g_snprintf (run, sizeof run, "%u", task->run);
+      gr_log_event ("run-lost", "task", name, "run", run, "worker", worker->id,
+                    "reason", reason, NULL);
+      gr_task_release (steps, task);
+      if (step->spec->gang)
+        gr_gang_abort (steps, step);
+    }
+}
+
+static void
+new_incarnation (struct gr_steps *steps,
+                 struct worker *worker,
+                 int64_t born_unix_ms)
+{
+  release_all (steps, worker, "the worker has started again");
+  worker->born_unix_ms = born_unix_ms;
+  worker->processed = 0;
+  worker->noted = 0;
+  worker->pending_sequence = 0;
+  worker->seen = false;
+  worker->reachable = true;
+  worker->look_soon = true;
+  worker->failures = 0;
+  worker->quarantine_until_ms = 0;
+  worker->quarantine_ms = 0;
+  worker->lease_until_ms = 0;
+}
+
+void
+gr_worker_born (struct gr_steps *steps,
+                struct worker *worker,
+                int64_t born_unix_ms)
+{
+  if (born_unix_ms == 0 || worker->born_unix_ms == born_unix_ms)
+    return;
+  /* The registry lags: an older birth there is no news. */
+  if (worker->born_unix_ms > born_unix_ms)
+    return;
+  if (worker->born_unix_ms == 0 && worker->seen)
+    {
+      worker->born_unix_ms = born_unix_ms;
+      return;
+    }
+  new_incarnation (steps, worker, born_unix_ms);
+}
+
+static gint
+compare_workers (gconstpointer left, gconstpointer right)
+{
+  const struct worker *const *a = left;
+  const struct worker *const *b = right;
+
+  return strcmp ((*a)->id, (*b)->id);
+}
+
+void
+gr_steps_set_worker (struct gr_steps *steps,
+                     const struct gr_steps_worker *row,
+                     int64_t now_ms)
+{
+  struct worker *worker = gr_worker_find (steps, row->id);
+
+  steps->now_ms = now_ms;
+  if (worker == NULL)
+    {
+      worker = g_new0 (struct worker, 1);
+      worker->id = g_strdup (row->id);
+      worker->tasks = g_ptr_array_new ();
+      worker->reachable = true;
+      worker->look_soon = true;
+      worker->born_unix_ms = row->born_unix_ms;
+      g_hash_table_insert (steps->workers, worker->id, worker);
+      g_ptr_array_add (steps->worker_rows, worker);
+      g_ptr_array_sort (steps->worker_rows, compare_workers);
+    }
+  else
+    gr_worker_born (steps, worker, row->born_unix_ms);
+  g_free (worker->service);
+  g_free (worker->rack);
+  g_strfreev (worker->labels);
+  worker->service = g_strdup (row->service);
+  worker->rack = g_strdup (row->rack);
+  worker->labels = g_strdupv ((char **)row->labels);
+  worker->capacity = row->capacity;
+  if (row->draining && !worker->draining)
+    gr_log_event ("worker-draining", "worker", worker->id, NULL);
+  worker->draining = row->draining;
+  worker->registered = true;
+  worker->gone_ms = 0;
+}
+
+void
+gr_steps_worker_gone (struct gr_steps *steps, const char *id, int64_t now_ms)
+{
+  struct worker *worker = gr_worker_find (steps, id);
+
+  if (worker == NULL || !worker->registered)
+    return;
+  worker->registered = false;
+  worker->gone_ms = now_ms;
+  gr_log_event ("worker-gone", "worker", id, NULL);
+}
+
+void
+gr_steps_worker_reachable (struct gr_steps *steps,
+                           const char *id,
+                           bool reachable,
+                           int64_t now_ms)
+{
+  struct worker *worker = gr_worker_find (steps, id);
+
+  (void)now_ms;
+  if (worker == NULL || worker->reachable == reachable)
+    return;
+  worker->reachable = reachable;
+  gr_log_event (reachable ? "worker-reachable" : "worker-unreachable", "worker",
+                id, NULL);
+}
+
+void
+gr_steps_worker_lease (struct gr_steps *steps, const char *id, int64_t until_ms)
+{
+  struct worker *worker = gr_worker_find (steps, id);
+
+  if (worker != NULL)
+    worker->lease_until_ms = MAX (worker->lease_until_ms, until_ms);
+}
+
+static void
+worker_destroy (struct worker *worker)
+{
+  g_ptr_array_unref (worker->tasks);
+  g_strfreev (worker->labels);
+  g_free (worker->service);
+  g_free (worker->rack);
+  g_free (worker->id);
+  g_free (worker);
+}
+
+static int64_t
+lapse_ms (const struct gr_steps *steps, const struct worker *worker)
+{
+  int64_t lapse = worker->lease_until_ms + LAPSE_SLACK_MS;
+
+  if (!worker->seen)
+    lapse = MAX (lapse, steps->created_ms + blackout_ms (steps));
+  return lapse;
+}
+
+static bool
+is_forgotten (const struct gr_steps *steps, const struct worker *worker)
+{
+  return !worker->registered && worker->tasks->len == 0
+         && steps->now_ms >= lapse_ms (steps, worker);
+}
+
+/* Runs whose lease has surely expired have ended. */
+void
+gr_workers_tick (struct gr_steps *steps)
+{
+  steps->all_located = true;
+  for (guint i = steps->worker_rows->len; i-- > 0;)
+    {
+      struct worker *worker = steps->worker_rows->pdata[i];
+
+      if (worker->tasks->len > 0 && steps->now_ms >= lapse_ms (steps, worker))
+        release_all (steps, worker, "its lease has expired");
+      if (worker->room_for != NULL && steps->now_ms >= worker->room_until_ms)
+        worker->room_for = NULL;
+      if (may_run_unseen (steps, worker))
+        steps->all_located = false;
+      if (!is_forgotten (steps, worker))
+        continue;
+      g_ptr_array_remove_index (steps->worker_rows, i);
+      g_hash_table_remove (steps->workers, worker->id);
+      worker_destroy (worker);
+    }
+}
+
+void
+gr_worker_set_room (struct gr_steps *steps,
+                    struct worker *worker,
+                    struct step *step)
+{
+  worker->room_for = step;
+  worker->room_until_ms = steps->now_ms + ROOM_TERM_MS;
+}
+
+void
+gr_workers_destroy (struct gr_steps *steps)
+{
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    worker_destroy (steps->worker_rows->pdata[i]);
+  g_ptr_array_unref (steps->worker_rows);
+  g_hash_table_destroy (steps->workers);
+}
+
+int64_t
+gr_steps_noted (const struct gr_steps *steps, const char *id)
+{
+  const struct worker *worker = g_hash_table_lookup (steps->workers, id);
+
+  return worker ? worker->noted : 0;
+}
+
+/* An end counts as durable when every change up to the moment it was read
+ * is. */
+void
+gr_steps_committed (struct gr_steps *steps, uint64_t sequence)
+{
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      struct worker *worker = steps->worker_rows->pdata[i];
+
+      if (worker->pending_sequence != 0 && sequence >= worker->pending_sequence)
+        {
+          worker->noted = worker->pending_number;
+          worker->pending_sequence = 0;
+        }
+      if (worker->pending_sequence == 0 && worker->processed > worker->noted)
+        {
+          worker->pending_number = worker->processed;
+          worker->pending_sequence = MAX (steps->sequence, 1);
+        }
+      if (worker->pending_sequence != 0 && sequence >= worker->pending_sequence)
+        {
+          worker->noted = worker->pending_number;
+          worker->pending_sequence = 0;
+        }
+    }
+}
+
+enum gr_look_need
+gr_steps_look_need (const struct gr_steps *steps, const char *id)
+{
+  const struct worker *worker = g_hash_table_lookup (steps->workers, id);
+
+  if (worker == NULL)
+    return GR_LOOK_NONE;
+  if (!worker->seen || worker->look_soon || !worker->reachable)
+    return GR_LOOK_NOW;
+  if (worker->processed > worker->noted)
+    return GR_LOOK_PENDING;
+  return worker->tasks->len > 0 ? GR_LOOK_WAIT : GR_LOOK_NONE;
+}
