--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -250,7 +250,7 @@
   mirror->watching = false;
   if (error != NULL)
     {
-      gr_log_event ("store-watch-failed", "reason", error->message, NULL);
+      g_debug ("watch of records: %s", error->message);
       /* Without its history the copy must be read anew. */
       if (error->kind == GR_ERROR_STALE_SETTINGS)
         gr_mirror_reload (mirror, NULL, NULL);
@@ -337,7 +337,7 @@
           g_free (load);
           return;
         }
-      gr_log_event ("store-load-failed", "reason", error->message, NULL);
+      g_debug ("reading of records: %s", error->message);
       load_end (load, false);
       return;
     }
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -158,6 +158,7 @@
 {
   gr_log_event ("run-adopted", "task", running->task, "worker", worker->id,
                 NULL);
+  gr_worker_lease_unknown (steps, worker);
   gr_task_assign (task, worker);
   task->state = TASK_RUNNING;
   task->step->n_waiting--;
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -173,6 +173,8 @@
 void gr_worker_born (struct gr_steps *steps,
                      struct worker *worker,
                      int64_t born_unix_ms);
+/* Runs were found whose lease a former owner gave: the longest is assumed. */
+void gr_worker_lease_unknown (struct gr_steps *steps, struct worker *worker);
 /* Sets aside what is free, or becomes free, on the worker for a step. */
 void gr_worker_set_room (struct gr_steps *steps,
                          struct worker *worker,
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -194,6 +194,15 @@
     worker->lease_until_ms = MAX (worker->lease_until_ms, until_ms);
 }
 
+void
+gr_worker_lease_unknown (struct gr_steps *steps, struct worker *worker)
+{
+  int64_t longest_ms = (int64_t)(steps->settings.max_hold_ms * CLOCK_SLACK);
+
+  worker->lease_until_ms =
+      MAX (worker->lease_until_ms, steps->now_ms + longest_ms);
+}
+
 static void
 worker_destroy (struct worker *worker)
 {
