steps: a final job stays in the core until its state is durable

An echo of one of its records (a cancel mark, its own progress) came before the final state was in the mirror, so that the job was added again and ran again. Change: it leaves when the sequence of its last change is committed. Test: echo_does_not_bring_a_completed_job_back was red (8 starts instead of 4). Ruled out: equal run numbers from two epochs; both runs came from one owner.

--- a/steps/job.c
+++ b/steps/job.c
@@ -109,6 +109,7 @@
     return;
   job->state = state;
   gr_job_changed (steps, job);
+  job->final_sequence = steps->sequence;
   if (state != GR_JOB_COMPLETED)
     stop_all (steps, job);
 }
@@ -191,7 +192,7 @@
 }
 
 /* A job that is final and has nothing on a worker leaves the table once its
- * progress was taken. */
+ * state is durable; before that, its records would bring it back. */
 void
 gr_jobs_tick (struct gr_steps *steps, int64_t unix_ms)
 {
@@ -205,7 +206,8 @@
           mark_ready (steps, job, unix_ms);
           continue;
         }
-      if (job->active > 0 || job->changed)
+      if (job->active > 0 || job->changed
+          || steps->committed < job->final_sequence)
         continue;
       forget_room (steps, job);
       g_ptr_array_remove_index (steps->job_rows, i);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -98,6 +98,7 @@
   bool inherited;
   bool begun;
   bool changed;
+  uint64_t final_sequence; /* of the change that made it final */
   int64_t added_ms;
   int64_t accepted_ms; /* our clock, estimated */
   GPtrArray *occurrences;
@@ -140,6 +141,7 @@
   GQueue orders;
   GQueue changed; /* struct job */
   uint64_t sequence;
+  uint64_t committed; /* changes up to this are durable */
   bool fenced;
   bool all_located; /* no run of an inherited job can be unseen */
 };
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -285,6 +285,7 @@
 void
 gr_steps_committed (struct gr_steps *steps, uint64_t sequence)
 {
+  steps->committed = MAX (steps->committed, sequence);
   for (guint i = 0; i < steps->worker_rows->len; i++)
     {
       struct worker *worker = steps->worker_rows->pdata[i];
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -72,6 +72,15 @@
   char *payload;
 };
 
+/* Progress on its way to the store. */
+struct commit
+{
+  int64_t at_ms;
+  char id[GR_JOB_ID_DIGITS + 1]; /* "" for the sequence alone */
+  struct gr_job_progress progress;
+  uint64_t sequence;
+};
+
 struct steps_model
 {
   struct gr_steps *steps;
@@ -85,10 +94,14 @@
   GPtrArray *queues;
   GPtrArray *late;
   bool store_works;
+  int64_t commit_ms;
+  GQueue commits; /* struct commit, oldest first */
   double wasted_s;
   char *broken;
 };
 
+static void drop_commits (struct steps_model *model);
+
 static void
 break_promise (struct steps_model *model, const char *rule, const char *task)
 {
@@ -200,6 +213,7 @@
 steps_model_destroy (struct steps_model *model)
 {
   gr_steps_destroy (model->steps);
+  drop_commits (model);
   for (guint i = 0; i < model->workers->len; i++)
     {
       struct model_worker *worker = model->workers->pdata[i];
@@ -362,6 +376,12 @@
   set_worker (model, worker);
 }
 
+void
+steps_model_set_commit_ms (struct steps_model *model, int64_t commit_ms)
+{
+  model->commit_ms = commit_ms;
+}
+
 void
 steps_model_set_store (struct steps_model *model, bool works)
 {
@@ -372,6 +392,7 @@
 steps_model_take_over (struct steps_model *model)
 {
   gr_steps_destroy (model->steps);
+  drop_commits (model);
   model->epoch++;
   model->steps =
       gr_steps_create (&model->settings, model->epoch, model->now_ms);
@@ -781,27 +802,87 @@
 }
 
 static void
-make_durable (struct steps_model *model)
+apply_commit (struct steps_model *model, struct commit *commit)
+{
+  struct model_job *job;
+
+  if (commit->id[0] == '\0')
+    {
+      gr_steps_committed (model->steps, commit->sequence);
+      return;
+    }
+  job = job_of (model, (uint32_t)g_ascii_strtoull (commit->id, NULL, 16));
+  gr_job_progress_clear (&job->durable);
+  job->durable = commit->progress;
+  job->has_durable = true;
+  if (commit->progress.state >= GR_JOB_COMPLETED && job->final_ms < 0)
+    job->final_ms = model->now_ms;
+}
+
+static void
+send_commits (struct steps_model *model)
 {
+  struct commit *commit;
   const char *id;
 
+  while ((id = gr_steps_take_changed (model->steps)) != NULL)
+    {
+      commit = g_new0 (struct commit, 1);
+      commit->at_ms = model->now_ms + model->commit_ms;
+      g_strlcpy (commit->id, id, sizeof commit->id);
+      if (gr_steps_progress (model->steps, id, &commit->progress))
+        g_queue_push_tail (&model->commits, commit);
+      else
+        g_free (commit);
+    }
+  commit = g_new0 (struct commit, 1);
+  commit->at_ms = model->now_ms + model->commit_ms;
+  commit->sequence = gr_steps_sequence (model->steps);
+  g_queue_push_tail (&model->commits, commit);
+}
+
+static void
+echo_records (struct steps_model *model)
+{
+  for (guint i = 0; model->commit_ms > 0 && i < model->jobs->len; i++)
+    {
+      struct model_job *job = model->jobs->pdata[i];
+
+      if (job != NULL)
+        gr_steps_add_job (model->steps, job->spec,
+                          job->has_durable ? &job->durable : NULL, false,
+                          model->now_ms);
+    }
+}
+
+static void
+make_durable (struct steps_model *model)
+{
   if (!model->store_works)
     return;
-  while ((id = gr_steps_take_changed (model->steps)) != NULL)
+  send_commits (model);
+  while (!g_queue_is_empty (&model->commits)
+         && ((struct commit *)g_queue_peek_head (&model->commits))->at_ms
+                <= model->now_ms)
     {
-      struct gr_job_progress progress;
-      struct model_job *job =
-          job_of (model, (uint32_t)g_ascii_strtoull (id, NULL, 16));
+      struct commit *commit = g_queue_pop_head (&model->commits);
 
-      if (!gr_steps_progress (model->steps, id, &progress))
-        continue;
-      gr_job_progress_clear (&job->durable);
-      job->durable = progress;
-      job->has_durable = true;
-      if (progress.state >= GR_JOB_COMPLETED && job->final_ms < 0)
-        job->final_ms = model->now_ms;
+      apply_commit (model, commit);
+      g_free (commit);
+    }
+  echo_records (model);
+}
+
+static void
+drop_commits (struct steps_model *model)
+{
+  while (!g_queue_is_empty (&model->commits))
+    {
+      struct commit *commit = g_queue_pop_head (&model->commits);
+
+      gr_job_progress_clear (&commit->progress);
+      g_free (commit);
     }
-  gr_steps_committed (model->steps, gr_steps_sequence (model->steps));
 }
 
 static void
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -58,6 +58,10 @@
 /* Progress is not made durable while it is false. */
 void steps_model_set_store (struct steps_model *model, bool works);
 
+/* Progress is durable so long after the core has given it out; until then every
+ * job is added again at each tick, as echoes of its records do. */
+void steps_model_set_commit_ms (struct steps_model *model, int64_t commit_ms);
+
 void steps_model_run (struct steps_model *model, int64_t for_ms);
 
 enum gr_job_state steps_model_state (const struct steps_model *model,
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -75,6 +75,23 @@
 }
 END_TEST
 
+/* A job that was complete left the core before its state was durable; an echo
+ * of its records added it again, and it ran a second time. */
+START_TEST (echo_does_not_bring_a_completed_job_back)
+{
+  struct steps_model *model = create (16, 1);
+
+  steps_model_set_commit_ms (model, 300);
+  steps_model_add_job (model, 1, "normal", "a", &plain, 1, 500);
+  steps_model_add_job (model, 2, "normal", "a", &gang, 1, 500);
+  steps_model_run (model, 4000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 4);
+  ck_assert_uint_eq (steps_model_starts (model, 2), 8);
+  finish (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -85,6 +102,7 @@
 
   tcase_add_test (tests, jobs_of_each_kind_complete);
   tcase_add_test (tests, adopted_runs_keep_their_lease);
+  tcase_add_test (tests, echo_does_not_bring_a_completed_job_back);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
