steps, instance: unseen runs after outages; leases that ended

Cause 2: after a store outage the registry misses workers that live, and an owner that has just started does not know them; it started their runs again (TWICE). A worker that left the registry while its runs went on was forgotten with the owner that had seen it. Change: only answered looks move the lease. Inherited jobs wait until the registry is settled (2.5 s after the store answers without failure). The owner publishes workers that left the registry and may run on; a successor looks at them too. Ruled out: connection refused as a proof of death; a cut may refuse as well.

--- a/instance/config-view.c
+++ b/instance/config-view.c
@@ -18,6 +18,7 @@
   int64_t current_ms;
   int64_t sent_ms; /* of the call that is open */
   guint timer;
+  int64_t contact_ms;
   bool must_read;
   bool lost; /* the last call failed */
   void (*changed) (void *context);
@@ -81,6 +82,10 @@
   if (error == NULL && view->lost)
     gr_log_event ("store-regained", NULL);
   view->lost = error != NULL;
+  if (error != NULL)
+    view->contact_ms = INT64_MAX;
+  else if (view->contact_ms == INT64_MAX)
+    view->contact_ms = gr_clock_now_ms (view->clock);
 }
 
 static void
@@ -136,6 +141,7 @@
   view->clock = clock;
   view->changed = changed;
   view->context = context;
+  view->contact_ms = INT64_MAX;
   view->must_read = true;
   ask (view);
   return view;
@@ -163,3 +169,9 @@
 {
   return view->current_ms;
 }
+
+int64_t
+gr_config_view_contact_ms (const struct gr_config_view *view)
+{
+  return view->contact_ms;
+}
--- a/instance/config-view.h
+++ b/instance/config-view.h
@@ -22,6 +22,10 @@
  * known. */
 int64_t gr_config_view_current_ms (const struct gr_config_view *view);
 
+/* The store has answered without a failure since this time; INT64_MAX while it
+ * does not answer. */
+int64_t gr_config_view_contact_ms (const struct gr_config_view *view);
+
 /* Takes the item if it is newer; as read at current_ms. */
 void gr_config_view_apply (struct gr_config_view *view,
                            const struct gr_metastore_item *item,
--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -26,6 +26,8 @@
   char *owner;
   int64_t owner_revision;
   int64_t owner_seen_revision; /* also of its removal */
+  char *absent;
+  int64_t absent_revision;
   int64_t generation;
   int64_t generation_revision;
   int64_t watched_revision;
@@ -193,6 +195,16 @@
     }
 }
 
+static void
+apply_absent (struct gr_mirror *mirror, const struct gr_metastore_item *item)
+{
+  if (item->deleted || item->revision <= mirror->absent_revision)
+    return;
+  mirror->absent_revision = item->revision;
+  g_free (mirror->absent);
+  mirror->absent = text_of (item);
+}
+
 void
 gr_mirror_apply (struct gr_mirror *mirror, const struct gr_metastore_item *item)
 {
@@ -207,6 +219,8 @@
     apply_generation (mirror, item);
   else if (g_str_equal (item->key, GR_RECORD_BEGUN))
     apply_begun (mirror, item);
+  else if (g_str_equal (item->key, GR_RECORD_ABSENT))
+    apply_absent (mirror, item);
 }
 
 static gboolean
@@ -417,6 +431,7 @@
   g_hash_table_destroy (mirror->jobs);
   g_hash_table_destroy (mirror->published);
   g_free (mirror->owner);
+  g_free (mirror->absent);
   g_free (mirror);
 }
 
@@ -470,3 +485,9 @@
   *revision = mirror->generation_revision;
   return mirror->generation;
 }
+
+const char *
+gr_mirror_absent (const struct gr_mirror *mirror)
+{
+  return mirror->absent ? mirror->absent : "";
+}
--- a/instance/mirror.h
+++ b/instance/mirror.h
@@ -63,6 +63,10 @@
 /* Revision of the owner's record, 0 if there is none; text is its value. */
 int64_t gr_mirror_owner (const struct gr_mirror *mirror, const char **text);
 
+/* Workers that may run on though they have left the registry, as the last owner
+ * has written them: lines of id and address. */
+const char *gr_mirror_absent (const struct gr_mirror *mirror);
+
 /* Generation of the last owner, 0 if there was none, and the revision of its
  * record. */
 int64_t gr_mirror_generation (const struct gr_mirror *mirror,
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -8,6 +8,19 @@
 
 #include <string.h>
 
+/* Lease of what runs, from each look on. Long enough for a takeover after a
+ * store outage of some seconds; work on a worker that is cut off is started
+ * again elsewhere after it. */
+#define HOLD_MS 7000
+
+/* A former owner looks at each worker that runs something every 1.5 s, and
+ * stops when one of them has seen the epoch of its successor. */
+#define FENCED_WITHIN_MS 2500
+
+/* Entries that lapsed in an outage of the store are back within two seconds of
+ * its return (platform's pages). */
+#define REGISTRY_SETTLE_MS 2500
+
 /* Time between two runs of the core when nothing happens. */
 #define TICK_MS 100
 
@@ -29,6 +42,7 @@
   struct gr_steps *steps;
   struct gr_worker_io *io;
   struct gr_progress_log *log;
+  GHashTable *addresses;  /* worker id -> IP:PORT, last that was seen */
   GHashTable *registered; /* worker ids in the registry */
   GHashTable *listed;     /* the same, of the read that runs */
   bool loaded;
@@ -182,6 +196,8 @@
   gr_steps_set_worker (owner->steps, &worker,
                        gr_clock_now_ms (owner->parts.clock));
   gr_worker_io_set (owner->io, entry->worker, entry->address);
+  g_hash_table_replace (owner->addresses, g_strdup (entry->worker),
+                        g_strdup (entry->address));
   g_hash_table_add (owner->listed, g_strdup (entry->worker));
 }
 
@@ -295,34 +311,85 @@
     g_clear_pointer (&owner->published, g_free);
 }
 
+struct absent_text
+{
+  struct gr_owner *owner;
+  GString *text;
+};
+
+static void
+append_absent (const char *worker, void *context)
+{
+  struct absent_text *absent = context;
+  const char *address = g_hash_table_lookup (absent->owner->addresses, worker);
+
+  if (address != NULL)
+    g_string_append_printf (absent->text, "%s %s\n", worker, address);
+}
+
+static void
+write_published (struct gr_owner *owner, const char *begun, const char *absent)
+{
+  struct gr_metastore_txn *txn = gr_metastore_txn_create ();
+
+  gr_metastore_txn_expect (txn, GR_RECORD_OWNER, owner->revision);
+  gr_metastore_txn_put (txn, GR_RECORD_BEGUN, begun, strlen (begun), 0);
+  gr_metastore_txn_put (txn, GR_RECORD_ABSENT, absent, strlen (absent), 0);
+  gr_metastore_commit (owner->parts.store, txn, PUBLISH_TIMEOUT_MS,
+                       (struct gr_metastore_reply){
+                           publish_done, open_call (owner, SLOT_PUBLISH) });
+}
+
+/* For clients' counts, and for a successor: workers that have left the
+ * registry and may run on. */
 static gboolean
 publish (gpointer data)
 {
   struct gr_owner *owner = data;
-  GString *text;
-  struct gr_metastore_txn *txn;
+  GString *begun;
+  struct absent_text absent = { owner, NULL };
+  char *both;
 
   if (owner->calls[SLOT_PUBLISH] != NULL || owner->superseded || !owner->loaded)
     return G_SOURCE_CONTINUE;
-  text = g_string_new (NULL);
-  gr_steps_each_begun (owner->steps, append_id, text);
-  if (owner->published != NULL && g_str_equal (owner->published, text->str))
+  begun = g_string_new (NULL);
+  absent.text = g_string_new (NULL);
+  gr_steps_each_begun (owner->steps, append_id, begun);
+  gr_steps_each_absent (owner->steps, append_absent, &absent);
+  both = g_strconcat (begun->str, "-", absent.text->str, NULL);
+  if (g_strcmp0 (owner->published, both) != 0)
     {
-      g_string_free (text, TRUE);
-      return G_SOURCE_CONTINUE;
+      write_published (owner, begun->str, absent.text->str);
+      g_free (owner->published);
+      owner->published = g_steal_pointer (&both);
     }
-  g_free (owner->published);
-  owner->published = g_string_free (text, FALSE);
-  txn = gr_metastore_txn_create ();
-  gr_metastore_txn_expect (txn, GR_RECORD_OWNER, owner->revision);
-  gr_metastore_txn_put (txn, GR_RECORD_BEGUN, owner->published,
-                        strlen (owner->published), 0);
-  gr_metastore_commit (owner->parts.store, txn, PUBLISH_TIMEOUT_MS,
-                       (struct gr_metastore_reply){
-                           publish_done, open_call (owner, SLOT_PUBLISH) });
+  g_free (both);
+  g_string_free (begun, TRUE);
+  g_string_free (absent.text, TRUE);
   return G_SOURCE_CONTINUE;
 }
 
+/* Lines of a worker's id and its address. */
+static void
+inherit_absent (struct gr_owner *owner)
+{
+  g_auto (GStrv) lines =
+      g_strsplit (gr_mirror_absent (owner->parts.mirror), "\n", -1);
+
+  for (char **line = lines; *line != NULL; line++)
+    {
+      g_auto (GStrv) words = g_strsplit (*line, " ", 2);
+
+      if (g_strv_length (words) != 2)
+        continue;
+      gr_steps_set_absent (owner->steps, words[0],
+                           gr_clock_now_ms (owner->parts.clock));
+      g_hash_table_replace (owner->addresses, g_strdup (words[0]),
+                            g_strdup (words[1]));
+      gr_worker_io_set (owner->io, words[0], words[1]);
+    }
+}
+
 static void
 add_job (struct gr_owner *owner,
          const char *id,
@@ -398,6 +465,7 @@
       return;
     }
   owner->loaded = true;
+  inherit_absent (owner);
   gr_mirror_each (owner->parts.mirror, inherit_job, owner);
   schedule_run (owner);
 }
@@ -410,6 +478,14 @@
                     open_call (owner, SLOT_RELOAD));
 }
 
+static int64_t
+contact_since (const struct gr_owner *owner)
+{
+  int64_t now_ms = gr_clock_now_ms (owner->parts.clock);
+
+  return MIN (gr_config_view_contact_ms (owner->parts.config), now_ms);
+}
+
 struct gr_owner *
 gr_owner_create (const struct gr_owner_parts *parts,
                  int64_t epoch,
@@ -418,10 +494,10 @@
   struct gr_owner *owner = g_new0 (struct gr_owner, 1);
   const struct gr_instance_settings *settings = parts->settings;
   struct gr_steps_settings core = {
-    .max_hold_ms = settings->max_hold_ms,
+    .hold_ms = MIN (HOLD_MS, settings->max_hold_ms),
     .gang_wait_ms = settings->gang_wait_ms,
     .reclaim_ms = settings->reclaim_ms,
-    .isolation_ms = GR_OWNER_ISOLATION_MS,
+    .isolation_ms = FENCED_WITHIN_MS,
     .checkpoint_ms = (uint32_t)(settings->checkpoint_s * 1000),
     .far_factor = settings->far_factor,
   };
@@ -431,11 +507,15 @@
   owner->revision = revision;
   owner->steps = gr_steps_create (&core, epoch, gr_clock_now_ms (parts->clock));
   owner->io = gr_worker_io_create (
-      owner->steps, epoch, settings->max_hold_ms, parts->clock, parts->counters,
+      owner->steps, epoch, core.hold_ms, parts->clock, parts->counters,
       &(struct gr_worker_io_events){ schedule_run, owner });
   owner->log = gr_progress_log_create (
       parts->store, parts->mirror, revision,
       &(struct gr_progress_log_events){ committed, not_owner, owner });
+  gr_steps_set_registry_settled (owner->steps,
+                                 contact_since (owner) + REGISTRY_SETTLE_MS);
+  owner->addresses =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->registered =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gr_owner_config_changed (owner);
@@ -465,6 +545,7 @@
   gr_steps_destroy (owner->steps);
   g_clear_pointer (&owner->listed, g_hash_table_destroy);
   g_hash_table_destroy (owner->registered);
+  g_hash_table_destroy (owner->addresses);
   g_free (owner->published);
   g_free (owner);
 }
--- a/instance/records.h
+++ b/instance/records.h
@@ -13,6 +13,9 @@
 #define GR_RECORD_GENERATION "gr/generation" /* of owners, rises by one */
 #define GR_RECORD_BEGUN "gr/begun" /* ids of jobs of which a task has begun */
 
+/* Workers that have left the registry and may run on: id and address. */
+#define GR_RECORD_ABSENT "gr/absent"
+
 enum gr_record_kind
 {
   GR_RECORD_JOB,      /* written once, when the job is accepted */
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -3,16 +3,11 @@
 #include "common/log.h"
 #include "platform/worker-calls.h"
 
-/* Lease of what runs, from each look on. Long enough for a takeover after a
- * store outage of some seconds; work on a worker that is cut off is started
- * again elsewhere after it. */
-#define HOLD_MS 7000
-
 /* A worker's clock can be 2 % slow; 1 % more for ours. */
 #define CLOCK_SLACK 1.03
 
-/* A look waits so long for an end; shorter than HOLD_MS by far, and the time
- * after which a silent connection is noticed. */
+/* A look waits so long for an end; shorter than the leases of runs by far, and
+ * the time after which a silent connection is noticed. */
 #define LOOK_WAIT_MS 1500
 #define LOOK_TIMEOUT_MS 350
 
@@ -246,8 +241,10 @@
   else
     peer->looking = true;
   peer->open_calls++;
-  /* Before the first answer the worker's clock is not known. */
-  if (peer->clock_ms != 0)
+  /* Before the first answer the worker's clock is not known. A look that may
+   * not be answered must not move the time at which the lease has surely
+   * expired. */
+  if (peer->clock_ms != 0 && peer->failed_looks == 0)
     until_ms = lease_until (peer, io->hold_ms);
   peer->noted_sent = gr_steps_noted (io->steps, peer->worker);
   gr_worker_look (io->calls, &target, until_ms, peer->noted_sent, wait_ms,
@@ -295,7 +292,7 @@
 struct gr_worker_io *
 gr_worker_io_create (struct gr_steps *steps,
                      int64_t epoch,
-                     uint32_t max_hold_ms,
+                     uint32_t hold_ms,
                      const struct gr_clock *clock,
                      struct gr_counters *counters,
                      const struct gr_worker_io_events *events)
@@ -306,7 +303,7 @@
   io->calls = gr_worker_calls_create (counters, clock);
   io->clock = clock;
   io->epoch = epoch;
-  io->hold_ms = MIN (HOLD_MS, max_hold_ms);
+  io->hold_ms = hold_ms;
   io->events = *events;
   io->peers =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, peer_remove);
--- a/instance/worker-io.h
+++ b/instance/worker-io.h
@@ -15,11 +15,11 @@
   void *context;
 };
 
-/* The core must outlive it. max_hold_ms bounds the leases of runs. */
+/* The core must outlive it. hold_ms is the lease that a look gives runs. */
 struct gr_worker_io *
 gr_worker_io_create (struct gr_steps *steps,
                      int64_t epoch,
-                     uint32_t max_hold_ms,
+                     uint32_t hold_ms,
                      const struct gr_clock *clock,
                      struct gr_counters *counters,
                      const struct gr_worker_io_events *events);
--- a/standins/metastore.h
+++ b/standins/metastore.h
@@ -23,6 +23,11 @@
 void gr_standin_platform_destroy (struct gr_standin_platform *platform);
 struct gr_standin *gr_standin_platform_base (struct gr_standin_platform *);
 
+/* Of a worker by its number, for faults. */
+struct gr_standin *
+gr_standin_platform_worker (struct gr_standin_platform *platform,
+                            uint32_t number);
+
 /* Writes a key as the operator or a worker does. */
 void gr_standin_platform_put (struct gr_standin_platform *platform,
                               const char *key,
--- a/standins/platform-worker.c
+++ b/standins/platform-worker.c
@@ -428,6 +428,12 @@
   g_free (worker);
 }
 
+struct gr_standin *
+gr_platform_worker_base (struct gr_platform_worker *worker)
+{
+  return worker->base;
+}
+
 const char *
 gr_platform_worker_id (const struct gr_platform_worker *worker)
 {
--- a/standins/platform-worker.h
+++ b/standins/platform-worker.h
@@ -13,6 +13,7 @@
                            struct gr_error *error);
 void gr_platform_worker_destroy (struct gr_platform_worker *worker);
 
+struct gr_standin *gr_platform_worker_base (struct gr_platform_worker *worker);
 const char *gr_platform_worker_id (const struct gr_platform_worker *worker);
 /* Its entry in the registry as JSON text, to be freed with g_free (). */
 char *gr_platform_worker_entry (const struct gr_platform_worker *worker,
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -13,7 +13,7 @@
 
 struct gr_steps_settings
 {
-  uint32_t max_hold_ms;  /* longest lease that a worker gives its runs */
+  uint32_t hold_ms;      /* longest lease that an owner gives runs */
   uint32_t gang_wait_ms; /* a member waits so long for the others */
   uint32_t reclaim_ms;   /* guaranteed work starts within this time */
   uint32_t
@@ -116,6 +116,18 @@
 void gr_steps_worker_gone (struct gr_steps *steps,
                            const char *worker,
                            int64_t now_ms);
+/* A former owner has seen the worker leave the registry while runs could still
+ * be alive there. */
+void gr_steps_set_absent (struct gr_steps *steps,
+                          const char *worker,
+                          int64_t now_ms);
+/* Until this time the registry can miss workers that are alive, so that runs
+ * of inherited jobs may exist that are not seen. */
+void gr_steps_set_registry_settled (struct gr_steps *steps, int64_t settled_ms);
+/* Calls visit for each worker that is not registered and may have runs. */
+void gr_steps_each_absent (const struct gr_steps *steps,
+                           void (*visit) (const char *worker, void *context),
+                           void *context);
 /* Set false when calls to the worker fail, true when they succeed again. */
 void gr_steps_worker_reachable (struct gr_steps *steps,
                                 const char *worker,
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -131,6 +131,7 @@
   struct gr_steps_settings settings;
   int64_t epoch;
   int64_t created_ms;
+  int64_t settled_ms; /* the registry may miss living workers before */
   int64_t now_ms;
   GHashTable *queues;
   GHashTable *accounts;
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -26,8 +26,7 @@
 blackout_ms (const struct gr_steps *steps)
 {
   return steps->settings.isolation_ms
-         + (int64_t)(steps->settings.max_hold_ms * CLOCK_SLACK)
-         + LAPSE_SLACK_MS;
+         + (int64_t)(steps->settings.hold_ms * CLOCK_SLACK) + LAPSE_SLACK_MS;
 }
 
 static bool
@@ -112,6 +111,26 @@
   new_incarnation (steps, worker, born_unix_ms);
 }
 
+static gint compare_workers (gconstpointer left, gconstpointer right);
+
+static struct worker *
+worker_create (struct gr_steps *steps, const char *id)
+{
+  struct worker *worker = g_new0 (struct worker, 1);
+
+  worker->id = g_strdup (id);
+  worker->service = g_strdup ("");
+  worker->rack = g_strdup ("");
+  worker->labels = g_new0 (char *, 1);
+  worker->tasks = g_ptr_array_new ();
+  worker->reachable = true;
+  worker->look_soon = true;
+  g_hash_table_insert (steps->workers, worker->id, worker);
+  g_ptr_array_add (steps->worker_rows, worker);
+  g_ptr_array_sort (steps->worker_rows, compare_workers);
+  return worker;
+}
+
 static gint
 compare_workers (gconstpointer left, gconstpointer right)
 {
@@ -131,15 +150,8 @@
   steps->now_ms = now_ms;
   if (worker == NULL)
     {
-      worker = g_new0 (struct worker, 1);
-      worker->id = g_strdup (row->id);
-      worker->tasks = g_ptr_array_new ();
-      worker->reachable = true;
-      worker->look_soon = true;
+      worker = worker_create (steps, row->id);
       worker->born_unix_ms = row->born_unix_ms;
-      g_hash_table_insert (steps->workers, worker->id, worker);
-      g_ptr_array_add (steps->worker_rows, worker);
-      g_ptr_array_sort (steps->worker_rows, compare_workers);
     }
   else
     gr_worker_born (steps, worker, row->born_unix_ms);
@@ -169,6 +181,19 @@
   gr_log_event ("worker-gone", "worker", id, NULL);
 }
 
+void
+gr_steps_set_absent (struct gr_steps *steps, const char *id, int64_t now_ms)
+{
+  if (gr_worker_find (steps, id) == NULL)
+    worker_create (steps, id)->gone_ms = now_ms;
+}
+
+void
+gr_steps_set_registry_settled (struct gr_steps *steps, int64_t settled_ms)
+{
+  steps->settled_ms = MAX (steps->settled_ms, settled_ms);
+}
+
 void
 gr_steps_worker_reachable (struct gr_steps *steps,
                            const char *id,
@@ -197,7 +222,7 @@
 void
 gr_worker_lease_unknown (struct gr_steps *steps, struct worker *worker)
 {
-  int64_t longest_ms = (int64_t)(steps->settings.max_hold_ms * CLOCK_SLACK);
+  int64_t longest_ms = (int64_t)(steps->settings.hold_ms * CLOCK_SLACK);
 
   worker->lease_until_ms =
       MAX (worker->lease_until_ms, steps->now_ms + longest_ms);
@@ -235,7 +260,7 @@
 void
 gr_workers_tick (struct gr_steps *steps)
 {
-  steps->all_located = true;
+  steps->all_located = steps->now_ms >= steps->settled_ms;
   for (guint i = steps->worker_rows->len; i-- > 0;)
     {
       struct worker *worker = steps->worker_rows->pdata[i];
@@ -254,6 +279,20 @@
     }
 }
 
+void
+gr_steps_each_absent (const struct gr_steps *steps,
+                      void (*visit) (const char *worker, void *context),
+                      void *context)
+{
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      const struct worker *worker = steps->worker_rows->pdata[i];
+
+      if (!worker->registered && steps->now_ms < lapse_ms (steps, worker))
+        visit (worker->id, context);
+    }
+}
+
 void
 gr_worker_set_room (struct gr_steps *steps,
                     struct worker *worker,
