steps, instance: failures count once; a failed look is repeated at once

Cause 1: an end as failed that was durable but not yet noted when the owner died is listed to the next owner too, which counted it again. Change: the progress holds the last run that was counted as a failure. Test: failure_counts_once_over_a_takeover was red (16 starts instead of 24). Change: one failed look makes the worker unusable until it answers again. Ruled out: a wrong number of attempts in the queue; the configuration said 4.

--- a/instance/records.c
+++ b/instance/records.c
@@ -235,6 +235,7 @@
   pack_int_if_set (packer, "i", task->index);
   pack_bool_if_set (packer, "d", task->done);
   pack_int_if_set (packer, "f", task->failures);
+  pack_int_if_set (packer, "r", task->failed_run);
   if (task->checkpoint[0] != '\0')
     gr_pack_string (packer, "c", task->checkpoint);
   return packer;
@@ -264,6 +265,7 @@
   task->index = unpack_uint (map, "i");
   task->done = gr_unpack_bool (map, "d", false);
   task->failures = unpack_uint (map, "f");
+  task->failed_run = unpack_uint (map, "r");
   if (checkpoint != NULL)
     g_strlcpy (task->checkpoint, checkpoint, sizeof task->checkpoint);
 }
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -18,9 +18,6 @@
 /* While ends are not durable, looks return at once; see them less often. */
 #define PENDING_LOOK_PAUSE_MS 700
 
-/* A worker that did not answer so many looks in a row gets no new work. */
-#define FAILED_LOOKS 2
-
 struct peer
 {
   struct gr_worker_io *io;
@@ -189,8 +186,8 @@
   if (peer->failed_looks == 1)
     gr_log_event ("worker-look-failed", "worker", peer->worker, "reason",
                   error->message, NULL);
-  if (peer->failed_looks >= FAILED_LOOKS)
-    gr_steps_worker_reachable (io->steps, peer->worker, false, now_ms);
+  /* It gets no new work, and is looked at again, until it answers. */
+  gr_steps_worker_reachable (io->steps, peer->worker, false, now_ms);
 }
 
 static void
@@ -270,7 +267,7 @@
       send_look (peer, 0);
       return;
     }
-  if (need == GR_LOOK_WAIT && !peer->waiting && peer->failed_looks == 0)
+  if (need == GR_LOOK_WAIT && !peer->waiting)
     send_look (peer, LOOK_WAIT_MS);
 }
 
--- a/steps/core.c
+++ b/steps/core.c
@@ -117,6 +117,7 @@
 restore_task (struct task *task, const struct gr_task_progress *row)
 {
   task->failures = row->failures;
+  task->failed_run = row->failed_run;
   if (row->checkpoint[0] != '\0')
     task->checkpoint = g_strdup (row->checkpoint);
   if (!row->done)
@@ -260,6 +261,7 @@
     .index = task->index,
     .done = task->state == TASK_DONE,
     .failures = task->failures,
+    .failed_run = task->failed_run,
   };
 
   if (task->checkpoint != NULL)
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -54,9 +54,10 @@
   g_strlcpy (task->avoid, worker->id, sizeof task->avoid);
   if (step->spec->lasting)
     return;
-  if (step->spec->gang && step->last_failed_run >= run)
+  /* An end that is not noted is listed again to the next owner. */
+  if (counted->failed_run >= run)
     return;
-  step->last_failed_run = run;
+  counted->failed_run = run;
   counted->failures++;
   gr_job_changed (steps, job);
   if (counted->failures >= job->queue->max_attempts && !gr_job_is_final (job))
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -63,6 +63,7 @@
   uint32_t index;
   bool done;
   uint32_t failures;
+  uint32_t failed_run; /* last run that was counted as a failure */
   char checkpoint[GR_CHECKPOINT_SIZE];
 };
 
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -52,7 +52,8 @@
   struct worker *worker; /* where its resources are taken; NULL if nowhere */
   uint32_t run;          /* highest that is known */
   uint32_t failures;
-  char *checkpoint; /* NULL if there is none */
+  uint32_t failed_run; /* last run that was counted; task 0 counts for a gang */
+  char *checkpoint;    /* NULL if there is none */
   int64_t placed_ms;
   int64_t order_ms;    /* last order that was sent */
   uint32_t tries;      /* of the start order */
@@ -74,10 +75,9 @@
   struct task *tasks;
   uint32_t n_waiting;
   uint32_t n_done;
-  uint32_t gang_run;        /* of the last start of a gang */
-  uint32_t last_failed_run; /* a gang's run counts as one failure */
-  int64_t ready_ms;         /* since when it could start; 0: not ready */
-  int64_t room_ms;          /* when room was last asked for */
+  uint32_t gang_run; /* of the last start of a gang */
+  int64_t ready_ms;  /* since when it could start; 0: not ready */
+  int64_t room_ms;   /* when room was last asked for */
 };
 
 struct occurrence
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -959,3 +959,14 @@
 {
   return model->broken;
 }
+
+uint32_t
+steps_model_failures (const struct steps_model *model, uint32_t number)
+{
+  const struct gr_job_progress *progress = &job_of (model, number)->durable;
+  uint32_t failures = 0;
+
+  for (size_t i = 0; i < progress->n_tasks; i++)
+    failures += progress->tasks[i].failures;
+  return failures;
+}
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -66,6 +66,9 @@
 
 enum gr_job_state steps_model_state (const struct steps_model *model,
                                      uint32_t number);
+/* Failures that are durable, of all its tasks. */
+uint32_t steps_model_failures (const struct steps_model *model,
+                               uint32_t number);
 /* Time from adding the job until its last task of the first start began; -1
  * if it has not. */
 int64_t steps_model_begun_ms (const struct steps_model *model, uint32_t number);
--- a/tests/test-instance.c
+++ b/tests/test-instance.c
@@ -1,3 +1,4 @@
+#include "common/log.h"
 #include "instance/worker-io.h"
 #include "standins/metastore.h"
 
@@ -182,6 +183,7 @@
   SRunner *runner = srunner_create (suite);
   int failed;
 
+  gr_log_init ("test-instance", "test");
   tcase_set_timeout (tests, 30);
   tcase_add_test (tests, silent_worker_loses_its_runs);
   suite_add_tcase (suite, tests);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -92,6 +92,24 @@
 }
 END_TEST
 
+/* An end as failed that was durable and not yet noted was listed again to the
+ * next owner, which counted it a second time and gave the job up too early. */
+START_TEST (failure_counts_once_over_a_takeover)
+{
+  struct steps_model *model = create (16, 1);
+
+  steps_model_add_job (model, 1, "urgent", "a", &gang, 1, 900);
+  steps_model_fail_job (model, 1);
+  for (int i = 0; i < 200 && steps_model_failures (model, 1) == 0; i++)
+    steps_model_run (model, 20);
+  steps_model_take_over (model);
+  steps_model_run (model, 8000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 3 * gang.count);
+  finish (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -103,6 +121,7 @@
   tcase_add_test (tests, jobs_of_each_kind_complete);
   tcase_add_test (tests, adopted_runs_keep_their_lease);
   tcase_add_test (tests, echo_does_not_bring_a_completed_job_back);
+  tcase_add_test (tests, failure_counts_once_over_a_takeover);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
