steps: failed runs are counted whatever the order of their ends

Cause: after a takeover the ends of two runs of one task were read from two workers, the younger first; the older was taken for counted, so the task was started a fifth time with 4 attempts (BUDGET). Change: the progress lists the runs that were counted (the last 8). Test: failures_count_in_any_order was red (3 starts instead of 2). Ruled out: a failure that was noted without being durable.

--- a/instance/records.c
+++ b/instance/records.c
@@ -235,7 +235,8 @@
   pack_int_if_set (packer, "i", task->index);
   pack_bool_if_set (packer, "d", task->done);
   pack_int_if_set (packer, "f", task->failures);
-  pack_int_if_set (packer, "r", task->failed_run);
+  if (task->failures > 0)
+    gr_pack_bytes (packer, "r", task->failed_runs, sizeof task->failed_runs);
   if (task->checkpoint[0] != '\0')
     gr_pack_string (packer, "c", task->checkpoint);
   return packer;
@@ -259,13 +260,17 @@
 unpack_task (const msgpack_object *map, struct gr_task_progress *task)
 {
   g_autofree char *checkpoint = gr_unpack_string (map, "c");
+  const char *runs;
+  size_t size;
 
   task->occurrence = unpack_uint (map, "o");
   task->step = unpack_uint (map, "s");
   task->index = unpack_uint (map, "i");
   task->done = gr_unpack_bool (map, "d", false);
   task->failures = unpack_uint (map, "f");
-  task->failed_run = unpack_uint (map, "r");
+  runs = gr_unpack_bytes (map, "r", &size);
+  if (runs != NULL && size == sizeof task->failed_runs)
+    memcpy (task->failed_runs, runs, size);
   if (checkpoint != NULL)
     g_strlcpy (task->checkpoint, checkpoint, sizeof task->checkpoint);
 }
--- a/steps/core.c
+++ b/steps/core.c
@@ -117,7 +117,7 @@
 restore_task (struct task *task, const struct gr_task_progress *row)
 {
   task->failures = row->failures;
-  task->failed_run = row->failed_run;
+  memcpy (task->failed_runs, row->failed_runs, sizeof task->failed_runs);
   if (row->checkpoint[0] != '\0')
     task->checkpoint = g_strdup (row->checkpoint);
   if (!row->done)
@@ -261,9 +261,9 @@
     .index = task->index,
     .done = task->state == TASK_DONE,
     .failures = task->failures,
-    .failed_run = task->failed_run,
   };
 
+  memcpy (row.failed_runs, task->failed_runs, sizeof row.failed_runs);
   if (task->checkpoint != NULL)
     g_strlcpy (row.checkpoint, task->checkpoint, sizeof row.checkpoint);
   g_array_append_val (rows, row);
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -40,6 +40,15 @@
                 worker->id, "how", names[ended->how], "outcome", outcome, NULL);
 }
 
+static bool
+was_counted (const struct task *task, uint32_t run)
+{
+  for (uint32_t i = 0; i < MIN (task->failures, GR_FAILED_RUNS); i++)
+    if (task->failed_runs[i] == run)
+      return true;
+  return false;
+}
+
 /* A gang's run counts as one failure, whichever members report it. */
 void
 gr_task_failed (struct gr_steps *steps,
@@ -55,9 +64,9 @@
   if (step->spec->lasting)
     return;
   /* An end that is not noted is listed again to the next owner. */
-  if (counted->failed_run >= run)
+  if (was_counted (counted, run))
     return;
-  counted->failed_run = run;
+  counted->failed_runs[counted->failures % GR_FAILED_RUNS] = run;
   counted->failures++;
   gr_job_changed (steps, job);
   if (counted->failures >= job->queue->max_attempts && !gr_job_is_final (job))
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -53,6 +53,10 @@
   GR_JOB_CANCELLED,
 };
 
+/* Failed runs that are remembered, so that none counts twice when its end is
+ * listed again. Attempts are few; more than this are counted all the same. */
+#define GR_FAILED_RUNS 8
+
 #define GR_PROGRESS_WHOLE_OCCURRENCE UINT32_MAX
 
 /* What lasts of a task, or of a whole occurrence that is complete. */
@@ -63,7 +67,9 @@
   uint32_t index;
   bool done;
   uint32_t failures;
-  uint32_t failed_run; /* last run that was counted as a failure */
+  /* The last runs that were counted as failures; run N of them is in place
+   * N modulo the size. */
+  uint32_t failed_runs[GR_FAILED_RUNS];
   char checkpoint[GR_CHECKPOINT_SIZE];
 };
 
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -52,8 +52,8 @@
   struct worker *worker; /* where its resources are taken; NULL if nowhere */
   uint32_t run;          /* highest that is known */
   uint32_t failures;
-  uint32_t failed_run; /* last run that was counted; task 0 counts for a gang */
-  char *checkpoint;    /* NULL if there is none */
+  uint32_t failed_runs[GR_FAILED_RUNS]; /* task 0 counts for a gang */
+  char *checkpoint;                     /* NULL if there is none */
   int64_t placed_ms;
   int64_t order_ms;    /* last order that was sent */
   uint32_t tries;      /* of the start order */
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -387,6 +387,15 @@
   model->store_works = works;
 }
 
+void
+steps_model_swap_workers (struct steps_model *model, uint32_t a, uint32_t b)
+{
+  void *kept = model->workers->pdata[a];
+
+  model->workers->pdata[a] = model->workers->pdata[b];
+  model->workers->pdata[b] = kept;
+}
+
 void
 steps_model_take_over (struct steps_model *model)
 {
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -53,6 +53,9 @@
 void steps_model_drain_worker (struct steps_model *model,
                                uint32_t worker,
                                bool drains);
+/* The model plays workers in this order. */
+void
+steps_model_swap_workers (struct steps_model *model, uint32_t a, uint32_t b);
 /* A new owner with the next epoch takes over from what is durable. */
 void steps_model_take_over (struct steps_model *model);
 /* Progress is not made durable while it is false. */
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -110,6 +110,30 @@
 }
 END_TEST
 
+/* Two failed ends of one task, on two workers, were read in the wrong order
+ * after a takeover; the older one was not counted, and the task was started
+ * once too often. */
+START_TEST (failures_count_in_any_order)
+{
+  struct gr_step_spec one = plain;
+  struct steps_model *model = create (2, 1);
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 300);
+  steps_model_fail_job (model, 1);
+  steps_model_set_store (model, false);
+  steps_model_run (model, 1500);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 2);
+  steps_model_set_store (model, true);
+  steps_model_swap_workers (model, 0, 1);
+  steps_model_take_over (model);
+  steps_model_run (model, 4000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 2);
+  finish (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -122,6 +146,7 @@
   tcase_add_test (tests, adopted_runs_keep_their_lease);
   tcase_add_test (tests, echo_does_not_bring_a_completed_job_back);
   tcase_add_test (tests, failure_counts_once_over_a_takeover);
+  tcase_add_test (tests, failures_count_in_any_order);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
