steps: lasting and filling work, and advice with tickets

Change: tasks that last start again however they end, and only so many of a step are stopped at a time as it may miss. Queues with advice ask for the workers with the most room, 30 at a time, and start with the tickets. Tests: lasting_work_is_started_again_however_it_ends, reclaiming_keeps_to_what_lasting_work_may_miss, filling_work_is_paced_down, advice_is_asked_for_and_followed; each was seen red with its rule removed. Ruled out: pacing by a model of the disturbance; it differs by image and changes within seconds, so the measured tail decides.

--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -15,8 +15,9 @@
 #define LOOK_PAUSE_MS 60
 #define FAILED_LOOK_PAUSE_MS 300
 
-/* While ends are not durable, looks return at once; see them less often. */
-#define PENDING_LOOK_PAUSE_MS 700
+/* Looks that return at once: while ends are not durable, or to pace tasks that
+ * fill beside tasks that serve, which may be over their target for 4 s. */
+#define PERIODIC_LOOK_PAUSE_MS 500
 
 struct peer
 {
@@ -164,15 +165,19 @@
         .run = order->run,
         .payload = order->payload,
         .checkpoint = order->checkpoint,
-        .ticket = "",
+        .ticket = order->ticket,
         .until_ms = lease_until (peer, left_ms),
       };
 
       gr_worker_start (io->calls, &target, &start, GR_ORDER_TIMEOUT_MS, reply);
       return;
     }
-  gr_worker_stop (io->calls, &target, order->task, order->run,
-                  GR_ORDER_TIMEOUT_MS, reply);
+  if (order->kind == GR_ORDER_PACE)
+    gr_worker_pace (io->calls, &target, order->task, order->run, order->percent,
+                    GR_ORDER_TIMEOUT_MS, reply);
+  else
+    gr_worker_stop (io->calls, &target, order->task, order->run,
+                    GR_ORDER_TIMEOUT_MS, reply);
 }
 
 static void
@@ -256,14 +261,14 @@
   enum gr_look_need need = gr_steps_look_need (io->steps, peer->worker);
   bool note = gr_steps_noted (io->steps, peer->worker) > peer->noted_sent;
 
-  if (need == GR_LOOK_NOW || need == GR_LOOK_PENDING
+  if (need == GR_LOOK_NOW || need == GR_LOOK_PERIODIC
       || (note && need == GR_LOOK_NONE))
     {
       if (peer->looking || now_ms < peer->next_look_ms)
         return;
       peer->next_look_ms =
           now_ms
-          + (need == GR_LOOK_PENDING ? PENDING_LOOK_PAUSE_MS : LOOK_PAUSE_MS);
+          + (need == GR_LOOK_PERIODIC ? PERIODIC_LOOK_PAUSE_MS : LOOK_PAUSE_MS);
       send_look (peer, 0);
       return;
     }
--- a/steps/core.c
+++ b/steps/core.c
@@ -42,6 +42,7 @@
   steps->job_rows = g_ptr_array_new ();
   g_queue_init (&steps->orders);
   g_queue_init (&steps->changed);
+  g_queue_init (&steps->advice_requests);
   return steps;
 }
 
@@ -59,6 +60,7 @@
   g_hash_table_destroy (steps->accounts);
   g_queue_clear_full (&steps->orders, g_free);
   g_queue_clear (&steps->changed);
+  g_queue_clear_full (&steps->advice_requests, g_free);
   g_free (steps);
 }
 
--- a/steps/job.c
+++ b/steps/job.c
@@ -46,6 +46,7 @@
 
       for (uint32_t k = 0; k < step->n_tasks; k++)
         g_free (step->tasks[k].checkpoint);
+      g_clear_pointer (&step->advice, g_hash_table_destroy);
       g_free (step->tasks);
     }
   g_free (occurrence->steps);
--- a/steps/look.h
+++ b/steps/look.h
@@ -8,6 +8,7 @@
 /* Longest name of a task: ID.OCCURRENCE.STEP.INDEX. */
 #define GR_TASK_NAME_SIZE 64
 #define GR_CHECKPOINT_SIZE 64
+#define GR_TICKET_SIZE 64
 
 enum gr_run_end
 {
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -48,6 +48,8 @@
   g_strlcpy (order.worker, task->worker->id, sizeof order.worker);
   g_strlcpy (order.checkpoint, start_checkpoint (task),
              sizeof order.checkpoint);
+  g_strlcpy (order.ticket, gr_advice_ticket (task->step, task->worker),
+             sizeof order.ticket);
   order.start_limit_ms = task->placed_ms + START_LIMIT_MS;
   push_order (steps, &order);
 }
@@ -66,6 +68,8 @@
   task->percent = 0;
   task->percent_ms = steps->now_ms;
   task->first_percent_ms = 0;
+  task->pace = 100;
+  task->usage = 0;
   send_start (steps, task);
   gr_task_job (task)->begun = true;
 }
@@ -150,8 +154,11 @@
       worker->full_until_ms = steps->now_ms + NO_ROOM_PAUSE_MS;
       worker->look_soon = true;
       break;
-    case GR_ORDER_TOO_LATE:
     case GR_ORDER_NO_TICKET:
+      gr_advice_expire (task->step, worker);
+      worker->look_soon = true;
+      break;
+    case GR_ORDER_TOO_LATE:
     case GR_ORDER_REJECTED:
       worker->look_soon = true;
       break;
@@ -214,6 +221,11 @@
     return;
   if (order->kind == GR_ORDER_START)
     start_result (steps, task, result);
+  else if (order->kind == GR_ORDER_PACE)
+    {
+      if (result == GR_ORDER_DONE)
+        task->pace = order->percent;
+    }
   else if (task->state == TASK_STOPPING)
     stop_result (steps, task, result);
 }
@@ -256,6 +268,21 @@
     }
 }
 
+void
+gr_order_pace (struct gr_steps *steps, struct task *task, uint32_t percent)
+{
+  struct gr_order order = {
+    .kind = GR_ORDER_PACE,
+    .run = task->run,
+    .percent = percent,
+  };
+
+  task->pace_sent_ms = steps->now_ms;
+  g_strlcpy (order.worker, task->worker->id, sizeof order.worker);
+  gr_task_name (task, order.task);
+  push_order (steps, &order);
+}
+
 bool
 gr_steps_take_order (struct gr_steps *steps, struct gr_order *order)
 {
--- a/steps/place.c
+++ b/steps/place.c
@@ -47,7 +47,8 @@
 {
   return gr_worker_usable (steps, worker)
          && g_str_equal (worker->service, gr_step_job (step)->queue->service)
-         && label_allowed (worker, step);
+         && label_allowed (worker, step)
+         && gr_advice_allows (steps, step, worker);
 }
 
 struct gr_resources
@@ -333,7 +334,9 @@
 
   if (job->queue->priority == 0 && gr_account_within_guarantee (job->account))
     return 0;
-  if (age_ms > objective_ms * LATE_FACTOR)
+  if (step->spec->lasting)
+    late = 0;
+  else if (age_ms > objective_ms * LATE_FACTOR)
     late = 2;
   else if (age_ms > objective_ms)
     late = 1;
@@ -430,6 +433,8 @@
         continue;
       placed = step->spec->gang ? place_gang (steps, step)
                                 : place_tasks (steps, step);
+      if (!placed)
+        gr_advice_ask (steps, step);
       if (!placed && gr_step_job (step)->queue->priority == 0)
         gr_reclaim_room (steps, step);
     }
--- a/steps/reclaim.c
+++ b/steps/reclaim.c
@@ -70,7 +70,7 @@
 is_victim (const struct step *step, const struct task *task)
 {
   return (task->state == TASK_RUNNING || task->state == TASK_STARTING)
-         && may_stop (step, task->step);
+         && may_stop (step, task->step) && gr_task_may_be_stopped (task);
 }
 
 static void
@@ -157,8 +157,10 @@
       const struct victim *victim = &g_array_index (victims, struct victim, i);
       struct step *other = victim->task->step;
 
+      /* The stop of another victim may have changed it. */
       if (!gr_task_is_active (victim->task)
-          || victim->task->state == TASK_STOPPING)
+          || victim->task->state == TASK_STOPPING
+          || !gr_task_may_be_stopped (victim->task))
         continue;
       add_room (&room, other->spec);
       *loss += victim->loss;
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -181,6 +181,8 @@
   task->percent = running->percent;
   task->percent_ms = steps->now_ms;
   task->first_percent_ms = 0;
+  task->pace = GR_PACE_UNKNOWN;
+  task->usage = running->usage;
   gr_task_job (task)->begun = true;
   if (gr_job_is_final (gr_task_job (task)))
     gr_order_stop (steps, task);
@@ -202,6 +204,7 @@
       task->first_percent_ms = steps->now_ms;
       task->first_percent = running->percent;
     }
+  task->usage = running->usage;
   if (running->percent != task->percent)
     {
       task->percent = running->percent;
@@ -307,4 +310,5 @@
     read_running (steps, worker, &look->running[i]);
   if (look->all_ended)
     release_missing (steps, worker, look);
+  gr_pace_look (steps, worker);
 }
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -59,6 +59,24 @@
 
 #define GR_PROGRESS_WHOLE_OCCURRENCE UINT32_MAX
 
+/* Most workers that one call for advice names; an answer takes longer with each
+ * of them. */
+#define GR_ADVICE_WORKERS 30
+
+/* A question which of these workers may run a step. */
+struct gr_advice_request
+{
+  char step[GR_TASK_NAME_SIZE]; /* ID.OCCURRENCE.STEP */
+  uint32_t n_workers;
+  char workers[GR_ADVICE_WORKERS][GR_TASK_NAME_SIZE];
+};
+
+struct gr_advice_row
+{
+  char worker[GR_TASK_NAME_SIZE];
+  char ticket[GR_TICKET_SIZE];
+};
+
 /* What lasts of a task, or of a whole occurrence that is complete. */
 struct gr_task_progress
 {
@@ -90,6 +108,7 @@
 {
   GR_ORDER_START,
   GR_ORDER_STOP,
+  GR_ORDER_PACE, /* how much processor time a filling task may use */
 };
 
 struct gr_order
@@ -100,6 +119,8 @@
   uint32_t run;
   const char *payload; /* owned by the job; valid until the next tick */
   char checkpoint[GR_CHECKPOINT_SIZE];
+  char ticket[GR_TICKET_SIZE]; /* of the advice, "" if none is needed */
+  uint32_t percent;            /* for a pace */
   int64_t start_limit_ms; /* for a start: it must not begin after so long */
 };
 
@@ -164,6 +185,14 @@
                     const char *worker,
                     const struct gr_look *look,
                     int64_t now_ms);
+/* Answer to a request: the workers that may run the step, with their tickets;
+ * rows is NULL if there was no answer. */
+void gr_steps_advice (struct gr_steps *steps,
+                      const struct gr_advice_request *request,
+                      const struct gr_advice_row *rows,
+                      uint32_t n_rows,
+                      int64_t valid_ms,
+                      int64_t now_ms);
 /* Changes up to sequence are durable. */
 void gr_steps_committed (struct gr_steps *steps, uint64_t sequence);
 
@@ -172,6 +201,8 @@
 
 /* Outputs. */
 bool gr_steps_take_order (struct gr_steps *steps, struct gr_order *order);
+bool gr_steps_take_advice_request (struct gr_steps *steps,
+                                   struct gr_advice_request *request);
 /* Id of a job whose progress has changed since it was last taken; NULL if
  * there is none. Valid until the job is removed. */
 const char *gr_steps_take_changed (struct gr_steps *steps);
@@ -189,10 +220,11 @@
 
 enum gr_look_need
 {
-  GR_LOOK_NONE,    /* nothing runs there */
-  GR_LOOK_WAIT,    /* runs that can end at any time */
-  GR_LOOK_PENDING, /* the same, but ends that are listed are not durable yet */
-  GR_LOOK_NOW,     /* something is not known */
+  GR_LOOK_NONE,     /* nothing runs there */
+  GR_LOOK_WAIT,     /* runs that can end at any time */
+  GR_LOOK_PERIODIC, /* the same; to be looked at again soon, without waiting:
+                       ends are not durable yet, or a filling task is paced */
+  GR_LOOK_NOW,      /* something is not known */
 };
 enum gr_look_need gr_steps_look_need (const struct gr_steps *steps,
                                       const char *worker);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -33,8 +33,13 @@
   int64_t quarantine_until_ms;
   uint32_t quarantine_ms;
   int64_t last_done_ms;
+  uint32_t pace; /* percent that filling tasks may use here */
+  int64_t pace_changed_ms;
 };
 
+/* Of a run that a former owner may have paced. */
+#define GR_PACE_UNKNOWN 101
+
 enum task_state
 {
   TASK_WAITING,
@@ -64,6 +69,18 @@
   uint32_t first_percent;
   int64_t first_percent_ms;
   char avoid[GR_TASK_NAME_SIZE]; /* worker of the last failure */
+  uint32_t usage;                /* of the last look, see struct gr_running */
+  uint32_t pace;                 /* percent that the worker has acknowledged */
+  int64_t pace_sent_ms;
+};
+
+/* What the advice says of a worker for one step. */
+struct advice
+{
+  bool good; /* does not change */
+  char ticket[GR_TICKET_SIZE];
+  int64_t born_unix_ms; /* of the worker's incarnation */
+  int64_t until_ms;     /* of the ticket */
 };
 
 struct step
@@ -75,9 +92,12 @@
   struct task *tasks;
   uint32_t n_waiting;
   uint32_t n_done;
-  uint32_t gang_run; /* of the last start of a gang */
-  int64_t ready_ms;  /* since when it could start; 0: not ready */
-  int64_t room_ms;   /* when room was last asked for */
+  uint32_t gang_run;  /* of the last start of a gang */
+  GHashTable *advice; /* worker id -> struct advice; NULL if none */
+  bool advice_open;   /* a request has no answer yet */
+  int64_t advice_ms;  /* when it was last asked for */
+  int64_t ready_ms;   /* since when it could start; 0: not ready */
+  int64_t room_ms;    /* when room was last asked for */
 };
 
 struct occurrence
@@ -140,7 +160,9 @@
   GHashTable *jobs;       /* id -> struct job, not final or still active */
   GPtrArray *job_rows;
   GQueue orders;
-  GQueue changed; /* struct job */
+  GQueue changed;         /* struct job */
+  GQueue advice_requests; /* struct gr_advice_request */
+  uint32_t advice_open;
   uint64_t sequence;
   uint64_t committed; /* changes up to this are durable */
   bool fenced;
@@ -203,6 +225,8 @@
                         const struct worker *worker,
                         const char *task,
                         uint32_t run);
+void
+gr_order_pace (struct gr_steps *steps, struct task *task, uint32_t percent);
 void gr_orders_tick (struct gr_steps *steps);
 /* Ends all runs of a gang, because one of them has ended or not begun. */
 void gr_gang_abort (struct gr_steps *steps, struct step *step);
@@ -223,6 +247,25 @@
                         const char *reason);
 void gr_health_tick (struct gr_steps *steps);
 
+/* Advice. */
+bool gr_advice_allows (const struct gr_steps *steps,
+                       const struct step *step,
+                       const struct worker *worker);
+const char *gr_advice_ticket (const struct step *step,
+                              const struct worker *worker);
+void gr_advice_expire (struct step *step, const struct worker *worker);
+/* Asks about more workers if the step needs it and has not enough. */
+void gr_advice_ask (struct gr_steps *steps, struct step *step);
+
+/* Pace of filling tasks beside tasks that serve. */
+void gr_pace_look (struct gr_steps *steps, struct worker *worker);
+bool gr_pace_watches (const struct worker *worker);
+
+/* Tasks of a lasting step that are not at work, but for one. */
+uint32_t gr_step_away (const struct step *step, const struct task *but);
+/* A stop of the task keeps to what its step may miss. */
+bool gr_task_may_be_stopped (const struct task *task);
+
 /* Placement. */
 void gr_place_tick (struct gr_steps *steps);
 /* How many tasks of the step fit into room on the worker. */
--- a/steps/task.c
+++ b/steps/task.c
@@ -132,6 +132,33 @@
     gr_job_finish (steps, job, GR_JOB_COMPLETED);
 }
 
+static bool
+is_at_work (const struct task *task)
+{
+  return task->state == TASK_RUNNING && task->percent >= 100;
+}
+
+uint32_t
+gr_step_away (const struct step *step, const struct task *but)
+{
+  uint32_t away = 0;
+
+  for (uint32_t i = 0; i < step->n_tasks; i++)
+    if (&step->tasks[i] != but && !is_at_work (&step->tasks[i]))
+      away++;
+  return away;
+}
+
+/* Work that ends can always be started again; of work that serves others, only
+ * so much may be away. */
+bool
+gr_task_may_be_stopped (const struct task *task)
+{
+  if (!task->step->spec->lasting || !is_at_work (task))
+    return true;
+  return gr_step_away (task->step, task) < task->step->spec->max_away;
+}
+
 /* The task keeps its worker until the end of its own run is listed there. */
 void
 gr_task_done (struct gr_steps *steps, struct task *task)
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -125,6 +125,7 @@
   worker->tasks = g_ptr_array_new ();
   worker->reachable = true;
   worker->look_soon = true;
+  worker->pace = 100;
   g_hash_table_insert (steps->workers, worker->id, worker);
   g_ptr_array_add (steps->worker_rows, worker);
   g_ptr_array_sort (steps->worker_rows, compare_workers);
@@ -357,6 +358,8 @@
   if (!worker->seen || worker->look_soon || !worker->reachable)
     return GR_LOOK_NOW;
   if (worker->processed > worker->noted)
-    return GR_LOOK_PENDING;
+    return GR_LOOK_PERIODIC;
+  if (gr_pace_watches (worker))
+    return GR_LOOK_PERIODIC;
   return worker->tasks->len > 0 ? GR_LOOK_WAIT : GR_LOOK_NONE;
 }
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -10,6 +10,9 @@
 #define GANG_WAIT_MS 3000
 #define STOP_MS 60
 #define SAVE_MS 1000
+#define HARM_MS 4000
+#define STARTUP_MS 300
+#define TICKET_MS 3000
 
 struct model_run
 {
@@ -21,6 +24,8 @@
   int64_t worked_ms; /* since it began or was restored */
   int64_t saved_ms;  /* work that a checkpoint holds */
   int64_t stop_ms;   /* 0: not stopped */
+  uint32_t pace;     /* percent of its work that it does */
+  int64_t over_ms;   /* ticks over its target on end */
 };
 
 struct model_end
@@ -96,6 +101,8 @@
   int64_t commit_ms;
   GQueue commits; /* struct commit, oldest first */
   double wasted_s;
+  uint32_t advice_calls;
+  bool needs_tickets;
   char *broken;
 };
 
@@ -501,6 +508,17 @@
   return accelerators <= 8;
 }
 
+static bool
+ticket_is_valid (const struct steps_model *model,
+                 const struct model_worker *worker,
+                 const char *ticket)
+{
+  size_t length = strlen (worker->id);
+
+  return strncmp (ticket, worker->id, length) == 0 && ticket[length] == '@'
+         && g_ascii_strtoll (ticket + length + 1, NULL, 10) >= model->now_ms;
+}
+
 static enum gr_order_result
 carry_out_start (struct steps_model *model,
                  struct model_worker *worker,
@@ -517,6 +535,8 @@
   worker->lease_until_ms = MAX (worker->lease_until_ms, until_ms);
   if (until_ms < model->now_ms)
     return GR_ORDER_TOO_LATE;
+  if (model->needs_tickets && !ticket_is_valid (model, worker, order->ticket))
+    return GR_ORDER_NO_TICKET;
   if (order->run <= over_run (worker, order->task))
     return GR_ORDER_RUN_TOO_OLD;
   new_run = g_new0 (struct model_run, 1);
@@ -526,6 +546,7 @@
   new_run->step = step;
   new_run->run = order->run;
   new_run->begun_ms = model->now_ms;
+  new_run->pace = 100;
   new_run->saved_ms = g_ascii_strtoll (order->checkpoint, NULL, 10);
   new_run->worked_ms = new_run->saved_ms;
   if (!has_room (model, worker, new_run))
@@ -557,6 +578,12 @@
   if (order->kind == GR_ORDER_START)
     return carry_out_start (model, worker, order, until_ms);
   run = find_run (worker, order->task);
+  if (order->kind == GR_ORDER_PACE)
+    {
+      if (run != NULL)
+        run->pace = order->percent;
+      return run != NULL ? GR_ORDER_DONE : GR_ORDER_REJECTED;
+    }
   if (run != NULL && run->run <= order->run && run->stop_ms == 0)
     run->stop_ms = model->now_ms + STOP_MS;
   else if (run == NULL)
@@ -686,6 +713,41 @@
     }
 }
 
+/* Tail of a task that serves: each task that fills beside it, at full pace,
+ * adds 60 % of the target. */
+static uint32_t
+tail_ms (struct steps_model *model,
+         const struct model_worker *worker,
+         const struct model_run *run)
+{
+  const struct gr_step_spec *spec = spec_of (model, run);
+  uint32_t tail = spec->tail_target_ms / 5;
+
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const struct model_run *other = worker->runs->pdata[i];
+
+      if (spec_of (model, other)->filler)
+        tail += spec->tail_target_ms * 6 / 10 * other->pace / 100;
+    }
+  return tail;
+}
+
+/* Promise that a task that serves is not over its target for too long. */
+static void
+check_tail (struct steps_model *model,
+            struct model_worker *worker,
+            struct model_run *run)
+{
+  const struct gr_step_spec *spec = spec_of (model, run);
+
+  if (spec->tail_target_ms == 0
+      || tail_ms (model, worker, run) <= spec->tail_target_ms)
+    run->over_ms = 0;
+  else if (++run->over_ms * TICK_MS > HARM_MS)
+    break_promise (model, "over its target for too long", run->task);
+}
+
 /* How the run ends now; false if it goes on. */
 static bool
 ends_now (struct steps_model *model,
@@ -707,7 +769,10 @@
     }
   else
     {
-      run->worked_ms += TICK_MS;
+      check_tail (model, worker, run);
+      run->worked_ms += TICK_MS * run->pace / 100;
+      if (spec->lasting)
+        return false;
       if (run->worked_ms - run->saved_ms >= SAVE_MS && spec->checkpointing)
         run->saved_ms = run->worked_ms;
       *how = job->fails || worker->fails ? GR_END_FAILED : GR_END_DONE;
@@ -763,14 +828,12 @@
 static void
 look (struct steps_model *model, struct model_worker *worker)
 {
-  g_autofree struct gr_running *running =
-      g_new0 (struct gr_running, worker->runs->len + 1);
+  struct gr_running *running;
   struct gr_look row = {
     .sent_ms = model->now_ms,
     .clock_ms = model->now_ms,
     .born_unix_ms = worker->born,
     .all_ended = true,
-    .running = running,
     .n_running = worker->runs->len,
   };
 
@@ -795,6 +858,7 @@
                              model->now_ms + HOLD_MS + 200);
     }
   worker->clock_known = true;
+  running = g_new0 (struct gr_running, worker->runs->len + 1);
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const struct model_run *run = worker->runs->pdata[i];
@@ -803,10 +867,15 @@
       g_strlcpy (running[i].task, run->task, sizeof running[i].task);
       running[i].run = run->run;
       running[i].percent = (uint32_t)MIN (run->worked_ms * 100 / work_ms, 99);
+      if (spec_of (model, run)->lasting && run->worked_ms >= STARTUP_MS)
+        running[i].percent = 100;
+      running[i].usage = tail_ms (model, worker, run);
     }
+  row.running = running;
   row.ended = (struct gr_ended *)worker->ends->data;
   row.n_ended = worker->ends->len;
   gr_steps_look (model->steps, worker->id, &row, model->now_ms);
+  g_free (running);
 }
 
 static void
@@ -893,6 +962,33 @@
     }
 }
 
+/* Even workers may run any step. */
+static void
+answer_advice (struct steps_model *model)
+{
+  struct gr_advice_request request;
+
+  while (gr_steps_take_advice_request (model->steps, &request))
+    {
+      struct gr_advice_row rows[GR_ADVICE_WORKERS];
+      uint32_t n = 0;
+
+      model->advice_calls++;
+      for (uint32_t i = 0; i < request.n_workers; i++)
+        {
+          if (g_ascii_strtoull (request.workers[i] + 1, NULL, 10) % 2 != 0)
+            continue;
+          g_strlcpy (rows[n].worker, request.workers[i], sizeof rows[n].worker);
+          g_snprintf (rows[n].ticket, sizeof rows[n].ticket,
+                      "%s@%" G_GINT64_FORMAT, request.workers[i],
+                      model->now_ms + TICKET_MS);
+          n++;
+        }
+      gr_steps_advice (model->steps, &request, rows, n, TICKET_MS,
+                       model->now_ms);
+    }
+}
+
 static void
 step_once (struct steps_model *model)
 {
@@ -911,6 +1007,7 @@
   gr_steps_tick (model->steps, model->now_ms, model->now_ms);
   while (gr_steps_take_order (model->steps, &order))
     send_order (model, &order);
+  answer_advice (model);
   make_durable (model);
 }
 
@@ -979,3 +1076,46 @@
     failures += progress->tasks[i].failures;
   return failures;
 }
+
+void
+steps_model_need_tickets (struct steps_model *model)
+{
+  model->needs_tickets = true;
+  for (guint i = 0; i < model->queues->len; i++)
+    {
+      struct gr_steps_queue *queue = model->queues->pdata[i];
+
+      queue->needs_advice = true;
+      gr_steps_set_queue (model->steps, queue);
+    }
+}
+
+uint32_t
+steps_model_advice_calls (const struct steps_model *model)
+{
+  return model->advice_calls;
+}
+
+void
+steps_model_kill_runs (struct steps_model *model, uint32_t number)
+{
+  struct model_worker *worker = worker_at (model, number);
+
+  while (worker->runs->len > 0)
+    end_run (model, worker, 0, GR_END_FAILED);
+}
+
+uint32_t
+steps_model_running (const struct steps_model *model, uint32_t number)
+{
+  uint32_t running = 0;
+
+  for (guint i = 0; i < model->workers->len; i++)
+    {
+      const struct model_worker *worker = model->workers->pdata[i];
+
+      for (guint k = 0; k < worker->runs->len; k++)
+        running += ((struct model_run *)worker->runs->pdata[k])->job == number;
+    }
+  return running;
+}
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -58,6 +58,14 @@
 steps_model_swap_workers (struct steps_model *model, uint32_t a, uint32_t b);
 /* A new owner with the next epoch takes over from what is durable. */
 void steps_model_take_over (struct steps_model *model);
+/* Starts need a ticket of the advice, which allows only workers with an even
+ * number. */
+void steps_model_need_tickets (struct steps_model *model);
+uint32_t steps_model_advice_calls (const struct steps_model *model);
+/* All runs on the worker end as failed. */
+void steps_model_kill_runs (struct steps_model *model, uint32_t worker);
+/* Runs of the job that are alive. */
+uint32_t steps_model_running (const struct steps_model *model, uint32_t number);
 /* Progress is not made durable while it is false. */
 void steps_model_set_store (struct steps_model *model, bool works);
 
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -105,7 +105,7 @@
   steps_model_take_over (model);
   steps_model_run (model, 8000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
-  ck_assert_uint_eq (steps_model_starts (model, 1), 3 * gang.count);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 3 * (uintmax_t)gang.count);
   finish (model);
 }
 END_TEST
@@ -134,6 +134,94 @@
 }
 END_TEST
 
+/* Work that lasts was taken for done, or given up after max_attempts. */
+START_TEST (lasting_work_is_started_again_however_it_ends)
+{
+  struct gr_step_spec lasting = plain;
+  struct steps_model *model = create (4, 1);
+
+  lasting.lasting = true;
+  lasting.max_away = 1;
+  steps_model_add_job (model, 1, "normal", "a", &lasting, 1, 1000);
+  for (int i = 0; i < 6; i++)
+    {
+      steps_model_run (model, 1500);
+      ck_assert_uint_eq (steps_model_running (model, 1), 4);
+      steps_model_kill_runs (model, (uint32_t)i % 4);
+    }
+  steps_model_cancel (model, 1);
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (steps_model_running (model, 1), 0);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_CANCELLED);
+  finish (model);
+}
+END_TEST
+
+/* Urgent work took the place of tasks that serve, more at a time than their
+ * step may miss. */
+START_TEST (reclaiming_keeps_to_what_lasting_work_may_miss)
+{
+  struct gr_step_spec lasting = plain;
+  struct steps_model *model = create (8, 1);
+
+  lasting.count = 8;
+  lasting.needs.accelerators = 8;
+  lasting.lasting = true;
+  lasting.max_away = 2;
+  steps_model_add_job (model, 1, "batch", "a", &lasting, 1, 1000);
+  steps_model_run (model, 2000);
+  ck_assert_uint_eq (steps_model_running (model, 1), 8);
+  steps_model_add_job (model, 2, "urgent", "b", &gang, 1, 1000);
+  for (int i = 0; i < 100; i++)
+    {
+      steps_model_run (model, 40);
+      ck_assert_uint_ge (steps_model_running (model, 1), 6);
+    }
+  finish (model);
+}
+END_TEST
+
+/* Tasks that fill kept the ones that serve over their target. */
+START_TEST (filling_work_is_paced_down)
+{
+  struct gr_step_spec serving = plain;
+  struct gr_step_spec filling = plain;
+  struct steps_model *model = create (1, 1);
+
+  serving.count = 1;
+  serving.lasting = true;
+  serving.tail_target_ms = 100;
+  filling.filler = true;
+  steps_model_add_job (model, 1, "normal", "a", &serving, 1, 1000);
+  steps_model_add_job (model, 2, "batch", "a", &filling, 1, 3000);
+  steps_model_run (model, 30000);
+  ck_assert_uint_eq (steps_model_running (model, 1), 1);
+  ck_assert_int_eq (steps_model_state (model, 2), GR_JOB_COMPLETED);
+  finish (model);
+}
+END_TEST
+
+/* A start without a valid ticket is rejected for ever. */
+START_TEST (advice_is_asked_for_and_followed)
+{
+  struct steps_model *model = create (16, 1);
+
+  steps_model_need_tickets (model);
+  for (uint32_t i = 1; i <= 6; i++)
+    steps_model_add_job (model, i, "normal", "a", &plain, 1, 4000);
+  steps_model_run (model, 12000);
+  for (uint32_t i = 1; i <= 6; i++)
+    {
+      ck_assert_int_eq (steps_model_state (model, i), GR_JOB_COMPLETED);
+      ck_assert_uint_eq (steps_model_starts (model, i), 4);
+    }
+  for (uint32_t worker = 1; worker < 16; worker += 2)
+    ck_assert_uint_eq (steps_model_starts_on (model, worker), 0);
+  ck_assert_uint_le (steps_model_advice_calls (model), 12);
+  finish (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -147,6 +235,10 @@
   tcase_add_test (tests, echo_does_not_bring_a_completed_job_back);
   tcase_add_test (tests, failure_counts_once_over_a_takeover);
   tcase_add_test (tests, failures_count_in_any_order);
+  tcase_add_test (tests, lasting_work_is_started_again_however_it_ends);
+  tcase_add_test (tests, reclaiming_keeps_to_what_lasting_work_may_miss);
+  tcase_add_test (tests, filling_work_is_paced_down);
+  tcase_add_test (tests, advice_is_asked_for_and_followed);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
