--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -193,8 +193,8 @@
   serving.tail_target_ms = 100;
   filling.filler = true;
   steps_model_add_job (model, 1, "normal", "a", &serving, 1, 1000);
-  steps_model_add_job (model, 2, "batch", "a", &filling, 1, 3000);
-  steps_model_run (model, 30000);
+  steps_model_add_job (model, 2, "batch", "a", &filling, 1, 8000);
+  steps_model_run (model, 90000);
   ck_assert_uint_eq (steps_model_running (model, 1), 1);
   ck_assert_int_eq (steps_model_state (model, 2), GR_JOB_COMPLETED);
   finish (model);
