steps, instance: waves of upkeep

Cause: the operator's waves were not carried out at all. Change: steps/waves chooses the machines (least work first, no more than the cap down, closing or unclear at one time), the worker of a machine that is next gets no new work and is evacuated for up to 4 s; instance/upkeep lists machines while a wave runs, sends the orders and writes status and done machines, conditional on the owner's record. The configuration's watch covers waves too. Ruled out: draining all machines of a wave first; it takes the room of all.

--- a/instance/config-view.c
+++ b/instance/config-view.c
@@ -14,6 +14,7 @@
   struct gr_metastore *store;
   const struct gr_clock *clock;
   struct gr_cluster_config *config;
+  GHashTable *waves; /* number -> struct gr_wave_spec */
   int64_t watched_revision;
   int64_t current_ms;
   int64_t sent_ms; /* of the call that is open */
@@ -43,6 +44,39 @@
   view->current_ms = MAX (view->current_ms, current_ms);
 }
 
+static void
+apply_wave (struct gr_config_view *view, const struct gr_metastore_item *item)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_wave_spec *wave;
+
+  if (item->deleted)
+    return;
+  wave = gr_wave_decode (item->value, &error);
+  if (wave == NULL)
+    {
+      gr_log_problem ("wave-unreadable", "key", item->key, "reason",
+                      error.message, NULL);
+      return;
+    }
+  g_hash_table_replace (view->waves, &wave->number, wave);
+  view->changed (view->context);
+}
+
+void
+gr_config_view_each_wave (const struct gr_config_view *view,
+                          void (*visit) (const struct gr_wave_spec *wave,
+                                         void *context),
+                          void *context)
+{
+  GHashTableIter iter;
+  void *wave;
+
+  g_hash_table_iter_init (&iter, view->waves);
+  while (g_hash_table_iter_next (&iter, NULL, &wave))
+    visit (wave, context);
+}
+
 void
 gr_config_view_apply (struct gr_config_view *view,
                       const struct gr_metastore_item *item,
@@ -52,6 +86,11 @@
   struct gr_cluster_config *config;
   char version[24];
 
+  if (gr_wave_is_key (item->key))
+    {
+      apply_wave (view, item);
+      return;
+    }
   if (!g_str_equal (item->key, gr_cluster_config_key) || item->deleted)
     return;
   if (view->config != NULL && item->revision <= view->config->revision)
@@ -121,12 +160,11 @@
 
   view->sent_ms = gr_clock_now_ms (view->clock);
   if (view->must_read)
-    gr_metastore_range (view->store, gr_cluster_config_key, NULL, false,
+    gr_metastore_range (view->store, gr_operator_prefix, NULL, false,
                         READ_TIMEOUT_MS, reply);
   else
-    gr_metastore_watch (view->store, gr_cluster_config_key,
-                        view->watched_revision, WATCH_WAIT_MS, WATCH_TIMEOUT_MS,
-                        reply);
+    gr_metastore_watch (view->store, gr_operator_prefix, view->watched_revision,
+                        WATCH_WAIT_MS, WATCH_TIMEOUT_MS, reply);
 }
 
 struct gr_config_view *
@@ -141,6 +179,8 @@
   view->clock = clock;
   view->changed = changed;
   view->context = context;
+  view->waves = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                       (GDestroyNotify)gr_wave_spec_destroy);
   view->contact_ms = INT64_MAX;
   view->must_read = true;
   ask (view);
@@ -155,6 +195,7 @@
   if (view->timer != 0)
     g_source_remove (view->timer);
   gr_cluster_config_destroy (view->config);
+  g_hash_table_destroy (view->waves);
   g_free (view);
 }
 
--- a/instance/config-view.h
+++ b/instance/config-view.h
@@ -4,6 +4,7 @@
 
 #include "common/clock.h"
 #include "platform/config.h"
+#include "platform/machines.h"
 #include "platform/metastore.h"
 
 struct gr_config_view;
@@ -26,6 +27,12 @@
  * does not answer. */
 int64_t gr_config_view_contact_ms (const struct gr_config_view *view);
 
+/* The waves of upkeep that the operator asks for. */
+void gr_config_view_each_wave (const struct gr_config_view *view,
+                               void (*visit) (const struct gr_wave_spec *wave,
+                                              void *context),
+                               void *context);
+
 /* Takes the item if it is newer; as read at current_ms. */
 void gr_config_view_apply (struct gr_config_view *view,
                            const struct gr_metastore_item *item,
--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -26,6 +26,7 @@
   char *owner;
   int64_t owner_revision;
   int64_t owner_seen_revision; /* also of its removal */
+  GHashTable *waves;           /* number as text -> done machines */
   char *absent;
   int64_t absent_revision;
   int64_t generation;
@@ -221,6 +222,10 @@
     apply_begun (mirror, item);
   else if (g_str_equal (item->key, GR_RECORD_ABSENT))
     apply_absent (mirror, item);
+  else if (g_str_has_prefix (item->key, GR_RECORD_WAVE) && !item->deleted)
+    g_hash_table_replace (mirror->waves,
+                          g_strdup (item->key + strlen (GR_RECORD_WAVE)),
+                          text_of (item));
 }
 
 static gboolean
@@ -415,6 +420,8 @@
   mirror->events = *events;
   mirror->jobs =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, job_destroy);
+  mirror->waves =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   mirror->published =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gr_mirror_reload (mirror, NULL, NULL);
@@ -430,6 +437,7 @@
     g_source_remove (mirror->timer);
   g_hash_table_destroy (mirror->jobs);
   g_hash_table_destroy (mirror->published);
+  g_hash_table_destroy (mirror->waves);
   g_free (mirror->owner);
   g_free (mirror->absent);
   g_free (mirror);
@@ -491,3 +499,12 @@
 {
   return mirror->absent ? mirror->absent : "";
 }
+
+const char *
+gr_mirror_wave (const struct gr_mirror *mirror, int64_t wave)
+{
+  char number[24];
+
+  g_snprintf (number, sizeof number, "%" G_GINT64_FORMAT, wave);
+  return g_hash_table_lookup (mirror->waves, number);
+}
--- a/instance/mirror.h
+++ b/instance/mirror.h
@@ -67,6 +67,10 @@
  * has written them: lines of id and address. */
 const char *gr_mirror_absent (const struct gr_mirror *mirror);
 
+/* Machines of the wave whose upkeep is done, one a line; NULL if there is no
+ * record. */
+const char *gr_mirror_wave (const struct gr_mirror *mirror, int64_t wave);
+
 /* Generation of the last owner, 0 if there was none, and the revision of its
  * record. */
 int64_t gr_mirror_generation (const struct gr_mirror *mirror,
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "instance/ownership.h"
 #include "instance/progress-log.h"
+#include "instance/upkeep.h"
 #include "instance/worker-io.h"
 #include "platform/advice.h"
 #include "platform/registry.h"
@@ -46,6 +47,7 @@
   struct gr_steps *steps;
   struct gr_worker_io *io;
   struct gr_progress_log *log;
+  struct gr_upkeep *upkeep;
   struct gr_advice_client *advice; /* NULL if there is no such service */
   GHashTable *addresses;  /* worker id -> IP:PORT, last that was seen */
   GHashTable *registered; /* worker ids in the registry */
@@ -192,6 +194,7 @@
                  gr_clock_unix_ms ());
   gr_worker_io_run (owner->io);
   ask_for_advice (owner);
+  gr_upkeep_run (owner->upkeep);
   write_progress (owner);
   if (gr_steps_fenced (owner->steps))
     take_superseded (owner, "a worker has seen a higher epoch");
@@ -576,6 +579,7 @@
                                  contact_since (owner) + REGISTRY_SETTLE_MS);
   owner->addresses =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  owner->upkeep = gr_upkeep_create (parts, owner->steps, epoch, revision);
   if (settings->advice_address[0] != '\0')
     owner->advice =
         gr_advice_client_create (settings->advice_address, parts->counters);
@@ -603,6 +607,7 @@
     g_source_remove (owner->soon);
   if (owner->registry_timer != 0)
     g_source_remove (owner->registry_timer);
+  gr_upkeep_destroy (owner->upkeep);
   gr_advice_client_destroy (owner->advice);
   gr_worker_io_destroy (owner->io);
   gr_progress_log_destroy (owner->log);
--- a/instance/records.h
+++ b/instance/records.h
@@ -16,6 +16,9 @@
 /* Workers that have left the registry and may run on: id and address. */
 #define GR_RECORD_ABSENT "gr/absent"
 
+/* Followed by the number of a wave: machines whose upkeep is done. */
+#define GR_RECORD_WAVE "gr/wave/"
+
 enum gr_record_kind
 {
   GR_RECORD_JOB,      /* written once, when the job is accepted */
--- /dev/null
+++ b/instance/upkeep.c
@@ -0,0 +1,218 @@
+#include "instance/upkeep.h"
+
+#include "common/log.h"
+#include "platform/machines.h"
+
+#include <string.h>
+
+/* Machines are listed so often while a wave runs. */
+#define LIST_MS 700
+#define LIST_TIMEOUT_MS 1500
+#define ORDER_TIMEOUT_MS 700
+#define WRITE_TIMEOUT_MS 800
+
+/* Between two writes, so that an outage is not met with many calls. */
+#define WRITE_PAUSE_MS 400
+
+struct gr_upkeep
+{
+  struct gr_owner_parts parts;
+  struct gr_waves *waves;
+  struct gr_machines_client *machines; /* NULL if there is no such interface */
+  int64_t owner_revision;
+  int64_t next_list_ms;
+  int64_t next_write_ms;
+  int64_t asked_ms;
+  bool listing;
+  GHashTable *written; /* number -> last text of its record */
+  struct write *open;  /* NULL if none */
+};
+
+struct write
+{
+  struct gr_upkeep *upkeep; /* NULL when it was destroyed */
+  int64_t wave;
+};
+
+struct order_call
+{
+  struct gr_upkeep *upkeep;
+  struct gr_upkeep_order order;
+};
+
+static void
+restore_wave (struct gr_upkeep *upkeep, int64_t number)
+{
+  const char *done = gr_mirror_wave (upkeep->parts.mirror, number);
+  g_auto (GStrv) machines = g_strsplit (done ? done : "", "\n", -1);
+
+  for (char **machine = machines; *machine != NULL; machine++)
+    gr_waves_restore (upkeep->waves, number, *machine);
+}
+
+static void
+take_wave (const struct gr_wave_spec *wave, void *context)
+{
+  struct gr_upkeep *upkeep = context;
+
+  gr_waves_set (upkeep->waves, wave->number,
+                (const char *const *)wave->machines, wave->cap);
+  if (g_hash_table_contains (upkeep->written, &wave->number))
+    return;
+  restore_wave (upkeep, wave->number);
+  g_hash_table_insert (upkeep->written, g_memdup2 (&wave->number, 8), NULL);
+}
+
+static void
+listed (const struct gr_machine *machines,
+        size_t n_machines,
+        const struct gr_error *error,
+        void *context)
+{
+  struct gr_upkeep *upkeep = context;
+
+  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
+    return;
+  upkeep->listing = false;
+  if (error != NULL)
+    gr_log_event ("machines-not-listed", "reason", error->message, NULL);
+  else
+    gr_waves_list (upkeep->waves, machines, n_machines, upkeep->asked_ms);
+}
+
+static void
+list_machines (struct gr_upkeep *upkeep)
+{
+  int64_t now_ms = gr_clock_now_ms (upkeep->parts.clock);
+
+  if (upkeep->listing || now_ms < upkeep->next_list_ms
+      || !gr_waves_active (upkeep->waves))
+    return;
+  upkeep->listing = true;
+  upkeep->asked_ms = now_ms;
+  upkeep->next_list_ms = now_ms + LIST_MS;
+  gr_machines_list (upkeep->machines, LIST_TIMEOUT_MS,
+                    (struct gr_machines_reply){ listed, upkeep });
+}
+
+static void
+ordered (enum gr_upkeep_result result, void *context)
+{
+  struct order_call *call = context;
+
+  gr_waves_result (call->upkeep->waves, &call->order, result,
+                   gr_clock_now_ms (call->upkeep->parts.clock));
+  g_free (call);
+}
+
+static void
+send_orders (struct gr_upkeep *upkeep)
+{
+  struct gr_upkeep_order order;
+
+  while (gr_waves_take_order (upkeep->waves, &order))
+    {
+      struct order_call *call = g_new0 (struct order_call, 1);
+
+      call->upkeep = upkeep;
+      call->order = order;
+      gr_machines_upkeep (upkeep->machines, &order, ORDER_TIMEOUT_MS,
+                          (struct gr_upkeep_reply){ ordered, call });
+    }
+}
+
+static void
+write_done (const struct gr_metastore_result *result,
+            const struct gr_error *error,
+            void *context)
+{
+  struct write *write = context;
+  struct gr_upkeep *upkeep = write->upkeep;
+
+  if (upkeep != NULL)
+    {
+      upkeep->open = NULL;
+      /* It is written again by the next run. */
+      if (error != NULL || !result->conditions_held)
+        g_hash_table_replace (upkeep->written, g_memdup2 (&write->wave, 8),
+                              NULL);
+    }
+  g_free (write);
+}
+
+static void
+write_wave (int64_t number, bool complete, const char *done, void *context)
+{
+  struct gr_upkeep *upkeep = context;
+  g_autofree char *key = gr_wave_status_key (number);
+  g_autofree char *value = gr_wave_status_value (complete);
+  g_autofree char *own_key =
+      g_strdup_printf (GR_RECORD_WAVE "%" G_GINT64_FORMAT, number);
+  char *text = g_strconcat (value, "\n", done, NULL);
+  struct gr_metastore_txn *txn;
+
+  if (upkeep->open != NULL
+      || gr_clock_now_ms (upkeep->parts.clock) < upkeep->next_write_ms
+      || g_strcmp0 (g_hash_table_lookup (upkeep->written, &number), text) == 0)
+    {
+      g_free (text);
+      return;
+    }
+  g_hash_table_replace (upkeep->written, g_memdup2 (&number, 8), text);
+  upkeep->next_write_ms =
+      gr_clock_now_ms (upkeep->parts.clock) + WRITE_PAUSE_MS;
+  upkeep->open = g_new0 (struct write, 1);
+  upkeep->open->upkeep = upkeep;
+  upkeep->open->wave = number;
+  txn = gr_metastore_txn_create ();
+  gr_metastore_txn_expect (txn, GR_RECORD_OWNER, upkeep->owner_revision);
+  gr_metastore_txn_put (txn, key, value, strlen (value), 0);
+  gr_metastore_txn_put (txn, own_key, done, strlen (done), 0);
+  gr_metastore_commit (upkeep->parts.store, txn, WRITE_TIMEOUT_MS,
+                       (struct gr_metastore_reply){ write_done, upkeep->open });
+}
+
+void
+gr_upkeep_run (struct gr_upkeep *upkeep)
+{
+  gr_config_view_each_wave (upkeep->parts.config, take_wave, upkeep);
+  if (upkeep->machines == NULL)
+    return;
+  list_machines (upkeep);
+  gr_waves_tick (upkeep->waves, gr_clock_now_ms (upkeep->parts.clock));
+  send_orders (upkeep);
+  gr_waves_each (upkeep->waves, write_wave, upkeep);
+}
+
+struct gr_upkeep *
+gr_upkeep_create (const struct gr_owner_parts *parts,
+                  struct gr_steps *steps,
+                  int64_t epoch,
+                  int64_t owner_revision)
+{
+  struct gr_upkeep *upkeep = g_new0 (struct gr_upkeep, 1);
+  const struct gr_instance_settings *settings = parts->settings;
+
+  upkeep->parts = *parts;
+  upkeep->owner_revision = owner_revision;
+  upkeep->waves = gr_waves_create (steps);
+  upkeep->written =
+      g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  if (settings->machines_address[0] != '\0')
+    upkeep->machines = gr_machines_client_create (
+        settings->machines_address, settings->instance, epoch, parts->counters);
+  return upkeep;
+}
+
+void
+gr_upkeep_destroy (struct gr_upkeep *upkeep)
+{
+  if (upkeep == NULL)
+    return;
+  if (upkeep->open != NULL)
+    upkeep->open->upkeep = NULL;
+  gr_machines_client_destroy (upkeep->machines);
+  gr_waves_destroy (upkeep->waves);
+  g_hash_table_destroy (upkeep->written);
+  g_free (upkeep);
+}
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -130,6 +130,19 @@
                                   int64_t now_ms);
 void gr_steps_destroy (struct gr_steps *steps);
 
+/* A closed worker gets no new work. */
+void
+gr_steps_close_worker (struct gr_steps *steps, const char *worker, bool closed);
+/* Stops what loses little, and what serves others as far as its step may miss
+ * it; with force, everything that ends by itself too. True if nothing runs
+ * there. An unknown worker runs nothing. */
+bool gr_steps_evacuate_worker (struct gr_steps *steps,
+                               const char *worker,
+                               bool force);
+/* Runs on the worker. */
+uint32_t gr_steps_worker_load (const struct gr_steps *steps,
+                               const char *worker);
+
 /* Inputs. Structs are copied. */
 void gr_steps_set_queue (struct gr_steps *steps,
                          const struct gr_steps_queue *queue);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -17,6 +17,7 @@
   int64_t born_unix_ms;
   bool registered;
   bool draining;
+  bool closed; /* for its machine's upkeep */
   bool reachable;
   bool seen;      /* looked at by this owner */
   bool look_soon; /* something about it is not known */
--- /dev/null
+++ b/steps/waves.c
@@ -0,0 +1,415 @@
+#include "steps/waves.h"
+
+#include "common/log.h"
+
+#include <string.h>
+
+/* Tasks that end by themselves get so long before the upkeep ends them. */
+#define EVACUATE_MS 4000
+
+/* A list asked for so long after an upkeep shows its effect. */
+#define LIST_LAG_MS 500
+
+#define RETRY_MS 500
+
+enum member_state
+{
+  MEMBER_PENDING,
+  MEMBER_CLOSING, /* gets no new work; what runs ends or is stopped */
+  MEMBER_ORDERED,
+  MEMBER_AWAY,
+  MEMBER_DONE,
+  MEMBER_GONE, /* there is no such machine any more */
+};
+
+struct member
+{
+  char *machine;
+  char *worker; /* as last listed */
+  enum gr_machine_state listed;
+  enum member_state state;
+  int64_t since_ms;
+  int64_t sent_ms; /* of the last order */
+};
+
+struct wave
+{
+  int64_t number;
+  uint32_t cap;
+  GPtrArray *members;
+};
+
+struct gr_waves
+{
+  struct gr_steps *steps;
+  GPtrArray *waves;
+  GQueue orders;
+  bool listed;
+  int64_t now_ms;
+};
+
+static void
+member_free (void *data)
+{
+  struct member *member = data;
+
+  g_free (member->machine);
+  g_free (member->worker);
+  g_free (member);
+}
+
+static void
+wave_free (void *data)
+{
+  struct wave *wave = data;
+
+  g_ptr_array_unref (wave->members);
+  g_free (wave);
+}
+
+struct gr_waves *
+gr_waves_create (struct gr_steps *steps)
+{
+  struct gr_waves *waves = g_new0 (struct gr_waves, 1);
+
+  waves->steps = steps;
+  waves->waves = g_ptr_array_new_with_free_func (wave_free);
+  g_queue_init (&waves->orders);
+  return waves;
+}
+
+void
+gr_waves_destroy (struct gr_waves *waves)
+{
+  if (waves == NULL)
+    return;
+  g_ptr_array_unref (waves->waves);
+  g_queue_clear_full (&waves->orders, g_free);
+  g_free (waves);
+}
+
+static struct wave *
+find_wave (const struct gr_waves *waves, int64_t number)
+{
+  for (guint i = 0; i < waves->waves->len; i++)
+    {
+      struct wave *wave = waves->waves->pdata[i];
+
+      if (wave->number == number)
+        return wave;
+    }
+  return NULL;
+}
+
+static struct member *
+find_member (const struct wave *wave, const char *machine)
+{
+  for (guint i = 0; wave != NULL && i < wave->members->len; i++)
+    {
+      struct member *member = wave->members->pdata[i];
+
+      if (g_str_equal (member->machine, machine))
+        return member;
+    }
+  return NULL;
+}
+
+static void
+set_state (struct gr_waves *waves,
+           struct member *member,
+           enum member_state state)
+{
+  static const char *const names[] = {
+    [MEMBER_PENDING] = "pending", [MEMBER_CLOSING] = "closing",
+    [MEMBER_ORDERED] = "ordered", [MEMBER_AWAY] = "away",
+    [MEMBER_DONE] = "done",       [MEMBER_GONE] = "gone",
+  };
+
+  if (member->state == state)
+    return;
+  member->state = state;
+  member->since_ms = waves->now_ms;
+  gr_log_event ("upkeep", "machine", member->machine, "state", names[state],
+                NULL);
+}
+
+void
+gr_waves_set (struct gr_waves *waves,
+              int64_t number,
+              const char *const *machines,
+              uint32_t cap)
+{
+  struct wave *wave = find_wave (waves, number);
+
+  if (wave != NULL)
+    {
+      wave->cap = MAX (cap, 1);
+      return;
+    }
+  wave = g_new0 (struct wave, 1);
+  wave->number = number;
+  wave->cap = MAX (cap, 1);
+  wave->members = g_ptr_array_new_with_free_func (member_free);
+  for (; *machines != NULL; machines++)
+    {
+      struct member *member = g_new0 (struct member, 1);
+
+      member->machine = g_strdup (*machines);
+      member->worker = g_strdup ("");
+      g_ptr_array_add (wave->members, member);
+    }
+  g_ptr_array_add (waves->waves, wave);
+}
+
+void
+gr_waves_restore (struct gr_waves *waves, int64_t number, const char *machine)
+{
+  struct member *member = find_member (find_wave (waves, number), machine);
+
+  if (member != NULL)
+    member->state = MEMBER_DONE;
+}
+
+static const struct gr_machine *
+find_machine (const struct gr_machine *machines, size_t n, const char *name)
+{
+  for (size_t i = 0; i < n; i++)
+    if (g_str_equal (machines[i].machine, name))
+      return &machines[i];
+  return NULL;
+}
+
+/* The machine was away, or its upkeep was done before, and is up again. */
+static bool
+is_back (const struct member *member,
+         const struct gr_machine *row,
+         int64_t asked_ms)
+{
+  return member->state == MEMBER_AWAY && row->state == GR_MACHINE_UP
+         && asked_ms >= member->since_ms + LIST_LAG_MS;
+}
+
+static void
+list_member (struct gr_waves *waves,
+             struct member *member,
+             const struct gr_machine *row,
+             int64_t asked_ms)
+{
+  if (row == NULL)
+    {
+      if (member->state != MEMBER_DONE)
+        set_state (waves, member, MEMBER_GONE);
+      return;
+    }
+  /* The answer to the order was lost, but it was carried out. */
+  if (member->state == MEMBER_ORDERED && row->state == GR_MACHINE_UPKEEP)
+    set_state (waves, member, MEMBER_AWAY);
+  if (is_back (member, row, asked_ms))
+    {
+      gr_steps_close_worker (waves->steps, member->worker, false);
+      set_state (waves, member, MEMBER_DONE);
+    }
+  member->listed = row->state;
+  if (member->state <= MEMBER_CLOSING)
+    {
+      g_free (member->worker);
+      member->worker = g_strdup (row->worker);
+    }
+}
+
+void
+gr_waves_list (struct gr_waves *waves,
+               const struct gr_machine *machines,
+               size_t n_machines,
+               int64_t asked_ms)
+{
+  waves->listed = true;
+  for (guint i = 0; i < waves->waves->len; i++)
+    {
+      const struct wave *wave = waves->waves->pdata[i];
+
+      for (guint k = 0; k < wave->members->len; k++)
+        {
+          struct member *member = wave->members->pdata[k];
+
+          list_member (waves, member,
+                       find_machine (machines, n_machines, member->machine),
+                       asked_ms);
+        }
+    }
+}
+
+void
+gr_waves_result (struct gr_waves *waves,
+                 const struct gr_upkeep_order *order,
+                 enum gr_upkeep_result result,
+                 int64_t now_ms)
+{
+  struct member *member =
+      find_member (find_wave (waves, order->wave), order->machine);
+
+  waves->now_ms = now_ms;
+  if (result == GR_UPKEEP_FENCED)
+    gr_steps_set_fenced (waves->steps);
+  if (member == NULL || member->state != MEMBER_ORDERED)
+    return;
+  if (result == GR_UPKEEP_DONE)
+    set_state (waves, member, MEMBER_AWAY);
+  else if (result == GR_UPKEEP_NOT_OF_IT)
+    {
+      gr_steps_close_worker (waves->steps, member->worker, false);
+      set_state (waves, member, MEMBER_GONE);
+    }
+  /* Else the order is repeated: it may have been carried out, so that the
+   * machine counts as down until an answer comes. */
+}
+
+static bool
+counts_as_down (const struct member *member)
+{
+  return member->state == MEMBER_ORDERED || member->state == MEMBER_AWAY
+         || member->state == MEMBER_CLOSING
+         || (member->state == MEMBER_PENDING
+             && member->listed != GR_MACHINE_UP);
+}
+
+/* Of the machines that wait, the one whose worker runs least. */
+static struct member *
+next_member (struct gr_waves *waves, const struct wave *wave)
+{
+  struct member *best = NULL;
+  uint32_t best_load = 0;
+
+  for (guint i = 0; i < wave->members->len; i++)
+    {
+      struct member *member = wave->members->pdata[i];
+      uint32_t load;
+
+      if (member->state != MEMBER_PENDING || member->listed != GR_MACHINE_UP)
+        continue;
+      load = gr_steps_worker_load (waves->steps, member->worker);
+      if (best != NULL && load >= best_load)
+        continue;
+      best = member;
+      best_load = load;
+    }
+  return best;
+}
+
+static void
+send_order (struct gr_waves *waves,
+            const struct wave *wave,
+            struct member *member)
+{
+  struct gr_upkeep_order *order = g_new0 (struct gr_upkeep_order, 1);
+
+  order->wave = wave->number;
+  g_strlcpy (order->machine, member->machine, sizeof order->machine);
+  member->sent_ms = waves->now_ms;
+  g_queue_push_tail (&waves->orders, order);
+}
+
+static void
+move_member (struct gr_waves *waves,
+             const struct wave *wave,
+             struct member *member)
+{
+  bool waited = waves->now_ms - member->since_ms >= EVACUATE_MS;
+
+  if (member->state == MEMBER_CLOSING
+      && gr_steps_evacuate_worker (waves->steps, member->worker, waited))
+    {
+      set_state (waves, member, MEMBER_ORDERED);
+      send_order (waves, wave, member);
+    }
+  else if (member->state == MEMBER_ORDERED
+           && waves->now_ms - member->sent_ms >= RETRY_MS)
+    send_order (waves, wave, member);
+}
+
+static void
+run_wave (struct gr_waves *waves, const struct wave *wave)
+{
+  uint32_t down = 0;
+
+  for (guint i = 0; i < wave->members->len; i++)
+    {
+      move_member (waves, wave, wave->members->pdata[i]);
+      down += counts_as_down (wave->members->pdata[i]);
+    }
+  while (down < wave->cap)
+    {
+      struct member *member = next_member (waves, wave);
+
+      if (member == NULL)
+        return;
+      set_state (waves, member, MEMBER_CLOSING);
+      gr_steps_close_worker (waves->steps, member->worker, true);
+      down++;
+    }
+}
+
+void
+gr_waves_tick (struct gr_waves *waves, int64_t now_ms)
+{
+  waves->now_ms = now_ms;
+  if (!waves->listed)
+    return;
+  for (guint i = 0; i < waves->waves->len; i++)
+    run_wave (waves, waves->waves->pdata[i]);
+}
+
+bool
+gr_waves_take_order (struct gr_waves *waves, struct gr_upkeep_order *order)
+{
+  struct gr_upkeep_order *next = g_queue_pop_head (&waves->orders);
+
+  if (next == NULL)
+    return false;
+  *order = *next;
+  g_free (next);
+  return true;
+}
+
+static bool
+is_complete (const struct wave *wave)
+{
+  for (guint i = 0; i < wave->members->len; i++)
+    if (((struct member *)wave->members->pdata[i])->state < MEMBER_DONE)
+      return false;
+  return true;
+}
+
+bool
+gr_waves_active (const struct gr_waves *waves)
+{
+  for (guint i = 0; i < waves->waves->len; i++)
+    if (!is_complete (waves->waves->pdata[i]))
+      return true;
+  return false;
+}
+
+void
+gr_waves_each (const struct gr_waves *waves,
+               void (*visit) (int64_t wave,
+                              bool complete,
+                              const char *done,
+                              void *context),
+               void *context)
+{
+  for (guint i = 0; i < waves->waves->len; i++)
+    {
+      const struct wave *wave = waves->waves->pdata[i];
+      GString *done = g_string_new (NULL);
+
+      for (guint k = 0; k < wave->members->len; k++)
+        {
+          const struct member *member = wave->members->pdata[k];
+
+          if (member->state == MEMBER_DONE)
+            g_string_append_printf (done, "%s\n", member->machine);
+        }
+      visit (wave->number, is_complete (wave), done->str, context);
+      g_string_free (done, TRUE);
+    }
+}
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -39,8 +39,9 @@
 bool
 gr_worker_usable (const struct gr_steps *steps, const struct worker *worker)
 {
-  return worker->registered && !worker->draining && worker->reachable
-         && worker->seen && steps->now_ms >= worker->quarantine_until_ms
+  return worker->registered && !worker->draining && !worker->closed
+         && worker->reachable && worker->seen
+         && steps->now_ms >= worker->quarantine_until_ms
          && steps->now_ms >= worker->full_until_ms;
 }
 
@@ -170,6 +171,54 @@
   worker->gone_ms = 0;
 }
 
+void
+gr_steps_close_worker (struct gr_steps *steps, const char *id, bool closed)
+{
+  struct worker *worker = gr_worker_find (steps, id);
+
+  if (worker != NULL)
+    worker->closed = closed;
+}
+
+static bool
+may_evacuate (const struct task *task, bool force)
+{
+  const struct gr_step_spec *spec = task->step->spec;
+
+  if (task->state != TASK_RUNNING)
+    return false;
+  if (spec->lasting)
+    return gr_task_may_be_stopped (task);
+  return spec->checkpointing || force;
+}
+
+bool
+gr_steps_evacuate_worker (struct gr_steps *steps, const char *id, bool force)
+{
+  struct worker *worker = gr_worker_find (steps, id);
+
+  for (guint i = 0; worker != NULL && i < worker->tasks->len; i++)
+    {
+      struct task *task = worker->tasks->pdata[i];
+
+      if (!may_evacuate (task, force))
+        continue;
+      if (task->step->spec->gang)
+        gr_gang_abort (steps, task->step);
+      else
+        gr_order_stop (steps, task);
+    }
+  return worker == NULL || worker->tasks->len == 0;
+}
+
+uint32_t
+gr_steps_worker_load (const struct gr_steps *steps, const char *id)
+{
+  const struct worker *worker = g_hash_table_lookup (steps->workers, id);
+
+  return worker ? worker->tasks->len : 0;
+}
+
 void
 gr_steps_worker_gone (struct gr_steps *steps, const char *id, int64_t now_ms)
 {
