http, instance: an owner of hundreds of workers keeps up

Cause: on the grown sites the owner ran out of processor time. Change: one source for all deadlines; two workers share a libsoup session; no idle timers for workers; the largest instances try first to be the owner; the core runs at most every 8 ms; timeouts grow with the lateness of the main loop, and at most 64 calls are open beside looks that wait. Instances that are not the owner ask for changes of records every 250 ms at most. Ruled out: one session for 8 workers (431,415 recvfrom for 5,500 calls); sources of the core (2.6 % of the time).

--- a/http/http.c
+++ b/http/http.c
@@ -1,7 +1,9 @@
 #include "http/http.h"
 
 #include "common/log.h"
+#include "http/deadlines.h"
 
+#include <stddef.h>
 #include <string.h>
 
 #define READ_BYTES 65536
@@ -19,6 +21,8 @@
   SoupSession *session;
   GHashTable *calls;
   GHashTable *open_calls; /* limit key -> count */
+  struct gr_deadlines *deadlines;
+  struct gr_deadlines *own_deadlines; /* NULL if they are shared */
 };
 
 struct http_call
@@ -28,7 +32,7 @@
   GCancellable *cancellable;
   GInputStream *stream;
   GByteArray *received;
-  GSource *timer;
+  struct gr_deadline deadline;
   char *limit_key;
   uint32_t timeout_ms;
   bool written;  /* bytes of the request may have been sent */
@@ -47,11 +51,7 @@
 static void
 call_free (struct http_call *call)
 {
-  if (call->timer != NULL)
-    {
-      g_source_destroy (call->timer);
-      g_source_unref (call->timer);
-    }
+  gr_deadline_clear (&call->deadline);
   if (call->message != NULL)
     g_signal_handlers_disconnect_by_data (call->message, call);
   g_clear_object (&call->stream);
@@ -250,20 +250,21 @@
     read_more (call);
 }
 
-static gboolean
-call_timed_out (gpointer data)
+static void
+call_timed_out (struct gr_deadline *deadline)
 {
-  struct http_call *call = data;
+  struct http_call *call =
+      (struct http_call *)((char *)deadline
+                           - offsetof (struct http_call, deadline));
 
   if (call->message == NULL)
     {
       deliver (call, NULL, &call->refusal);
       end_call (call);
-      return G_SOURCE_REMOVE;
+      return;
     }
   deliver_error (call, GR_ERROR_TIMEOUT, "no answer in time");
   g_cancellable_cancel (call->cancellable);
-  return G_SOURCE_REMOVE;
 }
 
 static void
@@ -326,9 +327,8 @@
 static void
 start_timer (struct http_call *call, uint32_t timeout_ms)
 {
-  call->timer = g_timeout_source_new (timeout_ms);
-  g_source_set_callback (call->timer, call_timed_out, call, NULL);
-  g_source_attach (call->timer, NULL);
+  gr_deadline_set (call->http->deadlines, &call->deadline, timeout_ms,
+                   call_timed_out);
 }
 
 void
@@ -370,14 +370,17 @@
       g_hash_table_lookup (http->open_calls, limit_key));
 }
 
-struct gr_http *
-gr_http_create (uint32_t connections)
+static struct gr_http *
+create (uint32_t connections,
+        struct gr_deadlines *deadlines,
+        guint idle_timeout_s)
 {
   struct gr_http *http = g_new0 (struct gr_http, 1);
 
+  http->deadlines = deadlines;
   http->session = soup_session_new_with_options (
       "max-conns", MAX_CONNECTIONS, "max-conns-per-host", (int)connections,
-      "idle-timeout", IDLE_TIMEOUT_S, "timeout", 0, "proxy-resolver", NULL,
+      "idle-timeout", idle_timeout_s, "timeout", 0, "proxy-resolver", NULL,
       NULL);
   /* Bodies are passed on unchanged. */
   soup_session_remove_feature_by_type (http->session,
@@ -388,6 +391,23 @@
   return http;
 }
 
+struct gr_http *
+gr_http_create (uint32_t connections)
+{
+  struct gr_deadlines *deadlines = gr_deadlines_create ();
+  struct gr_http *http = create (connections, deadlines, IDLE_TIMEOUT_S);
+
+  http->own_deadlines = deadlines;
+  return http;
+}
+
+struct gr_http *
+gr_http_create_shared (uint32_t connections, struct gr_deadlines *deadlines)
+{
+  /* Each idle connection with a limit has a source of its own. */
+  return create (connections, deadlines, 0);
+}
+
 void
 gr_http_destroy (struct gr_http *http)
 {
@@ -404,6 +424,7 @@
       struct http_call *call = key;
 
       g_hash_table_iter_steal (&iter);
+      gr_deadline_clear (&call->deadline);
       call->http = NULL;
       deliver (call, NULL, &error);
       if (call->message == NULL)
@@ -415,5 +436,6 @@
   g_object_unref (http->session);
   g_hash_table_destroy (http->calls);
   g_hash_table_destroy (http->open_calls);
+  gr_deadlines_destroy (http->own_deadlines);
   g_free (http);
 }
--- a/http/http.h
+++ b/http/http.h
@@ -44,6 +44,13 @@
 /* connections: the most that are open to one address at a time. */
 struct gr_http *gr_http_create (uint32_t connections);
 
+struct gr_deadlines;
+
+/* The same, with deadlines that several clients share and that outlive
+ * them. */
+struct gr_http *gr_http_create_shared (uint32_t connections,
+                                       struct gr_deadlines *deadlines);
+
 /* Ends all calls with kind cancelled. */
 void gr_http_destroy (struct gr_http *http);
 
--- a/instance/instance.c
+++ b/instance/instance.c
@@ -99,6 +99,7 @@
     .context = instance,
   };
 
+  gr_mirror_follow_closely (instance->mirror, true);
   instance->owner = gr_owner_create (&parts, epoch, revision);
 }
 
@@ -111,6 +112,7 @@
   if (instance->lost_idle != 0)
     g_source_remove (instance->lost_idle);
   instance->lost_idle = 0;
+  gr_mirror_follow_closely (instance->mirror, false);
   g_clear_pointer (&instance->owner, gr_owner_destroy);
 }
 
@@ -197,6 +199,7 @@
       &(struct gr_mirror_events){ job_changed, owner_changed, instance });
   instance->ownership = gr_ownership_create (
       instance->store, instance->mirror, instance->clock, settings->instance,
+      settings->cpu_share,
       &(struct gr_ownership_events){ acquired, lost, instance });
   if (listen_all (instance, error))
     {
--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -9,8 +9,11 @@
 #define WATCH_WAIT_MS 1500
 #define WATCH_TIMEOUT_MS 2300
 
-/* Between two watches: changes in between come together, which saves calls. */
-#define WATCH_PAUSE_MS 20
+/* Between two watches: changes in between come together, which saves calls. The
+ * owner must learn of new jobs at once; clients of the others see a state that
+ * much later. */
+#define OWNER_WATCH_PAUSE_MS 10
+#define WATCH_PAUSE_MS 250
 
 #define LOAD_TIMEOUT_MS 1500
 #define RETRY_MS 300
@@ -34,6 +37,7 @@
   int64_t watched_revision;
   int64_t current_ms;
   bool loaded;
+  bool follow_closely;
   bool watching;
   guint timer;
   struct load *load; /* the one that runs, or NULL */
@@ -281,7 +285,8 @@
   for (size_t i = 0; i < result->n_items; i++)
     gr_mirror_apply (mirror, &result->items[i]);
   mirror->watched_revision = MAX (mirror->watched_revision, result->as_of);
-  watch_later (mirror, WATCH_PAUSE_MS);
+  watch_later (mirror,
+               mirror->follow_closely ? OWNER_WATCH_PAUSE_MS : WATCH_PAUSE_MS);
 }
 
 static void
@@ -443,6 +448,18 @@
   g_free (mirror);
 }
 
+void
+gr_mirror_follow_closely (struct gr_mirror *mirror, bool closely)
+{
+  mirror->follow_closely = closely;
+  if (closely && mirror->timer != 0)
+    {
+      g_source_remove (mirror->timer);
+      mirror->timer = 0;
+      watch_later (mirror, 0);
+    }
+}
+
 bool
 gr_mirror_is_loaded (const struct gr_mirror *mirror)
 {
--- a/instance/mirror.h
+++ b/instance/mirror.h
@@ -35,6 +35,9 @@
                                     const struct gr_mirror_events *events);
 void gr_mirror_destroy (struct gr_mirror *mirror);
 
+/* The owner follows changes with no delay; others save calls. */
+void gr_mirror_follow_closely (struct gr_mirror *mirror, bool closely);
+
 /* All records were read once. */
 bool gr_mirror_is_loaded (const struct gr_mirror *mirror);
 
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -26,6 +26,9 @@
 /* Time between two runs of the core when nothing happens. */
 #define TICK_MS 100
 
+/* Answers that arrive within this time are followed by one run of the core. */
+#define GATHER_MS 8
+
 /* The registry is read so often: a draining worker gets nothing new 2 s after
  * it has said so (drain-ms), and a read may take a second. */
 #define REGISTRY_MS 600
@@ -58,6 +61,7 @@
   char *published;
   int64_t published_revision;
   guint tick;
+  int64_t last_tick_ms;
   guint soon;
   guint registry_timer;
   guint publish_timer;
@@ -217,14 +221,19 @@
   struct gr_owner *owner = context;
 
   if (owner->soon == 0 && !owner->superseded)
-    owner->soon =
-        g_idle_add_full (G_PRIORITY_DEFAULT_IDLE, run_soon, owner, NULL);
+    owner->soon = g_timeout_add (GATHER_MS, run_soon, owner);
 }
 
 static gboolean
 on_tick (gpointer data)
 {
-  run (data);
+  struct gr_owner *owner = data;
+  int64_t now_ms = gr_clock_now_ms (owner->parts.clock);
+
+  gr_worker_io_set_late (owner->io,
+                         MAX (now_ms - owner->last_tick_ms - TICK_MS, 0));
+  owner->last_tick_ms = now_ms;
+  run (owner);
   return G_SOURCE_CONTINUE;
 }
 
@@ -586,6 +595,7 @@
   owner->registered =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gr_owner_config_changed (owner);
+  owner->last_tick_ms = gr_clock_now_ms (parts->clock);
   owner->tick = g_timeout_add (TICK_MS, on_tick, owner);
   owner->publish_timer = g_timeout_add (PUBLISH_MS, publish, owner);
   reload (owner);
--- a/instance/ownership.c
+++ b/instance/ownership.c
@@ -11,8 +11,12 @@
 #define RENEW_MS 500
 #define CALL_TIMEOUT_MS 700
 
-/* Instances try one after the other, so that few transactions are lost. */
-#define CONTEND_SPREAD_MS 150
+/* Instances try one after the other, so that few transactions are lost: those
+ * with AMPLE_CORES or more at once, smaller ones up to CONTEND_SMALL_MS later.
+ * An owner of 350 workers takes more than the smallest instances have. */
+#define CONTEND_SPREAD_MS 60
+#define CONTEND_SMALL_MS 240
+#define AMPLE_CORES 0.5
 #define RETRY_MS 300
 
 enum state
@@ -39,7 +43,7 @@
   int64_t renewed_ms; /* when the last renewal that succeeded was sent */
   int64_t sent_ms;
   char *value; /* of the record, unique to the attempt */
-  uint32_t attempts;
+  double cores;
   bool stopping;
   bool renewing;
   guint timer;
@@ -295,6 +299,15 @@
   return G_SOURCE_REMOVE;
 }
 
+static uint32_t
+contend_delay_ms (const struct gr_ownership *ownership)
+{
+  double lacking = 1 - MIN (ownership->cores / AMPLE_CORES, 1);
+
+  return (uint32_t)(lacking * CONTEND_SMALL_MS)
+         + (uint32_t)g_random_int_range (0, CONTEND_SPREAD_MS);
+}
+
 void
 gr_ownership_check (struct gr_ownership *ownership)
 {
@@ -313,8 +326,7 @@
   if (ownership->state != STATE_IDLE || revision != 0 || ownership->stopping)
     return;
   ownership->state = STATE_WAITING;
-  set_timer (ownership, (guint32)g_random_int_range (0, CONTEND_SPREAD_MS),
-             turn_came);
+  set_timer (ownership, contend_delay_ms (ownership), turn_came);
 }
 
 struct gr_ownership *
@@ -322,6 +334,7 @@
                      struct gr_mirror *mirror,
                      const struct gr_clock *clock,
                      const char *instance,
+                     double cores,
                      const struct gr_ownership_events *events)
 {
   struct gr_ownership *ownership = g_new0 (struct gr_ownership, 1);
@@ -330,6 +343,7 @@
   ownership->mirror = mirror;
   ownership->clock = clock;
   ownership->instance = g_strdup (instance);
+  ownership->cores = cores;
   ownership->events = *events;
   return ownership;
 }
--- a/instance/ownership.h
+++ b/instance/ownership.h
@@ -20,11 +20,13 @@
   void *context;
 };
 
+/* cores is the processor time of the instance. */
 struct gr_ownership *
 gr_ownership_create (struct gr_metastore *store,
                      struct gr_mirror *mirror,
                      const struct gr_clock *clock,
                      const char *instance,
+                     double cores,
                      const struct gr_ownership_events *events);
 void gr_ownership_destroy (struct gr_ownership *ownership);
 
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -19,6 +19,15 @@
  * fill beside tasks that serve, which may be over their target for 4 s. */
 #define PERIODIC_LOOK_PAUSE_MS 500
 
+/* Calls that are open at one time, beside looks that wait. More would only wait
+ * for the processor, and time out. */
+#define MAX_OPEN_CALLS 64
+
+/* A late main loop means that answers wait for this process, not that they are
+ * missing: timeouts grow by this many times the lateness. */
+#define LATENESS_FACTOR 4
+#define MAX_EXTRA_TIMEOUT_MS 2000
+
 struct peer
 {
   struct gr_worker_io *io;
@@ -43,7 +52,9 @@
   int64_t epoch;
   int64_t hold_ms;
   struct gr_worker_io_events events;
-  GHashTable *peers; /* worker id -> struct peer */
+  GHashTable *peers;   /* worker id -> struct peer */
+  uint32_t open_calls; /* orders, and looks that do not wait */
+  int64_t late_ms;     /* of the main loop, of late */
   bool destroyed;
 };
 
@@ -119,6 +130,13 @@
   return peer->clock_ms + since_ms + term_ms;
 }
 
+static uint32_t
+timeout_for (const struct gr_worker_io *io, uint32_t base_ms)
+{
+  return base_ms
+         + (uint32_t)MIN (io->late_ms * LATENESS_FACTOR, MAX_EXTRA_TIMEOUT_MS);
+}
+
 static void
 order_done (enum gr_order_result result, int64_t clock_ms, void *context)
 {
@@ -126,6 +144,7 @@
   struct peer *peer = call->peer;
   struct gr_worker_io *io = peer->io;
 
+  io->open_calls--;
   if (!io->destroyed && !peer->removed)
     {
       read_clock (peer, clock_ms);
@@ -143,6 +162,7 @@
   struct peer *peer = g_hash_table_lookup (io->peers, order->worker);
   struct gr_worker_target target;
   struct gr_order_reply reply = { .done = order_done };
+  uint32_t timeout_ms = timeout_for (io, GR_ORDER_TIMEOUT_MS);
   struct order_call *call;
 
   if (peer == NULL)
@@ -156,6 +176,7 @@
   call->order = *order;
   reply.context = call;
   peer->open_calls++;
+  io->open_calls++;
   target = target_of (peer);
   if (order->kind == GR_ORDER_START)
     {
@@ -169,15 +190,15 @@
         .until_ms = lease_until (peer, left_ms),
       };
 
-      gr_worker_start (io->calls, &target, &start, GR_ORDER_TIMEOUT_MS, reply);
+      gr_worker_start (io->calls, &target, &start, timeout_ms, reply);
       return;
     }
   if (order->kind == GR_ORDER_PACE)
     gr_worker_pace (io->calls, &target, order->task, order->run, order->percent,
-                    GR_ORDER_TIMEOUT_MS, reply);
+                    timeout_ms, reply);
   else
-    gr_worker_stop (io->calls, &target, order->task, order->run,
-                    GR_ORDER_TIMEOUT_MS, reply);
+    gr_worker_stop (io->calls, &target, order->task, order->run, timeout_ms,
+                    reply);
 }
 
 static void
@@ -207,7 +228,10 @@
   if (call->waits)
     peer->waiting = false;
   else
-    peer->looking = false;
+    {
+      peer->looking = false;
+      io->open_calls--;
+    }
   g_free (call);
   if (!io->destroyed && !peer->removed)
     {
@@ -241,7 +265,10 @@
   if (call->waits)
     peer->waiting = true;
   else
-    peer->looking = true;
+    {
+      peer->looking = true;
+      io->open_calls++;
+    }
   peer->open_calls++;
   /* Before the first answer the worker's clock is not known. A look that may
    * not be answered must not move the time at which the lease has surely
@@ -250,7 +277,7 @@
     until_ms = lease_until (peer, io->hold_ms);
   peer->noted_sent = gr_steps_noted (io->steps, peer->worker);
   gr_worker_look (io->calls, &target, until_ms, peer->noted_sent, wait_ms,
-                  wait_ms + LOOK_TIMEOUT_MS,
+                  wait_ms + timeout_for (io, LOOK_TIMEOUT_MS),
                   (struct gr_look_reply){ look_done, call });
 }
 
@@ -264,7 +291,8 @@
   if (need == GR_LOOK_NOW || need == GR_LOOK_PERIODIC
       || (note && need == GR_LOOK_NONE))
     {
-      if (peer->looking || now_ms < peer->next_look_ms)
+      if (peer->looking || now_ms < peer->next_look_ms
+          || io->open_calls >= MAX_OPEN_CALLS)
         return;
       peer->next_look_ms =
           now_ms
@@ -284,7 +312,8 @@
   GHashTableIter iter;
   void *value;
 
-  while (gr_steps_take_order (io->steps, &order))
+  while (io->open_calls < MAX_OPEN_CALLS
+         && gr_steps_take_order (io->steps, &order))
     send_order (io, &order);
   g_hash_table_iter_init (&iter, io->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -346,3 +375,11 @@
 {
   g_hash_table_remove (io->peers, worker);
 }
+
+void
+gr_worker_io_set_late (struct gr_worker_io *io, int64_t late_ms)
+{
+  /* Falls by a quarter with each call, so that one good turn does not hide
+   * what came before. */
+  io->late_ms = MAX (late_ms, io->late_ms * 3 / 4);
+}
--- a/instance/worker-io.h
+++ b/instance/worker-io.h
@@ -31,5 +31,8 @@
                        const char *address);
 void gr_worker_io_remove (struct gr_worker_io *io, const char *worker);
 
+/* The main loop was late by so much, as the caller's timer shows it. */
+void gr_worker_io_set_late (struct gr_worker_io *io, int64_t late_ms);
+
 /* Sends what the core has ordered, and the looks that it needs. */
 void gr_worker_io_run (struct gr_worker_io *io);
--- a/settings/document.h
+++ b/settings/document.h
@@ -56,6 +56,7 @@
   double checkpoint_s;
   uint32_t state_kept_s;
   uint32_t heartbeat_ms;
+  double cpu_share; /* [instance] cpu_share */
   double far_factor;
   char *log_level; /* [log] level */
 };
--- a/settings/keys.c
+++ b/settings/keys.c
@@ -58,6 +58,10 @@
   { GR_DOCUMENT_INSTANCE, GR_KEY_NAME, "instance", "data_centre", "", 0, 0,
     NULL, NULL, INSTANCE (data_centre),
     "Data centre that the instance runs in." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_NUMBER, "instance", "cpu_share", "cores", 0,
+    1000, NULL, "1", INSTANCE (cpu_share),
+    "Processor time of the instance. The largest instances try first to own "
+    "the scheduling." },
   { GR_DOCUMENT_INSTANCE, GR_KEY_ADDRESS, "instance", "client_address", "", 0,
     0, NULL, NULL, INSTANCE (client_address),
     "Address on which clients are served." },
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -43,6 +43,7 @@
   };
 
   task->order_ms = steps->now_ms;
+  task->order_open = true;
   task->tries++;
   gr_task_name (task, order.task);
   g_strlcpy (order.worker, task->worker->id, sizeof order.worker);
@@ -220,7 +221,10 @@
       || !g_str_equal (task->worker->id, order->worker))
     return;
   if (order->kind == GR_ORDER_START)
-    start_result (steps, task, result);
+    {
+      task->order_open = false;
+      start_result (steps, task, result);
+    }
   else if (order->kind == GR_ORDER_PACE)
     {
       if (result == GR_ORDER_DONE)
@@ -236,8 +240,7 @@
 {
   char name[GR_TASK_NAME_SIZE];
 
-  if (task->state == TASK_STARTING
-      && steps->now_ms - task->order_ms >= GR_ORDER_TIMEOUT_MS)
+  if (task->state == TASK_STARTING && !task->order_open)
     {
       if (task->tries >= START_TRIES
           || steps->now_ms >= task->placed_ms + START_LIMIT_MS)
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -101,7 +101,8 @@
 void gr_job_progress_clear (struct gr_job_progress *progress);
 
 /* Time after which an order that is not answered counts as unknown; workers
- * answer within milliseconds. */
+ * answer within milliseconds. An owner that is short of processor time waits
+ * longer. */
 #define GR_ORDER_TIMEOUT_MS 250
 
 enum gr_order_kind
