steps: workers that left; placement that keeps up with hundreds of waiting gangs

Change: an entry that goes less than two heartbeats after its last renewal was removed because the worker left, and its runs with it. Tests: worker_that_left_is_not_waited_for, silent_worker_is_waited_for. Refused starts are logged. Cause 3: each waiting gang looked at all workers once for each rack, in every run of the core; the owner ran out of time after a burst. Change: workers are listed by rack; a step that needs no less than one that has just failed is skipped; room is asked for again after 120 ms at the earliest.

--- a/http/http.c
+++ b/http/http.c
@@ -39,6 +39,7 @@
   bool finished; /* done was called */
   bool may_resend;
   bool needs_length;
+  bool resent;
   struct gr_error refusal;
   void (*done) (const struct gr_http_answer *answer,
                 const struct gr_error *error,
@@ -128,6 +129,7 @@
       soup_message_get_response_headers (call->message);
   struct gr_http_answer answer = {
     .status = soup_message_get_status (call->message),
+    .resent = call->resent,
     .headers = headers,
   };
   bool has_length = soup_message_headers_get_encoding (headers)
@@ -284,6 +286,7 @@
   struct http_call *call = data;
 
   (void)message;
+  call->resent = true;
   if (call->may_resend)
     return;
   deliver_error (call, GR_ERROR_IO, "the connection failed");
--- a/http/http.h
+++ b/http/http.h
@@ -37,6 +37,7 @@
 struct gr_http_answer
 {
   uint32_t status;
+  bool resent; /* an earlier attempt may have reached the peer as well */
   GBytes *body;
   SoupMessageHeaders *headers;
 };
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -23,6 +23,10 @@
  * its return (platform's pages). */
 #define REGISTRY_SETTLE_MS 2500
 
+/* The store is steady when it has answered for so long; contact-ms of the
+ * platform's bounds is 3 or 4 s. */
+#define STEADY_MS 5000
+
 /* Time between two runs of the core when nothing happens. */
 #define TICK_MS 100
 
@@ -42,6 +46,13 @@
 #define PUBLISH_MS 900
 #define PUBLISH_TIMEOUT_MS 800
 
+/* When the entry of a worker last changed. */
+struct renewal
+{
+  int64_t revision;
+  int64_t seen_ms;
+};
+
 struct gr_owner
 {
   struct gr_owner_parts parts;
@@ -53,6 +64,7 @@
   struct gr_upkeep *upkeep;
   struct gr_advice_client *advice; /* NULL if there is no such service */
   GHashTable *addresses;  /* worker id -> IP:PORT, last that was seen */
+  GHashTable *renewals;   /* worker id -> struct renewal */
   GHashTable *registered; /* worker ids in the registry */
   GHashTable *listed;     /* the same, of the read that runs */
   bool loaded;
@@ -273,6 +285,42 @@
   g_hash_table_add (owner->listed, g_strdup (entry->worker));
 }
 
+static int64_t
+contact_since (const struct gr_owner *owner)
+{
+  int64_t now_ms = gr_clock_now_ms (owner->parts.clock);
+
+  return MIN (gr_config_view_contact_ms (owner->parts.config), now_ms);
+}
+
+static void
+note_renewal (struct gr_owner *owner, const char *worker, int64_t revision)
+{
+  struct renewal *renewal = g_hash_table_lookup (owner->renewals, worker);
+
+  if (renewal == NULL)
+    {
+      renewal = g_new0 (struct renewal, 1);
+      g_hash_table_insert (owner->renewals, g_strdup (worker), renewal);
+    }
+  if (renewal->revision == revision)
+    return;
+  renewal->revision = revision;
+  renewal->seen_ms = gr_clock_now_ms (owner->parts.clock);
+}
+
+/* Entries can also be removed while the store is not steady. */
+static int64_t
+silent_ms (const struct gr_owner *owner, const char *worker)
+{
+  const struct renewal *renewal = g_hash_table_lookup (owner->renewals, worker);
+  int64_t now_ms = gr_clock_now_ms (owner->parts.clock);
+
+  if (renewal == NULL || contact_since (owner) + STEADY_MS > now_ms)
+    return INT64_MAX;
+  return now_ms - renewal->seen_ms;
+}
+
 static void
 read_entry (struct gr_owner *owner, const struct gr_metastore_item *item)
 {
@@ -286,6 +334,7 @@
                       error.message, NULL);
       return;
     }
+  note_renewal (owner, entry->worker, item->revision);
   set_worker (owner, entry);
   gr_registry_entry_destroy (entry);
 }
@@ -299,7 +348,7 @@
   g_hash_table_iter_init (&iter, owner->registered);
   while (g_hash_table_iter_next (&iter, &id, NULL))
     if (!g_hash_table_contains (owner->listed, id))
-      gr_steps_worker_gone (owner->steps, id,
+      gr_steps_worker_gone (owner->steps, id, silent_ms (owner, id),
                             gr_clock_now_ms (owner->parts.clock));
   g_hash_table_destroy (owner->registered);
   owner->registered = g_steal_pointer (&owner->listed);
@@ -550,14 +599,6 @@
                     open_call (owner, SLOT_RELOAD));
 }
 
-static int64_t
-contact_since (const struct gr_owner *owner)
-{
-  int64_t now_ms = gr_clock_now_ms (owner->parts.clock);
-
-  return MIN (gr_config_view_contact_ms (owner->parts.config), now_ms);
-}
-
 struct gr_owner *
 gr_owner_create (const struct gr_owner_parts *parts,
                  int64_t epoch,
@@ -570,6 +611,7 @@
     .gang_wait_ms = settings->gang_wait_ms,
     .reclaim_ms = settings->reclaim_ms,
     .isolation_ms = FENCED_WITHIN_MS,
+    .heartbeat_ms = settings->heartbeat_ms,
     .checkpoint_ms = (uint32_t)(settings->checkpoint_s * 1000),
     .far_factor = settings->far_factor,
   };
@@ -592,6 +634,8 @@
   if (settings->advice_address[0] != '\0')
     owner->advice =
         gr_advice_client_create (settings->advice_address, parts->counters);
+  owner->renewals =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->registered =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gr_owner_config_changed (owner);
@@ -625,6 +669,7 @@
   g_clear_pointer (&owner->listed, g_hash_table_destroy);
   g_hash_table_destroy (owner->registered);
   g_hash_table_destroy (owner->addresses);
+  g_hash_table_destroy (owner->renewals);
   g_free (owner->published);
   g_free (owner);
 }
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -133,6 +133,34 @@
     gr_gang_abort (steps, step);
 }
 
+static void
+log_refusal (const struct task *task, enum gr_order_result result)
+{
+  static const char *const names[] = {
+    [GR_ORDER_DONE] = "done",
+    [GR_ORDER_NO_ROOM] = "no-room",
+    [GR_ORDER_RUN_TOO_OLD] = "run-too-old",
+    [GR_ORDER_TOO_LATE] = "too-late",
+    [GR_ORDER_FENCED] = "fenced",
+    [GR_ORDER_UNHEALTHY] = "unhealthy",
+    [GR_ORDER_NO_TICKET] = "no-ticket",
+    [GR_ORDER_OTHER_INCARNATION] = "other-incarnation",
+    [GR_ORDER_REJECTED] = "rejected",
+    [GR_ORDER_NOT_SENT] = "not-sent",
+    [GR_ORDER_UNKNOWN] = "unknown",
+  };
+  char name[GR_TASK_NAME_SIZE];
+  char run[16];
+  char tries[16];
+
+  gr_task_name (task, name);
+  g_snprintf (run, sizeof run, "%u", task->run);
+  g_snprintf (tries, sizeof tries, "%u", task->tries);
+  gr_log_event ("start-failed", "task", name, "run", run, "worker",
+                task->worker->id, "result", names[result], "tries", tries,
+                NULL);
+}
+
 static void
 start_result (struct gr_steps *steps,
               struct task *task,
@@ -141,6 +169,8 @@
   struct worker *worker = task->worker;
   bool sole = task->tries <= 1;
 
+  if (result != GR_ORDER_DONE)
+    log_refusal (task, result);
   switch (result)
     {
     case GR_ORDER_DONE:
--- a/steps/place.c
+++ b/steps/place.c
@@ -109,20 +109,19 @@
   return MIN (slots, spec->max_per_worker - present);
 }
 
-/* Workers with room, for a gang on one rack only those of the rack. */
+/* Those of the workers that have room. */
 static GArray *
-find_candidates (struct gr_steps *steps, struct step *step, const char *rack)
+find_candidates (struct gr_steps *steps, struct step *step, GPtrArray *workers)
 {
   GArray *found = g_array_new (FALSE, FALSE, sizeof (struct candidate));
 
-  for (guint i = 0; i < steps->worker_rows->len; i++)
+  for (guint i = 0; i < workers->len; i++)
     {
-      struct worker *worker = steps->worker_rows->pdata[i];
+      struct worker *worker = workers->pdata[i];
       struct gr_resources room;
       struct candidate candidate = { .worker = worker };
 
-      if ((rack != NULL && !g_str_equal (worker->rack, rack))
-          || !gr_worker_allowed (steps, worker, step))
+      if (!gr_worker_allowed (steps, worker, step))
         continue;
       room = gr_worker_room (worker, step, steps->now_ms);
       candidate.slots = gr_slots_in (step, worker, &room);
@@ -206,23 +205,20 @@
 static GArray *
 best_rack (struct gr_steps *steps, struct step *step)
 {
-  g_autoptr (GHashTable) tried = g_hash_table_new (g_str_hash, g_str_equal);
+  GPtrArray *racks = gr_racks (steps);
   GArray *best = NULL;
   uint64_t best_left = UINT64_MAX;
 
-  for (guint i = 0; i < steps->worker_rows->len; i++)
+  for (guint i = 0; i < racks->len; i++)
     {
-      struct worker *worker = steps->worker_rows->pdata[i];
-      GArray *candidates;
+      struct rack *rack = racks->pdata[i];
+      GArray *candidates = find_candidates (steps, step, rack->workers);
       uint64_t left = 0;
 
-      if (!g_hash_table_add (tried, worker->rack))
-        continue;
-      candidates = find_candidates (steps, step, worker->rack);
       for (guint k = 0; k < candidates->len; k++)
         left += g_array_index (candidates, struct candidate, k).left;
       if (step->spec->data_rack != NULL
-          && g_str_equal (worker->rack, step->spec->data_rack))
+          && g_str_equal (rack->name, step->spec->data_rack))
         left = 0;
       if (total_slots (candidates) < step->n_tasks || left >= best_left)
         {
@@ -241,7 +237,7 @@
 may_spread (const struct gr_steps *steps, const struct step *step)
 {
   if (!step->spec->one_rack)
-    return true;
+    return step->spec->gang;
   return gr_step_job (step)->queue->priority == 0
          && steps->now_ms - step->ready_ms
                 >= (int64_t)(steps->settings.reclaim_ms * SPREAD_AFTER_SHARE);
@@ -257,7 +253,7 @@
     return true;
   candidates = best_rack (steps, step);
   if (candidates == NULL && may_spread (steps, step))
-    candidates = find_candidates (steps, step, NULL);
+    candidates = find_candidates (steps, step, steps->worker_rows);
   if (candidates == NULL)
     return false;
   fits = total_slots (candidates) >= step->n_tasks;
@@ -405,6 +401,39 @@
     }
 }
 
+/* A step that found no room in this run, so that one that needs as much or more
+ * on the same workers need not be tried: room only shrinks within a run.
+ * Answers a load of hundreds of waiting gangs. */
+static bool
+needs_no_less (const struct step *step, const struct step *failed)
+{
+  const struct gr_step_spec *a = step->spec;
+  const struct gr_step_spec *b = failed->spec;
+
+  return gr_step_job (step)->queue == gr_step_job (failed)->queue
+         && !gr_step_job (step)->queue->needs_advice && a->gang == b->gang
+         && a->one_rack == b->one_rack && a->filler == b->filler
+         && g_strcmp0 (a->label, b->label) == 0 && b->max_per_worker == 0
+         && a->needs.cpu_milli >= b->needs.cpu_milli
+         && a->needs.memory_mb >= b->needs.memory_mb
+         && a->needs.accelerators >= b->needs.accelerators
+         && (!a->gang || a->count >= b->count);
+}
+
+static bool
+is_hopeless (const struct gr_steps *steps,
+             const struct step *step,
+             const GPtrArray *failed)
+{
+  /* Workers may be set aside for it, and it may spread over racks by now. */
+  if (step->room_ms != 0 || may_spread (steps, step))
+    return false;
+  for (guint i = 0; i < failed->len; i++)
+    if (needs_no_less (step, failed->pdata[i]))
+      return true;
+  return false;
+}
+
 /* A gang of which only a part was found, once nothing else can turn up. */
 static bool
 repair_gang (struct gr_steps *steps, struct step *step)
@@ -419,6 +448,7 @@
 gr_place_tick (struct gr_steps *steps)
 {
   GArray *ranked = g_array_new (FALSE, FALSE, sizeof (struct ranked));
+  g_autoptr (GPtrArray) failed = g_ptr_array_new ();
 
   sum_accounts (steps);
   for (guint i = 0; i < steps->job_rows->len; i++)
@@ -429,13 +459,16 @@
       struct step *step = g_array_index (ranked, struct ranked, i).step;
       bool placed;
 
-      if (repair_gang (steps, step))
+      if (repair_gang (steps, step) || is_hopeless (steps, step, failed))
         continue;
       placed = step->spec->gang ? place_gang (steps, step)
                                 : place_tasks (steps, step);
-      if (!placed)
-        gr_advice_ask (steps, step);
-      if (!placed && gr_step_job (step)->queue->priority == 0)
+      if (placed)
+        continue;
+      if (!may_spread (steps, step))
+        g_ptr_array_add (failed, step);
+      gr_advice_ask (steps, step);
+      if (gr_step_job (step)->queue->priority == 0)
         gr_reclaim_room (steps, step);
     }
   g_array_unref (ranked);
--- a/steps/reclaim.c
+++ b/steps/reclaim.c
@@ -12,6 +12,9 @@
  * reading its end; no more is asked for before. */
 #define ROOM_WAIT_MS 700
 
+/* After no worker could make room. */
+#define NO_OFFER_PAUSE_MS 120
+
 /* One accelerator counts as so many cores (the platform's price of work that
  * is thrown away). */
 #define CORES_PER_ACCELERATOR 8
@@ -199,12 +202,12 @@
          && (worker->room_for == NULL || worker->room_for == step);
 }
 
-/* Workers of a rack (NULL: of all) that together take `wanted` tasks; NULL if
- * they cannot. */
+/* Those of the workers that together take `wanted` tasks; NULL if they
+ * cannot. */
 static GArray *
 find_offers (struct gr_steps *steps,
              struct step *step,
-             const char *rack,
+             GPtrArray *workers,
              uint32_t wanted,
              double *loss)
 {
@@ -213,12 +216,11 @@
   guint used = 0;
 
   *loss = 0;
-  for (guint i = 0; i < steps->worker_rows->len; i++)
+  for (guint i = 0; i < workers->len; i++)
     {
-      struct offer offer = { .worker = steps->worker_rows->pdata[i] };
+      struct offer offer = { .worker = workers->pdata[i] };
 
-      if ((rack != NULL && !g_str_equal (offer.worker->rack, rack))
-          || !worker_may_offer (steps, offer.worker, step))
+      if (!worker_may_offer (steps, offer.worker, step))
         continue;
       offer.slots =
           make_room (steps, step, offer.worker, wanted, false, &offer.loss);
@@ -241,19 +243,17 @@
 static GArray *
 best_rack_offers (struct gr_steps *steps, struct step *step, uint32_t wanted)
 {
-  g_autoptr (GHashTable) tried = g_hash_table_new (g_str_hash, g_str_equal);
+  GPtrArray *racks = gr_racks (steps);
   GArray *best = NULL;
   double best_loss = 0;
 
-  for (guint i = 0; i < steps->worker_rows->len; i++)
+  for (guint i = 0; i < racks->len; i++)
     {
-      struct worker *worker = steps->worker_rows->pdata[i];
+      struct rack *rack = racks->pdata[i];
       GArray *offers;
       double loss;
 
-      if (!g_hash_table_add (tried, worker->rack))
-        continue;
-      offers = find_offers (steps, step, worker->rack, wanted, &loss);
+      offers = find_offers (steps, step, rack->workers, wanted, &loss);
       if (offers == NULL)
         continue;
       if (best != NULL && loss >= best_loss)
@@ -276,14 +276,19 @@
   GArray *offers = NULL;
   double loss;
 
-  if (step->room_ms != 0 && steps->now_ms - step->room_ms < ROOM_WAIT_MS)
+  if ((step->room_ms != 0 && steps->now_ms - step->room_ms < ROOM_WAIT_MS)
+      || (step->reclaim_ms != 0
+          && steps->now_ms - step->reclaim_ms < NO_OFFER_PAUSE_MS))
     return;
   if (step->spec->gang && step->spec->one_rack)
     offers = best_rack_offers (steps, step, wanted);
   if (offers == NULL)
-    offers = find_offers (steps, step, NULL, wanted, &loss);
+    offers = find_offers (steps, step, steps->worker_rows, wanted, &loss);
   if (offers == NULL)
-    return;
+    {
+      step->reclaim_ms = steps->now_ms;
+      return;
+    }
   step->room_ms = steps->now_ms;
   for (guint i = 0; i < offers->len && wanted > 0; i++)
     {
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -18,6 +18,8 @@
   uint32_t reclaim_ms;   /* guaranteed work starts within this time */
   uint32_t
       isolation_ms; /* a former owner may go on so long without the store */
+  uint32_t heartbeat_ms;  /* between two entries of a worker; three are missing
+                             before it is removed for its silence */
   uint32_t checkpoint_ms; /* work between two checkpoints */
   double far_factor;      /* slowdown on another rack than the data's */
 };
@@ -153,10 +155,14 @@
 void gr_steps_set_worker (struct gr_steps *steps,
                           const struct gr_steps_worker *worker,
                           int64_t now_ms);
-/* The worker has left the registry; its runs may go on until their lease has
- * expired. */
+/* The worker is not in the registry any more. An entry that was renewed less
+ * than two heartbeats ago was removed because the worker has left, and all its
+ * runs with it; else it is silent, and its runs may go on until their lease has
+ * expired. silent_ms is the time since the entry was renewed, INT64_MAX if it
+ * is not known. */
 void gr_steps_worker_gone (struct gr_steps *steps,
                            const char *worker,
+                           int64_t silent_ms,
                            int64_t now_ms);
 /* A former owner has seen the worker leave the registry while runs could still
  * be alive there. */
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -41,6 +41,12 @@
 /* Of a run that a former owner may have paced. */
 #define GR_PACE_UNKNOWN 101
 
+struct rack
+{
+  const char *name;
+  GPtrArray *workers;
+};
+
 enum task_state
 {
   TASK_WAITING,
@@ -100,6 +106,7 @@
   int64_t advice_ms;  /* when it was last asked for */
   int64_t ready_ms;   /* since when it could start; 0: not ready */
   int64_t room_ms;    /* when room was last asked for */
+  int64_t reclaim_ms; /* when no worker could make room for it */
 };
 
 struct occurrence
@@ -159,7 +166,9 @@
   GHashTable *accounts;
   GHashTable *workers;    /* id -> struct worker */
   GPtrArray *worker_rows; /* the same, in order of their ids */
-  GHashTable *jobs;       /* id -> struct job, not final or still active */
+  GPtrArray *racks;       /* struct rack, of worker_rows */
+  bool racks_stale;
+  GHashTable *jobs; /* id -> struct job, not final or still active */
   GPtrArray *job_rows;
   GQueue orders;
   GQueue changed;         /* struct job */
@@ -194,6 +203,8 @@
                        const struct worker *worker);
 bool gr_worker_has_label (const struct worker *worker, const char *label);
 void gr_workers_tick (struct gr_steps *steps);
+/* Racks with their workers, in order of the workers' ids. */
+GPtrArray *gr_racks (struct gr_steps *steps);
 void gr_workers_destroy (struct gr_steps *steps);
 /* The worker says when it was started; another incarnation runs nothing of
  * what the former one ran. */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -129,6 +129,7 @@
   worker->pace = 100;
   g_hash_table_insert (steps->workers, worker->id, worker);
   g_ptr_array_add (steps->worker_rows, worker);
+  steps->racks_stale = true;
   g_ptr_array_sort (steps->worker_rows, compare_workers);
   return worker;
 }
@@ -157,11 +158,15 @@
     }
   else
     gr_worker_born (steps, worker, row->born_unix_ms);
+  if (!g_str_equal (worker->rack, row->rack))
+    {
+      g_free (worker->rack);
+      worker->rack = g_strdup (row->rack);
+      steps->racks_stale = true;
+    }
   g_free (worker->service);
-  g_free (worker->rack);
   g_strfreev (worker->labels);
   worker->service = g_strdup (row->service);
-  worker->rack = g_strdup (row->rack);
   worker->labels = g_strdupv ((char **)row->labels);
   worker->capacity = row->capacity;
   if (row->draining && !worker->draining)
@@ -220,7 +225,10 @@
 }
 
 void
-gr_steps_worker_gone (struct gr_steps *steps, const char *id, int64_t now_ms)
+gr_steps_worker_gone (struct gr_steps *steps,
+                      const char *id,
+                      int64_t silent_ms,
+                      int64_t now_ms)
 {
   struct worker *worker = gr_worker_find (steps, id);
 
@@ -228,7 +236,16 @@
     return;
   worker->registered = false;
   worker->gone_ms = now_ms;
-  gr_log_event ("worker-gone", "worker", id, NULL);
+  if (silent_ms >= (int64_t)steps->settings.heartbeat_ms * 2)
+    {
+      gr_log_event ("worker-silent", "worker", id, NULL);
+      return;
+    }
+  gr_log_event ("worker-left", "worker", id, NULL);
+  steps->now_ms = now_ms;
+  worker->seen = true;
+  worker->lease_until_ms = 0;
+  release_all (steps, worker, "the worker has left");
 }
 
 void
@@ -323,6 +340,7 @@
         steps->all_located = false;
       if (!is_forgotten (steps, worker))
         continue;
+      steps->racks_stale = true;
       g_ptr_array_remove_index (steps->worker_rows, i);
       g_hash_table_remove (steps->workers, worker->id);
       worker_destroy (worker);
@@ -343,6 +361,44 @@
     }
 }
 
+static void
+rack_free (void *data)
+{
+  struct rack *rack = data;
+
+  g_ptr_array_unref (rack->workers);
+  g_free (rack);
+}
+
+GPtrArray *
+gr_racks (struct gr_steps *steps)
+{
+  g_autoptr (GHashTable) by_name = NULL;
+
+  if (steps->racks != NULL && !steps->racks_stale)
+    return steps->racks;
+  g_clear_pointer (&steps->racks, g_ptr_array_unref);
+  steps->racks = g_ptr_array_new_with_free_func (rack_free);
+  steps->racks_stale = false;
+  by_name = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      struct worker *worker = steps->worker_rows->pdata[i];
+      struct rack *rack = g_hash_table_lookup (by_name, worker->rack);
+
+      if (rack == NULL)
+        {
+          rack = g_new0 (struct rack, 1);
+          rack->name = worker->rack;
+          rack->workers = g_ptr_array_new ();
+          g_hash_table_insert (by_name, worker->rack, rack);
+          g_ptr_array_add (steps->racks, rack);
+        }
+      g_ptr_array_add (rack->workers, worker);
+    }
+  return steps->racks;
+}
+
 void
 gr_worker_set_room (struct gr_steps *steps,
                     struct worker *worker,
@@ -358,6 +414,8 @@
   for (guint i = 0; i < steps->worker_rows->len; i++)
     worker_destroy (steps->worker_rows->pdata[i]);
   g_ptr_array_unref (steps->worker_rows);
+  if (steps->racks != NULL)
+    g_ptr_array_unref (steps->racks);
   g_hash_table_destroy (steps->workers);
 }
 
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -10,6 +10,7 @@
 #define GANG_WAIT_MS 3000
 #define STOP_MS 60
 #define SAVE_MS 1000
+#define HEARTBEAT_MS 1500
 #define HARM_MS 4000
 #define STARTUP_MS 300
 #define TICKET_MS 3000
@@ -172,6 +173,7 @@
     .gang_wait_ms = GANG_WAIT_MS,
     .reclaim_ms = 2700,
     .isolation_ms = 2500,
+    .heartbeat_ms = HEARTBEAT_MS,
     .checkpoint_ms = SAVE_MS,
     .far_factor = 3,
   };
@@ -1119,3 +1121,16 @@
     }
   return running;
 }
+
+void
+steps_model_remove_worker (struct steps_model *model,
+                           uint32_t number,
+                           int64_t silent_ms)
+{
+  struct model_worker *worker = worker_at (model, number);
+
+  worker->cut = true;
+  if (silent_ms < HEARTBEAT_MS)
+    g_ptr_array_set_size (worker->runs, 0);
+  gr_steps_worker_gone (model->steps, worker->id, silent_ms, model->now_ms);
+}
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -56,6 +56,11 @@
 /* The model plays workers in this order. */
 void
 steps_model_swap_workers (struct steps_model *model, uint32_t a, uint32_t b);
+/* Its entry is gone, renewed so long ago; it does not answer any more. One that
+ * was renewed just now has left, and runs nothing. */
+void steps_model_remove_worker (struct steps_model *model,
+                                uint32_t worker,
+                                int64_t silent_ms);
 /* A new owner with the next epoch takes over from what is durable. */
 void steps_model_take_over (struct steps_model *model);
 /* Starts need a ticket of the advice, which allows only workers with an even
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -222,6 +222,52 @@
 }
 END_TEST
 
+static uint32_t
+busy_worker (struct steps_model *model)
+{
+  for (uint32_t i = 0; i < 4; i++)
+    if (steps_model_starts_on (model, i) > 0)
+      return i;
+  ck_abort_msg ("no worker runs anything");
+  return 0;
+}
+
+/* Runs on a worker that had left were waited for until their lease would have
+ * expired, and a takeover in that time held back all inherited work. */
+START_TEST (worker_that_left_is_not_waited_for)
+{
+  struct gr_step_spec one = plain;
+  struct steps_model *model = create (4, 1);
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 2000);
+  steps_model_run (model, 500);
+  steps_model_remove_worker (model, busy_worker (model), 900);
+  steps_model_run (model, 200);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 2);
+  finish (model);
+}
+END_TEST
+
+/* The same worker, if it is only silent, runs on: no second start before its
+ * lease has expired. */
+START_TEST (silent_worker_is_waited_for)
+{
+  struct gr_step_spec one = plain;
+  struct steps_model *model = create (4, 1);
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 500);
+  steps_model_remove_worker (model, busy_worker (model), 4500);
+  steps_model_run (model, 6000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_model_run (model, 2500);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 2);
+  finish (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -239,6 +285,8 @@
   tcase_add_test (tests, reclaiming_keeps_to_what_lasting_work_may_miss);
   tcase_add_test (tests, filling_work_is_paced_down);
   tcase_add_test (tests, advice_is_asked_for_and_followed);
+  tcase_add_test (tests, worker_that_left_is_not_waited_for);
+  tcase_add_test (tests, silent_worker_is_waited_for);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
--- a/tests/test-waves.c
+++ b/tests/test-waves.c
@@ -32,6 +32,7 @@
   };
   static const struct gr_steps_settings settings = {
     .hold_ms = 7000,
+    .heartbeat_ms = 1500,
     .gang_wait_ms = 3000,
     .reclaim_ms = 2700,
     .isolation_ms = 2500,
