steps: orders that wait hold their runs, and outdated ones are dropped

Cause: since open calls are bounded, orders can wait in the core. Change: an order extends the known lease when it is given; a start whose task was stopped or placed elsewhere meanwhile is not sent. Test: waiting_orders_hold_their_runs was red (job not completed). Ruled out: resends by libsoup; the runs came within 60 ms.

--- a/steps/orders.c
+++ b/steps/orders.c
@@ -12,6 +12,9 @@
  * that an order that is carried out late has no effect. */
 #define START_LIMIT_MS 2000
 
+/* For the way of a start, and for clocks that differ by 3 %. */
+#define LEASE_SLACK_MS 200
+
 /* Time between two stop orders for one run; a stop takes at most 200 ms. */
 #define STOP_REPEAT_MS 400
 
@@ -52,6 +55,9 @@
   g_strlcpy (order.ticket, gr_advice_ticket (task->step, task->worker),
              sizeof order.ticket);
   order.start_limit_ms = task->placed_ms + START_LIMIT_MS;
+  /* The order may wait before it is sent with a lease. */
+  gr_steps_worker_lease (steps, task->worker->id,
+                         order.start_limit_ms + LEASE_SLACK_MS);
   push_order (steps, &order);
 }
 
@@ -316,14 +322,32 @@
   push_order (steps, &order);
 }
 
+/* Its task was stopped or placed elsewhere while the order waited. */
+static bool
+is_outdated (struct gr_steps *steps, const struct gr_order *order)
+{
+  const struct task *task;
+
+  if (order->kind != GR_ORDER_START)
+    return false;
+  task = gr_task_find (steps, order->task);
+  return task == NULL || task->state != TASK_STARTING || task->run != order->run
+         || !g_str_equal (task->worker->id, order->worker);
+}
+
 bool
 gr_steps_take_order (struct gr_steps *steps, struct gr_order *order)
 {
-  struct gr_order *next = g_queue_pop_head (&steps->orders);
+  struct gr_order *next;
 
-  if (next == NULL)
-    return false;
-  *order = *next;
-  g_free (next);
-  return true;
+  while ((next = g_queue_pop_head (&steps->orders)) != NULL)
+    {
+      bool outdated = is_outdated (steps, next);
+
+      *order = *next;
+      g_free (next);
+      if (!outdated)
+        return true;
+    }
+  return false;
 }
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -103,6 +103,7 @@
   GQueue commits; /* struct commit, oldest first */
   double wasted_s;
   uint32_t advice_calls;
+  uint32_t orders_per_tick;
   bool needs_tickets;
   char *broken;
 };
@@ -167,6 +168,7 @@
   model->now_ms = 1000;
   model->epoch = 1;
   model->store_works = true;
+  model->orders_per_tick = UINT32_MAX;
   model->rand = g_rand_new_with_seed (seed);
   model->settings = (struct gr_steps_settings){
     .hold_ms = HOLD_MS,
@@ -1007,7 +1009,9 @@
         look (model, worker);
     }
   gr_steps_tick (model->steps, model->now_ms, model->now_ms);
-  while (gr_steps_take_order (model->steps, &order))
+  for (uint32_t sent = 0; sent < model->orders_per_tick
+                          && gr_steps_take_order (model->steps, &order);
+       sent++)
     send_order (model, &order);
   answer_advice (model);
   make_durable (model);
@@ -1134,3 +1138,9 @@
     g_ptr_array_set_size (worker->runs, 0);
   gr_steps_worker_gone (model->steps, worker->id, silent_ms, model->now_ms);
 }
+
+void
+steps_model_set_orders_per_tick (struct steps_model *model, uint32_t orders)
+{
+  model->orders_per_tick = orders;
+}
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -61,6 +61,9 @@
 void steps_model_remove_worker (struct steps_model *model,
                                 uint32_t worker,
                                 int64_t silent_ms);
+/* The owner sends no more orders in 20 ms; the others wait in the core. */
+void steps_model_set_orders_per_tick (struct steps_model *model,
+                                      uint32_t orders);
 /* A new owner with the next epoch takes over from what is durable. */
 void steps_model_take_over (struct steps_model *model);
 /* Starts need a ticket of the advice, which allows only workers with an even
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -268,6 +268,25 @@
 }
 END_TEST
 
+/* A worker without a lease was taken for one whose lease had expired while the
+ * orders for its first runs waited to be sent; they were sent all the same, and
+ * the tasks ran twice. */
+START_TEST (waiting_orders_hold_their_runs)
+{
+  struct gr_step_spec many = plain;
+  struct steps_model *model = create (16, 1);
+
+  many.count = 60;
+  steps_model_set_orders_per_tick (model, 1);
+  steps_model_add_job (model, 1, "normal", "a", &many, 1, 4000);
+  steps_model_add_job (model, 2, "urgent", "b", &gang, 1, 1000);
+  steps_model_run (model, 12000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  ck_assert_int_eq (steps_model_state (model, 2), GR_JOB_COMPLETED);
+  finish (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -287,6 +306,7 @@
   tcase_add_test (tests, advice_is_asked_for_and_followed);
   tcase_add_test (tests, worker_that_left_is_not_waited_for);
   tcase_add_test (tests, silent_worker_is_waited_for);
+  tcase_add_test (tests, waiting_orders_hold_their_runs);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
