steps: the first sight of a registry entry is no heartbeat

Cause: a new owner took the first sight of an entry for a heartbeat. Change: the core keeps the revision of each entry; only a change that was seen counts. silent_worker_is_waited_for now lets the silence pass before the entry goes, as the platform does; what it demands is the same. Test: first_sight_of_an_entry_is_no_heartbeat was red (2 starts instead of 1). Ruled out: a look that missed the run; the worker listed its end later.

--- a/instance/owner.c
+++ b/instance/owner.c
@@ -46,13 +46,6 @@
 #define PUBLISH_MS 900
 #define PUBLISH_TIMEOUT_MS 800
 
-/* When the entry of a worker last changed. */
-struct renewal
-{
-  int64_t revision;
-  int64_t seen_ms;
-};
-
 struct gr_owner
 {
   struct gr_owner_parts parts;
@@ -64,7 +57,6 @@
   struct gr_upkeep *upkeep;
   struct gr_advice_client *advice; /* NULL if there is no such service */
   GHashTable *addresses;  /* worker id -> IP:PORT, last that was seen */
-  GHashTable *renewals;   /* worker id -> struct renewal */
   GHashTable *registered; /* worker ids in the registry */
   GHashTable *listed;     /* the same, of the read that runs */
   bool loaded;
@@ -265,7 +257,9 @@
 }
 
 static void
-set_worker (struct gr_owner *owner, const struct gr_registry_entry *entry)
+set_worker (struct gr_owner *owner,
+            const struct gr_registry_entry *entry,
+            int64_t revision)
 {
   struct gr_steps_worker worker = {
     .id = entry->worker,
@@ -275,6 +269,7 @@
     .capacity = entry->capacity,
     .draining = entry->draining,
     .born_unix_ms = entry->born_unix_ms,
+    .entry_revision = revision,
   };
 
   gr_steps_set_worker (owner->steps, &worker,
@@ -293,32 +288,12 @@
   return MIN (gr_config_view_contact_ms (owner->parts.config), now_ms);
 }
 
-static void
-note_renewal (struct gr_owner *owner, const char *worker, int64_t revision)
-{
-  struct renewal *renewal = g_hash_table_lookup (owner->renewals, worker);
-
-  if (renewal == NULL)
-    {
-      renewal = g_new0 (struct renewal, 1);
-      g_hash_table_insert (owner->renewals, g_strdup (worker), renewal);
-    }
-  if (renewal->revision == revision)
-    return;
-  renewal->revision = revision;
-  renewal->seen_ms = gr_clock_now_ms (owner->parts.clock);
-}
-
 /* Entries can also be removed while the store is not steady. */
-static int64_t
-silent_ms (const struct gr_owner *owner, const char *worker)
+static bool
+is_steady (const struct gr_owner *owner)
 {
-  const struct renewal *renewal = g_hash_table_lookup (owner->renewals, worker);
-  int64_t now_ms = gr_clock_now_ms (owner->parts.clock);
-
-  if (renewal == NULL || contact_since (owner) + STEADY_MS > now_ms)
-    return INT64_MAX;
-  return now_ms - renewal->seen_ms;
+  return contact_since (owner) + STEADY_MS
+         <= gr_clock_now_ms (owner->parts.clock);
 }
 
 static void
@@ -334,8 +309,7 @@
                       error.message, NULL);
       return;
     }
-  note_renewal (owner, entry->worker, item->revision);
-  set_worker (owner, entry);
+  set_worker (owner, entry, item->revision);
   gr_registry_entry_destroy (entry);
 }
 
@@ -348,7 +322,7 @@
   g_hash_table_iter_init (&iter, owner->registered);
   while (g_hash_table_iter_next (&iter, &id, NULL))
     if (!g_hash_table_contains (owner->listed, id))
-      gr_steps_worker_gone (owner->steps, id, silent_ms (owner, id),
+      gr_steps_worker_gone (owner->steps, id, is_steady (owner),
                             gr_clock_now_ms (owner->parts.clock));
   g_hash_table_destroy (owner->registered);
   owner->registered = g_steal_pointer (&owner->listed);
@@ -634,8 +608,6 @@
   if (settings->advice_address[0] != '\0')
     owner->advice =
         gr_advice_client_create (settings->advice_address, parts->counters);
-  owner->renewals =
-      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->registered =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gr_owner_config_changed (owner);
@@ -669,7 +641,6 @@
   g_clear_pointer (&owner->listed, g_hash_table_destroy);
   g_hash_table_destroy (owner->registered);
   g_hash_table_destroy (owner->addresses);
-  g_hash_table_destroy (owner->renewals);
   g_free (owner->published);
   g_free (owner);
 }
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -43,7 +43,8 @@
   const char *const *labels; /* NULL-terminated */
   struct gr_resources capacity;
   bool draining;
-  int64_t born_unix_ms; /* 0 if not known */
+  int64_t born_unix_ms;   /* 0 if not known */
+  int64_t entry_revision; /* of its entry; rises with each heartbeat */
 };
 
 enum gr_job_state
@@ -155,14 +156,14 @@
 void gr_steps_set_worker (struct gr_steps *steps,
                           const struct gr_steps_worker *worker,
                           int64_t now_ms);
-/* The worker is not in the registry any more. An entry that was renewed less
- * than two heartbeats ago was removed because the worker has left, and all its
- * runs with it; else it is silent, and its runs may go on until their lease has
- * expired. silent_ms is the time since the entry was renewed, INT64_MAX if it
- * is not known. */
+/* The worker is not in the registry any more. An entry that was seen to be
+ * renewed less than two heartbeats ago was removed because the worker has left,
+ * and all its runs with it; else it is silent, and its runs may go on until
+ * their lease has expired. steady: the store has been without a failure, so
+ * that it removes entries for no other cause. */
 void gr_steps_worker_gone (struct gr_steps *steps,
                            const char *worker,
-                           int64_t silent_ms,
+                           bool steady,
                            int64_t now_ms);
 /* A former owner has seen the worker leave the registry while runs could still
  * be alive there. */
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -22,6 +22,8 @@
   bool seen;      /* looked at by this owner */
   bool look_soon; /* something about it is not known */
   int64_t gone_ms;
+  int64_t entry_revision; /* of its entry in the registry */
+  int64_t renewed_ms;     /* when the entry was seen to change; 0: never */
   int64_t lease_until_ms;
   int64_t full_until_ms; /* it had less room than was computed */
   int64_t processed;     /* number of the last end that was read */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -172,6 +172,11 @@
   if (row->draining && !worker->draining)
     gr_log_event ("worker-draining", "worker", worker->id, NULL);
   worker->draining = row->draining;
+  /* The first sight of an entry does not say how old it is. */
+  if (worker->entry_revision != 0
+      && row->entry_revision > worker->entry_revision)
+    worker->renewed_ms = now_ms;
+  worker->entry_revision = row->entry_revision;
   worker->registered = true;
   worker->gone_ms = 0;
 }
@@ -227,7 +232,7 @@
 void
 gr_steps_worker_gone (struct gr_steps *steps,
                       const char *id,
-                      int64_t silent_ms,
+                      bool steady,
                       int64_t now_ms)
 {
   struct worker *worker = gr_worker_find (steps, id);
@@ -236,7 +241,9 @@
     return;
   worker->registered = false;
   worker->gone_ms = now_ms;
-  if (silent_ms >= (int64_t)steps->settings.heartbeat_ms * 2)
+  if (!steady || worker->renewed_ms == 0
+      || now_ms - worker->renewed_ms
+             >= (int64_t)steps->settings.heartbeat_ms * 2)
     {
       gr_log_event ("worker-silent", "worker", id, NULL);
       return;
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -46,6 +46,7 @@
   int64_t highest_epoch;
   int64_t born;
   int64_t next_look_ms;
+  int64_t entry_revision;
   bool cut;
   bool fails;
   bool drains;
@@ -155,6 +156,7 @@
     .capacity = { 128000, 262144, 8 },
     .draining = worker->drains,
     .born_unix_ms = worker->born,
+    .entry_revision = worker->entry_revision,
   };
 
   gr_steps_set_worker (model->steps, &row, model->now_ms);
@@ -195,6 +197,7 @@
       worker->over =
           g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
       worker->born = 1;
+      worker->entry_revision = 1;
       g_ptr_array_add (model->workers, worker);
       set_worker (model, worker);
     }
@@ -1126,6 +1129,20 @@
   return running;
 }
 
+void
+steps_model_renew (struct steps_model *model, uint32_t number)
+{
+  worker_at (model, number)->entry_revision++;
+  set_worker (model, worker_at (model, number));
+}
+
+void
+steps_model_drop_entry (struct steps_model *model, uint32_t number)
+{
+  gr_steps_worker_gone (model->steps, worker_at (model, number)->id, true,
+                        model->now_ms);
+}
+
 void
 steps_model_remove_worker (struct steps_model *model,
                            uint32_t number,
@@ -1136,7 +1153,10 @@
   worker->cut = true;
   if (silent_ms < HEARTBEAT_MS)
     g_ptr_array_set_size (worker->runs, 0);
-  gr_steps_worker_gone (model->steps, worker->id, silent_ms, model->now_ms);
+  steps_model_renew (model, number);
+  for (int64_t waited = 0; waited < silent_ms; waited += TICK_MS)
+    steps_model_run (model, TICK_MS);
+  gr_steps_worker_gone (model->steps, worker->id, true, model->now_ms);
 }
 
 void
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -56,8 +56,12 @@
 /* The model plays workers in this order. */
 void
 steps_model_swap_workers (struct steps_model *model, uint32_t a, uint32_t b);
-/* Its entry is gone, renewed so long ago; it does not answer any more. One that
- * was renewed just now has left, and runs nothing. */
+/* The worker writes its entry once more. */
+void steps_model_renew (struct steps_model *model, uint32_t worker);
+/* Its entry is gone; the worker runs on. */
+void steps_model_drop_entry (struct steps_model *model, uint32_t worker);
+/* It does not answer any more, and its entry, which it renews at this moment,
+ * goes so long after that. If that is soon, it has left and runs nothing. */
 void steps_model_remove_worker (struct steps_model *model,
                                 uint32_t worker,
                                 int64_t silent_ms);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -259,8 +259,9 @@
   one.count = 1;
   steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
   steps_model_run (model, 500);
+  /* The lease of 7 s runs from the last look before the 4.5 s of silence. */
   steps_model_remove_worker (model, busy_worker (model), 4500);
-  steps_model_run (model, 6000);
+  steps_model_run (model, 1500);
   ck_assert_uint_eq (steps_model_starts (model, 1), 1);
   steps_model_run (model, 2500);
   ck_assert_uint_eq (steps_model_starts (model, 1), 2);
@@ -287,6 +288,26 @@
 }
 END_TEST
 
+/* A new owner took the first sight of an entry for a heartbeat; a worker that
+ * had been silent for long counted as one that had left, and what ran on was
+ * started a second time. */
+START_TEST (first_sight_of_an_entry_is_no_heartbeat)
+{
+  struct gr_step_spec one = plain;
+  struct steps_model *model = create (4, 1);
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 500);
+  steps_model_take_over (model);
+  steps_model_run (model, 300);
+  steps_model_drop_entry (model, busy_worker (model));
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  finish (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -307,6 +328,7 @@
   tcase_add_test (tests, worker_that_left_is_not_waited_for);
   tcase_add_test (tests, silent_worker_is_waited_for);
   tcase_add_test (tests, waiting_orders_hold_their_runs);
+  tcase_add_test (tests, first_sight_of_an_entry_is_no_heartbeat);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
