--- a/instance/call.c
+++ b/instance/call.c
@@ -17,6 +17,10 @@
 /* The client's own limit leaves room for the answer's way back. */
 #define DEADLINE_MARGIN_MS 100
 
+/* The store counts as not answering when a call has been open for so long and
+ * none that was sent later was answered; slow answers took 0.4 s. */
+#define STORE_SILENT_MS 500
+
 /* When to come back after a refusal: the store's outages last seconds, and an
  * instance learns of their end within one. */
 #define STORE_RETRY_S "1"
@@ -174,6 +178,13 @@
          >= call->limit_ms;
 }
 
+/* A call that needs the store would only wait for it. */
+static bool
+store_is_silent (const struct call *call)
+{
+  return gr_metastore_unanswered_ms (call->parts->store) >= STORE_SILENT_MS;
+}
+
 static uint32_t
 attempt_timeout (const struct call *call)
 {
@@ -237,7 +248,7 @@
     {
       if (error->kind != GR_ERROR_STORE_UNAVAILABLE)
         call->maybe_done = true;
-      if (!call->maybe_done || time_is_up (call))
+      if (!call->maybe_done || time_is_up (call) || store_is_silent (call))
         answer_failed (call, "the store did not confirm the job");
       else
         submit (call);
@@ -309,7 +320,7 @@
     {
       if (error->kind != GR_ERROR_STORE_UNAVAILABLE)
         call->maybe_done = true;
-      if (time_is_up (call))
+      if (time_is_up (call) || store_is_silent (call))
         answer_failed (call, "the store did not confirm the cancelling");
       else if (error->kind == GR_ERROR_STORE_UNAVAILABLE)
         answer_failed (call, "the store is not available");
@@ -516,14 +527,19 @@
   switch (found->kind)
     {
     case GR_CALL_SUBMIT:
-      if (read_spec (call))
+      if (store_is_silent (call))
+        answer_failed (call, "the store does not answer");
+      else if (read_spec (call))
         submit (call);
       return;
     case GR_CALL_STATE:
       show_state (call);
       return;
     case GR_CALL_CANCEL:
-      cancel (call);
+      if (store_is_silent (call))
+        answer_failed (call, "the store does not answer");
+      else
+        cancel (call);
       return;
     case GR_CALL_PENDING:
       answer_pending (call, found->queue);
--- /dev/null
+++ b/tests/test-platform-store.c
@@ -0,0 +1,210 @@
+#include "platform/metastore.h"
+#include "standins/metastore.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* The client of the metadata store against its stand-in. */
+
+struct world
+{
+  struct gr_standin_platform *platform;
+  struct gr_metastore *store;
+  struct gr_counters *counters;
+  struct gr_error error;
+  bool held;
+  int64_t revision;
+  int64_t lease;
+  char value[32];
+  uint32_t answers;
+};
+
+static void
+world_create (struct world *world)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_standin_platform_options options = {
+    .listen = "127.0.0.1:0",
+    .workers = 1,
+    .per_rack = 1,
+    .accelerators = 8,
+  };
+
+  memset (world, 0, sizeof *world);
+  world->platform = gr_standin_platform_create (&options, &error);
+  ck_assert_msg (world->platform != NULL, "%s", error.message);
+  world->counters = gr_counters_create ();
+  world->store = gr_metastore_create (
+      gr_standin_address (gr_standin_platform_base (world->platform)),
+      world->counters);
+}
+
+static void
+world_destroy (struct world *world)
+{
+  gr_metastore_destroy (world->store);
+  gr_counters_destroy (world->counters);
+  gr_standin_platform_destroy (world->platform);
+}
+
+static void
+answered (const struct gr_metastore_result *result,
+          const struct gr_error *error,
+          void *context)
+{
+  struct world *world = context;
+  gsize size = 0;
+  const char *text;
+
+  world->answers++;
+  world->error = error ? *error : (struct gr_error)GR_ERROR_INIT;
+  if (error != NULL)
+    return;
+  world->held = result->conditions_held;
+  world->revision = result->revision;
+  world->lease = result->lease;
+  world->value[0] = '\0';
+  if (result->n_items == 0 || result->items[0].value == NULL)
+    return;
+  text = g_bytes_get_data (result->items[0].value, &size);
+  g_snprintf (world->value, sizeof world->value, "%.*s", (int)size, text);
+}
+
+static void
+wait_answer (struct world *world)
+{
+  uint32_t before = world->answers;
+
+  while (world->answers == before)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+static void
+put (struct world *world, const char *key, const char *value, int64_t expected)
+{
+  struct gr_metastore_txn *txn = gr_metastore_txn_create ();
+
+  gr_metastore_txn_expect (txn, key, expected);
+  gr_metastore_txn_put (txn, key, value, strlen (value), 0);
+  gr_metastore_commit (world->store, txn, 400,
+                       (struct gr_metastore_reply){ answered, world });
+  wait_answer (world);
+}
+
+/* A conflict must show what is there, or a lost answer cannot be told from a
+ * lost race. */
+START_TEST (conflict_shows_the_present_item)
+{
+  struct world world;
+
+  world_create (&world);
+  put (&world, "gr/x", "one", 0);
+  ck_assert (world.held);
+  put (&world, "gr/x", "two", 0);
+  ck_assert_int_eq (world.error.kind, GR_ERROR_NONE);
+  ck_assert (!world.held);
+  ck_assert_str_eq (world.value, "one");
+  world_destroy (&world);
+}
+END_TEST
+
+/* A write whose answer is lost may have taken effect: it must not be reported
+ * as not done. */
+START_TEST (lost_answer_is_not_a_refusal)
+{
+  struct world world;
+
+  world_create (&world);
+  gr_standin_faults (gr_standin_platform_base (world.platform))->lose_answers =
+      2;
+  put (&world, "gr/x", "one", 0);
+  ck_assert_int_ne (world.error.kind, GR_ERROR_NONE);
+  ck_assert_int_ne (world.error.kind, GR_ERROR_STORE_UNAVAILABLE);
+  world_destroy (&world);
+}
+END_TEST
+
+static gboolean
+time_over (gpointer data)
+{
+  *(bool *)data = true;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+run_for (uint32_t for_ms)
+{
+  bool over = false;
+
+  g_timeout_add (for_ms, time_over, &over);
+  while (!over)
+    g_main_context_iteration (NULL, TRUE);
+}
+
+/* Each request waited for a store that was known to be silent, until its
+ * deadline had nearly passed. */
+START_TEST (store_that_is_silent_is_known_to_be)
+{
+  struct world world;
+  struct gr_standin_faults *faults;
+
+  world_create (&world);
+  faults = gr_standin_faults (gr_standin_platform_base (world.platform));
+  put (&world, "gr/x", "one", 0);
+  ck_assert_int_eq (gr_metastore_unanswered_ms (world.store), 0);
+  faults->silent = 1;
+  gr_metastore_get (world.store, "gr/x", 300,
+                    (struct gr_metastore_reply){ answered, &world });
+  run_for (200);
+  ck_assert_int_ge (gr_metastore_unanswered_ms (world.store), 150);
+  run_for (400);
+  /* Also after that call has ended with a timeout. */
+  ck_assert_int_ge (gr_metastore_unanswered_ms (world.store), 500);
+  faults->silent = 0;
+  gr_metastore_get (world.store, "gr/x", 300,
+                    (struct gr_metastore_reply){ answered, &world });
+  wait_answer (&world);
+  ck_assert_int_eq (gr_metastore_unanswered_ms (world.store), 0);
+  world_destroy (&world);
+}
+END_TEST
+
+/* A lost answer alone would have stopped all submissions for good: the calls
+ * that show that the store answers are then only watches. */
+START_TEST (watch_shows_that_the_store_answers)
+{
+  struct world world;
+
+  world_create (&world);
+  gr_standin_faults (gr_standin_platform_base (world.platform))->lose_answers =
+      2;
+  put (&world, "gr/x", "one", 0);
+  ck_assert_int_gt (gr_metastore_unanswered_ms (world.store), 0);
+  gr_metastore_watch (world.store, "gr/", 0, 100, 1000,
+                      (struct gr_metastore_reply){ answered, &world });
+  wait_answer (&world);
+  ck_assert_int_eq (gr_metastore_unanswered_ms (world.store), 0);
+  world_destroy (&world);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("platform-store");
+  TCase *tests = tcase_create ("metastore");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tests, 20);
+  tcase_add_test (tests, conflict_shows_the_present_item);
+  tcase_add_test (tests, lost_answer_is_not_a_refusal);
+  tcase_add_test (tests, store_that_is_silent_is_known_to_be);
+  tcase_add_test (tests, watch_shows_that_the_store_answers);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
