steps: fullest racks first

Cause: small tasks were spread over all racks by the best fit of workers alone, so that a gang that needs a whole rack had to stop work on one. Change: workers of the rack with the least room come first, then the fullest.

--- a/steps/place.c
+++ b/steps/place.c
@@ -132,13 +132,18 @@
   return found;
 }
 
-/* Fullest workers first, so that whole workers stay free for large tasks. */
+/* Fullest racks and then fullest workers first, so that whole racks and workers
+ * stay free for gangs and large tasks. */
 static gint
 compare_candidates (gconstpointer left, gconstpointer right)
 {
   const struct candidate *a = left;
   const struct candidate *b = right;
+  const struct rack *a_rack = a->worker->rack_row;
+  const struct rack *b_rack = b->worker->rack_row;
 
+  if (a_rack != b_rack && a_rack->room != b_rack->room)
+    return a_rack->room < b_rack->room ? -1 : 1;
   if (a->left != b->left)
     return a->left < b->left ? -1 : 1;
   return strcmp (a->worker->id, b->worker->id);
@@ -283,7 +288,8 @@
       room = gr_worker_room (worker, step, steps->now_ms);
       if (gr_slots_in (step, worker, &room) == 0)
         continue;
-      score = room.accelerators;
+      score = ((uint64_t)worker->rack_row->room << 8)
+              + MIN (room.accelerators, 255);
       if (step->spec->data_rack != NULL
           && !g_str_equal (worker->rack, step->spec->data_rack))
         score += (uint64_t)1 << 32;
@@ -377,6 +383,28 @@
     }
 }
 
+static void
+sum_racks (struct gr_steps *steps)
+{
+  GPtrArray *racks = gr_racks (steps);
+
+  for (guint i = 0; i < racks->len; i++)
+    {
+      struct rack *rack = racks->pdata[i];
+
+      rack->room = 0;
+      for (guint k = 0; k < rack->workers->len; k++)
+        {
+          const struct worker *worker = rack->workers->pdata[k];
+
+          if (gr_worker_usable (steps, worker)
+              && worker->capacity.accelerators > worker->used.accelerators)
+            rack->room +=
+                worker->capacity.accelerators - worker->used.accelerators;
+        }
+    }
+}
+
 /* Demand of accounts for urgent work; decides who is within its guarantee. */
 static void
 sum_accounts (struct gr_steps *steps)
@@ -451,6 +479,7 @@
   g_autoptr (GPtrArray) failed = g_ptr_array_new ();
 
   sum_accounts (steps);
+  sum_racks (steps);
   for (guint i = 0; i < steps->job_rows->len; i++)
     add_ranked (steps, steps->job_rows->pdata[i], ranked);
   g_array_sort (ranked, compare_ranked);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -3,11 +3,14 @@
 
 #include "steps/steps.h"
 
+struct rack;
+
 struct worker
 {
   char *id;
   char *service;
   char *rack;
+  struct rack *rack_row; /* set by gr_racks () */
   char **labels;
   struct gr_resources capacity;
   struct gr_resources used; /* by the tasks that are on it */
@@ -46,6 +49,7 @@
 struct rack
 {
   const char *name;
+  uint32_t room; /* accelerators that are free, as the run of placement began */
   GPtrArray *workers;
 };
 
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -401,6 +401,7 @@
           g_hash_table_insert (by_name, worker->rack, rack);
           g_ptr_array_add (steps->racks, rack);
         }
+      worker->rack_row = rack;
       g_ptr_array_add (rack->workers, worker);
     }
   return steps->racks;
