--- a/steps/place.c
+++ b/steps/place.c
@@ -10,7 +10,7 @@
 
 /* An urgent gang that no single rack can take for so long is spread over
  * racks: it is slow there, but it starts in time. A share of reclaim_ms. */
-#define SPREAD_AFTER_SHARE 0.55
+#define SPREAD_AFTER_SHARE 0.45
 
 struct candidate
 {
@@ -51,6 +51,23 @@
          && gr_advice_allows (steps, step, worker);
 }
 
+static bool
+is_guaranteed (const struct step *step)
+{
+  const struct job *job = gr_step_job (step);
+
+  return job->queue->priority == 0
+         && gr_account_within_guarantee (job->account);
+}
+
+/* Guaranteed work takes the room that was made for other urgent work. */
+bool
+gr_worker_is_kept (const struct worker *worker, const struct step *step)
+{
+  return worker->room_for != NULL && worker->room_for != step
+         && (is_guaranteed (worker->room_for) || !is_guaranteed (step));
+}
+
 struct gr_resources
 gr_worker_room (const struct worker *worker,
                 const struct step *step,
@@ -59,7 +76,7 @@
   struct gr_resources room = { 0 };
 
   (void)now_ms;
-  if (worker->room_for != NULL && worker->room_for != step)
+  if (gr_worker_is_kept (worker, step))
     return room;
   if (worker->capacity.cpu_milli > worker->used.cpu_milli)
     room.cpu_milli = worker->capacity.cpu_milli - worker->used.cpu_milli;
@@ -238,8 +255,8 @@
   return best;
 }
 
-static bool
-may_spread (const struct gr_steps *steps, const struct step *step)
+bool
+gr_step_may_spread (const struct gr_steps *steps, const struct step *step)
 {
   if (!step->spec->one_rack)
     return step->spec->gang;
@@ -257,7 +274,7 @@
   if (step->n_waiting < step->n_tasks)
     return true;
   candidates = best_rack (steps, step);
-  if (candidates == NULL && may_spread (steps, step))
+  if (candidates == NULL && gr_step_may_spread (steps, step))
     candidates = find_candidates (steps, step, steps->worker_rows);
   if (candidates == NULL)
     return false;
@@ -454,7 +471,7 @@
              const GPtrArray *failed)
 {
   /* Workers may be set aside for it, and it may spread over racks by now. */
-  if (step->room_ms != 0 || may_spread (steps, step))
+  if (step->room_ms != 0 || gr_step_may_spread (steps, step))
     return false;
   for (guint i = 0; i < failed->len; i++)
     if (needs_no_less (step, failed->pdata[i]))
@@ -488,13 +505,20 @@
       struct step *step = g_array_index (ranked, struct ranked, i).step;
       bool placed;
 
-      if (repair_gang (steps, step) || is_hopeless (steps, step, failed))
+      if (repair_gang (steps, step))
         continue;
+      if (is_hopeless (steps, step, failed))
+        {
+          /* Room for guaranteed work is made whoever else waits. */
+          if (is_guaranteed (step))
+            gr_reclaim_room (steps, step);
+          continue;
+        }
       placed = step->spec->gang ? place_gang (steps, step)
                                 : place_tasks (steps, step);
       if (placed)
         continue;
-      if (!may_spread (steps, step))
+      if (!gr_step_may_spread (steps, step))
         g_ptr_array_add (failed, step);
       gr_advice_ask (steps, step);
       if (gr_step_job (step)->queue->priority == 0)
--- a/steps/reclaim.c
+++ b/steps/reclaim.c
@@ -128,7 +128,7 @@
 {
   struct gr_resources room = gr_worker_room (worker, step, steps->now_ms);
 
-  if (worker->room_for != NULL && worker->room_for != step)
+  if (gr_worker_is_kept (worker, step))
     return room;
   for (guint i = 0; i < worker->tasks->len; i++)
     {
@@ -182,6 +182,25 @@
   return MIN (slots, wanted);
 }
 
+/* A guaranteed task on a worker that holds none yet keeps large tasks of other
+ * accounts from it; counted as so many core-seconds. */
+#define NEW_WORKER_LOSS 60.0
+
+static bool
+holds_urgent_work (const struct worker *worker)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const struct task *task = worker->tasks->pdata[i];
+      const struct job *job = gr_task_job (task);
+
+      if (job->queue->priority == 0
+          && gr_account_within_guarantee (job->account))
+        return true;
+    }
+  return false;
+}
+
 static gint
 compare_offers (gconstpointer left, gconstpointer right)
 {
@@ -199,7 +218,7 @@
                   const struct step *step)
 {
   return gr_worker_allowed (steps, worker, step)
-         && (worker->room_for == NULL || worker->room_for == step);
+         && !gr_worker_is_kept (worker, step);
 }
 
 /* Those of the workers that together take `wanted` tasks; NULL if they
@@ -224,6 +243,8 @@
         continue;
       offer.slots =
           make_room (steps, step, offer.worker, wanted, false, &offer.loss);
+      if (!holds_urgent_work (offer.worker))
+        offer.loss += NEW_WORKER_LOSS;
       if (offer.slots > 0)
         g_array_append_val (offers, offer);
     }
@@ -282,7 +303,8 @@
     return;
   if (step->spec->gang && step->spec->one_rack)
     offers = best_rack_offers (steps, step, wanted);
-  if (offers == NULL)
+  /* Before it may spread, room on several racks would be of no use. */
+  if (offers == NULL && (!step->spec->gang || gr_step_may_spread (steps, step)))
     offers = find_offers (steps, step, steps->worker_rows, wanted, &loss);
   if (offers == NULL)
     {
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -287,6 +287,10 @@
 
 /* Placement. */
 void gr_place_tick (struct gr_steps *steps);
+/* The worker is set aside for a step that this one does not outrank. */
+bool gr_worker_is_kept (const struct worker *worker, const struct step *step);
+/* The tasks need not be on one rack, or it is too late to wait for one. */
+bool gr_step_may_spread (const struct gr_steps *steps, const struct step *step);
 /* How many tasks of the step fit into room on the worker. */
 uint32_t gr_slots_in (const struct step *step,
                       const struct worker *worker,
