--- a/common/log.c
+++ b/common/log.c
@@ -1,9 +1,11 @@
 #include "common/log.h"
 
+#include <poll.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define MAX_FIELDS 24
 
@@ -22,9 +24,15 @@
   GLogLevelFlags level;
   uint64_t hlc;
   GHashTable *rates;
+  int descriptor; /* -1: standard error, which is waited for */
+  GString *buffer;
+  uint64_t left_out; /* lines */
 };
 
-static struct log_state state = { .level = G_LOG_LEVEL_INFO };
+static struct log_state state = { .level = G_LOG_LEVEL_INFO, .descriptor = -1 };
+
+/* A pipe that is ready takes this much without blocking (POSIX PIPE_BUF). */
+#define CHUNK_BYTES 4096
 
 uint64_t
 gr_hlc_now (void)
@@ -93,6 +101,63 @@
   return NULL;
 }
 
+static bool
+is_ready (int descriptor)
+{
+  struct pollfd row = { .fd = descriptor, .events = POLLOUT };
+
+  return poll (&row, 1, 0) == 1 && (row.revents & POLLOUT) != 0;
+}
+
+void
+gr_log_flush (void)
+{
+  gsize done = 0;
+
+  while (state.buffer != NULL && done < state.buffer->len
+         && is_ready (state.descriptor))
+    {
+      gsize size = MIN (state.buffer->len - done, CHUNK_BYTES);
+      ssize_t written =
+          write (state.descriptor, state.buffer->str + done, size);
+
+      if (written <= 0)
+        break;
+      done += (gsize)written;
+    }
+  if (done > 0)
+    g_string_erase (state.buffer, 0, (gssize)done);
+}
+
+void
+gr_log_set_descriptor (int descriptor)
+{
+  state.descriptor = descriptor;
+  if (state.buffer == NULL)
+    state.buffer = g_string_new (NULL);
+}
+
+/* The count of lines that were left out comes before the next line. */
+static void
+keep_line (const char *line)
+{
+  if (state.buffer->len + strlen (line) > GR_LOG_MAX_BUFFER_BYTES)
+    gr_log_flush ();
+  if (state.buffer->len + strlen (line) > GR_LOG_MAX_BUFFER_BYTES)
+    {
+      state.left_out++;
+      return;
+    }
+  if (state.left_out > 0)
+    g_string_append_printf (state.buffer,
+                            "{\"event\":\"log-dropped\",\"lines\":"
+                            "%" G_GUINT64_FORMAT "}\n",
+                            state.left_out);
+  state.left_out = 0;
+  g_string_append (state.buffer, line);
+  gr_log_flush ();
+}
+
 static GLogWriterOutput
 write_line (GLogLevelFlags level,
             const GLogField *fields,
@@ -123,7 +188,10 @@
         append_field (line, name, fields[i].value);
     }
   g_string_append (line, "}\n");
-  fputs (line->str, stderr);
+  if (state.descriptor >= 0)
+    keep_line (line->str);
+  else
+    fputs (line->str, stderr);
   g_string_free (line, TRUE);
   return G_LOG_WRITER_HANDLED;
 }
--- a/common/log.h
+++ b/common/log.h
@@ -1,6 +1,7 @@
-/* Logs: one JSON object a line on standard error, through GLib's structured
- * logging. Each line carries a hybrid logical time, so that the lines of all
- * processes can be merged without showing an effect before its cause. */
+/* Logs: one JSON object a line on standard error, or on a descriptor that is
+ * never waited for, through GLib's structured logging. Each line carries a
+ * hybrid logical time, so that the lines of all processes can be merged without
+ * showing an effect before its cause. */
 #pragma once
 
 #include <glib.h>
@@ -16,6 +17,15 @@
 /* Lines below this level are dropped; G_LOG_LEVEL_INFO at the start. */
 void gr_log_set_level (GLogLevelFlags level);
 
+/* Writes to this descriptor from now on, and never waits for its reader: up to
+ * GR_LOG_MAX_BUFFER_BYTES are kept, more lines are left out and counted in a
+ * line "log-dropped". */
+#define GR_LOG_MAX_BUFFER_BYTES ((size_t)256 * 1024)
+void gr_log_set_descriptor (int descriptor);
+
+/* Writes what is kept as far as the reader takes it now. */
+void gr_log_flush (void);
+
 /* Hybrid logical time: milliseconds since 1970 in the upper 48 bits, a
  * counter in the lower 16. gr_hlc_now () is larger than every earlier result
  * and than every time that was passed to gr_hlc_observe (). */
--- a/instance/main.c
+++ b/instance/main.c
@@ -72,6 +72,7 @@
   g_unix_signal_add (SIGHUP, on_reload, &run);
   g_main_loop_run (run.loop);
   gr_instance_destroy (run.instance);
+  gr_log_flush ();
   g_main_loop_unref (run.loop);
   return EXIT_SUCCESS;
 }
--- a/settings/process.c
+++ b/settings/process.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 
 #include <string.h>
+#include <unistd.h>
 
 /* Reads a whole file as text; prints the reason and returns NULL if it cannot
  * be a document. */
@@ -197,6 +198,7 @@
   if (!go_on)
     return false;
   gr_log_init (binary, settings->instance);
+  gr_log_set_descriptor (STDOUT_FILENO);
   gr_log_set_level (gr_log_level_from_name (settings->log_level));
   return true;
 }
