--- a/instance/call.c
+++ b/instance/call.c
@@ -74,23 +74,35 @@
   set_json (message, body);
 }
 
+/* Milliseconds as text for a line of the log. */
+static const char *
+ms_text (char text[24], int64_t ms)
+{
+  g_snprintf (text, 24, "%" G_GINT64_FORMAT, ms);
+  return text;
+}
+
+/* The answer with what decided it: how old the knowledge of the configuration
+ * was, and how long the store had not answered. */
 static void
-log_answer (const struct gr_clients_parts *parts,
-            SoupServerMessage *message,
-            const char *job_id,
-            const char *reason)
+log_answer (const struct call *call, const char *reason)
 {
-  char status[16];
-  char labels[32];
-  guint code = soup_server_message_get_status (message);
-
-  g_snprintf (status, sizeof status, "%u", code);
-  g_snprintf (labels, sizeof labels, "status=\"%u\"", code);
-  gr_counter_add (
-      gr_counters_get (parts->counters, "client_answers_total", labels), 1);
-  gr_log_event ("client-answer", "job", job_id, "method",
-                soup_server_message_get_method (message), "status", status,
-                "reason", reason, NULL);
+  const struct gr_clients_parts *parts = call->parts;
+  int64_t now_ms = gr_clock_now_ms (parts->clock);
+  char status[24];
+  char took[24];
+  char age[24];
+  char silent[24];
+
+  gr_log_event (
+      "client-answer", "job", call->job_id, "method",
+      soup_server_message_get_method (call->message), "status",
+      ms_text (status, soup_server_message_get_status (call->message)),
+      "reason", reason, "took_ms", ms_text (took, now_ms - call->begun_ms),
+      "config_age_ms",
+      ms_text (age, now_ms - gr_config_view_current_ms (parts->config)),
+      "store_silent_ms",
+      ms_text (silent, gr_metastore_unanswered_ms (parts->store)), NULL);
 }
 
 static void
@@ -106,14 +118,16 @@
 static void
 end_call (struct call *call, const char *reason)
 {
-  char took[24];
+  struct gr_counters *counters = call->parts->counters;
+  char labels[32];
 
-  g_snprintf (took, sizeof took, "%" G_GINT64_FORMAT,
-              gr_clock_now_ms (call->parts->clock) - call->begun_ms);
-  log_answer (call->parts, call->message, call->job_id, reason);
-  gr_histogram_observe (
-      gr_counters_histogram (call->parts->counters, "client_call_ms", ""),
-      gr_clock_now_ms (call->parts->clock) - call->begun_ms);
+  log_answer (call, reason);
+  g_snprintf (labels, sizeof labels, "status=\"%u\"",
+              soup_server_message_get_status (call->message));
+  gr_counter_add (gr_counters_get (counters, "client_answers_total", labels),
+                  1);
+  gr_histogram_observe (gr_counters_histogram (counters, "client_call_ms", ""),
+                        gr_clock_now_ms (call->parts->clock) - call->begun_ms);
   gr_http_server_resume (call->message);
   call_free (call);
 }
