--- a/standins/metastore.c
+++ b/standins/metastore.c
@@ -57,6 +57,8 @@
   GSource *heartbeat;
   GPtrArray *workers;
   uint64_t sequence;
+  GHashTable *done; /* task -> times that it ended as done */
+  uint32_t doubles; /* checks that found a task running twice */
 };
 
 static int64_t
@@ -561,12 +563,29 @@
   return g_str_equal (call->path, "/v1/kv-txn");
 }
 
+static uint32_t
+done_twice (const struct gr_standin_platform *platform)
+{
+  uint32_t twice = 0;
+  GHashTableIter iter;
+  void *count;
+
+  g_hash_table_iter_init (&iter, platform->done);
+  while (g_hash_table_iter_next (&iter, NULL, &count))
+    twice += GPOINTER_TO_UINT (count) > 1;
+  return twice;
+}
+
 static void
 describe (JsonObject *answer, void *context)
 {
   struct gr_standin_platform *platform = context;
 
   json_object_set_int_member (answer, "revision", platform->revision);
+  json_object_set_int_member (answer, "doubles", platform->doubles);
+  json_object_set_int_member (answer, "done_twice", done_twice (platform));
+  json_object_set_int_member (answer, "done",
+                              g_hash_table_size (platform->done));
 }
 
 /* {"put":{"key":"op/config","text":"..."}} writes a key. */
@@ -600,6 +619,16 @@
   wake_watchers (platform);
 }
 
+static void
+count_doubles (struct gr_standin_platform *platform)
+{
+  g_autoptr (GHashTable) seen = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (guint i = 0; i < platform->workers->len; i++)
+    platform->doubles +=
+        gr_platform_worker_add_running (platform->workers->pdata[i], seen);
+}
+
 static gboolean
 expire (gpointer data)
 {
@@ -607,6 +636,7 @@
   GHashTableIter iter;
   void *value;
 
+  count_doubles (platform);
   g_hash_table_iter_init (&iter, platform->leases);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((struct lease *)value)->ends_ms <= now_ms ())
@@ -657,6 +687,7 @@
 gr_standin_platform_create (const struct gr_standin_platform_options *options,
                             struct gr_error *error)
 {
+  struct gr_standin_platform_options own_options = *options;
   struct gr_standin_platform *platform = g_new0 (struct gr_standin_platform, 1);
 
   if (waiting == NULL)
@@ -670,10 +701,13 @@
   platform->base = gr_standin_create (options->listen, &ops, platform, error);
   platform->timer = start_timer (EXPIRE_MS, expire, platform);
   platform->heartbeat = start_timer (HEARTBEAT_MS, heartbeat, platform);
+  platform->done =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  own_options.done = platform->done;
   for (uint32_t i = 0; platform->base != NULL && i < options->workers; i++)
     {
       struct gr_platform_worker *worker =
-          gr_platform_worker_create (i, options, error);
+          gr_platform_worker_create (i, &own_options, error);
 
       if (worker == NULL)
         {
@@ -712,6 +746,7 @@
     gr_standin_destroy (platform->base);
   g_tree_unref (platform->items);
   g_hash_table_destroy (platform->leases);
+  g_hash_table_destroy (platform->done);
   g_queue_clear_full (&platform->changes, change_free);
   g_free (platform);
 }
--- a/standins/metastore.h
+++ b/standins/metastore.h
@@ -14,6 +14,8 @@
   uint32_t accelerators; /* of each worker */
   uint32_t cores;
   uint32_t memory_mb;
+  GHashTable
+      *done; /* task -> times that it ended as done; set by the stand-in */
 };
 
 /* NULL and error if an address cannot be listened on. */
--- a/standins/platform-worker.c
+++ b/standins/platform-worker.c
@@ -153,6 +153,14 @@
   end->run = run->run;
   end->how = how;
   note_over (worker, run->task, run->run);
+  if (strcmp (how, "done") == 0)
+    {
+      guint times = GPOINTER_TO_UINT (
+          g_hash_table_lookup (worker->options.done, run->task));
+
+      g_hash_table_replace (worker->options.done, g_strdup (run->task),
+                            GUINT_TO_POINTER (times + 1));
+    }
   g_ptr_array_add (worker->ends, end);
   g_ptr_array_remove_index (worker->runs, index);
 }
@@ -455,6 +463,18 @@
       worker->born_unix_ms, sequence);
 }
 
+uint32_t
+gr_platform_worker_add_running (const struct gr_platform_worker *worker,
+                                GHashTable *seen)
+{
+  uint32_t doubles = 0;
+
+  for (guint i = 0; i < worker->runs->len; i++)
+    if (!g_hash_table_add (seen, ((struct run *)worker->runs->pdata[i])->task))
+      doubles++;
+  return doubles;
+}
+
 uint32_t
 gr_platform_worker_starts (const struct gr_platform_worker *worker,
                            const char *task)
--- a/standins/platform-worker.h
+++ b/standins/platform-worker.h
@@ -19,6 +19,10 @@
 char *gr_platform_worker_entry (const struct gr_platform_worker *worker,
                                 uint64_t sequence);
 
+/* Adds the tasks that run to seen; returns how many were there already. */
+uint32_t
+gr_platform_worker_add_running (const struct gr_platform_worker *worker,
+                                GHashTable *seen);
 uint32_t gr_platform_worker_starts (const struct gr_platform_worker *worker,
                                     const char *task);
 uint32_t gr_platform_worker_running (const struct gr_platform_worker *worker,
