tests: explicit widths in the soak

Cause: the linter rejects products of int that widen to gulong. Change: G_USEC_PER_SEC in place of products.

--- a/tests/test-process-instance.c
+++ b/tests/test-process-instance.c
@@ -151,7 +151,7 @@
   control = g_strdup_printf ("http://%s/control", listen);
   for (int i = 0; i < 50; i++)
     {
-      g_usleep (100 * 1000);
+      g_usleep (G_USEC_PER_SEC / 10);
       if (call (world, "POST", control, config, NULL) == 200)
         break;
     }
@@ -283,19 +283,19 @@
   uint32_t completed = 0;
 
   world_create (&world, seed);
-  g_usleep (1500 * 1000);
+  g_usleep (G_USEC_PER_SEC * 3 / 2);
   for (int i = 0; i < length_s * JOBS_PER_S; i++)
     {
       submit (&world);
       if (g_rand_int_range (world.rand, 0, JOBS_PER_S) == 0)
         disturb (&world);
-      g_usleep (1000 * 1000 / JOBS_PER_S);
+      g_usleep (G_USEC_PER_SEC / JOBS_PER_S);
     }
   for (int i = 0; i < INSTANCES; i++)
     kill (world.instances[i], SIGCONT);
   for (int i = 0; i < SETTLE_S && completed < world.ids->len; i++)
     {
-      g_usleep (1000 * 1000);
+      g_usleep (G_USEC_PER_SEC);
       completed = count_completed (&world);
     }
   ck_assert_msg (completed == world.ids->len,
