steps: a start without a result is given up

Cause: not traced. In the code, an order's result is not delivered when the worker's address has changed meanwhile, and the task then stayed in its start for ever. Change: after 4 s without a result the start is stopped like one that was not answered. Test: start_without_a_result_is_given_up was red (job not completed). Ruled out: a leak of open calls; both ends of each call are counted.

--- a/steps/orders.c
+++ b/steps/orders.c
@@ -12,6 +12,10 @@
  * that an order that is carried out late has no effect. */
 #define START_LIMIT_MS 2000
 
+/* The longest timeout of an order is 2.3 s; a result that has not come by then
+ * does not come any more. */
+#define RESULT_LOST_MS 4000
+
 /* For the way of a start, and for clocks that differ by 3 %. */
 #define LEASE_SLACK_MS 200
 
@@ -276,7 +280,9 @@
 {
   char name[GR_TASK_NAME_SIZE];
 
-  if (task->state == TASK_STARTING && !task->order_open)
+  if (task->state == TASK_STARTING
+      && (!task->order_open
+          || steps->now_ms - task->order_ms >= RESULT_LOST_MS))
     {
       if (task->tries >= START_TRIES
           || steps->now_ms >= task->placed_ms + START_LIMIT_MS)
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -105,6 +105,7 @@
   double wasted_s;
   uint32_t advice_calls;
   uint32_t orders_per_tick;
+  uint32_t swallow;
   bool needs_tickets;
   char *broken;
 };
@@ -632,6 +633,11 @@
       if (happens (model, model->faults.lose_answer))
         result = GR_ORDER_UNKNOWN;
     }
+  if (model->swallow > 0)
+    {
+      model->swallow--;
+      return;
+    }
   gr_steps_order_result (model->steps, order, result, model->now_ms);
 }
 
@@ -1164,3 +1170,9 @@
 {
   model->orders_per_tick = orders;
 }
+
+void
+steps_model_swallow_results (struct steps_model *model, uint32_t results)
+{
+  model->swallow = results;
+}
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -68,6 +68,8 @@
 /* The owner sends no more orders in 20 ms; the others wait in the core. */
 void steps_model_set_orders_per_tick (struct steps_model *model,
                                       uint32_t orders);
+/* The core is not told the results of so many of the next orders. */
+void steps_model_swallow_results (struct steps_model *model, uint32_t results);
 /* A new owner with the next epoch takes over from what is durable. */
 void steps_model_take_over (struct steps_model *model);
 /* Starts need a ticket of the advice, which allows only workers with an even
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -308,6 +308,26 @@
 }
 END_TEST
 
+/* A start whose result never reached the core, because the worker's address had
+ * changed meanwhile, held its task for ever. */
+START_TEST (start_without_a_result_is_given_up)
+{
+  struct gr_step_spec one = plain;
+  struct steps_model *model = create (4, 1);
+
+  one.count = 1;
+  steps_model_set_faults (model,
+                          &(struct steps_model_faults){ .lose_order = 1 });
+  steps_model_swallow_results (model, 1);
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 500);
+  steps_model_run (model, 100);
+  steps_model_set_faults (model, &(struct steps_model_faults){ 0 });
+  steps_model_run (model, 12000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  finish (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -329,6 +349,7 @@
   tcase_add_test (tests, silent_worker_is_waited_for);
   tcase_add_test (tests, waiting_orders_hold_their_runs);
   tcase_add_test (tests, first_sight_of_an_entry_is_no_heartbeat);
+  tcase_add_test (tests, start_without_a_result_is_given_up);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
