steps: a gang does not wait for a rack that cannot come

Tests: gang_larger_than_a_rack_does_not_wait_for_one was red (1,240 ms), gang_does_not_wait_for_a_rack_while_most_is_free was red (never began).

--- a/steps/place.c
+++ b/steps/place.c
@@ -12,6 +12,13 @@
  * racks: it is slow there, but it starts in time. A share of reclaim_ms. */
 #define SPREAD_AFTER_SHARE 0.45
 
+#define FIT_KEPT_MS 1000
+
+/* While most accelerators are free, a gang waits so long for a whole rack;
+ * ready work must not lie still for 3 s then (platform's pages). */
+#define FREE_WAIT_MS 2000
+#define MOSTLY_FREE_SHARE 0.5
+
 struct candidate
 {
   struct worker *worker;
@@ -255,11 +262,43 @@
   return best;
 }
 
+/* Some rack could take the whole gang if nothing else ran there. Looked up once
+ * a second at most: racks change seldom. */
+static bool
+fits_some_rack (struct gr_steps *steps, struct step *step)
+{
+  GPtrArray *racks = gr_racks (steps);
+
+  if (step->fit_ms != 0 && steps->now_ms - step->fit_ms < FIT_KEPT_MS)
+    return step->fits_rack;
+  step->fit_ms = steps->now_ms;
+  step->fits_rack = false;
+  for (guint i = 0; i < racks->len && !step->fits_rack; i++)
+    {
+      const struct rack *rack = racks->pdata[i];
+      uint32_t slots = 0;
+
+      for (guint k = 0; k < rack->workers->len; k++)
+        {
+          const struct worker *worker = rack->workers->pdata[k];
+
+          if (worker->registered && label_allowed (worker, step))
+            slots += gr_slots_in (step, worker, &worker->capacity);
+        }
+      step->fits_rack = slots >= step->n_tasks;
+    }
+  return step->fits_rack;
+}
+
 bool
-gr_step_may_spread (const struct gr_steps *steps, const struct step *step)
+gr_step_may_spread (struct gr_steps *steps, struct step *step)
 {
   if (!step->spec->one_rack)
     return step->spec->gang;
+  if (step->spec->gang && !fits_some_rack (steps, step))
+    return true;
+  if (steps->mostly_free && steps->now_ms - step->ready_ms >= FREE_WAIT_MS)
+    return true;
   return gr_step_job (step)->queue->priority == 0
          && steps->now_ms - step->ready_ms
                 >= (int64_t)(steps->settings.reclaim_ms * SPREAD_AFTER_SHARE);
@@ -404,6 +443,8 @@
 sum_racks (struct gr_steps *steps)
 {
   GPtrArray *racks = gr_racks (steps);
+  uint64_t room = 0;
+  uint64_t capacity = 0;
 
   for (guint i = 0; i < racks->len; i++)
     {
@@ -418,8 +459,12 @@
               && worker->capacity.accelerators > worker->used.accelerators)
             rack->room +=
                 worker->capacity.accelerators - worker->used.accelerators;
+          if (worker->registered)
+            capacity += worker->capacity.accelerators;
         }
+      room += rack->room;
     }
+  steps->mostly_free = (double)room >= (double)capacity * MOSTLY_FREE_SHARE;
 }
 
 /* Demand of accounts for urgent work; decides who is within its guarantee. */
@@ -466,9 +511,7 @@
 }
 
 static bool
-is_hopeless (const struct gr_steps *steps,
-             const struct step *step,
-             const GPtrArray *failed)
+is_hopeless (struct gr_steps *steps, struct step *step, const GPtrArray *failed)
 {
   /* Workers may be set aside for it, and it may spread over racks by now. */
   if (step->room_ms != 0 || gr_step_may_spread (steps, step))
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -113,6 +113,8 @@
   int64_t ready_ms;   /* since when it could start; 0: not ready */
   int64_t room_ms;    /* when room was last asked for */
   int64_t reclaim_ms; /* when no worker could make room for it */
+  int64_t fit_ms;     /* when fits_rack was looked up; 0: never */
+  bool fits_rack;     /* some rack is large enough for the gang */
 };
 
 struct occurrence
@@ -183,6 +185,7 @@
   uint64_t sequence;
   uint64_t committed; /* changes up to this are durable */
   bool fenced;
+  bool mostly_free; /* half of the accelerators or more */
   bool all_located; /* no run of an inherited job can be unseen */
 };
 
@@ -290,7 +293,7 @@
 /* The worker is set aside for a step that this one does not outrank. */
 bool gr_worker_is_kept (const struct worker *worker, const struct step *step);
 /* The tasks need not be on one rack, or it is too late to wait for one. */
-bool gr_step_may_spread (const struct gr_steps *steps, const struct step *step);
+bool gr_step_may_spread (struct gr_steps *steps, struct step *step);
 /* How many tasks of the step fit into room on the worker. */
 uint32_t gr_slots_in (const struct step *step,
                       const struct worker *worker,
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -328,6 +328,47 @@
 }
 END_TEST
 
+/* A gang that is larger than any rack waited for a rack to take it, for nearly
+ * half of the time in which guaranteed work must begin. */
+START_TEST (gang_larger_than_a_rack_does_not_wait_for_one)
+{
+  struct gr_step_spec large = gang;
+  struct steps_model *model = create (32, 1);
+
+  large.count = 15;
+  steps_model_add_job (model, 1, "urgent", "a", &large, 1, 500);
+  steps_model_run (model, 3000);
+  ck_assert_int_ge (steps_model_begun_ms (model, 1), 0);
+  ck_assert_int_le (steps_model_begun_ms (model, 1), 500);
+  finish (model);
+}
+END_TEST
+
+/* A gang of lower priority waited for a whole rack without an end, while most
+ * of the workers were free but one on each rack. */
+START_TEST (gang_does_not_wait_for_a_rack_while_most_is_free)
+{
+  struct gr_step_spec blocker = plain;
+  struct steps_model *model = create (32, 1);
+
+  blocker.count = 1;
+  for (uint32_t rack = 0; rack < 4; rack++)
+    {
+      char label[16];
+
+      g_snprintf (label, sizeof label, "rack%u", rack);
+      blocker.label = label;
+      steps_model_add_job (model, 10 + rack, "batch", "a", &blocker, 1, 60000);
+    }
+  steps_model_run (model, 500);
+  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 500);
+  steps_model_run (model, 6000);
+  ck_assert_int_ge (steps_model_begun_ms (model, 1), 0);
+  ck_assert_int_le (steps_model_begun_ms (model, 1), 3000);
+  finish (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -350,6 +391,8 @@
   tcase_add_test (tests, waiting_orders_hold_their_runs);
   tcase_add_test (tests, first_sight_of_an_entry_is_no_heartbeat);
   tcase_add_test (tests, start_without_a_result_is_given_up);
+  tcase_add_test (tests, gang_larger_than_a_rack_does_not_wait_for_one);
+  tcase_add_test (tests, gang_does_not_wait_for_a_rack_while_most_is_free);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
