instance, tests: files that had grown large are split

No behaviour was changed. Ruled out: a base for all clients of the platform; they share gr_http already.

--- /dev/null
+++ b/instance/advice-calls.c
@@ -0,0 +1,100 @@
+#include "instance/advice-calls.h"
+
+#include "common/log.h"
+#include "platform/advice.h"
+
+/* Calls for advice wait for each other at the service. */
+#define ADVICE_TIMEOUT_MS 4000
+
+struct gr_advice_calls
+{
+  struct gr_steps *steps;
+  const struct gr_clock *clock;
+  struct gr_advice_client *client; /* NULL if there is no such service */
+  void (*changed) (void *context);
+  void *context;
+};
+
+struct advice_call
+{
+  struct gr_advice_calls *calls;
+  struct gr_advice_request request;
+};
+
+struct gr_advice_calls *
+gr_advice_calls_create (const struct gr_owner_parts *parts,
+                        struct gr_steps *steps,
+                        void (*changed) (void *context),
+                        void *context)
+{
+  struct gr_advice_calls *calls = g_new0 (struct gr_advice_calls, 1);
+  const char *address = parts->settings->advice_address;
+
+  calls->steps = steps;
+  calls->clock = parts->clock;
+  calls->changed = changed;
+  calls->context = context;
+  if (address[0] != '\0')
+    calls->client = gr_advice_client_create (address, parts->counters);
+  return calls;
+}
+
+/* Open calls end with kind cancelled before the core is destroyed. */
+void
+gr_advice_calls_destroy (struct gr_advice_calls *calls)
+{
+  if (calls == NULL)
+    return;
+  gr_advice_client_destroy (calls->client);
+  g_free (calls);
+}
+
+static void
+advised (const struct gr_advice_row *rows,
+         uint32_t n_rows,
+         int64_t valid_ms,
+         const struct gr_error *error,
+         void *context)
+{
+  struct advice_call *call = context;
+  struct gr_advice_calls *calls = call->calls;
+
+  if (error != NULL && error->kind != GR_ERROR_CANCELLED)
+    gr_log_event ("advice-failed", "step", call->request.step, "reason",
+                  error->message, NULL);
+  gr_steps_advice (calls->steps, &call->request, rows, n_rows, valid_ms,
+                   gr_clock_now_ms (calls->clock));
+  g_free (call);
+  if (error == NULL)
+    calls->changed (calls->context);
+}
+
+static void
+ask (struct gr_advice_calls *calls, const struct gr_advice_request *request)
+{
+  struct advice_call *call = g_new0 (struct advice_call, 1);
+
+  call->calls = calls;
+  call->request = *request;
+  gr_advice_ask_for (calls->client, request, ADVICE_TIMEOUT_MS,
+                     (struct gr_advice_reply){ advised, call });
+}
+
+void
+gr_advice_calls_run (struct gr_advice_calls *calls)
+{
+  struct gr_advice_request request;
+
+  while (gr_steps_take_advice_request (calls->steps, &request))
+    {
+      if (calls->client != NULL)
+        {
+          ask (calls, &request);
+          continue;
+        }
+      gr_log_problem ("advice-missing", "step", request.step, "reason",
+                      "the settings have no advice_address", NULL);
+      gr_steps_advice (calls->steps, &request, NULL, 0, 0,
+                       gr_clock_now_ms (calls->clock));
+    }
+}
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -1,11 +1,11 @@
 #include "instance/owner.h"
 
 #include "common/log.h"
+#include "instance/advice-calls.h"
 #include "instance/ownership.h"
 #include "instance/progress-log.h"
 #include "instance/upkeep.h"
 #include "instance/worker-io.h"
-#include "platform/advice.h"
 #include "platform/registry.h"
 
 #include <string.h>
@@ -38,9 +38,6 @@
 #define REGISTRY_MS 600
 #define REGISTRY_TIMEOUT_MS 900
 
-/* Calls for advice wait for each other at the service. */
-#define ADVICE_TIMEOUT_MS 4000
-
 /* Which jobs have begun is published so often; clients may see counts that
  * are 2 s old. */
 #define PUBLISH_MS 900
@@ -55,7 +52,7 @@
   struct gr_worker_io *io;
   struct gr_progress_log *log;
   struct gr_upkeep *upkeep;
-  struct gr_advice_client *advice; /* NULL if there is no such service */
+  struct gr_advice_calls *advice;
   GHashTable *addresses;  /* worker id -> IP:PORT, last that was seen */
   GHashTable *registered; /* worker ids in the registry */
   GHashTable *listed;     /* the same, of the read that runs */
@@ -139,60 +136,6 @@
   gr_progress_log_flush (owner->log, gr_steps_sequence (owner->steps));
 }
 
-struct advice_call
-{
-  struct gr_owner *owner;
-  struct gr_advice_request request;
-};
-
-static void schedule_run (void *context);
-
-static void
-advised (const struct gr_advice_row *rows,
-         uint32_t n_rows,
-         int64_t valid_ms,
-         const struct gr_error *error,
-         void *context)
-{
-  struct advice_call *call = context;
-  struct gr_owner *owner = call->owner;
-
-  /* The calls end when the owner is destroyed, before the core. */
-  if (error != NULL && error->kind != GR_ERROR_CANCELLED)
-    gr_log_event ("advice-failed", "step", call->request.step, "reason",
-                  error->message, NULL);
-  gr_steps_advice (owner->steps, &call->request, rows, n_rows, valid_ms,
-                   gr_clock_now_ms (owner->parts.clock));
-  g_free (call);
-  if (error == NULL)
-    schedule_run (owner);
-}
-
-static void
-ask_for_advice (struct gr_owner *owner)
-{
-  struct gr_advice_request request;
-
-  while (gr_steps_take_advice_request (owner->steps, &request))
-    {
-      struct advice_call *call = g_new0 (struct advice_call, 1);
-
-      call->owner = owner;
-      call->request = request;
-      if (owner->advice != NULL)
-        {
-          gr_advice_ask_for (owner->advice, &request, ADVICE_TIMEOUT_MS,
-                             (struct gr_advice_reply){ advised, call });
-          continue;
-        }
-      gr_log_problem ("advice-missing", "step", request.step, "reason",
-                      "the settings have no advice_address", NULL);
-      gr_steps_advice (owner->steps, &request, NULL, 0, 0,
-                       gr_clock_now_ms (owner->parts.clock));
-      g_free (call);
-    }
-}
-
 static void
 run (struct gr_owner *owner)
 {
@@ -201,7 +144,7 @@
   gr_steps_tick (owner->steps, gr_clock_now_ms (owner->parts.clock),
                  gr_clock_unix_ms ());
   gr_worker_io_run (owner->io);
-  ask_for_advice (owner);
+  gr_advice_calls_run (owner->advice);
   gr_upkeep_run (owner->upkeep);
   write_progress (owner);
   if (gr_steps_fenced (owner->steps))
@@ -605,9 +548,8 @@
   owner->addresses =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->upkeep = gr_upkeep_create (parts, owner->steps, epoch, revision);
-  if (settings->advice_address[0] != '\0')
-    owner->advice =
-        gr_advice_client_create (settings->advice_address, parts->counters);
+  owner->advice =
+      gr_advice_calls_create (parts, owner->steps, schedule_run, owner);
   owner->registered =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gr_owner_config_changed (owner);
@@ -634,7 +576,7 @@
   if (owner->registry_timer != 0)
     g_source_remove (owner->registry_timer);
   gr_upkeep_destroy (owner->upkeep);
-  gr_advice_client_destroy (owner->advice);
+  gr_advice_calls_destroy (owner->advice);
   gr_worker_io_destroy (owner->io);
   gr_progress_log_destroy (owner->log);
   gr_steps_destroy (owner->steps);
--- /dev/null
+++ b/tests/steps-model-private.h
@@ -0,0 +1,143 @@
+/* Tables and functions of the model of workers. Private to steps-model*.c. */
+#pragma once
+
+#include "tests/steps-model.h"
+
+#define TICK_MS 20
+#define LOOK_MS 100
+#define HOLD_MS 7000
+#define ANSWER_MS 2
+#define GANG_WAIT_MS 3000
+#define STOP_MS 60
+#define SAVE_MS 1000
+#define HEARTBEAT_MS 1500
+#define HARM_MS 4000
+#define STARTUP_MS 300
+#define TICKET_MS 3000
+
+struct model_run
+{
+  char task[GR_TASK_NAME_SIZE];
+  uint32_t job;
+  uint32_t step;
+  uint32_t run;
+  int64_t begun_ms;
+  int64_t worked_ms; /* since it began or was restored */
+  int64_t saved_ms;  /* work that a checkpoint holds */
+  int64_t stop_ms;   /* 0: not stopped */
+  uint32_t pace;     /* percent of its work that it does */
+  int64_t over_ms;   /* ticks over its target on end */
+};
+
+struct model_end
+{
+  struct gr_ended row;
+};
+
+struct model_worker
+{
+  char id[16];
+  char rack[16];
+  GPtrArray *runs;
+  GArray *ends; /* struct gr_ended */
+  GHashTable *over;
+  int64_t lease_until_ms;
+  int64_t last_number;
+  int64_t highest_epoch;
+  int64_t born;
+  int64_t next_look_ms;
+  int64_t entry_revision;
+  bool cut;
+  bool fails;
+  bool drains;
+  bool clock_known; /* to the owner; the first look gives no lease */
+  uint32_t starts;
+};
+
+struct model_job
+{
+  struct gr_job_spec *spec;
+  struct gr_job_progress durable;
+  bool has_durable;
+  bool cancelled;
+  bool fails;
+  int64_t work_ms;
+  int64_t added_ms;
+  int64_t begun_ms;
+  int64_t final_ms;
+  uint32_t starts;
+  GHashTable *done; /* task names whose end as done was noted */
+};
+
+struct late_order
+{
+  struct gr_order order;
+  int64_t at_ms;
+  int64_t until_ms;
+  int64_t epoch;
+  char *payload;
+};
+
+/* Progress on its way to the store. */
+struct commit
+{
+  int64_t at_ms;
+  char id[GR_JOB_ID_DIGITS + 1]; /* "" for the sequence alone */
+  struct gr_job_progress progress;
+  uint64_t sequence;
+};
+
+struct steps_model
+{
+  struct gr_steps *steps;
+  struct gr_steps_settings settings;
+  int64_t epoch;
+  int64_t now_ms;
+  GRand *rand;
+  struct steps_model_faults faults;
+  GPtrArray *workers;
+  GPtrArray *jobs; /* by number; NULL where there is none */
+  GPtrArray *queues;
+  GPtrArray *late;
+  bool store_works;
+  int64_t commit_ms;
+  GQueue commits; /* struct commit, oldest first */
+  double wasted_s;
+  uint32_t advice_calls;
+  uint32_t orders_per_tick;
+  uint32_t swallow;
+  bool needs_tickets;
+  char *broken;
+};
+
+/* The first promise that is broken is kept. */
+void model_break_promise (struct steps_model *model,
+                          const char *rule,
+                          const char *task);
+/* NULL if there is no such job. */
+struct model_job *model_job_of (const struct steps_model *model,
+                                uint32_t number);
+bool model_happens (struct steps_model *model, double share);
+struct model_worker *model_find_worker (struct steps_model *model,
+                                        const char *id);
+
+/* Workers. */
+struct model_run *model_find_run (struct model_worker *worker,
+                                  const char *task);
+const struct gr_step_spec *model_spec_of (const struct steps_model *model,
+                                          const struct model_run *run);
+void model_send_order (struct steps_model *model, const struct gr_order *order);
+void model_late_free (struct late_order *late);
+void model_carry_out_late (struct steps_model *model);
+void model_end_run (struct steps_model *model,
+                    struct model_worker *worker,
+                    guint index,
+                    enum gr_run_end how);
+uint32_t model_tail_ms (struct steps_model *model,
+                        const struct model_worker *worker,
+                        const struct model_run *run);
+void model_move_runs (struct steps_model *model);
+
+/* The store. */
+void model_make_durable (struct steps_model *model);
+void model_drop_commits (struct steps_model *model);
--- /dev/null
+++ b/tests/steps-model-store.c
@@ -0,0 +1,85 @@
+#include "tests/steps-model-private.h"
+
+static void
+apply_commit (struct steps_model *model, struct commit *commit)
+{
+  struct model_job *job;
+
+  if (commit->id[0] == '\0')
+    {
+      gr_steps_committed (model->steps, commit->sequence);
+      return;
+    }
+  job = model_job_of (model, (uint32_t)g_ascii_strtoull (commit->id, NULL, 16));
+  gr_job_progress_clear (&job->durable);
+  job->durable = commit->progress;
+  job->has_durable = true;
+  if (commit->progress.state >= GR_JOB_COMPLETED && job->final_ms < 0)
+    job->final_ms = model->now_ms;
+}
+
+static void
+send_commits (struct steps_model *model)
+{
+  struct commit *commit;
+  const char *id;
+
+  while ((id = gr_steps_take_changed (model->steps)) != NULL)
+    {
+      commit = g_new0 (struct commit, 1);
+      commit->at_ms = model->now_ms + model->commit_ms;
+      g_strlcpy (commit->id, id, sizeof commit->id);
+      if (gr_steps_progress (model->steps, id, &commit->progress))
+        g_queue_push_tail (&model->commits, commit);
+      else
+        g_free (commit);
+    }
+  commit = g_new0 (struct commit, 1);
+  commit->at_ms = model->now_ms + model->commit_ms;
+  commit->sequence = gr_steps_sequence (model->steps);
+  g_queue_push_tail (&model->commits, commit);
+}
+
+static void
+echo_records (struct steps_model *model)
+{
+  for (guint i = 0; model->commit_ms > 0 && i < model->jobs->len; i++)
+    {
+      struct model_job *job = model->jobs->pdata[i];
+
+      if (job != NULL)
+        gr_steps_add_job (model->steps, job->spec,
+                          job->has_durable ? &job->durable : NULL, false,
+                          model->now_ms);
+    }
+}
+
+void
+model_make_durable (struct steps_model *model)
+{
+  if (!model->store_works)
+    return;
+  send_commits (model);
+  while (!g_queue_is_empty (&model->commits)
+         && ((struct commit *)g_queue_peek_head (&model->commits))->at_ms
+                <= model->now_ms)
+    {
+      struct commit *commit = g_queue_pop_head (&model->commits);
+
+      apply_commit (model, commit);
+      g_free (commit);
+    }
+  echo_records (model);
+}
+
+void
+model_drop_commits (struct steps_model *model)
+{
+  while (!g_queue_is_empty (&model->commits))
+    {
+      struct commit *commit = g_queue_pop_head (&model->commits);
+
+      gr_job_progress_clear (&commit->progress);
+      g_free (commit);
+    }
+}
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -1,139 +1,32 @@
-#include "tests/steps-model.h"
+#include "tests/steps-model-private.h"
 
 #include <stdio.h>
 #include <string.h>
 
-#define TICK_MS 20
-#define LOOK_MS 100
-#define HOLD_MS 7000
-#define ANSWER_MS 2
-#define GANG_WAIT_MS 3000
-#define STOP_MS 60
-#define SAVE_MS 1000
-#define HEARTBEAT_MS 1500
-#define HARM_MS 4000
-#define STARTUP_MS 300
-#define TICKET_MS 3000
-
-struct model_run
-{
-  char task[GR_TASK_NAME_SIZE];
-  uint32_t job;
-  uint32_t step;
-  uint32_t run;
-  int64_t begun_ms;
-  int64_t worked_ms; /* since it began or was restored */
-  int64_t saved_ms;  /* work that a checkpoint holds */
-  int64_t stop_ms;   /* 0: not stopped */
-  uint32_t pace;     /* percent of its work that it does */
-  int64_t over_ms;   /* ticks over its target on end */
-};
-
-struct model_end
-{
-  struct gr_ended row;
-};
-
-struct model_worker
-{
-  char id[16];
-  char rack[16];
-  GPtrArray *runs;
-  GArray *ends; /* struct gr_ended */
-  GHashTable *over;
-  int64_t lease_until_ms;
-  int64_t last_number;
-  int64_t highest_epoch;
-  int64_t born;
-  int64_t next_look_ms;
-  int64_t entry_revision;
-  bool cut;
-  bool fails;
-  bool drains;
-  bool clock_known; /* to the owner; the first look gives no lease */
-  uint32_t starts;
-};
-
-struct model_job
-{
-  struct gr_job_spec *spec;
-  struct gr_job_progress durable;
-  bool has_durable;
-  bool cancelled;
-  bool fails;
-  int64_t work_ms;
-  int64_t added_ms;
-  int64_t begun_ms;
-  int64_t final_ms;
-  uint32_t starts;
-  GHashTable *done; /* task names whose end as done was noted */
-};
-
-struct late_order
-{
-  struct gr_order order;
-  int64_t at_ms;
-  int64_t until_ms;
-  int64_t epoch;
-  char *payload;
-};
-
-/* Progress on its way to the store. */
-struct commit
-{
-  int64_t at_ms;
-  char id[GR_JOB_ID_DIGITS + 1]; /* "" for the sequence alone */
-  struct gr_job_progress progress;
-  uint64_t sequence;
-};
-
-struct steps_model
-{
-  struct gr_steps *steps;
-  struct gr_steps_settings settings;
-  int64_t epoch;
-  int64_t now_ms;
-  GRand *rand;
-  struct steps_model_faults faults;
-  GPtrArray *workers;
-  GPtrArray *jobs; /* by number; NULL where there is none */
-  GPtrArray *queues;
-  GPtrArray *late;
-  bool store_works;
-  int64_t commit_ms;
-  GQueue commits; /* struct commit, oldest first */
-  double wasted_s;
-  uint32_t advice_calls;
-  uint32_t orders_per_tick;
-  uint32_t swallow;
-  bool needs_tickets;
-  char *broken;
-};
-
-static void drop_commits (struct steps_model *model);
-
-static void
-break_promise (struct steps_model *model, const char *rule, const char *task)
+void
+model_break_promise (struct steps_model *model,
+                     const char *rule,
+                     const char *task)
 {
   if (model->broken == NULL)
     model->broken = g_strdup_printf ("%s: %s at %" G_GINT64_FORMAT, rule, task,
                                      model->now_ms);
 }
 
-static struct model_job *
-job_of (const struct steps_model *model, uint32_t number)
+struct model_job *
+model_job_of (const struct steps_model *model, uint32_t number)
 {
   return number < model->jobs->len ? model->jobs->pdata[number] : NULL;
 }
 
-static bool
-happens (struct steps_model *model, double share)
+bool
+model_happens (struct steps_model *model, double share)
 {
   return share > 0 && g_rand_double (model->rand) < share;
 }
 
-static struct model_worker *
-find_worker (struct steps_model *model, const char *id)
+struct model_worker *
+model_find_worker (struct steps_model *model, const char *id)
 {
   for (guint i = 0; i < model->workers->len; i++)
     {
@@ -216,18 +109,11 @@
   g_free (job);
 }
 
-static void
-late_free (struct late_order *late)
-{
-  g_free (late->payload);
-  g_free (late);
-}
-
 void
 steps_model_destroy (struct steps_model *model)
 {
   gr_steps_destroy (model->steps);
-  drop_commits (model);
+  model_drop_commits (model);
   for (guint i = 0; i < model->workers->len; i++)
     {
       struct model_worker *worker = model->workers->pdata[i];
@@ -240,7 +126,7 @@
   for (guint i = 0; i < model->jobs->len; i++)
     job_free (model->jobs->pdata[i]);
   for (guint i = 0; i < model->late->len; i++)
-    late_free (model->late->pdata[i]);
+    model_late_free (model->late->pdata[i]);
   g_ptr_array_unref (model->workers);
   g_ptr_array_unref (model->jobs);
   g_ptr_array_unref (model->late);
@@ -336,7 +222,7 @@
 void
 steps_model_cancel (struct steps_model *model, uint32_t number)
 {
-  struct model_job *job = job_of (model, number);
+  struct model_job *job = model_job_of (model, number);
 
   job->cancelled = true;
   gr_steps_cancel_job (model->steps, job->spec->id);
@@ -345,7 +231,7 @@
 void
 steps_model_fail_job (struct steps_model *model, uint32_t number)
 {
-  job_of (model, number)->fails = true;
+  model_job_of (model, number)->fails = true;
 }
 
 static struct model_worker *
@@ -415,7 +301,7 @@
 steps_model_take_over (struct steps_model *model)
 {
   gr_steps_destroy (model->steps);
-  drop_commits (model);
+  model_drop_commits (model);
   model->epoch++;
   model->steps =
       gr_steps_create (&model->settings, model->epoch, model->now_ms);
@@ -443,382 +329,6 @@
     }
 }
 
-static struct model_run *
-find_run (struct model_worker *worker, const char *task)
-{
-  for (guint i = 0; i < worker->runs->len; i++)
-    {
-      struct model_run *run = worker->runs->pdata[i];
-
-      if (g_str_equal (run->task, task))
-        return run;
-    }
-  return NULL;
-}
-
-static const struct gr_step_spec *
-spec_of (const struct steps_model *model, const struct model_run *run)
-{
-  return &job_of (model, run->job)->spec->steps[run->step];
-}
-
-static void
-check_start (struct steps_model *model,
-             struct model_worker *worker,
-             const struct model_run *run)
-{
-  const struct gr_step_spec *spec = spec_of (model, run);
-  struct model_job *job = job_of (model, run->job);
-  uint32_t accelerators = 0;
-  uint32_t beside = 0;
-
-  for (guint i = 0; i < model->workers->len; i++)
-    if (find_run (model->workers->pdata[i], run->task) != NULL)
-      break_promise (model, "two runs at one time", run->task);
-  if (g_hash_table_contains (job->done, run->task))
-    break_promise (model, "a start after its end was noted", run->task);
-  for (guint i = 0; i < worker->runs->len; i++)
-    {
-      const struct model_run *other = worker->runs->pdata[i];
-
-      accelerators += spec_of (model, other)->needs.accelerators;
-      beside += other->job == run->job && other->step == run->step;
-    }
-  if (accelerators + spec->needs.accelerators > 8)
-    break_promise (model, "more than the worker's capacity", run->task);
-  if (spec->max_per_worker > 0 && beside >= spec->max_per_worker)
-    break_promise (model, "too many tasks of a step on a worker", run->task);
-}
-
-static int64_t
-over_run (const struct model_worker *worker, const char *task)
-{
-  return GPOINTER_TO_INT (g_hash_table_lookup (worker->over, task));
-}
-
-static void
-note_over (struct model_worker *worker, const char *task, uint32_t run)
-{
-  if (over_run (worker, task) < run)
-    g_hash_table_replace (worker->over, g_strdup (task),
-                          GUINT_TO_POINTER (run));
-}
-
-static bool
-has_room (struct steps_model *model,
-          struct model_worker *worker,
-          const struct model_run *run)
-{
-  uint32_t accelerators = spec_of (model, run)->needs.accelerators;
-
-  for (guint i = 0; i < worker->runs->len; i++)
-    accelerators += spec_of (model, worker->runs->pdata[i])->needs.accelerators;
-  return accelerators <= 8;
-}
-
-static bool
-ticket_is_valid (const struct steps_model *model,
-                 const struct model_worker *worker,
-                 const char *ticket)
-{
-  size_t length = strlen (worker->id);
-
-  return strncmp (ticket, worker->id, length) == 0 && ticket[length] == '@'
-         && g_ascii_strtoll (ticket + length + 1, NULL, 10) >= model->now_ms;
-}
-
-static enum gr_order_result
-carry_out_start (struct steps_model *model,
-                 struct model_worker *worker,
-                 const struct gr_order *order,
-                 int64_t until_ms)
-{
-  struct model_run *run = find_run (worker, order->task);
-  struct model_run *new_run;
-  unsigned job;
-  unsigned step;
-
-  if (run != NULL && run->run == order->run)
-    return GR_ORDER_DONE;
-  worker->lease_until_ms = MAX (worker->lease_until_ms, until_ms);
-  if (until_ms < model->now_ms)
-    return GR_ORDER_TOO_LATE;
-  if (model->needs_tickets && !ticket_is_valid (model, worker, order->ticket))
-    return GR_ORDER_NO_TICKET;
-  if (order->run <= over_run (worker, order->task))
-    return GR_ORDER_RUN_TOO_OLD;
-  new_run = g_new0 (struct model_run, 1);
-  sscanf (order->task, "%16x.%*u.%u", &job, &step);
-  g_strlcpy (new_run->task, order->task, sizeof new_run->task);
-  new_run->job = job;
-  new_run->step = step;
-  new_run->run = order->run;
-  new_run->begun_ms = model->now_ms;
-  new_run->pace = 100;
-  new_run->saved_ms = g_ascii_strtoll (order->checkpoint, NULL, 10);
-  new_run->worked_ms = new_run->saved_ms;
-  if (!has_room (model, worker, new_run))
-    {
-      g_free (new_run);
-      return GR_ORDER_NO_ROOM;
-    }
-  check_start (model, worker, new_run);
-  g_ptr_array_add (worker->runs, new_run);
-  worker->starts++;
-  job_of (model, job)->starts++;
-  if (job_of (model, job)->starts == job_of (model, job)->spec->steps[0].count)
-    job_of (model, job)->begun_ms = model->now_ms;
-  return GR_ORDER_DONE;
-}
-
-static enum gr_order_result
-carry_out (struct steps_model *model,
-           struct model_worker *worker,
-           const struct gr_order *order,
-           int64_t until_ms,
-           int64_t epoch)
-{
-  struct model_run *run;
-
-  if (epoch < worker->highest_epoch)
-    return GR_ORDER_FENCED;
-  worker->highest_epoch = epoch;
-  if (order->kind == GR_ORDER_START)
-    return carry_out_start (model, worker, order, until_ms);
-  run = find_run (worker, order->task);
-  if (order->kind == GR_ORDER_PACE)
-    {
-      if (run != NULL)
-        run->pace = order->percent;
-      return run != NULL ? GR_ORDER_DONE : GR_ORDER_REJECTED;
-    }
-  if (run != NULL && run->run <= order->run && run->stop_ms == 0)
-    run->stop_ms = model->now_ms + STOP_MS;
-  else if (run == NULL)
-    note_over (worker, order->task, order->run);
-  return GR_ORDER_DONE;
-}
-
-static void
-keep_late (struct steps_model *model,
-           const struct gr_order *order,
-           int64_t until_ms)
-{
-  struct late_order *late = g_new0 (struct late_order, 1);
-
-  late->order = *order;
-  late->order.payload = NULL;
-  late->at_ms = model->now_ms + g_rand_int_range (model->rand, 500, 6000);
-  late->until_ms = until_ms;
-  late->epoch = model->epoch;
-  g_ptr_array_add (model->late, late);
-}
-
-static void
-send_order (struct steps_model *model, const struct gr_order *order)
-{
-  struct model_worker *worker = find_worker (model, order->worker);
-  enum gr_order_result result = GR_ORDER_UNKNOWN;
-  int64_t until_ms = order->start_limit_ms;
-
-  if (order->kind == GR_ORDER_START)
-    gr_steps_worker_lease (model->steps, worker->id, until_ms + 100);
-  if (worker->cut || happens (model, model->faults.lose_order))
-    result = GR_ORDER_UNKNOWN;
-  else if (happens (model, model->faults.late_order))
-    keep_late (model, order, until_ms);
-  else
-    {
-      result = carry_out (model, worker, order, until_ms, model->epoch);
-      if (happens (model, model->faults.lose_answer))
-        result = GR_ORDER_UNKNOWN;
-    }
-  if (model->swallow > 0)
-    {
-      model->swallow--;
-      return;
-    }
-  gr_steps_order_result (model->steps, order, result, model->now_ms);
-}
-
-static void
-carry_out_late (struct steps_model *model)
-{
-  for (guint i = model->late->len; i-- > 0;)
-    {
-      struct late_order *late = model->late->pdata[i];
-
-      if (late->at_ms > model->now_ms)
-        continue;
-      carry_out (model, find_worker (model, late->order.worker), &late->order,
-                 late->until_ms, late->epoch);
-      late_free (late);
-      g_ptr_array_remove_index_fast (model->late, i);
-    }
-}
-
-static void
-end_run (struct steps_model *model,
-         struct model_worker *worker,
-         guint index,
-         enum gr_run_end how)
-{
-  struct model_run *run = worker->runs->pdata[index];
-  const struct gr_step_spec *spec = spec_of (model, run);
-  struct gr_ended row = { .number = ++worker->last_number, .run = run->run };
-
-  row.how = how;
-  g_strlcpy (row.task, run->task, sizeof row.task);
-  if (spec->checkpointing && how != GR_END_DONE)
-    {
-      if (how == GR_END_STOPPED)
-        run->saved_ms = run->worked_ms;
-      g_snprintf (row.checkpoint, sizeof row.checkpoint, "%" G_GINT64_FORMAT,
-                  run->saved_ms);
-    }
-  if (how != GR_END_DONE && how != GR_END_FAILED)
-    model->wasted_s += (double)(run->worked_ms - run->saved_ms) / 1000.0
-                       * spec->needs.accelerators;
-  note_over (worker, run->task, run->run);
-  g_array_append_val (worker->ends, row);
-  g_ptr_array_remove_index (worker->runs, index);
-}
-
-/* Members of a gang's run that are present. */
-static uint32_t
-members (struct steps_model *model, const struct model_run *run)
-{
-  uint32_t n = 0;
-
-  for (guint i = 0; i < model->workers->len; i++)
-    {
-      struct model_worker *worker = model->workers->pdata[i];
-
-      for (guint k = 0; k < worker->runs->len; k++)
-        {
-          const struct model_run *other = worker->runs->pdata[k];
-
-          n += other->job == run->job && other->step == run->step
-               && other->run == run->run;
-        }
-    }
-  return n;
-}
-
-static void
-break_gang (struct steps_model *model,
-            uint32_t job,
-            uint32_t step,
-            uint32_t number,
-            enum gr_run_end how)
-{
-  for (guint i = 0; i < model->workers->len; i++)
-    {
-      struct model_worker *worker = model->workers->pdata[i];
-
-      for (guint k = worker->runs->len; k-- > 0;)
-        {
-          const struct model_run *other = worker->runs->pdata[k];
-
-          if (other->job == job && other->step == step && other->run == number)
-            end_run (model, worker, k, how);
-        }
-    }
-}
-
-/* Tail of a task that serves: each task that fills beside it, at full pace,
- * adds 60 % of the target. */
-static uint32_t
-tail_ms (struct steps_model *model,
-         const struct model_worker *worker,
-         const struct model_run *run)
-{
-  const struct gr_step_spec *spec = spec_of (model, run);
-  uint32_t tail = spec->tail_target_ms / 5;
-
-  for (guint i = 0; i < worker->runs->len; i++)
-    {
-      const struct model_run *other = worker->runs->pdata[i];
-
-      if (spec_of (model, other)->filler)
-        tail += spec->tail_target_ms * 6 / 10 * other->pace / 100;
-    }
-  return tail;
-}
-
-/* Promise that a task that serves is not over its target for too long. */
-static void
-check_tail (struct steps_model *model,
-            struct model_worker *worker,
-            struct model_run *run)
-{
-  const struct gr_step_spec *spec = spec_of (model, run);
-
-  if (spec->tail_target_ms == 0
-      || tail_ms (model, worker, run) <= spec->tail_target_ms)
-    run->over_ms = 0;
-  else if (++run->over_ms * TICK_MS > HARM_MS)
-    break_promise (model, "over its target for too long", run->task);
-}
-
-/* How the run ends now; false if it goes on. */
-static bool
-ends_now (struct steps_model *model,
-          struct model_worker *worker,
-          struct model_run *run,
-          enum gr_run_end *how)
-{
-  const struct model_job *job = job_of (model, run->job);
-  const struct gr_step_spec *spec = spec_of (model, run);
-
-  if (model->now_ms > worker->lease_until_ms)
-    *how = GR_END_LAPSED;
-  else if (run->stop_ms != 0 && model->now_ms >= run->stop_ms)
-    *how = GR_END_STOPPED;
-  else if (spec->gang && members (model, run) < spec->count)
-    {
-      *how = GR_END_ALONE;
-      return model->now_ms > run->begun_ms + GANG_WAIT_MS;
-    }
-  else
-    {
-      check_tail (model, worker, run);
-      run->worked_ms += TICK_MS * run->pace / 100;
-      if (spec->lasting)
-        return false;
-      if (run->worked_ms - run->saved_ms >= SAVE_MS && spec->checkpointing)
-        run->saved_ms = run->worked_ms;
-      *how = job->fails || worker->fails ? GR_END_FAILED : GR_END_DONE;
-      return run->worked_ms
-             >= (*how == GR_END_FAILED ? job->work_ms / 3 : job->work_ms);
-    }
-  return true;
-}
-
-static void
-move_runs (struct steps_model *model)
-{
-  for (guint i = 0; i < model->workers->len; i++)
-    {
-      struct model_worker *worker = model->workers->pdata[i];
-
-      for (guint k = worker->runs->len; k-- > 0;)
-        {
-          struct model_run copy;
-          enum gr_run_end how;
-
-          if (k >= worker->runs->len
-              || !ends_now (model, worker, worker->runs->pdata[k], &how))
-            continue;
-          copy = *(struct model_run *)worker->runs->pdata[k];
-          end_run (model, worker, k, how);
-          if (spec_of (model, &copy)->gang)
-            break_gang (model, copy.job, copy.step, copy.run,
-                        how == GR_END_DONE ? GR_END_DONE : GR_END_BROKEN);
-        }
-    }
-}
-
 static void
 note_ends (struct steps_model *model, struct model_worker *worker)
 {
@@ -833,7 +343,8 @@
         return;
       sscanf (row->task, "%16x", &job);
       if (row->how == GR_END_DONE)
-        g_hash_table_add (job_of (model, job)->done, g_strdup (row->task));
+        g_hash_table_add (model_job_of (model, job)->done,
+                          g_strdup (row->task));
       g_array_remove_index (worker->ends, 0);
     }
 }
@@ -854,7 +365,7 @@
   if (gr_steps_look_need (model->steps, worker->id) == GR_LOOK_NONE
       && gr_steps_noted (model->steps, worker->id) == 0)
     return;
-  if (worker->cut || happens (model, model->faults.lose_look))
+  if (worker->cut || model_happens (model, model->faults.lose_look))
     {
       gr_steps_worker_reachable (model->steps, worker->id, false,
                                  model->now_ms);
@@ -875,14 +386,14 @@
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const struct model_run *run = worker->runs->pdata[i];
-      int64_t work_ms = MAX (job_of (model, run->job)->work_ms, 1);
+      int64_t work_ms = MAX (model_job_of (model, run->job)->work_ms, 1);
 
       g_strlcpy (running[i].task, run->task, sizeof running[i].task);
       running[i].run = run->run;
       running[i].percent = (uint32_t)MIN (run->worked_ms * 100 / work_ms, 99);
-      if (spec_of (model, run)->lasting && run->worked_ms >= STARTUP_MS)
+      if (model_spec_of (model, run)->lasting && run->worked_ms >= STARTUP_MS)
         running[i].percent = 100;
-      running[i].usage = tail_ms (model, worker, run);
+      running[i].usage = model_tail_ms (model, worker, run);
     }
   row.running = running;
   row.ended = (struct gr_ended *)worker->ends->data;
@@ -891,90 +402,6 @@
   g_free (running);
 }
 
-static void
-apply_commit (struct steps_model *model, struct commit *commit)
-{
-  struct model_job *job;
-
-  if (commit->id[0] == '\0')
-    {
-      gr_steps_committed (model->steps, commit->sequence);
-      return;
-    }
-  job = job_of (model, (uint32_t)g_ascii_strtoull (commit->id, NULL, 16));
-  gr_job_progress_clear (&job->durable);
-  job->durable = commit->progress;
-  job->has_durable = true;
-  if (commit->progress.state >= GR_JOB_COMPLETED && job->final_ms < 0)
-    job->final_ms = model->now_ms;
-}
-
-static void
-send_commits (struct steps_model *model)
-{
-  struct commit *commit;
-  const char *id;
-
-  while ((id = gr_steps_take_changed (model->steps)) != NULL)
-    {
-      commit = g_new0 (struct commit, 1);
-      commit->at_ms = model->now_ms + model->commit_ms;
-      g_strlcpy (commit->id, id, sizeof commit->id);
-      if (gr_steps_progress (model->steps, id, &commit->progress))
-        g_queue_push_tail (&model->commits, commit);
-      else
-        g_free (commit);
-    }
-  commit = g_new0 (struct commit, 1);
-  commit->at_ms = model->now_ms + model->commit_ms;
-  commit->sequence = gr_steps_sequence (model->steps);
-  g_queue_push_tail (&model->commits, commit);
-}
-
-static void
-echo_records (struct steps_model *model)
-{
-  for (guint i = 0; model->commit_ms > 0 && i < model->jobs->len; i++)
-    {
-      struct model_job *job = model->jobs->pdata[i];
-
-      if (job != NULL)
-        gr_steps_add_job (model->steps, job->spec,
-                          job->has_durable ? &job->durable : NULL, false,
-                          model->now_ms);
-    }
-}
-
-static void
-make_durable (struct steps_model *model)
-{
-  if (!model->store_works)
-    return;
-  send_commits (model);
-  while (!g_queue_is_empty (&model->commits)
-         && ((struct commit *)g_queue_peek_head (&model->commits))->at_ms
-                <= model->now_ms)
-    {
-      struct commit *commit = g_queue_pop_head (&model->commits);
-
-      apply_commit (model, commit);
-      g_free (commit);
-    }
-  echo_records (model);
-}
-
-static void
-drop_commits (struct steps_model *model)
-{
-  while (!g_queue_is_empty (&model->commits))
-    {
-      struct commit *commit = g_queue_pop_head (&model->commits);
-
-      gr_job_progress_clear (&commit->progress);
-      g_free (commit);
-    }
-}
-
 /* Even workers may run any step. */
 static void
 answer_advice (struct steps_model *model)
@@ -1008,8 +435,8 @@
   struct gr_order order;
 
   model->now_ms += TICK_MS;
-  move_runs (model);
-  carry_out_late (model);
+  model_move_runs (model);
+  model_carry_out_late (model);
   for (guint i = 0; i < model->workers->len; i++)
     {
       struct model_worker *worker = model->workers->pdata[i];
@@ -1021,9 +448,9 @@
   for (uint32_t sent = 0; sent < model->orders_per_tick
                           && gr_steps_take_order (model->steps, &order);
        sent++)
-    send_order (model, &order);
+    model_send_order (model, &order);
   answer_advice (model);
-  make_durable (model);
+  model_make_durable (model);
 }
 
 void
@@ -1038,13 +465,13 @@
 enum gr_job_state
 steps_model_state (const struct steps_model *model, uint32_t number)
 {
-  return job_of (model, number)->durable.state;
+  return model_job_of (model, number)->durable.state;
 }
 
 int64_t
 steps_model_begun_ms (const struct steps_model *model, uint32_t number)
 {
-  const struct model_job *job = job_of (model, number);
+  const struct model_job *job = model_job_of (model, number);
 
   return job->begun_ms < 0 ? -1 : job->begun_ms - job->added_ms;
 }
@@ -1052,7 +479,7 @@
 int64_t
 steps_model_took_ms (const struct steps_model *model, uint32_t number)
 {
-  const struct model_job *job = job_of (model, number);
+  const struct model_job *job = model_job_of (model, number);
 
   return job->final_ms < 0 ? -1 : job->final_ms - job->added_ms;
 }
@@ -1060,7 +487,7 @@
 uint32_t
 steps_model_starts (const struct steps_model *model, uint32_t number)
 {
-  return job_of (model, number)->starts;
+  return model_job_of (model, number)->starts;
 }
 
 uint32_t
@@ -1084,7 +511,8 @@
 uint32_t
 steps_model_failures (const struct steps_model *model, uint32_t number)
 {
-  const struct gr_job_progress *progress = &job_of (model, number)->durable;
+  const struct gr_job_progress *progress =
+      &model_job_of (model, number)->durable;
   uint32_t failures = 0;
 
   for (size_t i = 0; i < progress->n_tasks; i++)
@@ -1117,7 +545,7 @@
   struct model_worker *worker = worker_at (model, number);
 
   while (worker->runs->len > 0)
-    end_run (model, worker, 0, GR_END_FAILED);
+    model_end_run (model, worker, 0, GR_END_FAILED);
 }
 
 uint32_t
