steps: parameters and fields that nothing used are gone

Cause: reading the change as a newcomer: unused parameters, two unused fields and a declaration without a function in the core's tables. Change: removed. No behaviour was changed. Ruled out: removing far_factor and gang_wait_ms from the settings as well; they state bounds that the placement should use and does not yet.

--- a/steps/advice.c
+++ b/steps/advice.c
@@ -114,7 +114,7 @@
 
       if (!is_of_interest (steps, step, worker))
         continue;
-      room = gr_worker_room (worker, step, steps->now_ms);
+      room = gr_worker_room (worker, step);
       choice.slots = gr_slots_in (step, worker, &room);
       choice.known_good = find (step, worker) != NULL;
       g_array_append_val (choices, choice);
--- a/steps/health.c
+++ b/steps/health.c
@@ -43,11 +43,10 @@
 }
 
 void
-gr_health_done (struct gr_steps *steps, struct worker *worker)
+gr_health_done (struct worker *worker)
 {
   worker->failures = 0;
   worker->quarantine_ms = 0;
-  worker->last_done_ms = steps->now_ms;
 }
 
 void
--- a/steps/place.c
+++ b/steps/place.c
@@ -76,13 +76,10 @@
 }
 
 struct gr_resources
-gr_worker_room (const struct worker *worker,
-                const struct step *step,
-                int64_t now_ms)
+gr_worker_room (const struct worker *worker, const struct step *step)
 {
   struct gr_resources room = { 0 };
 
-  (void)now_ms;
   if (gr_worker_is_kept (worker, step))
     return room;
   if (worker->capacity.cpu_milli > worker->used.cpu_milli)
@@ -147,7 +144,7 @@
 
       if (!gr_worker_allowed (steps, worker, step))
         continue;
-      room = gr_worker_room (worker, step, steps->now_ms);
+      room = gr_worker_room (worker, step);
       candidate.slots = gr_slots_in (step, worker, &room);
       candidate.left = room.accelerators;
       if (candidate.slots > 0)
@@ -341,7 +338,7 @@
 
       if (!gr_worker_allowed (steps, worker, step))
         continue;
-      room = gr_worker_room (worker, step, steps->now_ms);
+      room = gr_worker_room (worker, step);
       if (gr_slots_in (step, worker, &room) == 0)
         continue;
       score = ((uint64_t)worker->rack_row->room << 8)
--- a/steps/reclaim.c
+++ b/steps/reclaim.c
@@ -122,11 +122,9 @@
 
 /* Room on the worker with what is being stopped already. */
 static struct gr_resources
-coming_room (const struct gr_steps *steps,
-             const struct step *step,
-             const struct worker *worker)
+coming_room (const struct step *step, const struct worker *worker)
 {
-  struct gr_resources room = gr_worker_room (worker, step, steps->now_ms);
+  struct gr_resources room = gr_worker_room (worker, step);
 
   if (gr_worker_is_kept (worker, step))
     return room;
@@ -150,7 +148,7 @@
            bool apply,
            double *loss)
 {
-  struct gr_resources room = coming_room (steps, step, worker);
+  struct gr_resources room = coming_room (step, worker);
   GArray *victims = find_victims (steps, step, worker);
   uint32_t slots = gr_slots_in (step, worker, &room);
 
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -8,13 +8,10 @@
  * progress of jobs. */
 
 static void
-set_checkpoint (struct gr_steps *steps,
-                struct task *task,
-                const char *checkpoint)
+set_checkpoint (struct task *task, const char *checkpoint)
 {
   struct task *owner = task->step->spec->gang ? &task->step->tasks[0] : task;
 
-  (void)steps;
   if (checkpoint[0] == '\0' || owner->state == TASK_DONE)
     return;
   if (owner->checkpoint != NULL && g_str_equal (owner->checkpoint, checkpoint))
@@ -139,13 +136,13 @@
   log_end (worker, ended, own ? "own run" : "earlier run");
   if (ended->how == GR_END_DONE)
     {
-      gr_health_done (steps, worker);
+      gr_health_done (worker);
       end_done (steps, task, own, ended->run);
       return;
     }
   if (ended->checkpoint[0] != '\0' && (own || !gr_task_is_active (task)))
     {
-      set_checkpoint (steps, task, ended->checkpoint);
+      set_checkpoint (task, ended->checkpoint);
       gr_job_changed (steps, gr_task_job (task));
     }
   if (ended->how == GR_END_FAILED)
@@ -193,7 +190,7 @@
                 struct task *task,
                 const struct gr_running *running)
 {
-  set_checkpoint (steps, task, running->checkpoint);
+  set_checkpoint (task, running->checkpoint);
   if (task->state == TASK_STARTING)
     {
       task->state = TASK_RUNNING;
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -38,7 +38,6 @@
   char last_failed_job[GR_JOB_ID_DIGITS + 1];
   int64_t quarantine_until_ms;
   uint32_t quarantine_ms;
-  int64_t last_done_ms;
   uint32_t pace; /* percent that filling tasks may use here */
   int64_t pace_changed_ms;
 };
@@ -158,9 +157,8 @@
 {
   char *name;
   uint32_t guaranteed;
-  /* Computed at each tick. */
-  uint32_t urgent_demand; /* of its jobs of priority 0 that are not final */
-  uint32_t urgent_used;
+  uint32_t urgent_demand; /* computed at each tick: of its jobs of priority 0
+                             that are not final */
 };
 
 struct gr_steps
@@ -263,11 +261,10 @@
 void gr_health_failed (struct gr_steps *steps,
                        struct worker *worker,
                        const struct job *job);
-void gr_health_done (struct gr_steps *steps, struct worker *worker);
+void gr_health_done (struct worker *worker);
 void gr_health_suspect (struct gr_steps *steps,
                         struct worker *worker,
                         const char *reason);
-void gr_health_tick (struct gr_steps *steps);
 
 /* Advice. */
 bool gr_advice_allows (const struct gr_steps *steps,
@@ -298,9 +295,9 @@
 uint32_t gr_slots_in (const struct step *step,
                       const struct worker *worker,
                       const struct gr_resources *room);
+/* What is free on the worker for the step. */
 struct gr_resources gr_worker_room (const struct worker *worker,
-                                    const struct step *step,
-                                    int64_t now_ms);
+                                    const struct step *step);
 bool gr_worker_allowed (const struct gr_steps *steps,
                         const struct worker *worker,
                         const struct step *step);
