instance: orders that wait do not hold up looks, silent workers hold no calls

A counter in a scratch copy showed 64 open calls, 23,000 to 26,000 orders in the queue and a main loop that was late by 1 to 8 ms only: stops were queued again each 400 ms while the former ones had not been sent; orders to lost workers held the shared 64 calls for their timeout; and looks, which share them, were not sent, so that 260 of 350 workers were not looked at for 25 s and their leases lapsed. Change: a stop is repeated only after the former has its result. Orders and looks have limits of their own (instance/call-budget), calls to a worker whose last call had no answer are not counted, and it gets one order at a time. Ruled out: processor time (lateness above), connections (files at most 1,030). Tests, red before: waiting_stops_are_not_queued_again, silent_workers_do_not_hold_up_others; red against mutants: waiting_orders_do_not_hold_up_looks, calls_without_an_answer_leave_room_for_others.

--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -1,6 +1,7 @@
 #include "instance/worker-io.h"
 
 #include "common/log.h"
+#include "instance/call-budget.h"
 #include "platform/worker-calls.h"
 
 /* A worker's clock can be 2 % slow; 1 % more for ours. */
@@ -19,10 +20,6 @@
  * fill beside tasks that serve, which may be over their target for 4 s. */
 #define PERIODIC_LOOK_PAUSE_MS 500
 
-/* Calls that are open at one time, beside looks that wait. More would only wait
- * for the processor, and time out. */
-#define MAX_OPEN_CALLS 64
-
 /* A late main loop means that answers wait for this process, not that they are
  * missing: timeouts grow by this many times the lateness. */
 #define LATENESS_FACTOR 4
@@ -45,6 +42,7 @@
   bool looking; /* another look is open */
   bool removed;
   uint32_t open_calls;
+  struct gr_call_peer calls;
 };
 
 struct gr_worker_io
@@ -55,9 +53,9 @@
   int64_t epoch;
   int64_t hold_ms;
   struct gr_worker_io_events events;
-  GHashTable *peers;   /* worker id -> struct peer */
-  uint32_t open_calls; /* orders, and looks that do not wait */
-  int64_t late_ms;     /* of the main loop, of late */
+  GHashTable *peers; /* worker id -> struct peer */
+  struct gr_call_budget budget;
+  int64_t late_ms; /* of the main loop, of late */
   bool destroyed;
 };
 
@@ -65,12 +63,14 @@
 {
   struct peer *peer;
   struct gr_order order;
+  bool counted; /* see gr_call_begin () */
 };
 
 struct look_call
 {
   struct peer *peer;
   bool waits;
+  bool counted;
 };
 
 static void
@@ -147,7 +147,8 @@
   struct peer *peer = call->peer;
   struct gr_worker_io *io = peer->io;
 
-  io->open_calls--;
+  gr_call_end (&io->budget, &peer->calls, GR_CALL_ORDER, call->counted,
+               result != GR_ORDER_UNKNOWN && result != GR_ORDER_NOT_SENT);
   if (!io->destroyed && !peer->removed)
     {
       read_clock (peer, clock_ms);
@@ -178,8 +179,8 @@
   call->peer = peer;
   call->order = *order;
   reply.context = call;
+  call->counted = gr_call_begin (&io->budget, &peer->calls, GR_CALL_ORDER);
   peer->open_calls++;
-  io->open_calls++;
   target = target_of (peer);
   if (order->kind == GR_ORDER_START)
     {
@@ -229,11 +230,15 @@
   struct gr_worker_io *io = peer->io;
 
   if (call->waits)
-    peer->waiting = false;
+    {
+      peer->waiting = false;
+      peer->calls.silent = error != NULL;
+    }
   else
     {
       peer->looking = false;
-      io->open_calls--;
+      gr_call_end (&io->budget, &peer->calls, GR_CALL_LOOK, call->counted,
+                   error == NULL);
     }
   g_free (call);
   if (!io->destroyed && !peer->removed)
@@ -270,7 +275,7 @@
   else
     {
       peer->looking = true;
-      io->open_calls++;
+      call->counted = gr_call_begin (&io->budget, &peer->calls, GR_CALL_LOOK);
     }
   peer->open_calls++;
   /* Before the first answer the worker's clock is not known. A look that may
@@ -296,7 +301,7 @@
       || (note && need == GR_LOOK_NONE))
     {
       if (peer->looking || now_ms < peer->next_look_ms
-          || io->open_calls >= MAX_OPEN_CALLS)
+          || !gr_call_may_begin (&io->budget, &peer->calls, GR_CALL_LOOK))
         return;
       peer->next_look_ms =
           now_ms
@@ -308,6 +313,17 @@
     send_look (peer, LOOK_WAIT_MS);
 }
 
+static bool
+can_send (const char *worker, void *context)
+{
+  const struct gr_worker_io *io = context;
+  const struct peer *peer = g_hash_table_lookup (io->peers, worker);
+
+  /* Without a peer the result is known at once. */
+  return peer == NULL
+         || gr_call_may_begin (&io->budget, &peer->calls, GR_CALL_ORDER);
+}
+
 void
 gr_worker_io_run (struct gr_worker_io *io)
 {
@@ -316,8 +332,7 @@
   GHashTableIter iter;
   void *value;
 
-  while (io->open_calls < MAX_OPEN_CALLS
-         && gr_steps_take_order (io->steps, &order))
+  while (gr_steps_take_order (io->steps, can_send, io, &order))
     send_order (io, &order);
   g_hash_table_iter_init (&iter, io->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/steps/core.c
+++ b/steps/core.c
@@ -364,4 +364,5 @@
       counts->accelerators += worker->capacity.accelerators;
       counts->accelerators_used += worker->used.accelerators;
     }
+  counts->orders = steps->orders.length;
 }
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -19,7 +19,9 @@
 /* For the way of a start, and for clocks that differ by 3 %. */
 #define LEASE_SLACK_MS 200
 
-/* Time between two stop orders for one run; a stop takes at most 200 ms. */
+/* Time between two stop orders for one run; a stop takes at most 200 ms. The
+ * former order must have its result, so that they do not pile up where calls
+ * wait. */
 #define STOP_REPEAT_MS 400
 
 /* After a worker had less room than was computed, until its next look. */
@@ -51,6 +53,7 @@
 
   task->order_ms = steps->now_ms;
   task->order_open = true;
+  task->stop_open = false;
   task->tries++;
   gr_task_name (task, order.task);
   g_strlcpy (order.worker, task->worker->id, sizeof order.worker);
@@ -98,6 +101,14 @@
   push_order (steps, &order);
 }
 
+static void
+send_stop (struct gr_steps *steps, struct task *task, const char *name)
+{
+  task->order_ms = steps->now_ms;
+  task->stop_open = true;
+  gr_order_stop_run (steps, task->worker, name, task->run);
+}
+
 void
 gr_order_stop (struct gr_steps *steps, struct task *task)
 {
@@ -108,9 +119,8 @@
     return;
   task->state = TASK_STOPPING;
   task->stop_answered_ms = 0;
-  task->order_ms = steps->now_ms;
   gr_task_name (task, name);
-  gr_order_stop_run (steps, task->worker, name, task->run);
+  send_stop (steps, task, name);
 }
 
 void
@@ -271,7 +281,10 @@
         task->pace = order->percent;
     }
   else if (task->state == TASK_STOPPING)
-    stop_result (steps, task, result);
+    {
+      task->stop_open = false;
+      stop_result (steps, task, result);
+    }
 }
 
 /* Orders without an answer. */
@@ -292,12 +305,12 @@
       return;
     }
   if (task->state != TASK_STOPPING
-      || steps->now_ms - task->order_ms < STOP_REPEAT_MS)
+      || steps->now_ms - task->order_ms
+             < (task->stop_open ? RESULT_LOST_MS : STOP_REPEAT_MS))
     return;
-  task->order_ms = steps->now_ms;
   task->worker->look_soon = true;
   gr_task_name (task, name);
-  gr_order_stop_run (steps, task->worker, name, task->run);
+  send_stop (steps, task, name);
 }
 
 void
@@ -342,18 +355,28 @@
 }
 
 bool
-gr_steps_take_order (struct gr_steps *steps, struct gr_order *order)
+gr_steps_take_order (struct gr_steps *steps,
+                     bool (*can_send) (const char *worker, void *context),
+                     void *context,
+                     struct gr_order *order)
 {
-  struct gr_order *next;
+  GList *link = steps->orders.head;
 
-  while ((next = g_queue_pop_head (&steps->orders)) != NULL)
+  while (link != NULL)
     {
-      bool outdated = is_outdated (steps, next);
-
-      *order = *next;
-      g_free (next);
-      if (!outdated)
-        return true;
+      GList *next = link->next;
+      struct gr_order *waiting = link->data;
+      bool outdated = is_outdated (steps, waiting);
+
+      if (outdated || can_send == NULL || can_send (waiting->worker, context))
+        {
+          g_queue_delete_link (&steps->orders, link);
+          *order = *waiting;
+          g_free (waiting);
+          if (!outdated)
+            return true;
+        }
+      link = next;
     }
   return false;
 }
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -221,7 +221,12 @@
 void gr_steps_tick (struct gr_steps *steps, int64_t now_ms, int64_t unix_ms);
 
 /* Outputs. */
-bool gr_steps_take_order (struct gr_steps *steps, struct gr_order *order);
+/* The first order that can be sent now; the others keep their places. can_send
+ * may be NULL: all can. */
+bool gr_steps_take_order (struct gr_steps *steps,
+                          bool (*can_send) (const char *worker, void *context),
+                          void *context,
+                          struct gr_order *order);
 bool gr_steps_take_advice_request (struct gr_steps *steps,
                                    struct gr_advice_request *request);
 /* Id of a job whose progress has changed since it was last taken; NULL if
@@ -267,6 +272,7 @@
   uint32_t workers_quarantined;
   uint32_t accelerators;
   uint32_t accelerators_used;
+  uint32_t orders; /* that wait to be taken */
 };
 void gr_steps_counts (const struct gr_steps *steps,
                       struct gr_steps_counts *counts);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -74,6 +74,7 @@
   int64_t placed_ms;
   int64_t order_ms;    /* last order that was sent */
   bool order_open;     /* a start has neither answer nor timeout yet */
+  bool stop_open;      /* the same of a stop */
   uint32_t tries;      /* of the start order */
   int64_t answered_ms; /* the run is on the worker since; 0: not known */
   int64_t stop_answered_ms;
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -445,8 +445,9 @@
         look (model, worker);
     }
   gr_steps_tick (model->steps, model->now_ms, model->now_ms);
-  for (uint32_t sent = 0; sent < model->orders_per_tick
-                          && gr_steps_take_order (model->steps, &order);
+  for (uint32_t sent = 0;
+       sent < model->orders_per_tick
+       && gr_steps_take_order (model->steps, NULL, NULL, &order);
        sent++)
     model_send_order (model, &order);
   answer_advice (model);
--- a/tests/test-instance.c
+++ b/tests/test-instance.c
@@ -1,4 +1,5 @@
 #include "common/log.h"
+#include "instance/call-budget.h"
 #include "instance/worker-io.h"
 #include "standins/metastore.h"
 
@@ -7,10 +8,11 @@
 
 /* Parts of an instance against the stand-in of the users' platform. */
 
-#define WORKERS 4
+#define MOST_WORKERS 32
 
 struct world
 {
+  uint32_t workers;
   struct gr_standin_platform *platform;
   struct gr_steps *steps;
   struct gr_worker_io *io;
@@ -25,12 +27,12 @@
 }
 
 static void
-world_create (struct world *world, uint32_t hold_ms)
+world_create (struct world *world, uint32_t workers, uint32_t hold_ms)
 {
   struct gr_error error = GR_ERROR_INIT;
   struct gr_standin_platform_options options = {
     .listen = "127.0.0.1:0",
-    .workers = WORKERS,
+    .workers = workers,
     .per_rack = 8,
     .accelerators = 8,
     .cores = 128,
@@ -53,6 +55,8 @@
     .stretch = 3,
   };
 
+  g_assert (workers <= MOST_WORKERS);
+  world->workers = workers;
   world->platform = gr_standin_platform_create (&options, &error);
   ck_assert_msg (world->platform != NULL, "%s", error.message);
   world->clock = gr_clock_create ();
@@ -62,7 +66,7 @@
   world->io = gr_worker_io_create (
       world->steps, 1, hold_ms, world->clock, world->counters,
       &(struct gr_worker_io_events){ ignore_change, NULL });
-  for (uint32_t i = 0; i < WORKERS; i++)
+  for (uint32_t i = 0; i < workers; i++)
     {
       const char *labels[] = { "a", "r1-0", NULL };
       char id[16];
@@ -125,15 +129,17 @@
 }
 
 static void
-add_job (struct world *world, const char *payload, uint32_t count, bool gang)
+add_job (struct world *world,
+         const char *id,
+         const char *payload,
+         uint32_t count,
+         uint32_t accelerators)
 {
   struct gr_step_spec step = {
     .count = count,
-    .needs = { 1000, 100, 8 },
-    .gang = gang,
+    .needs = { 1000, 100, accelerators },
   };
   struct gr_job_spec spec = {
-    .id = "00000000000000a1",
     .queue = (char *)"q",
     .account = (char *)"a",
     .payload = (char *)payload,
@@ -141,6 +147,7 @@
     .n_steps = 1,
   };
 
+  g_strlcpy (spec.id, id, sizeof spec.id);
   gr_steps_add_job (world->steps, &spec, NULL, false,
                     gr_clock_now_ms (world->clock));
 }
@@ -150,13 +157,13 @@
 START_TEST (silent_worker_loses_its_runs)
 {
   struct world world;
-  uint32_t silent = WORKERS;
+  uint32_t silent = MOST_WORKERS;
 
-  world_create (&world, 2500);
+  world_create (&world, 4, 2500);
   world_run (&world, 200);
-  add_job (&world, "run_ms=60000", 1, false);
+  add_job (&world, "00000000000000a1", "run_ms=60000", 1, 8);
   world_run (&world, 200);
-  for (uint32_t i = 0; i < WORKERS; i++)
+  for (uint32_t i = 0; i < world.workers; i++)
     {
       struct gr_standin *worker =
           gr_standin_platform_worker (world.platform, i);
@@ -166,7 +173,7 @@
       gr_standin_faults (worker)->silent = 1;
       silent = i;
     }
-  ck_assert_uint_lt (silent, WORKERS);
+  ck_assert_uint_lt (silent, world.workers);
   /* The silence shows after 1.9 s, the lease of 2.5 s expires after it. */
   world_run (&world, 6000);
   ck_assert_uint_eq (
@@ -175,6 +182,82 @@
 }
 END_TEST
 
+/* Stops to workers that did not answer were repeated while the former ones
+ * still waited to be sent, and took the calls that all workers share: after the
+ * loss of 29 workers of 350 nothing was started any more. */
+START_TEST (silent_workers_do_not_hold_up_others)
+{
+  struct world world;
+  const uint32_t answering = 8;
+  uint32_t started = 0;
+
+  world_create (&world, MOST_WORKERS, 7000);
+  world_run (&world, 200);
+  add_job (&world, "00000000000000a1", "run_ms=60000", MOST_WORKERS * 8, 1);
+  world_run (&world, 1000);
+  for (uint32_t i = answering; i < MOST_WORKERS; i++)
+    gr_standin_faults (gr_standin_platform_worker (world.platform, i))->silent =
+        1;
+  gr_steps_cancel_job (world.steps, "00000000000000a1");
+  world_run (&world, 3000);
+  add_job (&world, "00000000000000a2", "run_ms=60000", answering * 8, 1);
+  world_run (&world, 1000);
+  for (uint32_t i = 0; i < answering * 8; i++)
+    {
+      char task[GR_TASK_NAME_SIZE];
+
+      g_snprintf (task, sizeof task, "00000000000000a2.0.0.%u", i);
+      started += gr_standin_platform_starts (world.platform, task);
+    }
+  ck_assert_uint_eq (started, answering * 8);
+  world_destroy (&world);
+}
+END_TEST
+
+/* Orders took all calls that could be open; workers were not looked at for
+ * 25 s, so that leases expired and ends were not noticed. */
+START_TEST (waiting_orders_do_not_hold_up_looks)
+{
+  struct gr_call_budget budget = { 0 };
+  struct gr_call_peer peers[100] = { 0 };
+
+  for (size_t i = 0; i < 1000; i++)
+    if (gr_call_may_begin (&budget, &peers[i % 100], GR_CALL_ORDER))
+      gr_call_begin (&budget, &peers[i % 100], GR_CALL_ORDER);
+  ck_assert (!gr_call_may_begin (&budget, &peers[99], GR_CALL_ORDER));
+  ck_assert (gr_call_may_begin (&budget, &peers[99], GR_CALL_LOOK));
+}
+END_TEST
+
+/* Workers that are lost at once, each with orders that wait for their timeout,
+ * kept orders from all other workers. */
+START_TEST (calls_without_an_answer_leave_room_for_others)
+{
+  struct gr_call_budget budget = { 0 };
+  struct gr_call_peer lost[100] = { 0 };
+  struct gr_call_peer other = { 0 };
+
+  for (size_t i = 0; i < 100; i++)
+    {
+      bool counted = gr_call_begin (&budget, &lost[i], GR_CALL_ORDER);
+
+      gr_call_end (&budget, &lost[i], GR_CALL_ORDER, counted, false);
+    }
+  for (size_t i = 0; i < 100; i++)
+    {
+      ck_assert (gr_call_may_begin (&budget, &lost[i], GR_CALL_ORDER));
+      ck_assert (!gr_call_begin (&budget, &lost[i], GR_CALL_ORDER));
+      ck_assert (!gr_call_may_begin (&budget, &lost[i], GR_CALL_ORDER));
+      ck_assert (gr_call_may_begin (&budget, &lost[i], GR_CALL_LOOK));
+      gr_call_begin (&budget, &lost[i], GR_CALL_LOOK);
+    }
+  ck_assert (gr_call_may_begin (&budget, &other, GR_CALL_ORDER));
+  ck_assert (gr_call_may_begin (&budget, &other, GR_CALL_LOOK));
+  gr_call_end (&budget, &lost[0], GR_CALL_ORDER, false, true);
+  ck_assert (gr_call_begin (&budget, &lost[0], GR_CALL_ORDER));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -186,6 +269,9 @@
   gr_log_init ("test-instance", "test");
   tcase_set_timeout (tests, 30);
   tcase_add_test (tests, silent_worker_loses_its_runs);
+  tcase_add_test (tests, silent_workers_do_not_hold_up_others);
+  tcase_add_test (tests, waiting_orders_do_not_hold_up_looks);
+  tcase_add_test (tests, calls_without_an_answer_leave_room_for_others);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -328,6 +328,29 @@
 }
 END_TEST
 
+/* A stop was queued again each 400 ms while the former one had not been sent,
+ * so that an owner that was behind fell further behind. */
+START_TEST (waiting_stops_are_not_queued_again)
+{
+  struct gr_step_spec many = plain;
+  struct steps_model *model = create (4, 1);
+  struct gr_steps_counts counts;
+
+  many.count = 8;
+  steps_model_add_job (model, 1, "normal", "a", &many, 1, 20000);
+  steps_model_run (model, 500);
+  steps_model_set_orders_per_tick (model, 0);
+  steps_model_cancel (model, 1);
+  steps_model_run (model, 3000);
+  gr_steps_counts (steps_model_core (model), &counts);
+  ck_assert_uint_eq (counts.orders, 8);
+  steps_model_set_orders_per_tick (model, 100);
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (steps_model_running (model, 1), 0);
+  finish (model);
+}
+END_TEST
+
 /* A gang that is larger than any rack waited for a rack to take it, for nearly
  * half of the time in which guaranteed work must begin. */
 START_TEST (gang_larger_than_a_rack_does_not_wait_for_one)
@@ -391,6 +414,7 @@
   tcase_add_test (tests, waiting_orders_hold_their_runs);
   tcase_add_test (tests, first_sight_of_an_entry_is_no_heartbeat);
   tcase_add_test (tests, start_without_a_result_is_given_up);
+  tcase_add_test (tests, waiting_stops_are_not_queued_again);
   tcase_add_test (tests, gang_larger_than_a_rack_does_not_wait_for_one);
   tcase_add_test (tests, gang_does_not_wait_for_a_rack_while_most_is_free);
   suite_add_tcase (suite, tests);
