steps: stops and urgent starts are sent before other starts

Change: orders wait in three ranks: stops and paces, starts of priority 0, other starts. Test, red with the rank of others: urgent_starts_are_sent_first.

--- a/steps/core.c
+++ b/steps/core.c
@@ -40,7 +40,8 @@
   steps->worker_rows = g_ptr_array_new ();
   steps->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   steps->job_rows = g_ptr_array_new ();
-  g_queue_init (&steps->orders);
+  for (size_t i = 0; i < G_N_ELEMENTS (steps->orders); i++)
+    g_queue_init (&steps->orders[i]);
   g_queue_init (&steps->changed);
   g_queue_init (&steps->advice_requests);
   return steps;
@@ -58,7 +59,8 @@
   g_hash_table_destroy (steps->jobs);
   g_hash_table_destroy (steps->queues);
   g_hash_table_destroy (steps->accounts);
-  g_queue_clear_full (&steps->orders, g_free);
+  for (size_t i = 0; i < G_N_ELEMENTS (steps->orders); i++)
+    g_queue_clear_full (&steps->orders[i], g_free);
   g_queue_clear (&steps->changed);
   g_queue_clear_full (&steps->advice_requests, g_free);
   g_free (steps);
@@ -364,5 +366,6 @@
       counts->accelerators += worker->capacity.accelerators;
       counts->accelerators_used += worker->used.accelerators;
     }
-  counts->orders = steps->orders.length;
+  for (size_t i = 0; i < G_N_ELEMENTS (steps->orders); i++)
+    counts->orders += steps->orders[i].length;
 }
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -27,10 +27,25 @@
 /* After a worker had less room than was computed, until its next look. */
 #define NO_ROOM_PAUSE_MS 250
 
+/* Orders wait when the owner has more to send than its processor carries, for a
+ * second and more on the heaviest days of a large site. Stops go first: they
+ * make room, and those of cancelled runs have a time limit. Urgent starts go
+ * before others, as their accounts were promised a start in time. */
+static enum order_rank
+rank_of (const struct gr_order *order, uint32_t priority)
+{
+  if (order->kind != GR_ORDER_START)
+    return ORDER_STOP;
+  return priority == 0 ? ORDER_URGENT_START : ORDER_START;
+}
+
 static void
-push_order (struct gr_steps *steps, const struct gr_order *order)
+push_order (struct gr_steps *steps,
+            const struct gr_order *order,
+            uint32_t priority)
 {
-  g_queue_push_tail (&steps->orders, g_memdup2 (order, sizeof *order));
+  g_queue_push_tail (&steps->orders[rank_of (order, priority)],
+                     g_memdup2 (order, sizeof *order));
 }
 
 static const char *
@@ -65,7 +80,7 @@
   /* The order may wait before it is sent with a lease. */
   gr_steps_worker_lease (steps, task->worker->id,
                          order.start_limit_ms + LEASE_SLACK_MS);
-  push_order (steps, &order);
+  push_order (steps, &order, gr_task_job (task)->queue->priority);
 }
 
 /* The task has a worker and a run. */
@@ -98,7 +113,7 @@
 
   g_strlcpy (order.worker, worker->id, sizeof order.worker);
   g_strlcpy (order.task, task, sizeof order.task);
-  push_order (steps, &order);
+  push_order (steps, &order, 0);
 }
 
 static void
@@ -338,7 +353,7 @@
   task->pace_sent_ms = steps->now_ms;
   g_strlcpy (order.worker, task->worker->id, sizeof order.worker);
   gr_task_name (task, order.task);
-  push_order (steps, &order);
+  push_order (steps, &order, 0);
 }
 
 /* Its task was stopped or placed elsewhere while the order waited. */
@@ -354,13 +369,14 @@
          || !g_str_equal (task->worker->id, order->worker);
 }
 
-bool
-gr_steps_take_order (struct gr_steps *steps,
-                     bool (*can_send) (const char *worker, void *context),
-                     void *context,
-                     struct gr_order *order)
+static bool
+take_from (struct gr_steps *steps,
+           GQueue *queue,
+           bool (*can_send) (const char *worker, void *context),
+           void *context,
+           struct gr_order *order)
 {
-  GList *link = steps->orders.head;
+  GList *link = queue->head;
 
   while (link != NULL)
     {
@@ -370,7 +386,7 @@
 
       if (outdated || can_send == NULL || can_send (waiting->worker, context))
         {
-          g_queue_delete_link (&steps->orders, link);
+          g_queue_delete_link (queue, link);
           *order = *waiting;
           g_free (waiting);
           if (!outdated)
@@ -380,3 +396,15 @@
     }
   return false;
 }
+
+bool
+gr_steps_take_order (struct gr_steps *steps,
+                     bool (*can_send) (const char *worker, void *context),
+                     void *context,
+                     struct gr_order *order)
+{
+  for (uint32_t rank = 0; rank < ORDER_RANKS; rank++)
+    if (take_from (steps, &steps->orders[rank], can_send, context, order))
+      return true;
+  return false;
+}
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -162,6 +162,14 @@
                              that are not final */
 };
 
+enum order_rank
+{
+  ORDER_STOP, /* and pace */
+  ORDER_URGENT_START,
+  ORDER_START,
+  ORDER_RANKS,
+};
+
 struct gr_steps
 {
   struct gr_steps_settings settings;
@@ -177,9 +185,9 @@
   bool racks_stale;
   GHashTable *jobs; /* id -> struct job, not final or still active */
   GPtrArray *job_rows;
-  GQueue orders;
-  GQueue changed;         /* struct job */
-  GQueue advice_requests; /* struct gr_advice_request */
+  GQueue orders[ORDER_RANKS]; /* struct gr_order; see rank_of () */
+  GQueue changed;             /* struct job */
+  GQueue advice_requests;     /* struct gr_advice_request */
   uint32_t advice_open;
   uint64_t sequence;
   uint64_t committed; /* changes up to this are durable */
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -351,6 +351,26 @@
 }
 END_TEST
 
+/* An urgent start waited behind hundreds of others to be sent, for longer than
+ * its account was promised. */
+START_TEST (urgent_starts_are_sent_first)
+{
+  struct gr_step_spec many = plain;
+  struct steps_model *model = create (32, 1);
+
+  many.count = 150;
+  steps_model_set_orders_per_tick (model, 1);
+  steps_model_add_job (model, 1, "normal", "a", &many, 1, 4000);
+  steps_model_run (model, 200);
+  steps_model_add_job (model, 2, "urgent", "b", &plain, 1, 1000);
+  steps_model_run (model, 4000);
+  ck_assert_int_ge (steps_model_begun_ms (model, 2), 0);
+  /* Four orders at one in each tick of 20 ms, and a tick for placing. */
+  ck_assert_int_le (steps_model_begun_ms (model, 2), 120);
+  finish (model);
+}
+END_TEST
+
 /* A gang that is larger than any rack waited for a rack to take it, for nearly
  * half of the time in which guaranteed work must begin. */
 START_TEST (gang_larger_than_a_rack_does_not_wait_for_one)
@@ -415,6 +435,7 @@
   tcase_add_test (tests, first_sight_of_an_entry_is_no_heartbeat);
   tcase_add_test (tests, start_without_a_result_is_given_up);
   tcase_add_test (tests, waiting_stops_are_not_queued_again);
+  tcase_add_test (tests, urgent_starts_are_sent_first);
   tcase_add_test (tests, gang_larger_than_a_rack_does_not_wait_for_one);
   tcase_add_test (tests, gang_does_not_wait_for_a_rack_while_most_is_free);
   suite_add_tcase (suite, tests);
