steps: tasks are not placed while starts wait to be sent

Change: work that is not urgent is placed only while fewer than 64 starts wait. Test, red before: starts_are_not_placed_to_wait (the job of 400 tasks did not complete; now with 400 starts in the time that 400 orders take). Conclusion: an owner that is behind stays useful.

--- a/steps/orders.c
+++ b/steps/orders.c
@@ -19,6 +19,10 @@
 /* For the way of a start, and for clocks that differ by 3 %. */
 #define LEASE_SLACK_MS 200
 
+/* Starts that wait, beside those that are urgent. An owner sends some hundred
+ * orders in a second, and a start is of no use after START_LIMIT_MS. */
+#define MAX_WAITING_STARTS 64
+
 /* Time between two stop orders for one run; a stop takes at most 200 ms. The
  * former order must have its result, so that they do not pile up where calls
  * wait. */
@@ -328,6 +332,12 @@
   send_stop (steps, task, name);
 }
 
+bool
+gr_orders_are_behind (const struct gr_steps *steps)
+{
+  return steps->orders[ORDER_START].length >= MAX_WAITING_STARTS;
+}
+
 void
 gr_orders_tick (struct gr_steps *steps)
 {
--- a/steps/place.c
+++ b/steps/place.c
@@ -356,6 +356,14 @@
   return best;
 }
 
+/* Urgent starts are sent before others, so that they need not wait here. */
+static bool
+may_place (const struct gr_steps *steps, const struct step *step)
+{
+  return gr_step_job (step)->queue->priority == 0
+         || !gr_orders_are_behind (steps);
+}
+
 /* False if a task is left that has no room. */
 static bool
 place_tasks (struct gr_steps *steps, struct step *step)
@@ -367,6 +375,8 @@
 
       if (task->state != TASK_WAITING)
         continue;
+      if (!may_place (steps, step))
+        return true;
       worker = best_worker (steps, task);
       if (worker == NULL)
         return false;
@@ -545,7 +555,7 @@
       struct step *step = g_array_index (ranked, struct ranked, i).step;
       bool placed;
 
-      if (repair_gang (steps, step))
+      if (repair_gang (steps, step) || !may_place (steps, step))
         continue;
       if (is_hopeless (steps, step, failed))
         {
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -257,6 +257,8 @@
 void
 gr_order_pace (struct gr_steps *steps, struct task *task, uint32_t percent);
 void gr_orders_tick (struct gr_steps *steps);
+/* Starts wait to be sent; more would only wait longer. */
+bool gr_orders_are_behind (const struct gr_steps *steps);
 /* Ends all runs of a gang, because one of them has ended or not begun. */
 void gr_gang_abort (struct gr_steps *steps, struct step *step);
 
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -371,6 +371,25 @@
 }
 END_TEST
 
+/* Tasks were placed faster than their starts could be sent. The starts came too
+ * late, were given up with a stop each and placed again, and an owner that was
+ * behind never came back. */
+START_TEST (starts_are_not_placed_to_wait)
+{
+  struct gr_step_spec many = plain;
+  struct steps_model *model = create (64, 1);
+
+  many.count = 400;
+  steps_model_set_orders_per_tick (model, 1);
+  steps_model_add_job (model, 1, "normal", "a", &many, 1, 1000);
+  /* 50 orders in a second. */
+  steps_model_run (model, 400 / 50 * 1000 + 1500);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 400);
+  finish (model);
+}
+END_TEST
+
 /* A gang that is larger than any rack waited for a rack to take it, for nearly
  * half of the time in which guaranteed work must begin. */
 START_TEST (gang_larger_than_a_rack_does_not_wait_for_one)
@@ -436,6 +455,7 @@
   tcase_add_test (tests, start_without_a_result_is_given_up);
   tcase_add_test (tests, waiting_stops_are_not_queued_again);
   tcase_add_test (tests, urgent_starts_are_sent_first);
+  tcase_add_test (tests, starts_are_not_placed_to_wait);
   tcase_add_test (tests, gang_larger_than_a_rack_does_not_wait_for_one);
   tcase_add_test (tests, gang_does_not_wait_for_a_rack_while_most_is_free);
   suite_add_tcase (suite, tests);
