--- a/instance/call-budget.c
+++ b/instance/call-budget.c
@@ -12,17 +12,17 @@
 #define MAX_ORDERS_OF_SILENT_WORKER 1
 
 static uint32_t *
-count_of (struct gr_call_budget *budget, enum gr_call_kind kind)
+count_of (struct gr_call_budget *budget, enum gr_budget_kind kind)
 {
-  return kind == GR_CALL_ORDER ? &budget->open_orders : &budget->open_looks;
+  return kind == GR_BUDGET_ORDER ? &budget->open_orders : &budget->open_looks;
 }
 
 bool
-gr_call_may_begin (const struct gr_call_budget *budget,
-                   const struct gr_call_peer *peer,
-                   enum gr_call_kind kind)
+gr_call_budget_allows (const struct gr_call_budget *budget,
+                       const struct gr_call_budget_peer *peer,
+                       enum gr_budget_kind kind)
 {
-  if (kind == GR_CALL_LOOK)
+  if (kind == GR_BUDGET_LOOK)
     return peer->silent || budget->open_looks < MAX_OPEN_LOOKS;
   if (peer->silent)
     return peer->open_orders < MAX_ORDERS_OF_SILENT_WORKER;
@@ -31,11 +31,11 @@
 }
 
 bool
-gr_call_begin (struct gr_call_budget *budget,
-               struct gr_call_peer *peer,
-               enum gr_call_kind kind)
+gr_call_budget_begin (struct gr_call_budget *budget,
+                      struct gr_call_budget_peer *peer,
+                      enum gr_budget_kind kind)
 {
-  if (kind == GR_CALL_ORDER)
+  if (kind == GR_BUDGET_ORDER)
     peer->open_orders++;
   if (peer->silent)
     return false;
@@ -44,13 +44,13 @@
 }
 
 void
-gr_call_end (struct gr_call_budget *budget,
-             struct gr_call_peer *peer,
-             enum gr_call_kind kind,
-             bool counted,
-             bool answered)
+gr_call_budget_end (struct gr_call_budget *budget,
+                    struct gr_call_budget_peer *peer,
+                    enum gr_budget_kind kind,
+                    bool counted,
+                    bool answered)
 {
-  if (kind == GR_CALL_ORDER)
+  if (kind == GR_BUDGET_ORDER)
     peer->open_orders--;
   if (counted)
     (*count_of (budget, kind))--;
--- a/instance/call-budget.h
+++ b/instance/call-budget.h
@@ -14,27 +14,28 @@
 };
 
 /* Calls of one worker. */
-struct gr_call_peer
+struct gr_call_budget_peer
 {
   bool silent; /* the last call that has ended had no answer */
   uint32_t open_orders;
 };
 
-enum gr_call_kind
+enum gr_budget_kind
 {
-  GR_CALL_ORDER,
-  GR_CALL_LOOK,
+  GR_BUDGET_ORDER,
+  GR_BUDGET_LOOK,
 };
 
-bool gr_call_may_begin (const struct gr_call_budget *budget,
-                        const struct gr_call_peer *peer,
-                        enum gr_call_kind kind);
-/* True if the call is counted in the budget; to be passed to gr_call_end (). */
-bool gr_call_begin (struct gr_call_budget *budget,
-                    struct gr_call_peer *peer,
-                    enum gr_call_kind kind);
-void gr_call_end (struct gr_call_budget *budget,
-                  struct gr_call_peer *peer,
-                  enum gr_call_kind kind,
-                  bool counted,
-                  bool answered);
+bool gr_call_budget_allows (const struct gr_call_budget *budget,
+                            const struct gr_call_budget_peer *peer,
+                            enum gr_budget_kind kind);
+/* True if the call is counted in the budget; to be passed to gr_call_budget_end
+ * (). */
+bool gr_call_budget_begin (struct gr_call_budget *budget,
+                           struct gr_call_budget_peer *peer,
+                           enum gr_budget_kind kind);
+void gr_call_budget_end (struct gr_call_budget *budget,
+                         struct gr_call_budget_peer *peer,
+                         enum gr_budget_kind kind,
+                         bool counted,
+                         bool answered);
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -42,7 +42,7 @@
   bool looking; /* another look is open */
   bool removed;
   uint32_t open_calls;
-  struct gr_call_peer calls;
+  struct gr_call_budget_peer calls;
 };
 
 struct gr_worker_io
@@ -63,7 +63,7 @@
 {
   struct peer *peer;
   struct gr_order order;
-  bool counted; /* see gr_call_begin () */
+  bool counted; /* see gr_call_budget_begin () */
 };
 
 struct look_call
@@ -147,8 +147,9 @@
   struct peer *peer = call->peer;
   struct gr_worker_io *io = peer->io;
 
-  gr_call_end (&io->budget, &peer->calls, GR_CALL_ORDER, call->counted,
-               result != GR_ORDER_UNKNOWN && result != GR_ORDER_NOT_SENT);
+  gr_call_budget_end (&io->budget, &peer->calls, GR_BUDGET_ORDER, call->counted,
+                      result != GR_ORDER_UNKNOWN
+                          && result != GR_ORDER_NOT_SENT);
   if (!io->destroyed && !peer->removed)
     {
       read_clock (peer, clock_ms);
@@ -179,7 +180,8 @@
   call->peer = peer;
   call->order = *order;
   reply.context = call;
-  call->counted = gr_call_begin (&io->budget, &peer->calls, GR_CALL_ORDER);
+  call->counted =
+      gr_call_budget_begin (&io->budget, &peer->calls, GR_BUDGET_ORDER);
   peer->open_calls++;
   target = target_of (peer);
   if (order->kind == GR_ORDER_START)
@@ -237,8 +239,8 @@
   else
     {
       peer->looking = false;
-      gr_call_end (&io->budget, &peer->calls, GR_CALL_LOOK, call->counted,
-                   error == NULL);
+      gr_call_budget_end (&io->budget, &peer->calls, GR_BUDGET_LOOK,
+                          call->counted, error == NULL);
     }
   g_free (call);
   if (!io->destroyed && !peer->removed)
@@ -275,7 +277,8 @@
   else
     {
       peer->looking = true;
-      call->counted = gr_call_begin (&io->budget, &peer->calls, GR_CALL_LOOK);
+      call->counted =
+          gr_call_budget_begin (&io->budget, &peer->calls, GR_BUDGET_LOOK);
     }
   peer->open_calls++;
   /* Before the first answer the worker's clock is not known. A look that may
@@ -301,7 +304,7 @@
       || (note && need == GR_LOOK_NONE))
     {
       if (peer->looking || now_ms < peer->next_look_ms
-          || !gr_call_may_begin (&io->budget, &peer->calls, GR_CALL_LOOK))
+          || !gr_call_budget_allows (&io->budget, &peer->calls, GR_BUDGET_LOOK))
         return;
       peer->next_look_ms =
           now_ms
@@ -321,7 +324,7 @@
 
   /* Without a peer the result is known at once. */
   return peer == NULL
-         || gr_call_may_begin (&io->budget, &peer->calls, GR_CALL_ORDER);
+         || gr_call_budget_allows (&io->budget, &peer->calls, GR_BUDGET_ORDER);
 }
 
 void
--- a/tests/test-instance.c
+++ b/tests/test-instance.c
@@ -219,13 +219,13 @@
 START_TEST (waiting_orders_do_not_hold_up_looks)
 {
   struct gr_call_budget budget = { 0 };
-  struct gr_call_peer peers[100] = { 0 };
+  struct gr_call_budget_peer peers[100] = { 0 };
 
   for (size_t i = 0; i < 1000; i++)
-    if (gr_call_may_begin (&budget, &peers[i % 100], GR_CALL_ORDER))
-      gr_call_begin (&budget, &peers[i % 100], GR_CALL_ORDER);
-  ck_assert (!gr_call_may_begin (&budget, &peers[99], GR_CALL_ORDER));
-  ck_assert (gr_call_may_begin (&budget, &peers[99], GR_CALL_LOOK));
+    if (gr_call_budget_allows (&budget, &peers[i % 100], GR_BUDGET_ORDER))
+      gr_call_budget_begin (&budget, &peers[i % 100], GR_BUDGET_ORDER);
+  ck_assert (!gr_call_budget_allows (&budget, &peers[99], GR_BUDGET_ORDER));
+  ck_assert (gr_call_budget_allows (&budget, &peers[99], GR_BUDGET_LOOK));
 }
 END_TEST
 
@@ -234,27 +234,27 @@
 START_TEST (calls_without_an_answer_leave_room_for_others)
 {
   struct gr_call_budget budget = { 0 };
-  struct gr_call_peer lost[100] = { 0 };
-  struct gr_call_peer other = { 0 };
+  struct gr_call_budget_peer lost[100] = { 0 };
+  struct gr_call_budget_peer other = { 0 };
 
   for (size_t i = 0; i < 100; i++)
     {
-      bool counted = gr_call_begin (&budget, &lost[i], GR_CALL_ORDER);
+      bool counted = gr_call_budget_begin (&budget, &lost[i], GR_BUDGET_ORDER);
 
-      gr_call_end (&budget, &lost[i], GR_CALL_ORDER, counted, false);
+      gr_call_budget_end (&budget, &lost[i], GR_BUDGET_ORDER, counted, false);
     }
   for (size_t i = 0; i < 100; i++)
     {
-      ck_assert (gr_call_may_begin (&budget, &lost[i], GR_CALL_ORDER));
-      ck_assert (!gr_call_begin (&budget, &lost[i], GR_CALL_ORDER));
-      ck_assert (!gr_call_may_begin (&budget, &lost[i], GR_CALL_ORDER));
-      ck_assert (gr_call_may_begin (&budget, &lost[i], GR_CALL_LOOK));
-      gr_call_begin (&budget, &lost[i], GR_CALL_LOOK);
+      ck_assert (gr_call_budget_allows (&budget, &lost[i], GR_BUDGET_ORDER));
+      ck_assert (!gr_call_budget_begin (&budget, &lost[i], GR_BUDGET_ORDER));
+      ck_assert (!gr_call_budget_allows (&budget, &lost[i], GR_BUDGET_ORDER));
+      ck_assert (gr_call_budget_allows (&budget, &lost[i], GR_BUDGET_LOOK));
+      gr_call_budget_begin (&budget, &lost[i], GR_BUDGET_LOOK);
     }
-  ck_assert (gr_call_may_begin (&budget, &other, GR_CALL_ORDER));
-  ck_assert (gr_call_may_begin (&budget, &other, GR_CALL_LOOK));
-  gr_call_end (&budget, &lost[0], GR_CALL_ORDER, false, true);
-  ck_assert (gr_call_begin (&budget, &lost[0], GR_CALL_ORDER));
+  ck_assert (gr_call_budget_allows (&budget, &other, GR_BUDGET_ORDER));
+  ck_assert (gr_call_budget_allows (&budget, &other, GR_BUDGET_LOOK));
+  gr_call_budget_end (&budget, &lost[0], GR_BUDGET_ORDER, false, true);
+  ck_assert (gr_call_budget_begin (&budget, &lost[0], GR_BUDGET_ORDER));
 }
 END_TEST
 
