http, instance: clients' limits follow the configuration

Cause: bounds on headers, bodies and idle connections of clients were fixed in instance/clients.c; the operator's values were decoded and not used, headers had no bound of their own in time or size. Change: gr_http_server_set_limits (), header_ms and max_header_bytes; the limits are taken over with each configuration, zero stands for the value before. Test: slow_and_large_headers_are_refused, red with either bound left out.

--- a/http/http-server.c
+++ b/http/http-server.c
@@ -72,8 +72,9 @@
 struct gr_http_server_limits
 gr_http_server_default_limits (void)
 {
-  return (struct gr_http_server_limits){ 4096, 60000, 30000, 30000,
-                                         (size_t)8 * 1024 * 1024 };
+  return (struct gr_http_server_limits){
+    4096, 60000, 30000, 30000, (size_t)8 * 1024 * 1024, 0, 0
+  };
 }
 
 static void
@@ -167,6 +168,24 @@
   announce_close (message);
 }
 
+/* As they are written: the line of the request, then lines of headers. */
+static size_t
+header_bytes (SoupServerMessage *message, SoupMessageHeaders *headers)
+{
+  g_autofree char *uri =
+      g_uri_to_string (soup_server_message_get_uri (message));
+  size_t bytes = strlen (soup_server_message_get_method (message))
+                 + strlen (uri) + strlen ("  HTTP/1.1\r\n\r\n");
+  SoupMessageHeadersIter iter;
+  const char *name;
+  const char *value;
+
+  soup_message_headers_iter_init (&iter, headers);
+  while (soup_message_headers_iter_next (&iter, &name, &value))
+    bytes += strlen (name) + strlen (value) + strlen (": \r\n");
+  return bytes;
+}
+
 static void
 got_headers (SoupServerMessage *message, gpointer data)
 {
@@ -174,11 +193,17 @@
   SoupMessageHeaders *headers =
       soup_server_message_get_request_headers (message);
 
+  size_t max_header_bytes = connection->server->limits.max_header_bytes;
+
   set_phase (connection, PHASE_READING);
-  if (soup_message_headers_get_encoding (headers)
-          == SOUP_ENCODING_CONTENT_LENGTH
-      && (uint64_t)soup_message_headers_get_content_length (headers)
-             > connection->server->limits.max_body_bytes)
+  gr_http_stream_end_headers (connection->stream);
+  if (max_header_bytes > 0
+      && header_bytes (message, headers) > max_header_bytes)
+    refuse (message, GR_ERROR_TOO_LARGE);
+  else if (soup_message_headers_get_encoding (headers)
+               == SOUP_ENCODING_CONTENT_LENGTH
+           && (uint64_t)soup_message_headers_get_content_length (headers)
+                  > connection->server->limits.max_body_bytes)
     refuse (message, GR_ERROR_TOO_LARGE);
 }
 
@@ -285,6 +310,15 @@
   return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 }
 
+static bool
+headers_are_late (const struct http_connection *connection, int64_t now)
+{
+  uint32_t limit_ms = connection->server->limits.header_ms;
+  int64_t since_ms = gr_http_stream_headers_since_ms (connection->stream);
+
+  return limit_ms > 0 && since_ms > 0 && now - since_ms > limit_ms;
+}
+
 static bool
 idle_is_over (struct http_connection *connection, int64_t now)
 {
@@ -292,7 +326,8 @@
   gssize readable = peek (connection);
   int64_t stop_ms = server->stopping_since_ms + STOP_GRACE_MS;
 
-  if (readable == 0 || now - connection->since_ms > server->limits.idle_ms)
+  if (readable == 0 || now - connection->since_ms > server->limits.idle_ms
+      || headers_are_late (connection, now))
     return true;
   return server->stopping_since_ms > 0 && readable < 0 && now >= stop_ms
          && now - connection->since_ms >= STOP_GRACE_MS;
@@ -488,6 +523,13 @@
   return server->address;
 }
 
+void
+gr_http_server_set_limits (struct gr_http_server *server,
+                           const struct gr_http_server_limits *limits)
+{
+  server->limits = *limits;
+}
+
 uint32_t
 gr_http_server_connections (const struct gr_http_server *server)
 {
--- a/http/http-server.h
+++ b/http/http-server.h
@@ -20,6 +20,10 @@
   uint32_t read_ms;         /* from the headers to the end of the body */
   uint32_t write_ms;        /* for the client to read an answer */
   size_t max_body_bytes;    /* larger bodies are answered 413 */
+  uint32_t header_ms;       /* from the first byte of a request to the end of
+                               its headers; 0: idle_ms alone */
+  size_t max_header_bytes;  /* larger headers are answered 413; 0: libsoup's
+                               limit of 100 KB alone */
 };
 
 /* 4096 connections, 60 s idle, 30 s read, 30 s write, 8 MB. */
@@ -41,6 +45,10 @@
                        void *context,
                        struct gr_error *error);
 
+/* For connections and requests from now on; those that are open too. */
+void gr_http_server_set_limits (struct gr_http_server *server,
+                                const struct gr_http_server_limits *limits);
+
 /* Closes everything; messages that are paused end without an answer. */
 void gr_http_server_destroy (struct gr_http_server *server);
 
--- a/http/http-stream.c
+++ b/http/http-stream.c
@@ -8,6 +8,8 @@
 {
   GFilterInputStream parent;
   bool between;
+  bool in_headers;
+  int64_t headers_since_ms;
 };
 
 G_DECLARE_FINAL_TYPE (
@@ -38,6 +40,8 @@
   bool would_block =
       size < 0 && g_error_matches (*error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
 
+  if (size > 0 && input->in_headers && input->headers_since_ms == 0)
+    input->headers_since_ms = g_get_monotonic_time () / 1000;
   if (would_block || !input->between)
     return size;
   input->between = false;
@@ -120,6 +124,7 @@
 gr_http_input_init (GrHttpInput *input)
 {
   input->between = false;
+  input->in_headers = true;
 }
 
 GIOStream *
@@ -138,5 +143,22 @@
 void
 gr_http_stream_set_between (GIOStream *stream, bool between)
 {
-  GR_HTTP_INPUT (g_io_stream_get_input_stream (stream))->between = between;
+  GrHttpInput *input = GR_HTTP_INPUT (g_io_stream_get_input_stream (stream));
+
+  input->between = between;
+  input->in_headers = between;
+  input->headers_since_ms = 0;
+}
+
+int64_t
+gr_http_stream_headers_since_ms (GIOStream *stream)
+{
+  return GR_HTTP_INPUT (g_io_stream_get_input_stream (stream))
+      ->headers_since_ms;
+}
+
+void
+gr_http_stream_end_headers (GIOStream *stream)
+{
+  gr_http_stream_set_between (stream, false);
 }
--- a/instance/clients.h
+++ b/instance/clients.h
@@ -28,6 +28,9 @@
 /* The configuration is known and fresh enough to serve calls. */
 bool gr_clients_ready (const struct gr_clients *clients);
 
+/* Takes over the limits of the configuration. */
+void gr_clients_config_changed (struct gr_clients *clients);
+
 /* For a planned stop: no more connections; open requests are answered. */
 void gr_clients_stop_accepting (struct gr_clients *clients);
 bool gr_clients_is_idle (const struct gr_clients *clients);
--- a/instance/instance.c
+++ b/instance/instance.c
@@ -42,6 +42,8 @@
   struct gr_instance *instance = context;
 
   if (instance->owner != NULL)
+  if (instance->clients != NULL)
+    gr_clients_config_changed (instance->clients);
     gr_owner_config_changed (instance->owner);
 }
 
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -285,6 +285,48 @@
 }
 END_TEST
 
+/* Guards against clients that send headers a byte at a time, or so many that
+ * they fill the memory, though the configuration bounds both. */
+START_TEST (slow_and_large_headers_are_refused)
+{
+  struct gr_http_server_limits limits = {
+    .max_connections = 4,
+    .idle_ms = 60000,
+    .read_ms = 60000,
+    .write_ms = 60000,
+    .max_body_bytes = 1000,
+  };
+  struct fixture fixture;
+  g_autofree char *long_value = g_strnfill (300, 'x');
+  g_autofree char *large = g_strdup_printf (
+      "GET /small HTTP/1.1\r\nHost: a\r\nA: %s\r\n\r\n", long_value);
+  static const char small[] = "GET /small HTTP/1.1\r\nHost: a\r\n\r\n";
+  int slow;
+  int idle;
+  int other;
+
+  setup (&fixture, &limits);
+  limits.header_ms = 300;
+  limits.max_header_bytes = 200;
+  gr_http_server_set_limits (fixture.server, &limits);
+  slow = open_client (fixture.server);
+  idle = open_client (fixture.server);
+  other = open_client (fixture.server);
+  send_text (other, large);
+  expect (other, "413");
+  close (other);
+  send_text (idle, small);
+  expect (idle, "200 OK");
+  send_text (slow, small);
+  expect (slow, "200 OK");
+  send_text (slow, "GET /small HT");
+  expect_closed (slow);
+  wait_connections (fixture.server, 1);
+  close (idle);
+  teardown (&fixture);
+}
+END_TEST
+
 /* Guards against bodies that fill the memory, and off-by-one limits. */
 START_TEST (large_bodies_are_refused)
 {
@@ -404,6 +446,7 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, dropped_connections_release_descriptors);
   tcase_add_test (tcase, slow_clients_are_cut_off);
+  tcase_add_test (tcase, slow_and_large_headers_are_refused);
   tcase_add_test (tcase, large_bodies_are_refused);
   tcase_add_test (tcase, planned_stop_interrupts_nothing);
   tcase_add_test (tcase, held_requests_may_end_late);
