instance: records of jobs are removed when their states were kept for long enough

Cause: gr/job, gr/progress and gr/cancel of every job stayed in the store and in each instance's copy for ever; state_kept_s was read and not used. Ruled out: a lease on the records: it would remove jobs that have not ended. Test: records_of_final_jobs_are_removed_in_time, red without the time, without the check for a final state and without the owner's condition.

--- a/instance/owner.c
+++ b/instance/owner.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "instance/advice-calls.h"
+#include "instance/expiry.h"
 #include "instance/ownership.h"
 #include "instance/progress-log.h"
 #include "instance/upkeep.h"
@@ -52,6 +53,7 @@
   struct gr_worker_io *io;
   struct gr_progress_log *log;
   struct gr_upkeep *upkeep;
+  struct gr_expiry *expiry;
   struct gr_advice_calls *advice;
   GHashTable *addresses;  /* worker id -> IP:PORT, last that was seen */
   GHashTable *registered; /* worker ids in the registry */
@@ -146,6 +148,7 @@
   gr_worker_io_run (owner->io);
   gr_advice_calls_run (owner->advice);
   gr_upkeep_run (owner->upkeep);
+  gr_expiry_run (owner->expiry);
   write_progress (owner);
   if (gr_steps_fenced (owner->steps))
     take_superseded (owner, "a worker has seen a higher epoch");
@@ -549,6 +552,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   owner->upkeep = gr_upkeep_create (parts, owner->steps, epoch, revision);
   owner->advice =
+  owner->expiry = gr_expiry_create (parts, revision);
       gr_advice_calls_create (parts, owner->steps, schedule_run, owner);
   owner->registered =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -586,3 +590,4 @@
   g_free (owner->published);
   g_free (owner);
 }
+  gr_expiry_destroy (owner->expiry);
--- a/tests/test-platform-store.c
+++ b/tests/test-platform-store.c
@@ -1,3 +1,4 @@
+#include "instance/expiry.h"
 #include "platform/metastore.h"
 #include "standins/metastore.h"
 
@@ -17,6 +18,7 @@
   int64_t revision;
   int64_t lease;
   char value[32];
+  size_t n_items;
   uint32_t answers;
 };
 
@@ -61,6 +63,7 @@
   world->error = error ? *error : (struct gr_error)GR_ERROR_INIT;
   if (error != NULL)
     return;
+  world->n_items = result->n_items;
   world->held = result->conditions_held;
   world->revision = result->revision;
   world->lease = result->lease;
@@ -190,6 +193,104 @@
 }
 END_TEST
 
+static void
+put_job (struct world *world, const char *id, enum gr_job_state state)
+{
+  struct gr_step_spec step = { .count = 1, .needs = { 1000, 100, 1 } };
+  struct gr_job_spec spec = {
+    .queue = (char *)"q",
+    .account = (char *)"a",
+    .payload = (char *)"",
+    .steps = &step,
+    .n_steps = 1,
+  };
+  struct gr_job_progress progress = { .state = state };
+  enum gr_record_kind kinds[] = { GR_RECORD_JOB, GR_RECORD_PROGRESS };
+  GBytes *values[2];
+
+  g_strlcpy (spec.id, id, sizeof spec.id);
+  values[0] = gr_record_encode_job (&spec);
+  values[1] = gr_record_encode_progress (&progress);
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    {
+      struct gr_metastore_txn *txn = gr_metastore_txn_create ();
+      g_autofree char *key = gr_record_key (kinds[i], id);
+
+      gr_metastore_txn_put (txn, key, g_bytes_get_data (values[i], NULL),
+                            g_bytes_get_size (values[i]), 0);
+      gr_metastore_commit (world->store, txn, 400,
+                           (struct gr_metastore_reply){ answered, world });
+      wait_answer (world);
+      g_bytes_unref (values[i]);
+    }
+}
+
+static bool
+has_record (struct world *world, enum gr_record_kind kind, const char *id)
+{
+  g_autofree char *key = gr_record_key (kind, id);
+
+  gr_metastore_get (world->store, key, 400,
+                    (struct gr_metastore_reply){ answered, world });
+  wait_answer (world);
+  ck_assert_int_eq (world->error.kind, GR_ERROR_NONE);
+  return world->n_items > 0;
+}
+
+#define KEPT_S 120
+#define KEPT_SLACK_S 10
+
+/* Records of jobs stayed in the store for ever. Guards against removing them
+ * while clients may still ask, by the word of a former owner, or of jobs that
+ * have not ended. */
+START_TEST (records_of_final_jobs_are_removed_in_time)
+{
+  static const char done[] = "00000000000000a1";
+  static const char running[] = "00000000000000a2";
+  struct world world;
+  struct gr_instance_settings settings = { .state_kept_s = KEPT_S };
+  struct gr_mirror_events events = { 0 };
+  struct gr_owner_parts parts = { .settings = &settings };
+  struct gr_clock *clock = gr_clock_create_manual (1000);
+  const char *text;
+  struct gr_expiry *former;
+  struct gr_expiry *expiry;
+
+  world_create (&world);
+  put (&world, GR_RECORD_OWNER, "one", 0);
+  put_job (&world, done, GR_JOB_COMPLETED);
+  put_job (&world, running, GR_JOB_RUNNING);
+  parts.store = world.store;
+  parts.clock = clock;
+  parts.mirror = gr_mirror_create (world.store, clock, &events);
+  while (!gr_mirror_is_loaded (parts.mirror))
+    g_main_context_iteration (NULL, TRUE);
+  former = gr_expiry_create (&parts, 1000000);
+  expiry = gr_expiry_create (&parts, gr_mirror_owner (parts.mirror, &text));
+  gr_clock_advance (clock, KEPT_S * 1000);
+  gr_expiry_run (expiry);
+  run_for (50);
+  ck_assert (has_record (&world, GR_RECORD_JOB, done));
+  gr_clock_advance (clock, KEPT_SLACK_S * 1000);
+  gr_expiry_run (former);
+  run_for (50);
+  ck_assert (has_record (&world, GR_RECORD_JOB, done));
+  gr_expiry_run (expiry);
+  run_for (50);
+  ck_assert (!has_record (&world, GR_RECORD_JOB, done));
+  ck_assert (!has_record (&world, GR_RECORD_PROGRESS, done));
+  ck_assert (has_record (&world, GR_RECORD_JOB, running));
+  ck_assert (has_record (&world, GR_RECORD_PROGRESS, running));
+  gr_expiry_destroy (former);
+  gr_expiry_destroy (expiry);
+  gr_metastore_destroy (world.store);
+  world.store = NULL;
+  gr_mirror_destroy (parts.mirror);
+  gr_clock_destroy (clock);
+  world_destroy (&world);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -203,6 +304,7 @@
   tcase_add_test (tests, lost_answer_is_not_a_refusal);
   tcase_add_test (tests, store_that_is_silent_is_known_to_be);
   tcase_add_test (tests, watch_shows_that_the_store_answers);
+  tcase_add_test (tests, records_of_final_jobs_are_removed_in_time);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
