instance: metrics of the owner, described in one table with a page

Cause: an instance counted calls and answers, but nothing showed its queue, the room of the workers, the orders that wait or the age of what it knows. Change: instance/metrics.c holds the table, docs/metrics.md is made from it by make docs; gauges are set when the page is read. Tests: page_of_metrics_is_up_to_date, red without the page; every_metric_is_described, red with a row taken out.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 
 docs: build
 	$(BUILD)/settings/print-reference > docs/settings.md
+	$(BUILD)/instance/print-metrics > docs/metrics.md
 
 clean:
 	rm -rf build build-asan
--- a/instance/instance.c
+++ b/instance/instance.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "http/http-server.h"
 #include "instance/clients.h"
+#include "instance/metrics.h"
 #include "instance/owner.h"
 #include "instance/ownership.h"
 
@@ -41,9 +42,9 @@
 {
   struct gr_instance *instance = context;
 
-  if (instance->owner != NULL)
   if (instance->clients != NULL)
     gr_clients_config_changed (instance->clients);
+  if (instance->owner != NULL)
     gr_owner_config_changed (instance->owner);
 }
 
@@ -136,6 +137,25 @@
                                   NULL);
 }
 
+static void
+set_metrics (struct gr_instance *instance)
+{
+  const struct gr_cluster_config *config =
+      gr_config_view_get (instance->config);
+  struct gr_metrics_state state = {
+    .is_owner = instance->owner != NULL,
+    .jobs_known = gr_mirror_size (instance->mirror),
+    .config_version = config ? config->version : 0,
+    .config_age_ms = gr_clock_now_ms (instance->clock)
+                     - gr_config_view_current_ms (instance->config),
+    .store_silent_ms = gr_metastore_unanswered_ms (instance->store),
+  };
+
+  if (instance->owner != NULL)
+    gr_owner_counts (instance->owner, &state.counts, &state.loop_late_ms);
+  gr_metrics_set (instance->counters, &state);
+}
+
 static void
 handle_metrics (SoupServerMessage *message,
                 const char *path,
@@ -147,6 +167,7 @@
 
   (void)path;
   (void)query;
+  set_metrics (instance);
   gr_counters_print (instance->counters, text);
   soup_server_message_set_status (message, 200, NULL);
   soup_server_message_set_response (message, "text/plain; version=0.0.4",
--- /dev/null
+++ b/instance/metrics.h
@@ -0,0 +1,36 @@
+/* The metrics of an instance, described in one table from which docs/metrics.md
+ * is made. */
+#pragma once
+
+#include "common/counter.h"
+#include "steps/steps.h"
+
+#include <glib.h>
+
+struct gr_metric
+{
+  const char *name; /* without the prefix geraniumrack_ */
+  const char *type; /* counter, gauge or histogram */
+  const char *labels;
+  const char *meaning; /* with its unit */
+};
+
+const struct gr_metric *gr_metrics_table (size_t *n_rows);
+
+/* The reference as Markdown. */
+void gr_metrics_print_reference (GString *out);
+
+struct gr_metrics_state
+{
+  bool is_owner;
+  struct gr_steps_counts counts; /* zero on all but the owner */
+  uint32_t jobs_known;
+  int64_t config_version;
+  int64_t config_age_ms;
+  int64_t store_silent_ms;
+  int64_t loop_late_ms;
+};
+
+/* Sets the gauges, before they are printed. */
+void gr_metrics_set (struct gr_counters *counters,
+                     const struct gr_metrics_state *state);
--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -525,3 +525,9 @@
   g_snprintf (number, sizeof number, "%" G_GINT64_FORMAT, wave);
   return g_hash_table_lookup (mirror->waves, number);
 }
+
+uint32_t
+gr_mirror_size (const struct gr_mirror *mirror)
+{
+  return g_hash_table_size (mirror->jobs);
+}
--- a/instance/mirror.h
+++ b/instance/mirror.h
@@ -44,6 +44,9 @@
 /* When the last answer that says that the copy was current was asked for. */
 int64_t gr_mirror_current_ms (const struct gr_mirror *mirror);
 
+/* Jobs in the copy. */
+uint32_t gr_mirror_size (const struct gr_mirror *mirror);
+
 /* NULL if there is no such job in the copy. */
 const struct gr_mirror_job *gr_mirror_find (const struct gr_mirror *mirror,
                                             const char *id);
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -567,6 +567,15 @@
 
 void
 gr_owner_destroy (struct gr_owner *owner)
+void
+gr_owner_counts (const struct gr_owner *owner,
+                 struct gr_steps_counts *counts,
+                 int64_t *late_ms)
+{
+  gr_steps_counts (owner->steps, counts);
+  *late_ms = gr_worker_io_late_ms (owner->io);
+}
+
 {
   if (owner == NULL)
     return;
--- a/instance/owner.h
+++ b/instance/owner.h
@@ -32,3 +32,8 @@
                            const char *id,
                            const struct gr_mirror_job *job);
 void gr_owner_config_changed (struct gr_owner *owner);
+
+/* For metrics. late_ms: of the main loop, of late. */
+void gr_owner_counts (const struct gr_owner *owner,
+                      struct gr_steps_counts *counts,
+                      int64_t *late_ms);
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -405,3 +405,9 @@
    * what came before. */
   io->late_ms = MAX (late_ms, io->late_ms * 3 / 4);
 }
+
+int64_t
+gr_worker_io_late_ms (const struct gr_worker_io *io)
+{
+  return io->late_ms;
+}
--- a/instance/worker-io.h
+++ b/instance/worker-io.h
@@ -34,5 +34,7 @@
 /* The main loop was late by so much, as the caller's timer shows it. */
 void gr_worker_io_set_late (struct gr_worker_io *io, int64_t late_ms);
 
+int64_t gr_worker_io_late_ms (const struct gr_worker_io *io);
+
 /* Sends what the core has ordered, and the looks that it needs. */
 void gr_worker_io_run (struct gr_worker_io *io);
--- a/tests/test-instance.c
+++ b/tests/test-instance.c
@@ -1,10 +1,12 @@
 #include "common/log.h"
 #include "instance/call-budget.h"
+#include "instance/metrics.h"
 #include "instance/worker-io.h"
 #include "standins/metastore.h"
 
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
 
 /* Parts of an instance against the stand-in of the users' platform. */
 
@@ -258,6 +260,69 @@
 }
 END_TEST
 
+/* Guards against a reference that was not made again with the table. */
+START_TEST (page_of_metrics_is_up_to_date)
+{
+  g_autofree char *file =
+      g_build_filename (g_getenv ("GR_SOURCE_DIR"), "docs", "metrics.md", NULL);
+  GString *reference = g_string_new (NULL);
+  g_autofree char *text = NULL;
+
+  gr_metrics_print_reference (reference);
+  ck_assert (g_file_get_contents (file, &text, NULL, NULL));
+  ck_assert_msg (g_str_equal (text, reference->str), "run make docs");
+  g_string_free (reference, TRUE);
+}
+END_TEST
+
+static bool
+is_described (const char *printed)
+{
+  size_t n_rows;
+  const struct gr_metric *rows = gr_metrics_table (&n_rows);
+
+  for (size_t i = 0; i < n_rows; i++)
+    {
+      g_autofree char *name = g_strconcat ("geraniumrack_", rows[i].name, NULL);
+
+      if (g_str_equal (printed, name)
+          || (g_str_has_prefix (printed, name)
+              && g_str_equal (rows[i].type, "histogram")))
+        return true;
+    }
+  return false;
+}
+
+/* Guards against a metric that is printed and on no page, which whoever is on
+ * call would have to guess. */
+START_TEST (every_metric_is_described)
+{
+  struct gr_metrics_state state = { .is_owner = true };
+  GString *text = g_string_new (NULL);
+  struct world world;
+  g_auto (GStrv) lines = NULL;
+
+  world_create (&world, 4, 7000);
+  add_job (&world, "00000000000000a1", "run_ms=100", 4, 1);
+  world_run (&world, 500);
+  gr_steps_counts (world.steps, &state.counts);
+  gr_metrics_set (world.counters, &state);
+  gr_counters_print (world.counters, text);
+  lines = g_strsplit (text->str, "\n", -1);
+  for (char **line = lines; *line != NULL; line++)
+    {
+      if (**line == '\0' || **line == '#')
+        continue;
+      (*line)[strcspn (*line, " {")] = '\0';
+      ck_assert_msg (is_described (*line), "%s", *line);
+    }
+  ck_assert_ptr_nonnull (strstr (text->str, "geraniumrack_workers{} 4"));
+  ck_assert_ptr_nonnull (strstr (text->str, "geraniumrack_worker_calls_total"));
+  g_string_free (text, TRUE);
+  world_destroy (&world);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -272,6 +337,8 @@
   tcase_add_test (tests, silent_workers_do_not_hold_up_others);
   tcase_add_test (tests, waiting_orders_do_not_hold_up_looks);
   tcase_add_test (tests, calls_without_an_answer_leave_room_for_others);
+  tcase_add_test (tests, page_of_metrics_is_up_to_date);
+  tcase_add_test (tests, every_metric_is_described);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
