instance: a changed settings file is taken over, with and without a signal

Cause: SIGHUP took over the log level alone, and a change without a signal, which the platform's pages allow, was not seen. Change: instance/reload copies bounds and times into the settings in force and names each address that needs a restart; the file's time and size are looked at every 2 s. What the owner's core has copied holds from the next owner on. Ruled out: GFileMonitor; it needs inotify, which the platform need not offer. Tests: changed_bounds_are_taken_and_addresses_stay, changed_file_is_seen_once (neither function existed before).

--- a/instance/main.c
+++ b/instance/main.c
@@ -1,5 +1,6 @@
 #include "common/log.h"
 #include "instance/instance.h"
+#include "instance/reload.h"
 #include "settings/process.h"
 
 #include <glib-unix.h>
@@ -14,9 +15,13 @@
 {
   GMainLoop *loop;
   struct gr_instance *instance;
-  const char *file;
+  struct gr_instance_settings *settings;
+  struct gr_reload_watch watch;
 };
 
+/* A change without a signal is seen so soon; the platform names no bound. */
+#define FILE_CHECK_S 2
+
 static void
 stopped (void *context)
 {
@@ -34,29 +39,49 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* The log level is taken over; addresses need a restart. */
+static void
+reload (struct run *run)
+{
+  struct gr_instance_settings changed;
+  const char *file = run->watch.file;
+
+  if (!gr_instance_load (file, &changed))
+    {
+      gr_log_problem ("reload-failed", "file", file, NULL);
+      return;
+    }
+  gr_reload_take (run->settings, &changed);
+  gr_log_set_level (gr_log_level_from_name (run->settings->log_level));
+  gr_log_event ("reloaded", "file", file, NULL);
+  gr_instance_settings_clear (&changed);
+}
+
 static gboolean
 on_reload (gpointer data)
 {
   struct run *run = data;
-  struct gr_instance_settings settings;
 
-  if (!gr_instance_load (run->file, &settings))
-    {
-      gr_log_problem ("reload-failed", "file", run->file, NULL);
-      return G_SOURCE_CONTINUE;
-    }
-  gr_log_set_level (gr_log_level_from_name (settings.log_level));
-  gr_log_event ("reloaded", "file", run->file, NULL);
-  gr_instance_settings_clear (&settings);
+  gr_reload_is_due (&run->watch);
+  reload (run);
+  return G_SOURCE_CONTINUE;
+}
+
+static gboolean
+check_file (gpointer data)
+{
+  struct run *run = data;
+
+  if (gr_reload_is_due (&run->watch))
+    reload (run);
   return G_SOURCE_CONTINUE;
 }
 
 static int
-run_instance (const struct gr_instance_settings *settings, const char *file)
+run_instance (struct gr_instance_settings *settings, const char *file)
 {
   struct gr_error error = GR_ERROR_INIT;
-  struct run run = { .file = file };
+  struct run run = { .settings = settings, .watch = { .file = file } };
+  guint timer;
 
   signal (SIGPIPE, SIG_IGN);
   run.loop = g_main_loop_new (NULL, FALSE);
@@ -70,7 +95,10 @@
   g_unix_signal_add (SIGTERM, on_terminate, &run);
   g_unix_signal_add (SIGINT, on_terminate, &run);
   g_unix_signal_add (SIGHUP, on_reload, &run);
+  gr_reload_is_due (&run.watch);
+  timer = g_timeout_add_seconds (FILE_CHECK_S, check_file, &run);
   g_main_loop_run (run.loop);
+  g_source_remove (timer);
   gr_instance_destroy (run.instance);
   gr_log_flush ();
   g_main_loop_unref (run.loop);
--- a/tests/test-decode.c
+++ b/tests/test-decode.c
@@ -1,9 +1,11 @@
 #include "instance/records.h"
+#include "instance/reload.h"
 #include "instance/routing.h"
 #include "platform/job.h"
 #include "platform/registry.h"
 
 #include <check.h>
+#include <glib/gstdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -353,6 +355,54 @@
 }
 END_TEST
 
+/* Guards against a changed bound that is ignored until a restart, and against
+ * an address that changes under connections that are open. */
+START_TEST (changed_bounds_are_taken_and_addresses_stay)
+{
+  struct gr_instance_settings settings = {
+    .instance = (char *)"a",
+    .store_address = (char *)"1.1.1.1:1",
+    .revoke_ms = 5000,
+    .state_kept_s = 120,
+    .log_level = g_strdup ("info"),
+  };
+  struct gr_instance_settings changed = settings;
+
+  changed.revoke_ms = 4000;
+  changed.state_kept_s = 60;
+  changed.log_level = (char *)"debug";
+  ck_assert (gr_reload_take (&settings, &changed));
+  ck_assert_uint_eq (settings.revoke_ms, 4000);
+  ck_assert_uint_eq (settings.state_kept_s, 60);
+  ck_assert_str_eq (settings.log_level, "debug");
+  changed.store_address = (char *)"1.1.1.1:2";
+  changed.revoke_ms = 3000;
+  ck_assert (!gr_reload_take (&settings, &changed));
+  ck_assert_str_eq (settings.store_address, "1.1.1.1:1");
+  ck_assert_uint_eq (settings.revoke_ms, 3000);
+  g_free (settings.log_level);
+}
+END_TEST
+
+/* Guards against a change without a signal that is not seen. */
+START_TEST (changed_file_is_seen_once)
+{
+  g_autofree char *folder = g_dir_make_tmp ("gr-reload-XXXXXX", NULL);
+  g_autofree char *file = g_build_filename (folder, "instance.ini", NULL);
+  struct gr_reload_watch watch = { .file = file };
+
+  ck_assert (g_file_set_contents (file, "one", -1, NULL));
+  ck_assert (gr_reload_is_due (&watch));
+  ck_assert (!gr_reload_is_due (&watch));
+  ck_assert (g_file_set_contents (file, "three", -1, NULL));
+  ck_assert (gr_reload_is_due (&watch));
+  ck_assert (!gr_reload_is_due (&watch));
+  g_unlink (file);
+  ck_assert (gr_reload_is_due (&watch));
+  g_rmdir (folder);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -368,6 +418,8 @@
   tcase_add_test (tests, job_records_keep_every_field);
   tcase_add_test (tests, progress_records_survive_and_bad_ones_are_refused);
   tcase_add_test (tests, entries_of_workers_are_read_whole_or_not_at_all);
+  tcase_add_test (tests, changed_bounds_are_taken_and_addresses_stay);
+  tcase_add_test (tests, changed_file_is_seen_once);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
