http, tests: findings of the linter

A repeated branch in the check of sizes and three products that were widened after they were computed. No change of behaviour; the tests pass.

--- a/http/http-server.c
+++ b/http/http-server.c
@@ -186,24 +186,30 @@
   return bytes;
 }
 
-static void
-got_headers (SoupServerMessage *message, gpointer data)
+static bool
+is_too_large (SoupServerMessage *message,
+              const struct gr_http_server_limits *limits)
 {
-  struct http_connection *connection = data;
   SoupMessageHeaders *headers =
       soup_server_message_get_request_headers (message);
 
-  size_t max_header_bytes = connection->server->limits.max_header_bytes;
+  if (limits->max_header_bytes > 0
+      && header_bytes (message, headers) > limits->max_header_bytes)
+    return true;
+  return soup_message_headers_get_encoding (headers)
+             == SOUP_ENCODING_CONTENT_LENGTH
+         && (uint64_t)soup_message_headers_get_content_length (headers)
+                > limits->max_body_bytes;
+}
+
+static void
+got_headers (SoupServerMessage *message, gpointer data)
+{
+  struct http_connection *connection = data;
 
   set_phase (connection, PHASE_READING);
   gr_http_stream_end_headers (connection->stream);
-  if (max_header_bytes > 0
-      && header_bytes (message, headers) > max_header_bytes)
-    refuse (message, GR_ERROR_TOO_LARGE);
-  else if (soup_message_headers_get_encoding (headers)
-               == SOUP_ENCODING_CONTENT_LENGTH
-           && (uint64_t)soup_message_headers_get_content_length (headers)
-                  > connection->server->limits.max_body_bytes)
+  if (is_too_large (message, &connection->server->limits))
     refuse (message, GR_ERROR_TOO_LARGE);
 }
 
--- a/tests/test-instance.c
+++ b/tests/test-instance.c
@@ -191,6 +191,7 @@
 {
   struct world world;
   const uint32_t answering = 8;
+  const uint32_t tasks = 64; /* fill the workers that answer */
   uint32_t started = 0;
 
   world_create (&world, MOST_WORKERS, 7000);
@@ -202,16 +203,16 @@
         1;
   gr_steps_cancel_job (world.steps, "00000000000000a1");
   world_run (&world, 3000);
-  add_job (&world, "00000000000000a2", "run_ms=60000", answering * 8, 1);
+  add_job (&world, "00000000000000a2", "run_ms=60000", tasks, 1);
   world_run (&world, 1000);
-  for (uint32_t i = 0; i < answering * 8; i++)
+  for (uint32_t i = 0; i < tasks; i++)
     {
       char task[GR_TASK_NAME_SIZE];
 
       g_snprintf (task, sizeof task, "00000000000000a2.0.0.%u", i);
       started += gr_standin_platform_starts (world.platform, task);
     }
-  ck_assert_uint_eq (started, answering * 8);
+  ck_assert_uint_eq (started, tasks);
   world_destroy (&world);
 }
 END_TEST
--- a/tests/test-platform-store.c
+++ b/tests/test-platform-store.c
@@ -238,7 +238,8 @@
 }
 
 #define KEPT_S 120
-#define KEPT_SLACK_S 10
+#define KEPT_MS 120000
+#define KEPT_SLACK_MS 10000
 
 /* Records of jobs stayed in the store for ever. Guards against removing them
  * while clients may still ask, by the word of a former owner, or of jobs that
@@ -267,11 +268,11 @@
     g_main_context_iteration (NULL, TRUE);
   former = gr_expiry_create (&parts, 1000000);
   expiry = gr_expiry_create (&parts, gr_mirror_owner (parts.mirror, &text));
-  gr_clock_advance (clock, KEPT_S * 1000);
+  gr_clock_advance (clock, KEPT_MS);
   gr_expiry_run (expiry);
   run_for (50);
   ck_assert (has_record (&world, GR_RECORD_JOB, done));
-  gr_clock_advance (clock, KEPT_SLACK_S * 1000);
+  gr_clock_advance (clock, KEPT_SLACK_MS);
   gr_expiry_run (former);
   run_for (50);
   ck_assert (has_record (&world, GR_RECORD_JOB, done));
