steps: work is saved before a worker leaves

Change: shortly before the time that a draining worker surely stays, tasks with checkpoints are stopped, which saves their work, unless they end in time by the progress that was seen; tasks that serve move as their step may miss them. It stays since callers' work is kept where it was lost; the tests show that. Tests: work_is_saved_before_a_worker_leaves, red before; work_that_ends_in_time_stays_on_a_leaving_worker, red without the look at the progress; work_that_cannot_be_saved_stays_on_a_leaving_worker.

--- a/instance/owner.c
+++ b/instance/owner.c
@@ -214,6 +214,8 @@
     .labels = (const char *const *)entry->labels,
     .capacity = entry->capacity,
     .draining = entry->draining,
+    /* The entry may have been written a whole period ago. */
+    .remaining_ms = MAX (entry->remaining_ms - REGISTRY_MS, 0),
     .born_unix_ms = entry->born_unix_ms,
     .entry_revision = revision,
   };
@@ -550,9 +552,9 @@
                                  contact_since (owner) + REGISTRY_SETTLE_MS);
   owner->addresses =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  owner->expiry = gr_expiry_create (parts, revision);
   owner->upkeep = gr_upkeep_create (parts, owner->steps, epoch, revision);
   owner->advice =
-  owner->expiry = gr_expiry_create (parts, revision);
       gr_advice_calls_create (parts, owner->steps, schedule_run, owner);
   owner->registered =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -565,8 +567,6 @@
   return owner;
 }
 
-void
-gr_owner_destroy (struct gr_owner *owner)
 void
 gr_owner_counts (const struct gr_owner *owner,
                  struct gr_steps_counts *counts,
@@ -576,6 +576,8 @@
   *late_ms = gr_worker_io_late_ms (owner->io);
 }
 
+void
+gr_owner_destroy (struct gr_owner *owner)
 {
   if (owner == NULL)
     return;
@@ -589,6 +591,7 @@
   if (owner->registry_timer != 0)
     g_source_remove (owner->registry_timer);
   gr_upkeep_destroy (owner->upkeep);
+  gr_expiry_destroy (owner->expiry);
   gr_advice_calls_destroy (owner->advice);
   gr_worker_io_destroy (owner->io);
   gr_progress_log_destroy (owner->log);
@@ -599,4 +602,3 @@
   g_free (owner->published);
   g_free (owner);
 }
-  gr_expiry_destroy (owner->expiry);
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -43,6 +43,8 @@
   const char *const *labels; /* NULL-terminated */
   struct gr_resources capacity;
   bool draining;
+  int64_t remaining_ms;   /* it drains, and stays so long at least; 0: not
+                             known */
   int64_t born_unix_ms;   /* 0 if not known */
   int64_t entry_revision; /* of its entry; rises with each heartbeat */
 };
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -20,7 +20,8 @@
   int64_t born_unix_ms;
   bool registered;
   bool draining;
-  bool closed; /* for its machine's upkeep */
+  int64_t leave_ms; /* it stays until then at least; 0: not known */
+  bool closed;      /* for its machine's upkeep */
   bool reachable;
   bool seen;      /* looked at by this owner */
   bool look_soon; /* something about it is not known */
@@ -296,6 +297,9 @@
 /* A stop of the task keeps to what its step may miss. */
 bool gr_task_may_be_stopped (const struct task *task);
 
+/* Moves work from workers that are about to leave. */
+void gr_leaving_tick (struct gr_steps *steps);
+
 /* Placement. */
 void gr_place_tick (struct gr_steps *steps);
 /* The worker is set aside for a step that this one does not outrank. */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -171,6 +171,11 @@
   worker->capacity = row->capacity;
   if (row->draining && !worker->draining)
     gr_log_event ("worker-draining", "worker", worker->id, NULL);
+  /* An entry that is not new says how much time was left when it was. */
+  if (row->remaining_ms == 0)
+    worker->leave_ms = 0;
+  else if (!worker->draining || row->entry_revision != worker->entry_revision)
+    worker->leave_ms = now_ms + row->remaining_ms;
   worker->draining = row->draining;
   /* The first sight of an entry does not say how old it is. */
   if (worker->entry_revision != 0
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -49,6 +49,7 @@
     .labels = labels,
     .capacity = { 128000, 262144, 8 },
     .draining = worker->drains,
+    .remaining_ms = worker->remaining_ms,
     .born_unix_ms = worker->born,
     .entry_revision = worker->entry_revision,
   };
@@ -261,6 +262,15 @@
   set_worker (model, worker_at (model, worker));
 }
 
+void
+steps_model_notify_leave (struct steps_model *model,
+                          uint32_t worker,
+                          int64_t remaining_ms)
+{
+  worker_at (model, worker)->remaining_ms = remaining_ms;
+  steps_model_drain_worker (model, worker, true);
+}
+
 void
 steps_model_restart_worker (struct steps_model *model, uint32_t number)
 {
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -53,6 +53,10 @@
 void steps_model_drain_worker (struct steps_model *model,
                                uint32_t worker,
                                bool drains);
+/* It drains and says that it stays so long at least. */
+void steps_model_notify_leave (struct steps_model *model,
+                               uint32_t worker,
+                               int64_t remaining_ms);
 /* The model plays workers in this order. */
 void
 steps_model_swap_workers (struct steps_model *model, uint32_t a, uint32_t b);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -390,6 +390,67 @@
 }
 END_TEST
 
+/* To the moment at which the worker may leave. */
+static struct steps_model *
+play_leaving (const struct gr_step_spec *step, int64_t work_ms)
+{
+  struct steps_model *model = create (4, 1);
+
+  steps_model_add_job (model, 1, "normal", "a", step, 1, work_ms);
+  steps_model_run (model, 2500);
+  steps_model_notify_leave (model, busy_worker (model), 1500);
+  steps_model_run (model, 1500);
+  return model;
+}
+
+/* Work of workers that were taken away after a notice was lost, though a stop
+ * would have saved it. */
+START_TEST (work_is_saved_before_a_worker_leaves)
+{
+  struct gr_step_spec saved = plain;
+  struct steps_model *model;
+
+  saved.checkpointing = true;
+  saved.estimate_ms = 10000;
+  model = play_leaving (&saved, 10000);
+  ck_assert_uint_eq (steps_model_running (model, 1), 4);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 8);
+  ck_assert_double_le (steps_model_wasted_s (model), 0.01);
+  finish (model);
+}
+END_TEST
+
+/* Guards against stops of work that ends before the worker leaves. */
+START_TEST (work_that_ends_in_time_stays_on_a_leaving_worker)
+{
+  struct gr_step_spec saved = plain;
+  struct steps_model *model;
+
+  saved.checkpointing = true;
+  saved.estimate_ms = 9000; /* rough: it takes 3.8 s */
+  model = play_leaving (&saved, 3800);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 4);
+  finish (model);
+}
+END_TEST
+
+/* Guards against stops of work that would be lost by them: the worker may stay
+ * longer than it says. */
+START_TEST (work_that_cannot_be_saved_stays_on_a_leaving_worker)
+{
+  struct gr_step_spec lost = plain;
+  struct steps_model *model;
+
+  lost.estimate_ms = 10000;
+  model = play_leaving (&lost, 10000);
+  steps_model_run (model, 5000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 4);
+  ck_assert_uint_eq (steps_model_running (model, 1), 4);
+  finish (model);
+}
+END_TEST
+
 /* A gang that is larger than any rack waited for a rack to take it, for nearly
  * half of the time in which guaranteed work must begin. */
 START_TEST (gang_larger_than_a_rack_does_not_wait_for_one)
@@ -456,6 +517,9 @@
   tcase_add_test (tests, waiting_stops_are_not_queued_again);
   tcase_add_test (tests, urgent_starts_are_sent_first);
   tcase_add_test (tests, starts_are_not_placed_to_wait);
+  tcase_add_test (tests, work_is_saved_before_a_worker_leaves);
+  tcase_add_test (tests, work_that_ends_in_time_stays_on_a_leaving_worker);
+  tcase_add_test (tests, work_that_cannot_be_saved_stays_on_a_leaving_worker);
   tcase_add_test (tests, gang_larger_than_a_rack_does_not_wait_for_one);
   tcase_add_test (tests, gang_does_not_wait_for_a_rack_while_most_is_free);
   suite_add_tcase (suite, tests);
