instance: few instances try to become the owner at once

Cause: when there was no owner, all instances tried within 60 ms, and those without the ownership look at records only every 250 ms, so that none learned of the first one: 60 of 60 instances asked for a lease in the test, up to three writes each, on a store that takes 400 in a second. Change: instances that wait for their turn follow the records closely; the spread is 300 ms and doubles for an instance that the store has refused, up to 4.8 s. Ruled out: that this is why serving takes 8.5 s at 300 machines after all were killed (0.5 s at 30, 4.5 s at 100): the figures are the same after it. Test, red before: few_instances_try_to_become_the_owner.

--- a/instance/ownership.c
+++ b/instance/ownership.c
@@ -15,9 +15,16 @@
  * with AMPLE_CORES or more at once, smaller ones later, which grows with the
  * fourth power of what they lack: 0.1 s for 0.25 cores, 0.5 s for 0.12. An
  * owner of 350 workers takes more than the smallest instances have. */
-#define CONTEND_SPREAD_MS 60
 #define CONTEND_SMALL_MS 1600
 #define AMPLE_CORES 0.5
+
+/* Among equals chance decides. The others learn of the first one within some
+ * 20 ms, so that about a fifteenth of them try as well; the first of 9 comes
+ * after 30 ms. A try is up to three writes, and the store takes 400 in a
+ * second: instances that it has refused try again in twice the time, up to
+ * what 1,000 of them need. */
+#define CONTEND_SPREAD_MS 300
+#define LONGEST_SPREAD_MS 4800
 #define RETRY_MS 300
 
 enum state
@@ -45,6 +52,7 @@
   int64_t sent_ms;
   char *value; /* of the record, unique to the attempt */
   double cores;
+  uint32_t spread_ms;
   bool stopping;
   bool renewing;
   guint timer;
@@ -178,6 +186,7 @@
 try_later (struct gr_ownership *ownership, const char *reason)
 {
   gr_log_event ("owner-not-acquired", "reason", reason, NULL);
+  ownership->spread_ms = MIN (ownership->spread_ms * 2, LONGEST_SPREAD_MS);
   end_lease (ownership);
   back_to_idle (ownership);
   if (!ownership->stopping)
@@ -306,7 +315,18 @@
   double lacking = 1 - MIN (ownership->cores / AMPLE_CORES, 1);
 
   return (uint32_t)(lacking * lacking * lacking * lacking * CONTEND_SMALL_MS)
-         + (uint32_t)g_random_int_range (0, CONTEND_SPREAD_MS);
+         + (uint32_t)g_random_int_range (0, (gint32)ownership->spread_ms);
+}
+
+static void
+follow_owner (struct gr_ownership *ownership)
+{
+  ownership->spread_ms = CONTEND_SPREAD_MS;
+  gr_mirror_follow_closely (ownership->mirror, false);
+  if (ownership->state != STATE_WAITING)
+    return;
+  clear_timer (ownership);
+  back_to_idle (ownership);
 }
 
 void
@@ -324,9 +344,16 @@
         lose (ownership, "another instance is the owner");
       return;
     }
-  if (ownership->state != STATE_IDLE || revision != 0 || ownership->stopping)
+  if (revision != 0)
+    {
+      follow_owner (ownership);
+      return;
+    }
+  if (ownership->state != STATE_IDLE || ownership->stopping)
     return;
   ownership->state = STATE_WAITING;
+  /* To learn at once that another instance was faster. */
+  gr_mirror_follow_closely (ownership->mirror, true);
   set_timer (ownership, contend_delay_ms (ownership), turn_came);
 }
 
@@ -345,6 +372,7 @@
   ownership->clock = clock;
   ownership->instance = g_strdup (instance);
   ownership->cores = cores;
+  ownership->spread_ms = CONTEND_SPREAD_MS;
   ownership->events = *events;
   return ownership;
 }
--- a/tests/test-platform-store.c
+++ b/tests/test-platform-store.c
@@ -1,4 +1,5 @@
 #include "instance/expiry.h"
+#include "instance/ownership.h"
 #include "platform/metastore.h"
 #include "standins/metastore.h"
 
@@ -292,6 +293,92 @@
 }
 END_TEST
 
+#define CANDIDATES 60
+
+struct candidate
+{
+  struct gr_metastore *store;
+  struct gr_mirror *mirror;
+  struct gr_ownership *ownership;
+  uint32_t *owners;
+};
+
+static void
+owner_changed (void *context)
+{
+  struct candidate *candidate = context;
+
+  if (candidate->ownership != NULL)
+    gr_ownership_check (candidate->ownership);
+}
+
+static void
+acquired (int64_t epoch, int64_t revision, void *context)
+{
+  (void)epoch;
+  (void)revision;
+  (*((struct candidate *)context)->owners)++;
+}
+
+static void
+lost (const char *reason, void *context)
+{
+  (void)reason;
+  (*((struct candidate *)context)->owners)--;
+}
+
+/* All instances tried to become the owner at once when there was none. Each try
+ * is up to three writes; on 300 machines the store refused nearly all of them,
+ * and it took 8.5 s until there was an owner. */
+START_TEST (few_instances_try_to_become_the_owner)
+{
+  struct candidate candidates[CANDIDATES] = { 0 };
+  struct world world;
+  struct gr_clock *clock = gr_clock_create ();
+  struct gr_standin *base;
+  uint32_t owners = 0;
+
+  world_create (&world);
+  base = gr_standin_platform_base (world.platform);
+  for (int i = 0; i < CANDIDATES; i++)
+    {
+      struct candidate *candidate = &candidates[i];
+      struct gr_mirror_events events = {
+        .owner_changed = owner_changed,
+        .context = candidate,
+      };
+      struct gr_ownership_events ownership_events = { acquired, lost,
+                                                      candidate };
+
+      candidate->owners = &owners;
+      candidate->store =
+          gr_metastore_create (gr_standin_address (base), world.counters);
+      candidate->mirror = gr_mirror_create (candidate->store, clock, &events);
+      candidate->ownership =
+          gr_ownership_create (candidate->store, candidate->mirror, clock, "i",
+                               0.25, &ownership_events);
+    }
+  run_for (1500);
+  ck_assert_uint_eq (owners, 1);
+  for (int i = 0; i < CANDIDATES; i++)
+    if (gr_ownership_is_owner (candidates[i].ownership))
+      gr_ownership_stop (candidates[i].ownership);
+  ck_assert_uint_eq (owners, 0);
+  run_for (1500);
+  ck_assert_uint_eq (owners, 1);
+  /* Twice a choice among them all. */
+  ck_assert_int_le (gr_standin_count (base, "/v1/kv-lease"), CANDIDATES / 3);
+  for (int i = 0; i < CANDIDATES; i++)
+    {
+      gr_ownership_destroy (candidates[i].ownership);
+      gr_metastore_destroy (candidates[i].store);
+      gr_mirror_destroy (candidates[i].mirror);
+    }
+  gr_clock_destroy (clock);
+  world_destroy (&world);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -306,6 +393,7 @@
   tcase_add_test (tests, store_that_is_silent_is_known_to_be);
   tcase_add_test (tests, watch_shows_that_the_store_answers);
   tcase_add_test (tests, records_of_final_jobs_are_removed_in_time);
+  tcase_add_test (tests, few_instances_try_to_become_the_owner);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
