--- a/tests/entry-world.c
+++ b/tests/entry-world.c
@@ -99,7 +99,7 @@
                                 "data_centre = dc1\n"
                                 "[platform]\n"
                                 "kv_url = %s\n"
-                                "kv_timeout_ms = 300\n"
+                                "kv_timeout_ms = 1000\n"
                                 "instances_url = %s\n",
                                 i, kv_url, list_url);
 
