steps: a stop that was answered ends with the next look

A look was sent together with each repeated stop and answered after it, which cleared the wish for another look; looks that waited were older than the next answer, which moved the time that a look must be later than. Since urgent starts and stops go before other starts, starts that are never sent became usual. Change: the first answer to a stop counts, and a look only clears the wish for one if it was sent after it (gr_worker_want_look ()). Test, red before: stop_that_was_answered_ends_with_a_look.

--- a/steps/orders.c
+++ b/steps/orders.c
@@ -222,15 +222,15 @@
       return;
     case GR_ORDER_NO_ROOM:
       worker->full_until_ms = steps->now_ms + NO_ROOM_PAUSE_MS;
-      worker->look_soon = true;
+      gr_worker_want_look (steps, worker);
       break;
     case GR_ORDER_NO_TICKET:
       gr_advice_expire (task->step, worker);
-      worker->look_soon = true;
+      gr_worker_want_look (steps, worker);
       break;
     case GR_ORDER_TOO_LATE:
     case GR_ORDER_REJECTED:
-      worker->look_soon = true;
+      gr_worker_want_look (steps, worker);
       break;
     case GR_ORDER_OTHER_INCARNATION:
       worker->registered = false;
@@ -243,11 +243,11 @@
       worker->reachable = false;
       break;
     case GR_ORDER_RUN_TOO_OLD:
-      worker->look_soon = true;
+      gr_worker_want_look (steps, worker);
       sole = false;
       break;
     case GR_ORDER_UNKNOWN:
-      worker->look_soon = true;
+      gr_worker_want_look (steps, worker);
       return; /* repeated by gr_orders_tick () */
     }
   if (task->state != TASK_STARTING)
@@ -270,8 +270,10 @@
   if (result == GR_ORDER_DONE || result == GR_ORDER_RUN_TOO_OLD
       || result == GR_ORDER_REJECTED)
     {
-      task->stop_answered_ms = steps->now_ms;
-      task->worker->look_soon = true;
+      /* The first answer counts: later ones would outdate every look. */
+      if (task->stop_answered_ms == 0)
+        task->stop_answered_ms = steps->now_ms;
+      gr_worker_want_look (steps, task->worker);
     }
 }
 
@@ -327,7 +329,7 @@
       || steps->now_ms - task->order_ms
              < (task->stop_open ? RESULT_LOST_MS : STOP_REPEAT_MS))
     return;
-  task->worker->look_soon = true;
+  gr_worker_want_look (steps, task->worker);
   gr_task_name (task, name);
   send_stop (steps, task, name);
 }
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -295,7 +295,9 @@
   gr_worker_born (steps, worker, look->born_unix_ms);
   worker->seen = true;
   worker->reachable = true;
-  worker->look_soon = false;
+  /* One that was sent before does not show what it was wanted for. */
+  if (look->sent_ms >= worker->look_wanted_ms)
+    worker->look_soon = false;
   for (size_t i = 0; i < look->n_ended; i++)
     {
       if (look->ended[i].number <= worker->processed)
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -23,8 +23,9 @@
   int64_t leave_ms; /* it stays until then at least; 0: not known */
   bool closed;      /* for its machine's upkeep */
   bool reachable;
-  bool seen;      /* looked at by this owner */
-  bool look_soon; /* something about it is not known */
+  bool seen;              /* looked at by this owner */
+  bool look_soon;         /* something about it is not known */
+  int64_t look_wanted_ms; /* since then */
   int64_t gone_ms;
   int64_t entry_revision; /* of its entry in the registry */
   int64_t renewed_ms;     /* when the entry was seen to change; 0: never */
@@ -218,6 +219,8 @@
 struct worker *gr_worker_find (struct gr_steps *steps, const char *id);
 bool gr_worker_usable (const struct gr_steps *steps,
                        const struct worker *worker);
+/* A look is needed that is sent from now on. */
+void gr_worker_want_look (const struct gr_steps *steps, struct worker *worker);
 bool gr_worker_has_label (const struct worker *worker, const char *label);
 void gr_workers_tick (struct gr_steps *steps);
 /* Racks with their workers, in order of the workers' ids. */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -45,6 +45,13 @@
          && steps->now_ms >= worker->full_until_ms;
 }
 
+void
+gr_worker_want_look (const struct gr_steps *steps, struct worker *worker)
+{
+  worker->look_soon = true;
+  worker->look_wanted_ms = steps->now_ms;
+}
+
 bool
 gr_worker_has_label (const struct worker *worker, const char *label)
 {
@@ -87,7 +94,7 @@
   worker->pending_sequence = 0;
   worker->seen = false;
   worker->reachable = true;
-  worker->look_soon = true;
+  gr_worker_want_look (steps, worker);
   worker->failures = 0;
   worker->quarantine_until_ms = 0;
   worker->quarantine_ms = 0;
@@ -125,7 +132,7 @@
   worker->labels = g_new0 (char *, 1);
   worker->tasks = g_ptr_array_new ();
   worker->reachable = true;
-  worker->look_soon = true;
+  gr_worker_want_look (steps, worker);
   worker->pace = 100;
   g_hash_table_insert (steps->workers, worker->id, worker);
   g_ptr_array_add (steps->worker_rows, worker);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -390,6 +390,61 @@
 }
 END_TEST
 
+static void
+answer_look (struct gr_steps *steps, int64_t sent_ms, int64_t now_ms)
+{
+  struct gr_look look = { .sent_ms = sent_ms, .all_ended = true };
+
+  gr_steps_look (steps, "w000", &look, now_ms);
+}
+
+/* Takes the one order that waits; it must be of this kind. */
+static struct gr_order
+take_order (struct gr_steps *steps, enum gr_order_kind kind)
+{
+  struct gr_order order;
+
+  ck_assert (gr_steps_take_order (steps, NULL, NULL, &order));
+  ck_assert_int_eq (order.kind, kind);
+  return order;
+}
+
+/* A task whose start was never sent was stopped for ever: the look that should
+ * have shown that it was gone had been sent before the answer to the stop, and
+ * before each later look ended, the stop had been answered once more. On large
+ * sites jobs did not end. */
+START_TEST (stop_that_was_answered_ends_with_a_look)
+{
+  struct steps_model *model = create (1, 1);
+  struct gr_steps *steps = steps_model_core (model);
+  struct gr_steps_counts counts;
+  struct gr_order stop;
+  int64_t now_ms;
+
+  steps_model_run (model, 200);
+  steps_model_set_orders_per_tick (model, 0);
+  steps_model_add_job (
+      model, 1, "normal", "a",
+      &(struct gr_step_spec){ .count = 1, .needs = { 1000, 100, 1 } }, 1, 1000);
+  steps_model_run (model, 40);
+  steps_model_cut_worker (model, 0, true);
+  steps_model_cancel (model, 1);
+  steps_model_run (model, 20);
+  now_ms = steps_model_now_ms (model);
+  stop = take_order (steps, GR_ORDER_STOP);
+  gr_steps_order_result (steps, &stop, GR_ORDER_REJECTED, now_ms + 10);
+  answer_look (steps, now_ms, now_ms + 20);
+  ck_assert_int_eq (gr_steps_look_need (steps, "w000"), GR_LOOK_NOW);
+  gr_steps_tick (steps, now_ms + 600, now_ms + 600);
+  stop = take_order (steps, GR_ORDER_STOP);
+  gr_steps_order_result (steps, &stop, GR_ORDER_REJECTED, now_ms + 610);
+  answer_look (steps, now_ms + 100, now_ms + 620);
+  gr_steps_counts (steps, &counts);
+  ck_assert_uint_eq (counts.tasks_running, 0);
+  steps_model_destroy (model);
+}
+END_TEST
+
 /* To the moment at which the worker may leave. */
 static struct steps_model *
 play_leaving (const struct gr_step_spec *step, int64_t work_ms)
@@ -517,6 +572,7 @@
   tcase_add_test (tests, waiting_stops_are_not_queued_again);
   tcase_add_test (tests, urgent_starts_are_sent_first);
   tcase_add_test (tests, starts_are_not_placed_to_wait);
+  tcase_add_test (tests, stop_that_was_answered_ends_with_a_look);
   tcase_add_test (tests, work_is_saved_before_a_worker_leaves);
   tcase_add_test (tests, work_that_ends_in_time_stays_on_a_leaving_worker);
   tcase_add_test (tests, work_that_cannot_be_saved_stays_on_a_leaving_worker);
