steps, instance: a successor knows the workers whose entries have lapsed

A successor that reads the registry then does not know the worker, looks at all others, and starts the tasks that run there a second time. That the store had served it for long says nothing, since only writes fail. Change: the owner publishes every worker that is registered and does not drain, not only those that have left; a successor looks at each of them or waits for its leases. The list is written only when it changes, apart from the begun jobs. Ruled out: waiting three heartbeats at each takeover, which holds back all inherited work for 4.5 s; a list of what runs where, a write for each start. Test, red before: lapsed_entry_at_a_takeover_is_waited_for.

--- a/instance/mirror.h
+++ b/instance/mirror.h
@@ -69,8 +69,8 @@
 /* Revision of the owner's record, 0 if there is none; text is its value. */
 int64_t gr_mirror_owner (const struct gr_mirror *mirror, const char **text);
 
-/* Workers that may run on though they have left the registry, as the last owner
- * has written them: lines of id and address. */
+/* Workers that may run something though they may have no entry in the registry,
+ * as the last owner has written them: lines of id and address. */
 const char *gr_mirror_absent (const struct gr_mirror *mirror);
 
 /* Machines of the wave whose upkeep is done, one a line; NULL if there is no
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -61,7 +61,10 @@
   bool loaded;
   bool registry_read;
   bool superseded;
-  char *published;
+  char *published_begun;
+  char *published_absent;
+  bool begun_changed;
+  bool absent_changed;
   int64_t published_revision;
   guint tick;
   int64_t last_tick_ms;
@@ -350,8 +353,10 @@
   if (owner == NULL)
     return;
   /* It is written again with the next change, or after a failure. */
-  if (error != NULL || !result->conditions_held)
-    g_clear_pointer (&owner->published, g_free);
+  if (error == NULL && result->conditions_held)
+    return;
+  g_clear_pointer (&owner->published_begun, g_free);
+  g_clear_pointer (&owner->published_absent, g_free);
 }
 
 struct absent_text
@@ -371,44 +376,60 @@
 }
 
 static void
-write_published (struct gr_owner *owner, const char *begun, const char *absent)
+write_published (struct gr_owner *owner)
 {
   struct gr_metastore_txn *txn = gr_metastore_txn_create ();
+  const struct
+  {
+    const char *key;
+    const char *text;
+    bool changed;
+  } rows[] = {
+    { GR_RECORD_BEGUN, owner->published_begun, owner->begun_changed },
+    { GR_RECORD_ABSENT, owner->published_absent, owner->absent_changed },
+  };
 
   gr_metastore_txn_expect (txn, GR_RECORD_OWNER, owner->revision);
-  gr_metastore_txn_put (txn, GR_RECORD_BEGUN, begun, strlen (begun), 0);
-  gr_metastore_txn_put (txn, GR_RECORD_ABSENT, absent, strlen (absent), 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    if (rows[i].changed)
+      gr_metastore_txn_put (txn, rows[i].key, rows[i].text,
+                            strlen (rows[i].text), 0);
   gr_metastore_commit (owner->parts.store, txn, PUBLISH_TIMEOUT_MS,
                        (struct gr_metastore_reply){
                            publish_done, open_call (owner, SLOT_PUBLISH) });
 }
 
-/* For clients' counts, and for a successor: workers that have left the
- * registry and may run on. */
+/* Takes text; true if it differs from what was published. */
+static bool
+replace_published (char **published, GString *text)
+{
+  g_autofree char *former = *published;
+
+  *published = g_string_free (text, FALSE);
+  return g_strcmp0 (former, *published) != 0;
+}
+
+/* For clients' counts, and for a successor: workers that may run something and
+ * that it may not find in the registry. Few of them come or go in a second, so
+ * that the list is written when it changes only. */
 static gboolean
 publish (gpointer data)
 {
   struct gr_owner *owner = data;
-  GString *begun;
   struct absent_text absent = { owner, NULL };
-  char *both;
+  GString *begun;
 
   if (owner->calls[SLOT_PUBLISH] != NULL || owner->superseded || !owner->loaded)
     return G_SOURCE_CONTINUE;
   begun = g_string_new (NULL);
   absent.text = g_string_new (NULL);
   gr_steps_each_begun (owner->steps, append_id, begun);
-  gr_steps_each_absent (owner->steps, append_absent, &absent);
-  both = g_strconcat (begun->str, "-", absent.text->str, NULL);
-  if (g_strcmp0 (owner->published, both) != 0)
-    {
-      write_published (owner, begun->str, absent.text->str);
-      g_free (owner->published);
-      owner->published = g_steal_pointer (&both);
-    }
-  g_free (both);
-  g_string_free (begun, TRUE);
-  g_string_free (absent.text, TRUE);
+  gr_steps_each_inherited (owner->steps, append_absent, &absent);
+  owner->begun_changed = replace_published (&owner->published_begun, begun);
+  owner->absent_changed =
+      replace_published (&owner->published_absent, absent.text);
+  if (owner->begun_changed || owner->absent_changed)
+    write_published (owner);
   return G_SOURCE_CONTINUE;
 }
 
@@ -599,6 +620,7 @@
   g_clear_pointer (&owner->listed, g_hash_table_destroy);
   g_hash_table_destroy (owner->registered);
   g_hash_table_destroy (owner->addresses);
-  g_free (owner->published);
+  g_free (owner->published_begun);
+  g_free (owner->published_absent);
   g_free (owner);
 }
--- a/instance/records.h
+++ b/instance/records.h
@@ -13,7 +13,8 @@
 #define GR_RECORD_GENERATION "gr/generation" /* of owners, rises by one */
 #define GR_RECORD_BEGUN "gr/begun" /* ids of jobs of which a task has begun */
 
-/* Workers that have left the registry and may run on: id and address. */
+/* Workers that may run something though a successor may find no entry of them:
+ * id and address. */
 #define GR_RECORD_ABSENT "gr/absent"
 
 /* Followed by the number of a wave: machines whose upkeep is done. */
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -167,18 +167,20 @@
                            const char *worker,
                            bool steady,
                            int64_t now_ms);
-/* A former owner has seen the worker leave the registry while runs could still
- * be alive there. */
+/* A former owner knew the worker: runs can be alive there, whether it has an
+ * entry in the registry or not. */
 void gr_steps_set_absent (struct gr_steps *steps,
                           const char *worker,
                           int64_t now_ms);
 /* Until this time the registry can miss workers that are alive, so that runs
  * of inherited jobs may exist that are not seen. */
 void gr_steps_set_registry_settled (struct gr_steps *steps, int64_t settled_ms);
-/* Calls visit for each worker that is not registered and may have runs. */
-void gr_steps_each_absent (const struct gr_steps *steps,
-                           void (*visit) (const char *worker, void *context),
-                           void *context);
+/* Calls visit for each worker that a successor must know of, if it finds no
+ * entry of it: all that are registered and do not drain, and those that have
+ * left the registry and may have runs. */
+void gr_steps_each_inherited (const struct gr_steps *steps,
+                              void (*visit) (const char *worker, void *context),
+                              void *context);
 /* Set false when calls to the worker fail, true when they succeed again. */
 void gr_steps_worker_reachable (struct gr_steps *steps,
                                 const char *worker,
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -367,15 +367,18 @@
 }
 
 void
-gr_steps_each_absent (const struct gr_steps *steps,
-                      void (*visit) (const char *worker, void *context),
-                      void *context)
+gr_steps_each_inherited (const struct gr_steps *steps,
+                         void (*visit) (const char *worker, void *context),
+                         void *context)
 {
   for (guint i = 0; i < steps->worker_rows->len; i++)
     {
       const struct worker *worker = steps->worker_rows->pdata[i];
 
-      if (!worker->registered && steps->now_ms < lapse_ms (steps, worker))
+      /* An entry can lapse though its worker is alive. Work on one that drains
+       * is over soon, and its entry goes for that cause. */
+      if (worker->registered ? !worker->draining
+                             : steps->now_ms < lapse_ms (steps, worker))
         visit (worker->id, context);
     }
 }
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -50,6 +50,7 @@
   bool cut;
   bool fails;
   bool drains;
+  bool entry_lost;
   int64_t remaining_ms;
   bool clock_known; /* to the owner; the first look gives no lease */
   uint32_t starts;
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -307,9 +307,24 @@
   model->workers->pdata[b] = kept;
 }
 
+void
+steps_model_lose_entry (struct steps_model *model, uint32_t number)
+{
+  worker_at (model, number)->entry_lost = true;
+}
+
+static void
+note_published (const char *worker, void *context)
+{
+  g_ptr_array_add (context, g_strdup (worker));
+}
+
 void
 steps_model_take_over (struct steps_model *model)
 {
+  g_autoptr (GPtrArray) published = g_ptr_array_new_with_free_func (g_free);
+
+  gr_steps_each_inherited (model->steps, note_published, published);
   gr_steps_destroy (model->steps);
   model_drop_commits (model);
   model->epoch++;
@@ -335,8 +350,11 @@
 
       worker->clock_known = false;
       worker->next_look_ms = 0;
-      set_worker (model, worker);
+      if (!worker->entry_lost)
+        set_worker (model, worker);
     }
+  for (guint i = 0; i < published->len; i++)
+    gr_steps_set_absent (model->steps, published->pdata[i], model->now_ms);
 }
 
 static void
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -64,6 +64,8 @@
 void steps_model_renew (struct steps_model *model, uint32_t worker);
 /* Its entry is gone; the worker runs on. */
 void steps_model_drop_entry (struct steps_model *model, uint32_t worker);
+/* Its entry is gone, and no owner has seen that before the next takeover. */
+void steps_model_lose_entry (struct steps_model *model, uint32_t worker);
 /* It does not answer any more, and its entry, which it renews at this moment,
  * goes so long after that. If that is soon, it has left and runs nothing. */
 void steps_model_remove_worker (struct steps_model *model,
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -308,6 +308,25 @@
 }
 END_TEST
 
+/* While the store loses writes, a worker's entry can lapse though it is alive;
+ * after a takeover at that moment, what ran there was started a second time. */
+START_TEST (lapsed_entry_at_a_takeover_is_waited_for)
+{
+  struct gr_step_spec one = plain;
+  struct steps_model *model = create (4, 1);
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 500);
+  steps_model_lose_entry (model, busy_worker (model));
+  steps_model_take_over (model);
+  steps_model_run (model, 3000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  ck_assert_uint_eq (steps_model_running (model, 1), 1);
+  finish (model);
+}
+END_TEST
+
 /* A start whose result never reached the core, because the worker's address had
  * changed meanwhile, held its task for ever. */
 START_TEST (start_without_a_result_is_given_up)
@@ -568,6 +587,7 @@
   tcase_add_test (tests, silent_worker_is_waited_for);
   tcase_add_test (tests, waiting_orders_hold_their_runs);
   tcase_add_test (tests, first_sight_of_an_entry_is_no_heartbeat);
+  tcase_add_test (tests, lapsed_entry_at_a_takeover_is_waited_for);
   tcase_add_test (tests, start_without_a_result_is_given_up);
   tcase_add_test (tests, waiting_stops_are_not_queued_again);
   tcase_add_test (tests, urgent_starts_are_sent_first);
