--- a/instance/progress-log.c
+++ b/instance/progress-log.c
@@ -122,6 +122,7 @@
 static void
 apply_written (struct gr_progress_log *log, int64_t revision)
 {
+  g_autoptr (GString) ids = g_string_new (NULL);
   GHashTableIter iter;
   void *key;
   void *value;
@@ -137,7 +138,10 @@
 
       gr_mirror_apply (log->mirror, &item);
       g_free (item.key);
+      g_string_append_printf (ids, "%s%s", ids->len > 0 ? "," : "",
+                              (const char *)key);
     }
+  gr_log_event ("progress-noted", "jobs", ids->str, NULL);
   g_clear_pointer (&log->sent, g_hash_table_destroy);
 }
 
--- a/tests/test-timeline.c
+++ b/tests/test-timeline.c
@@ -202,6 +202,66 @@
 }
 END_TEST
 
+/* Guards against a job of the users' platform of which only a part is found:
+ * its runs are named by their tasks, what was noted by a list. */
+START_TEST (jobs_of_the_platform_are_found_by_their_id)
+{
+  static const char id[] = "5c0e7a21d94b36f8";
+  struct gr_timeline *timeline = gr_timeline_create ();
+  char *jobs[] = { (char *)id, NULL };
+  struct gr_timeline_filter filter = { .jobs = jobs };
+  char *text;
+
+  add_log (
+      timeline, "day",
+      "the day has begun {at 0 s}\n"
+      "   0.5000 front-a-1 " LINE (10, "a", "client-answer", JOB ("5c0e7a21d94b36f8")) "   0.6000 front-a-1 " LINE (20, "a", "run-placed", ",\"task\":\"5c0e7a21d94b36f8.0.0.1\"") "   0.6000 front-a-1 " LINE (
+          21, "a",
+          "run-placed", ",\"task\":\"5c0e7a21d94b36f80.0.0\"") "   0.7000 "
+                                                               "front-b-"
+                                                               "1 " LINE (30,
+                                                                          "b",
+                                                                          "run-"
+                                                                          "pree"
+                                                                          "mpte"
+                                                                          "d",
+                                                                          ",\"j"
+                                                                          "ob\""
+                                                                          ":\"1"
+                                                                          "\","
+                                                                          "\"fo"
+                                                                          "r\":"
+                                                                          "\"5c"
+                                                                          "0e7a"
+                                                                          "21d9"
+                                                                          "4b36"
+                                                                          "f8"
+                                                                          "\"") "   0.8000 front-b-1 " LINE (40,
+                                                                                                             "b",
+                                                                                                             "progress-noted",
+                                                                                                             ",\"jobs\":\"1,5c0e7a21d94b36f8\"") "   0.9000 front-b-1 " LINE (50,
+                                                                                                                                                                              "b",
+                                                                                                                                                                              "progress-noted",
+                                                                                                                                                                              ",\"jobs\":\"1,2\""));
+  ck_assert_uint_eq (gr_timeline_records (timeline)->len, 6);
+  ck_assert_uint_eq (gr_timeline_skipped (timeline), 1);
+  text = printed (timeline, &filter, gr_timeline_print_json);
+  ck_assert_ptr_nonnull (strstr (text, "client-answer"));
+  ck_assert_ptr_nonnull (strstr (text, "f8.0.0.1"));
+  ck_assert_ptr_null (strstr (text, "f80.0.0"));
+  ck_assert_ptr_nonnull (strstr (text, "run-preempted"));
+  ck_assert_ptr_nonnull (strstr (text, "1,5c0e7a21d94b36f8"));
+  ck_assert_ptr_null (strstr (text, "\"1,2\""));
+  free (text);
+  text = printed (timeline, &filter, gr_timeline_print_matters);
+  ck_assert_ptr_nonnull (strstr (text, "<th>3 clients</th><th>4 starts</th>"
+                                       "<th>5 ends</th><th>6 noted ends</th>"));
+  ck_assert_ptr_nonnull (strstr (text, "<span>p/b</span>"));
+  free (text);
+  gr_timeline_destroy (timeline);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -215,6 +275,7 @@
   tcase_add_test (tcase, filters_select_records);
   tcase_add_test (tcase, page_escapes_text);
   tcase_add_test (tcase, exit_code_tells_violations);
+  tcase_add_test (tcase, jobs_of_the_platform_are_found_by_their_id);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
--- a/timeline/html.c
+++ b/timeline/html.c
@@ -46,9 +46,17 @@
   return strcmp (*(const char *const *)a, *(const char *const *)b);
 }
 
+static const char *
+process_lane (const struct gr_record *record)
+{
+  return record->lane;
+}
+
 /* Names of the lanes that have records to print, sorted. Not owned. */
 static GPtrArray *
-list_lanes (const GPtrArray *records, const struct gr_timeline_filter *filter)
+list_lanes (const GPtrArray *records,
+            const struct gr_timeline_filter *filter,
+            const char *(*lane_of) (const struct gr_record *record))
 {
   GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
   GPtrArray *lanes = g_ptr_array_new ();
@@ -57,9 +65,11 @@
     {
       struct gr_record *record = records->pdata[i];
 
+      const char *lane = lane_of (record);
+
       if (gr_timeline_filter_matches (filter, record)
-          && g_hash_table_add (seen, record->lane))
-        g_ptr_array_add (lanes, record->lane);
+          && g_hash_table_add (seen, (char *)lane))
+        g_ptr_array_add (lanes, (char *)lane);
     }
   g_ptr_array_sort (lanes, compare_names);
   g_hash_table_destroy (seen);
@@ -67,7 +77,7 @@
 }
 
 static void
-print_cell (const struct gr_record *record, FILE *out)
+print_cell (const struct gr_record *record, bool lane_is_process, FILE *out)
 {
   const char *level = gr_record_get (record, "level");
 
@@ -76,6 +86,12 @@
   fputs ("\"><b>", out);
   print_escaped (record->event, out);
   fputs ("</b>", out);
+  if (!lane_is_process)
+    {
+      fputs ("<span>", out);
+      print_escaped (record->lane, out);
+      fputs ("</span>", out);
+    }
   for (guint i = 0; i < record->fields->len; i++)
     {
       const struct gr_record_field *field =
@@ -94,7 +110,10 @@
 }
 
 static void
-print_row (const struct gr_record *record, const GPtrArray *lanes, FILE *out)
+print_row (const struct gr_record *record,
+           const GPtrArray *lanes,
+           const char *lane,
+           FILE *out)
 {
   char *time = gr_timeline_time (record->hlc);
 
@@ -103,12 +122,12 @@
   fputs ("</td>", out);
   for (guint i = 0; i < lanes->len; i++)
     {
-      if (!g_str_equal (lanes->pdata[i], record->lane))
+      if (!g_str_equal (lanes->pdata[i], lane))
         {
           fputs ("<td></td>", out);
           continue;
         }
-      print_cell (record, out);
+      print_cell (record, lane == record->lane, out);
     }
   fputs ("</tr>\n", out);
   g_free (time);
@@ -128,13 +147,14 @@
   g_ptr_array_unref (violations);
 }
 
-void
-gr_timeline_print_html (struct gr_timeline *timeline,
-                        const struct gr_timeline_filter *filter,
-                        FILE *out)
+static void
+print_page (struct gr_timeline *timeline,
+            const struct gr_timeline_filter *filter,
+            const char *(*lane_of) (const struct gr_record *record),
+            FILE *out)
 {
   const GPtrArray *records = gr_timeline_records (timeline);
-  GPtrArray *lanes = list_lanes (records, filter);
+  GPtrArray *lanes = list_lanes (records, filter, lane_of);
 
   fputs (head, out);
   print_violations (timeline, out);
@@ -150,9 +170,25 @@
   fputs ("</tr></thead><tbody>\n", out);
   for (guint i = 0; i < records->len; i++)
     if (gr_timeline_filter_matches (filter, records->pdata[i]))
-      print_row (records->pdata[i], lanes, out);
+      print_row (records->pdata[i], lanes, lane_of (records->pdata[i]), out);
   fputs ("</tbody></table>\n", out);
   fputs (script, out);
   fputs ("</body></html>\n", out);
   g_ptr_array_unref (lanes);
 }
+
+void
+gr_timeline_print_html (struct gr_timeline *timeline,
+                        const struct gr_timeline_filter *filter,
+                        FILE *out)
+{
+  print_page (timeline, filter, process_lane, out);
+}
+
+void
+gr_timeline_print_matters (struct gr_timeline *timeline,
+                           const struct gr_timeline_filter *filter,
+                           FILE *out)
+{
+  print_page (timeline, filter, gr_record_matter, out);
+}
--- a/timeline/run.c
+++ b/timeline/run.c
@@ -9,6 +9,7 @@
   struct gr_timeline_filter filter;
   gboolean json;
   gboolean html;
+  gboolean matters;
   char **files;
 };
 
@@ -28,6 +29,9 @@
       NULL },
     { "html", 0, 0, G_OPTION_ARG_NONE, &options->html,
       "Print a page with a column for each process", NULL },
+    { "matters", 0, 0, G_OPTION_ARG_NONE, &options->matters,
+      "Print a page with a column for each matter of a day on the platform",
+      NULL },
     { G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_FILENAME_ARRAY, &options->files,
       NULL, "FILE..." },
     { NULL, 0, 0, 0, NULL, NULL, NULL },
@@ -40,7 +44,8 @@
   g_option_context_set_description (
       context,
       "FILE is the standard error output of a process from its start to its "
-      "end, - is\nstandard input. The check covers all events, also those that "
+      "end, or what\nfleetbench --log has printed; - is standard input. The "
+      "check covers all events, also those that "
       "filters leave out.\n\n"
       "Exit codes: 0 if the order is right, 1 if it is not (the lines are "
       "printed on\nstandard error), 2 for wrong arguments and files that "
@@ -48,7 +53,9 @@
       "Samples:\n"
       "  geraniumrack-timeline entry-1.log scheduler-1.log\n"
       "  geraniumrack-timeline --job dc1.clinics.scan-1 *.log\n"
-      "  geraniumrack-timeline --html *.log > timeline.html\n");
+      "  geraniumrack-timeline --html *.log > timeline.html\n"
+      "  geraniumrack-timeline --matters --job 5c0e7a21d94b36f8 day.txt "
+      "> day.html\n");
   g_option_context_add_main_entries (context, entries, NULL);
   gr_process_options_add (context, &options->process);
   return context;
@@ -95,11 +102,13 @@
   bool added = true;
   int exit_code = GR_EXIT_USAGE;
 
-  if (options->files == NULL || (options->json && options->html))
+  if (options->files == NULL
+      || options->json + options->html + options->matters > 1)
     {
       fprintf (err, "geraniumrack-timeline: %s; see --help\n",
-               options->files == NULL ? "no FILE is given"
-                                      : "--json and --html exclude each other");
+               options->files == NULL
+                   ? "no FILE is given"
+                   : "--json, --html and --matters exclude each other");
       return GR_EXIT_USAGE;
     }
   timeline = gr_timeline_create ();
@@ -111,6 +120,8 @@
     {
       if (options->html)
         gr_timeline_print_html (timeline, &options->filter, out);
+      else if (options->matters)
+        gr_timeline_print_matters (timeline, &options->filter, out);
       else if (options->json)
         gr_timeline_print_json (timeline, &options->filter, out);
       else
--- a/timeline/timeline.c
+++ b/timeline/timeline.c
@@ -169,13 +169,17 @@
   while ((length = getline (&line, &size, stream)) >= 0)
     {
       struct gr_record *record;
+      const char *text;
 
       number++;
       if (length > 0 && line[length - 1] == '\n')
         line[length - 1] = '\0';
       if (line[0] == '\0')
         continue;
-      record = parse_record (line);
+      /* The users' bench puts its own time and the machine's name before what
+       * a process has written. */
+      text = strchr (line, '{');
+      record = text ? parse_record (text) : NULL;
       if (record == NULL)
         {
           timeline->skipped++;
@@ -256,6 +260,39 @@
   return NULL;
 }
 
+/* A record of the users' platform names a job by itself, in the name of a task,
+ * as the one that room was made for, or in a list. */
+static bool
+names_job (const struct gr_record *record, const char *id)
+{
+  const char *task = gr_record_get (record, "task");
+  const char *others = gr_record_get (record, "for");
+  const char *list = gr_record_get (record, "jobs");
+  size_t length = strlen (id);
+
+  if (g_strcmp0 (gr_record_get (record, "job"), id) == 0
+      || g_strcmp0 (others, id) == 0)
+    return true;
+  if (task != NULL && strncmp (task, id, length) == 0 && task[length] == '.')
+    return true;
+  if (list != NULL)
+    {
+      g_auto (GStrv) ids = g_strsplit (list, ",", -1);
+
+      return g_strv_contains ((const char *const *)ids, id);
+    }
+  return false;
+}
+
+static bool
+names_one_of (const struct gr_record *record, char **ids)
+{
+  for (; ids != NULL && *ids != NULL; ids++)
+    if (names_job (record, *ids))
+      return true;
+  return false;
+}
+
 static bool
 list_has (char **list, const char *value)
 {
@@ -270,10 +307,34 @@
 {
   return list_has (filter->events, record->event)
          && list_has (filter->requests, gr_record_get (record, "request"))
-         && list_has (filter->jobs, gr_record_get (record, "job"))
+         && (filter->jobs == NULL || names_one_of (record, filter->jobs))
          && list_has (filter->shards, gr_record_get (record, "shard"));
 }
 
+const char *
+gr_record_matter (const struct gr_record *record)
+{
+  /* By the beginning of an event's name; the first one that fits. */
+  static const struct
+  {
+    const char *prefix;
+    const char *matter;
+  } matters[] = {
+    { "owner-", "1 owner" },         { "store-", "2 store" },
+    { "config-", "2 store" },        { "client-", "3 clients" },
+    { "run-placed", "4 starts" },    { "run-adopted", "4 starts" },
+    { "start-failed", "4 starts" },  { "run-", "5 ends" },
+    { "progress-", "6 noted ends" }, { "job-", "6 noted ends" },
+    { "records-", "6 noted ends" },  { "worker-", "7 workers" },
+    { "registry-", "7 workers" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (matters); i++)
+    if (g_str_has_prefix (record->event, matters[i].prefix))
+      return matters[i].matter;
+  return "8 processes";
+}
+
 char *
 gr_timeline_time (uint64_t hlc)
 {
--- a/timeline/timeline.h
+++ b/timeline/timeline.h
@@ -78,6 +78,11 @@
 bool gr_timeline_filter_matches (const struct gr_timeline_filter *filter,
                                  const struct gr_record *record);
 
+/* What an event of an instance on the users' platform is about: the owner, the
+ * store, clients' calls, starts, ends, what was noted of them, or workers. The
+ * number before it is its place on a page. */
+const char *gr_record_matter (const struct gr_record *record);
+
 /* Prints the records that match. */
 void gr_timeline_print_text (struct gr_timeline *timeline,
                              const struct gr_timeline_filter *filter,
@@ -90,6 +95,12 @@
                              const struct gr_timeline_filter *filter,
                              FILE *out);
 
+/* The same with a column for each matter, for a day of the platform, where many
+ * instances say little. */
+void gr_timeline_print_matters (struct gr_timeline *timeline,
+                                const struct gr_timeline_filter *filter,
+                                FILE *out);
+
 /* UTC time of a hybrid logical time with its counter, for example
  * "2026-01-02T03:04:05.678Z+3". Free with g_free (). */
 char *gr_timeline_time (uint64_t hlc);
