standins: answers that are delayed are sent

A long poll that ended while its answer was delayed overwrote the pending timer, and the call was freed twice (segmentation fault).

Change: a message resumes in the writing phase too; gr_standin_delay () replaces a pending delay.

Ruled out: the client, by its log of received bytes (none).

--- a/http/http-server.c
+++ b/http/http-server.c
@@ -605,8 +605,10 @@
 {
   struct http_connection *connection = find_connection (message);
 
+  /* A response that was set before the message is resumed can already count as
+   * being written. */
   if (connection != NULL && connection->message == message
-      && connection->phase == PHASE_HANDLING)
+      && connection->phase >= PHASE_HANDLING)
     soup_server_message_unpause (message);
 }
 
--- a/standins/base.c
+++ b/standins/base.c
@@ -77,6 +77,11 @@
                   int64_t delay_ms,
                   void (*after_delay) (struct gr_standin_call *call))
 {
+  if (call->timer != NULL)
+    {
+      g_source_destroy (call->timer);
+      g_source_unref (call->timer);
+    }
   call->after_delay = after_delay;
   call->timer = g_timeout_source_new ((guint)CLAMP (delay_ms, 0, MAX_DELAY_MS));
   g_source_set_callback (call->timer, run_after_delay, call, NULL);
--- a/standins/base.h
+++ b/standins/base.h
@@ -87,7 +87,7 @@
 void gr_standin_drop (struct gr_standin_call *call);
 
 /* Calls after_delay (call) in delay_ms, limited to 0 to 10 minutes. The message
- * stays paused until then. Only one delay of a call may be pending. */
+ * stays paused until then. Replaces a delay of the call that is pending. */
 void gr_standin_delay (struct gr_standin_call *call,
                        int64_t delay_ms,
                        void (*after_delay) (struct gr_standin_call *call));
