--- a/instance/instance.c
+++ b/instance/instance.c
@@ -155,7 +155,7 @@
   };
 
   if (instance->owner != NULL)
-    gr_owner_counts (instance->owner, &state.counts, &state.loop_late_ms);
+    gr_owner_counts (instance->owner, &state.counts, &state.lateness);
   gr_metrics_set (instance->counters, &state);
 }
 
--- a/instance/metrics.h
+++ b/instance/metrics.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "common/counter.h"
+#include "instance/lateness.h"
 #include "steps/steps.h"
 
 #include <glib.h>
@@ -29,7 +30,7 @@
   int64_t config_version;
   int64_t config_age_ms;
   int64_t store_silent_ms;
-  int64_t loop_late_ms;
+  struct gr_lateness lateness;
 };
 
 /* Updates the gauges; to be called before they are printed. */
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -7,7 +7,7 @@
 #include "instance/progress-log.h"
 #include "instance/upkeep.h"
 #include "instance/worker-io.h"
-#include "platform/registry.h"
+#include "instance/worker-registry.h"
 
 #include <string.h>
 
@@ -34,13 +34,21 @@
 #define TICK_MS 100
 
 /* Delay of a scheduling pass that an event triggers. Answers that arrive within
- * it share one pass. */
+ * it share one pass. A pass looks at all jobs and workers, so on a large site
+ * the delay grows with the time that a pass takes: passes use at most about one
+ * PASS_DELAY_FACTOR-th of the processor. */
 #define PASS_DELAY_MS 8
+#define MAX_PASS_DELAY_MS 60
+#define PASS_DELAY_FACTOR 5
 
-/* Period of registry reads. A draining worker must get no new work 2 s after
- * it has announced that it is draining (drain-ms), and a read can take 1 s. */
-#define REGISTRY_PERIOD_MS 600
-#define REGISTRY_TIMEOUT_MS 900
+/* Weight of the newest pass in the smoothed time of a pass. */
+#define PASS_TIME_WEIGHT (1.0 / 8)
+
+/* Period of the log line about the owner's load. */
+#define LOAD_LOG_PERIOD_MS 5000
+
+/* A registry entry may have been written this long before it is processed. */
+#define REGISTRY_LAG_MS 600
 
 /* Period for publishing which jobs have started. Counts shown to clients may
  * be 2 s old. */
@@ -58,9 +66,8 @@
   struct gr_upkeep *upkeep;
   struct gr_expiry *expiry;
   struct gr_advice_calls *advice;
-  GHashTable *addresses;  /* worker id -> IP:PORT, the last known address */
-  GHashTable *registered; /* worker ids of the last complete registry read */
-  GHashTable *listed; /* worker ids of the registry read in progress, or NULL */
+  struct gr_worker_registry *registry;
+  GHashTable *addresses; /* worker id -> IP:PORT, the last known address */
   bool loaded;
   bool registry_read;
   bool superseded;
@@ -72,9 +79,12 @@
   guint tick_timer;
   int64_t last_tick_ms;
   guint pass_timer;
-  guint registry_timer;
+  double pass_ms;  /* smoothed time of a pass */
+  uint32_t passes; /* since the last log line about the load */
+  int64_t passes_us;
+  int64_t load_logged_ms;
   guint publish_timer;
-  struct owner_call *calls[3];
+  struct owner_call *calls[2];
 };
 
 /* A call that may end after the owner was destroyed. */
@@ -86,7 +96,6 @@
 
 enum call_slot
 {
-  SLOT_REGISTRY,
   SLOT_PUBLISH,
   SLOT_RELOAD,
 };
@@ -147,6 +156,9 @@
 static void
 run_pass (struct gr_owner *owner)
 {
+  int64_t start_us = g_get_monotonic_time ();
+  int64_t time_us;
+
   if (!owner->loaded || !owner->registry_read || owner->superseded)
     return;
   gr_steps_tick (owner->steps, gr_clock_now_ms (owner->deps.clock),
@@ -156,6 +168,11 @@
   gr_upkeep_run (owner->upkeep);
   gr_expiry_run (owner->expiry);
   write_progress (owner);
+  time_us = g_get_monotonic_time () - start_us;
+  owner->passes++;
+  owner->passes_us += time_us;
+  owner->pass_ms +=
+      ((double)time_us / 1000 - owner->pass_ms) * PASS_TIME_WEIGHT;
   if (gr_steps_fenced (owner->steps))
     report_superseded (owner, "a worker has seen a higher epoch");
 }
@@ -177,7 +194,40 @@
   struct gr_owner *owner = context;
 
   if (owner->pass_timer == 0 && !owner->superseded)
-    owner->pass_timer = g_timeout_add (PASS_DELAY_MS, on_pass_timer, owner);
+    owner->pass_timer =
+        g_timeout_add ((guint)CLAMP (owner->pass_ms * PASS_DELAY_FACTOR,
+                                     PASS_DELAY_MS, MAX_PASS_DELAY_MS),
+                       on_pass_timer, owner);
+}
+
+/* One line from which an overload can be recognized afterwards. */
+static void
+log_load (struct gr_owner *owner)
+{
+  const struct gr_lateness *lateness = gr_worker_io_lateness (owner->io);
+  struct gr_steps_counts counts;
+  char loop[24];
+  char response[24];
+  char orders[24];
+  char waiting[24];
+  char running[24];
+  char passes[24];
+  char pass_us[24];
+
+  gr_steps_counts (owner->steps, &counts);
+  g_snprintf (loop, sizeof loop, "%" G_GINT64_FORMAT, lateness->loop_ms);
+  g_snprintf (response, sizeof response, "%.0f", lateness->response_ms);
+  g_snprintf (orders, sizeof orders, "%u", counts.orders);
+  g_snprintf (waiting, sizeof waiting, "%u", counts.tasks_waiting);
+  g_snprintf (running, sizeof running, "%u", counts.tasks_running);
+  g_snprintf (passes, sizeof passes, "%u", owner->passes);
+  g_snprintf (pass_us, sizeof pass_us, "%" G_GINT64_FORMAT,
+              owner->passes ? owner->passes_us / owner->passes : 0);
+  gr_log_event ("owner-load", "loop-late-ms", loop, "response-ms", response,
+                "orders", orders, "tasks-waiting", waiting, "tasks-running",
+                running, "passes", passes, "pass-us", pass_us, NULL);
+  owner->passes = 0;
+  owner->passes_us = 0;
 }
 
 static gboolean
@@ -190,6 +240,11 @@
       owner->io, MAX (now_ms - owner->last_tick_ms - TICK_MS, 0));
   owner->last_tick_ms = now_ms;
   run_pass (owner);
+  if (now_ms - owner->load_logged_ms >= LOAD_LOG_PERIOD_MS)
+    {
+      owner->load_logged_ms = now_ms;
+      log_load (owner);
+    }
   return G_SOURCE_CONTINUE;
 }
 
@@ -209,10 +264,11 @@
 }
 
 static void
-set_worker (struct gr_owner *owner,
-            const struct gr_registry_entry *entry,
-            int64_t revision)
+set_worker (const struct gr_registry_entry *entry,
+            int64_t revision,
+            void *context)
 {
+  struct gr_owner *owner = context;
   struct gr_steps_worker worker = {
     .id = entry->worker,
     .service = entry->service,
@@ -220,8 +276,7 @@
     .labels = (const char *const *)entry->labels,
     .capacity = entry->capacity,
     .draining = entry->draining,
-    /* The entry may have been written a whole period before it was read. */
-    .remaining_ms = MAX (entry->remaining_ms - REGISTRY_PERIOD_MS, 0),
+    .remaining_ms = MAX (entry->remaining_ms - REGISTRY_LAG_MS, 0),
     .incarnation_unix_ms = entry->incarnation_unix_ms,
     .entry_revision = revision,
   };
@@ -229,9 +284,11 @@
   gr_steps_set_worker (owner->steps, &worker,
                        gr_clock_now_ms (owner->deps.clock));
   gr_worker_io_set_address (owner->io, entry->worker, entry->address);
-  g_hash_table_replace (owner->addresses, g_strdup (entry->worker),
-                        g_strdup (entry->address));
-  g_hash_table_add (owner->listed, g_strdup (entry->worker));
+  if (g_strcmp0 (g_hash_table_lookup (owner->addresses, entry->worker),
+                 entry->address)
+      != 0)
+    g_hash_table_replace (owner->addresses, g_strdup (entry->worker),
+                          g_strdup (entry->address));
 }
 
 static int64_t
@@ -252,92 +309,21 @@
 }
 
 static void
-apply_registry_entry (struct gr_owner *owner,
-                      const struct gr_metastore_item *item)
-{
-  struct gr_error error = GR_ERROR_INIT;
-  struct gr_registry_entry *entry =
-      gr_registry_decode (item->key, item->value, &error);
-
-  if (entry == NULL)
-    {
-      gr_log_warning ("registry-entry-unreadable", "key", item->key, "reason",
-                      error.message, NULL);
-      return;
-    }
-  set_worker (owner, entry, item->revision);
-  gr_registry_entry_destroy (entry);
-}
-
-static void
-remove_missing (struct gr_owner *owner)
-{
-  GHashTableIter iter;
-  void *id;
-
-  g_hash_table_iter_init (&iter, owner->registered);
-  while (g_hash_table_iter_next (&iter, &id, NULL))
-    if (!g_hash_table_contains (owner->listed, id))
-      gr_steps_worker_unregistered (owner->steps, id, store_is_stable (owner),
-                                    gr_clock_now_ms (owner->deps.clock));
-  g_hash_table_destroy (owner->registered);
-  owner->registered = g_steal_pointer (&owner->listed);
-}
-
-static void read_registry (struct gr_owner *owner, const char *after);
-
-static gboolean
-on_registry_timer (gpointer data)
+worker_unregistered (const char *worker, void *context)
 {
-  struct gr_owner *owner = data;
+  struct gr_owner *owner = context;
 
-  owner->registry_timer = 0;
-  read_registry (owner, NULL);
-  return G_SOURCE_REMOVE;
+  gr_steps_worker_unregistered (owner->steps, worker, store_is_stable (owner),
+                                gr_clock_now_ms (owner->deps.clock));
 }
 
 static void
-registry_done (const struct gr_metastore_result *result,
-               const struct gr_error *error,
-               void *context)
+registry_current (void *context)
 {
-  struct gr_owner *owner = end_call (context);
-
-  if (owner == NULL || (error != NULL && error->kind == GR_ERROR_CANCELLED))
-    return;
-  if (error != NULL)
-    gr_log_event ("registry-not-read", "reason", error->message, NULL);
-  else
-    {
-      for (size_t i = 0; i < result->n_items; i++)
-        apply_registry_entry (owner, &result->items[i]);
-      if (result->truncated && result->n_items > 0)
-        {
-          read_registry (owner, result->items[result->n_items - 1].key);
-          return;
-        }
-      remove_missing (owner);
-      owner->registry_read = true;
-      schedule_pass (owner);
-    }
-  owner->registry_timer =
-      g_timeout_add (error ? REGISTRY_PERIOD_MS / 3 : REGISTRY_PERIOD_MS,
-                     on_registry_timer, owner);
-}
+  struct gr_owner *owner = context;
 
-static void
-read_registry (struct gr_owner *owner, const char *after)
-{
-  if (after == NULL)
-    {
-      g_clear_pointer (&owner->listed, g_hash_table_destroy);
-      owner->listed =
-          g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-    }
-  gr_metastore_range (owner->deps.store, gr_registry_prefix, after, false,
-                      REGISTRY_TIMEOUT_MS,
-                      (struct gr_metastore_reply){
-                          registry_done, open_call (owner, SLOT_REGISTRY) });
+  owner->registry_read = true;
+  schedule_pass (owner);
 }
 
 static void
@@ -589,25 +575,26 @@
   owner->upkeep = gr_upkeep_create (deps, owner->steps, epoch, revision);
   owner->advice =
       gr_advice_calls_create (deps, owner->steps, schedule_pass, owner);
-  owner->registered =
-      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   gr_owner_config_changed (owner);
   owner->last_tick_ms = gr_clock_now_ms (deps->clock);
   owner->tick_timer = g_timeout_add (TICK_MS, on_tick, owner);
   owner->publish_timer =
       g_timeout_add (PUBLISH_PERIOD_MS, on_publish_timer, owner);
   reload (owner);
-  read_registry (owner, NULL);
+  owner->registry = gr_worker_registry_create (
+      deps->store,
+      &(struct gr_worker_registry_events){ set_worker, worker_unregistered,
+                                           registry_current, owner });
   return owner;
 }
 
 void
 gr_owner_counts (const struct gr_owner *owner,
                  struct gr_steps_counts *counts,
-                 int64_t *loop_late_ms)
+                 struct gr_lateness *lateness)
 {
   gr_steps_counts (owner->steps, counts);
-  *loop_late_ms = gr_worker_io_loop_late_ms (owner->io);
+  *lateness = *gr_worker_io_lateness (owner->io);
 }
 
 void
@@ -622,16 +609,13 @@
   g_source_remove (owner->publish_timer);
   if (owner->pass_timer != 0)
     g_source_remove (owner->pass_timer);
-  if (owner->registry_timer != 0)
-    g_source_remove (owner->registry_timer);
+  gr_worker_registry_destroy (owner->registry);
   gr_upkeep_destroy (owner->upkeep);
   gr_expiry_destroy (owner->expiry);
   gr_advice_calls_destroy (owner->advice);
   gr_worker_io_destroy (owner->io);
   gr_progress_log_destroy (owner->log);
   gr_steps_destroy (owner->steps);
-  g_clear_pointer (&owner->listed, g_hash_table_destroy);
-  g_hash_table_destroy (owner->registered);
   g_hash_table_destroy (owner->addresses);
   g_free (owner->published_started);
   g_free (owner->published_handover);
--- a/instance/owner.h
+++ b/instance/owner.h
@@ -5,6 +5,7 @@
 #include "common/clock.h"
 #include "common/counter.h"
 #include "instance/config-view.h"
+#include "instance/lateness.h"
 #include "instance/mirror.h"
 #include "settings/document.h"
 
@@ -42,4 +43,4 @@
 /* For metrics: the core's counts, and the recent lateness of the main loop. */
 void gr_owner_counts (const struct gr_owner *owner,
                       struct gr_steps_counts *counts,
-                      int64_t *loop_late_ms);
+                      struct gr_lateness *lateness);
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "instance/call-budget.h"
+#include "instance/lateness.h"
 #include "platform/worker-calls.h"
 
 /* A worker's clock can be 2 % slow; 1 % is added for the owner's clock. */
@@ -23,14 +24,10 @@
  * Serving tasks may exceed their target for up to 4 s. */
 #define POLL_PERIOD_MS 500
 
-/* A late main loop means that answers wait for this process, not that they are
- * missing. Timeouts grow by the lateness times this factor. */
-#define LATENESS_FACTOR 4
-#define MAX_EXTRA_TIMEOUT_MS 2000
-
-/* From this lateness on, missing answers do not show that a worker is
- * unreachable. */
-#define OVERLOADED_MS 150
+/* The timeout of a poll doubles with each poll of the worker that failed
+ * before, so that a worker whose answers are late is heard again before the
+ * leases of its runs expire. */
+#define MAX_BACKED_OFF_TIMEOUT_MS 3000
 
 struct peer
 {
@@ -59,7 +56,7 @@
   struct gr_worker_io_events events;
   GHashTable *peers; /* worker id -> struct peer */
   struct gr_call_budget budget;
-  int64_t loop_late_ms; /* recent lateness of the main loop */
+  struct gr_lateness lateness;
   bool destroyed;
 };
 
@@ -67,6 +64,7 @@
 {
   struct peer *peer;
   struct gr_order order;
+  int64_t sent_ms;
   bool counted; /* result of gr_call_budget_begin () */
 };
 
@@ -74,6 +72,7 @@
 {
   struct peer *peer;
   bool is_long_poll;
+  int64_t sent_ms;
   bool counted;
 };
 
@@ -137,12 +136,20 @@
   return peer->clock_ms + since_ms + term_ms;
 }
 
-static uint32_t
-call_timeout_ms (const struct gr_worker_io *io, uint32_t base_ms)
+/* Records the time of a call that could wait at the worker for wait_ms. An
+ * answer within this time does not show how long the worker waited. The first
+ * call without an answer counts as one that took until now. */
+static void
+record_time (struct peer *peer,
+             int64_t sent_ms,
+             uint32_t wait_ms,
+             bool answered)
 {
-  return base_ms
-         + (uint32_t)MIN (io->loop_late_ms * LATENESS_FACTOR,
-                          MAX_EXTRA_TIMEOUT_MS);
+  struct gr_worker_io *io = peer->io;
+  int64_t time_ms = gr_clock_now_ms (io->clock) - sent_ms - wait_ms;
+
+  if (time_ms >= 0 && (answered || !peer->calls.unresponsive))
+    gr_lateness_add_response (&io->lateness, time_ms);
 }
 
 static void
@@ -151,10 +158,12 @@
   struct order_call *call = context;
   struct peer *peer = call->peer;
   struct gr_worker_io *io = peer->io;
+  bool answered = result != GR_ORDER_UNKNOWN && result != GR_ORDER_NOT_SENT;
 
+  if (!io->destroyed)
+    record_time (peer, call->sent_ms, 0, answered);
   gr_call_budget_end (&io->budget, &peer->calls, GR_BUDGET_ORDER, call->counted,
-                      result != GR_ORDER_UNKNOWN
-                          && result != GR_ORDER_NOT_SENT);
+                      answered);
   if (!io->destroyed && !peer->removed)
     {
       update_clock (peer, clock_ms);
@@ -172,7 +181,8 @@
   struct peer *peer = g_hash_table_lookup (io->peers, order->worker);
   struct gr_worker_target target;
   struct gr_order_reply reply = { .done = order_done };
-  uint32_t timeout_ms = call_timeout_ms (io, GR_ORDER_TIMEOUT_MS);
+  uint32_t timeout_ms =
+      gr_lateness_timeout_ms (&io->lateness, GR_ORDER_TIMEOUT_MS);
   struct order_call *call;
 
   if (peer == NULL)
@@ -184,6 +194,7 @@
   call = g_new0 (struct order_call, 1);
   call->peer = peer;
   call->order = *order;
+  call->sent_ms = gr_clock_now_ms (io->clock);
   reply.context = call;
   call->counted =
       gr_call_budget_begin (&io->budget, &peer->calls, GR_BUDGET_ORDER);
@@ -236,6 +247,9 @@
   struct peer *peer = call->peer;
   struct gr_worker_io *io = peer->io;
 
+  if (!io->destroyed)
+    record_time (peer, call->sent_ms, call->is_long_poll ? LONG_POLL_MS : 0,
+                 error == NULL);
   if (call->is_long_poll)
     {
       peer->long_poll_in_flight = false;
@@ -267,6 +281,18 @@
   peer_release (peer);
 }
 
+static uint32_t
+poll_timeout_ms (const struct peer *peer)
+{
+  uint32_t timeout_ms =
+      gr_lateness_timeout_ms (&peer->io->lateness, POLL_TIMEOUT_MS);
+
+  for (uint32_t i = 0;
+       i < peer->failed_polls && timeout_ms < MAX_BACKED_OFF_TIMEOUT_MS; i++)
+    timeout_ms = MIN (timeout_ms * 2, MAX_BACKED_OFF_TIMEOUT_MS);
+  return timeout_ms;
+}
+
 static void
 send_poll (struct peer *peer, uint32_t wait_ms)
 {
@@ -276,6 +302,7 @@
   int64_t until_ms = 0;
 
   call->peer = peer;
+  call->sent_ms = gr_clock_now_ms (io->clock);
   call->is_long_poll = wait_ms > 0;
   if (call->is_long_poll)
     peer->long_poll_in_flight = true;
@@ -291,11 +318,11 @@
    * postpone the time at which the lease has certainly expired, unless this
    * process itself is too slow. */
   if (peer->clock_ms != 0
-      && (peer->failed_polls == 0 || io->loop_late_ms >= OVERLOADED_MS))
+      && (peer->failed_polls == 0 || gr_lateness_is_overloaded (&io->lateness)))
     until_ms = extend_lease (peer, io->run_lease_ms);
   peer->acknowledged_sent = gr_steps_durable_end (io->steps, peer->worker);
   gr_worker_poll_runs (io->calls, &target, until_ms, peer->acknowledged_sent,
-                       wait_ms, wait_ms + call_timeout_ms (io, POLL_TIMEOUT_MS),
+                       wait_ms, wait_ms + poll_timeout_ms (peer),
                        (struct gr_run_poll_reply){ poll_done, call });
 }
 
@@ -407,13 +434,11 @@
 void
 gr_worker_io_update_loop_late (struct gr_worker_io *io, int64_t loop_late_ms)
 {
-  /* Decays by a quarter per call, so that one punctual tick does not hide
-   * earlier lateness. */
-  io->loop_late_ms = MAX (loop_late_ms, io->loop_late_ms * 3 / 4);
+  gr_lateness_add_loop (&io->lateness, loop_late_ms);
 }
 
-int64_t
-gr_worker_io_loop_late_ms (const struct gr_worker_io *io)
+const struct gr_lateness *
+gr_worker_io_lateness (const struct gr_worker_io *io)
 {
-  return io->loop_late_ms;
+  return &io->lateness;
 }
--- a/instance/worker-io.h
+++ b/instance/worker-io.h
@@ -4,6 +4,7 @@
 
 #include "common/clock.h"
 #include "common/counter.h"
+#include "instance/lateness.h"
 #include "steps/steps.h"
 
 struct gr_worker_io;
@@ -38,8 +39,7 @@
 void gr_worker_io_update_loop_late (struct gr_worker_io *io,
                                     int64_t loop_late_ms);
 
-/* Returns the recent lateness of the main loop, in ms. */
-int64_t gr_worker_io_loop_late_ms (const struct gr_worker_io *io);
+const struct gr_lateness *gr_worker_io_lateness (const struct gr_worker_io *io);
 
 /* Sends the core's pending orders and the polls that are due. */
 void gr_worker_io_run (struct gr_worker_io *io);
--- a/tests/test-instance.c
+++ b/tests/test-instance.c
@@ -224,6 +224,37 @@
 }
 END_TEST
 
+/* Guards against an owner that takes its own lateness for the failure of its
+ * workers. All answers are late when its processor or its link is full: polls
+ * timed out, leases were not extended, and work that still ran was started
+ * again on another worker. */
+START_TEST (late_answers_do_not_lose_runs)
+{
+  struct fixture fixture;
+  const uint32_t tasks = 48;
+  const int64_t answer_after_ms = 900;
+
+  fixture_create (&fixture, 16, 6000);
+  run_main_loop (&fixture, 200);
+  add_job (&fixture, "00000000000000a1", "run_ms=9000", tasks, 1);
+  run_main_loop (&fixture, 500);
+  for (uint32_t i = 0; i < fixture.workers; i++)
+    gr_standin_faults (gr_standin_platform_worker (fixture.platform, i))
+        ->answer_after_ms = answer_after_ms;
+  run_main_loop (&fixture, 12000);
+  for (uint32_t i = 0; i < tasks; i++)
+    {
+      char task[GR_TASK_NAME_SIZE];
+
+      g_snprintf (task, sizeof task, "00000000000000a1.0.0.%u", i);
+      ck_assert_msg (gr_standin_platform_starts (fixture.platform, task) == 1,
+                     "%s was started %u times", task,
+                     gr_standin_platform_starts (fixture.platform, task));
+    }
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* Guards against orders that use up all calls in flight. Workers were not
  * polled for 25 s, so leases expired and ended runs were not noticed. */
 START_TEST (waiting_orders_do_not_delay_polls)
@@ -345,6 +376,7 @@
   tcase_set_timeout (tests, 30);
   tcase_add_test (tests, silent_worker_loses_its_runs);
   tcase_add_test (tests, silent_workers_do_not_hold_up_others);
+  tcase_add_test (tests, late_answers_do_not_lose_runs);
   tcase_add_test (tests, waiting_orders_do_not_delay_polls);
   tcase_add_test (tests, unanswered_calls_do_not_use_up_the_budget);
   tcase_add_test (tests, page_of_metrics_is_up_to_date);
--- /dev/null
+++ b/tests/test-worker-registry.c
@@ -0,0 +1,249 @@
+/* Tests of the reading of the registry, against the stand-in of the users'
+ * platform. */
+#include "common/log.h"
+#include "instance/worker-registry.h"
+#include "standins/metastore.h"
+
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WORKERS 3
+#define WAIT_TIMEOUT_MS 10000
+
+struct fixture
+{
+  struct gr_standin_platform *platform;
+  struct gr_counters *counters;
+  struct gr_metastore *store;
+  struct gr_worker_registry *registry;
+  GHashTable *workers; /* id -> "ready" or "draining" */
+  uint32_t current;    /* times that the registry was up to date */
+};
+
+static void
+entry_read (const struct gr_registry_entry *entry,
+            int64_t revision,
+            void *context)
+{
+  struct fixture *fixture = context;
+
+  ck_assert_int_gt (revision, 0);
+  g_hash_table_replace (fixture->workers, g_strdup (entry->worker),
+                        g_strdup (entry->draining ? "draining" : "ready"));
+}
+
+static void
+entry_removed (const char *worker, void *context)
+{
+  struct fixture *fixture = context;
+
+  ck_assert (g_hash_table_remove (fixture->workers, worker));
+}
+
+static void
+registry_current (void *context)
+{
+  struct fixture *fixture = context;
+
+  fixture->current++;
+}
+
+static gboolean
+set_flag (gpointer data)
+{
+  *(bool *)data = true;
+  return G_SOURCE_REMOVE;
+}
+
+static void
+wait_until (struct fixture *fixture, const char *worker, const char *state)
+{
+  bool timed_out = false;
+  guint timer = g_timeout_add (WAIT_TIMEOUT_MS, set_flag, &timed_out);
+
+  while (!timed_out
+         && g_strcmp0 (g_hash_table_lookup (fixture->workers, worker), state)
+                != 0)
+    g_main_context_iteration (NULL, TRUE);
+  ck_assert_msg (!timed_out, "%s is not %s", worker, state ? state : "removed");
+  g_source_remove (timer);
+}
+
+static void
+wait_for_current (struct fixture *fixture, uint32_t times)
+{
+  bool timed_out = false;
+  guint timer = g_timeout_add (WAIT_TIMEOUT_MS, set_flag, &timed_out);
+
+  while (!timed_out && fixture->current < times)
+    g_main_context_iteration (NULL, TRUE);
+  ck_assert (!timed_out);
+  g_source_remove (timer);
+}
+
+static void
+fixture_create (struct fixture *fixture)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_standin_platform_settings options = {
+    .listen = "127.0.0.1:0",
+    .workers = WORKERS,
+    .per_rack = 2,
+    .accelerators = 8,
+    .cores = 16,
+    .memory_mb = 1000,
+  };
+  struct gr_worker_registry_events events = { entry_read, entry_removed,
+                                              registry_current, fixture };
+
+  memset (fixture, 0, sizeof *fixture);
+  fixture->platform = gr_standin_platform_create (&options, &error);
+  ck_assert_msg (fixture->platform != NULL, "%s", error.message);
+  fixture->counters = gr_counters_create ();
+  fixture->store = gr_metastore_create (
+      gr_standin_address (gr_standin_platform_base (fixture->platform)),
+      fixture->counters);
+  fixture->workers =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  fixture->registry = gr_worker_registry_create (fixture->store, &events);
+  wait_for_current (fixture, 1);
+}
+
+static void
+fixture_destroy (struct fixture *fixture)
+{
+  gr_worker_registry_destroy (fixture->registry);
+  gr_metastore_destroy (fixture->store);
+  gr_counters_destroy (fixture->counters);
+  gr_standin_platform_destroy (fixture->platform);
+  g_hash_table_destroy (fixture->workers);
+}
+
+static void
+put_worker (struct fixture *fixture, const char *id, const char *state)
+{
+  g_autofree char *key = g_strconcat (gr_registry_prefix, id, NULL);
+  g_autofree char *text = g_strdup_printf (
+      "{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","
+      "\"state\":\"%s\",\"capacity\":{\"cpu\":1,\"mem-mb\":1,\"gpu\":1},"
+      "\"labels\":[\"a\",\"r1\"]}",
+      state);
+
+  gr_standin_platform_put (fixture->platform, key, text);
+}
+
+static void
+ignore_reply (const struct gr_metastore_result *result,
+              const struct gr_error *error,
+              void *context)
+{
+  (void)result;
+  (void)context;
+  ck_assert_ptr_null (error);
+}
+
+static void
+remove_worker (struct fixture *fixture, const char *id)
+{
+  g_autofree char *key = g_strconcat (gr_registry_prefix, id, NULL);
+  struct gr_metastore_txn *txn = gr_metastore_txn_create ();
+
+  gr_metastore_txn_remove (txn, key);
+  gr_metastore_commit (fixture->store, txn, 1000,
+                       (struct gr_metastore_reply){ ignore_reply, NULL });
+}
+
+/* Guards against entries that the first read misses. */
+START_TEST (first_read_returns_all_entries)
+{
+  struct fixture fixture;
+
+  fixture_create (&fixture);
+  ck_assert_uint_eq (g_hash_table_size (fixture.workers), WORKERS);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Guards against new work for a worker that drains or has left, and against a
+ * new worker that gets none. */
+START_TEST (changes_are_reported)
+{
+  struct fixture fixture;
+
+  fixture_create (&fixture);
+  put_worker (&fixture, "i-new", "ready");
+  wait_until (&fixture, "i-new", "ready");
+  put_worker (&fixture, "i-new", "draining");
+  wait_until (&fixture, "i-new", "draining");
+  remove_worker (&fixture, "i-new");
+  wait_until (&fixture, "i-new", NULL);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Guards against an entry of another writer that disturbs the others, and
+ * against use of a worker whose entry can no longer be read. */
+START_TEST (unreadable_entry_counts_as_removed)
+{
+  struct fixture fixture;
+
+  fixture_create (&fixture);
+  put_worker (&fixture, "i-new", "ready");
+  wait_until (&fixture, "i-new", "ready");
+  gr_standin_platform_put (fixture.platform, "servers/i-odd", "\x01 nonsense");
+  put_worker (&fixture, "i-new", "on holiday");
+  wait_until (&fixture, "i-new", NULL);
+  ck_assert_uint_eq (g_hash_table_size (fixture.workers), WORKERS);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Guards against a change that is missed because the store was away. */
+START_TEST (changes_during_an_outage_are_reported)
+{
+  struct fixture fixture;
+  struct gr_standin_faults *faults;
+  uint32_t current;
+
+  fixture_create (&fixture);
+  faults = gr_standin_faults (gr_standin_platform_base (fixture.platform));
+  put_worker (&fixture, "i-old", "ready");
+  wait_until (&fixture, "i-old", "ready");
+  faults->down = 1;
+  put_worker (&fixture, "i-old", "draining");
+  put_worker (&fixture, "i-new", "ready");
+  current = fixture.current;
+  for (int i = 0; i < 50; i++)
+    {
+      g_main_context_iteration (NULL, FALSE);
+      g_usleep (10000);
+    }
+  faults->down = 0;
+  wait_for_current (&fixture, current + 1);
+  wait_until (&fixture, "i-old", "draining");
+  wait_until (&fixture, "i-new", "ready");
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("worker-registry");
+  TCase *tests = tcase_create ("core");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  gr_log_init ("test-worker-registry", "test");
+  tcase_set_timeout (tests, 30);
+  tcase_add_test (tests, first_read_returns_all_entries);
+  tcase_add_test (tests, changes_are_reported);
+  tcase_add_test (tests, unreadable_entry_counts_as_removed);
+  tcase_add_test (tests, changes_during_an_outage_are_reported);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
