instance: a refused connection shows that a worker is gone

With 3,000 workers and some that leave, there is nearly always one that left while there was no owner.

Change: a refused connection (kind not-found of the call pool) or the answer of another worker at the address shows that the process has ended and its runs with it. A worker that is cut off or without power does not refuse, so missing answers still wait for the lease. The test of refused connections now expects not-found, which says more than no-target.

--- a/http/call-pool.c
+++ b/http/call-pool.c
@@ -152,13 +152,21 @@
   call_free (call);
 }
 
+/* The kind to report for a failure of the given kind. */
+static enum gr_error_kind
+failure_kind (const struct pool_call *call, enum gr_error_kind kind)
+{
+  if (kind == GR_ERROR_NOT_FOUND)
+    return call->written ? GR_ERROR_IO : kind;
+  return call->written ? kind : GR_ERROR_NO_TARGET;
+}
+
 static void
 call_fail (struct pool_call *call, enum gr_error_kind kind, const char *message)
 {
   struct gr_error error = GR_ERROR_INIT;
 
-  gr_error_set (&error, call->written ? kind : GR_ERROR_NO_TARGET, "%s",
-                message);
+  gr_error_set (&error, failure_kind (call, kind), "%s", message);
   call_end (call, NULL, &error);
 }
 
@@ -178,8 +186,7 @@
                  enum gr_error_kind kind,
                  const char *message)
 {
-  gr_error_set (&call->failure, call->written ? kind : GR_ERROR_NO_TARGET, "%s",
-                message);
+  gr_error_set (&call->failure, failure_kind (call, kind), "%s", message);
   call->connection = NULL;
   gr_deadline_clear (&call->deadline);
   gr_deadline_set (call->pool->deadlines, &call->deadline, 0,
@@ -389,6 +396,13 @@
   return late;
 }
 
+/* A refusal shows that no process listens at the address. */
+static enum gr_error_kind
+connect_error_kind (int error)
+{
+  return error == ECONNREFUSED ? GR_ERROR_NOT_FOUND : GR_ERROR_IO;
+}
+
 static void
 serve_address (struct gr_call_pool *pool, struct address *address)
 {
@@ -402,7 +416,7 @@
         return;
       call = g_queue_pop_head (&address->waiting);
       if (failed)
-        call_fail_later (call, GR_ERROR_IO, g_strerror (errno));
+        call_fail_later (call, connect_error_kind (errno), g_strerror (errno));
       else
         assign_call (connection, call);
     }
@@ -486,7 +500,8 @@
     error = errno;
   if (error != 0)
     {
-      connection_fail (connection, GR_ERROR_IO, g_strerror (error));
+      connection_fail (connection, connect_error_kind (error),
+                       g_strerror (error));
       return;
     }
   connection->connected = true;
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -3,7 +3,6 @@
 #include "common/log.h"
 #include "instance/call-budget.h"
 #include "instance/lateness.h"
-#include "platform/worker-calls.h"
 
 /* A worker's clock can be 2 % slow; 1 % is added for the owner's clock. */
 #define CLOCK_DRIFT_FACTOR 1.03
@@ -234,6 +233,8 @@
   if (peer->failed_polls == 1)
     gr_log_event ("worker-look-failed", "worker", peer->worker, "reason",
                   error->message, NULL);
+  if (error->kind == GR_ERROR_NOT_FOUND)
+    gr_steps_worker_gone (io->steps, peer->worker, now_ms);
   /* The worker gets no new work until it answers a poll; polling continues. */
   gr_steps_set_worker_reachable (io->steps, peer->worker, false, now_ms);
 }
@@ -442,3 +443,9 @@
 {
   return &io->lateness;
 }
+
+struct gr_worker_traffic
+gr_worker_io_traffic (const struct gr_worker_io *io)
+{
+  return gr_worker_calls_traffic (io->calls);
+}
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -162,6 +162,14 @@
 uint32_t gr_steps_worker_load (const struct gr_steps *steps,
                                const char *worker);
 
+/* Nothing listens at the worker's address, or another worker does: its process
+ * has ended, and all its runs with it. A worker that is cut off or without
+ * power does not refuse connections, so this says more than a missing answer.
+ * Saves a successor the wait for the longest lease of workers that left while
+ * there was no owner. */
+void
+gr_steps_worker_gone (struct gr_steps *steps, const char *id, int64_t now_ms);
+
 /* Inputs. Structs are copied. */
 void gr_steps_set_queue (struct gr_steps *steps,
                          const struct gr_steps_queue *queue);
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -275,6 +275,20 @@
   release_runs (steps, worker, "the worker left");
 }
 
+void
+gr_steps_worker_gone (struct gr_steps *steps, const char *id, int64_t now_ms)
+{
+  struct worker *worker = gr_worker_find (steps, id);
+
+  if (worker == NULL || (worker->polled && worker->tasks->len == 0))
+    return;
+  steps->now_ms = now_ms;
+  gr_log_event ("worker-gone", "worker", id, NULL);
+  worker->polled = true;
+  worker->lease_until_ms = 0;
+  release_runs (steps, worker, "the worker's process is gone");
+}
+
 void
 gr_steps_add_inherited_worker (struct gr_steps *steps,
                                const char *id,
