--- a/bench/bench.h
+++ b/bench/bench.h
@@ -1,6 +1,6 @@
 /* Common code of the benchmarks: deployments, series of values and result rows.
  * The benchmarks run the decision core and the request router without I/O, in
- * simulated time. Only bench/speed.c uses a real clock. */
+ * simulated time. Only bench/speed.c and bench/calls.c use a real clock. */
 #pragma once
 
 #include "sched/core.h"
@@ -104,3 +104,5 @@
 
 /* Time of a tick and memory of the decision core with many workers. */
 void bench_speed (const struct bench_deployment *deployment, uint32_t seed);
+/* Processor time and bytes of a call to a worker, with a real clock. */
+void bench_calls (const struct bench_deployment *deployment, uint32_t seed);
--- a/bench/main.c
+++ b/bench/main.c
@@ -12,7 +12,7 @@
   { "completion", bench_completion }, { "peak", bench_peak },
   { "blocking", bench_blocking },     { "reclaim", bench_reclaim },
   { "limits", bench_limits },         { "executors", bench_executors },
-  { "speed", bench_speed },
+  { "speed", bench_speed },           { "calls", bench_calls },
 };
 
 int
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "instance/advice-calls.h"
 #include "instance/expiry.h"
+#include "instance/owner-load.h"
 #include "instance/ownership.h"
 #include "instance/progress-log.h"
 #include "instance/upkeep.h"
@@ -33,20 +34,6 @@
 /* Period of the core's scheduling passes when no event triggers one. */
 #define TICK_MS 100
 
-/* Delay of a scheduling pass that an event triggers. Answers that arrive within
- * it share one pass. A pass looks at all jobs and workers, so on a large site
- * the delay grows with the time that a pass takes: passes use at most about one
- * PASS_DELAY_FACTOR-th of the processor. */
-#define PASS_DELAY_MS 8
-#define MAX_PASS_DELAY_MS 60
-#define PASS_DELAY_FACTOR 5
-
-/* Weight of the newest pass in the smoothed time of a pass. */
-#define PASS_TIME_WEIGHT (1.0 / 8)
-
-/* Period of the log line about the owner's load. */
-#define LOAD_LOG_PERIOD_MS 5000
-
 /* A registry entry may have been written this long before it is processed. */
 #define REGISTRY_LAG_MS 600
 
@@ -79,10 +66,7 @@
   guint tick_timer;
   int64_t last_tick_ms;
   guint pass_timer;
-  double pass_ms;  /* smoothed time of a pass */
-  uint32_t passes; /* since the last log line about the load */
-  int64_t passes_us;
-  int64_t load_logged_ms;
+  struct gr_owner_load load;
   guint publish_timer;
   struct owner_call *calls[2];
 };
@@ -157,7 +141,6 @@
 run_pass (struct gr_owner *owner)
 {
   int64_t start_us = g_get_monotonic_time ();
-  int64_t time_us;
 
   if (!owner->loaded || !owner->registry_read || owner->superseded)
     return;
@@ -168,11 +151,7 @@
   gr_upkeep_run (owner->upkeep);
   gr_expiry_run (owner->expiry);
   write_progress (owner);
-  time_us = g_get_monotonic_time () - start_us;
-  owner->passes++;
-  owner->passes_us += time_us;
-  owner->pass_ms +=
-      ((double)time_us / 1000 - owner->pass_ms) * PASS_TIME_WEIGHT;
+  gr_owner_load_add_pass (&owner->load, g_get_monotonic_time () - start_us);
   if (gr_steps_fenced (owner->steps))
     report_superseded (owner, "a worker has seen a higher epoch");
 }
@@ -194,40 +173,19 @@
   struct gr_owner *owner = context;
 
   if (owner->pass_timer == 0 && !owner->superseded)
-    owner->pass_timer =
-        g_timeout_add ((guint)CLAMP (owner->pass_ms * PASS_DELAY_FACTOR,
-                                     PASS_DELAY_MS, MAX_PASS_DELAY_MS),
-                       on_pass_timer, owner);
+    owner->pass_timer = g_timeout_add (
+        gr_owner_load_pass_delay_ms (&owner->load), on_pass_timer, owner);
 }
 
-/* One line from which an overload can be recognized afterwards. */
 static void
-log_load (struct gr_owner *owner)
+log_load (struct gr_owner *owner, int64_t now_ms)
 {
-  const struct gr_lateness *lateness = gr_worker_io_lateness (owner->io);
+  struct gr_worker_traffic traffic = gr_worker_io_traffic (owner->io);
   struct gr_steps_counts counts;
-  char loop[24];
-  char response[24];
-  char orders[24];
-  char waiting[24];
-  char running[24];
-  char passes[24];
-  char pass_us[24];
 
   gr_steps_counts (owner->steps, &counts);
-  g_snprintf (loop, sizeof loop, "%" G_GINT64_FORMAT, lateness->loop_ms);
-  g_snprintf (response, sizeof response, "%.0f", lateness->response_ms);
-  g_snprintf (orders, sizeof orders, "%u", counts.orders);
-  g_snprintf (waiting, sizeof waiting, "%u", counts.tasks_waiting);
-  g_snprintf (running, sizeof running, "%u", counts.tasks_running);
-  g_snprintf (passes, sizeof passes, "%u", owner->passes);
-  g_snprintf (pass_us, sizeof pass_us, "%" G_GINT64_FORMAT,
-              owner->passes ? owner->passes_us / owner->passes : 0);
-  gr_log_event ("owner-load", "loop-late-ms", loop, "response-ms", response,
-                "orders", orders, "tasks-waiting", waiting, "tasks-running",
-                running, "passes", passes, "pass-us", pass_us, NULL);
-  owner->passes = 0;
-  owner->passes_us = 0;
+  gr_owner_load_log (&owner->load, now_ms, gr_worker_io_lateness (owner->io),
+                     &counts, &traffic);
 }
 
 static gboolean
@@ -240,11 +198,7 @@
       owner->io, MAX (now_ms - owner->last_tick_ms - TICK_MS, 0));
   owner->last_tick_ms = now_ms;
   run_pass (owner);
-  if (now_ms - owner->load_logged_ms >= LOAD_LOG_PERIOD_MS)
-    {
-      owner->load_logged_ms = now_ms;
-      log_load (owner);
-    }
+  log_load (owner, now_ms);
   return G_SOURCE_CONTINUE;
 }
 
--- a/instance/worker-io.h
+++ b/instance/worker-io.h
@@ -5,6 +5,7 @@
 #include "common/clock.h"
 #include "common/counter.h"
 #include "instance/lateness.h"
+#include "platform/worker-calls.h"
 #include "steps/steps.h"
 
 struct gr_worker_io;
@@ -41,5 +42,8 @@
 
 const struct gr_lateness *gr_worker_io_lateness (const struct gr_worker_io *io);
 
+/* Returns the traffic with all workers so far. */
+struct gr_worker_traffic gr_worker_io_traffic (const struct gr_worker_io *io);
+
 /* Sends the core's pending orders and the polls that are due. */
 void gr_worker_io_run (struct gr_worker_io *io);
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -8,7 +8,7 @@
 build=${1:-build}
 seeds=${SEEDS:-10}
 jobs=${JOBS:-4}
-parts=${PARTS:-completion peak blocking reclaim limits executors speed}
+parts=${PARTS:-completion peak blocking reclaim limits executors speed calls}
 deployments=${DEPLOYMENTS:-cedar himal}
 program=$build/bench/geraniumrack-bench
 out=$build/bench.tsv
@@ -18,9 +18,9 @@
 cases() {
   local part deployment seed
   for part in $parts; do
-    # The executors and the speed part do not depend on the deployment.
+    # The executors, speed and calls parts do not depend on the deployment.
     for deployment in $deployments; do
-      case $part in executors | speed) [ "$deployment" = "${deployments%% *}" ] || continue ;; esac
+      case $part in executors | speed | calls) [ "$deployment" = "${deployments%% *}" ] || continue ;; esac
       for seed in $(seq "$seeds"); do
         echo "$part $deployment $seed"
       done
@@ -36,7 +36,7 @@
 }
 
 run "$jobs" '^(completion|peak|blocking|reclaim|limits|executors) '
-run 2 '^speed '
+run 2 '^(speed|calls) '
 
 {
   printf 'measure\tdeployment\tload\tpolicy\tseed\tvalue\tunit\n'
