--- a/http/call-pool.c
+++ b/http/call-pool.c
@@ -365,7 +365,8 @@
 }
 
 /* Returns a connection for the next call to the address, or NULL if all are in
- * use. *failed is set if one could not be opened. */
+ * use. *failed is set if one could not be opened. At the limit of connections,
+ * one that waits for a late response gives way. */
 static struct connection *
 get_connection (struct gr_call_pool *pool,
                 struct address *address,
@@ -387,6 +388,7 @@
     {
       if (late == NULL)
         return NULL;
+      /* The call that opened it has timed out, but it may still connect. */
       if (!late->connected && !late->awaits_late)
         return late;
       connection_close (late);
