http: log requests that the server drops

A connection that the server closed for a time limit or at the end of the process left no trace, so a client's broken connection could not be told from one that its peer, its link or the load balancer closed.

The event request-dropped names the reason, the phase of the request, the time in it and the bytes not read yet. Connections on which nothing was received since the last response, or that the client closed, are not logged.

--- a/http/http-server.c
+++ b/http/http-server.c
@@ -1,5 +1,6 @@
 #include "http/http-server.h"
 
+#include "common/log.h"
 #include "http/http-listen.h"
 #include "http/http-stream.h"
 
@@ -20,6 +21,9 @@
  * because the client may have sent a request that has not arrived yet. */
 #define STOP_GRACE_MS 1000
 
+/* Unread bytes are logged up to this number. */
+#define MAX_LOGGED_BYTES 4096
+
 #define CONNECTION_KEY "gr-http-connection"
 
 enum phase
@@ -103,6 +107,45 @@
                      TRUE, NULL);
 }
 
+static const char *
+phase_name (enum phase phase)
+{
+  static const char *const names[] = {
+    [PHASE_IDLE] = "idle",
+    [PHASE_READING] = "reading",
+    [PHASE_HANDLING] = "handling",
+    [PHASE_WRITING] = "writing",
+  };
+
+  return names[phase];
+}
+
+/* Logs that the server closes the connection of a client that waits for a
+ * response, or whose request is not read yet. */
+static void
+log_dropped_request (struct http_connection *connection, const char *reason)
+{
+  int fd =
+      g_socket_get_fd (g_socket_connection_get_socket (connection->socket));
+  char bytes[MAX_LOGGED_BYTES];
+  gssize unread = recv (fd, bytes, sizeof bytes, MSG_PEEK | MSG_DONTWAIT);
+  bool request_begun =
+      connection->phase != PHASE_IDLE
+      || gr_http_stream_headers_start_ms (connection->stream) > 0;
+  char phase_ms[24];
+  char unread_bytes[24];
+
+  if (unread == 0 || (unread < 0 && !request_begun))
+    return; /* the client has disconnected, or has sent nothing */
+  g_snprintf (phase_ms, sizeof phase_ms, "%" G_GINT64_FORMAT,
+              now_ms () - connection->phase_start_ms);
+  g_snprintf (unread_bytes, sizeof unread_bytes, "%" G_GSSIZE_FORMAT,
+              MAX (unread, 0));
+  gr_log_event ("request-dropped", "reason", reason, "phase",
+                phase_name (connection->phase), "phase_ms", phase_ms,
+                "unread_bytes", unread_bytes, NULL);
+}
+
 static void
 unwatch_message (struct http_connection *connection)
 {
@@ -385,7 +428,11 @@
           && now > connection->shutdown_start_ms + SHUTDOWN_TIMEOUT_MS)
         connection_close (connection);
       else if (has_timed_out (connection, now))
-        shut_down_connection (connection);
+        {
+          if (connection->shutdown_start_ms == 0)
+            log_dropped_request (connection, "time limit");
+          shut_down_connection (connection);
+        }
     }
   g_list_free (connections);
   return G_SOURCE_CONTINUE;
@@ -501,8 +548,12 @@
 
   for (GList *item = connections; item != NULL; item = item->next)
     {
-      shut_down_connection (item->data);
-      connection_close (item->data);
+      struct http_connection *connection = item->data;
+
+      if (connection->shutdown_start_ms == 0)
+        log_dropped_request (connection, "server stopped");
+      shut_down_connection (connection);
+      connection_close (connection);
     }
   g_list_free (connections);
 }
