http: a late server does not close connections with unread requests

Callers saw a connection end without an answer, although they had sent a whole request.

It then shuts the connection down; the request is still read and carried out, but its answer is lost. Applying a configuration with many routes takes 76 to 822 ms on 0.12 cores.

Change: a connection with unread data has not reached a limit; the server is late, not the client.

The test failed before in each of its three parts (idle, headers, body), and passes in three runs of three.

Ruled out: a process that ended (other requests of the instance were answered), a response that is never resumed (its connection stays open until the deadline).

--- a/http/http-server.c
+++ b/http/http-server.c
@@ -382,10 +382,14 @@
   gssize readable = peek (connection);
   int64_t stop_ms = server->stop_start_ms + STOP_GRACE_MS;
 
+  /* The server is late, not the client, while it has not read the client's
+   * data. */
+  if (readable > 0)
+    return false;
   if (readable == 0 || now - connection->phase_start_ms > server->limits.idle_ms
       || headers_timed_out (connection, now))
     return true;
-  return server->stop_start_ms > 0 && readable < 0 && now >= stop_ms
+  return server->stop_start_ms > 0 && now >= stop_ms
          && now - connection->phase_start_ms >= STOP_GRACE_MS;
 }
 
@@ -400,7 +404,7 @@
     case PHASE_IDLE:
       return idle_timed_out (connection, now);
     case PHASE_READING:
-      return elapsed_ms > limits->read_ms;
+      return elapsed_ms > limits->read_ms && peek (connection) <= 0;
     case PHASE_WRITING:
       return elapsed_ms > limits->write_ms;
     case PHASE_HANDLING:
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -101,6 +101,16 @@
   g_source_remove (timer);
 }
 
+static void
+run_loop_ms (guint duration_ms)
+{
+  bool ended = false;
+
+  g_timeout_add (duration_ms, set_flag, &ended);
+  while (!ended)
+    g_main_context_iteration (NULL, TRUE);
+}
+
 static void
 wait_connections (struct gr_http_server *server, uint32_t expected)
 {
@@ -448,6 +458,49 @@
 }
 END_TEST
 
+/* Guards against a sweep that closes an idle or slow connection although the
+ * main loop was late and data of the client is still unread. */
+START_TEST (late_server_answers_requests_that_wait_unread)
+{
+  struct gr_http_server_limits limits = {
+    .max_connections = 4,
+    .idle_ms = 500,
+    .read_ms = 500,
+    .write_ms = 60000,
+    .header_ms = 500,
+    .max_body_bytes = 1000,
+  };
+  struct fixture fixture;
+  int idle;
+  int headers;
+  int body;
+
+  setup (&fixture, &limits);
+  idle = open_client (fixture.server);
+  headers = open_client (fixture.server);
+  body = open_client (fixture.server);
+  send_text (idle, REQUEST);
+  send_text (headers, REQUEST);
+  expect (idle, "small");
+  expect (headers, "small");
+  send_text (headers, "GET /small HT");
+  send_text (body, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+  run_loop_ms (100);
+  send_text (idle, REQUEST);
+  send_text (headers, "TP/1.1\r\nHost: a\r\n\r\n");
+  send_text (body, "cd");
+  g_usleep (1200 * 1000);
+  expect (idle, "200 OK");
+  expect (headers, "200 OK");
+  expect (body, "200 OK");
+  close (idle);
+  close (headers);
+  close (body);
+  wait_connections (fixture.server, 0);
+  teardown (&fixture);
+}
+END_TEST
+
 static Suite *
 make_suite (void)
 {
@@ -458,6 +511,7 @@
   tcase_add_test (tcase, dropped_connections_release_descriptors);
   tcase_add_test (tcase, slow_clients_are_cut_off);
   tcase_add_test (tcase, slow_and_large_headers_are_refused);
+  tcase_add_test (tcase, late_server_answers_requests_that_wait_unread);
   tcase_add_test (tcase, large_bodies_are_refused);
   tcase_add_test (tcase, graceful_shutdown_interrupts_no_request);
   tcase_add_test (tcase, held_requests_can_be_resumed_late);
