tests: calls of the steps model take time, and gangs that wait are checked

The model executed each order and each poll at once, and a run that ended because the other members of its gang did not start was not a violation. So no test covered the platform's rule GANG, nor orders, polls and answers that overtake each other.

Calls can now take a random time each way, a worker can reject a share of the starts, and such an end of a run is a violation unless its job was cancelled or there was a fault in the last 4 s. Three random tests use this: an owner that is late at times, the same with calls that take time, and calm after faults of all kinds with takeovers. One more test covers a job whose first members fail before the last have started.

--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -15,6 +15,7 @@
 #define MAX_OVER_TARGET_MS 4000
 #define STARTUP_MS 300
 #define TICKET_MS 3000
+#define CALM_MS 4000
 
 struct model_run
 {
@@ -53,6 +54,8 @@
   bool fails_runs;
   bool draining;
   bool entry_lost;
+  bool held_orders;
+  bool poll_in_flight;
   int64_t remaining_ms;
   bool clock_known; /* to the owner, after the first poll; that poll therefore
                        grants no lease */
@@ -74,13 +77,31 @@
   GHashTable *done; /* names of tasks whose end as done was acknowledged */
 };
 
-struct late_order
+/* An order that the worker executes later. */
+struct transit_order
 {
   struct gr_order order;
+  struct model_worker *worker;
   int64_t due_ms;
   int64_t until_ms;
   int64_t epoch;
-  char *payload;
+  int64_t incarnation;
+  bool is_answered; /* false: the core has its result already */
+  bool executed;    /* the answer is on its way */
+  enum gr_order_result result;
+};
+
+/* A status poll that waits for its transit or that of its answer. */
+struct model_poll
+{
+  struct model_worker *worker;
+  int64_t due_ms;
+  int64_t epoch;
+  int64_t incarnation;
+  int64_t durable_end;
+  int64_t lease_until_ms; /* 0: grants no lease */
+  bool executed;
+  struct gr_run_report report;
 };
 
 /* Progress that is being written to the store. */
@@ -103,7 +124,8 @@
   GPtrArray *workers;
   GPtrArray *jobs; /* by number; NULL where there is none */
   GPtrArray *queues;
-  GPtrArray *late_orders;
+  GPtrArray *transit_orders; /* struct transit_order */
+  GPtrArray *polls;          /* struct model_poll */
   bool store_works;
   int64_t commit_ms;
   GQueue commits; /* struct commit, oldest first */
@@ -111,6 +133,8 @@
   uint32_t advice_calls;
   uint32_t orders_per_tick;
   uint32_t drop_results;
+  uint32_t runs_alone;
+  int64_t last_fault_ms;
   bool needs_tickets;
   char *violation;
 };
@@ -132,8 +156,8 @@
 const struct gr_step_spec *model_run_spec (const struct steps_model *model,
                                            const struct model_run *run);
 void model_send_order (struct steps_model *model, const struct gr_order *order);
-void model_late_order_free (struct late_order *late);
-void model_execute_late_orders (struct steps_model *model);
+void model_transit_order_free (struct transit_order *transit);
+void model_advance_orders (struct steps_model *model);
 void model_end_run (struct steps_model *model,
                     struct model_worker *worker,
                     guint index,
@@ -143,6 +167,12 @@
                         const struct model_run *run);
 void model_advance_runs (struct steps_model *model);
 
+/* Status polls. */
+void model_advance_polls (struct steps_model *model);
+void model_drop_polls (struct steps_model *model);
+/* A random time for one way of a call; 0 if calls take no time. */
+int64_t model_transit_ms (struct steps_model *model);
+
 /* The store. */
 void model_commit_progress (struct steps_model *model);
 void model_drop_commits (struct steps_model *model);
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -122,7 +122,8 @@
   new_run->pace = 100;
   new_run->saved_ms = g_ascii_strtoll (order->checkpoint, NULL, 10);
   new_run->worked_ms = new_run->saved_ms;
-  if (!has_capacity (model, worker, new_run))
+  if (!has_capacity (model, worker, new_run)
+      || model_chance (model, model->faults.reject_start))
     {
       g_free (new_run);
       return GR_ORDER_NO_ROOM;
@@ -166,18 +167,36 @@
 }
 
 static void
-delay_order (struct steps_model *model,
-             const struct gr_order *order,
-             int64_t until_ms)
+send_later (struct steps_model *model,
+            const struct gr_order *order,
+            int64_t delay_ms,
+            bool is_answered)
 {
-  struct late_order *late = g_new0 (struct late_order, 1);
-
-  late->order = *order;
-  late->order.payload = NULL;
-  late->due_ms = model->now_ms + g_rand_int_range (model->rand, 500, 6000);
-  late->until_ms = until_ms;
-  late->epoch = model->epoch;
-  g_ptr_array_add (model->late_orders, late);
+  struct transit_order *transit = g_new0 (struct transit_order, 1);
+
+  transit->order = *order;
+  transit->order.payload = NULL;
+  transit->worker = model_find_worker (model, order->worker);
+  transit->due_ms = model->now_ms + delay_ms;
+  transit->until_ms = order->start_limit_ms;
+  transit->epoch = model->epoch;
+  transit->incarnation = transit->worker->incarnation;
+  transit->incarnation = transit->worker->incarnation;
+  transit->is_answered = is_answered;
+  g_ptr_array_add (model->transit_orders, transit);
+}
+
+static void
+report_result (struct steps_model *model,
+               const struct gr_order *order,
+               enum gr_order_result result)
+{
+  if (model->drop_results > 0)
+    {
+      model->drop_results--;
+      return;
+    }
+  gr_steps_order_result (model->steps, order, result, model->now_ms);
 }
 
 void
@@ -192,44 +211,83 @@
   if (worker->unreachable || model_chance (model, model->faults.lose_order))
     result = GR_ORDER_UNKNOWN;
   else if (model_chance (model, model->faults.late_order))
-    delay_order (model, order, until_ms);
+    send_later (model, order, g_rand_int_range (model->rand, 500, 6000), false);
+  else if (model->faults.max_transit_ms > 0)
+    {
+      send_later (model, order, model_transit_ms (model), true);
+      return;
+    }
   else
     {
       result = execute_order (model, worker, order, until_ms, model->epoch);
       if (model_chance (model, model->faults.lose_answer))
         result = GR_ORDER_UNKNOWN;
     }
-  if (model->drop_results > 0)
-    {
-      model->drop_results--;
-      return;
-    }
-  gr_steps_order_result (model->steps, order, result, model->now_ms);
+  report_result (model, order, result);
 }
 
 void
-model_late_order_free (struct late_order *late)
+model_transit_order_free (struct transit_order *transit)
 {
-  g_free (late->payload);
-  g_free (late);
+  g_free (transit);
+}
+
+/* Returns true once the order has been executed and its result, if any, has
+ * been reported. */
+static bool
+advance_order (struct steps_model *model, struct transit_order *transit)
+{
+  bool restarted = transit->incarnation != transit->worker->incarnation;
+
+  if (restarted && !transit->is_answered)
+    return true;
+  if (transit->is_answered && (restarted || transit->worker->unreachable))
+    {
+      transit->executed = true;
+      transit->result = GR_ORDER_UNKNOWN;
+    }
+  if (!transit->executed)
+    {
+      transit->executed = true;
+      transit->result = execute_order (model, transit->worker, &transit->order,
+                                       transit->until_ms, transit->epoch);
+      if (!transit->is_answered)
+        return true;
+      if (model_chance (model, model->faults.lose_answer))
+        transit->result = GR_ORDER_UNKNOWN;
+      transit->due_ms = model->now_ms + model_transit_ms (model);
+      return false;
+    }
+  if (transit->epoch == model->epoch)
+    report_result (model, &transit->order, transit->result);
+  return true;
 }
 
 void
-model_execute_late_orders (struct steps_model *model)
+model_advance_orders (struct steps_model *model)
 {
-  for (guint i = model->late_orders->len; i-- > 0;)
+  for (guint i = model->transit_orders->len; i-- > 0;)
     {
-      struct late_order *late = model->late_orders->pdata[i];
+      struct transit_order *transit = model->transit_orders->pdata[i];
 
-      if (late->due_ms > model->now_ms)
+      if (transit->due_ms > model->now_ms || !advance_order (model, transit))
         continue;
-      execute_order (model, model_find_worker (model, late->order.worker),
-                     &late->order, late->until_ms, late->epoch);
-      model_late_order_free (late);
-      g_ptr_array_remove_index_fast (model->late_orders, i);
+      model_transit_order_free (transit);
+      g_ptr_array_remove_index_fast (model->transit_orders, i);
     }
 }
 
+/* The platform's rule on gangs: a run may wait for the others of its gang in
+ * vain only around a fault. */
+static void
+check_alone (struct steps_model *model, const struct model_run *run)
+{
+  model->runs_alone++;
+  if (!model_get_job (model, run->job)->cancelled
+      && model->now_ms - model->last_fault_ms >= CALM_MS)
+    model_report_violation (model, "waited alone for its gang", run->task);
+}
+
 void
 model_end_run (struct steps_model *model,
                struct model_worker *worker,
@@ -253,6 +311,8 @@
   if (how != GR_END_DONE && how != GR_END_FAILED)
     model->wasted_s += (double)(run->worked_ms - run->saved_ms) / 1000.0
                        * spec->needs.accelerators;
+  if (how == GR_END_ALONE)
+    check_alone (model, run);
   record_ended_run (worker, run->task, run->run);
   g_array_append_val (worker->ends, row);
   g_ptr_array_remove_index (worker->runs, index);
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -1,6 +1,5 @@
 #include "tests/steps-model-private.h"
 
-#include <stdio.h>
 #include <string.h>
 
 void
@@ -79,7 +78,8 @@
   model->workers = g_ptr_array_new ();
   model->jobs = g_ptr_array_new ();
   model->queues = g_ptr_array_new ();
-  model->late_orders = g_ptr_array_new ();
+  model->transit_orders = g_ptr_array_new ();
+  model->polls = g_ptr_array_new ();
   model->steps = gr_steps_create (&model->settings, 1, model->now_ms);
   for (uint32_t i = 0; i < workers; i++)
     {
@@ -126,11 +126,13 @@
     }
   for (guint i = 0; i < model->jobs->len; i++)
     job_free (model->jobs->pdata[i]);
-  for (guint i = 0; i < model->late_orders->len; i++)
-    model_late_order_free (model->late_orders->pdata[i]);
+  for (guint i = 0; i < model->transit_orders->len; i++)
+    model_transit_order_free (model->transit_orders->pdata[i]);
+  model_drop_polls (model);
   g_ptr_array_unref (model->workers);
   g_ptr_array_unref (model->jobs);
-  g_ptr_array_unref (model->late_orders);
+  g_ptr_array_unref (model->transit_orders);
+  g_ptr_array_unref (model->polls);
   for (guint i = 0; i < model->queues->len; i++)
     {
       g_free ((char *)((struct gr_steps_queue *)model->queues->pdata[i])->name);
@@ -285,6 +287,7 @@
   worker->last_number = 0;
   worker->highest_epoch = 0;
   worker->incarnation++;
+  model->last_fault_ms = model->now_ms;
   register_worker (model, worker);
 }
 
@@ -331,6 +334,7 @@
                                  handover_workers);
   gr_steps_destroy (model->steps);
   model_drop_commits (model);
+  model->last_fault_ms = model->now_ms;
   model->epoch++;
   model->steps =
       gr_steps_create (&model->settings, model->epoch, model->now_ms);
@@ -353,6 +357,7 @@
       struct model_worker *worker = model->workers->pdata[i];
 
       worker->clock_known = false;
+      worker->poll_in_flight = false;
       worker->next_poll_ms = 0;
       if (!worker->entry_lost)
         register_worker (model, worker);
@@ -362,80 +367,6 @@
                                    model->now_ms);
 }
 
-static void
-acknowledge_ends (struct steps_model *model, struct model_worker *worker)
-{
-  int64_t durable_end = gr_steps_durable_end (model->steps, worker->id);
-
-  while (worker->ends->len > 0)
-    {
-      struct gr_ended_run *row =
-          &g_array_index (worker->ends, struct gr_ended_run, 0);
-      unsigned job;
-
-      if (row->number > durable_end)
-        return;
-      sscanf (row->task, "%16x", &job);
-      if (row->how == GR_END_DONE)
-        g_hash_table_add (model_get_job (model, job)->done,
-                          g_strdup (row->task));
-      g_array_remove_index (worker->ends, 0);
-    }
-}
-
-static void
-poll_worker (struct steps_model *model, struct model_worker *worker)
-{
-  struct gr_run_status *running;
-  struct gr_run_report row = {
-    .sent_ms = model->now_ms,
-    .clock_ms = model->now_ms,
-    .incarnation_unix_ms = worker->incarnation,
-    .all_ended = true,
-    .n_running = worker->runs->len,
-  };
-
-  worker->next_poll_ms = model->now_ms + POLL_INTERVAL_MS;
-  if (gr_steps_poll_need (model->steps, worker->id) == GR_POLL_NONE
-      && gr_steps_durable_end (model->steps, worker->id) == 0)
-    return;
-  if (worker->unreachable || model_chance (model, model->faults.lose_poll))
-    {
-      gr_steps_set_worker_reachable (model->steps, worker->id, false,
-                                     model->now_ms);
-      return;
-    }
-  if (model->epoch < worker->highest_epoch)
-    return;
-  worker->highest_epoch = model->epoch;
-  acknowledge_ends (model, worker);
-  if (worker->clock_known)
-    {
-      worker->lease_until_ms = model->now_ms + RUN_LEASE_MS;
-      gr_steps_extend_worker_lease (model->steps, worker->id,
-                                    model->now_ms + RUN_LEASE_MS + 200);
-    }
-  worker->clock_known = true;
-  running = g_new0 (struct gr_run_status, worker->runs->len + 1);
-  for (guint i = 0; i < worker->runs->len; i++)
-    {
-      const struct model_run *run = worker->runs->pdata[i];
-      int64_t work_ms = MAX (model_get_job (model, run->job)->work_ms, 1);
-
-      g_strlcpy (running[i].task, run->task, sizeof running[i].task);
-      running[i].run = run->run;
-      running[i].percent = (uint32_t)MIN (run->worked_ms * 100 / work_ms, 99);
-      if (model_run_spec (model, run)->lasting && run->worked_ms >= STARTUP_MS)
-        running[i].percent = 100;
-      running[i].usage = model_tail_ms (model, worker, run);
-    }
-  row.running = running;
-  row.ended = (struct gr_ended_run *)worker->ends->data;
-  row.n_ended = worker->ends->len;
-  gr_steps_process_report (model->steps, worker->id, &row, model->now_ms);
-  g_free (running);
-}
-
 /* Workers with an even number may run any step. */
 static void
 answer_advice (struct steps_model *model)
@@ -463,25 +394,47 @@
     }
 }
 
+/* Records that a fault is active now; see steps_model_violation (). */
 static void
-run_tick (struct steps_model *model)
+note_active_faults (struct steps_model *model)
 {
-  struct gr_order order;
+  const struct steps_model_faults *faults = &model->faults;
 
-  model->now_ms += TICK_MS;
-  model_advance_runs (model);
-  model_execute_late_orders (model);
+  if (faults->lose_answer > 0 || faults->lose_order > 0
+      || faults->late_order > 0 || faults->lose_poll > 0 || !model->store_works)
+    model->last_fault_ms = model->now_ms;
+  for (guint i = 0; i < model->transit_orders->len; i++)
+    if (!((struct transit_order *)model->transit_orders->pdata[i])->is_answered)
+      model->last_fault_ms = model->now_ms;
   for (guint i = 0; i < model->workers->len; i++)
     {
-      struct model_worker *worker = model->workers->pdata[i];
+      const struct model_worker *worker = model->workers->pdata[i];
 
-      if (model->now_ms >= worker->next_poll_ms)
-        poll_worker (model, worker);
+      if (worker->unreachable || worker->fails_runs)
+        model->last_fault_ms = model->now_ms;
     }
+}
+
+static bool
+can_send (const char *worker, void *context)
+{
+  return !model_find_worker (context, worker)->held_orders;
+}
+
+static void
+run_tick (struct steps_model *model)
+{
+  struct gr_order order;
+
+  model->now_ms += TICK_MS;
+  note_active_faults (model);
+  model_advance_runs (model);
+  model_advance_orders (model);
+  model_advance_polls (model);
   gr_steps_tick (model->steps, model->now_ms, model->now_ms);
   for (uint32_t sent = 0;
        sent < model->orders_per_tick
-       && gr_steps_take_order (model->steps, NULL, NULL, &order);
+       && gr_steps_take_order (model->steps, can_send, model, &order);
        sent++)
     model_send_order (model, &order);
   answer_advice (model);
@@ -634,6 +587,18 @@
   model->orders_per_tick = orders;
 }
 
+void
+steps_model_hold_orders (struct steps_model *model, uint32_t number, bool held)
+{
+  get_worker (model, number)->held_orders = held;
+}
+
+uint32_t
+steps_model_runs_alone (const struct steps_model *model)
+{
+  return model->runs_alone;
+}
+
 void
 steps_model_drop_results (struct steps_model *model, uint32_t results)
 {
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -9,11 +9,16 @@
 
 struct steps_model_faults
 {
-  double lose_answer; /* share of orders that take effect without an answer */
-  double lose_order;  /* share of orders that have no effect and no answer */
-  double late_order;  /* share of orders that take effect 0.5 to 6 s late,
-                         without an answer */
-  double lose_poll;   /* share of polls without an answer */
+  double lose_answer;  /* share of orders that take effect without an answer */
+  double lose_order;   /* share of orders that have no effect and no answer */
+  double late_order;   /* share of orders that take effect 0.5 to 6 s late,
+                          without an answer */
+  double lose_poll;    /* share of polls without an answer */
+  double reject_start; /* share of starts that the worker rejects for lack of
+                          capacity; does not count as a fault */
+  int32_t max_transit_ms; /* orders, polls and their answers take up to this
+                             long each way and can overtake each other; does
+                             not count as a fault */
 };
 
 struct steps_model *
@@ -83,6 +88,10 @@
  * queued in the core. */
 void steps_model_set_orders_per_tick (struct steps_model *model,
                                       uint32_t orders);
+/* While held is true, orders to the worker stay queued in the core, as when too
+ * many calls to it are open. */
+void
+steps_model_hold_orders (struct steps_model *model, uint32_t worker, bool held);
 /* Does not report the results of the next `results` orders to the core. */
 void steps_model_drop_results (struct steps_model *model, uint32_t results);
 /* Replaces the owner by one with the next epoch, which starts from durable
@@ -125,5 +134,10 @@
 /* Accelerator-seconds of work lost by runs that were stopped, lapsed or
  * broken. */
 double steps_model_wasted_accelerator_s (const struct steps_model *model);
-/* The first violation of an invariant, or NULL. */
+/* Number of runs that ended because the other members of their gang did not
+ * start in time. */
+uint32_t steps_model_runs_alone (const struct steps_model *model);
+/* The first violation of an invariant, or NULL. Such an end of a run violates
+ * one, unless its job was cancelled or there was a fault within the last 4 s:
+ * of a worker, of the owner, of the store, or a lost or late call. */
 const char *steps_model_violation (const struct steps_model *model);
--- /dev/null
+++ b/tests/test-steps-gangs.c
@@ -0,0 +1,236 @@
+#include "tests/steps-model.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+/* Gangs whose members start one after the other. A member that has started and
+ * waits for the others must not wait until it ends alone. */
+
+#define WORKERS 32
+#define PER_RACK 8
+#define SEEDS 24
+
+static const struct gr_step_spec gang = {
+  .count = 8,
+  .needs = { 50000, 20000, 8 },
+  .estimate_ms = 2000,
+  .gang = true,
+  .one_rack = true,
+};
+
+static struct steps_model *
+create (uint32_t seed)
+{
+  struct steps_model *model = steps_model_create (WORKERS, PER_RACK, seed);
+
+  steps_model_set_queue (model, "urgent", 0, 3);
+  steps_model_set_queue (model, "normal", 1, 2);
+  steps_model_set_queue (model, "batch", 2, 2);
+  return model;
+}
+
+static void
+check_and_destroy (struct steps_model *model)
+{
+  ck_assert_msg (steps_model_violation (model) == NULL, "%s",
+                 steps_model_violation (model));
+  steps_model_destroy (model);
+}
+
+/* A hopeless job: all runs of the first members fail before the last members
+ * have started. */
+START_TEST (gang_is_stopped_after_an_early_failure)
+{
+  struct steps_model *model = create (1);
+
+  steps_model_run (model, 200);
+  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 1000);
+  for (uint32_t attempt = 0; attempt < 2; attempt++)
+    {
+      steps_model_set_orders_per_tick (model, 1);
+      steps_model_run (model, 80);
+      for (uint32_t i = 0; i < WORKERS; i++)
+        steps_model_fail_runs (model, i);
+      steps_model_set_orders_per_tick (model, 8);
+      steps_model_run (model, 200);
+    }
+  steps_model_run (model, 5000);
+  ck_assert_uint_eq (steps_model_runs_alone (model), 0);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
+  check_and_destroy (model);
+}
+END_TEST
+
+struct load
+{
+  struct steps_model *model;
+  GRand *rand;
+  uint32_t next;
+};
+
+static void
+add_job (struct load *load)
+{
+  static const char *const queues[] = { "urgent", "normal", "batch" };
+  static const uint32_t sizes[] = { 1, 2, 4, 8 };
+  struct gr_step_spec step = {
+    .needs = { 15000, 22000, 0 },
+    .estimate_ms = 2000,
+    .gang = g_rand_int_range (load->rand, 0, 3) > 0,
+    .checkpointing = g_rand_int_range (load->rand, 0, 2) > 0,
+  };
+
+  step.one_rack = step.gang && g_rand_int_range (load->rand, 0, 4) > 0;
+  step.needs.accelerators = sizes[g_rand_int_range (load->rand, 0, 4)];
+  step.count = (uint32_t)g_rand_int_range (load->rand, 1, PER_RACK + 1);
+  steps_model_add_job (load->model, ++load->next,
+                       queues[g_rand_int_range (load->rand, 0, 3)], "a", &step,
+                       1, g_rand_int_range (load->rand, 300, 4000));
+  if (g_rand_int_range (load->rand, 0, 8) == 0)
+    steps_model_fail_job (load->model, load->next);
+}
+
+/* One change of the kinds that excuse no run that ends alone. */
+static void
+disturb (struct load *load)
+{
+  uint32_t worker = (uint32_t)g_rand_int_range (load->rand, 0, WORKERS);
+
+  switch (g_rand_int_range (load->rand, 0, 6))
+    {
+    case 0:
+      steps_model_cancel_job (
+          load->model,
+          (uint32_t)g_rand_int_range (load->rand, 1, (gint32)load->next + 1));
+      break;
+    case 1:
+      steps_model_drain_worker (load->model, worker,
+                                g_rand_int_range (load->rand, 0, 3) == 0);
+      break;
+    case 2:
+      steps_model_set_orders_per_tick (
+          load->model, (uint32_t)g_rand_int_range (load->rand, 1, 6));
+      break;
+    default:
+      steps_model_set_orders_per_tick (load->model, 64);
+    }
+}
+
+static void
+run_load (uint32_t seed, int32_t max_transit_ms)
+{
+  struct load load = { .model = create (seed) };
+  struct steps_model_faults faults = {
+    .reject_start = 0.02,
+    .max_transit_ms = max_transit_ms,
+  };
+
+  load.rand = g_rand_new_with_seed (seed);
+  steps_model_set_faults (load.model, &faults);
+  for (int i = 0; i < 200; i++)
+    {
+      if (g_rand_int_range (load.rand, 0, 3) > 0)
+        add_job (&load);
+      if (load.next > 0)
+        disturb (&load);
+      steps_model_run (load.model, 100);
+    }
+  steps_model_set_orders_per_tick (load.model, 64);
+  steps_model_run (load.model, 5000);
+  ck_assert_msg (steps_model_violation (load.model) == NULL, "seed %u: %s",
+                 seed, steps_model_violation (load.model));
+  g_rand_free (load.rand);
+  steps_model_destroy (load.model);
+}
+
+/* Members ended alone although there was no fault, with an owner that is late
+ * at times. */
+START_TEST (no_run_ends_alone_without_a_fault)
+{
+  run_load ((uint32_t)_i + 1, 0);
+}
+END_TEST
+
+/* As above, with orders, polls and their answers that overtake each other. */
+START_TEST (no_run_ends_alone_when_calls_take_time)
+{
+  run_load ((uint32_t)_i + 1, 300);
+}
+END_TEST
+
+/* A few seconds of faults of all kinds. */
+static void
+run_faults (struct load *load)
+{
+  uint32_t worker = (uint32_t)g_rand_int_range (load->rand, 0, WORKERS);
+  struct steps_model_faults faults = {
+    .lose_answer = 0.1,
+    .lose_order = 0.1,
+    .late_order = 0.05,
+    .lose_poll = 0.1,
+    .max_transit_ms = 200,
+  };
+
+  steps_model_set_faults (load->model, &faults);
+  steps_model_set_worker_unreachable (load->model, worker, true);
+  for (int i = 0; i < 20; i++)
+    {
+      add_job (load);
+      disturb (load);
+      if (g_rand_int_range (load->rand, 0, 15) == 0)
+        steps_model_new_owner (load->model);
+      if (g_rand_int_range (load->rand, 0, 15) == 0)
+        steps_model_restart_worker (load->model, (worker + 1) % WORKERS);
+      steps_model_run (load->model, 100);
+    }
+  steps_model_set_worker_unreachable (load->model, worker, false);
+  faults = (struct steps_model_faults){ .max_transit_ms = 200 };
+  steps_model_set_faults (load->model, &faults);
+}
+
+/* A run that had been started in a disturbance was forgotten, and ended alone
+ * some seconds after it. */
+START_TEST (no_run_ends_alone_after_faults_have_passed)
+{
+  uint32_t seed = (uint32_t)_i + 1;
+  struct load load = { .model = create (seed) };
+
+  load.rand = g_rand_new_with_seed (seed);
+  add_job (&load);
+  for (int round = 0; round < 6; round++)
+    {
+      run_faults (&load);
+      for (int i = 0; i < 140; i++)
+        {
+          if (i % 4 == 0)
+            add_job (&load);
+          steps_model_run (load.model, 100);
+        }
+    }
+  ck_assert_msg (steps_model_violation (load.model) == NULL, "seed %u: %s",
+                 seed, steps_model_violation (load.model));
+  g_rand_free (load.rand);
+  steps_model_destroy (load.model);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("steps-gangs");
+  TCase *tests = tcase_create ("gangs");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, gang_is_stopped_after_an_early_failure);
+  tcase_add_loop_test (tests, no_run_ends_alone_without_a_fault, 0, SEEDS);
+  tcase_add_loop_test (tests, no_run_ends_alone_when_calls_take_time, 0, SEEDS);
+  tcase_add_loop_test (tests, no_run_ends_alone_after_faults_have_passed, 0,
+                       SEEDS);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
