tests: a gang waits for a start that is queued or has no result

Three tests that fail on the current code. A start whose order is still in the owner's queue, or whose result never arrives, is not abandoned at its limit of 2 s but when its result counts as lost, 4 s after it was queued. Until then the members that have started wait: they end alone after gang-wait-ms (3 or 4 s).

Seen: steps_model_runs_alone () is 1 instead of 0 in each (the other members end as broken), because too many calls to a worker are open, because urgent starts go first, or because the result was dropped with a changed address.

--- a/tests/test-steps-gangs.c
+++ b/tests/test-steps-gangs.c
@@ -37,6 +37,75 @@
   steps_model_destroy (model);
 }
 
+/* The start of one member stayed in the owner's queue, because too many calls
+ * to its worker were open. It was abandoned after 4 s, but the others of the
+ * gang had ended alone after 3 s. */
+START_TEST (gang_is_abandoned_while_a_start_is_queued)
+{
+  struct steps_model *model = create (1);
+
+  steps_model_run (model, 200);
+  steps_model_hold_orders (model, 3, true);
+  for (uint32_t i = 1; i <= WORKERS / PER_RACK; i++)
+    steps_model_add_job (model, i, "normal", "a", &gang, 1, 1000);
+  steps_model_run (model, 6000);
+  ck_assert_uint_eq (steps_model_runs_alone (model), 0);
+  steps_model_hold_orders (model, 3, false);
+  steps_model_run (model, 4000);
+  for (uint32_t i = 1; i <= WORKERS / PER_RACK; i++)
+    ck_assert_int_eq (steps_model_state (model, i), GR_JOB_COMPLETED);
+  check_and_destroy (model);
+}
+END_TEST
+
+/* The starts of a gang that is not urgent were overtaken by urgent starts for
+ * longer than the gang waits. */
+START_TEST (gang_is_abandoned_while_urgent_starts_go_first)
+{
+  struct gr_step_spec one = { .count = 1, .needs = { 1000, 100, 1 } };
+  struct steps_model *model = create (1);
+
+  steps_model_run (model, 200);
+  steps_model_set_orders_per_tick (model, 4);
+  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 1000);
+  steps_model_run (model, 20);
+  ck_assert_uint_eq (steps_model_running (model, 1), 4);
+  for (uint32_t i = 0; i < 300; i++)
+    {
+      for (uint32_t k = 0; k < 4; k++)
+        steps_model_add_job (model, 10 + i * 4 + k, "urgent", "b", &one, 1,
+                             100);
+      steps_model_run (model, 20);
+    }
+  ck_assert_uint_eq (steps_model_runs_alone (model), 0);
+  steps_model_run (model, 4000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  check_and_destroy (model);
+}
+END_TEST
+
+/* The result of one member's start never reached the core, because the
+ * worker's address had changed meanwhile, and the start had no effect. */
+START_TEST (gang_is_abandoned_without_the_result_of_a_start)
+{
+  struct steps_model *model = create (1);
+
+  steps_model_run (model, 200);
+  steps_model_set_orders_per_tick (model, 7);
+  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 1000);
+  steps_model_run (model, 20);
+  steps_model_set_faults (model,
+                          &(struct steps_model_faults){ .lose_order = 1 });
+  steps_model_drop_results (model, 1);
+  steps_model_run (model, 20);
+  steps_model_set_faults (model, &(struct steps_model_faults){ 0 });
+  steps_model_run (model, 8000);
+  ck_assert_uint_eq (steps_model_runs_alone (model), 0);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  check_and_destroy (model);
+}
+END_TEST
+
 /* A hopeless job: all runs of the first members fail before the last members
  * have started. */
 START_TEST (gang_is_stopped_after_an_early_failure)
@@ -223,6 +292,9 @@
   int failed;
 
   tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, gang_is_abandoned_while_a_start_is_queued);
+  tcase_add_test (tests, gang_is_abandoned_while_urgent_starts_go_first);
+  tcase_add_test (tests, gang_is_abandoned_without_the_result_of_a_start);
   tcase_add_test (tests, gang_is_stopped_after_an_early_failure);
   tcase_add_loop_test (tests, no_run_ends_alone_without_a_fault, 0, SEEDS);
   tcase_add_loop_test (tests, no_run_ends_alone_when_calls_take_time, 0, SEEDS);
