steps: a start is abandoned at its limit, also without a result

Seen by callers: members of a gang ran for gang-wait-ms without working and ended alone (rule GANG), and the job started up to 4 s late.

Cause: a start that is still queued, or in flight, counted as pending until its result was certainly lost (4 s), although no worker carries it out later than 2 s after it was placed. Starts stay queued while urgent starts go first, while the worker has its most open calls (one, after a call without an answer), or lose their result when the worker's address changes.

Change: at the limit a start is abandoned in any case. The stop is safe whatever became of the start: a worker rejects a start of a run that it was told to stop, and the order in the queue is dropped. The event start-abandoned says whether the start had a result, which start-failed could not.

Ruled out: a limit that counts from the first member's start, as a member without a result has no known start.

--- a/steps/orders.c
+++ b/steps/orders.c
@@ -13,8 +13,8 @@
  * delayed order has no effect. */
 #define START_LIMIT_MS 2000
 
-/* The longest timeout of an order is 2.3 s; a result that is missing after this
- * time is lost. */
+/* The longest timeout of an order is 2.3 s; the result of a stop that is
+ * missing after this time is lost. */
 #define RESULT_TIMEOUT_MS 4000
 
 /* Covers the transit time of a start order and clocks that differ by 3 %. */
@@ -315,6 +315,20 @@
     }
 }
 
+static void
+give_up_start (struct gr_steps *steps, struct task *task, const char *reason)
+{
+  char name[GR_TASK_NAME_SIZE];
+  char run[16];
+
+  gr_task_name (task, name);
+  g_snprintf (run, sizeof run, "%u", task->run);
+  gr_log_event ("start-abandoned", "task", name, "run", run, "worker",
+                task->worker->id, "reason", reason, "pending",
+                task->start_pending ? "yes" : "no", NULL);
+  abandon_start (steps, task);
+}
+
 /* Sends the last order for the task again if it was not answered or had no
  * effect. */
 static void
@@ -322,14 +336,15 @@
 {
   char name[GR_TASK_NAME_SIZE];
 
-  if (task->state == TASK_STARTING
-      && (!task->start_pending
-          || steps->now_ms - task->order_sent_ms >= RESULT_TIMEOUT_MS))
+  if (task->state == TASK_STARTING)
     {
-      if (task->tries >= MAX_START_ATTEMPTS
-          || steps->now_ms >= task->placed_ms + START_LIMIT_MS)
-        abandon_start (steps, task);
-      else
+      /* At the limit also while the start is queued or has no result: the rest
+       * of its gang waits for it. */
+      if (steps->now_ms >= task->placed_ms + START_LIMIT_MS)
+        give_up_start (steps, task, "start limit");
+      else if (!task->start_pending && task->tries >= MAX_START_ATTEMPTS)
+        give_up_start (steps, task, "attempts");
+      else if (!task->start_pending)
         send_start (steps, task);
       return;
     }
