tests: an unknown run after a lost stop

A successor reads a job as cancelled and does not add it, so its runs are unknown to the core. Each is stopped with a single order. The poll that reported it was the last one that the worker needed, so when that order is lost nothing shows that the run continues.

--- a/tests/test-steps-gangs.c
+++ b/tests/test-steps-gangs.c
@@ -106,6 +106,31 @@
 }
 END_TEST
 
+/* A run that the core does not know was stopped with a single order. When that
+ * order was lost, the worker was not polled again and the run continued. */
+START_TEST (unknown_run_is_stopped_although_a_stop_is_lost)
+{
+  struct steps_model *model = create (1);
+
+  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 20000);
+  steps_model_run (model, 500);
+  ck_assert_uint_eq (steps_model_running (model, 1), gang.count);
+  steps_model_set_orders_per_tick (model, 0);
+  steps_model_cancel_job (model, 1);
+  steps_model_run (model, 100);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_CANCELLED);
+  steps_model_set_orders_per_tick (model, 100);
+  steps_model_set_faults (model,
+                          &(struct steps_model_faults){ .lose_order = 1 });
+  steps_model_new_owner (model);
+  steps_model_run (model, 40);
+  steps_model_set_faults (model, &(struct steps_model_faults){ 0 });
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (steps_model_running (model, 1), 0);
+  check_and_destroy (model);
+}
+END_TEST
+
 /* A hopeless job: all runs of the first members fail before the last members
  * have started. */
 START_TEST (gang_is_stopped_after_an_early_failure)
@@ -295,6 +320,7 @@
   tcase_add_test (tests, gang_is_abandoned_while_a_start_is_queued);
   tcase_add_test (tests, gang_is_abandoned_while_urgent_starts_go_first);
   tcase_add_test (tests, gang_is_abandoned_without_the_result_of_a_start);
+  tcase_add_test (tests, unknown_run_is_stopped_although_a_stop_is_lost);
   tcase_add_test (tests, gang_is_stopped_after_an_early_failure);
   tcase_add_loop_test (tests, no_run_ends_alone_without_a_fault, 0, SEEDS);
   tcase_add_loop_test (tests, no_run_ends_alone_when_calls_take_time, 0, SEEDS);
