steps: a worker with unknown runs is polled until they have ended

Seen by callers: after a takeover, runs of a job that had been cancelled (or was final for another reason) could go on until their lease expired, up to 7 s.

Cause: the core orders runs that it does not know to stop, but keeps no state about them. The report that listed them was the answer to the last poll that the worker needed, so a lost or late stop was never repeated.

Change: a worker whose last report listed unknown runs is polled every 500 ms. A stop takes 200 ms, so one more poll is the usual cost; a run that is still listed is ordered to stop again.

Ruled out: polls at once (every 60 ms), which would order the same stop three times.

--- a/steps/reports.c
+++ b/steps/reports.c
@@ -245,6 +245,7 @@
     }
   gr_log_event ("run-unwanted", "task", running->task, "worker", worker->id,
                 NULL);
+  worker->unknown_runs = true;
   gr_order_stop_run (steps, worker, running->task, running->run);
 }
 
@@ -313,6 +314,7 @@
       handle_end (steps, worker, &report->ended[i]);
       worker->processed_end = report->ended[i].number;
     }
+  worker->unknown_runs = false;
   for (size_t i = 0; i < report->n_running; i++)
     handle_run (steps, worker, &report->running[i]);
   if (report->all_ended)
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -27,9 +27,11 @@
   bool polled;               /* this owner has received a poll reply from it */
   bool poll_needed;          /* its state or that of a run is unknown */
   int64_t poll_requested_ms; /* time at which poll_needed was last set */
-  int64_t unregistered_ms;   /* when it was found to have no registry entry; 0:
-                                registered */
-  int64_t entry_revision;    /* of its registry entry */
+  bool unknown_runs; /* the last report listed runs that were then ordered to
+                        stop because the core does not know them */
+  int64_t unregistered_ms; /* when it was found to have no registry entry; 0:
+                              registered */
+  int64_t entry_revision;  /* of its registry entry */
   int64_t renewed_ms; /* when the registry entry was last seen to change; 0:
                          never */
   int64_t lease_until_ms;
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -97,6 +97,7 @@
   worker->processed_end = 0;
   worker->durable_end = 0;
   worker->pending_sequence = 0;
+  worker->unknown_runs = false;
   worker->polled = false;
   worker->reachable = true;
   gr_worker_request_poll (steps, worker);
@@ -522,7 +523,7 @@
     return GR_POLL_NONE;
   if (!worker->polled || worker->poll_needed || !worker->reachable)
     return GR_POLL_NOW;
-  if (worker->processed_end > worker->durable_end)
+  if (worker->processed_end > worker->durable_end || worker->unknown_runs)
     return GR_POLL_PERIODIC;
   if (gr_pace_needs_polling (worker))
     return GR_POLL_PERIODIC;
