tests: an incomplete gang at a takeover

A test that fails on the current code. A former owner has started half of a gang. Its successor does not touch inherited work until it knows all runs, and waits up to 10 s for a worker that does not answer. The members that run end alone meanwhile.

Seen: steps_model_runs_alone () is 1, 0 expected. A second test guards the other side and passes: a gang at work of which one worker does not answer survives a takeover.

--- a/tests/test-steps-gangs.c
+++ b/tests/test-steps-gangs.c
@@ -106,6 +106,49 @@
 }
 END_TEST
 
+/* A gang of which the former owner had started a part waited for all workers to
+ * answer before it was stopped. */
+START_TEST (incomplete_gang_of_a_former_owner_is_stopped)
+{
+  struct steps_model *model = create (1);
+
+  steps_model_run (model, 200);
+  steps_model_set_orders_per_tick (model, 4);
+  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 1000);
+  steps_model_run (model, 20);
+  ck_assert_uint_eq (steps_model_running (model, 1), 4);
+  steps_model_set_worker_unreachable (model, WORKERS - 1, true);
+  steps_model_new_owner (model);
+  steps_model_run (model, 5000);
+  ck_assert_uint_eq (steps_model_runs_alone (model), 0);
+  steps_model_run (model, 12000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  check_and_destroy (model);
+}
+END_TEST
+
+/* A gang at work must not be stopped because the successor has not found all of
+ * its runs: one of its workers does not answer. */
+START_TEST (gang_at_work_survives_a_takeover)
+{
+  struct steps_model *model = create (1);
+
+  steps_model_run (model, 200);
+  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 6000);
+  steps_model_run (model, 500);
+  ck_assert_uint_eq (steps_model_running (model, 1), gang.count);
+  ck_assert_uint_eq (steps_model_starts_on (model, 0), 1);
+  steps_model_set_worker_unreachable (model, 0, true);
+  steps_model_new_owner (model);
+  steps_model_run (model, 4000);
+  steps_model_set_worker_unreachable (model, 0, false);
+  steps_model_run (model, 4000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), gang.count);
+  check_and_destroy (model);
+}
+END_TEST
+
 /* A run that the core does not know was stopped with a single order. When that
  * order was lost, the worker was not polled again and the run continued. */
 START_TEST (unknown_run_is_stopped_although_a_stop_is_lost)
@@ -320,6 +363,8 @@
   tcase_add_test (tests, gang_is_abandoned_while_a_start_is_queued);
   tcase_add_test (tests, gang_is_abandoned_while_urgent_starts_go_first);
   tcase_add_test (tests, gang_is_abandoned_without_the_result_of_a_start);
+  tcase_add_test (tests, incomplete_gang_of_a_former_owner_is_stopped);
+  tcase_add_test (tests, gang_at_work_survives_a_takeover);
   tcase_add_test (tests, unknown_run_is_stopped_although_a_stop_is_lost);
   tcase_add_test (tests, gang_is_stopped_after_an_early_failure);
   tcase_add_loop_test (tests, no_run_ends_alone_without_a_fault, 0, SEEDS);
