steps: a successor stops found members of a gang that show no progress

Seen by callers: members that a former owner had started waited for the rest of their gang until they ended alone, and their accelerators were held meanwhile.

Cause: a successor leaves inherited work alone until it knows all runs. That takes up to 10 s when a worker does not answer; a gang waits 3 or 4 s.

Stopping is safe before all runs are known, starting is not. A gang at work shows progress, so one with a worker that does not answer is kept.

Ruled out: a limit on the time since the runs were found; gang_at_work_survives_a_takeover fails with it.

--- a/steps/core.c
+++ b/steps/core.c
@@ -218,6 +218,7 @@
   gr_jobs_tick (steps, unix_ms);
   gr_orders_tick (steps);
   gr_leaving_tick (steps);
+  gr_gangs_tick (steps);
   gr_place_tick (steps);
 }
 
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -146,14 +146,6 @@
   send_stop (steps, task, name);
 }
 
-void
-gr_gang_abort (struct gr_steps *steps, struct step *step)
-{
-  for (uint32_t i = 0; i < step->n_tasks; i++)
-    if (gr_task_is_active (&step->tasks[i]))
-      gr_order_stop (steps, &step->tasks[i]);
-}
-
 /* Releases a task whose run certainly did not start, and aborts its gang. */
 static void
 release_unstarted (struct gr_steps *steps, struct task *task)
--- a/steps/place.c
+++ b/steps/place.c
@@ -547,7 +547,7 @@
 static bool
 abort_incomplete_gang (struct gr_steps *steps, struct step *step)
 {
-  if (!step->spec->gang || step->n_waiting == step->n_tasks)
+  if (!gr_gang_is_incomplete (step))
     return false;
   gr_gang_abort (steps, step);
   return true;
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -290,8 +290,15 @@
 /* True if so many starts that are not urgent are queued that further ones would
  * only wait longer. */
 bool gr_orders_backlogged (const struct gr_steps *steps);
+
+/* Gangs. */
+
 /* Stops all runs of a gang after one of them ended or failed to start. */
 void gr_gang_abort (struct gr_steps *steps, struct step *step);
+/* True if only a part of the gang has runs. */
+bool gr_gang_is_incomplete (const struct step *step);
+/* Stops inherited gangs of which only a part was found, if it only waits. */
+void gr_gangs_tick (struct gr_steps *steps);
 
 /* Counts a failed run once, however often it is reported, and fails the job
  * after max_attempts. Runs of lasting tasks are not counted. */
