steps: a long gang at work is not taken for a stalled one

A successor stopped an inherited gang of which one worker did not answer when the percentage of its work had not changed for 1.5 s, so work of more than 150 s was started again.

Change: work whose percentage is above zero is stopped only if checkpoints preserve it; members that wait for the rest of their gang report zero, or resume from a checkpoint.

--- a/steps/gangs.c
+++ b/steps/gangs.c
@@ -26,6 +26,16 @@
          && step->n_waiting < step->n_tasks;
 }
 
+/* The percentage of long work changes rarely. Work that has begun is not risked
+ * unless checkpoints preserve it. */
+static bool
+may_have_stalled (const struct gr_steps *steps, const struct task *task)
+{
+  if (task->percent > 0 && !task->step->spec->checkpointing)
+    return false;
+  return steps->now_ms - task->percent_ms >= FOUND_GANG_WAIT_MS;
+}
+
 /* A gang at work shows progress, so that it is not stopped while some of its
  * workers have not answered. */
 static bool
@@ -37,8 +47,7 @@
 
       if (task->state == TASK_STOPPING)
         return false;
-      if (gr_task_is_active (task)
-          && steps->now_ms - task->percent_ms < FOUND_GANG_WAIT_MS)
+      if (gr_task_is_active (task) && !may_have_stalled (steps, task))
         return false;
     }
   return true;
--- a/tests/test-steps-gangs.c
+++ b/tests/test-steps-gangs.c
@@ -149,6 +149,25 @@
 }
 END_TEST
 
+/* As above, with work so long that its percentage changes every 2 s. */
+START_TEST (long_gang_at_work_survives_a_takeover)
+{
+  struct steps_model *model = create (1);
+
+  steps_model_run (model, 200);
+  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 200000);
+  steps_model_run (model, 3000);
+  steps_model_set_worker_unreachable (model, 0, true);
+  steps_model_new_owner (model);
+  steps_model_run (model, 4000);
+  steps_model_set_worker_unreachable (model, 0, false);
+  steps_model_run (model, 2000);
+  ck_assert_uint_eq (steps_model_running (model, 1), gang.count);
+  ck_assert_uint_eq (steps_model_starts (model, 1), gang.count);
+  check_and_destroy (model);
+}
+END_TEST
+
 /* A run that the core does not know was stopped with a single order. When that
  * order was lost, the worker was not polled again and the run continued. */
 START_TEST (unknown_run_is_stopped_although_a_stop_is_lost)
@@ -365,6 +384,7 @@
   tcase_add_test (tests, gang_is_abandoned_without_the_result_of_a_start);
   tcase_add_test (tests, incomplete_gang_of_a_former_owner_is_stopped);
   tcase_add_test (tests, gang_at_work_survives_a_takeover);
+  tcase_add_test (tests, long_gang_at_work_survives_a_takeover);
   tcase_add_test (tests, unknown_run_is_stopped_although_a_stop_is_lost);
   tcase_add_test (tests, gang_is_stopped_after_an_early_failure);
   tcase_add_loop_test (tests, no_run_ends_alone_without_a_fault, 0, SEEDS);
