tests: workers of the steps model crash and change their capacity

Cause: the platform announces tasks that crash each worker that starts them, and workers whose capacity shrinks while they run. The model could restart a worker at once, but not crash it under a run, and each worker had the same capacity.

Change: runs of a task can crash their worker some time after the start, or before the start is answered. The worker loses its runs and ends, refuses connections or stays silent for some seconds, and returns with a later incarnation or under a new id. The capacity of a worker can change; the registry shows it one heartbeat later. Workers check processor and memory needs too, and can be told to start what exceeds their capacity. A start that does so is then a violation, 4.5 s after a worker has shrunk.

--- a/tests/steps-model-polls.c
+++ b/tests/steps-model-polls.c
@@ -105,7 +105,7 @@
 static bool
 advance_poll (struct steps_model *model, struct model_poll *poll)
 {
-  if (poll->worker->unreachable
+  if (poll->worker->unreachable || model_is_down (poll->worker)
       || poll->incarnation != poll->worker->incarnation)
     {
       if (poll->epoch == model->epoch)
@@ -158,7 +158,13 @@
   if (gr_steps_poll_need (model->steps, worker->id) == GR_POLL_NONE
       && gr_steps_durable_end (model->steps, worker->id) == 0)
     return;
-  if (worker->unreachable || model_chance (model, model->faults.lose_poll))
+  if (model_is_down (worker) && !worker->crash.silent)
+    {
+      model_refuse_poll (model, worker);
+      return;
+    }
+  if (worker->unreachable || model_is_down (worker)
+      || model_chance (model, model->faults.lose_poll))
     {
       poll_failed (model, worker);
       return;
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -17,11 +17,22 @@
 #define TICKET_MS 3000
 #define CALM_MS 4000
 
+/* Time from a change of a worker's capacity until the registry shows it. */
+#define CAPACITY_REPORT_MS HEARTBEAT_MS
+
+/* Time for which starts may still rely on the capacity that a worker had before
+ * it shrank: 3 s of contact and one heartbeat, according to the platform. */
+#define SHRINK_GRACE_MS 4500
+
+/* Pause after a failed poll. */
+#define FAILED_POLL_PAUSE_MS 300
+
 struct model_run
 {
   char task[GR_TASK_NAME_SIZE];
   uint32_t job;
   uint32_t step;
+  uint32_t index;
   uint32_t run;
   int64_t started_ms;
   int64_t worked_ms;         /* includes the work restored from a checkpoint */
@@ -57,6 +68,15 @@
   bool held_orders;
   bool poll_in_flight;
   int64_t remaining_ms;
+  struct gr_resources capacity;
+  struct gr_resources limit; /* that no start may exceed: the capacity, and for
+                                a time that from before it shrank */
+  int64_t limit_until_ms;    /* when limit becomes the capacity; 0: it is */
+  int64_t report_ms; /* when the registry shows the capacity; 0: it does */
+  struct gr_resources reported;   /* capacity in the registry */
+  struct steps_model_crash crash; /* the last one */
+  int64_t down_until_ms;          /* after a crash; 0: it is up */
+  int64_t unregister_ms; /* when its registry entry is removed; 0: never */
   bool clock_known; /* to the owner, after the first poll; that poll therefore
                        grants no lease */
   uint32_t starts;
@@ -69,12 +89,16 @@
   bool has_durable_progress;
   bool cancelled;
   bool fails_runs;
+  bool crashes; /* runs of crash_index crash their workers */
+  uint32_t crash_index;
+  struct steps_model_crash crash;
   int64_t work_ms;
   int64_t added_ms;
   int64_t started_ms;
   int64_t final_ms;
   uint32_t starts;
   GHashTable *done; /* names of tasks whose end as done was acknowledged */
+  GHashTable *task_starts; /* name of a task -> number of its starts */
 };
 
 /* An order that the worker executes later. */
@@ -136,6 +160,7 @@
   uint32_t runs_alone;
   int64_t last_fault_ms;
   bool needs_tickets;
+  bool allows_overload;
   char *violation;
 };
 
@@ -151,6 +176,12 @@
                                         const char *id);
 
 /* Workers. */
+struct model_worker *model_add_worker (struct steps_model *model,
+                                       const char *rack);
+void model_register_worker (struct steps_model *model,
+                            struct model_worker *worker);
+/* The worker loses all its runs and all ends that were not acknowledged. */
+void model_forget_runs (struct model_worker *worker);
 struct model_run *model_find_run (struct model_worker *worker,
                                   const char *task);
 const struct gr_step_spec *model_run_spec (const struct steps_model *model,
@@ -173,6 +204,18 @@
 /* A random time for one way of a call; 0 if calls take no time. */
 int64_t model_transit_ms (struct steps_model *model);
 
+/* Crashes and changes of capacity. */
+void model_crash_worker (struct steps_model *model,
+                         struct model_worker *worker,
+                         const struct steps_model_crash *crash);
+bool model_is_down (const struct model_worker *worker);
+/* Whether the run crashes its worker now. */
+bool model_run_crashes (const struct steps_model *model,
+                        const struct model_run *run);
+void model_refuse_poll (struct steps_model *model, struct model_worker *worker);
+/* Restarts crashed workers and updates the registry. */
+void model_update_workers (struct steps_model *model);
+
 /* The store. */
 void model_commit_progress (struct steps_model *model);
 void model_drop_commits (struct steps_model *model);
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -22,6 +22,37 @@
   return &model_get_job (model, run->job)->spec->steps[run->step];
 }
 
+/* Resources that the worker's runs take, those that are being stopped included,
+ * together with a new one. Filler tasks use the processor time that others
+ * leave. */
+static struct gr_resources
+sum_needs (const struct steps_model *model,
+           const struct model_worker *worker,
+           const struct model_run *new_run)
+{
+  struct gr_resources sum = { 0 };
+
+  for (guint i = 0; i <= worker->runs->len; i++)
+    {
+      const struct model_run *run =
+          i < worker->runs->len ? worker->runs->pdata[i] : new_run;
+      const struct gr_step_spec *spec = model_run_spec (model, run);
+
+      sum.cpu_milli += spec->filler ? 0 : spec->needs.cpu_milli;
+      sum.memory_mb += spec->needs.memory_mb;
+      sum.accelerators += spec->needs.accelerators;
+    }
+  return sum;
+}
+
+static bool
+fits_in (const struct gr_resources *sum, const struct gr_resources *capacity)
+{
+  return sum->cpu_milli <= capacity->cpu_milli
+         && sum->memory_mb <= capacity->memory_mb
+         && sum->accelerators <= capacity->accelerators;
+}
+
 static void
 check_start (struct steps_model *model,
              struct model_worker *worker,
@@ -29,7 +60,7 @@
 {
   const struct gr_step_spec *spec = model_run_spec (model, run);
   struct model_job *job = model_get_job (model, run->job);
-  uint32_t accelerators = 0;
+  struct gr_resources sum = sum_needs (model, worker, run);
   uint32_t same_step = 0;
 
   for (guint i = 0; i < model->workers->len; i++)
@@ -43,10 +74,9 @@
     {
       const struct model_run *other = worker->runs->pdata[i];
 
-      accelerators += model_run_spec (model, other)->needs.accelerators;
       same_step += other->job == run->job && other->step == run->step;
     }
-  if (accelerators + spec->needs.accelerators > 8)
+  if (!fits_in (&sum, &worker->limit))
     model_report_violation (model, "exceeds the capacity of its worker",
                             run->task);
   if (spec->max_per_worker > 0 && same_step >= spec->max_per_worker)
@@ -73,12 +103,9 @@
               struct model_worker *worker,
               const struct model_run *run)
 {
-  uint32_t accelerators = model_run_spec (model, run)->needs.accelerators;
+  struct gr_resources sum = sum_needs (model, worker, run);
 
-  for (guint i = 0; i < worker->runs->len; i++)
-    accelerators +=
-        model_run_spec (model, worker->runs->pdata[i])->needs.accelerators;
-  return accelerators <= 8;
+  return model->allows_overload || fits_in (&sum, &worker->capacity);
 }
 
 static bool
@@ -92,6 +119,17 @@
          && g_ascii_strtoll (ticket + length + 1, NULL, 10) >= model->now_ms;
 }
 
+static void
+count_start (struct model_job *job, const char *task)
+{
+  guint starts =
+      GPOINTER_TO_UINT (g_hash_table_lookup (job->task_starts, task));
+
+  job->starts++;
+  g_hash_table_replace (job->task_starts, g_strdup (task),
+                        GUINT_TO_POINTER (starts + 1));
+}
+
 static enum gr_order_result
 execute_start (struct steps_model *model,
                struct model_worker *worker,
@@ -102,6 +140,7 @@
   struct model_run *new_run;
   unsigned job;
   unsigned step;
+  unsigned index;
 
   if (run != NULL && run->run == order->run)
     return GR_ORDER_DONE;
@@ -113,10 +152,11 @@
   if (order->run <= highest_ended_run (worker, order->task))
     return GR_ORDER_RUN_TOO_OLD;
   new_run = g_new0 (struct model_run, 1);
-  sscanf (order->task, "%16x.%*u.%u", &job, &step);
+  sscanf (order->task, "%16x.%*u.%u.%u", &job, &step, &index);
   g_strlcpy (new_run->task, order->task, sizeof new_run->task);
   new_run->job = job;
   new_run->step = step;
+  new_run->index = index;
   new_run->run = order->run;
   new_run->started_ms = model->now_ms;
   new_run->pace = 100;
@@ -131,11 +171,14 @@
   check_start (model, worker, new_run);
   g_ptr_array_add (worker->runs, new_run);
   worker->starts++;
-  model_get_job (model, job)->starts++;
+  count_start (model_get_job (model, job), new_run->task);
   if (model_get_job (model, job)->starts
       == model_get_job (model, job)->spec->steps[0].count)
     model_get_job (model, job)->started_ms = model->now_ms;
-  return GR_ORDER_DONE;
+  if (!model_run_crashes (model, new_run))
+    return GR_ORDER_DONE;
+  model_crash_worker (model, worker, &model_get_job (model, job)->crash);
+  return GR_ORDER_UNKNOWN;
 }
 
 static enum gr_order_result
@@ -208,7 +251,10 @@
 
   if (order->kind == GR_ORDER_START)
     gr_steps_extend_worker_lease (model->steps, worker->id, until_ms + 100);
-  if (worker->unreachable || model_chance (model, model->faults.lose_order))
+  if (model_is_down (worker) && !worker->crash.silent)
+    result = GR_ORDER_NOT_SENT;
+  else if (worker->unreachable || model_is_down (worker)
+           || model_chance (model, model->faults.lose_order))
     result = GR_ORDER_UNKNOWN;
   else if (model_chance (model, model->faults.late_order))
     send_later (model, order, g_rand_int_range (model->rand, 500, 6000), false);
@@ -239,9 +285,11 @@
 {
   bool restarted = transit->incarnation != transit->worker->incarnation;
 
-  if (restarted && !transit->is_answered)
+  bool down = restarted || model_is_down (transit->worker);
+
+  if (down && !transit->is_answered)
     return true;
-  if (transit->is_answered && (restarted || transit->worker->unreachable))
+  if (transit->is_answered && (down || transit->worker->unreachable))
     {
       transit->executed = true;
       transit->result = GR_ORDER_UNKNOWN;
@@ -433,6 +481,21 @@
   return true;
 }
 
+static void
+crash_by_runs (struct steps_model *model, struct model_worker *worker)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const struct model_run *run = worker->runs->pdata[i];
+
+      if (!model_run_crashes (model, run))
+        continue;
+      model_crash_worker (model, worker,
+                          &model_get_job (model, run->job)->crash);
+      return;
+    }
+}
+
 void
 model_advance_runs (struct steps_model *model)
 {
@@ -440,6 +503,7 @@
     {
       struct model_worker *worker = model->workers->pdata[i];
 
+      crash_by_runs (model, worker);
       for (guint k = worker->runs->len; k-- > 0;)
         {
           struct model_run copy;
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -37,8 +37,8 @@
   return NULL;
 }
 
-static void
-register_worker (struct steps_model *model, struct model_worker *worker)
+void
+model_register_worker (struct steps_model *model, struct model_worker *worker)
 {
   const char *labels[] = { "a", worker->rack, NULL };
   struct gr_steps_worker row = {
@@ -46,7 +46,7 @@
     .service = "render",
     .rack = worker->rack,
     .labels = labels,
-    .capacity = { 128000, 262144, 8 },
+    .capacity = worker->reported,
     .draining = worker->draining,
     .remaining_ms = worker->remaining_ms,
     .incarnation_unix_ms = worker->incarnation,
@@ -56,6 +56,27 @@
   gr_steps_set_worker (model->steps, &row, model->now_ms);
 }
 
+struct model_worker *
+model_add_worker (struct steps_model *model, const char *rack)
+{
+  struct model_worker *worker = g_new0 (struct model_worker, 1);
+
+  g_snprintf (worker->id, sizeof worker->id, "w%03u", model->workers->len);
+  g_strlcpy (worker->rack, rack, sizeof worker->rack);
+  worker->capacity = (struct gr_resources){ 128000, 262144, 8 };
+  worker->limit = worker->capacity;
+  worker->reported = worker->capacity;
+  worker->runs = g_ptr_array_new_with_free_func (g_free);
+  worker->ends = g_array_new (FALSE, FALSE, sizeof (struct gr_ended_run));
+  worker->ended_runs =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  worker->incarnation = 1;
+  worker->entry_revision = 1;
+  g_ptr_array_add (model->workers, worker);
+  model_register_worker (model, worker);
+  return worker;
+}
+
 struct steps_model *
 steps_model_create (uint32_t workers, uint32_t per_rack, uint32_t seed)
 {
@@ -83,18 +104,10 @@
   model->steps = gr_steps_create (&model->settings, 1, model->now_ms);
   for (uint32_t i = 0; i < workers; i++)
     {
-      struct model_worker *worker = g_new0 (struct model_worker, 1);
-
-      g_snprintf (worker->id, sizeof worker->id, "w%03u", i);
-      g_snprintf (worker->rack, sizeof worker->rack, "rack%u", i / per_rack);
-      worker->runs = g_ptr_array_new_with_free_func (g_free);
-      worker->ends = g_array_new (FALSE, FALSE, sizeof (struct gr_ended_run));
-      worker->ended_runs =
-          g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-      worker->incarnation = 1;
-      worker->entry_revision = 1;
-      g_ptr_array_add (model->workers, worker);
-      register_worker (model, worker);
+      char rack[16];
+
+      g_snprintf (rack, sizeof rack, "rack%u", i / per_rack);
+      model_add_worker (model, rack);
     }
   return model;
 }
@@ -107,6 +120,7 @@
   gr_job_spec_destroy (job->spec);
   gr_job_progress_clear (&job->durable);
   g_hash_table_destroy (job->done);
+  g_hash_table_destroy (job->task_starts);
   g_free (job);
 }
 
@@ -216,6 +230,8 @@
   job->started_ms = -1;
   job->final_ms = -1;
   job->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  job->task_starts =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   while (model->jobs->len <= number)
     g_ptr_array_add (model->jobs, NULL);
   model->jobs->pdata[number] = job;
@@ -263,7 +279,7 @@
                           bool draining)
 {
   get_worker (model, worker)->draining = draining;
-  register_worker (model, get_worker (model, worker));
+  model_register_worker (model, get_worker (model, worker));
 }
 
 void
@@ -276,19 +292,25 @@
 }
 
 void
-steps_model_restart_worker (struct steps_model *model, uint32_t number)
+model_forget_runs (struct model_worker *worker)
 {
-  struct model_worker *worker = get_worker (model, number);
-
   g_ptr_array_set_size (worker->runs, 0);
   g_array_set_size (worker->ends, 0);
   g_hash_table_remove_all (worker->ended_runs);
   worker->lease_until_ms = 0;
   worker->last_number = 0;
   worker->highest_epoch = 0;
+}
+
+void
+steps_model_restart_worker (struct steps_model *model, uint32_t number)
+{
+  struct model_worker *worker = get_worker (model, number);
+
+  model_forget_runs (worker);
   worker->incarnation++;
   model->last_fault_ms = model->now_ms;
-  register_worker (model, worker);
+  model_register_worker (model, worker);
 }
 
 void
@@ -360,7 +382,7 @@
       worker->poll_in_flight = false;
       worker->next_poll_ms = 0;
       if (!worker->entry_lost)
-        register_worker (model, worker);
+        model_register_worker (model, worker);
     }
   for (guint i = 0; i < handover_workers->len; i++)
     gr_steps_add_inherited_worker (model->steps, handover_workers->pdata[i],
@@ -430,6 +452,7 @@
   note_active_faults (model);
   model_advance_runs (model);
   model_advance_orders (model);
+  model_update_workers (model);
   model_advance_polls (model);
   gr_steps_tick (model->steps, model->now_ms, model->now_ms);
   for (uint32_t sent = 0;
@@ -478,6 +501,18 @@
   return model_get_job (model, number)->starts;
 }
 
+uint32_t
+steps_model_task_starts (const struct steps_model *model,
+                         uint32_t number,
+                         uint32_t index)
+{
+  const struct model_job *job = model_get_job (model, number);
+  char name[GR_TASK_NAME_SIZE];
+
+  g_snprintf (name, sizeof name, "%s.0.0.%u", job->spec->id, index);
+  return GPOINTER_TO_UINT (g_hash_table_lookup (job->task_starts, name));
+}
+
 uint32_t
 steps_model_starts_on (const struct steps_model *model, uint32_t worker)
 {
@@ -555,7 +590,7 @@
 steps_model_renew_entry (struct steps_model *model, uint32_t number)
 {
   get_worker (model, number)->entry_revision++;
-  register_worker (model, get_worker (model, number));
+  model_register_worker (model, get_worker (model, number));
 }
 
 void
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -21,6 +21,20 @@
                              not count as a fault */
 };
 
+/* How a worker crashes. It loses all its runs and ends. */
+struct steps_model_crash
+{
+  int64_t after_ms; /* from the start of a run that crashes its worker; 0: the
+                       start order is not answered */
+  int64_t down_ms;  /* until the worker is back, with a later incarnation */
+  bool silent;      /* while it is down, connections are not refused but get no
+                       answer */
+  bool new_id;      /* a new worker takes its place; its registry entry is
+                       removed after three heartbeats */
+};
+
+#define STEPS_MODEL_ALL_TASKS UINT32_MAX
+
 struct steps_model *
 steps_model_create (uint32_t workers, uint32_t per_rack, uint32_t seed);
 void steps_model_destroy (struct steps_model *model);
@@ -49,6 +63,23 @@
 void steps_model_cancel_job (struct steps_model *model, uint32_t number);
 /* From now on runs of the job end as failed. */
 void steps_model_fail_job (struct steps_model *model, uint32_t number);
+/* From now on runs of this task of the job's steps, or of all, crash the worker
+ * that starts them. */
+void steps_model_crash_job (struct steps_model *model,
+                            uint32_t number,
+                            uint32_t index,
+                            const struct steps_model_crash *crash);
+/* The worker crashes now. */
+void steps_model_crash_worker (struct steps_model *model,
+                               uint32_t worker,
+                               const struct steps_model_crash *crash);
+/* The worker's capacity changes now; the registry shows it one heartbeat
+ * later. */
+void steps_model_set_capacity (struct steps_model *model,
+                               uint32_t worker,
+                               const struct gr_resources *capacity);
+/* Workers start runs that exceed their capacity instead of rejecting them. */
+void steps_model_allow_overload (struct steps_model *model);
 /* While fails is true, runs on the worker end as failed. */
 void steps_model_fail_worker (struct steps_model *model,
                               uint32_t worker,
@@ -129,6 +160,10 @@
 int64_t steps_model_completion_ms (const struct steps_model *model,
                                    uint32_t number);
 uint32_t steps_model_starts (const struct steps_model *model, uint32_t number);
+/* Starts of a task of the job's first step. */
+uint32_t steps_model_task_starts (const struct steps_model *model,
+                                  uint32_t number,
+                                  uint32_t index);
 uint32_t steps_model_starts_on (const struct steps_model *model,
                                 uint32_t worker);
 /* Accelerator-seconds of work lost by runs that were stopped, lapsed or
