tests: tasks that crash their workers, and shrinking workers

Cause: a run that is lost with its worker is not counted as an attempt, so a task that crashes its workers is started without end. The platform allows at most five starts.

Change: test-steps-crashes. Losses that are seen by a refused connection or by a new incarnation have to count, also over takeovers; runs that lapsed on a worker that was cut off, or ended when it left, must not count, and neither must crashes of the same workers count against other tasks.

Ruled out as a fix by trials: counting each loss as a failed attempt, or giving up after 2, 3, 4 or 5 losses; each fails jobs that run beside the crashing one on full workers.

--- /dev/null
+++ b/tests/test-steps-crashes.c
@@ -0,0 +1,508 @@
+#include "tests/steps-model.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+/* According to the platform, a task must not be started three times more after
+ * three workers have crashed under it. */
+#define MAX_STARTS 5
+
+static const struct gr_step_spec plain = {
+  .count = 4,
+  .needs = { 10000, 20000, 1 },
+  .estimate_ms = 2000,
+};
+
+static const struct gr_step_spec gang = {
+  .count = 8,
+  .needs = { 50000, 20000, 8 },
+  .estimate_ms = 2000,
+  .gang = true,
+  .one_rack = true,
+};
+
+static const struct steps_model_crash crash_soon = {
+  .after_ms = 10,
+  .down_ms = 3200,
+  .new_id = true,
+};
+
+static struct steps_model *
+create (uint32_t workers, uint32_t seed)
+{
+  struct steps_model *model = steps_model_create (workers, 8, seed);
+
+  steps_model_set_queue (model, "urgent", 0, 3);
+  steps_model_set_queue (model, "normal", 1, 2);
+  steps_model_set_queue (model, "batch", 2, 2);
+  return model;
+}
+
+static void
+check_and_destroy (struct steps_model *model)
+{
+  ck_assert_msg (steps_model_violation (model) == NULL, "%s",
+                 steps_model_violation (model));
+  steps_model_destroy (model);
+}
+
+/* Adds job 1, whose task 0 crashes its workers. */
+static void
+add_crashing_job (struct steps_model *model,
+                  const struct gr_step_spec *step,
+                  uint32_t count,
+                  const struct steps_model_crash *crash)
+{
+  struct gr_step_spec spec = *step;
+
+  spec.count = count;
+  steps_model_add_job (model, 1, "normal", "a", &spec, 1, 6000);
+  steps_model_crash_job (model, 1, 0, crash);
+}
+
+/* Returns early if job 1 has failed. */
+static void
+run_until_starts (struct steps_model *model, uint32_t starts)
+{
+  for (int i = 0; i < 500 && steps_model_task_starts (model, 1, 0) < starts
+                  && steps_model_state (model, 1) != GR_JOB_FAILED;
+       i++)
+    steps_model_run (model, 20);
+}
+
+static void
+check_given_up (struct steps_model *model, uint32_t n_tasks)
+{
+  steps_model_run (model, 30000);
+  for (uint32_t i = 0; i < n_tasks; i++)
+    ck_assert_uint_le (steps_model_task_starts (model, 1, i), MAX_STARTS);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
+  ck_assert_uint_eq (steps_model_running (model, 1), 0);
+}
+
+/* The first task, the last one, and then all of them crash their workers. */
+static void
+check_crashing_job_is_given_up (const struct gr_step_spec *step,
+                                uint32_t count,
+                                const struct steps_model_crash *crash)
+{
+  const uint32_t guilty[] = { 0, count - 1, STEPS_MODEL_ALL_TASKS };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (guilty); i++)
+    {
+      struct steps_model *model = create (32, 1);
+
+      add_crashing_job (model, step, count, crash);
+      steps_model_crash_job (model, 1, guilty[i], crash);
+      check_given_up (model, count);
+      check_and_destroy (model);
+    }
+}
+
+/* A run that was lost with its worker did not count as an attempt. A task that
+ * crashes its workers was started without end and took down one after the
+ * other. */
+START_TEST (task_that_crashes_workers_is_given_up)
+{
+  check_crashing_job_is_given_up (&plain, 1, &crash_soon);
+}
+END_TEST
+
+/* As above; the crash of one member ends the runs of all others. */
+START_TEST (gang_that_crashes_workers_is_given_up)
+{
+  check_crashing_job_is_given_up (&gang, 8, &crash_soon);
+}
+END_TEST
+
+/* As above, if the crashes are counted for the wrong one of many tasks. */
+START_TEST (wide_step_that_crashes_workers_is_given_up)
+{
+  check_crashing_job_is_given_up (&plain, 60, &crash_soon);
+}
+END_TEST
+
+/* As above, if a crash counts only for a start that was confirmed. */
+START_TEST (crash_before_the_start_is_answered_counts)
+{
+  struct steps_model_crash at_once = crash_soon;
+
+  at_once.after_ms = 0;
+  check_crashing_job_is_given_up (&plain, 1, &at_once);
+  check_crashing_job_is_given_up (&gang, 8, &at_once);
+}
+END_TEST
+
+/* As above, if a run that was polled no longer counts as crashed. */
+START_TEST (crash_two_seconds_after_the_start_counts)
+{
+  struct steps_model_crash later = crash_soon;
+
+  later.after_ms = 2000;
+  check_crashing_job_is_given_up (&plain, 1, &later);
+  check_crashing_job_is_given_up (&gang, 8, &later);
+}
+END_TEST
+
+/* As above, if a loss is noticed only by the new incarnation of the worker. */
+START_TEST (crash_seen_after_the_restart_counts)
+{
+  struct steps_model_crash silent = { .silent = true };
+
+  silent.after_ms = 10;
+  silent.down_ms = 300;
+  check_crashing_job_is_given_up (&plain, 1, &silent);
+  check_crashing_job_is_given_up (&gang, 8, &silent);
+  silent.after_ms = 0;
+  check_crashing_job_is_given_up (&plain, 1, &silent);
+  silent.after_ms = 2000;
+  silent.down_ms = 3200;
+  check_crashing_job_is_given_up (&plain, 1, &silent);
+}
+END_TEST
+
+/* Jobs 2 to n + 1, of 20 tasks each. */
+static void
+add_innocent_jobs (struct steps_model *model, uint32_t n, int64_t work_ms)
+{
+  struct gr_step_spec many = plain;
+
+  many.count = 20;
+  for (uint32_t i = 2; i < n + 2; i++)
+    steps_model_add_job (model, i, "normal", "a", &many, 1, work_ms);
+}
+
+/* As above, if crashes are not counted for one of several tasks on a worker. */
+START_TEST (crashing_task_among_many_others_is_given_up)
+{
+  struct steps_model *model = create (16, 1);
+
+  add_innocent_jobs (model, 4, 6000);
+  steps_model_run (model, 500);
+  add_crashing_job (model, &plain, 1, &crash_soon);
+  check_given_up (model, 1);
+  check_and_destroy (model);
+}
+END_TEST
+
+/* As above, if each owner counts from zero. */
+START_TEST (crashes_count_over_a_takeover)
+{
+  for (uint32_t starts = 1; starts <= 3; starts++)
+    for (int64_t pause_ms = 0; pause_ms <= 1000; pause_ms += 250)
+      {
+        struct steps_model *model = create (16, 1);
+
+        add_crashing_job (model, &plain, 1, &crash_soon);
+        run_until_starts (model, starts);
+        steps_model_run (model, pause_ms);
+        steps_model_new_owner (model);
+        check_given_up (model, 1);
+        check_and_destroy (model);
+      }
+}
+END_TEST
+
+/* As above, if each of several owners in a row counts from zero. */
+START_TEST (crashes_count_over_several_takeovers)
+{
+  struct steps_model *model = create (16, 1);
+
+  add_crashing_job (model, &plain, 1, &crash_soon);
+  for (uint32_t starts = 1; starts <= 3; starts++)
+    {
+      run_until_starts (model, starts);
+      steps_model_run (model, 700);
+      steps_model_new_owner (model);
+    }
+  check_given_up (model, 1);
+  check_and_destroy (model);
+}
+END_TEST
+
+/* As above, if a crash counts only once it is durable. */
+START_TEST (crashes_count_while_the_store_is_away)
+{
+  struct steps_model *model = create (16, 1);
+
+  steps_model_set_store (model, false);
+  add_crashing_job (model, &plain, 1, &crash_soon);
+  steps_model_run (model, 5000);
+  ck_assert_uint_le (steps_model_task_starts (model, 1, 0), MAX_STARTS);
+  steps_model_set_store (model, true);
+  check_given_up (model, 1);
+  check_and_destroy (model);
+}
+END_TEST
+
+/* As above. Failed runs of lasting tasks have no limit, but each crash takes a
+ * worker away from other work. */
+START_TEST (lasting_task_that_crashes_workers_is_given_up)
+{
+  struct gr_step_spec lasting = plain;
+
+  lasting.lasting = true;
+  lasting.max_away = 1;
+  check_crashing_job_is_given_up (&lasting, 1, &crash_soon);
+  check_crashing_job_is_given_up (&lasting, 4, &crash_soon);
+}
+END_TEST
+
+static void
+check_innocent_jobs_complete (struct steps_model *model,
+                              uint32_t n,
+                              int64_t within_ms)
+{
+  steps_model_run (model, within_ms);
+  for (uint32_t i = 2; i < n + 2; i++)
+    ck_assert_msg (steps_model_state (model, i) == GR_JOB_COMPLETED,
+                   "job %u is in state %d after %u starts", i,
+                   steps_model_state (model, i), steps_model_starts (model, i));
+  check_and_destroy (model);
+}
+
+/* Crashes must not count against tasks that run beside the one that causes
+ * them, or their jobs are shown as failed. */
+START_TEST (work_beside_a_crashing_task_completes)
+{
+  struct steps_model_crash crash = crash_soon;
+
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      struct steps_model *model = create (16, 1);
+      struct gr_step_spec one = plain;
+
+      crash.after_ms = i % 3 == 0 ? 0 : i % 3 == 1 ? 10 : 2000;
+      one.count = 1;
+      one.needs.accelerators = i < 3 ? 1 : 4;
+      add_innocent_jobs (model, 4, 6000);
+      steps_model_run (model, 500);
+      steps_model_add_job (model, 1, "urgent", "b", &one, 1, 6000);
+      steps_model_crash_job (model, 1, 0, &crash);
+      check_innocent_jobs_complete (model, 4, 60000);
+    }
+}
+END_TEST
+
+/* As above, when all other workers are full, so that the tasks that a crash
+ * ended are placed together again. */
+START_TEST (work_beside_a_crashing_task_on_full_workers_completes)
+{
+  struct steps_model_crash crash = crash_soon;
+
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      struct steps_model *model = create (5, 1);
+
+      crash.after_ms = i == 0 ? 0 : i == 1 ? 10 : 2000;
+      add_crashing_job (model, &plain, 1, &crash);
+      add_innocent_jobs (model, 2, 12000);
+      check_innocent_jobs_complete (model, 2, 120000);
+    }
+}
+END_TEST
+
+/* The worker that has started a run of job 1 since the last call. */
+static uint32_t
+worker_with_starts (struct steps_model *model, uint32_t workers, uint32_t *seen)
+{
+  ck_assert_int_ne (steps_model_state (model, 1), GR_JOB_FAILED);
+  for (uint32_t i = 0; i < workers; i++)
+    if (steps_model_starts_on (model, i) > seen[i])
+      {
+        seen[i] = steps_model_starts_on (model, i);
+        return i;
+      }
+  ck_abort_msg ("no worker has started a run");
+  return 0;
+}
+
+/* Workers that crash under a task without its fault must not use up its
+ * attempts. */
+START_TEST (long_task_outlives_crashes_that_it_does_not_cause)
+{
+  struct steps_model *model = create (8, 1);
+  struct gr_step_spec one = plain;
+  uint32_t seen[8] = { 0 };
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 12000);
+  for (int i = 0; i < 4; i++)
+    {
+      steps_model_run (model, 8000);
+      steps_model_crash_worker (model, worker_with_starts (model, 8, seen),
+                                &(struct steps_model_crash){ .down_ms = 3200 });
+    }
+  steps_model_run (model, 20000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 5);
+  check_and_destroy (model);
+}
+END_TEST
+
+/* As above, with many tasks and workers that crash at random. */
+START_TEST (workers_that_crash_by_themselves_fail_no_job)
+{
+  for (uint32_t seed = 1; seed <= 10; seed++)
+    {
+      struct steps_model *model = create (16, seed);
+      g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+      struct gr_step_spec many = plain;
+
+      many.count = 10;
+      many.checkpointing = true;
+      for (uint32_t i = 1; i <= 4; i++)
+        steps_model_add_job (model, i, "normal", "a", &many, 1, 10000);
+      for (int i = 0; i < 20; i++)
+        {
+          steps_model_run (model, g_rand_int_range (rand, 800, 2400));
+          steps_model_crash_worker (
+              model, (uint32_t)g_rand_int_range (rand, 0, 16),
+              &(struct steps_model_crash){ .down_ms = 3200,
+                                           .silent = i % 2 == 1 });
+        }
+      steps_model_run (model, 60000);
+      for (uint32_t i = 1; i <= 4; i++)
+        ck_assert_msg (steps_model_state (model, i) == GR_JOB_COMPLETED,
+                       "seed %u: job %u is in state %d", seed, i,
+                       steps_model_state (model, i));
+      check_and_destroy (model);
+    }
+}
+END_TEST
+
+/* A worker that leaves has not crashed, although its runs end with it. */
+START_TEST (workers_that_leave_fail_no_job)
+{
+  struct steps_model *model = create (16, 1);
+  struct gr_step_spec one = plain;
+  uint32_t seen[16] = { 0 };
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 3000);
+  for (int i = 0; i < 6; i++)
+    {
+      steps_model_run (model, 400);
+      steps_model_remove_worker (model, worker_with_starts (model, 16, seen),
+                                 600);
+    }
+  steps_model_run (model, 5000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 7);
+  check_and_destroy (model);
+}
+END_TEST
+
+/* Runs that lapse on a worker that is cut off were not ended by a crash. */
+START_TEST (workers_that_are_cut_off_fail_no_job)
+{
+  struct steps_model *model = create (16, 1);
+  struct gr_step_spec one = plain;
+  uint32_t seen[16] = { 0 };
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  for (int i = 0; i < 6; i++)
+    {
+      uint32_t worker;
+
+      steps_model_run (model, 400);
+      worker = worker_with_starts (model, 16, seen);
+      steps_model_set_worker_unreachable (model, worker, true);
+      steps_model_run (model, 9000);
+      steps_model_set_worker_unreachable (model, worker, false);
+    }
+  steps_model_run (model, 25000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  check_and_destroy (model);
+}
+END_TEST
+
+/* Starts relied on the capacity that a worker had before it shrank, and
+ * exceeded it on a worker that does not reject them. */
+START_TEST (shrunk_capacity_gets_no_new_work)
+{
+  for (uint32_t seed = 1; seed <= 5; seed++)
+    {
+      struct steps_model *model = create (8, seed);
+      g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+      struct gr_step_spec step = plain;
+
+      steps_model_allow_overload (model);
+      steps_model_set_faults (
+          model, &(struct steps_model_faults){ .lose_answer = 0.05,
+                                               .lose_poll = 0.05 });
+      step.checkpointing = true;
+      for (uint32_t i = 1; i <= 60; i++)
+        {
+          step.needs.accelerators = (uint32_t)g_rand_int_range (rand, 1, 5);
+          steps_model_add_job (model, i, i % 5 == 0 ? "urgent" : "batch", "a",
+                               &step, 1, g_rand_int_range (rand, 500, 4000));
+          steps_model_set_capacity (
+              model, (uint32_t)g_rand_int_range (rand, 0, 8),
+              &(struct gr_resources){
+                  128000, 262144, (uint32_t)g_rand_int_range (rand, 1, 9) });
+          if (i == 30)
+            steps_model_new_owner (model);
+          steps_model_run (model, 1000);
+        }
+      check_and_destroy (model);
+    }
+}
+END_TEST
+
+/* Capacity that grows again must be used again. */
+START_TEST (grown_capacity_gets_new_work)
+{
+  struct steps_model *model = create (1, 1);
+
+  steps_model_set_capacity (model, 0,
+                            &(struct gr_resources){ 128000, 262144, 1 });
+  steps_model_run (model, 5000);
+  steps_model_add_job (model, 1, "normal", "a", &plain, 1, 4000);
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (steps_model_running (model, 1), 1);
+  steps_model_set_capacity (model, 0,
+                            &(struct gr_resources){ 128000, 262144, 8 });
+  steps_model_run (model, 2000);
+  ck_assert_uint_eq (steps_model_running (model, 1), 4);
+  check_and_destroy (model);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("steps-crashes");
+  TCase *crashes = tcase_create ("crashes");
+  TCase *capacity = tcase_create ("capacity");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_test (crashes, task_that_crashes_workers_is_given_up);
+  tcase_add_test (crashes, gang_that_crashes_workers_is_given_up);
+  tcase_add_test (crashes, wide_step_that_crashes_workers_is_given_up);
+  tcase_add_test (crashes, crash_before_the_start_is_answered_counts);
+  tcase_add_test (crashes, crash_two_seconds_after_the_start_counts);
+  tcase_add_test (crashes, crash_seen_after_the_restart_counts);
+  tcase_add_test (crashes, crashing_task_among_many_others_is_given_up);
+  tcase_add_test (crashes, crashes_count_over_a_takeover);
+  tcase_add_test (crashes, crashes_count_over_several_takeovers);
+  tcase_add_test (crashes, crashes_count_while_the_store_is_away);
+  tcase_add_test (crashes, lasting_task_that_crashes_workers_is_given_up);
+  tcase_add_test (crashes, work_beside_a_crashing_task_completes);
+  tcase_add_test (crashes,
+                  work_beside_a_crashing_task_on_full_workers_completes);
+  tcase_add_test (crashes, long_task_outlives_crashes_that_it_does_not_cause);
+  tcase_add_test (crashes, workers_that_crash_by_themselves_fail_no_job);
+  tcase_add_test (crashes, workers_that_leave_fail_no_job);
+  tcase_add_test (crashes, workers_that_are_cut_off_fail_no_job);
+  tcase_add_test (capacity, shrunk_capacity_gets_no_new_work);
+  tcase_add_test (capacity, grown_capacity_gets_new_work);
+  suite_add_tcase (suite, crashes);
+  suite_add_tcase (suite, capacity);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
