standins: tasks can crash the platform's worker

Cause: the platform announces tasks that crash each worker that starts them. The stand-in of its worker could only stop answering.

Change: "crash_ms=10" in the payload of a task crashes the worker 10 ms after the start; with 0 the start is not answered. Its socket and all connections are closed, its runs and ends are forgotten, and after 3 s it listens again at the same address as a new incarnation. The registry entry is not renewed meanwhile.

--- a/standins/metastore.c
+++ b/standins/metastore.c
@@ -712,13 +712,14 @@
   platform->sequence++;
   for (guint i = 0; i < platform->workers->len; i++)
     {
-      const struct gr_platform_worker *worker = platform->workers->pdata[i];
+      struct gr_platform_worker *worker = platform->workers->pdata[i];
       g_autofree char *key =
           g_strconcat ("servers/", gr_platform_worker_id (worker), NULL);
       g_autofree char *text =
           gr_platform_worker_registry_value (worker, platform->sequence);
 
-      gr_standin_platform_put (platform, key, text);
+      if (gr_platform_worker_base (worker) != NULL)
+        gr_standin_platform_put (platform, key, text);
     }
   return G_SOURCE_CONTINUE;
 }
--- a/standins/platform-worker.c
+++ b/standins/platform-worker.c
@@ -10,12 +10,16 @@
 /* Time that a run takes to stop. */
 #define STOP_DELAY_MS 20
 
+/* Time from a crash until the worker is back. */
+#define CRASH_DOWN_MS 3000
+
 struct run
 {
   char *task;
   int64_t number; /* run number of the task */
   int64_t started_ms;
   int64_t finish_ms;
+  int64_t crash_ms; /* when the run crashes the worker; 0: it does not */
   bool fails;
   int64_t stop_ms; /* when the run stops; 0: no stop requested */
 };
@@ -31,7 +35,9 @@
 
 struct gr_platform_worker
 {
-  struct gr_standin *base;
+  struct gr_standin *base; /* NULL while the worker is down */
+  char *address;
+  int64_t down_until_ms; /* after a crash */
   char *id;
   char *rack;
   struct gr_standin_platform_settings settings;
@@ -50,6 +56,12 @@
   GSource *timer;
 };
 
+/* Call of a waiting status poll -> its struct gr_platform_worker, since the
+ * callback of gr_standin_delay () gets only the call. */
+static GHashTable *waiting_polls;
+
+static void listen_again (struct gr_platform_worker *worker);
+
 static int64_t
 now_ms (void)
 {
@@ -178,14 +190,49 @@
   g_ptr_array_remove_index (worker->runs, index);
 }
 
+/* Closes the listening socket and all connections, and forgets all runs. */
+static void
+crash (struct gr_platform_worker *worker)
+{
+  if (worker->waiting_poll != NULL)
+    g_hash_table_remove (waiting_polls, worker->waiting_poll);
+  worker->waiting_poll = NULL;
+  g_clear_pointer (&worker->base, gr_standin_destroy);
+  g_ptr_array_set_size (worker->runs, 0);
+  g_ptr_array_set_size (worker->ends, 0);
+  g_hash_table_remove_all (worker->ended_runs);
+  worker->highest_epoch = 0;
+  worker->lease_expires_ms = 0;
+  worker->last_end_sequence = 0;
+  worker->down_until_ms = now_ms () + CRASH_DOWN_MS;
+}
+
+static bool
+crashes_now (const struct gr_platform_worker *worker)
+{
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const struct run *run = worker->runs->pdata[i];
+
+      if (run->crash_ms != 0 && now_ms () >= run->crash_ms)
+        return true;
+    }
+  return false;
+}
+
 /* Ends the runs that are finished or were stopped, and all runs once the lease
- * has expired. Replies to the waiting poll if any run has ended. */
+ * has expired. Replies to the waiting poll if any run has ended. A crash by a
+ * run and the restart after it happen here, outside of calls. */
 static gboolean
 check_runs (gpointer data)
 {
   struct gr_platform_worker *worker = data;
   guint n_ends_before = worker->ends->len;
 
+  if (worker->base == NULL && now_ms () >= worker->down_until_ms)
+    listen_again (worker);
+  if (crashes_now (worker))
+    crash (worker);
   for (guint i = worker->runs->len; i-- > 0;)
     {
       const struct run *run = worker->runs->pdata[i];
@@ -242,14 +289,13 @@
     worker->lease_expires_ms = MAX (worker->lease_expires_ms, expires_ms);
 }
 
-/* Returns the run time in ms that the payload sets. */
+/* Returns the number that follows name in the payload, or the fallback. */
 static int64_t
-payload_run_ms (const char *payload)
+payload_ms (const char *payload, const char *name, int64_t fallback)
 {
-  const char *value = strstr (payload, "run_ms=");
+  const char *value = strstr (payload, name);
 
-  return value ? g_ascii_strtoll (value + strlen ("run_ms="), NULL, 10)
-               : DEFAULT_RUN_MS;
+  return value ? g_ascii_strtoll (value + strlen (name), NULL, 10) : fallback;
 }
 
 static void
@@ -264,7 +310,10 @@
   run->task = g_strdup (task);
   run->number = number;
   run->started_ms = now_ms ();
-  run->finish_ms = run->started_ms + payload_run_ms (payload);
+  run->finish_ms =
+      run->started_ms + payload_ms (payload, "run_ms=", DEFAULT_RUN_MS);
+  if (strstr (payload, "crash_ms=") != NULL)
+    run->crash_ms = run->started_ms + payload_ms (payload, "crash_ms=", 0);
   run->fails = strstr (payload, "fail") != NULL;
   g_ptr_array_add (worker->runs, run);
   g_hash_table_replace (worker->starts, g_strdup (task),
@@ -303,7 +352,9 @@
   else
     {
       start_run (worker, task, number, payload);
-      reply (call, 200, NULL);
+      /* A crash at once leaves the order without an answer. */
+      if (!crashes_now (worker))
+        reply (call, 200, NULL);
     }
 }
 
@@ -328,10 +379,6 @@
   reply (call, 200, NULL);
 }
 
-/* Call of a waiting status poll -> its struct gr_platform_worker, since the
- * callback of gr_standin_delay () gets only the call. */
-static GHashTable *waiting_polls;
-
 static void
 handle_poll_timeout (struct gr_standin_call *call)
 {
@@ -416,6 +463,17 @@
 
 static const struct gr_standin_ops ops = { is_write, apply, describe, control };
 
+/* Starts a new incarnation at the same address. Tried again at the next check
+ * if the address is in use. */
+static void
+listen_again (struct gr_platform_worker *worker)
+{
+  struct gr_error ignored = GR_ERROR_INIT;
+
+  worker->base = gr_standin_create (worker->address, &ops, worker, &ignored);
+  worker->started_unix_ms = g_get_real_time () / 1000;
+}
+
 struct gr_platform_worker *
 gr_platform_worker_create (uint32_t number,
                            const struct gr_standin_platform_settings *settings,
@@ -441,7 +499,10 @@
   g_source_attach (worker->timer, NULL);
   worker->base = gr_standin_create ("127.0.0.1:0", &ops, worker, error);
   if (worker->base != NULL)
-    return worker;
+    {
+      worker->address = g_strdup (gr_standin_address (worker->base));
+      return worker;
+    }
   gr_platform_worker_destroy (worker);
   return NULL;
 }
@@ -459,6 +520,7 @@
   g_ptr_array_unref (worker->ends);
   g_hash_table_destroy (worker->ended_runs);
   g_hash_table_destroy (worker->starts);
+  g_free (worker->address);
   g_free (worker->id);
   g_free (worker->rack);
   g_free (worker);
@@ -486,7 +548,7 @@
       "\"cold-left-ms\":0,\"capacity\":{\"cpu\":%u,\"mem-mb\":%u,\"gpu\":%u},"
       "\"labels\":[\"a\",\"%s\"],\"born\":%" G_GINT64_FORMAT
       ",\"sequence\":%" G_GUINT64_FORMAT "}",
-      gr_standin_address (worker->base), worker->settings.cores * 1000,
+      worker->address, worker->settings.cores * 1000,
       worker->settings.memory_mb, worker->settings.accelerators, worker->rack,
       worker->started_unix_ms, sequence);
 }
--- a/standins/platform-worker.h
+++ b/standins/platform-worker.h
@@ -1,7 +1,9 @@
 /* Stand-in of a worker of the users' platform: runs tasks while its lease is
  * valid and reports running and ended runs. The payload of a task controls the
- * run: "run_ms=500" sets the run time in ms (default 200), and "fail" makes the
- * run end as failed. */
+ * run: "run_ms=500" sets the run time in ms (default 200), "fail" makes the run
+ * end as failed, and "crash_ms=10" crashes the worker 10 ms after the start. A
+ * worker that has crashed refuses connections for 3 s and then returns, at the
+ * same address, as a new incarnation without runs. */
 #pragma once
 
 #include "standins/metastore.h"
@@ -17,7 +19,8 @@
                            struct gr_error *error);
 void gr_platform_worker_destroy (struct gr_platform_worker *worker);
 
-/* Returns the HTTP part of the stand-in, owned by the worker. */
+/* Returns the HTTP part of the stand-in, owned by the worker; NULL while it is
+ * down after a crash. */
 struct gr_standin *gr_platform_worker_base (struct gr_platform_worker *worker);
 
 /* Returns the id of the worker, owned by the worker. */
