tests: a task that crashes workers on the wire is given up

Cause: the model of test-steps-crashes calls the core directly; whether a refused connection reaches it as the loss of the runs depends on instance/.

Change: a job whose task crashes its worker, 10 ms after the start or before the start is answered, beside a job of 64 tasks on 16 workers. At most five starts, the job fails, the other one completes.

--- a/tests/test-instance.c
+++ b/tests/test-instance.c
@@ -265,6 +265,49 @@
 }
 END_TEST
 
+static enum gr_job_state
+job_state (const struct fixture *fixture, const char *id)
+{
+  struct gr_job_progress progress;
+  enum gr_job_state state;
+
+  ck_assert (gr_steps_progress (fixture->steps, id, &progress));
+  state = progress.state;
+  gr_job_progress_clear (&progress);
+  return state;
+}
+
+/* Guards against a task that crashes one worker after the other: a loss that
+ * was noticed by a refused connection did not count as an attempt. The platform
+ * allows five starts. */
+START_TEST (task_that_crashes_workers_is_given_up)
+{
+  static const char *const payloads[] = { "crash_ms=10", "crash_ms=0" };
+  const char *task = "00000000000000a1.0.0.0";
+
+  for (size_t i = 0; i < G_N_ELEMENTS (payloads); i++)
+    {
+      struct fixture fixture;
+
+      fixture_create (&fixture, 16, 7000);
+      run_main_loop (&fixture, 200);
+      add_job (&fixture, "00000000000000a2", "run_ms=2000", 64, 1);
+      run_main_loop (&fixture, 200);
+      add_job (&fixture, "00000000000000a1", payloads[i], 1, 1);
+      run_main_loop (&fixture, 8000);
+      ck_assert_uint_ge (gr_standin_platform_starts (fixture.platform, task),
+                         2);
+      ck_assert_uint_le (gr_standin_platform_starts (fixture.platform, task),
+                         5);
+      ck_assert_int_eq (job_state (&fixture, "00000000000000a1"),
+                        GR_JOB_FAILED);
+      ck_assert_int_eq (job_state (&fixture, "00000000000000a2"),
+                        GR_JOB_COMPLETED);
+      fixture_destroy (&fixture);
+    }
+}
+END_TEST
+
 /* Guards against an owner that takes its own lateness for the failure of its
  * workers. All answers are late when its processor or its link is full: polls
  * timed out, leases were not extended, and work that still ran was started
@@ -418,6 +461,7 @@
   tcase_add_test (tests, silent_worker_loses_its_runs);
   tcase_add_test (tests, silent_workers_do_not_hold_up_others);
   tcase_add_test (tests, refused_connection_shows_that_a_worker_is_gone);
+  tcase_add_test (tests, task_that_crashes_workers_is_given_up);
   tcase_add_test (tests, late_answers_do_not_lose_runs);
   tcase_add_test (tests, waiting_orders_do_not_delay_polls);
   tcase_add_test (tests, unanswered_calls_do_not_use_up_the_budget);
