steps: a task that crashes its workers is given up

Cause: the end of a run that has no result (the worker's process is gone, or it returned as a new incarnation) counted as nobody's failure, so no limit ended it, and the task went to the next worker at once.

Change: such an end counts against each task whose run it ended, in the job's progress, so that a successor goes on counting. Tasks of different jobs that lost a worker together are kept apart for the first second of their next runs, as they were placed together again and again, and the innocent ones counted as many crashes as the cause. Workers that leave, are closed for upkeep or are cut off do not count; neither do tasks that were not sent yet.

Ruled out: a plain count of two to five crashes (fails work beside the task, or a task that outlives crashes that it does not cause); counting expired leases (a worker that is cut off has not crashed); the attempts of the queue (a crash of the worker is not a failure of the job).

--- a/steps/core.c
+++ b/steps/core.c
@@ -122,6 +122,10 @@
 {
   task->failures = row->failures;
   memcpy (task->failed_runs, row->failed_runs, sizeof task->failed_runs);
+  task->crashes = row->crashes;
+  task->early_crashes = row->early_crashes;
+  if (row->crashes > 0)
+    task->step->suspected = true;
   if (row->checkpoint[0] != '\0')
     task->checkpoint = g_strdup (row->checkpoint);
   if (!row->done)
@@ -254,7 +258,7 @@
 static bool
 has_progress (const struct task *task)
 {
-  return task->state == TASK_DONE || task->failures > 0
+  return task->state == TASK_DONE || task->failures > 0 || task->crashes > 0
          || task->checkpoint != NULL;
 }
 
@@ -267,6 +271,8 @@
     .index = task->index,
     .done = task->state == TASK_DONE,
     .failures = task->failures,
+    .crashes = task->crashes,
+    .early_crashes = task->early_crashes,
   };
 
   memcpy (row.failed_runs, task->failed_runs, sizeof row.failed_runs);
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -100,6 +100,7 @@
   task->step->n_waiting--;
   task->placed_ms = steps->now_ms;
   task->tries = 0;
+  task->start_sent = false;
   task->confirmed_ms = 0;
   task->stop_confirmed_ms = 0;
   task->percent = 0;
@@ -425,6 +426,13 @@
   return false;
 }
 
+static void
+note_start_sent (struct gr_steps *steps, const struct gr_order *order)
+{
+  if (order->kind == GR_ORDER_START)
+    gr_task_find (steps, order->task)->start_sent = true;
+}
+
 bool
 gr_steps_take_order (struct gr_steps *steps,
                      bool (*can_send) (const char *worker, void *context),
@@ -433,6 +441,9 @@
 {
   for (uint32_t rank = 0; rank < ORDER_RANKS; rank++)
     if (take_order_from (steps, &steps->orders[rank], can_send, context, order))
-      return true;
+      {
+        note_start_sent (steps, order);
+        return true;
+      }
   return false;
 }
--- a/steps/place.c
+++ b/steps/place.c
@@ -56,6 +56,7 @@
   return gr_worker_usable (steps, worker)
          && g_str_equal (worker->service, gr_step_job (step)->queue->service)
          && label_matches (worker, step)
+         && !gr_crash_keeps_apart (steps, step, worker)
          && gr_advice_allows (steps, step, worker);
 }
 
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -102,6 +102,10 @@
   /* Ring of the last runs that were counted as failures: failure N is at index
    * N modulo GR_FAILED_RUNS. */
   uint32_t failed_runs[GR_FAILED_RUNS];
+  /* Workers that crashed under the task, and how many of them soon after its
+   * start. */
+  uint32_t crashes;
+  uint32_t early_crashes;
   char checkpoint[GR_CHECKPOINT_SIZE];
 };
 
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -80,9 +80,12 @@
   uint32_t run;          /* highest known run number */
   uint32_t failures;
   uint32_t failed_runs[GR_FAILED_RUNS]; /* of a gang: only in task 0 */
-  char *checkpoint;                     /* NULL if there is none */
+  uint32_t crashes;       /* workers that crashed under it; see crashes.c */
+  uint32_t early_crashes; /* of these, soon after its start */
+  char *checkpoint;       /* NULL if there is none */
   int64_t placed_ms;
   int64_t order_sent_ms; /* when the last order was queued */
+  bool start_sent;       /* this owner sent a start order for the run */
   bool start_pending; /* a start order has neither a result nor a timeout yet */
   bool stop_pending;  /* a stop order has neither a result nor a timeout yet */
   uint32_t tries;     /* start orders sent for this run */
@@ -127,6 +130,7 @@
   int64_t reclaim_started_ms;  /* when capacity was last reclaimed for it */
   int64_t reclaim_failed_ms; /* when reclaiming last found no workers to free */
   int64_t rack_fit_checked_ms; /* when fits_rack was last computed; 0: never */
+  bool suspected;              /* workers have crashed under one of its tasks */
   bool fits_rack; /* some rack is large enough for the whole gang */
 };
 
@@ -319,6 +323,20 @@
                            struct worker *worker,
                            const char *reason);
 
+/* Tasks that crash their workers. */
+
+/* Counts the crash of the worker against a task whose run it ended, and fails
+ * the job once the task is likely to crash every worker. */
+void gr_crash_record (struct gr_steps *steps,
+                      const struct worker *worker,
+                      struct task *task);
+/* True if tasks of the step and a task of another job that has just started on
+ * the worker are suspected of crashing workers. They are kept apart, so that a
+ * task is not given up because it was placed beside the cause again. */
+bool gr_crash_keeps_apart (const struct gr_steps *steps,
+                           const struct step *step,
+                           const struct worker *worker);
+
 /* Advice. */
 
 /* True if the step's queue needs no advice, or there is a valid ticket for the
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -66,9 +66,13 @@
   return false;
 }
 
-/* Releases all tasks on the worker after their runs have certainly ended. */
+/* Releases all tasks on the worker after their runs have certainly ended.
+ * crashed: its process has ended, and the worker may not have been leaving. */
 static void
-release_runs (struct gr_steps *steps, struct worker *worker, const char *reason)
+release_runs (struct gr_steps *steps,
+              struct worker *worker,
+              const char *reason,
+              bool crashed)
 {
   while (worker->tasks->len > 0)
     {
@@ -82,6 +86,8 @@
       gr_log_event ("run-lost", "task", name, "run", run, "worker", worker->id,
                     "reason", reason, NULL);
       gr_task_release (steps, task);
+      if (crashed)
+        gr_crash_record (steps, worker, task);
       if (step->spec->gang)
         gr_gang_abort (steps, step);
     }
@@ -92,7 +98,7 @@
                    struct worker *worker,
                    int64_t incarnation_unix_ms)
 {
-  release_runs (steps, worker, "the worker was restarted");
+  release_runs (steps, worker, "the worker was restarted", true);
   worker->incarnation_unix_ms = incarnation_unix_ms;
   worker->processed_end = 0;
   worker->durable_end = 0;
@@ -273,7 +279,7 @@
   steps->now_ms = now_ms;
   worker->polled = true;
   worker->lease_until_ms = 0;
-  release_runs (steps, worker, "the worker left");
+  release_runs (steps, worker, "the worker left", false);
 }
 
 void
@@ -287,7 +293,7 @@
   gr_log_event ("worker-gone", "worker", id, NULL);
   worker->polled = true;
   worker->lease_until_ms = 0;
-  release_runs (steps, worker, "the worker's process is gone");
+  release_runs (steps, worker, "the worker's process is gone", true);
 }
 
 void
@@ -385,7 +391,7 @@
 
       if (worker->tasks->len > 0
           && steps->now_ms >= lease_expiry_ms (steps, worker))
-        release_runs (steps, worker, "the lease expired");
+        release_runs (steps, worker, "the lease expired", false);
       if (worker->reserved_for != NULL
           && steps->now_ms >= worker->reserved_until_ms)
         worker->reserved_for = NULL;
