tests: starts that were never sent, and an owner with too many of them

Stopping a task whose start is still in the owner's queue takes a call to the worker, and its capacity is held until a later poll shows that it has no run. Stops are sent before starts, so with more starts than can be sent within their limit of 2 s an owner sends stops for starts that no worker has seen, and the rest is too late again.

--- a/tests/test-steps-gangs.c
+++ b/tests/test-steps-gangs.c
@@ -106,6 +106,54 @@
 }
 END_TEST
 
+/* A start that was still in the owner's queue was stopped with a call, as if
+ * the worker could have it. */
+START_TEST (unsent_start_needs_no_stop)
+{
+  struct steps_model *model = create (1);
+  struct gr_steps_counts counts;
+  struct gr_order order;
+
+  steps_model_run (model, 200);
+  steps_model_set_orders_per_tick (model, 0);
+  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 1000);
+  steps_model_run (model, 100);
+  gr_steps_counts (steps_model_core (model), &counts);
+  ck_assert_uint_eq (counts.tasks_running, gang.count);
+  steps_model_cancel_job (model, 1);
+  steps_model_run (model, 20);
+  gr_steps_counts (steps_model_core (model), &counts);
+  ck_assert_uint_eq (counts.tasks_running, 0);
+  ck_assert (
+      !gr_steps_take_order (steps_model_core (model), NULL, NULL, &order));
+  check_and_destroy (model);
+}
+END_TEST
+
+/* More urgent starts were placed than the owner could send in 2 s. Each that
+ * came too late took a stop, the stops went first, and the owner sent little
+ * else from then on. */
+START_TEST (owner_with_too_many_urgent_starts_does_not_collapse)
+{
+  const uint32_t jobs = 60;
+  struct gr_step_spec small = gang;
+  struct steps_model *model = create (1);
+
+  small.needs = (struct gr_resources){ 10000, 20000, 1 };
+  small.count = 4;
+  steps_model_run (model, 200);
+  steps_model_set_orders_per_tick (model, 1);
+  for (uint32_t i = 1; i <= jobs; i++)
+    steps_model_add_job (model, i, "urgent", "a", &small, 1, 500);
+  /* 50 orders a second, and half of the time for starts that come too late */
+  steps_model_run (model, (int64_t)jobs * small.count * 1000 / 50 * 2);
+  for (uint32_t i = 1; i <= jobs; i++)
+    ck_assert_int_eq (steps_model_state (model, i), GR_JOB_COMPLETED);
+  ck_assert_uint_eq (steps_model_runs_alone (model), 0);
+  check_and_destroy (model);
+}
+END_TEST
+
 /* A gang of which the former owner had started a part waited for all workers to
  * answer before it was stopped. */
 START_TEST (incomplete_gang_of_a_former_owner_is_stopped)
@@ -382,6 +430,8 @@
   tcase_add_test (tests, gang_is_abandoned_while_a_start_is_queued);
   tcase_add_test (tests, gang_is_abandoned_while_urgent_starts_go_first);
   tcase_add_test (tests, gang_is_abandoned_without_the_result_of_a_start);
+  tcase_add_test (tests, unsent_start_needs_no_stop);
+  tcase_add_test (tests, owner_with_too_many_urgent_starts_does_not_collapse);
   tcase_add_test (tests, incomplete_gang_of_a_former_owner_is_stopped);
   tcase_add_test (tests, gang_at_work_survives_a_takeover);
   tcase_add_test (tests, long_gang_at_work_survives_a_takeover);
