steps: a start that was never sent is taken back without a call

Cause: a start that was still queued at its limit, or when its job or gang was given up, was stopped with a call, and the task kept its capacity until a poll showed no run. Stops go before starts. With more starts than can be sent in 2 s, an owner spent its calls on stops of runs that no worker had seen; the starts behind them came too late, and the stops of members that did run waited as well.

Change: the core knows whether the last start order has been taken from its queue. If it has not, and none was sent before, the task is released at once.

Ruled out: abandoning starts at their limit alone. It stops gangs sooner, but sends the same stops.

--- a/steps/orders.c
+++ b/steps/orders.c
@@ -75,6 +75,7 @@
 
   task->order_sent_ms = steps->now_ms;
   task->start_pending = true;
+  task->start_queued = true;
   task->stop_pending = false;
   task->tries++;
   gr_task_name (task, order.task);
@@ -133,6 +134,12 @@
   gr_order_stop_run (steps, task->worker, name, task->run);
 }
 
+static bool
+was_never_sent (const struct task *task)
+{
+  return task->state == TASK_STARTING && task->start_queued && task->tries <= 1;
+}
+
 void
 gr_order_stop (struct gr_steps *steps, struct task *task)
 {
@@ -141,6 +148,12 @@
   g_assert (gr_task_is_active (task));
   if (task->state == TASK_STOPPING)
     return;
+  /* Without a call. An owner with a backlog would send nothing but stops. */
+  if (was_never_sent (task))
+    {
+      gr_task_release (steps, task);
+      return;
+    }
   task->state = TASK_STOPPING;
   task->stop_confirmed_ms = 0;
   gr_task_name (task, name);
@@ -384,18 +397,17 @@
   push_order (steps, &order, 0);
 }
 
-/* True if the task was stopped or placed elsewhere while its start order was
- * queued. */
-static bool
-is_obsolete (struct gr_steps *steps, const struct gr_order *order)
+/* Returns the task that the start order is for; NULL if the task was stopped or
+ * placed elsewhere while the order was queued. */
+static struct task *
+find_started_task (struct gr_steps *steps, const struct gr_order *order)
 {
-  const struct task *task;
+  struct task *task = gr_task_find (steps, order->task);
 
-  if (order->kind != GR_ORDER_START)
-    return false;
-  task = gr_task_find (steps, order->task);
-  return task == NULL || task->state != TASK_STARTING || task->run != order->run
-         || !g_str_equal (task->worker->id, order->worker);
+  if (task == NULL || task->state != TASK_STARTING || task->run != order->run
+      || !g_str_equal (task->worker->id, order->worker))
+    return NULL;
+  return task;
 }
 
 static bool
@@ -411,13 +423,17 @@
     {
       GList *next = link->next;
       struct gr_order *queued = link->data;
-      bool obsolete = is_obsolete (steps, queued);
+      bool is_start = queued->kind == GR_ORDER_START;
+      struct task *task = is_start ? find_started_task (steps, queued) : NULL;
+      bool obsolete = is_start && task == NULL;
 
       if (obsolete || can_send == NULL || can_send (queued->worker, context))
         {
           g_queue_delete_link (queue, link);
           *order = *queued;
           g_free (queued);
+          if (task != NULL)
+            task->start_queued = false;
           if (!obsolete)
             return true;
         }
