http: a request that has begun to arrive is not idle

Callers saw a connection end without an answer when the headers of their request arrived in parts around the idle limit, or during a graceful shutdown.

Cause: the idle time counted from the end of the previous request until all headers of the next one were read.

Change: it counts from the first byte of the headers; the header limit bounds them.

--- a/http/http-server.c
+++ b/http/http-server.c
@@ -381,16 +381,21 @@
   const struct gr_http_server *server = connection->server;
   gssize readable = peek (connection);
   int64_t stop_ms = server->stop_start_ms + STOP_GRACE_MS;
+  /* Headers that have begun to arrive end the idle time. */
+  int64_t idle_ms =
+      now
+      - MAX (connection->phase_start_ms,
+             gr_http_stream_headers_start_ms (connection->stream));
 
   /* The server is late, not the client, while it has not read the client's
    * data. */
   if (readable > 0)
     return false;
-  if (readable == 0 || now - connection->phase_start_ms > server->limits.idle_ms
+  if (readable == 0 || idle_ms > server->limits.idle_ms
       || headers_timed_out (connection, now))
     return true;
   return server->stop_start_ms > 0 && now >= stop_ms
-         && now - connection->phase_start_ms >= STOP_GRACE_MS;
+         && idle_ms >= STOP_GRACE_MS;
 }
 
 static bool
--- a/http/http-server.h
+++ b/http/http-server.h
@@ -17,7 +17,7 @@
 struct gr_http_server_limits
 {
   uint32_t max_connections; /* further ones are closed immediately */
-  uint32_t idle_ms;        /* between requests, including a request's headers */
+  uint32_t idle_ms;         /* between requests, and for a request's headers */
   uint32_t read_ms;        /* from the end of the headers to that of the body */
   uint32_t write_ms;       /* for the client to read a response */
   size_t max_body_bytes;   /* larger bodies are rejected with status 413 */
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -501,6 +501,52 @@
 }
 END_TEST
 
+/* Sends the headers of a second request in two parts, with a pause that is
+ * longer than the interval of the sweep. */
+static void
+check_begun_request (const struct gr_http_server_limits *limits, bool stopping)
+{
+  struct fixture fixture;
+  int fd;
+
+  setup (&fixture, limits);
+  fd = open_client (fixture.server);
+  send_text (fd, REQUEST);
+  expect (fd, "200 OK");
+  run_loop_ms (800);
+  if (stopping)
+    gr_http_server_stop_accepting (fixture.server);
+  run_loop_ms (500);
+  send_text (fd, "GET /small HTTP/1.1\r\nHo");
+  run_loop_ms (1000);
+  send_text (fd, "st: a\r\n\r\n");
+  expect (fd, "200 OK");
+  close (fd);
+  teardown (&fixture);
+}
+
+/* Guards against an idle limit that closes a connection on which a request has
+ * begun to arrive. */
+START_TEST (begun_requests_are_not_idle)
+{
+  struct gr_http_server_limits limits = gr_http_server_default_limits ();
+
+  limits.idle_ms = 1500;
+  limits.header_ms = 5000;
+  check_begun_request (&limits, false);
+}
+END_TEST
+
+/* Guards against a graceful shutdown that closes a connection on which a
+ * request has begun to arrive. */
+START_TEST (graceful_shutdown_finishes_begun_requests)
+{
+  struct gr_http_server_limits limits = gr_http_server_default_limits ();
+
+  check_begun_request (&limits, true);
+}
+END_TEST
+
 static Suite *
 make_suite (void)
 {
@@ -515,6 +561,8 @@
   tcase_add_test (tcase, large_bodies_are_refused);
   tcase_add_test (tcase, graceful_shutdown_interrupts_no_request);
   tcase_add_test (tcase, held_requests_can_be_resumed_late);
+  tcase_add_test (tcase, begun_requests_are_not_idle);
+  tcase_add_test (tcase, graceful_shutdown_finishes_begun_requests);
   suite_add_tcase (suite, tcase);
   return suite;
 }
