tests: 30 s for each check of test-steps-crashes

Cause: in a build with sanitizers, beside other load of about 20 processes, one check exceeded the 4 s that the test library allows by default.

Change: the same limit as in test-instance. The whole program takes 0.3 s in the usual build.

--- a/tests/test-steps-crashes.c
+++ b/tests/test-steps-crashes.c
@@ -479,6 +479,7 @@
   SRunner *runner = srunner_create (suite);
   int failed;
 
+  tcase_set_timeout (crashes, 30);
   tcase_add_test (crashes, task_that_crashes_workers_is_given_up);
   tcase_add_test (crashes, gang_that_crashes_workers_is_given_up);
   tcase_add_test (crashes, wide_step_that_crashes_workers_is_given_up);
