steps: nothing is stopped for capacity that is gone

Callers: on a worker that had shrunk below what ran there, runs were stopped for an urgent task that did not fit there any more, and their work was thrown away.

Cause: reclaiming counted the needs of each run that it would stop as free, without the excess over the capacity.

Change: it computes what would be used, and what the capacity leaves beside that.

--- a/steps/reclaim.c
+++ b/steps/reclaim.c
@@ -80,13 +80,36 @@
 }
 
 static void
-add_task_resources (struct gr_resources *available,
-                    const struct gr_step_spec *spec)
+subtract_task_resources (struct gr_resources *used,
+                         const struct gr_step_spec *spec)
 {
   if (!spec->filler)
-    available->cpu_milli += spec->needs.cpu_milli;
-  available->memory_mb += spec->needs.memory_mb;
-  available->accelerators += spec->needs.accelerators;
+    used->cpu_milli -= spec->needs.cpu_milli;
+  used->memory_mb -= spec->needs.memory_mb;
+  used->accelerators -= spec->needs.accelerators;
+}
+
+static uint32_t
+remaining (uint32_t capacity, uint32_t used)
+{
+  return capacity > used ? capacity - used : 0;
+}
+
+/* Number of tasks of the step that fit on the worker beside `used`. A worker
+ * whose capacity has shrunk can use more than it has. */
+static uint32_t
+slots_beside (const struct step *step,
+              const struct worker *worker,
+              const struct gr_resources *used)
+{
+  struct gr_resources available = {
+    .cpu_milli = remaining (worker->capacity.cpu_milli, used->cpu_milli),
+    .memory_mb = remaining (worker->capacity.memory_mb, used->memory_mb),
+    .accelerators =
+        remaining (worker->capacity.accelerators, used->accelerators),
+  };
+
+  return gr_step_slots_in (step, worker, &available);
 }
 
 struct victim
@@ -124,22 +147,20 @@
   return victims;
 }
 
-/* Resources that are free on the worker once its pending stops are done. */
+/* Resources that are used on the worker once its pending stops are done. */
 static struct gr_resources
-expected_free_resources (const struct step *step, const struct worker *worker)
+expected_used_resources (const struct worker *worker)
 {
-  struct gr_resources available = gr_worker_free_resources (worker, step);
+  struct gr_resources used = worker->used;
 
-  if (gr_worker_is_reserved (worker, step))
-    return available;
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       const struct task *task = worker->tasks->pdata[i];
 
       if (task->state == TASK_STOPPING)
-        add_task_resources (&available, task->step->spec);
+        subtract_task_resources (&used, task->step->spec);
     }
-  return available;
+  return used;
 }
 
 /* Finds tasks to stop on the worker until `wanted` tasks of the step fit, and
@@ -153,9 +174,9 @@
                bool apply,
                double *loss)
 {
-  struct gr_resources available = expected_free_resources (step, worker);
+  struct gr_resources used = expected_used_resources (worker);
   GArray *victims = find_victims (steps, step, worker);
-  uint32_t slots = gr_step_slots_in (step, worker, &available);
+  uint32_t slots = slots_beside (step, worker, &used);
 
   *loss = 0;
   for (guint i = 0; i < victims->len && slots < wanted; i++)
@@ -168,9 +189,9 @@
           || victim->task->state == TASK_STOPPING
           || !gr_task_may_be_stopped (victim->task))
         continue;
-      add_task_resources (&available, other->spec);
+      subtract_task_resources (&used, other->spec);
       *loss += victim->loss;
-      slots = gr_step_slots_in (step, worker, &available);
+      slots = slots_beside (step, worker, &used);
       if (!apply)
         continue;
       gr_log_event ("run-preempted", "job",
--- a/tests/test-steps-crashes.c
+++ b/tests/test-steps-crashes.c
@@ -451,6 +451,32 @@
 }
 END_TEST
 
+/* Runs on a worker that had shrunk were stopped for an urgent task that does
+ * not fit there any more. */
+START_TEST (nothing_is_stopped_for_capacity_that_is_gone)
+{
+  struct steps_model *model = create (2, 1);
+  struct gr_step_spec many = plain;
+  struct gr_step_spec large = plain;
+
+  many.count = 16;
+  large.count = 1;
+  large.needs.accelerators = 4;
+  steps_model_set_guarantee (model, "b", 8);
+  steps_model_add_job (model, 1, "batch", "a", &many, 1, 60000);
+  steps_model_run (model, 2000);
+  ck_assert_uint_eq (steps_model_running (model, 1), 16);
+  steps_model_set_capacity (model, 0,
+                            &(struct gr_resources){ 128000, 262144, 2 });
+  steps_model_run (model, 5000);
+  steps_model_add_job (model, 2, "urgent", "b", &large, 1, 10000);
+  steps_model_run (model, 2700);
+  ck_assert_uint_eq (steps_model_running (model, 2), 1);
+  ck_assert_uint_eq (steps_model_running (model, 1), 12);
+  check_and_destroy (model);
+}
+END_TEST
+
 /* Capacity that grows again must be used again. */
 START_TEST (grown_capacity_gets_new_work)
 {
@@ -499,6 +525,7 @@
   tcase_add_test (crashes, workers_that_leave_fail_no_job);
   tcase_add_test (crashes, workers_that_are_cut_off_fail_no_job);
   tcase_add_test (capacity, shrunk_capacity_gets_no_new_work);
+  tcase_add_test (capacity, nothing_is_stopped_for_capacity_that_is_gone);
   tcase_add_test (capacity, grown_capacity_gets_new_work);
   suite_add_tcase (suite, crashes);
   suite_add_tcase (suite, capacity);
