--- a/tests/test-call-pool.c
+++ b/tests/test-call-pool.c
@@ -462,7 +462,7 @@
   request.url = url;
   gr_http_call (http, &request, record_http_response, &fixture);
   run_loop_for (50);
-  g_usleep (400 * 1000);
+  g_usleep (400 * G_TIME_SPAN_MILLISECOND);
   wait_for (&fixture, 1);
   ck_assert_uint_eq (fixture.status, 200);
   run_loop_for (100);
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -489,7 +489,7 @@
   send_text (idle, REQUEST);
   send_text (headers, "TP/1.1\r\nHost: a\r\n\r\n");
   send_text (body, "cd");
-  g_usleep (1200 * 1000);
+  g_usleep (1200 * G_TIME_SPAN_MILLISECOND);
   expect (idle, "200 OK");
   expect (headers, "200 OK");
   expect (body, "200 OK");
