http: unread data delays a time limit for two seconds only

Callers: none so far. A client could hold a connection and its descriptor without limit by sending a body that never ends.

Cause: since "a late server does not close connections with unread requests", a connection with unread data never reached a limit, but unread data also means that the client sends faster than it is read.

Change: data that lies unread when a limit is reached delays it for 2 s. A late server reads it within that time; a begun request gets a new phase and limit.

Found in review. Ruled out: max_body_bytes, as it discards the rest of the body but does not end the request.

--- a/http/http-server.c
+++ b/http/http-server.c
@@ -21,6 +21,10 @@
  * because the client may have sent a request that has not arrived yet. */
 #define STOP_GRACE_MS 1000
 
+/* Data that lies unread at a time limit shows that the server is late. It is
+ * read within this time; a client that still sends then is not answered. */
+#define LATE_READ_MS 2000
+
 /* Unread bytes are logged up to this number. */
 #define MAX_LOGGED_BYTES 4096
 
@@ -43,6 +47,8 @@
   SoupServerMessage *message; /* its signals are connected, or NULL */
   enum phase phase;
   int64_t phase_start_ms;
+  int64_t late_since_ms;     /* when a limit of the phase was first found to be
+                                reached with unread data; 0: never */
   int64_t shutdown_start_ms; /* 0: not shut down */
   size_t received_bytes;
 };
@@ -94,6 +100,7 @@
     server->in_flight--;
   connection->phase = phase;
   connection->phase_start_ms = now_ms ();
+  connection->late_since_ms = 0;
 }
 
 /* Shuts the socket down. libsoup then reads the end of the stream and frees the
@@ -375,6 +382,18 @@
          && now - headers_start_ms > limit_ms;
 }
 
+/* For a limit that has been reached. True if the client may have kept to it, as
+ * the server has not read all that it sent. */
+static bool
+is_late (struct http_connection *connection, gssize readable, int64_t now)
+{
+  if (readable <= 0)
+    return false;
+  if (connection->late_since_ms == 0)
+    connection->late_since_ms = now;
+  return now - connection->late_since_ms < LATE_READ_MS;
+}
+
 static bool
 idle_timed_out (struct http_connection *connection, int64_t now)
 {
@@ -387,14 +406,11 @@
       - MAX (connection->phase_start_ms,
              gr_http_stream_headers_start_ms (connection->stream));
 
-  /* The server is late, not the client, while it has not read the client's
-   * data. */
-  if (readable > 0)
-    return false;
-  if (readable == 0 || idle_ms > server->limits.idle_ms
-      || headers_timed_out (connection, now))
+  if (readable == 0)
     return true;
-  return server->stop_start_ms > 0 && now >= stop_ms
+  if (idle_ms > server->limits.idle_ms || headers_timed_out (connection, now))
+    return !is_late (connection, readable, now);
+  return server->stop_start_ms > 0 && readable < 0 && now >= stop_ms
          && idle_ms >= STOP_GRACE_MS;
 }
 
@@ -409,7 +425,8 @@
     case PHASE_IDLE:
       return idle_timed_out (connection, now);
     case PHASE_READING:
-      return elapsed_ms > limits->read_ms && peek (connection) <= 0;
+      return elapsed_ms > limits->read_ms
+             && !is_late (connection, peek (connection), now);
     case PHASE_WRITING:
       return elapsed_ms > limits->write_ms;
     case PHASE_HANDLING:
--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -547,6 +547,60 @@
 }
 END_TEST
 
+/* Sends the chunk again and again until the socket buffer is full. Returns the
+ * offset at which the next call has to continue. */
+static size_t
+send_chunks (int fd, const char *chunk, size_t size, size_t offset)
+{
+  ssize_t sent;
+
+  while ((sent = send (fd, chunk + offset, size - offset,
+                       MSG_DONTWAIT | MSG_NOSIGNAL))
+         > 0)
+    offset = (offset + (size_t)sent) % size;
+  return offset;
+}
+
+/* Guards against a client that keeps its connection open without limit by
+ * sending faster than the server reads, so that unread data never ends. */
+START_TEST (endless_bodies_are_cut_off)
+{
+  struct gr_http_server_limits limits = {
+    .max_connections = 4,
+    .idle_ms = 500,
+    .read_ms = 500,
+    .write_ms = 60000,
+    .header_ms = 500,
+    .max_body_bytes = 1000,
+  };
+  char chunk[4096 + 8];
+  struct fixture fixture;
+  size_t offset = 0;
+  gint64 end_us;
+  int fd;
+
+  memset (chunk, 'x', sizeof chunk);
+  memcpy (chunk, "1000\r\n", 6);
+  memcpy (chunk + sizeof chunk - 2, "\r\n", 2);
+  setup (&fixture, &limits);
+  fd = open_client (fixture.server);
+  send_text (fd, "POST / HTTP/1.1\r\nHost: a\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n");
+  run_loop_ms (50);
+  ck_assert_uint_eq (gr_http_server_connections (fixture.server), 1);
+  end_us = g_get_monotonic_time () + 5 * G_USEC_PER_SEC;
+  while (gr_http_server_connections (fixture.server) > 0
+         && g_get_monotonic_time () < end_us)
+    {
+      offset = send_chunks (fd, chunk, sizeof chunk, offset);
+      g_main_context_iteration (NULL, FALSE);
+    }
+  ck_assert_uint_eq (gr_http_server_connections (fixture.server), 0);
+  close (fd);
+  teardown (&fixture);
+}
+END_TEST
+
 static Suite *
 make_suite (void)
 {
@@ -558,6 +612,7 @@
   tcase_add_test (tcase, slow_clients_are_cut_off);
   tcase_add_test (tcase, slow_and_large_headers_are_refused);
   tcase_add_test (tcase, late_server_answers_requests_that_wait_unread);
+  tcase_add_test (tcase, endless_bodies_are_cut_off);
   tcase_add_test (tcase, large_bodies_are_refused);
   tcase_add_test (tcase, graceful_shutdown_interrupts_no_request);
   tcase_add_test (tcase, held_requests_can_be_resumed_late);
