tests: the soak of instances has tasks that crash their workers

One accepted job of 40 crashes each worker that starts it and must end as failed, beside kills, pauses and restarts of instances; all other jobs must complete as before.

--- a/tests/test-process-instance.c
+++ b/tests/test-process-instance.c
@@ -17,6 +17,7 @@
 #define INSTANCES 3
 #define DEFAULT_DURATION_S 12
 #define JOBS_PER_S 8
+#define JOBS_PER_CRASHING_JOB 40
 #define SETTLE_S 40
 
 struct fixture
@@ -29,7 +30,8 @@
   guint port;
   uint32_t accepted;
   char *folder;
-  GPtrArray *ids;
+  GPtrArray *ids;      /* of accepted jobs that can be completed */
+  GPtrArray *crashing; /* of accepted jobs whose tasks crash their workers */
 };
 
 static char *
@@ -143,6 +145,7 @@
   fixture->port = 20000 + (guint)(getpid () % 1000) * 20;
   fixture->folder = g_dir_make_tmp ("gr-soak-XXXXXX", NULL);
   fixture->ids = g_ptr_array_new_with_free_func (g_free);
+  fixture->crashing = g_ptr_array_new_with_free_func (g_free);
   fixture->session = soup_session_new_with_options (
       "timeout", 3, "proxy-resolver", NULL, NULL);
   listen = g_strdup_printf ("127.0.0.1:%u", fixture->port);
@@ -176,6 +179,7 @@
   kill_process (fixture->platform);
   g_object_unref (fixture->session);
   g_ptr_array_unref (fixture->ids);
+  g_ptr_array_unref (fixture->crashing);
   g_rand_free (fixture->rand);
   g_free (fixture->folder);
 }
@@ -187,16 +191,19 @@
   char *id = g_strdup_printf ("%016x", g_rand_int (fixture->rand));
   g_autofree char *url = g_strdup_printf (
       "http://127.0.0.1:%u/a/%s", fixture->port + 10 + (guint)i * 3, id);
+  bool crashes =
+      g_rand_int_range (fixture->rand, 0, JOBS_PER_CRASHING_JOB) == 0;
   g_autofree char *body = g_strdup_printf (
-      "{\"task-spec\":\"run_ms=%d\",\"steps\":[{\"count\":%d,\"cpu\":1000,"
+      "{\"task-spec\":\"run_ms=%d%s\",\"steps\":[{\"count\":%d,\"cpu\":1000,"
       "\"mem-mb\":10,\"gpu\":%d,\"estimate-ms\":500%s}]}",
       g_rand_int_range (fixture->rand, 100, 2500),
-      g_rand_int_range (fixture->rand, 1, 6),
+      crashes ? " crash_ms=10" : "",
+      crashes ? 1 : g_rand_int_range (fixture->rand, 1, 6),
       g_rand_int_range (fixture->rand, 1, 4),
       g_rand_int_range (fixture->rand, 0, 2) == 1 ? ",\"gang\":true" : "");
 
   if (!fixture->paused[i] && call (fixture, "POST", url, body, NULL) == 200)
-    g_ptr_array_add (fixture->ids, id);
+    g_ptr_array_add (crashes ? fixture->crashing : fixture->ids, id);
   else
     g_free (id);
 }
@@ -234,22 +241,24 @@
 }
 
 static uint32_t
-count_completed (struct fixture *fixture)
+count_in_state (struct fixture *fixture,
+                const GPtrArray *ids,
+                const char *state)
 {
-  uint32_t completed = 0;
+  uint32_t count = 0;
 
-  for (guint i = 0; i < fixture->ids->len; i++)
+  for (guint i = 0; i < ids->len; i++)
     {
       g_autofree char *url =
           g_strdup_printf ("http://127.0.0.1:%u/a/%s", fixture->port + 10,
-                           (char *)fixture->ids->pdata[i]);
+                           (char *)ids->pdata[i]);
       g_autofree char *answer = NULL;
 
       if (call (fixture, "GET", url, NULL, &answer) == 200
-          && strstr (answer, "completed") != NULL)
-        completed++;
+          && strstr (answer, state) != NULL)
+        count++;
     }
-  return completed;
+  return count;
 }
 
 static int64_t
@@ -273,7 +282,7 @@
 }
 
 /* Guards against accepted jobs that are lost or run twice when their owner is
- * killed, paused or stopped. */
+ * killed, paused or stopped, also beside tasks that crash their workers. */
 START_TEST (accepted_jobs_finish_once)
 {
   const char *seed_text = g_getenv ("GR_SOAK_SEED");
@@ -282,6 +291,7 @@
   int duration_s = duration_text ? atoi (duration_text) : DEFAULT_DURATION_S;
   struct fixture fixture;
   uint32_t completed = 0;
+  uint32_t failed = 0;
 
   fixture_create (&fixture, seed);
   g_usleep (G_USEC_PER_SEC * 3 / 2);
@@ -294,15 +304,22 @@
     }
   for (int i = 0; i < INSTANCES; i++)
     kill (fixture.instances[i], SIGCONT);
-  for (int i = 0; i < SETTLE_S && completed < fixture.ids->len; i++)
+  for (int i = 0;
+       i < SETTLE_S
+       && (completed < fixture.ids->len || failed < fixture.crashing->len);
+       i++)
     {
       g_usleep (G_USEC_PER_SEC);
-      completed = count_completed (&fixture);
+      completed = count_in_state (&fixture, fixture.ids, "completed");
+      failed = count_in_state (&fixture, fixture.crashing, "failed");
     }
   ck_assert_msg (completed == fixture.ids->len,
                  "seed %u: %u of %u accepted jobs completed, logs in %s", seed,
                  completed, fixture.ids->len, fixture.folder);
   ck_assert_uint_gt (fixture.ids->len, 0);
+  ck_assert_msg (failed == fixture.crashing->len,
+                 "seed %u: %u of %u jobs that crash workers failed, logs in %s",
+                 seed, failed, fixture.crashing->len, fixture.folder);
   ck_assert_msg (control_count (&fixture, "doubles") == 0,
                  "seed %u: two runs of a task overlapped, logs in %s", seed,
                  fixture.folder);
