--- a/tests/test-steps-crashes.c
+++ b/tests/test-steps-crashes.c
@@ -1,4 +1,4 @@
-#include "tests/steps-model.h"
+#include "tests/steps-fixture.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -7,45 +7,12 @@
  * three workers have crashed under it. */
 #define MAX_STARTS 5
 
-static const struct gr_step_spec plain = {
-  .count = 4,
-  .needs = { 10000, 20000, 1 },
-  .estimate_ms = 2000,
-};
-
-static const struct gr_step_spec gang = {
-  .count = 8,
-  .needs = { 50000, 20000, 8 },
-  .estimate_ms = 2000,
-  .gang = true,
-  .one_rack = true,
-};
-
 static const struct steps_model_crash crash_soon = {
   .after_ms = 10,
   .down_ms = 3200,
   .new_id = true,
 };
 
-static struct steps_model *
-create (uint32_t workers, uint32_t seed)
-{
-  struct steps_model *model = steps_model_create (workers, 8, seed);
-
-  steps_model_set_queue (model, "urgent", 0, 3);
-  steps_model_set_queue (model, "normal", 1, 2);
-  steps_model_set_queue (model, "batch", 2, 2);
-  return model;
-}
-
-static void
-check_and_destroy (struct steps_model *model)
-{
-  ck_assert_msg (steps_model_violation (model) == NULL, "%s",
-                 steps_model_violation (model));
-  steps_model_destroy (model);
-}
-
 /* Adds job 1, whose task 0 crashes its workers. */
 static void
 add_crashing_job (struct steps_model *model,
@@ -90,12 +57,12 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (guilty); i++)
     {
-      struct steps_model *model = create (32, 1);
+      struct steps_model *model = steps_fixture_create (32, 1);
 
       add_crashing_job (model, step, count, crash);
       steps_model_crash_job (model, 1, guilty[i], crash);
       check_given_up (model, count);
-      check_and_destroy (model);
+      steps_fixture_destroy (model);
     }
 }
 
@@ -104,21 +71,21 @@
  * other. */
 START_TEST (task_that_crashes_workers_is_given_up)
 {
-  check_crashing_job_is_given_up (&plain, 1, &crash_soon);
+  check_crashing_job_is_given_up (&steps_plain, 1, &crash_soon);
 }
 END_TEST
 
 /* As above; the crash of one member ends the runs of all others. */
 START_TEST (gang_that_crashes_workers_is_given_up)
 {
-  check_crashing_job_is_given_up (&gang, 8, &crash_soon);
+  check_crashing_job_is_given_up (&steps_gang, 8, &crash_soon);
 }
 END_TEST
 
 /* As above, if the crashes are counted for the wrong one of many tasks. */
 START_TEST (wide_step_that_crashes_workers_is_given_up)
 {
-  check_crashing_job_is_given_up (&plain, 60, &crash_soon);
+  check_crashing_job_is_given_up (&steps_plain, 60, &crash_soon);
 }
 END_TEST
 
@@ -128,8 +95,8 @@
   struct steps_model_crash at_once = crash_soon;
 
   at_once.after_ms = 0;
-  check_crashing_job_is_given_up (&plain, 1, &at_once);
-  check_crashing_job_is_given_up (&gang, 8, &at_once);
+  check_crashing_job_is_given_up (&steps_plain, 1, &at_once);
+  check_crashing_job_is_given_up (&steps_gang, 8, &at_once);
 }
 END_TEST
 
@@ -139,8 +106,8 @@
   struct steps_model_crash later = crash_soon;
 
   later.after_ms = 2000;
-  check_crashing_job_is_given_up (&plain, 1, &later);
-  check_crashing_job_is_given_up (&gang, 8, &later);
+  check_crashing_job_is_given_up (&steps_plain, 1, &later);
+  check_crashing_job_is_given_up (&steps_gang, 8, &later);
 }
 END_TEST
 
@@ -151,13 +118,13 @@
 
   silent.after_ms = 10;
   silent.down_ms = 300;
-  check_crashing_job_is_given_up (&plain, 1, &silent);
-  check_crashing_job_is_given_up (&gang, 8, &silent);
+  check_crashing_job_is_given_up (&steps_plain, 1, &silent);
+  check_crashing_job_is_given_up (&steps_gang, 8, &silent);
   silent.after_ms = 0;
-  check_crashing_job_is_given_up (&plain, 1, &silent);
+  check_crashing_job_is_given_up (&steps_plain, 1, &silent);
   silent.after_ms = 2000;
   silent.down_ms = 3200;
-  check_crashing_job_is_given_up (&plain, 1, &silent);
+  check_crashing_job_is_given_up (&steps_plain, 1, &silent);
 }
 END_TEST
 
@@ -165,7 +132,7 @@
 static void
 add_innocent_jobs (struct steps_model *model, uint32_t n, int64_t work_ms)
 {
-  struct gr_step_spec many = plain;
+  struct gr_step_spec many = steps_plain;
 
   many.count = 20;
   for (uint32_t i = 2; i < n + 2; i++)
@@ -175,13 +142,13 @@
 /* As above, if crashes are not counted for one of several tasks on a worker. */
 START_TEST (crashing_task_among_many_others_is_given_up)
 {
-  struct steps_model *model = create (16, 1);
+  struct steps_model *model = steps_fixture_create (16, 1);
 
   add_innocent_jobs (model, 4, 6000);
   steps_model_run (model, 500);
-  add_crashing_job (model, &plain, 1, &crash_soon);
+  add_crashing_job (model, &steps_plain, 1, &crash_soon);
   check_given_up (model, 1);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -191,14 +158,14 @@
   for (uint32_t starts = 1; starts <= 3; starts++)
     for (int64_t pause_ms = 0; pause_ms <= 1000; pause_ms += 250)
       {
-        struct steps_model *model = create (16, 1);
+        struct steps_model *model = steps_fixture_create (16, 1);
 
-        add_crashing_job (model, &plain, 1, &crash_soon);
+        add_crashing_job (model, &steps_plain, 1, &crash_soon);
         run_until_starts (model, starts);
         steps_model_run (model, pause_ms);
         steps_model_new_owner (model);
         check_given_up (model, 1);
-        check_and_destroy (model);
+        steps_fixture_destroy (model);
       }
 }
 END_TEST
@@ -206,9 +173,9 @@
 /* As above, if each of several owners in a row counts from zero. */
 START_TEST (crashes_count_over_several_takeovers)
 {
-  struct steps_model *model = create (16, 1);
+  struct steps_model *model = steps_fixture_create (16, 1);
 
-  add_crashing_job (model, &plain, 1, &crash_soon);
+  add_crashing_job (model, &steps_plain, 1, &crash_soon);
   for (uint32_t starts = 1; starts <= 3; starts++)
     {
       run_until_starts (model, starts);
@@ -216,22 +183,22 @@
       steps_model_new_owner (model);
     }
   check_given_up (model, 1);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
 /* As above, if a crash counts only once it is durable. */
 START_TEST (crashes_count_while_the_store_is_away)
 {
-  struct steps_model *model = create (16, 1);
+  struct steps_model *model = steps_fixture_create (16, 1);
 
   steps_model_set_store (model, false);
-  add_crashing_job (model, &plain, 1, &crash_soon);
+  add_crashing_job (model, &steps_plain, 1, &crash_soon);
   steps_model_run (model, 5000);
   ck_assert_uint_le (steps_model_task_starts (model, 1, 0), MAX_STARTS);
   steps_model_set_store (model, true);
   check_given_up (model, 1);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -239,7 +206,7 @@
  * worker away from other work. */
 START_TEST (lasting_task_that_crashes_workers_is_given_up)
 {
-  struct gr_step_spec lasting = plain;
+  struct gr_step_spec lasting = steps_plain;
 
   lasting.lasting = true;
   lasting.max_away = 1;
@@ -258,7 +225,7 @@
     ck_assert_msg (steps_model_state (model, i) == GR_JOB_COMPLETED,
                    "job %u is in state %d after %u starts", i,
                    steps_model_state (model, i), steps_model_starts (model, i));
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 
 /* Crashes must not count against tasks that run beside the one that causes
@@ -269,8 +236,8 @@
 
   for (uint32_t i = 0; i < 6; i++)
     {
-      struct steps_model *model = create (16, 1);
-      struct gr_step_spec one = plain;
+      struct steps_model *model = steps_fixture_create (16, 1);
+      struct gr_step_spec one = steps_plain;
 
       crash.after_ms = i % 3 == 0 ? 0 : i % 3 == 1 ? 10 : 2000;
       one.count = 1;
@@ -292,10 +259,10 @@
 
   for (uint32_t i = 0; i < 3; i++)
     {
-      struct steps_model *model = create (5, 1);
+      struct steps_model *model = steps_fixture_create (5, 1);
 
       crash.after_ms = i == 0 ? 0 : i == 1 ? 10 : 2000;
-      add_crashing_job (model, &plain, 1, &crash);
+      add_crashing_job (model, &steps_plain, 1, &crash);
       add_innocent_jobs (model, 2, 12000);
       check_innocent_jobs_complete (model, 2, 120000);
     }
@@ -321,8 +288,8 @@
  * attempts. */
 START_TEST (long_task_outlives_crashes_that_it_does_not_cause)
 {
-  struct steps_model *model = create (8, 1);
-  struct gr_step_spec one = plain;
+  struct steps_model *model = steps_fixture_create (8, 1);
+  struct gr_step_spec one = steps_plain;
   uint32_t seen[8] = { 0 };
 
   one.count = 1;
@@ -336,7 +303,7 @@
   steps_model_run (model, 20000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
   ck_assert_uint_eq (steps_model_starts (model, 1), 5);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -345,9 +312,9 @@
 {
   for (uint32_t seed = 1; seed <= 10; seed++)
     {
-      struct steps_model *model = create (16, seed);
+      struct steps_model *model = steps_fixture_create (16, seed);
       g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
-      struct gr_step_spec many = plain;
+      struct gr_step_spec many = steps_plain;
 
       many.count = 10;
       many.checkpointing = true;
@@ -366,7 +333,7 @@
         ck_assert_msg (steps_model_state (model, i) == GR_JOB_COMPLETED,
                        "seed %u: job %u is in state %d", seed, i,
                        steps_model_state (model, i));
-      check_and_destroy (model);
+      steps_fixture_destroy (model);
     }
 }
 END_TEST
@@ -374,8 +341,8 @@
 /* A worker that leaves has not crashed, although its runs end with it. */
 START_TEST (workers_that_leave_fail_no_job)
 {
-  struct steps_model *model = create (16, 1);
-  struct gr_step_spec one = plain;
+  struct steps_model *model = steps_fixture_create (16, 1);
+  struct gr_step_spec one = steps_plain;
   uint32_t seen[16] = { 0 };
 
   one.count = 1;
@@ -389,15 +356,15 @@
   steps_model_run (model, 5000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
   ck_assert_uint_eq (steps_model_starts (model, 1), 7);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
 /* Runs that lapse on a worker that is cut off were not ended by a crash. */
 START_TEST (workers_that_are_cut_off_fail_no_job)
 {
-  struct steps_model *model = create (16, 1);
-  struct gr_step_spec one = plain;
+  struct steps_model *model = steps_fixture_create (16, 1);
+  struct gr_step_spec one = steps_plain;
   uint32_t seen[16] = { 0 };
 
   one.count = 1;
@@ -414,7 +381,7 @@
     }
   steps_model_run (model, 25000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -424,9 +391,9 @@
 {
   for (uint32_t seed = 1; seed <= 5; seed++)
     {
-      struct steps_model *model = create (8, seed);
+      struct steps_model *model = steps_fixture_create (8, seed);
       g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
-      struct gr_step_spec step = plain;
+      struct gr_step_spec step = steps_plain;
 
       steps_model_allow_overload (model);
       steps_model_set_faults (
@@ -446,7 +413,7 @@
             steps_model_new_owner (model);
           steps_model_run (model, 1000);
         }
-      check_and_destroy (model);
+      steps_fixture_destroy (model);
     }
 }
 END_TEST
@@ -455,9 +422,9 @@
  * not fit there any more. */
 START_TEST (nothing_is_stopped_for_capacity_that_is_gone)
 {
-  struct steps_model *model = create (2, 1);
-  struct gr_step_spec many = plain;
-  struct gr_step_spec large = plain;
+  struct steps_model *model = steps_fixture_create (2, 1);
+  struct gr_step_spec many = steps_plain;
+  struct gr_step_spec large = steps_plain;
 
   many.count = 16;
   large.count = 1;
@@ -473,26 +440,26 @@
   steps_model_run (model, 2700);
   ck_assert_uint_eq (steps_model_running (model, 2), 1);
   ck_assert_uint_eq (steps_model_running (model, 1), 12);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
 /* Capacity that grows again must be used again. */
 START_TEST (grown_capacity_gets_new_work)
 {
-  struct steps_model *model = create (1, 1);
+  struct steps_model *model = steps_fixture_create (1, 1);
 
   steps_model_set_capacity (model, 0,
                             &(struct gr_resources){ 128000, 262144, 1 });
   steps_model_run (model, 5000);
-  steps_model_add_job (model, 1, "normal", "a", &plain, 1, 4000);
+  steps_model_add_job (model, 1, "normal", "a", &steps_plain, 1, 4000);
   steps_model_run (model, 1000);
   ck_assert_uint_eq (steps_model_running (model, 1), 1);
   steps_model_set_capacity (model, 0,
                             &(struct gr_resources){ 128000, 262144, 8 });
   steps_model_run (model, 2000);
   ck_assert_uint_eq (steps_model_running (model, 1), 4);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
--- a/tests/test-steps-gangs.c
+++ b/tests/test-steps-gangs.c
@@ -1,4 +1,4 @@
-#include "tests/steps-model.h"
+#include "tests/steps-fixture.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -10,51 +10,24 @@
 #define PER_RACK 8
 #define SEEDS 24
 
-static const struct gr_step_spec gang = {
-  .count = 8,
-  .needs = { 50000, 20000, 8 },
-  .estimate_ms = 2000,
-  .gang = true,
-  .one_rack = true,
-};
-
-static struct steps_model *
-create (uint32_t seed)
-{
-  struct steps_model *model = steps_model_create (WORKERS, PER_RACK, seed);
-
-  steps_model_set_queue (model, "urgent", 0, 3);
-  steps_model_set_queue (model, "normal", 1, 2);
-  steps_model_set_queue (model, "batch", 2, 2);
-  return model;
-}
-
-static void
-check_and_destroy (struct steps_model *model)
-{
-  ck_assert_msg (steps_model_violation (model) == NULL, "%s",
-                 steps_model_violation (model));
-  steps_model_destroy (model);
-}
-
 /* The start of one member stayed in the owner's queue, because too many calls
  * to its worker were open. It was abandoned after 4 s, but the others of the
  * gang had ended alone after 3 s. */
 START_TEST (gang_is_abandoned_while_a_start_is_queued)
 {
-  struct steps_model *model = create (1);
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
 
   steps_model_run (model, 200);
   steps_model_hold_orders (model, 3, true);
   for (uint32_t i = 1; i <= WORKERS / PER_RACK; i++)
-    steps_model_add_job (model, i, "normal", "a", &gang, 1, 1000);
+    steps_model_add_job (model, i, "normal", "a", &steps_gang, 1, 1000);
   steps_model_run (model, 6000);
   ck_assert_uint_eq (steps_model_runs_alone (model), 0);
   steps_model_hold_orders (model, 3, false);
   steps_model_run (model, 4000);
   for (uint32_t i = 1; i <= WORKERS / PER_RACK; i++)
     ck_assert_int_eq (steps_model_state (model, i), GR_JOB_COMPLETED);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -63,11 +36,11 @@
 START_TEST (gang_is_abandoned_while_urgent_starts_go_first)
 {
   struct gr_step_spec one = { .count = 1, .needs = { 1000, 100, 1 } };
-  struct steps_model *model = create (1);
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
 
   steps_model_run (model, 200);
   steps_model_set_orders_per_tick (model, 4);
-  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 1000);
+  steps_model_add_job (model, 1, "normal", "a", &steps_gang, 1, 1000);
   steps_model_run (model, 20);
   ck_assert_uint_eq (steps_model_running (model, 1), 4);
   for (uint32_t i = 0; i < 300; i++)
@@ -80,7 +53,7 @@
   ck_assert_uint_eq (steps_model_runs_alone (model), 0);
   steps_model_run (model, 4000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -88,11 +61,11 @@
  * worker's address had changed meanwhile, and the start had no effect. */
 START_TEST (gang_is_abandoned_without_the_result_of_a_start)
 {
-  struct steps_model *model = create (1);
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
 
   steps_model_run (model, 200);
   steps_model_set_orders_per_tick (model, 7);
-  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 1000);
+  steps_model_add_job (model, 1, "normal", "a", &steps_gang, 1, 1000);
   steps_model_run (model, 20);
   steps_model_set_faults (model,
                           &(struct steps_model_faults){ .lose_order = 1 });
@@ -102,7 +75,7 @@
   steps_model_run (model, 8000);
   ck_assert_uint_eq (steps_model_runs_alone (model), 0);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -110,23 +83,23 @@
  * the worker could have it. */
 START_TEST (unsent_start_needs_no_stop)
 {
-  struct steps_model *model = create (1);
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
   struct gr_steps_counts counts;
   struct gr_order order;
 
   steps_model_run (model, 200);
   steps_model_set_orders_per_tick (model, 0);
-  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 1000);
+  steps_model_add_job (model, 1, "normal", "a", &steps_gang, 1, 1000);
   steps_model_run (model, 100);
   gr_steps_counts (steps_model_core (model), &counts);
-  ck_assert_uint_eq (counts.tasks_running, gang.count);
+  ck_assert_uint_eq (counts.tasks_running, steps_gang.count);
   steps_model_cancel_job (model, 1);
   steps_model_run (model, 20);
   gr_steps_counts (steps_model_core (model), &counts);
   ck_assert_uint_eq (counts.tasks_running, 0);
   ck_assert (
       !gr_steps_take_order (steps_model_core (model), NULL, NULL, &order));
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -136,8 +109,8 @@
 START_TEST (owner_with_too_many_urgent_starts_does_not_collapse)
 {
   const uint32_t jobs = 60;
-  struct gr_step_spec small = gang;
-  struct steps_model *model = create (1);
+  struct gr_step_spec small = steps_gang;
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
 
   small.needs = (struct gr_resources){ 10000, 20000, 1 };
   small.count = 4;
@@ -150,7 +123,7 @@
   for (uint32_t i = 1; i <= jobs; i++)
     ck_assert_int_eq (steps_model_state (model, i), GR_JOB_COMPLETED);
   ck_assert_uint_eq (steps_model_runs_alone (model), 0);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -158,11 +131,11 @@
  * answer before it was stopped. */
 START_TEST (incomplete_gang_of_a_former_owner_is_stopped)
 {
-  struct steps_model *model = create (1);
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
 
   steps_model_run (model, 200);
   steps_model_set_orders_per_tick (model, 4);
-  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 1000);
+  steps_model_add_job (model, 1, "normal", "a", &steps_gang, 1, 1000);
   steps_model_run (model, 20);
   ck_assert_uint_eq (steps_model_running (model, 1), 4);
   steps_model_set_worker_unreachable (model, WORKERS - 1, true);
@@ -171,7 +144,7 @@
   ck_assert_uint_eq (steps_model_runs_alone (model), 0);
   steps_model_run (model, 12000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -179,12 +152,12 @@
  * its runs: one of its workers does not answer. */
 START_TEST (gang_at_work_survives_a_takeover)
 {
-  struct steps_model *model = create (1);
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
 
   steps_model_run (model, 200);
-  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 6000);
+  steps_model_add_job (model, 1, "normal", "a", &steps_gang, 1, 6000);
   steps_model_run (model, 500);
-  ck_assert_uint_eq (steps_model_running (model, 1), gang.count);
+  ck_assert_uint_eq (steps_model_running (model, 1), steps_gang.count);
   ck_assert_uint_eq (steps_model_starts_on (model, 0), 1);
   steps_model_set_worker_unreachable (model, 0, true);
   steps_model_new_owner (model);
@@ -192,27 +165,27 @@
   steps_model_set_worker_unreachable (model, 0, false);
   steps_model_run (model, 4000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
-  ck_assert_uint_eq (steps_model_starts (model, 1), gang.count);
-  check_and_destroy (model);
+  ck_assert_uint_eq (steps_model_starts (model, 1), steps_gang.count);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
 /* As above, with work so long that its percentage changes every 2 s. */
 START_TEST (long_gang_at_work_survives_a_takeover)
 {
-  struct steps_model *model = create (1);
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
 
   steps_model_run (model, 200);
-  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 200000);
+  steps_model_add_job (model, 1, "normal", "a", &steps_gang, 1, 200000);
   steps_model_run (model, 3000);
   steps_model_set_worker_unreachable (model, 0, true);
   steps_model_new_owner (model);
   steps_model_run (model, 4000);
   steps_model_set_worker_unreachable (model, 0, false);
   steps_model_run (model, 2000);
-  ck_assert_uint_eq (steps_model_running (model, 1), gang.count);
-  ck_assert_uint_eq (steps_model_starts (model, 1), gang.count);
-  check_and_destroy (model);
+  ck_assert_uint_eq (steps_model_running (model, 1), steps_gang.count);
+  ck_assert_uint_eq (steps_model_starts (model, 1), steps_gang.count);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -220,11 +193,11 @@
  * order was lost, the worker was not polled again and the run continued. */
 START_TEST (unknown_run_is_stopped_although_a_stop_is_lost)
 {
-  struct steps_model *model = create (1);
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
 
-  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 20000);
+  steps_model_add_job (model, 1, "normal", "a", &steps_gang, 1, 20000);
   steps_model_run (model, 500);
-  ck_assert_uint_eq (steps_model_running (model, 1), gang.count);
+  ck_assert_uint_eq (steps_model_running (model, 1), steps_gang.count);
   steps_model_set_orders_per_tick (model, 0);
   steps_model_cancel_job (model, 1);
   steps_model_run (model, 100);
@@ -237,7 +210,7 @@
   steps_model_set_faults (model, &(struct steps_model_faults){ 0 });
   steps_model_run (model, 1000);
   ck_assert_uint_eq (steps_model_running (model, 1), 0);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -245,10 +218,10 @@
  * have started. */
 START_TEST (gang_is_stopped_after_an_early_failure)
 {
-  struct steps_model *model = create (1);
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
 
   steps_model_run (model, 200);
-  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 1000);
+  steps_model_add_job (model, 1, "normal", "a", &steps_gang, 1, 1000);
   for (uint32_t attempt = 0; attempt < 2; attempt++)
     {
       steps_model_set_orders_per_tick (model, 1);
@@ -261,7 +234,7 @@
   steps_model_run (model, 5000);
   ck_assert_uint_eq (steps_model_runs_alone (model), 0);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -323,7 +296,7 @@
 static void
 run_load (uint32_t seed, int32_t max_transit_ms)
 {
-  struct load load = { .model = create (seed) };
+  struct load load = { .model = steps_fixture_create (WORKERS, seed) };
   struct steps_model_faults faults = {
     .reject_start = 0.02,
     .max_transit_ms = max_transit_ms,
@@ -397,7 +370,7 @@
 START_TEST (no_run_ends_alone_after_faults_have_passed)
 {
   uint32_t seed = (uint32_t)_i + 1;
-  struct load load = { .model = create (seed) };
+  struct load load = { .model = steps_fixture_create (WORKERS, seed) };
 
   load.rand = g_rand_new_with_seed (seed);
   add_job (&load);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -1,60 +1,27 @@
-#include "tests/steps-model.h"
+#include "tests/steps-fixture.h"
 
 #include <check.h>
 #include <stdlib.h>
 
-static const struct gr_step_spec plain = {
-  .count = 4,
-  .needs = { 10000, 20000, 1 },
-  .estimate_ms = 2000,
-};
-
-static const struct gr_step_spec gang = {
-  .count = 8,
-  .needs = { 50000, 20000, 8 },
-  .estimate_ms = 2000,
-  .gang = true,
-  .one_rack = true,
-};
-
-static struct steps_model *
-create (uint32_t workers, uint32_t seed)
-{
-  struct steps_model *model = steps_model_create (workers, 8, seed);
-
-  steps_model_set_queue (model, "urgent", 0, 3);
-  steps_model_set_queue (model, "normal", 1, 2);
-  steps_model_set_queue (model, "batch", 2, 2);
-  return model;
-}
-
-static void
-check_and_destroy (struct steps_model *model)
-{
-  ck_assert_msg (steps_model_violation (model) == NULL, "%s",
-                 steps_model_violation (model));
-  steps_model_destroy (model);
-}
-
 /* Basic check: tasks are placed and polled, and their completion becomes
  * durable, also in gangs and dependent steps. */
 START_TEST (jobs_of_each_kind_complete)
 {
-  struct steps_model *model = create (16, 1);
-  struct gr_step_spec steps[2] = { plain, plain };
+  struct steps_model *model = steps_fixture_create (16, 1);
+  struct gr_step_spec steps[2] = { steps_plain, steps_plain };
   uint32_t first = 0;
 
   steps[1].after = &first;
   steps[1].n_after = 1;
-  steps_model_add_job (model, 1, "normal", "a", &plain, 1, 500);
-  steps_model_add_job (model, 2, "urgent", "a", &gang, 1, 500);
+  steps_model_add_job (model, 1, "normal", "a", &steps_plain, 1, 500);
+  steps_model_add_job (model, 2, "urgent", "a", &steps_gang, 1, 500);
   steps_model_add_job (model, 3, "batch", "a", steps, 2, 500);
   steps_model_run (model, 4000);
   for (uint32_t i = 1; i <= 3; i++)
     ck_assert_int_eq (steps_model_state (model, i), GR_JOB_COMPLETED);
   ck_assert_uint_eq (steps_model_starts (model, 1), 4);
   ck_assert_uint_eq (steps_model_starts (model, 2), 8);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -62,17 +29,17 @@
  * treated them as expired at once and started all runs a second time. */
 START_TEST (adopted_runs_keep_their_lease)
 {
-  struct steps_model *model = create (16, 1);
+  struct steps_model *model = steps_fixture_create (16, 1);
 
-  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 5000);
-  steps_model_add_job (model, 2, "normal", "a", &plain, 1, 5000);
+  steps_model_add_job (model, 1, "normal", "a", &steps_gang, 1, 5000);
+  steps_model_add_job (model, 2, "normal", "a", &steps_plain, 1, 5000);
   steps_model_run (model, 1000);
   steps_model_new_owner (model);
   steps_model_run (model, 6000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
   ck_assert_uint_eq (steps_model_starts (model, 1), 8);
   ck_assert_uint_eq (steps_model_starts (model, 2), 4);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -80,16 +47,16 @@
  * Reading its stored records back added it again, and it ran a second time. */
 START_TEST (completed_job_added_again_does_not_run_again)
 {
-  struct steps_model *model = create (16, 1);
+  struct steps_model *model = steps_fixture_create (16, 1);
 
   steps_model_set_commit_ms (model, 300);
-  steps_model_add_job (model, 1, "normal", "a", &plain, 1, 500);
-  steps_model_add_job (model, 2, "normal", "a", &gang, 1, 500);
+  steps_model_add_job (model, 1, "normal", "a", &steps_plain, 1, 500);
+  steps_model_add_job (model, 2, "normal", "a", &steps_gang, 1, 500);
   steps_model_run (model, 4000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
   ck_assert_uint_eq (steps_model_starts (model, 1), 4);
   ck_assert_uint_eq (steps_model_starts (model, 2), 8);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -98,17 +65,18 @@
  * early. */
 START_TEST (failure_counts_once_over_a_takeover)
 {
-  struct steps_model *model = create (16, 1);
+  struct steps_model *model = steps_fixture_create (16, 1);
 
-  steps_model_add_job (model, 1, "urgent", "a", &gang, 1, 900);
+  steps_model_add_job (model, 1, "urgent", "a", &steps_gang, 1, 900);
   steps_model_fail_job (model, 1);
   for (int i = 0; i < 200 && steps_model_failures (model, 1) == 0; i++)
     steps_model_run (model, 20);
   steps_model_new_owner (model);
   steps_model_run (model, 8000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
-  ck_assert_uint_eq (steps_model_starts (model, 1), 3 * (uintmax_t)gang.count);
-  check_and_destroy (model);
+  ck_assert_uint_eq (steps_model_starts (model, 1),
+                     3 * (uintmax_t)steps_gang.count);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -117,8 +85,8 @@
  * once too often. */
 START_TEST (failures_count_in_any_order)
 {
-  struct gr_step_spec one = plain;
-  struct steps_model *model = create (2, 1);
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (2, 1);
 
   one.count = 1;
   steps_model_add_job (model, 1, "normal", "a", &one, 1, 300);
@@ -132,7 +100,7 @@
   steps_model_run (model, 4000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
   ck_assert_uint_eq (steps_model_starts (model, 1), 2);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -140,8 +108,8 @@
  * after max_attempts failures. */
 START_TEST (lasting_work_is_started_again_however_it_ends)
 {
-  struct gr_step_spec lasting = plain;
-  struct steps_model *model = create (4, 1);
+  struct gr_step_spec lasting = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
 
   lasting.lasting = true;
   lasting.max_away = 1;
@@ -156,15 +124,15 @@
   steps_model_run (model, 1000);
   ck_assert_uint_eq (steps_model_running (model, 1), 0);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_CANCELLED);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
 /* Urgent work preempted lasting tasks of a step beyond its max_away. */
 START_TEST (reclaiming_respects_max_away)
 {
-  struct gr_step_spec lasting = plain;
-  struct steps_model *model = create (8, 1);
+  struct gr_step_spec lasting = steps_plain;
+  struct steps_model *model = steps_fixture_create (8, 1);
 
   lasting.count = 8;
   lasting.needs.accelerators = 8;
@@ -173,22 +141,22 @@
   steps_model_add_job (model, 1, "batch", "a", &lasting, 1, 1000);
   steps_model_run (model, 2000);
   ck_assert_uint_eq (steps_model_running (model, 1), 8);
-  steps_model_add_job (model, 2, "urgent", "b", &gang, 1, 1000);
+  steps_model_add_job (model, 2, "urgent", "b", &steps_gang, 1, 1000);
   for (int i = 0; i < 100; i++)
     {
       steps_model_run (model, 40);
       ck_assert_uint_ge (steps_model_running (model, 1), 6);
     }
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
 /* Filler tasks kept a task that serves requests over its latency target. */
 START_TEST (filler_tasks_are_slowed_down)
 {
-  struct gr_step_spec serving = plain;
-  struct gr_step_spec filling = plain;
-  struct steps_model *model = create (1, 1);
+  struct gr_step_spec serving = steps_plain;
+  struct gr_step_spec filling = steps_plain;
+  struct steps_model *model = steps_fixture_create (1, 1);
 
   serving.count = 1;
   serving.lasting = true;
@@ -199,7 +167,7 @@
   steps_model_run (model, 90000);
   ck_assert_uint_eq (steps_model_running (model, 1), 1);
   ck_assert_int_eq (steps_model_state (model, 2), GR_JOB_COMPLETED);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -207,11 +175,11 @@
  * started unless the core requested advice. */
 START_TEST (advice_is_requested_and_followed)
 {
-  struct steps_model *model = create (16, 1);
+  struct steps_model *model = steps_fixture_create (16, 1);
 
   steps_model_require_tickets (model);
   for (uint32_t i = 1; i <= 6; i++)
-    steps_model_add_job (model, i, "normal", "a", &plain, 1, 4000);
+    steps_model_add_job (model, i, "normal", "a", &steps_plain, 1, 4000);
   steps_model_run (model, 12000);
   for (uint32_t i = 1; i <= 6; i++)
     {
@@ -221,7 +189,7 @@
   for (uint32_t worker = 1; worker < 16; worker += 2)
     ck_assert_uint_eq (steps_model_starts_on (model, worker), 0);
   ck_assert_uint_le (steps_model_advice_calls (model), 12);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -239,8 +207,8 @@
  * expired. A takeover in that time delayed all inherited work. */
 START_TEST (worker_that_left_is_not_waited_for)
 {
-  struct gr_step_spec one = plain;
-  struct steps_model *model = create (4, 1);
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
 
   one.count = 1;
   steps_model_add_job (model, 1, "normal", "a", &one, 1, 2000);
@@ -248,7 +216,7 @@
   steps_model_remove_worker (model, busy_worker (model), 900);
   steps_model_run (model, 200);
   ck_assert_uint_eq (steps_model_starts (model, 1), 2);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -256,8 +224,8 @@
  * second time before their lease has expired. */
 START_TEST (silent_worker_is_waited_for)
 {
-  struct gr_step_spec one = plain;
-  struct steps_model *model = create (4, 1);
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
 
   one.count = 1;
   steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
@@ -268,7 +236,7 @@
   ck_assert_uint_eq (steps_model_starts (model, 1), 1);
   steps_model_run (model, 2500);
   ck_assert_uint_eq (steps_model_starts (model, 1), 2);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -277,17 +245,17 @@
  * still sent later, and the tasks ran twice. */
 START_TEST (queued_start_orders_extend_the_lease)
 {
-  struct gr_step_spec many = plain;
-  struct steps_model *model = create (16, 1);
+  struct gr_step_spec many = steps_plain;
+  struct steps_model *model = steps_fixture_create (16, 1);
 
   many.count = 60;
   steps_model_set_orders_per_tick (model, 1);
   steps_model_add_job (model, 1, "normal", "a", &many, 1, 4000);
-  steps_model_add_job (model, 2, "urgent", "b", &gang, 1, 1000);
+  steps_model_add_job (model, 2, "urgent", "b", &steps_gang, 1, 1000);
   steps_model_run (model, 12000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
   ck_assert_int_eq (steps_model_state (model, 2), GR_JOB_COMPLETED);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -296,8 +264,8 @@
  * left, and its active runs were started a second time. */
 START_TEST (first_read_of_an_entry_does_not_count_as_heartbeat)
 {
-  struct gr_step_spec one = plain;
-  struct steps_model *model = create (4, 1);
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
 
   one.count = 1;
   steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
@@ -307,7 +275,7 @@
   steps_model_unregister_worker (model, busy_worker (model));
   steps_model_run (model, 1000);
   ck_assert_uint_eq (steps_model_starts (model, 1), 1);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -316,8 +284,8 @@
  * second time. */
 START_TEST (worker_with_expired_entry_is_waited_for)
 {
-  struct gr_step_spec one = plain;
-  struct steps_model *model = create (4, 1);
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
 
   one.count = 1;
   steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
@@ -327,7 +295,7 @@
   steps_model_run (model, 3000);
   ck_assert_uint_eq (steps_model_starts (model, 1), 1);
   ck_assert_uint_eq (steps_model_running (model, 1), 1);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -335,8 +303,8 @@
  * had changed meanwhile. The task stayed in the starting state forever. */
 START_TEST (start_without_a_result_is_abandoned)
 {
-  struct gr_step_spec one = plain;
-  struct steps_model *model = create (4, 1);
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
 
   one.count = 1;
   steps_model_set_faults (model,
@@ -347,7 +315,7 @@
   steps_model_set_faults (model, &(struct steps_model_faults){ 0 });
   steps_model_run (model, 12000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -355,8 +323,8 @@
  * sent yet, so an owner with a backlog fell further behind. */
 START_TEST (waiting_stops_are_not_queued_again)
 {
-  struct gr_step_spec many = plain;
-  struct steps_model *model = create (4, 1);
+  struct gr_step_spec many = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
   struct gr_steps_counts counts;
 
   many.count = 8;
@@ -370,7 +338,7 @@
   steps_model_set_orders_per_tick (model, 100);
   steps_model_run (model, 1000);
   ck_assert_uint_eq (steps_model_running (model, 1), 0);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -378,19 +346,19 @@
  * account's guarantee allows. */
 START_TEST (urgent_starts_are_sent_first)
 {
-  struct gr_step_spec many = plain;
-  struct steps_model *model = create (32, 1);
+  struct gr_step_spec many = steps_plain;
+  struct steps_model *model = steps_fixture_create (32, 1);
 
   many.count = 150;
   steps_model_set_orders_per_tick (model, 1);
   steps_model_add_job (model, 1, "normal", "a", &many, 1, 4000);
   steps_model_run (model, 200);
-  steps_model_add_job (model, 2, "urgent", "b", &plain, 1, 1000);
+  steps_model_add_job (model, 2, "urgent", "b", &steps_plain, 1, 1000);
   steps_model_run (model, 4000);
   ck_assert_int_ge (steps_model_start_delay_ms (model, 2), 0);
   /* Four orders, one per tick of 20 ms, and one tick for placement. */
   ck_assert_int_le (steps_model_start_delay_ms (model, 2), 120);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -399,8 +367,8 @@
  * backlog never recovered. */
 START_TEST (placement_pauses_while_starts_are_queued)
 {
-  struct gr_step_spec many = plain;
-  struct steps_model *model = create (64, 1);
+  struct gr_step_spec many = steps_plain;
+  struct steps_model *model = steps_fixture_create (64, 1);
 
   many.count = 400;
   steps_model_set_orders_per_tick (model, 1);
@@ -409,7 +377,7 @@
   steps_model_run (model, 400 / 50 * 1000 + 1500);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
   ck_assert_uint_eq (steps_model_starts (model, 1), 400);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -438,7 +406,7 @@
  * On large sites jobs did not end. */
 START_TEST (confirmed_stop_ends_at_the_next_poll)
 {
-  struct steps_model *model = create (1, 1);
+  struct steps_model *model = steps_fixture_create (1, 1);
   struct gr_steps *steps = steps_model_core (model);
   struct gr_steps_counts counts;
   struct gr_order stop;
@@ -473,7 +441,7 @@
 static struct steps_model *
 run_until_leave (const struct gr_step_spec *step, int64_t work_ms)
 {
-  struct steps_model *model = create (4, 1);
+  struct steps_model *model = steps_fixture_create (4, 1);
 
   steps_model_add_job (model, 1, "normal", "a", step, 1, work_ms);
   steps_model_run (model, 2500);
@@ -486,7 +454,7 @@
  * stopping it in time would have saved it. */
 START_TEST (work_is_saved_before_a_worker_leaves)
 {
-  struct gr_step_spec saved = plain;
+  struct gr_step_spec saved = steps_plain;
   struct steps_model *model;
 
   saved.checkpointing = true;
@@ -495,14 +463,14 @@
   ck_assert_uint_eq (steps_model_running (model, 1), 4);
   ck_assert_uint_eq (steps_model_starts (model, 1), 8);
   ck_assert_double_le (steps_model_wasted_accelerator_s (model), 0.01);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
 /* Work that ends before its worker leaves must not be stopped. */
 START_TEST (work_that_ends_in_time_stays_on_a_leaving_worker)
 {
-  struct gr_step_spec saved = plain;
+  struct gr_step_spec saved = steps_plain;
   struct steps_model *model;
 
   saved.checkpointing = true;
@@ -510,7 +478,7 @@
   model = run_until_leave (&saved, 3800);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
   ck_assert_uint_eq (steps_model_starts (model, 1), 4);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -518,7 +486,7 @@
  * than announced. */
 START_TEST (work_that_cannot_be_saved_stays_on_a_leaving_worker)
 {
-  struct gr_step_spec lost = plain;
+  struct gr_step_spec lost = steps_plain;
   struct steps_model *model;
 
   lost.estimate_ms = 10000;
@@ -526,7 +494,7 @@
   steps_model_run (model, 5000);
   ck_assert_uint_eq (steps_model_starts (model, 1), 4);
   ck_assert_uint_eq (steps_model_running (model, 1), 4);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -534,15 +502,15 @@
  * half of the time within which guaranteed work must start. */
 START_TEST (gang_larger_than_a_rack_does_not_wait_for_one)
 {
-  struct gr_step_spec large = gang;
-  struct steps_model *model = create (32, 1);
+  struct gr_step_spec large = steps_gang;
+  struct steps_model *model = steps_fixture_create (32, 1);
 
   large.count = 15;
   steps_model_add_job (model, 1, "urgent", "a", &large, 1, 500);
   steps_model_run (model, 3000);
   ck_assert_int_ge (steps_model_start_delay_ms (model, 1), 0);
   ck_assert_int_le (steps_model_start_delay_ms (model, 1), 500);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
@@ -550,8 +518,8 @@
  * but one on each rack were free. */
 START_TEST (gang_does_not_wait_for_a_rack_while_most_is_free)
 {
-  struct gr_step_spec blocker = plain;
-  struct steps_model *model = create (32, 1);
+  struct gr_step_spec blocker = steps_plain;
+  struct steps_model *model = steps_fixture_create (32, 1);
 
   blocker.count = 1;
   for (uint32_t rack = 0; rack < 4; rack++)
@@ -563,11 +531,11 @@
       steps_model_add_job (model, 10 + rack, "batch", "a", &blocker, 1, 60000);
     }
   steps_model_run (model, 500);
-  steps_model_add_job (model, 1, "normal", "a", &gang, 1, 500);
+  steps_model_add_job (model, 1, "normal", "a", &steps_gang, 1, 500);
   steps_model_run (model, 6000);
   ck_assert_int_ge (steps_model_start_delay_ms (model, 1), 0);
   ck_assert_int_le (steps_model_start_delay_ms (model, 1), 3000);
-  check_and_destroy (model);
+  steps_fixture_destroy (model);
 }
 END_TEST
 
