steps: the limits of a gang's starts follow its wait

Callers: none on the known sites, whose gangs wait 3 or 4 s. Where gangs wait less than about 2.5 s, members that had started would end alone before the gang is abandoned (GANG).

Cause: the core never used gang_wait_ms; the limit of a start is 2 s.

Change: a gang's starts have at most two thirds of its wait, and members found by a successor are stopped after half of it without progress.

--- a/steps/gangs.c
+++ b/steps/gangs.c
@@ -7,9 +7,9 @@
  * stopped before. */
 
 /* A successor stops members that it found without the rest of their gang once
- * they have shown no progress for this long. The shortest gang_wait_ms is 3 s,
- * and they may have waited for a second before they were found. */
-#define FOUND_GANG_WAIT_MS 1500
+ * they have shown no progress for this share of the time that they wait. They
+ * may have waited before they were found. */
+#define FOUND_GANG_WAIT_SHARE 0.5
 
 void
 gr_gang_abort (struct gr_steps *steps, struct step *step)
@@ -33,7 +33,8 @@
 {
   if (task->percent > 0 && !task->step->spec->checkpointing)
     return false;
-  return steps->now_ms - task->percent_ms >= FOUND_GANG_WAIT_MS;
+  return (double)(steps->now_ms - task->percent_ms)
+         >= steps->settings.gang_wait_ms * FOUND_GANG_WAIT_SHARE;
 }
 
 /* A gang at work shows progress, so that it is not stopped while some of its
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -10,8 +10,11 @@
 #define MAX_START_ATTEMPTS 4
 
 /* A worker does not start a run later than this after it was placed, so that a
- * delayed order has no effect. */
+ * delayed order has no effect. For a gang at most this share of the time that
+ * its members wait for each other: those that have started must be stopped
+ * before they end alone. */
 #define START_LIMIT_MS 2000
+#define START_LIMIT_WAIT_SHARE 0.67
 
 /* The longest timeout of an order is 2.3 s; the result of a stop that is
  * missing after this time is lost. */
@@ -55,6 +58,17 @@
                      g_memdup2 (order, sizeof *order));
 }
 
+static int64_t
+start_limit_ms (const struct gr_steps *steps, const struct task *task)
+{
+  int64_t limit_ms = START_LIMIT_MS;
+
+  if (task->step->spec->gang)
+    limit_ms = MIN (limit_ms, (int64_t)(steps->settings.gang_wait_ms
+                                        * START_LIMIT_WAIT_SHARE));
+  return task->placed_ms + limit_ms;
+}
+
 static const char *
 start_checkpoint (const struct task *task)
 {
@@ -83,7 +97,7 @@
              sizeof order.checkpoint);
   g_strlcpy (order.ticket, gr_advice_ticket (task->step, task->worker),
              sizeof order.ticket);
-  order.start_limit_ms = task->placed_ms + START_LIMIT_MS;
+  order.start_limit_ms = start_limit_ms (steps, task);
   /* The order may be queued for some time before it is sent with a lease. Until
    * then this prevents the run from counting as expired. */
   gr_steps_extend_worker_lease (steps, task->worker->id,
@@ -345,7 +359,7 @@
     {
       /* At the limit also while the start is queued or has no result: the rest
        * of its gang waits for it. */
-      if (steps->now_ms >= task->placed_ms + START_LIMIT_MS)
+      if (steps->now_ms >= start_limit_ms (steps, task))
         give_up_start (steps, task, "start limit");
       else if (!task->start_pending && task->tries >= MAX_START_ATTEMPTS)
         give_up_start (steps, task, "attempts");
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -462,7 +462,7 @@
   else if (spec->gang && count_gang_runs (model, run) < spec->count)
     {
       *how = GR_END_ALONE;
-      return model->now_ms > run->started_ms + GANG_WAIT_MS;
+      return model->now_ms > run->started_ms + model->settings.gang_wait_ms;
     }
   else
     {
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -197,6 +197,12 @@
   gr_steps_set_queue (model->steps, queue);
 }
 
+void
+steps_model_set_gang_wait (struct steps_model *model, uint32_t wait_ms)
+{
+  model->settings.gang_wait_ms = wait_ms;
+}
+
 void
 steps_model_set_guarantee (struct steps_model *model,
                            const char *account,
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -47,6 +47,9 @@
                             const char *name,
                             uint32_t priority,
                             uint32_t max_attempts);
+/* Time for which a member of a gang waits for the others, 3 s by default. The
+ * core knows it from the next owner on. */
+void steps_model_set_gang_wait (struct steps_model *model, uint32_t wait_ms);
 void steps_model_set_guarantee (struct steps_model *model,
                                 const char *account,
                                 uint32_t accelerators);
--- a/tests/test-steps-gangs.c
+++ b/tests/test-steps-gangs.c
@@ -31,6 +31,24 @@
 }
 END_TEST
 
+/* As above, where a gang waits so shortly that the usual limit of a start is
+ * too late. */
+START_TEST (gang_with_a_short_wait_is_abandoned_in_time)
+{
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
+
+  steps_model_set_gang_wait (model, 1500);
+  steps_model_new_owner (model);
+  steps_model_run (model, 5000);
+  steps_model_hold_orders (model, 3, true);
+  for (uint32_t i = 1; i <= WORKERS / PER_RACK; i++)
+    steps_model_add_job (model, i, "normal", "a", &steps_gang, 1, 1000);
+  steps_model_run (model, 6000);
+  ck_assert_uint_eq (steps_model_runs_alone (model), 0);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* The starts of a gang that is not urgent were overtaken by urgent starts for
  * longer than the gang waits. */
 START_TEST (gang_is_abandoned_while_urgent_starts_go_first)
@@ -401,6 +419,7 @@
 
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, gang_is_abandoned_while_a_start_is_queued);
+  tcase_add_test (tests, gang_with_a_short_wait_is_abandoned_in_time);
   tcase_add_test (tests, gang_is_abandoned_while_urgent_starts_go_first);
   tcase_add_test (tests, gang_is_abandoned_without_the_result_of_a_start);
   tcase_add_test (tests, unsent_start_needs_no_stop);
