steps: the crash of an adopted run counts

Callers: none seen; BUDGET can be broken when the owner changes twice while a task that crashes its workers some time after each start runs.

Cause: start_sent was false for an adopted run, so that its crash looked like that of a worker to which no start was sent. An adopted run is known to have started.

Found in review. A crash that no owner sees, between two owners, is still not counted.

--- a/steps/reports.c
+++ b/steps/reports.c
@@ -187,7 +187,7 @@
   task->first_percent_ms = 0;
   task->pace = GR_PACE_UNKNOWN;
   task->usage = running->usage;
-  task->start_sent = false;
+  task->start_sent = true;
   gr_task_job (task)->started = true;
   if (gr_job_is_final (gr_task_job (task)))
     gr_order_stop (steps, task);
--- a/tests/test-steps-crashes.c
+++ b/tests/test-steps-crashes.c
@@ -187,6 +187,29 @@
 }
 END_TEST
 
+/* As above, if crashes of runs that a former owner started do not count. */
+START_TEST (crashes_of_adopted_runs_count)
+{
+  struct steps_model_crash later = crash_soon;
+
+  later.after_ms = 2000;
+  for (uint32_t takeovers = 1; takeovers <= 4; takeovers++)
+    {
+      struct steps_model *model = steps_fixture_create (32, 1);
+
+      add_crashing_job (model, &steps_plain, 1, &later);
+      for (uint32_t starts = 1; starts <= takeovers; starts++)
+        {
+          run_until_starts (model, starts);
+          steps_model_run (model, 800);
+          steps_model_new_owner (model);
+        }
+      check_given_up (model, 1);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 /* As above, if a crash counts only once it is durable. */
 START_TEST (crashes_count_while_the_store_is_away)
 {
@@ -482,6 +505,7 @@
   tcase_add_test (crashes, crashing_task_among_many_others_is_given_up);
   tcase_add_test (crashes, crashes_count_over_a_takeover);
   tcase_add_test (crashes, crashes_count_over_several_takeovers);
+  tcase_add_test (crashes, crashes_of_adopted_runs_count);
   tcase_add_test (crashes, crashes_count_while_the_store_is_away);
   tcase_add_test (crashes, lasting_task_that_crashes_workers_is_given_up);
   tcase_add_test (crashes, work_beside_a_crashing_task_completes);
