--- a/tests/test-http-server.c
+++ b/tests/test-http-server.c
@@ -573,26 +573,24 @@
     .header_ms = 500,
     .max_body_bytes = 1000,
   };
-  char chunk[4096 + 8];
+  g_autofree char *data = g_strnfill (0x1000, 'x');
+  g_autofree char *chunk = g_strdup_printf ("1000\r\n%s\r\n", data);
   struct fixture fixture;
   size_t offset = 0;
   gint64 end_us;
   int fd;
 
-  memset (chunk, 'x', sizeof chunk);
-  memcpy (chunk, "1000\r\n", 6);
-  memcpy (chunk + sizeof chunk - 2, "\r\n", 2);
   setup (&fixture, &limits);
   fd = open_client (fixture.server);
   send_text (fd, "POST / HTTP/1.1\r\nHost: a\r\n"
                  "Transfer-Encoding: chunked\r\n\r\n");
   run_loop_ms (50);
   ck_assert_uint_eq (gr_http_server_connections (fixture.server), 1);
-  end_us = g_get_monotonic_time () + 5 * G_USEC_PER_SEC;
+  end_us = g_get_monotonic_time () + 5 * G_TIME_SPAN_SECOND;
   while (gr_http_server_connections (fixture.server) > 0
          && g_get_monotonic_time () < end_us)
     {
-      offset = send_chunks (fd, chunk, sizeof chunk, offset);
+      offset = send_chunks (fd, chunk, strlen (chunk), offset);
       g_main_context_iteration (NULL, FALSE);
     }
   ck_assert_uint_eq (gr_http_server_connections (fixture.server), 0);
