--- a/steps/crashes.c
+++ b/steps/crashes.c
@@ -2,7 +2,7 @@
 
 #include "common/log.h"
 
-/* Tasks that crash their workers: a task under which several workers have
+/* Tasks that crash their workers. A task under which several workers have
  * crashed is given up, because each further start would take down another one
  * and all other work there. */
 
@@ -10,7 +10,7 @@
  * it: a refused connection shows a crash after about 300 ms. */
 #define EARLY_CRASH_MS 1000
 
-/* The platform allows to give up a task after two crashes, and requires it
+/* The platform permits giving up a task after two crashes, and requires it
  * before the sixth start. */
 #define MAX_EARLY_CRASHES 3
 
@@ -33,7 +33,8 @@
   return worker->draining || worker->closed;
 }
 
-/* Lasting tasks run for so long that later crashes show nothing. */
+/* True if the crash counts against the task. Lasting tasks run for so long that
+ * later crashes show nothing. */
 static bool
 is_counted (const struct gr_steps *steps, const struct task *task)
 {
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -413,7 +413,7 @@
 /* Returns the task that the start order is for; NULL if the task was stopped or
  * placed elsewhere while the order was queued. */
 static struct task *
-find_started_task (struct gr_steps *steps, const struct gr_order *order)
+find_starting_task (struct gr_steps *steps, const struct gr_order *order)
 {
   struct task *task = gr_task_find (steps, order->task);
 
@@ -437,7 +437,7 @@
       GList *next = link->next;
       struct gr_order *queued = link->data;
       bool is_start = queued->kind == GR_ORDER_START;
-      struct task *task = is_start ? find_started_task (steps, queued) : NULL;
+      struct task *task = is_start ? find_starting_task (steps, queued) : NULL;
       bool obsolete = is_start && task == NULL;
 
       if (obsolete || can_send == NULL || can_send (queued->worker, context))
