tests: watches are silenced once both of them wait

Cause: the test waited 400 ms for the mirror's next watch and then silenced the watches that waited. On a busy machine only that of the configuration waited by then; the log has its loss and none of the mirror's. With a wait of 100 ms the two tests of the program fail each time, at the same check.

Change: the test waits until the stand-in has both watches. Five runs pass.

--- a/standins/metastore.c
+++ b/standins/metastore.c
@@ -658,6 +658,12 @@
     }
 }
 
+uint32_t
+gr_standin_platform_waiting_watches (const struct gr_standin_platform *platform)
+{
+  return g_list_length (platform->watchers);
+}
+
 void
 gr_standin_platform_silence_watches (struct gr_standin_platform *platform)
 {
--- a/standins/metastore.h
+++ b/standins/metastore.h
@@ -51,6 +51,8 @@
 
 /* Lets all watches that wait now get no response, with open connections. */
 void gr_standin_platform_silence_watches (struct gr_standin_platform *platform);
+uint32_t gr_standin_platform_waiting_watches (
+    const struct gr_standin_platform *platform);
 
 /* Returns how often a task has been started, on all workers together. */
 uint32_t gr_standin_platform_starts (struct gr_standin_platform *platform,
--- a/tests/test-clients.c
+++ b/tests/test-clients.c
@@ -82,15 +82,11 @@
   g_source_remove (timer);
 }
 
-/* The mirror pauses between two watches; after this time the next one waits. */
-static void
-wait_for_watch (void)
+/* The mirror and the view of the configuration pause between two watches. */
+static bool
+both_watches_wait (struct fixture *fixture)
 {
-  bool elapsed = false;
-
-  g_timeout_add (400, set_flag, &elapsed);
-  while (!elapsed)
-    g_main_context_iteration (NULL, TRUE);
+  return gr_standin_platform_waiting_watches (fixture->platform) == 2;
 }
 
 static void
@@ -241,7 +237,7 @@
   submit (&fixture);
   call (&fixture, "GET", NULL);
   ck_assert_ptr_nonnull (strstr (fixture.body, "queued"));
-  wait_for_watch ();
+  wait_until (&fixture, both_watches_wait);
   gr_standin_platform_silence_watches (fixture.platform);
   wait_until (&fixture, is_overdue);
   write_progress (&fixture, GR_JOB_COMPLETED);
@@ -260,7 +256,7 @@
 
   fixture_create (&fixture);
   submit (&fixture);
-  wait_for_watch ();
+  wait_until (&fixture, both_watches_wait);
   gr_standin_platform_silence_watches (fixture.platform);
   wait_until (&fixture, is_overdue);
   gr_standin_faults (gr_standin_platform_base (fixture.platform))->silent = 1;
