steps, settings: forecasts and the settings of the decisions under load

Cause: several parts need expected run times, speeds and modes, and must not wait for each other. Change: steps/forecast returns the estimates of today; settings for evacuation, the time of a stop, learning, placement and preemption, all off by default. The remaining time of a run moves from steps/leaving.c, unchanged.

--- a/instance/owner.c
+++ b/instance/owner.c
@@ -509,6 +509,11 @@
     .heartbeat_ms = settings->heartbeat_ms,
     .checkpoint_ms = (uint32_t)(settings->checkpoint_s * 1000),
     .far_factor = settings->far_factor,
+    .stop_ms = settings->stop_ms,
+    .run_times = gr_mode_from_name (settings->run_times),
+    .speeds = gr_mode_from_name (settings->speeds),
+    .objectives = gr_mode_from_name (settings->objectives),
+    .budget = gr_mode_from_name (settings->budget),
   };
 
   owner->deps = *deps;
--- a/instance/reload.c
+++ b/instance/reload.c
@@ -4,6 +4,13 @@
 
 #include <glib/gstdio.h>
 
+static void
+replace (char **text, const char *changed)
+{
+  g_free (*text);
+  *text = g_strdup (changed);
+}
+
 bool
 gr_reload_apply (struct gr_instance_settings *settings,
                  const struct gr_instance_settings *changed)
@@ -43,8 +50,13 @@
   settings->heartbeat_ms = changed->heartbeat_ms;
   settings->cpu_share = changed->cpu_share;
   settings->far_factor = changed->far_factor;
-  g_free (settings->log_level);
-  settings->log_level = g_strdup (changed->log_level);
+  settings->evacuate_ms = changed->evacuate_ms;
+  settings->stop_ms = changed->stop_ms;
+  replace (&settings->run_times, changed->run_times);
+  replace (&settings->speeds, changed->speeds);
+  replace (&settings->objectives, changed->objectives);
+  replace (&settings->budget, changed->budget);
+  replace (&settings->log_level, changed->log_level);
   return same;
 }
 
--- a/settings/document.h
+++ b/settings/document.h
@@ -60,6 +60,12 @@
   uint32_t heartbeat_ms;  /* [platform] */
   double cpu_share;       /* [instance] in cores */
   double far_factor;      /* [bounds] */
+  uint32_t evacuate_ms;   /* [bounds]; 0: no requests to evacuate */
+  uint32_t stop_ms;       /* [bounds] */
+  char *run_times;        /* [learning]; for gr_mode_from_name () */
+  char *speeds;           /* [learning]; the same */
+  char *objectives;       /* [placement]; the same */
+  char *budget;           /* [preemption]; the same */
   char *log_level;        /* [log] level: debug, info or warning */
 };
 
--- a/settings/keys.c
+++ b/settings/keys.c
@@ -1,6 +1,7 @@
 #include "settings/keys.h"
 
 #define PROCESS(field) offsetof (struct gr_process_settings, field), 0
+#define MODES "off|observe|on"
 #define INSTANCE(field) offsetof (struct gr_instance_settings, field), 0
 #define PLATFORM(field) offsetof (struct gr_platform_settings, field), 0
 #define ACCOUNT(field) offsetof (struct gr_account_settings, field), 0
@@ -110,6 +111,24 @@
   { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "bounds", "state_kept_s", "s", 1,
     1000000, NULL, "120", INSTANCE (state_kept_s),
     "Time for which the state of a job can be read after the job has ended." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "bounds", "evacuate_ms", "ms", 0,
+    600000, NULL, "0", INSTANCE (evacuate_ms),
+    "Time after which nothing may be started in a data centre that the "
+    "operator evacuates; 0: requests to evacuate are ignored." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "bounds", "stop_ms", "ms", 0, 60000,
+    NULL, "200", INSTANCE (stop_ms), "Longest time that the stop of a run takes." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_CHOICE, "learning", "run_times", "", 0, 0,
+    MODES, "off", INSTANCE (run_times),
+    "Whether run times are learned from finished runs and replace estimates." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_CHOICE, "learning", "speeds", "", 0, 0, MODES,
+    "off", INSTANCE (speeds),
+    "Whether the speeds of workers are learned from finished runs." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_CHOICE, "placement", "objectives", "", 0, 0,
+    MODES, "off", INSTANCE (objectives),
+    "Whether work is ordered and placed by its expected completion." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_CHOICE, "preemption", "budget", "", 0, 0,
+    MODES, "off", INSTANCE (budget),
+    "Whether the work that is lost to preemption is limited." },
   { GR_DOCUMENT_INSTANCE, GR_KEY_CHOICE, "log", "level", "", 0, 0,
     "debug|info|warning", "info", INSTANCE (log_level),
     "Lowest level of messages that are logged." },
--- a/steps/leaving.c
+++ b/steps/leaving.c
@@ -1,4 +1,4 @@
-#include "steps/tables.h"
+#include "steps/forecast.h"
 
 #include "common/log.h"
 
@@ -12,21 +12,6 @@
  * late. */
 #define STOP_LEAD_MS 500
 
-/* Estimated time that the task still needs. Observed progress takes precedence
- * over the job's estimate, which is rough. */
-static int64_t
-remaining_work_ms (const struct gr_steps *steps, const struct task *task)
-{
-  int64_t estimate_ms = task->step->spec->estimate_ms;
-  int64_t progress = (int64_t)task->percent - (int64_t)task->first_percent;
-
-  if (progress > 0 && task->first_percent_ms != 0)
-    return (100 - (int64_t)task->percent)
-               * (task->percent_ms - task->first_percent_ms) / progress
-           - (steps->now_ms - task->percent_ms);
-  return estimate_ms - (steps->now_ms - task->placed_ms);
-}
-
 static bool
 should_move (const struct gr_steps *steps,
              const struct task *task,
@@ -39,7 +24,7 @@
   if (spec->lasting)
     return gr_task_may_be_stopped (task);
   return spec->checkpointing && remaining_ms <= STOP_LEAD_MS
-         && remaining_work_ms (steps, task) > remaining_ms;
+         && gr_forecast_remaining_ms (steps, task) > remaining_ms;
 }
 
 static void
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -5,6 +5,7 @@
  * a time, identified by its epoch. */
 #pragma once
 
+#include "common/mode.h"
 #include "steps/look.h"
 #include "steps/spec.h"
 
@@ -25,8 +26,13 @@
   /* Interval at which a worker renews its registry entry; the entry is removed
    * after three missed heartbeats. */
   uint32_t heartbeat_ms;
-  uint32_t checkpoint_ms; /* work done between two checkpoints */
-  double far_factor;      /* slowdown on racks other than that of the data */
+  uint32_t checkpoint_ms;  /* work done between two checkpoints */
+  double far_factor;       /* slowdown on racks other than that of the data */
+  uint32_t stop_ms;        /* longest time of a stop */
+  enum gr_mode run_times;  /* learning of run times; see docs/design/ */
+  enum gr_mode speeds;     /* learning of the speeds of workers */
+  enum gr_mode objectives; /* order and placement by expected completion */
+  enum gr_mode budget;     /* limit for work that is lost to preemption */
 };
 
 struct gr_steps_queue
