steps: evacuated data centres

The core ignored requests to evacuate a data centre. Starts can be held while the caller's knowledge may be out of date.

--- a/steps/core.c
+++ b/steps/core.c
@@ -42,6 +42,8 @@
   steps->job_rows = g_ptr_array_new ();
   for (size_t i = 0; i < G_N_ELEMENTS (steps->orders); i++)
     g_queue_init (&steps->orders[i]);
+  steps->evacuated =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&steps->changed);
   g_queue_init (&steps->advice_requests);
   return steps;
@@ -59,6 +61,7 @@
   g_hash_table_destroy (steps->jobs);
   g_hash_table_destroy (steps->queues);
   g_hash_table_destroy (steps->accounts);
+  g_hash_table_destroy (steps->evacuated);
   for (size_t i = 0; i < G_N_ELEMENTS (steps->orders); i++)
     g_queue_clear_full (&steps->orders[i], g_free);
   g_queue_clear (&steps->changed);
@@ -222,8 +225,10 @@
   gr_jobs_tick (steps, unix_ms);
   gr_orders_tick (steps);
   gr_leaving_tick (steps);
+  gr_evacuation_tick (steps);
   gr_gangs_tick (steps);
-  gr_place_tick (steps);
+  if (!steps->starts_held)
+    gr_place_tick (steps);
 }
 
 const char *
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -9,11 +9,9 @@
  * is stopped instead. */
 #define MAX_START_ATTEMPTS 4
 
-/* A worker does not start a run later than this after it was placed, so that a
- * delayed order has no effect. For a gang at most this share of the time that
- * its members wait for each other: those that have started must be stopped
- * before they end alone. */
-#define START_LIMIT_MS 2000
+/* Limit for the start of a gang, as a share of the time that its members wait
+ * for each other, if that is less than GR_START_LIMIT_MS: those that have
+ * started must be stopped before they end alone. */
 #define START_LIMIT_WAIT_SHARE 0.67
 
 /* The longest timeout of an order is 2.3 s; the result of a stop that is
@@ -24,7 +22,7 @@
 #define LEASE_MARGIN_MS 200
 
 /* Limit for queued starts that are not urgent. An owner sends a few hundred
- * orders per second, and a start is useless after START_LIMIT_MS. */
+ * orders per second, and a start is useless after GR_START_LIMIT_MS. */
 #define MAX_QUEUED_STARTS 64
 
 /* Time between two stop orders for one run; a stop takes at most 200 ms. A stop
@@ -61,7 +59,7 @@
 static int64_t
 start_limit_ms (const struct gr_steps *steps, const struct task *task)
 {
-  int64_t limit_ms = START_LIMIT_MS;
+  int64_t limit_ms = GR_START_LIMIT_MS;
 
   if (task->step->spec->gang)
     limit_ms = MIN (limit_ms, (int64_t)(steps->settings.gang_wait_ms
@@ -461,7 +459,9 @@
                      void *context,
                      struct gr_order *order)
 {
-  for (uint32_t rank = 0; rank < ORDER_RANKS; rank++)
+  uint32_t ranks = steps->starts_held ? ORDER_URGENT_START : ORDER_RANKS;
+
+  for (uint32_t rank = 0; rank < ranks; rank++)
     if (take_order_from (steps, &steps->orders[rank], can_send, context, order))
       return true;
   return false;
--- a/steps/place.c
+++ b/steps/place.c
@@ -272,7 +272,7 @@
 {
   GPtrArray *racks = gr_racks (steps);
 
-  if (step->rack_fit_checked_ms != 0
+  if (step->rack_fit_checked_ms > steps->evacuation_changed_ms
       && steps->now_ms - step->rack_fit_checked_ms < RACK_FIT_CACHE_MS)
     return step->fits_rack;
   step->rack_fit_checked_ms = steps->now_ms;
@@ -286,7 +286,8 @@
         {
           const struct worker *worker = rack->workers->pdata[k];
 
-          if (worker->registered && label_matches (worker, step))
+          if (worker->registered && !worker->evacuated
+              && label_matches (worker, step))
             slots += gr_step_slots_in (step, worker, &worker->capacity);
         }
       step->fits_rack = slots >= step->n_tasks;
@@ -477,7 +478,7 @@
               && worker->capacity.accelerators > worker->used.accelerators)
             rack->free_accelerators +=
                 worker->capacity.accelerators - worker->used.accelerators;
-          if (worker->registered)
+          if (worker->registered && !worker->evacuated)
             capacity += worker->capacity.accelerators;
         }
       available += rack->free_accelerators;
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -52,6 +52,7 @@
 {
   const char *id;
   const char *service;
+  const char *data_centre; /* NULL or "" if unknown */
   const char *rack;
   const char *const *labels; /* NULL-terminated */
   struct gr_resources capacity;
@@ -130,6 +131,10 @@
  * longer. */
 #define GR_ORDER_TIMEOUT_MS 250
 
+/* A worker does not start a run later than this after it was placed, so that a
+ * delayed order has no effect. */
+#define GR_START_LIMIT_MS 2000
+
 enum gr_order_kind
 {
   GR_ORDER_START,
@@ -168,6 +173,21 @@
 bool gr_steps_evacuate_worker (struct gr_steps *steps,
                                const char *worker,
                                bool force);
+/* Starts (evacuated) or ends the evacuation of a data centre. While it is
+ * evacuated, nothing is started on its workers, starts without a result are
+ * withdrawn together with their gangs, and they do not count as capacity;
+ * confirmed runs continue, except that lasting tasks move as far as max_away of
+ * their step allows. Withdrawals are queued before the call returns. The data
+ * centre need not have workers yet. Returns true if this is a change. */
+bool gr_steps_set_evacuated (struct gr_steps *steps,
+                             const char *data_centre,
+                             bool evacuated);
+/* Returns the number of starts that evacuations have withdrawn since the last
+ * call. */
+uint32_t gr_steps_take_starts_withdrawn (struct gr_steps *steps);
+/* While held, nothing is placed and queued starts are not taken, because the
+ * set of evacuated data centres may be out of date. */
+void gr_steps_hold_starts (struct gr_steps *steps, bool held);
 /* Number of runs on the worker; 0 if it is unknown. */
 uint32_t gr_steps_worker_load (const struct gr_steps *steps,
                                const char *worker);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -9,6 +9,7 @@
 {
   char *id;
   char *service;
+  char *data_centre; /* "" if unknown */
   char *rack;
   struct rack *rack_row; /* set by gr_racks () */
   char **labels;
@@ -19,6 +20,7 @@
   GPtrArray *tasks; /* struct task; not owned */
   int64_t incarnation_unix_ms;
   bool registered;
+  bool evacuated; /* its data centre is; gets no new work */
   bool draining;
   int64_t earliest_leave_ms; /* while draining: it does not leave before this
                                 time; 0: unknown */
@@ -212,6 +214,10 @@
   uint64_t sequence;
   uint64_t committed; /* changes up to this sequence number are durable */
   bool fenced;
+  GHashTable *evacuated;         /* names of data centres */
+  int64_t evacuation_changed_ms; /* when `evacuated` last changed; 0: never */
+  uint32_t starts_withdrawn;     /* not taken yet */
+  bool starts_held;              /* see gr_steps_hold_starts () */
   bool mostly_free;    /* at least half of the accelerators are free */
   bool all_runs_known; /* no inherited job can have a run that was not seen */
 };
@@ -367,6 +373,15 @@
 /* Moves work away from workers that are about to leave. */
 void gr_leaving_tick (struct gr_steps *steps);
 
+/* Evacuated data centres. */
+
+/* Applies the evacuations to a worker that is new or has another data
+ * centre. */
+void gr_evacuation_update_worker (struct gr_steps *steps,
+                                  struct worker *worker);
+/* Moves lasting tasks away from evacuated data centres. */
+void gr_evacuation_tick (struct gr_steps *steps);
+
 /* Placement. */
 void gr_place_tick (struct gr_steps *steps);
 /* True if the worker is reserved for another step that this one does not
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -44,8 +44,8 @@
 bool
 gr_worker_usable (const struct gr_steps *steps, const struct worker *worker)
 {
-  return worker->registered && !worker->draining && !worker->closed
-         && worker->reachable && worker->polled
+  return worker->registered && !worker->evacuated && !worker->draining
+         && !worker->closed && worker->reachable && worker->polled
          && steps->now_ms >= worker->quarantine_until_ms
          && steps->now_ms >= worker->full_until_ms;
 }
@@ -142,6 +142,7 @@
   worker->id = g_strdup (id);
   worker->service = g_strdup ("");
   worker->rack = g_strdup ("");
+  worker->data_centre = g_strdup ("");
   worker->labels = g_new0 (char *, 1);
   worker->tasks = g_ptr_array_new ();
   worker->reachable = true;
@@ -163,6 +164,18 @@
   return strcmp ((*a)->id, (*b)->id);
 }
 
+static void
+set_data_centre (struct gr_steps *steps,
+                 struct worker *worker,
+                 const char *data_centre)
+{
+  if (g_str_equal (worker->data_centre, data_centre))
+    return;
+  g_free (worker->data_centre);
+  worker->data_centre = g_strdup (data_centre);
+  gr_evacuation_update_worker (steps, worker);
+}
+
 void
 gr_steps_set_worker (struct gr_steps *steps,
                      const struct gr_steps_worker *row,
@@ -184,6 +197,7 @@
       worker->rack = g_strdup (row->rack);
       steps->racks_stale = true;
     }
+  set_data_centre (steps, worker, row->data_centre ? row->data_centre : "");
   g_free (worker->service);
   g_strfreev (worker->labels);
   worker->service = g_strdup (row->service);
@@ -356,6 +370,7 @@
   g_ptr_array_unref (worker->tasks);
   g_strfreev (worker->labels);
   g_free (worker->service);
+  g_free (worker->data_centre);
   g_free (worker->rack);
   g_free (worker->id);
   g_free (worker);
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -52,6 +52,7 @@
 {
   char id[16];
   char rack[16];
+  char data_centre[16];
   GPtrArray *runs;
   GArray *ends;           /* struct gr_ended_run; not acknowledged yet */
   GHashTable *ended_runs; /* task -> highest run that ended or was stopped */
@@ -150,6 +151,7 @@
   GPtrArray *queues;
   GPtrArray *transit_orders; /* struct transit_order */
   GPtrArray *polls;          /* struct model_poll */
+  GHashTable *evacuated;     /* data centre -> time in ms (gint) */
   bool store_works;
   int64_t commit_ms;
   GQueue commits; /* struct commit, oldest first */
@@ -182,6 +184,9 @@
                             struct model_worker *worker);
 /* The worker loses all its runs and all ends that were not acknowledged. */
 void model_forget_runs (struct model_worker *worker);
+/* Time since which the worker's data centre is evacuated; -1 if it is not. */
+int64_t model_evacuated_ms (const struct steps_model *model,
+                            const struct model_worker *worker);
 struct model_run *model_find_run (struct model_worker *worker,
                                   const char *task);
 const struct gr_step_spec *model_run_spec (const struct steps_model *model,
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -61,12 +61,16 @@
   const struct gr_step_spec *spec = model_run_spec (model, run);
   struct model_job *job = model_get_job (model, run->job);
   struct gr_resources sum = sum_needs (model, worker, run);
+  int64_t evacuated_ms = model_evacuated_ms (model, worker);
   uint32_t same_step = 0;
 
   for (guint i = 0; i < model->workers->len; i++)
     if (model_find_run (model->workers->pdata[i], run->task) != NULL)
       model_report_violation (model, "two runs of a task at the same time",
                               run->task);
+  if (evacuated_ms >= 0 && model->now_ms - evacuated_ms > GR_START_LIMIT_MS)
+    model_report_violation (model, "started late in an evacuated data centre",
+                            run->task);
   if (g_hash_table_contains (job->done, run->task))
     model_report_violation (model, "started after its end was acknowledged",
                             run->task);
@@ -249,6 +253,9 @@
   enum gr_order_result result = GR_ORDER_UNKNOWN;
   int64_t until_ms = order->start_limit_ms;
 
+  if (order->kind == GR_ORDER_START && model_evacuated_ms (model, worker) >= 0)
+    model_report_violation (model, "start sent to an evacuated data centre",
+                            order->task);
   if (order->kind == GR_ORDER_START)
     gr_steps_extend_worker_lease (model->steps, worker->id, until_ms + 100);
   if (model_is_down (worker) && !worker->crash.silent)
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -44,6 +44,7 @@
   struct gr_steps_worker row = {
     .id = worker->id,
     .service = "render",
+    .data_centre = worker->data_centre,
     .rack = worker->rack,
     .labels = labels,
     .capacity = worker->reported,
@@ -63,6 +64,7 @@
 
   g_snprintf (worker->id, sizeof worker->id, "w%03u", model->workers->len);
   g_strlcpy (worker->rack, rack, sizeof worker->rack);
+  g_strlcpy (worker->data_centre, "dc0", sizeof worker->data_centre);
   worker->capacity = (struct gr_resources){ 128000, 262144, 8 };
   worker->limit = worker->capacity;
   worker->reported = worker->capacity;
@@ -101,6 +103,8 @@
   model->queues = g_ptr_array_new ();
   model->transit_orders = g_ptr_array_new ();
   model->polls = g_ptr_array_new ();
+  model->evacuated =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   model->steps = gr_steps_create (&model->settings, 1, model->now_ms);
   for (uint32_t i = 0; i < workers; i++)
     {
@@ -147,6 +151,7 @@
   g_ptr_array_unref (model->jobs);
   g_ptr_array_unref (model->transit_orders);
   g_ptr_array_unref (model->polls);
+  g_hash_table_destroy (model->evacuated);
   for (guint i = 0; i < model->queues->len; i++)
     {
       g_free ((char *)((struct gr_steps_queue *)model->queues->pdata[i])->name);
@@ -288,6 +293,42 @@
   model_register_worker (model, get_worker (model, worker));
 }
 
+void
+steps_model_set_data_centre (struct steps_model *model,
+                             uint32_t number,
+                             const char *data_centre)
+{
+  struct model_worker *worker = get_worker (model, number);
+
+  g_strlcpy (worker->data_centre, data_centre, sizeof worker->data_centre);
+  model_register_worker (model, worker);
+}
+
+void
+steps_model_evacuate (struct steps_model *model,
+                      const char *data_centre,
+                      bool evacuated)
+{
+  if (!evacuated)
+    g_hash_table_remove (model->evacuated, data_centre);
+  else if (!g_hash_table_contains (model->evacuated, data_centre))
+    g_hash_table_insert (model->evacuated, g_strdup (data_centre),
+                         GINT_TO_POINTER ((gint)model->now_ms));
+  gr_steps_set_evacuated (model->steps, data_centre, evacuated);
+}
+
+int64_t
+model_evacuated_ms (const struct steps_model *model,
+                    const struct model_worker *worker)
+{
+  void *since_ms;
+
+  if (!g_hash_table_lookup_extended (model->evacuated, worker->data_centre,
+                                     NULL, &since_ms))
+    return -1;
+  return GPOINTER_TO_INT (since_ms);
+}
+
 void
 steps_model_notify_leave (struct steps_model *model,
                           uint32_t worker,
@@ -352,6 +393,17 @@
   g_ptr_array_add (context, g_strdup (worker));
 }
 
+static void
+apply_evacuations (struct steps_model *model)
+{
+  GHashTableIter iter;
+  void *data_centre;
+
+  g_hash_table_iter_init (&iter, model->evacuated);
+  while (g_hash_table_iter_next (&iter, &data_centre, NULL))
+    gr_steps_set_evacuated (model->steps, data_centre, true);
+}
+
 void
 steps_model_new_owner (struct steps_model *model)
 {
@@ -366,6 +418,7 @@
   model->epoch++;
   model->steps =
       gr_steps_create (&model->settings, model->epoch, model->now_ms);
+  apply_evacuations (model);
   for (guint i = 0; i < model->queues->len; i++)
     gr_steps_set_queue (model->steps, model->queues->pdata[i]);
   for (guint i = 0; i < model->jobs->len; i++)
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -96,6 +96,17 @@
 void steps_model_drain_worker (struct steps_model *model,
                                uint32_t worker,
                                bool draining);
+/* Workers are in data centre "dc0" unless set otherwise. */
+void steps_model_set_data_centre (struct steps_model *model,
+                                  uint32_t worker,
+                                  const char *data_centre);
+/* Evacuates a data centre or ends its evacuation; the core knows it at once,
+ * and the next owner before it places work. From then on, sending a start to
+ * its workers violates an invariant, and so does a start that takes effect
+ * later than it may. */
+void steps_model_evacuate (struct steps_model *model,
+                           const char *data_centre,
+                           bool evacuated);
 /* The worker starts to drain and announces that it does not leave within
  * remaining_ms. */
 void steps_model_notify_leave (struct steps_model *model,
