instance, platform: requests to evacuate data centres

The keys op/evacuate/ZONE were not read. The configuration view now keeps them with revision and time: it reads all pages, only a complete read removes what is absent, and an older item has no effect. The owner passes them to the core before each pass. A new owner reads them again and holds starts until then; a running one holds them if its knowledge is old although the store has not failed, as after a pause of the process.

--- a/instance/config-view.c
+++ b/instance/config-view.c
@@ -1,6 +1,7 @@
 #include "instance/config-view.h"
 
 #include "common/log.h"
+#include "platform/evacuation.h"
 
 /* A watch returns after this time even without a change, which confirms that
  * the configuration is current; its age grows by as much in between. It also
@@ -18,7 +19,18 @@
   GHashTable *waves; /* number -> struct gr_wave_spec */
   int64_t watched_revision;
   int64_t current_ms;
-  int64_t sent_ms; /* when the call in flight was sent */
+  struct gr_evacuations *evacuations;
+  bool evacuations_changed; /* and the change has not been passed on */
+  int64_t evacuations_current_ms;
+  /* A full read and a watch can be in flight at the same time. */
+  bool reading;
+  bool read_again;      /* another read starts after the one in flight */
+  int64_t read_as_of;   /* of its first page; 0: it is not there yet */
+  int64_t read_sent_ms; /* when its first page was requested */
+  int64_t page_sent_ms; /* when its last page was requested */
+  bool watching;
+  int64_t watch_sent_ms;
+  int64_t failed_sent_ms; /* when the last call that failed was sent */
   guint timer;
   int64_t store_up_since_ms;
   bool needs_full_read;
@@ -28,6 +40,7 @@
 };
 
 static void send_request (struct gr_config_view *view);
+static void read_page (struct gr_config_view *view, const char *after);
 
 static gboolean
 on_timer (gpointer data)
@@ -78,15 +91,23 @@
     visit (wave, context);
 }
 
-void
-gr_config_view_apply (struct gr_config_view *view,
-                      const struct gr_metastore_item *item,
-                      int64_t current_ms)
+static void
+apply_item (struct gr_config_view *view,
+            const struct gr_metastore_item *item,
+            int64_t current_ms)
 {
   struct gr_error error = GR_ERROR_INIT;
   struct gr_cluster_config *config;
+  const char *data_centre = gr_evacuation_key_data_centre (item->key);
   char version[24];
 
+  if (data_centre != NULL)
+    {
+      view->evacuations_changed |=
+          gr_evacuations_apply (view->evacuations, data_centre, item->deleted,
+                                item->revision, gr_clock_now_ms (view->clock));
+      return;
+    }
   if (gr_key_is_wave (item->key))
     {
       apply_wave (view, item);
@@ -128,45 +149,186 @@
     view->store_up_since_ms = gr_clock_now_ms (view->clock);
 }
 
+/* Passes on changes of the evacuations once all items of a response are
+ * applied. */
+static void
+notify_evacuations (struct gr_config_view *view)
+{
+  if (!view->evacuations_changed)
+    return;
+  view->evacuations_changed = false;
+  view->changed (view->context);
+}
+
+void
+gr_config_view_apply (struct gr_config_view *view,
+                      const struct gr_metastore_item *item,
+                      int64_t current_ms)
+{
+  apply_item (view, item, current_ms);
+  notify_evacuations (view);
+}
+
+static void
+apply_items (struct gr_config_view *view,
+             const struct gr_metastore_result *result,
+             int64_t sent_ms)
+{
+  for (size_t i = 0; i < result->n_items; i++)
+    apply_item (view, &result->items[i], sent_ms);
+}
+
+/* All items are known as of a call that was sent at this time. */
+static void
+confirm_all (struct gr_config_view *view, int64_t sent_ms)
+{
+  if (view->config != NULL)
+    gr_config_view_confirm (view, sent_ms);
+  view->evacuations_current_ms = MAX (view->evacuations_current_ms, sent_ms);
+}
+
+static void
+schedule (struct gr_config_view *view, uint32_t delay_ms)
+{
+  if (view->timer == 0)
+    view->timer = g_timeout_add (delay_ms, on_timer, view);
+}
+
+/* Changes may have been missed, so everything is read again. */
+static void
+call_failed (struct gr_config_view *view, int64_t sent_ms)
+{
+  view->failed_sent_ms = sent_ms;
+  view->needs_full_read = true;
+  schedule (view, RETRY_MS);
+}
+
+static void
+read_complete (struct gr_config_view *view)
+{
+  view->evacuations_changed |=
+      gr_evacuations_end_read (view->evacuations, view->read_as_of);
+  confirm_all (view, view->read_sent_ms);
+  view->watched_revision = MAX (view->watched_revision, view->read_as_of);
+  view->needs_full_read = view->config == NULL || view->read_again;
+  view->read_again = false;
+  schedule (view, view->config == NULL ? RETRY_MS : 0);
+  notify_evacuations (view);
+}
+
+/* A page that is said to be followed by more must have items; otherwise the
+ * read is incomplete. */
+static bool
+check_page (const struct gr_metastore_result *result, struct gr_error *error)
+{
+  if (!result->truncated || result->n_items > 0)
+    return true;
+  gr_error_set (error, GR_ERROR_PROTOCOL, "a page of the store is empty");
+  return false;
+}
+
 static void
-request_done (const struct gr_metastore_result *result,
-              const struct gr_error *error,
-              void *context)
+page_done (const struct gr_metastore_result *result,
+           const struct gr_error *error,
+           void *context)
 {
   struct gr_config_view *view = context;
+  struct gr_error malformed = GR_ERROR_INIT;
 
   if (error != NULL && error->kind == GR_ERROR_CANCELLED)
     return;
+  if (error == NULL && !check_page (result, &malformed))
+    error = &malformed;
   update_store_state (view, error);
   if (error != NULL)
     {
-      /* Changes may have been missed, so everything is read again. */
-      view->needs_full_read = true;
-      view->timer = g_timeout_add (RETRY_MS, on_timer, view);
+      view->reading = false;
+      view->read_again = false;
+      call_failed (view, view->page_sent_ms);
       return;
     }
-  for (size_t i = 0; i < result->n_items; i++)
-    gr_config_view_apply (view, &result->items[i], view->sent_ms);
-  if (view->config != NULL)
-    gr_config_view_confirm (view, view->sent_ms);
+  /* Changes after the first page are returned by the watch that follows. */
+  if (view->read_as_of == 0)
+    view->read_as_of = result->as_of;
+  apply_items (view, result, view->read_sent_ms);
+  if (result->truncated)
+    {
+      read_page (view, result->items[result->n_items - 1].key);
+      return;
+    }
+  view->reading = false;
+  read_complete (view);
+}
+
+static void
+read_page (struct gr_config_view *view, const char *after)
+{
+  struct gr_metastore_reply reply = { page_done, view };
+
+  view->page_sent_ms = gr_clock_now_ms (view->clock);
+  gr_metastore_range (view->store, gr_operator_prefix, after, false,
+                      READ_TIMEOUT_MS, reply);
+}
+
+static void
+start_read (struct gr_config_view *view)
+{
+  view->reading = true;
+  view->read_as_of = 0;
+  view->read_sent_ms = gr_clock_now_ms (view->clock);
+  gr_evacuations_begin_read (view->evacuations);
+  read_page (view, NULL);
+}
+
+void
+gr_config_view_refresh (struct gr_config_view *view)
+{
+  if (view->reading)
+    view->read_again = true;
+  else
+    start_read (view);
+}
+
+static void
+watch_done (const struct gr_metastore_result *result,
+            const struct gr_error *error,
+            void *context)
+{
+  struct gr_config_view *view = context;
+
+  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
+    return;
+  view->watching = false;
+  update_store_state (view, error);
+  if (error != NULL)
+    {
+      call_failed (view, view->watch_sent_ms);
+      return;
+    }
+  apply_items (view, result, view->watch_sent_ms);
+  confirm_all (view, view->watch_sent_ms);
   view->watched_revision = MAX (view->watched_revision, result->as_of);
-  view->needs_full_read = view->config == NULL;
-  view->timer =
-      g_timeout_add (view->needs_full_read ? RETRY_MS : 0, on_timer, view);
+  schedule (view, 0);
+  notify_evacuations (view);
 }
 
 static void
 send_request (struct gr_config_view *view)
 {
-  struct gr_metastore_reply reply = { request_done, view };
+  struct gr_metastore_reply reply = { watch_done, view };
 
-  view->sent_ms = gr_clock_now_ms (view->clock);
+  /* What is in flight schedules the next request when it ends. */
+  if (view->reading || (view->watching && !view->needs_full_read))
+    return;
   if (view->needs_full_read)
-    gr_metastore_range (view->store, gr_operator_prefix, NULL, false,
-                        READ_TIMEOUT_MS, reply);
-  else
-    gr_metastore_watch (view->store, gr_operator_prefix, view->watched_revision,
-                        WATCH_WAIT_MS, WATCH_TIMEOUT_MS, reply);
+    {
+      start_read (view);
+      return;
+    }
+  view->watching = true;
+  view->watch_sent_ms = gr_clock_now_ms (view->clock);
+  gr_metastore_watch (view->store, gr_operator_prefix, view->watched_revision,
+                      WATCH_WAIT_MS, WATCH_TIMEOUT_MS, reply);
 }
 
 struct gr_config_view *
@@ -183,6 +345,7 @@
   view->context = context;
   view->waves = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                        (GDestroyNotify)gr_wave_spec_destroy);
+  view->evacuations = gr_evacuations_create ();
   view->store_up_since_ms = INT64_MAX;
   view->needs_full_read = true;
   send_request (view);
@@ -198,6 +361,7 @@
     g_source_remove (view->timer);
   gr_cluster_config_destroy (view->config);
   g_hash_table_destroy (view->waves);
+  gr_evacuations_destroy (view->evacuations);
   g_free (view);
 }
 
@@ -218,3 +382,22 @@
 {
   return view->store_up_since_ms;
 }
+
+const struct gr_evacuations *
+gr_config_view_evacuations (const struct gr_config_view *view)
+{
+  return view->evacuations;
+}
+
+int64_t
+gr_config_view_evacuations_current_ms (const struct gr_config_view *view)
+{
+  return view->evacuations_current_ms;
+}
+
+bool
+gr_config_view_store_failed_since (const struct gr_config_view *view,
+                                   int64_t since_ms)
+{
+  return view->last_call_failed && view->failed_sent_ms >= since_ms;
+}
--- a/instance/config-view.h
+++ b/instance/config-view.h
@@ -1,9 +1,10 @@
-/* This instance's copy of the cluster configuration and of the upkeep waves
- * that the operator requests, kept up to date by a watch. Also tracks how old
- * the copy can be and whether the store answers. */
+/* This instance's copy of the cluster configuration, and of the upkeep waves
+ * and evacuations that the operator requests, kept up to date by a watch. Also
+ * tracks how old the copy can be and whether the store answers. */
 #pragma once
 
 #include "common/clock.h"
+#include "instance/evacuations.h"
 #include "platform/config.h"
 #include "platform/machines.h"
 #include "platform/metastore.h"
@@ -11,8 +12,9 @@
 struct gr_config_view;
 
 /* Starts to read and watch the configuration. changed is called after each
- * change of the configuration or of a wave. clock must outlive the view. The
- * store must be destroyed before the view, which ends the call in flight. */
+ * change of the configuration, a wave or an evacuation. clock must outlive the
+ * view. The store must be destroyed before the view, which ends the call in
+ * flight. */
 struct gr_config_view *gr_config_view_create (struct gr_metastore *store,
                                               const struct gr_clock *clock,
                                               void (*changed) (void *context),
@@ -38,9 +40,26 @@
                                               void *context),
                                void *context);
 
+/* Returns the evacuated data centres, owned by the view. */
+const struct gr_evacuations *
+gr_config_view_evacuations (const struct gr_config_view *view);
+
+/* Returns the last time (of clock, in ms) at which all requests to evacuate a
+ * data centre, and their deletions, were known; 0 if there is none. */
+int64_t
+gr_config_view_evacuations_current_ms (const struct gr_config_view *view);
+
+/* Returns true if the last call to the store failed, and a call that was sent
+ * at since_ms (time of clock) or later has failed. */
+bool gr_config_view_store_failed_since (const struct gr_config_view *view,
+                                        int64_t since_ms);
+
+/* Reads everything now instead of waiting for the watch. */
+void gr_config_view_refresh (struct gr_config_view *view);
+
 /* Applies an item that was read from the store at current_ms: a newer
- * configuration or a wave. Other items, and configurations older than the
- * current one, are ignored. */
+ * configuration, a wave or an evacuation. Other items, and those that are older
+ * than what is known, are ignored. */
 void gr_config_view_apply (struct gr_config_view *view,
                            const struct gr_metastore_item *item,
                            int64_t current_ms);
--- a/instance/instance.c
+++ b/instance/instance.c
@@ -157,6 +157,10 @@
   if (instance->owner != NULL)
     gr_owner_counts (instance->owner, &state.counts, &state.lateness);
   gr_metrics_set (instance->counters, &state);
+  gr_evacuations_set_metrics (gr_config_view_evacuations (instance->config),
+                              instance->settings->evacuate_ms > 0,
+                              gr_clock_now_ms (instance->clock),
+                              instance->counters);
 }
 
 static void
--- a/instance/metrics.c
+++ b/instance/metrics.c
@@ -49,6 +49,14 @@
   { "response_ms", "gauge", "",
     "Smoothed time in which workers answer the owner's calls, in milliseconds. "
     "More than a few tens mean that the owner's processor or link is full." },
+  { "starts_withdrawn_total", "counter", "",
+    "Starts that the owner has withdrawn because their data centre, or that of "
+    "another member of their gang, was evacuated." },
+  { "data_centres_evacuated", "gauge", "",
+    "Data centres that are evacuated, as far as this instance knows." },
+  { "data_centre_evacuated_ms", "gauge", "data_centre",
+    "Time since which the data centre has been known to be evacuated, in "
+    "milliseconds; 0 if it is back in use." },
   { "config_version", "gauge", "",
     "Version of the configuration that is in use." },
   { "config_age_ms", "gauge", "",
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -2,6 +2,7 @@
 
 #include "common/log.h"
 #include "instance/advice-calls.h"
+#include "instance/evacuation-control.h"
 #include "instance/expiry.h"
 #include "instance/owner-load.h"
 #include "instance/ownership.h"
@@ -53,6 +54,7 @@
   struct gr_upkeep *upkeep;
   struct gr_expiry *expiry;
   struct gr_advice_calls *advice;
+  struct gr_evacuation_control *evacuation;
   struct gr_worker_registry *registry;
   GHashTable *addresses; /* worker id -> IP:PORT, the last known address */
   bool loaded;
@@ -144,6 +146,7 @@
 
   if (!owner->loaded || !owner->registry_read || owner->superseded)
     return;
+  gr_evacuation_control_run (owner->evacuation);
   gr_steps_tick (owner->steps, gr_clock_now_ms (owner->deps.clock),
                  gr_clock_unix_ms ());
   gr_worker_io_run (owner->io);
@@ -226,6 +229,7 @@
   struct gr_steps_worker worker = {
     .id = entry->worker,
     .service = entry->service,
+    .data_centre = entry->data_centre,
     .rack = entry->rack,
     .labels = (const char *const *)entry->labels,
     .capacity = entry->capacity,
@@ -442,6 +446,7 @@
   const struct gr_cluster_config *config =
       gr_config_view_get (owner->deps.config);
 
+  gr_evacuation_control_run (owner->evacuation);
   if (config == NULL)
     return;
   for (size_t i = 0; i < config->n_queues; i++)
@@ -534,6 +539,7 @@
   owner->upkeep = gr_upkeep_create (deps, owner->steps, epoch, revision);
   owner->advice =
       gr_advice_calls_create (deps, owner->steps, schedule_pass, owner);
+  owner->evacuation = gr_evacuation_control_create (&owner->deps, owner->steps);
   gr_owner_config_changed (owner);
   owner->last_tick_ms = gr_clock_now_ms (deps->clock);
   owner->tick_timer = g_timeout_add (TICK_MS, on_tick, owner);
@@ -572,6 +578,7 @@
   gr_upkeep_destroy (owner->upkeep);
   gr_expiry_destroy (owner->expiry);
   gr_advice_calls_destroy (owner->advice);
+  gr_evacuation_control_destroy (owner->evacuation);
   gr_worker_io_destroy (owner->io);
   gr_progress_log_destroy (owner->log);
   gr_steps_destroy (owner->steps);
--- a/instance/owner.h
+++ b/instance/owner.h
@@ -37,7 +37,8 @@
 void gr_owner_job_changed (struct gr_owner *owner,
                            const char *id,
                            const struct gr_mirror_job *job);
-/* Passes queues and guarantees of the current configuration to the core. */
+/* Passes queues and guarantees of the current configuration, and the evacuated
+ * data centres, to the core. */
 void gr_owner_config_changed (struct gr_owner *owner);
 
 /* For metrics: the core's counts, and the recent lateness of the main loop. */
