tests, instance: evacuations in the configuration view and for an owner

The owner now requests that read whenever it begins to hold starts; before, a paused owner waited for the end of the next watch, up to one second.

--- a/instance/evacuation-control.c
+++ b/instance/evacuation-control.c
@@ -2,11 +2,10 @@
 
 #include "common/log.h"
 
-/* The knowledge of a running owner is at most 1,700 ms (timeout of a watch)
- * + 200 ms (pause) + the time of one read old while at most one watch is
- * silent. Starts are not held below this age, so that a silent watch delays
- * nothing. */
-#define MIN_HOLD_AGE_MS 2500
+/* Starts are not held below this age of the knowledge. While one watch is
+ * silent, it is 1,900 ms and the time of a read; while the store is silent, the
+ * last read that failed was sent at most 2,600 ms ago. */
+#define MIN_HOLD_AGE_MS 3000
 
 struct gr_evacuation_control
 {
@@ -70,6 +69,8 @@
   if (held == control->held)
     return;
   control->held = held;
+  if (held)
+    gr_config_view_refresh (control->deps->config);
   gr_steps_hold_starts (control->steps, held);
   g_snprintf (
       age, sizeof age, "%" G_GINT64_FORMAT,
@@ -104,8 +105,6 @@
   control->deps = deps;
   control->steps = steps;
   control->created_ms = gr_clock_now_ms (deps->clock);
-  if (deps->settings->evacuate_ms > 0)
-    gr_config_view_refresh (deps->config);
   return control;
 }
 
--- a/tests/test-evacuation.c
+++ b/tests/test-evacuation.c
@@ -108,10 +108,10 @@
 {
   struct steps_model *model = create_data_centres (3, 1);
 
+  steps_model_evacuate (model, "dc0", true);
   for (uint32_t i = PER_RACK + 4; i < 2 * PER_RACK + 4; i++)
     steps_model_set_data_centre (model, i, "dc0");
   steps_model_add_job (model, 1, "normal", "a", &steps_gang, 1, 500);
-  steps_model_evacuate (model, "dc0", true);
   steps_model_run (model, 300);
   ck_assert_int_ge (steps_model_start_delay_ms (model, 1), 0);
   steps_fixture_destroy (model);
@@ -148,14 +148,18 @@
 START_TEST (held_starts_wait)
 {
   struct steps_model *model = create_data_centres (1, 1);
+  struct gr_steps_counts counts;
 
   steps_model_add_job (model, 1, "urgent", "a", &steps_plain, 1, 500);
   steps_model_set_orders_per_tick (model, 0);
   steps_model_run (model, 20);
   gr_steps_hold_starts (steps_model_core (model), true);
   steps_model_set_orders_per_tick (model, UINT32_MAX);
+  steps_model_add_job (model, 2, "urgent", "a", &steps_plain, 1, 500);
   steps_model_run (model, 500);
   ck_assert_uint_eq (steps_model_starts (model, 1), 0);
+  gr_steps_counts (steps_model_core (model), &counts);
+  ck_assert_uint_eq (counts.tasks_waiting, steps_plain.count);
   gr_steps_hold_starts (steps_model_core (model), false);
   steps_model_run (model, 3000);
   ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
