tests, standins: evacuations in the soak test of instances

The stand-in's workers are in three data centres, and it counts starts that take effect later than 5 s after the request to evacuate theirs. The soak test evacuates and restores data centres at random and checks that count.

--- a/standins/metastore.c
+++ b/standins/metastore.c
@@ -5,10 +5,14 @@
 
 #include <string.h>
 
-/* Number of past changes that a watch can start from. */
+/* Time after the request to evacuate a data centre at which nothing may be
+ * started there any more. */
+#define EVACUATE_MS 5000
+
 /* A silenced watch is closed after this time. */
 #define SILENT_WATCH_MS 30000
 
+/* Number of past changes that a watch can start from. */
 #define MAX_HISTORY_CHANGES 5000
 
 #define EXPIRE_INTERVAL_MS 50
@@ -21,6 +25,7 @@
   char *value;      /* base64, as it was sent */
   int64_t revision; /* of the last write */
   int64_t create_revision;
+  int64_t created_ms;
   int64_t lease; /* 0: none */
 };
 
@@ -65,6 +70,7 @@
   uint64_t sequence;       /* number of the last heartbeat */
   GHashTable *done;        /* task -> number of runs with outcome "done" */
   uint32_t duplicate_runs; /* counted again by each check */
+  uint32_t late_starts;    /* in evacuated data centres; the same */
 };
 
 static int64_t
@@ -157,6 +163,7 @@
       item = g_new0 (struct item, 1);
       item->key = g_strdup (key);
       item->create_revision = platform->revision;
+      item->created_ms = now_ms ();
       g_tree_insert (platform->items, item->key, item);
     }
   g_free (item->value);
@@ -604,6 +611,7 @@
 
   json_object_set_int_member (answer, "revision", platform->revision);
   json_object_set_int_member (answer, "doubles", platform->duplicate_runs);
+  json_object_set_int_member (answer, "late_starts", platform->late_starts);
   json_object_set_int_member (answer, "done_twice",
                               count_done_twice (platform));
   json_object_set_int_member (answer, "done",
@@ -611,13 +619,21 @@
 }
 
 /* Writes a key if the body has the member "put", for example
- * {"put":{"key":"op/config","text":"..."}}. */
+ * {"put":{"key":"op/config","text":"..."}}, and removes one if it has the
+ * member "remove", such as {"remove":"op/evacuate/dc1"}. */
 static bool
 control (JsonObject *body, void *context)
 {
   struct gr_standin_platform *platform = context;
   JsonObject *put = NULL;
+  const char *removed = gr_json_peek_string (body, "remove");
 
+  if (removed != NULL)
+    {
+      platform->revision++;
+      remove_item (platform, removed);
+      notify_watchers (platform);
+    }
   if (!gr_json_get_object (body, "put", &put))
     return false;
   if (put == NULL)
@@ -689,6 +705,24 @@
         gr_platform_worker_add_running (platform->workers->pdata[i], running);
 }
 
+/* Adds the active runs that were started too late in an evacuated data centre
+ * to late_starts. */
+static void
+count_late_starts (struct gr_standin_platform *platform)
+{
+  for (guint i = 0; i < platform->workers->len; i++)
+    {
+      const struct gr_platform_worker *worker = platform->workers->pdata[i];
+      g_autofree char *key = g_strconcat (
+          "op/evacuate/", gr_platform_worker_data_centre (worker), NULL);
+      const struct item *item = g_tree_lookup (platform->items, key);
+
+      if (item != NULL)
+        platform->late_starts += gr_platform_worker_started_after (
+            worker, item->created_ms + EVACUATE_MS);
+    }
+}
+
 static gboolean
 check_leases_and_runs (gpointer data)
 {
@@ -697,6 +731,7 @@
   void *value;
 
   count_duplicate_runs (platform);
+  count_late_starts (platform);
   g_hash_table_iter_init (&iter, platform->leases);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((struct lease *)value)->expires_ms <= now_ms ())
--- a/standins/platform-worker.c
+++ b/standins/platform-worker.c
@@ -6,6 +6,7 @@
 
 #define DEFAULT_RUN_MS 200
 #define CHECK_INTERVAL_MS 10
+#define DATA_CENTRES 3
 
 /* Time that a run takes to stop. */
 #define STOP_DELAY_MS 20
@@ -39,6 +40,7 @@
   char *address;
   int64_t down_until_ms; /* after a crash */
   char *id;
+  char *data_centre;
   char *rack;
   struct gr_standin_platform_settings settings;
   int64_t started_unix_ms;
@@ -480,13 +482,14 @@
                            struct gr_error *error)
 {
   struct gr_platform_worker *worker = g_new0 (struct gr_platform_worker, 1);
+  uint32_t rack = number / MAX (settings->per_rack, 1);
 
   if (waiting_polls == NULL)
     waiting_polls = g_hash_table_new (NULL, NULL);
   worker->settings = *settings;
   worker->id = g_strdup_printf ("i-%04u", number);
-  worker->rack =
-      g_strdup_printf ("r1-%u", number / MAX (settings->per_rack, 1));
+  worker->rack = g_strdup_printf ("r1-%u", rack);
+  worker->data_centre = g_strdup_printf ("dc%u", rack % DATA_CENTRES + 1);
   worker->started_unix_ms = g_get_real_time () / 1000;
   worker->runs = g_ptr_array_new_with_free_func (run_free);
   worker->ends = g_ptr_array_new_with_free_func (run_end_free);
@@ -522,6 +525,7 @@
   g_hash_table_destroy (worker->starts);
   g_free (worker->address);
   g_free (worker->id);
+  g_free (worker->data_centre);
   g_free (worker->rack);
   g_free (worker);
 }
@@ -543,16 +547,33 @@
                                    uint64_t sequence)
 {
   return g_strdup_printf (
-      "{\"service\":\"render\",\"address\":\"%s\",\"zone\":\"dc1\","
+      "{\"service\":\"render\",\"address\":\"%s\",\"zone\":\"%s\","
       "\"config-version\":\"v1\",\"slots\":8,\"state\":\"ready\","
       "\"cold-left-ms\":0,\"capacity\":{\"cpu\":%u,\"mem-mb\":%u,\"gpu\":%u},"
       "\"labels\":[\"a\",\"%s\"],\"born\":%" G_GINT64_FORMAT
       ",\"sequence\":%" G_GUINT64_FORMAT "}",
-      worker->address, worker->settings.cores * 1000,
+      worker->address, worker->data_centre, worker->settings.cores * 1000,
       worker->settings.memory_mb, worker->settings.accelerators, worker->rack,
       worker->started_unix_ms, sequence);
 }
 
+const char *
+gr_platform_worker_data_centre (const struct gr_platform_worker *worker)
+{
+  return worker->data_centre;
+}
+
+uint32_t
+gr_platform_worker_started_after (const struct gr_platform_worker *worker,
+                                  int64_t after_ms)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < worker->runs->len; i++)
+    n += ((struct run *)worker->runs->pdata[i])->started_ms > after_ms;
+  return n;
+}
+
 uint32_t
 gr_platform_worker_add_running (const struct gr_platform_worker *worker,
                                 GHashTable *tasks)
--- a/standins/platform-worker.h
+++ b/standins/platform-worker.h
@@ -3,7 +3,8 @@
  * run: "run_ms=500" sets the run time in ms (default 200), "fail" makes the run
  * end as failed, and "crash_ms=10" crashes the worker 10 ms after the start. A
  * worker that has crashed refuses connections for 3 s and then returns, at the
- * same address, as a new incarnation without runs. */
+ * same address, as a new incarnation without runs. Three racks in turn are in
+ * the data centres dc1, dc2 and dc3. */
 #pragma once
 
 #include "standins/metastore.h"
@@ -32,6 +33,16 @@
 gr_platform_worker_registry_value (const struct gr_platform_worker *worker,
                                    uint64_t sequence);
 
+/* Returns the data centre of the worker, owned by the worker. */
+const char *
+gr_platform_worker_data_centre (const struct gr_platform_worker *worker);
+
+/* Returns the number of active runs that were started after this time, in ms of
+ * the monotonic clock. */
+uint32_t
+gr_platform_worker_started_after (const struct gr_platform_worker *worker,
+                                  int64_t after_ms);
+
 /* Adds the running tasks to the set tasks. Returns how many of them it already
  * contained. The strings in the set are owned by the worker. */
 uint32_t
--- a/tests/test-process-instance.c
+++ b/tests/test-process-instance.c
@@ -10,9 +10,10 @@
 #include <unistd.h>
 
 /* Soak test of instance processes against the stand-in of the users' platform.
- * Instances are killed, paused, stopped and restarted at random by a seed, and
- * the stand-in checks whether a task runs twice. GR_SOAK_SEED and GR_SOAK_S
- * set the seed and the duration in seconds. */
+ * Instances are killed, paused, stopped and restarted at random by a seed, data
+ * centres are evacuated and restored, and the stand-in checks whether a task
+ * runs twice or starts late in an evacuated data centre. GR_SOAK_SEED and
+ * GR_SOAK_S set the seed and the duration in seconds. */
 
 #define INSTANCES 3
 #define DEFAULT_DURATION_S 12
@@ -66,7 +67,7 @@
       "[instance]\nname = i%d\ndata_centre = dc1\n"
       "client_address = 127.0.0.1:%u\nready_address = 127.0.0.1:%u\n"
       "metrics_address = 127.0.0.1:%u\n[platform]\n"
-      "store_address = 127.0.0.1:%u\n",
+      "store_address = 127.0.0.1:%u\n[bounds]\nevacuate_ms = 5000\n",
       i, fixture->port + 10 + (guint)i * 3, fixture->port + 11 + (guint)i * 3,
       fixture->port + 12 + (guint)i * 3, fixture->port);
   char *args[] = { program, (char *)"--settings", file, NULL };
@@ -209,6 +210,19 @@
     g_free (id);
 }
 
+static void
+evacuate (struct fixture *fixture, int data_centre, bool evacuated)
+{
+  g_autofree char *control =
+      g_strdup_printf ("http://127.0.0.1:%u/control", fixture->port);
+  g_autofree char *body = g_strdup_printf (
+      evacuated ? "{\"put\":{\"key\":\"op/evacuate/dc%d\",\"text\":\"\"}}"
+                : "{\"remove\":\"op/evacuate/dc%d\"}",
+      data_centre);
+
+  ck_assert_uint_eq (call (fixture, "POST", control, body, NULL), 200);
+}
+
 static void
 inject_fault (struct fixture *fixture)
 {
@@ -283,7 +297,8 @@
 }
 
 /* Guards against accepted jobs that are lost or run twice when their owner is
- * killed, paused or stopped, also beside tasks that crash their workers. */
+ * killed, paused or stopped, also beside tasks that crash their workers, and
+ * against starts in data centres that are evacuated. */
 START_TEST (accepted_jobs_finish_once)
 {
   const char *seed_text = g_getenv ("GR_SOAK_SEED");
@@ -301,10 +316,15 @@
       submit (&fixture);
       if (g_rand_int_range (fixture.rand, 0, JOBS_PER_S) == 0)
         inject_fault (&fixture);
+      if (g_rand_int_range (fixture.rand, 0, JOBS_PER_S * 3) == 0)
+        evacuate (&fixture, g_rand_int_range (fixture.rand, 1, 4),
+                  g_rand_int_range (fixture.rand, 0, 3) > 0);
       g_usleep (G_USEC_PER_SEC / JOBS_PER_S);
     }
   for (int i = 0; i < INSTANCES; i++)
     kill (fixture.instances[i], SIGCONT);
+  for (int i = 1; i <= 3; i++)
+    evacuate (&fixture, i, false);
   for (int i = 0;
        i < SETTLE_S
        && (completed < fixture.ids->len || failed < fixture.crashing->len);
@@ -324,6 +344,9 @@
   ck_assert_msg (control_count (&fixture, "doubles") == 0,
                  "seed %u: two runs of a task overlapped, logs in %s", seed,
                  fixture.folder);
+  ck_assert_msg (control_count (&fixture, "late_starts") == 0,
+                 "seed %u: started in an evacuated data centre, logs in %s",
+                 seed, fixture.folder);
   ck_assert_msg (control_count (&fixture, "done_twice") == 0,
                  "seed %u: a task completed twice, logs in %s", seed,
                  fixture.folder);
