--- a/steps/evacuation.c
+++ b/steps/evacuation.c
@@ -173,7 +173,8 @@
 void
 gr_evacuation_tick (struct gr_steps *steps)
 {
-  if (g_hash_table_size (steps->evacuated) == 0)
+  steps->all_evacuated = g_hash_table_size (steps->evacuated) > 0;
+  if (!steps->all_evacuated)
     return;
   for (guint i = 0; i < steps->worker_rows->len; i++)
     {
@@ -181,6 +182,8 @@
 
       if (worker->evacuated)
         move_lasting_tasks (steps, worker);
+      else if (worker->registered)
+        steps->all_evacuated = false;
     }
 }
 
--- a/steps/place.c
+++ b/steps/place.c
@@ -571,7 +571,8 @@
       struct step *step = g_array_index (ranked, struct ranked_step, i).step;
       bool placed;
 
-      if (abort_incomplete_gang (steps, step) || !may_queue_start (steps, step))
+      if (abort_incomplete_gang (steps, step) || steps->all_evacuated
+          || !may_queue_start (steps, step))
         continue;
       if (is_known_not_to_fit (steps, step, failed))
         {
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -214,7 +214,8 @@
   uint64_t sequence;
   uint64_t committed; /* changes up to this sequence number are durable */
   bool fenced;
-  GHashTable *evacuated;         /* names of data centres */
+  GHashTable *evacuated; /* names of data centres */
+  bool all_evacuated; /* there is an evacuation, and no worker outside of it */
   int64_t evacuation_changed_ms; /* when `evacuated` last changed; 0: never */
   uint32_t starts_withdrawn;     /* not taken yet */
   bool starts_held;              /* see gr_steps_hold_starts () */
@@ -379,7 +380,8 @@
  * centre. */
 void gr_evacuation_update_worker (struct gr_steps *steps,
                                   struct worker *worker);
-/* Moves lasting tasks away from evacuated data centres. */
+/* Moves lasting tasks away from evacuated data centres, and updates
+ * all_evacuated. */
 void gr_evacuation_tick (struct gr_steps *steps);
 
 /* Placement. */
