--- a/instance/evacuation-control.h
+++ b/instance/evacuation-control.h
@@ -7,8 +7,8 @@
 struct gr_evacuation_control;
 
 /* The first run requests a full read of the evacuations; starts are held until
- * it, or a watch that was sent later, has ended. deps and steps must outlive the
- * returned object. */
+ * it, or a watch that was sent later, has ended. deps and steps must outlive
+ * the returned object. */
 struct gr_evacuation_control *
 gr_evacuation_control_create (const struct gr_owner_deps *deps,
                               struct gr_steps *steps);
--- a/tests/test-evacuation.c
+++ b/tests/test-evacuation.c
@@ -202,7 +202,7 @@
   for (uint32_t i = 1; i <= 80; i++)
     {
       add_random_job (model, rand, i);
-      steps_model_run (model, g_rand_int_range (rand, 1, 20) * 20);
+      steps_model_run (model, (int64_t)g_rand_int_range (rand, 1, 20) * 20);
       g_snprintf (name, sizeof name, "dc%d", g_rand_int_range (rand, 0, 3));
       steps_model_evacuate (model, name, g_rand_int_range (rand, 0, 3) == 0);
       if (i % 40 == 0)
