instance: a state call waits a moment for the end of the job

The end is durable after some ten milliseconds and in the mirror of another instance after up to 250 ms, so most clients learned of it 0.27 to 0.54 s late. Urgent jobs are due 0.25 s and half of their run time after they could have ended.

--- a/instance/call.c
+++ b/instance/call.c
@@ -489,6 +489,29 @@
                     (struct gr_metastore_reply){ progress_read_done, call });
 }
 
+/* Waits at the store for a change of the job's progress. Clients ask as soon as
+ * their job has ended, some ten milliseconds before its progress is durable and
+ * up to a quarter of a second before the mirror shows it; without the wait they
+ * learn of it with their next call. */
+static void
+wait_for_progress (struct call *call)
+{
+  g_autofree char *key = gr_record_key (GR_RECORD_PROGRESS, call->job_id);
+  uint32_t timeout_ms = attempt_timeout_ms (call);
+  uint32_t wait_ms = MIN (call->deps->settings->state_wait_ms, timeout_ms / 2);
+
+  gr_metastore_watch (call->deps->store, key,
+                      gr_mirror_watched_revision (call->deps->mirror), wait_ms,
+                      MIN (timeout_ms, wait_ms + PROGRESS_TIMEOUT_MS),
+                      (struct gr_metastore_reply){ progress_read_done, call });
+}
+
+static bool
+may_change (const struct gr_mirror_job *job)
+{
+  return job->progress.state < GR_JOB_COMPLETED && job->cancel_revision == 0;
+}
+
 static void
 show_state (struct call *call)
 {
@@ -503,6 +526,12 @@
       read_progress (call);
       return;
     }
+  if (job != NULL && may_change (job) && call->deps->settings->state_wait_ms > 0
+      && !store_is_unresponsive (call))
+    {
+      wait_for_progress (call);
+      return;
+    }
   if (job != NULL)
     {
       respond_state (call, job);
--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -634,6 +634,12 @@
   return mirror->current_ms;
 }
 
+int64_t
+gr_mirror_watched_revision (const struct gr_mirror *mirror)
+{
+  return mirror->watched_revision;
+}
+
 const struct gr_mirror_job *
 gr_mirror_find (const struct gr_mirror *mirror, const char *id)
 {
--- a/instance/mirror.h
+++ b/instance/mirror.h
@@ -55,6 +55,9 @@
  * was sent; the mirror was up to date at that time. */
 int64_t gr_mirror_current_ms (const struct gr_mirror *mirror);
 
+/* Returns the revision of the store up to which the mirror has all changes. */
+int64_t gr_mirror_watched_revision (const struct gr_mirror *mirror);
+
 /* Returns the number of jobs in the mirror. */
 uint32_t gr_mirror_size (const struct gr_mirror *mirror);
 
--- a/instance/reload.c
+++ b/instance/reload.c
@@ -52,6 +52,7 @@
   settings->far_factor = changed->far_factor;
   settings->evacuate_ms = changed->evacuate_ms;
   settings->stop_ms = changed->stop_ms;
+  settings->state_wait_ms = changed->state_wait_ms;
   replace (&settings->run_times, changed->run_times);
   replace (&settings->speeds, changed->speeds);
   replace (&settings->objectives, changed->objectives);
--- a/settings/document.h
+++ b/settings/document.h
@@ -60,6 +60,7 @@
   uint32_t heartbeat_ms;  /* [platform] */
   double cpu_share;       /* [instance] in cores */
   double far_factor;      /* [bounds] */
+  uint32_t state_wait_ms; /* [clients] */
   uint32_t evacuate_ms;   /* [bounds]; 0: no requests to evacuate */
   uint32_t stop_ms;       /* [bounds] */
   char *run_times;        /* [learning]; for gr_mode_from_name () */
--- a/settings/keys.c
+++ b/settings/keys.c
@@ -117,6 +117,10 @@
     "operator evacuates; 0: requests to evacuate are ignored." },
   { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "bounds", "stop_ms", "ms", 0, 60000,
     NULL, "200", INSTANCE (stop_ms), "Longest time that the stop of a run takes." },
+  { GR_DOCUMENT_INSTANCE, GR_KEY_UINT, "clients", "state_wait_ms", "ms", 0,
+    10000, NULL, "0", INSTANCE (state_wait_ms),
+    "Time for which a request for the state of a job that has not ended waits "
+    "for a change; 0: it is answered at once." },
   { GR_DOCUMENT_INSTANCE, GR_KEY_CHOICE, "learning", "run_times", "", 0, 0,
     MODES, "off", INSTANCE (run_times),
     "Whether run times are learned from finished runs and replace estimates." },
--- a/tests/test-clients.c
+++ b/tests/test-clients.c
@@ -168,7 +168,7 @@
 }
 
 static void
-call (struct fixture *fixture, const char *method, const char *body)
+send_call (struct fixture *fixture, const char *method, const char *body)
 {
   g_autofree char *url =
       g_strdup_printf ("http://%s/a/%s", fixture->address, job_id);
@@ -185,7 +185,14 @@
   };
 
   fixture->answered = false;
+  fixture->body[0] = '\0';
   gr_http_call (fixture->http, &request, response_done, fixture);
+}
+
+static void
+call (struct fixture *fixture, const char *method, const char *body)
+{
+  send_call (fixture, method, body);
   wait_until (fixture, is_answered);
 }
 
@@ -267,6 +274,54 @@
 }
 END_TEST
 
+static bool
+three_watches_wait (struct fixture *fixture)
+{
+  return gr_standin_platform_waiting_watches (fixture->platform) == 3;
+}
+
+/* Guards against a client that learns of the end of its job only with its next
+ * call, because its call arrived a moment before the end was recorded. */
+START_TEST (state_call_waits_for_the_end_of_the_job)
+{
+  struct fixture fixture;
+
+  fixture_create (&fixture);
+  fixture.settings.state_wait_ms = 5000;
+  submit (&fixture);
+  wait_until (&fixture, both_watches_wait);
+  send_call (&fixture, "GET", NULL);
+  wait_until (&fixture, three_watches_wait);
+  ck_assert (!fixture.answered);
+  write_progress (&fixture, GR_JOB_COMPLETED);
+  fixture.answered = fixture.body[0] != '\0';
+  wait_until (&fixture, is_answered);
+  ck_assert_msg (strstr (fixture.body, "completed") != NULL, "%s",
+                 fixture.body);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Guards against a state call that waits longer than the settings allow, or
+ * that fails because nothing changes. */
+START_TEST (state_call_is_answered_without_a_change)
+{
+  struct fixture fixture;
+  int64_t sent_ms;
+
+  fixture_create (&fixture);
+  fixture.settings.state_wait_ms = 100;
+  submit (&fixture);
+  sent_ms = gr_clock_now_ms (fixture.clock);
+  call (&fixture, "GET", NULL);
+  ck_assert_uint_eq (fixture.status, 200);
+  ck_assert_ptr_nonnull (strstr (fixture.body, "queued"));
+  ck_assert_int_ge (gr_clock_now_ms (fixture.clock) - sent_ms, 100);
+  ck_assert_int_lt (gr_clock_now_ms (fixture.clock) - sent_ms, 1500);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -279,6 +334,8 @@
   tcase_set_timeout (tests, 30);
   tcase_add_test (tests, state_is_read_while_the_watch_is_silent);
   tcase_add_test (tests, last_known_state_is_shown_without_the_store);
+  tcase_add_test (tests, state_call_waits_for_the_end_of_the_job);
+  tcase_add_test (tests, state_call_is_answered_without_a_change);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
