--- a/instance/call.c
+++ b/instance/call.c
@@ -31,6 +31,11 @@
  * state is sent. */
 #define PROGRESS_TIMEOUT_MS 400
 
+/* A call that waits for a change gives up this long after its wait. The store
+ * answers within some milliseconds, and the last known state is better than an
+ * answer that comes after the client could have asked again. */
+#define STATE_WAIT_MARGIN_MS 100
+
 struct call
 {
   const struct gr_clients_deps *deps;
@@ -502,7 +507,7 @@
 
   gr_metastore_watch (call->deps->store, key,
                       gr_mirror_watched_revision (call->deps->mirror), wait_ms,
-                      MIN (timeout_ms, wait_ms + PROGRESS_TIMEOUT_MS),
+                      MIN (timeout_ms, wait_ms + STATE_WAIT_MARGIN_MS),
                       (struct gr_metastore_reply){ progress_read_done, call });
 }
 
