steps: learn run times and speeds from runs

Placement and order had no reliable figure for how long a task runs: the client's estimate is up to 10 times too low, and workers differ in speed.

steps/samples.c selects the runs to learn from and feeds the models of learn/. With both modes off nothing changes.

--- a/steps/core.c
+++ b/steps/core.c
@@ -1,4 +1,4 @@
-#include "steps/tables.h"
+#include "steps/samples.h"
 
 #include <string.h>
 
@@ -44,6 +44,7 @@
     g_queue_init (&steps->orders[i]);
   g_queue_init (&steps->changed);
   g_queue_init (&steps->advice_requests);
+  gr_samples_init (steps);
   return steps;
 }
 
@@ -63,6 +64,7 @@
     g_queue_clear_full (&steps->orders[i], g_free);
   g_queue_clear (&steps->changed);
   g_queue_clear_full (&steps->advice_requests, g_free);
+  gr_samples_clear (steps);
   g_free (steps);
 }
 
@@ -223,6 +225,7 @@
   gr_orders_tick (steps);
   gr_leaving_tick (steps);
   gr_gangs_tick (steps);
+  gr_samples_tick (steps);
   gr_place_tick (steps);
 }
 
--- a/steps/job.c
+++ b/steps/job.c
@@ -1,4 +1,4 @@
-#include "steps/tables.h"
+#include "steps/samples.h"
 
 #include <string.h>
 
@@ -27,6 +27,7 @@
       step->n_tasks = spec->steps[i].count;
       step->n_waiting = step->n_tasks;
       step->tasks = g_new0 (struct task, step->n_tasks);
+      step->forecasts = g_new0 (struct step_forecast, GR_FORECAST_QUANTILES);
       for (uint32_t k = 0; k < step->n_tasks; k++)
         {
           step->tasks[k].step = step;
@@ -49,6 +50,7 @@
         g_free (step->tasks[k].checkpoint);
       g_clear_pointer (&step->advice, g_hash_table_destroy);
       g_free (step->tasks);
+      g_free (step->forecasts);
     }
   g_free (occurrence->steps);
   g_free (occurrence);
@@ -114,6 +116,8 @@
   job->final_sequence = steps->sequence;
   if (state != GR_JOB_COMPLETED)
     stop_all (steps, job);
+  else
+    gr_samples_log_job (job);
 }
 
 int64_t
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -1,4 +1,4 @@
-#include "steps/tables.h"
+#include "steps/samples.h"
 
 #include "common/log.h"
 
@@ -122,6 +122,7 @@
   task->first_percent_ms = 0;
   task->pace = 100;
   task->usage = 0;
+  gr_samples_begin_run (task, start_checkpoint (task));
   send_start (steps, task);
   gr_task_job (task)->started = true;
 }
@@ -266,6 +267,7 @@
       break;
     case GR_ORDER_NOT_SENT:
       worker->reachable = false;
+      gr_samples_disturb_worker (worker, GR_SAMPLE_SILENT);
       break;
     case GR_ORDER_RUN_TOO_OLD:
       gr_worker_request_poll (steps, worker);
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -1,4 +1,4 @@
-#include "steps/tables.h"
+#include "steps/samples.h"
 
 #include "common/log.h"
 
@@ -108,7 +108,10 @@
       gr_order_stop_run (steps, worker, name, task->run);
     }
   if (current_run)
-    gr_task_unassign (task);
+    {
+      gr_samples_run_done (steps, task);
+      gr_task_unassign (task);
+    }
   if (step->spec->gang)
     set_gang_done (steps, step);
   else
@@ -159,6 +162,7 @@
     }
   if (!current_run)
     return;
+  gr_samples_reject (steps, GR_SAMPLE_NOT_DONE);
   gr_task_release (steps, task);
   if (task->step->spec->gang)
     gr_gang_abort (steps, task->step);
@@ -187,6 +191,7 @@
   task->first_percent_ms = 0;
   task->pace = GR_PACE_UNKNOWN;
   task->usage = running->usage;
+  task->reject = GR_SAMPLE_ADOPTED;
   task->start_sent = true;
   gr_task_job (task)->started = true;
   if (gr_job_is_final (gr_task_job (task)))
@@ -215,6 +220,8 @@
       task->percent = running->percent;
       task->percent_ms = steps->now_ms;
     }
+  task->seen_ms = steps->now_ms;
+  gr_samples_run_seen (steps, task);
 }
 
 /* A released run has ended, even if an outdated reply still reports it. */
@@ -285,6 +292,7 @@
       if (is_reported (report, name, task->run))
         continue;
       gr_log_event ("run-missing", "task", name, "worker", worker->id, NULL);
+      gr_samples_reject (steps, GR_SAMPLE_NOT_DONE);
       gr_task_release (steps, task);
       if (task->step->spec->gang)
         gr_gang_abort (steps, task->step);
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -6,6 +6,8 @@
 #pragma once
 
 #include "common/mode.h"
+#include "learn/run-times.h"
+#include "learn/speeds.h"
 #include "steps/look.h"
 #include "steps/spec.h"
 
@@ -338,3 +340,58 @@
 };
 void gr_steps_counts (const struct gr_steps *steps,
                       struct gr_steps_counts *counts);
+
+/* Learned run times and speeds; see docs/design/learning.md. */
+
+/* Why nothing was learned from a run. */
+enum gr_sample_reject
+{
+  GR_SAMPLE_ACCEPTED,
+  GR_SAMPLE_NOT_DONE,      /* failed, stopped, broken, lapsed or crashed */
+  GR_SAMPLE_KIND,          /* a lasting or filler task */
+  GR_SAMPLE_ADOPTED,       /* started by a former owner */
+  GR_SAMPLE_RESUMED,       /* from a checkpoint */
+  GR_SAMPLE_START_UNCLEAR, /* its start was ordered more than once */
+  GR_SAMPLE_FAR,           /* not on the rack of its data */
+  GR_SAMPLE_SPREAD,        /* a gang for one rack that ran on several racks */
+  GR_SAMPLE_SILENT,        /* its worker did not answer */
+  GR_SAMPLE_DRAINING,      /* its worker was about to leave */
+  GR_SAMPLE_REASONS,
+};
+
+/* Name of the reason for logs and metrics; static. */
+const char *gr_sample_reject_name (enum gr_sample_reject reason);
+
+struct gr_steps_learning
+{
+  uint64_t run_time_samples;
+  uint64_t speed_samples;
+  uint64_t rejected[GR_SAMPLE_REASONS];
+  uint32_t keys; /* models of run times */
+  bool uneven;
+  struct gr_speeds_summary speeds;
+  /* Recent mean of the absolute natural logarithm of true to predicted time. */
+  double estimate_error;
+  double forecast_error;
+};
+/* Zero for what is not learned. */
+void gr_steps_learning (const struct gr_steps *steps,
+                        struct gr_steps_learning *learning);
+
+/* Call visit for each row of the tables; no calls if nothing is learned. */
+void gr_steps_each_learned_run_time (
+    const struct gr_steps *steps,
+    void (*visit) (const struct gr_run_time_row *row, void *context),
+    void *context);
+void gr_steps_each_learned_speed (const struct gr_steps *steps,
+                                  void (*visit) (const struct gr_speed_row *row,
+                                                 void *context),
+                                  void *context);
+/* Restore a row that a former owner has stored. Return false if a value is out
+ * of range; true without effect if the table is not learned. */
+bool gr_steps_restore_run_time (struct gr_steps *steps,
+                                const struct gr_run_time_row *row);
+bool gr_steps_restore_speed (struct gr_steps *steps,
+                             const struct gr_speed_row *row);
+/* Discards all that was learned. */
+void gr_steps_reset_learned (struct gr_steps *steps);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -50,6 +50,8 @@
   uint32_t quarantine_ms;
   uint32_t pace; /* percent of processor time that filler tasks may use here */
   int64_t pace_changed_ms;
+  double slowness;        /* learned; 1.0 if unknown or the workers are alike */
+  uint32_t speed_samples; /* of this incarnation, from tasks outside gangs */
 };
 
 /* Pace of an adopted run: a former owner may have changed it. */
@@ -101,6 +103,11 @@
   uint32_t usage; /* from the last poll, see struct gr_run_status */
   uint32_t pace;  /* percent that the worker has acknowledged */
   int64_t pace_sent_ms;
+  int64_t seen_ms; /* when a report last listed the run; 0: never */
+  enum gr_sample_reject reject; /* why its run teaches nothing */
+  bool speed_sampled;           /* the run has given its sample of speed */
+  double total_ms; /* of the run that completed it, on a worker of slowness 1.0;
+                      0: unknown */
 };
 
 /* Advice on whether a worker may run a step. */
@@ -112,6 +119,16 @@
   int64_t until_ms;            /* expiry of the ticket */
 };
 
+/* Forecast for one quantile of a step's run times. */
+struct step_forecast
+{
+  double quantile;
+  int64_t run_ms; /* 0: not computed */
+  int64_t computed_ms;
+};
+
+#define GR_FORECAST_QUANTILES 2
+
 struct step
 {
   struct occurrence *occurrence;
@@ -132,6 +149,7 @@
   int64_t rack_fit_checked_ms; /* when fits_rack was last computed; 0: never */
   bool suspected;              /* workers have crashed under one of its tasks */
   bool fits_rack; /* some rack is large enough for the whole gang */
+  struct step_forecast *forecasts; /* cache, GR_FORECAST_QUANTILES entries */
 };
 
 struct occurrence
@@ -159,6 +177,15 @@
   GPtrArray *occurrences;
   uint32_t n_complete;
   uint32_t active; /* number of tasks assigned to workers */
+  /* Sums over the runs that run times were learned from. */
+  struct
+  {
+    uint32_t runs;
+    double estimate_ms;
+    double forecast_ms; /* on a worker of slowness 1.0 */
+    double ran_ms;
+    double slowness;
+  } learned;
 };
 
 struct queue
@@ -170,6 +197,7 @@
   uint32_t objective_ms;
   double stretch;
   bool needs_advice;
+  uint32_t run_time_samples; /* of its jobs, accepted by this owner */
 };
 
 struct account
@@ -188,6 +216,16 @@
   ORDER_RANKS,
 };
 
+/* What is learned from runs; see samples.c. */
+struct samples
+{
+  struct gr_run_times *run_times; /* NULL: not learned */
+  struct gr_speeds *speeds;       /* NULL: not learned */
+  bool slowness_stale;            /* struct worker holds former figures */
+  int64_t updated_ms;
+  struct gr_steps_learning counts;
+};
+
 struct gr_steps
 {
   struct gr_steps_settings settings;
@@ -214,6 +252,7 @@
   bool fenced;
   bool mostly_free;    /* at least half of the accelerators are free */
   bool all_runs_known; /* no inherited job can have a run that was not seen */
+  struct samples samples;
 };
 
 /* Tasks. */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -1,4 +1,4 @@
-#include "steps/tables.h"
+#include "steps/samples.h"
 
 #include "common/log.h"
 
@@ -85,6 +85,7 @@
       g_snprintf (run, sizeof run, "%u", task->run);
       gr_log_event ("run-lost", "task", name, "run", run, "worker", worker->id,
                     "reason", reason, NULL);
+      gr_samples_reject (steps, GR_SAMPLE_NOT_DONE);
       gr_task_release (steps, task);
       if (crashed)
         gr_crash_record (steps, worker, task);
@@ -111,6 +112,7 @@
   worker->quarantine_until_ms = 0;
   worker->quarantine_ms = 0;
   worker->lease_until_ms = 0;
+  gr_samples_forget_worker (steps, worker);
 }
 
 void
@@ -147,6 +149,8 @@
   worker->reachable = true;
   gr_worker_request_poll (steps, worker);
   worker->pace = 100;
+  worker->slowness = 1.0;
+  steps->samples.slowness_stale = true;
   g_hash_table_insert (steps->workers, worker->id, worker);
   g_ptr_array_add (steps->worker_rows, worker);
   steps->racks_stale = true;
@@ -191,6 +195,8 @@
   worker->capacity = row->capacity;
   if (row->draining && !worker->draining)
     gr_log_event ("worker-draining", "worker", worker->id, NULL);
+  if (row->draining)
+    gr_samples_disturb_worker (worker, GR_SAMPLE_DRAINING);
   /* The remaining time counts from when the entry was written, so an unchanged
    * entry does not extend it. */
   if (row->remaining_ms == 0)
@@ -325,6 +331,8 @@
   if (worker == NULL || worker->reachable == reachable)
     return;
   worker->reachable = reachable;
+  if (!reachable)
+    gr_samples_disturb_worker (worker, GR_SAMPLE_SILENT);
   gr_log_event (reachable ? "worker-reachable" : "worker-unreachable", "worker",
                 id, NULL);
 }
