instance: the record gr/learned, and metrics of what is learned

A new owner had to learn all run times and speeds again. The mirror keeps the newest value, and a successor restores it before it places work.

--- a/instance/instance.c
+++ b/instance/instance.c
@@ -155,7 +155,10 @@
   };
 
   if (instance->owner != NULL)
-    gr_owner_counts (instance->owner, &state.counts, &state.lateness);
+    {
+      gr_owner_counts (instance->owner, &state.counts, &state.lateness);
+      gr_owner_learning (instance->owner, &state.learning);
+    }
   gr_metrics_set (instance->counters, &state);
 }
 
--- a/instance/metrics.c
+++ b/instance/metrics.c
@@ -49,6 +49,32 @@
   { "response_ms", "gauge", "",
     "Smoothed time in which workers answer the owner's calls, in milliseconds. "
     "More than a few tens mean that the owner's processor or link is full." },
+  { "run_time_samples_total", "counter", "",
+    "Runs from which run times were learned; only on the owner, since it "
+    "became the owner." },
+  { "speed_samples_total", "counter", "",
+    "Samples from which the speeds of workers were learned; only on the "
+    "owner, since it became the owner." },
+  { "samples_rejected_total", "counter", "reason",
+    "Runs from which nothing was learned when they ended, by reason; only on "
+    "the owner, since it became the owner." },
+  { "run_time_keys", "gauge", "", "Models of run times; only on the owner." },
+  { "workers_speed_known", "gauge", "",
+    "Workers whose speed is known; only on the owner." },
+  { "speeds_uneven", "gauge", "",
+    "1 if the known workers differ in speed by clearly more than the noise, "
+    "otherwise 0; only on the owner." },
+  { "slowness_first_decile", "gauge", "",
+    "Run time on the fast workers (first decile of the known ones) relative to "
+    "the median worker, in thousandths; only on the owner." },
+  { "slowness_last_decile", "gauge", "",
+    "As above, on the slow workers (last decile)." },
+  { "estimate_error", "gauge", "",
+    "Recent mean of the absolute natural logarithm of the true run time "
+    "divided by the client's estimate, in thousandths; only on the owner." },
+  { "forecast_error", "gauge", "",
+    "As above, divided by the learned forecast and corrected by the speed of "
+    "the worker." },
   { "config_version", "gauge", "",
     "Version of the configuration that is in use." },
   { "config_age_ms", "gauge", "",
@@ -82,6 +108,46 @@
                             table[i].type, table[i].labels, table[i].meaning);
 }
 
+static int64_t
+thousandths (double value)
+{
+  return (int64_t)(value * 1000.0 + 0.5);
+}
+
+static void
+set_learning (struct gr_counters *counters,
+              const struct gr_steps_learning *learning)
+{
+  const struct
+  {
+    const char *name;
+    int64_t value;
+  } rows[] = {
+    { "run_time_samples_total", (int64_t)learning->run_time_samples },
+    { "speed_samples_total", (int64_t)learning->speed_samples },
+    { "run_time_keys", learning->keys },
+    { "workers_speed_known", learning->speeds.known },
+    { "speeds_uneven", learning->uneven },
+    { "slowness_first_decile", thousandths (learning->speeds.fastest) },
+    { "slowness_last_decile", thousandths (learning->speeds.slowest) },
+    { "estimate_error", thousandths (learning->estimate_error) },
+    { "forecast_error", thousandths (learning->forecast_error) },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    gr_counter_set (gr_counters_get (counters, rows[i].name, ""),
+                    rows[i].value);
+  for (uint32_t i = GR_SAMPLE_NOT_DONE; i < GR_SAMPLE_REASONS; i++)
+    {
+      g_autofree char *labels = g_strdup_printf (
+          "reason=\"%s\"", gr_sample_reject_name ((enum gr_sample_reject)i));
+
+      gr_counter_set (
+          gr_counters_get (counters, "samples_rejected_total", labels),
+          (int64_t)learning->rejected[i]);
+    }
+}
+
 void
 gr_metrics_set (struct gr_counters *counters,
                 const struct gr_metrics_state *state)
@@ -113,4 +179,5 @@
   for (size_t i = 0; i < G_N_ELEMENTS (gauges); i++)
     gr_counter_set (gr_counters_get (counters, gauges[i].name, ""),
                     gauges[i].value);
+  set_learning (counters, &state->learning);
 }
--- a/instance/metrics.h
+++ b/instance/metrics.h
@@ -26,6 +26,7 @@
 {
   bool is_owner;
   struct gr_steps_counts counts; /* zero unless this instance is the owner */
+  struct gr_steps_learning learning; /* zero unless it is the owner */
   uint32_t jobs_known;
   int64_t config_version;
   int64_t config_age_ms;
--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -57,6 +57,8 @@
   GHashTable *waves; /* wave number as text -> machines that are done */
   char *handover_workers;
   int64_t handover_revision;
+  GBytes *learned;
+  int64_t learned_revision;
   int64_t last_epoch;
   int64_t last_epoch_revision;
   int64_t watched_revision;
@@ -243,6 +245,17 @@
   mirror->handover_workers = item_text (item);
 }
 
+static void
+apply_learned (struct gr_mirror *mirror, const struct gr_metastore_item *item)
+{
+  if (item->revision <= mirror->learned_revision)
+    return;
+  mirror->learned_revision = item->revision;
+  g_clear_pointer (&mirror->learned, g_bytes_unref);
+  if (!item->deleted && item->value != NULL)
+    mirror->learned = g_bytes_ref (item->value);
+}
+
 static void
 apply_item (struct gr_mirror *mirror, const struct gr_metastore_item *item)
 {
@@ -259,6 +272,8 @@
     apply_started (mirror, item);
   else if (g_str_equal (item->key, GR_RECORD_HANDOVER))
     apply_handover_workers (mirror, item);
+  else if (g_str_equal (item->key, GR_RECORD_LEARNED))
+    apply_learned (mirror, item);
   else if (g_str_has_prefix (item->key, GR_RECORD_WAVE) && !item->deleted)
     g_hash_table_replace (mirror->waves,
                           g_strdup (item->key + strlen (GR_RECORD_WAVE)),
@@ -590,6 +605,7 @@
   g_hash_table_destroy (mirror->waves);
   g_free (mirror->owner);
   g_free (mirror->handover_workers);
+  g_clear_pointer (&mirror->learned, g_bytes_unref);
   g_free (mirror);
 }
 
@@ -679,6 +695,12 @@
   return mirror->handover_workers ? mirror->handover_workers : "";
 }
 
+GBytes *
+gr_mirror_learned (const struct gr_mirror *mirror)
+{
+  return mirror->learned;
+}
+
 const char *
 gr_mirror_wave_done (const struct gr_mirror *mirror, int64_t wave)
 {
--- a/instance/mirror.h
+++ b/instance/mirror.h
@@ -89,6 +89,10 @@
  * id and address. Never NULL; valid until the record changes. */
 const char *gr_mirror_handover_workers (const struct gr_mirror *mirror);
 
+/* Returns the newest record of learned run times and speeds; NULL if there is
+ * none. Owned by the mirror; valid until the record changes. */
+GBytes *gr_mirror_learned (const struct gr_mirror *mirror);
+
 /* Returns the machines of the wave whose upkeep is done, one per line; NULL if
  * there is no record. */
 const char *gr_mirror_wave_done (const struct gr_mirror *mirror, int64_t wave);
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "instance/advice-calls.h"
 #include "instance/expiry.h"
+#include "instance/learned.h"
 #include "instance/owner-load.h"
 #include "instance/ownership.h"
 #include "instance/progress-log.h"
@@ -50,6 +51,7 @@
   struct gr_steps *steps;
   struct gr_worker_io *io;
   struct gr_progress_log *log;
+  struct gr_learned *learned;
   struct gr_upkeep *upkeep;
   struct gr_expiry *expiry;
   struct gr_advice_calls *advice;
@@ -151,6 +153,7 @@
   gr_upkeep_run (owner->upkeep);
   gr_expiry_run (owner->expiry);
   write_progress (owner);
+  gr_learned_run (owner->learned);
   gr_owner_load_add_pass (&owner->load, g_get_monotonic_time () - start_us);
   if (gr_steps_fenced (owner->steps))
     report_superseded (owner, "a worker has seen a higher epoch");
@@ -481,6 +484,7 @@
       return;
     }
   owner->loaded = true;
+  gr_learned_restore (owner->learned);
   inherit_workers (owner);
   gr_mirror_each (owner->deps.mirror, inherit_job, owner);
   schedule_pass (owner);
@@ -526,6 +530,7 @@
   owner->log = gr_progress_log_create (
       deps->store, deps->mirror, revision,
       &(struct gr_progress_log_events){ committed, not_owner, owner });
+  owner->learned = gr_learned_create (deps, owner->steps, revision);
   gr_steps_set_registry_settled (owner->steps,
                                  store_up_since (owner) + REGISTRY_SETTLE_MS);
   owner->addresses =
@@ -556,6 +561,13 @@
   *lateness = *gr_worker_io_lateness (owner->io);
 }
 
+void
+gr_owner_learning (const struct gr_owner *owner,
+                   struct gr_steps_learning *learning)
+{
+  gr_steps_learning (owner->steps, learning);
+}
+
 void
 gr_owner_destroy (struct gr_owner *owner)
 {
@@ -574,6 +586,7 @@
   gr_advice_calls_destroy (owner->advice);
   gr_worker_io_destroy (owner->io);
   gr_progress_log_destroy (owner->log);
+  gr_learned_destroy (owner->learned);
   gr_steps_destroy (owner->steps);
   g_hash_table_destroy (owner->addresses);
   g_free (owner->published_started);
--- a/instance/owner.h
+++ b/instance/owner.h
@@ -44,3 +44,5 @@
 void gr_owner_counts (const struct gr_owner *owner,
                       struct gr_steps_counts *counts,
                       struct gr_lateness *lateness);
+void gr_owner_learning (const struct gr_owner *owner,
+                        struct gr_steps_learning *learning);
--- a/instance/records.h
+++ b/instance/records.h
@@ -1,5 +1,5 @@
 /* Records of this project in the platform's store. The values for jobs and
- * their progress are msgpack, the others are text. */
+ * their progress and for what is learned are msgpack, the others are text. */
 #pragma once
 
 #include "steps/spec.h"
@@ -22,6 +22,9 @@
 /* Followed by the number of a wave; holds the machines whose upkeep is done. */
 #define GR_RECORD_WAVE "gr/wave/"
 
+/* Learned run times and speeds, as msgpack; see instance/learned.h. */
+#define GR_RECORD_LEARNED "gr/learned"
+
 enum gr_record_kind
 {
   GR_RECORD_JOB,      /* written once, when the job is accepted */
