tests: what is learned from runs, on the model of workers

The model of workers gets speeds of workers and random work, so that tests can show that a quarter of fast workers is told from the others, that alike workers and accurate estimates change no forecast, and that disturbed runs teach nothing.

A successor grouped the same workers differently: the observed noise and whether the workers are uneven were not restored. Both are stored now.

--- a/instance/learned.c
+++ b/instance/learned.c
@@ -5,12 +5,16 @@
 
 #include <math.h>
 
-/* Numbers are stored as millionths: at most 5 bytes instead of 9. */
+/* Weights and means are stored as millionths: at most 5 bytes instead of 9.
+ * Variances are stored in full, since a rounded one can contradict its
+ * covariance. */
 #define UNIT 1e-6
-/* Largest number that is stored; sums of logarithms and weights are far
- * smaller. */
+/* Largest number that is stored; weights and logarithms are far smaller. */
 #define MAX_NUMBER 1e9
 
+/* Stands for a number that the record lacks; the models reject it. */
+#define MISSING 1e12
+
 /* Version of the format. */
 #define VERSION 1
 
@@ -76,9 +80,9 @@
   pack_number (encoded.packer, "n", row->weight);
   pack_number (encoded.packer, "e", row->mean_estimate);
   pack_number (encoded.packer, "t", row->mean_time);
-  pack_number (encoded.packer, "ee", row->var_estimate);
-  pack_number (encoded.packer, "et", row->covariance);
-  pack_number (encoded.packer, "tt", row->var_time);
+  gr_pack_double (encoded.packer, "ee", row->var_estimate);
+  gr_pack_double (encoded.packer, "et", row->covariance);
+  gr_pack_double (encoded.packer, "tt", row->var_time);
   g_array_append_val ((GArray *)context, encoded);
 }
 
@@ -154,6 +158,7 @@
   g_autoptr (GArray) rows =
       g_array_new (FALSE, FALSE, sizeof (struct encoded_row));
   struct gr_packer *packer = gr_packer_create ();
+  struct gr_speeds_state state;
   const void *data;
   GBytes *bytes;
   size_t size;
@@ -164,6 +169,11 @@
   gr_pack_int (packer, "version", VERSION);
   pack_rows (packer, "times", rows, false);
   pack_rows (packer, "speeds", rows, true);
+  if (gr_steps_learned_speeds_state (steps, &state))
+    {
+      gr_pack_double (packer, "noise", state.sample_noise);
+      gr_pack_bool (packer, "uneven", state.uneven);
+    }
   data = gr_packer_data (packer, &size);
   bytes = g_bytes_new (data, size);
   gr_packer_destroy (packer);
@@ -172,13 +182,12 @@
 
 /* Decoding. */
 
-/* Returns NaN if there is no such number, which the models reject. */
 static double
 unpack_number (const msgpack_object *map, const char *key)
 {
   int64_t value = gr_unpack_int (map, key, INT64_MIN);
 
-  return value == INT64_MIN ? (double)NAN : (double)value * UNIT;
+  return value == INT64_MIN ? MISSING : (double)value * UNIT;
 }
 
 static bool
@@ -190,9 +199,9 @@
     .weight = unpack_number (map, "n"),
     .mean_estimate = unpack_number (map, "e"),
     .mean_time = unpack_number (map, "t"),
-    .var_estimate = unpack_number (map, "ee"),
-    .covariance = unpack_number (map, "et"),
-    .var_time = unpack_number (map, "tt"),
+    .var_estimate = gr_unpack_double (map, "ee", MISSING),
+    .covariance = gr_unpack_double (map, "et", MISSING),
+    .var_time = gr_unpack_double (map, "tt", MISSING),
   };
 
   return key != NULL && gr_steps_restore_run_time (steps, &row);
@@ -213,6 +222,20 @@
          && gr_steps_restore_speed (steps, &row);
 }
 
+/* The state is missing if the former owner did not learn speeds. */
+static bool
+decode_speeds_state (const msgpack_object *map,
+                     size_t n_speeds,
+                     struct gr_steps *steps)
+{
+  struct gr_speeds_state state = {
+    .sample_noise = gr_unpack_double (map, "noise", MISSING),
+    .uneven = gr_unpack_bool (map, "uneven", false),
+  };
+
+  return n_speeds == 0 || gr_steps_restore_speeds_state (steps, &state);
+}
+
 /* Returns the reason why the rows cannot be used, or NULL. */
 static const char *
 decode_rows (const msgpack_object *map, struct gr_steps *steps)
@@ -232,6 +255,8 @@
   for (size_t i = 0; i < n_speeds; i++)
     if (!decode_speed (&speeds[i], steps))
       return "a speed is missing or out of range";
+  if (!decode_speeds_state (map, n_speeds, steps))
+    return "the noise of speeds is missing or out of range";
   return NULL;
 }
 
@@ -264,6 +289,20 @@
 
 /* The owner's writes. */
 
+static void
+log_restored (const struct gr_steps *steps, size_t size)
+{
+  struct gr_steps_learning learning;
+  char bytes[24];
+  char keys[24];
+
+  gr_steps_learning (steps, &learning);
+  g_snprintf (bytes, sizeof bytes, "%zu", size);
+  g_snprintf (keys, sizeof keys, "%u", learning.keys);
+  gr_log_event ("learned-restored", "bytes", bytes, "run-time-keys", keys,
+                "speeds", learning.uneven ? "uneven" : "even", NULL);
+}
+
 void
 gr_learned_restore (struct gr_learned *learned)
 {
@@ -274,6 +313,8 @@
     return;
   if (!gr_learned_decode (value, learned->steps, &reason))
     gr_log_warning ("learned-record-rejected", "reason", reason, NULL);
+  else
+    log_restored (learned->steps, g_bytes_get_size (value));
 }
 
 static void
--- a/learn/speeds.c
+++ b/learn/speeds.c
@@ -488,3 +488,26 @@
   speeds->changed = true;
   return true;
 }
+
+void
+gr_speeds_get_state (const struct gr_speeds *speeds,
+                     struct gr_speeds_state *state)
+{
+  state->sample_noise = speeds->sample_noise;
+  state->uneven = speeds->uneven;
+}
+
+bool
+gr_speeds_restore_state (struct gr_speeds *speeds,
+                         const struct gr_speeds_state *state)
+{
+  /* Two samples differ by twice the largest logarithm at most. NaN fails the
+   * comparison. */
+  if (!(state->sample_noise >= 0
+        && state->sample_noise <= 4 * MAX_SAMPLE_LOG * MAX_SAMPLE_LOG))
+    return false;
+  speeds->sample_noise = state->sample_noise;
+  speeds->uneven = state->uneven;
+  speeds->changed = true;
+  return true;
+}
--- a/learn/speeds.h
+++ b/learn/speeds.h
@@ -64,3 +64,18 @@
  * value is not finite or out of range. */
 bool gr_speeds_restore (struct gr_speeds *speeds,
                         const struct gr_speed_row *row);
+
+/* What is stored of all workers together: a successor that lacked it would
+ * group the same workers differently. */
+struct gr_speeds_state
+{
+  double sample_noise; /* variance of the logarithm of a single sample */
+  bool uneven;
+};
+
+void gr_speeds_get_state (const struct gr_speeds *speeds,
+                          struct gr_speeds_state *state);
+/* Returns false, and changes nothing, if the noise is not finite or out of
+ * range. */
+bool gr_speeds_restore_state (struct gr_speeds *speeds,
+                              const struct gr_speeds_state *state);
--- a/steps/samples.c
+++ b/steps/samples.c
@@ -626,6 +626,26 @@
   return gr_speeds_restore (steps->samples.speeds, row);
 }
 
+bool
+gr_steps_learned_speeds_state (const struct gr_steps *steps,
+                               struct gr_speeds_state *state)
+{
+  if (steps->samples.speeds == NULL)
+    return false;
+  gr_speeds_get_state (steps->samples.speeds, state);
+  return true;
+}
+
+bool
+gr_steps_restore_speeds_state (struct gr_steps *steps,
+                               const struct gr_speeds_state *state)
+{
+  if (steps->samples.speeds == NULL)
+    return true;
+  steps->samples.slowness_stale = true;
+  return gr_speeds_restore_state (steps->samples.speeds, state);
+}
+
 void
 gr_steps_reset_learned (struct gr_steps *steps)
 {
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -387,11 +387,16 @@
                                   void (*visit) (const struct gr_speed_row *row,
                                                  void *context),
                                   void *context);
+/* Returns false if speeds are not learned. */
+bool gr_steps_learned_speeds_state (const struct gr_steps *steps,
+                                    struct gr_speeds_state *state);
 /* Restore a row that a former owner has stored. Return false if a value is out
  * of range; true without effect if the table is not learned. */
 bool gr_steps_restore_run_time (struct gr_steps *steps,
                                 const struct gr_run_time_row *row);
 bool gr_steps_restore_speed (struct gr_steps *steps,
                              const struct gr_speed_row *row);
+bool gr_steps_restore_speeds_state (struct gr_steps *steps,
+                                    const struct gr_speeds_state *state);
 /* Discards all that was learned. */
 void gr_steps_reset_learned (struct gr_steps *steps);
--- a/tests/steps-model-polls.c
+++ b/tests/steps-model-polls.c
@@ -50,7 +50,7 @@
     {
       const struct model_run *run = worker->runs->pdata[i];
       struct gr_run_status *status = &report->running[i];
-      int64_t work_ms = MAX (model_get_job (model, run->job)->work_ms, 1);
+      int64_t work_ms = MAX (model_run_work_ms (model, worker, run), 1);
 
       g_strlcpy (status->task, run->task, sizeof status->task);
       status->run = run->run;
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -39,6 +39,7 @@
   int64_t saved_ms;          /* work that the last checkpoint holds */
   int64_t stop_ms;           /* when it ends by a stop order; 0: not stopped */
   uint32_t pace;             /* percent of its full speed */
+  double noise;              /* factor of its work */
   int64_t over_target_ticks; /* consecutive ticks with a tail latency over its
                                 target */
 };
@@ -66,6 +67,7 @@
   bool draining;
   bool entry_lost;
   bool held_orders;
+  double slowness;
   bool poll_in_flight;
   int64_t remaining_ms;
   struct gr_resources capacity;
@@ -159,6 +161,7 @@
   uint32_t drop_results;
   uint32_t runs_alone;
   int64_t last_fault_ms;
+  double noise; /* see steps_model_set_noise () */
   bool needs_tickets;
   bool allows_overload;
   char *violation;
@@ -186,6 +189,10 @@
                                   const char *task);
 const struct gr_step_spec *model_run_spec (const struct steps_model *model,
                                            const struct model_run *run);
+/* Time that the run takes on its worker in all. */
+int64_t model_run_work_ms (const struct steps_model *model,
+                           const struct model_worker *worker,
+                           const struct model_run *run);
 void model_send_order (struct steps_model *model, const struct gr_order *order);
 void model_transit_order_free (struct transit_order *transit);
 void model_advance_orders (struct steps_model *model);
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -1,5 +1,6 @@
 #include "tests/steps-model-private.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -130,6 +131,19 @@
                         GUINT_TO_POINTER (starts + 1));
 }
 
+/* Factor of the work of a run, with a log-normal distribution (Box-Muller). */
+static double
+draw_noise (struct steps_model *model)
+{
+  double radius;
+
+  if (model->noise <= 0)
+    return 1.0;
+  radius = sqrt (-2 * log (1 - g_rand_double (model->rand)));
+  return exp (model->noise * radius
+              * cos (2 * G_PI * g_rand_double (model->rand)));
+}
+
 static enum gr_order_result
 execute_start (struct steps_model *model,
                struct model_worker *worker,
@@ -160,6 +174,7 @@
   new_run->run = order->run;
   new_run->started_ms = model->now_ms;
   new_run->pace = 100;
+  new_run->noise = draw_noise (model);
   new_run->saved_ms = g_ascii_strtoll (order->checkpoint, NULL, 10);
   new_run->worked_ms = new_run->saved_ms;
   if (!has_capacity (model, worker, new_run)
@@ -445,6 +460,30 @@
                             run->task);
 }
 
+int64_t
+model_run_work_ms (const struct steps_model *model,
+                   const struct model_worker *worker,
+                   const struct model_run *run)
+{
+  double slowness = worker->slowness;
+  bool gang = model_run_spec (model, run)->gang;
+
+  for (guint i = 0; gang && i < model->workers->len; i++)
+    {
+      const struct model_worker *other = model->workers->pdata[i];
+
+      for (guint k = 0; k < other->runs->len; k++)
+        {
+          const struct model_run *member = other->runs->pdata[k];
+
+          if (member->job == run->job && member->step == run->step)
+            slowness = MAX (slowness, other->slowness);
+        }
+    }
+  return (int64_t)((double)model_get_job (model, run->job)->work_ms * slowness
+                   * (gang ? 1.0 : run->noise));
+}
+
 /* Returns whether the run ends in this tick, and how; otherwise advances it. */
 static bool
 run_has_ended (struct steps_model *model,
@@ -454,6 +493,7 @@
 {
   const struct model_job *job = model_get_job (model, run->job);
   const struct gr_step_spec *spec = model_run_spec (model, run);
+  int64_t work_ms;
 
   if (model->now_ms > worker->lease_until_ms)
     *how = GR_END_LAPSED;
@@ -475,8 +515,8 @@
         run->saved_ms = run->worked_ms;
       *how =
           job->fails_runs || worker->fails_runs ? GR_END_FAILED : GR_END_DONE;
-      return run->worked_ms
-             >= (*how == GR_END_FAILED ? job->work_ms / 3 : job->work_ms);
+      work_ms = model_run_work_ms (model, worker, run);
+      return run->worked_ms >= (*how == GR_END_FAILED ? work_ms / 3 : work_ms);
     }
   return true;
 }
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -71,6 +71,7 @@
   worker->ended_runs =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   worker->incarnation = 1;
+  worker->slowness = 1.0;
   worker->entry_revision = 1;
   g_ptr_array_add (model->workers, worker);
   model_register_worker (model, worker);
@@ -279,6 +280,29 @@
   get_worker (model, worker)->unreachable = unreachable;
 }
 
+void
+steps_model_set_slowness (struct steps_model *model,
+                          uint32_t worker,
+                          double slowness)
+{
+  get_worker (model, worker)->slowness = slowness;
+}
+
+void
+steps_model_set_noise (struct steps_model *model, double deviation)
+{
+  model->noise = deviation;
+}
+
+void
+steps_model_set_learning (struct steps_model *model,
+                          enum gr_mode run_times,
+                          enum gr_mode speeds)
+{
+  model->settings.run_times = run_times;
+  model->settings.speeds = speeds;
+}
+
 void
 steps_model_drain_worker (struct steps_model *model,
                           uint32_t worker,
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -92,6 +92,18 @@
 void steps_model_set_worker_unreachable (struct steps_model *model,
                                          uint32_t worker,
                                          bool unreachable);
+/* Runs on the worker take slowness times as long; a gang runs at the pace of
+ * its slowest member. */
+void steps_model_set_slowness (struct steps_model *model,
+                               uint32_t worker,
+                               double slowness);
+/* The work of each run outside gangs is random: standard deviation of its
+ * natural logarithm. */
+void steps_model_set_noise (struct steps_model *model, double deviation);
+/* The core knows the modes from the next owner on. */
+void steps_model_set_learning (struct steps_model *model,
+                               enum gr_mode run_times,
+                               enum gr_mode speeds);
 void steps_model_restart_worker (struct steps_model *model, uint32_t worker);
 void steps_model_drain_worker (struct steps_model *model,
                                uint32_t worker,
