--- a/instance/learned.c
+++ b/instance/learned.c
@@ -290,13 +290,14 @@
 /* The owner's writes. */
 
 static void
-log_restored (const struct gr_steps *steps, size_t size)
+restored (struct gr_learned *learned, size_t size)
 {
   struct gr_steps_learning learning;
   char bytes[24];
   char keys[24];
 
-  gr_steps_learning (steps, &learning);
+  gr_steps_learning (learned->steps, &learning);
+  learned->written_uneven = learning.uneven;
   g_snprintf (bytes, sizeof bytes, "%zu", size);
   g_snprintf (keys, sizeof keys, "%u", learning.keys);
   gr_log_event ("learned-restored", "bytes", bytes, "run-time-keys", keys,
@@ -314,7 +315,7 @@
   if (!gr_learned_decode (value, learned->steps, &reason))
     gr_log_warning ("learned-record-rejected", "reason", reason, NULL);
   else
-    log_restored (learned->steps, g_bytes_get_size (value));
+    restored (learned, g_bytes_get_size (value));
 }
 
 static void
