learn: groups of speeds by their variance, and the noise as observed

Change: as few groups as leave no more variance than noise explains (k-means in one dimension); the noise is observed from the second sample of a worker on; five instead of four standard errors to become uneven.

--- a/learn/speeds.c
+++ b/learn/speeds.c
@@ -1,11 +1,13 @@
 #include "learn/speeds.h"
 
+#include "learn/groups.h"
+
 #include <glib.h>
 #include <math.h>
 
-/* Weight of all samples of a worker; older ones fade, so that a worker that
- * becomes half as fast is noticed after six runs. */
-#define MAX_WEIGHT 8.0
+/* Weight of all samples of a worker; older ones fade, so that the mean of a
+ * worker that becomes half as fast is halfway there after eight runs. */
+#define MAX_WEIGHT 12.0
 /* Samples after which a worker is known; three, with some of them faded. */
 #define KNOWN_SAMPLES 2.9
 /* Workers that must be known before they can be uneven: this number, and this
@@ -16,9 +18,11 @@
  * docs/design/README.md, "Background". The noise observed counts if it is
  * larger, which happens when run times are predicted badly. */
 #define SAMPLE_NOISE 0.35
-/* Samples over which the observed noise is averaged: its error is then below
- * 5 %. */
-#define NOISE_SAMPLES 200.0
+/* Samples over which the observed noise is averaged: its error is then about
+ * 2 %. The first ones count more, so that larger noise is noticed before the
+ * first workers are known. */
+#define NOISE_SAMPLES 1000.0
+#define MIN_NOISE_SAMPLES 10.0
 /* Limit of the logarithm of a sample (a factor of 7.4), so that one faulty
  * sample does not decide on a worker. */
 #define MAX_SAMPLE_LOG 2.0
@@ -27,21 +31,16 @@
  */
 #define DECILE_DISTANCE 2.563
 #define DECILE_ERROR 2.28
-/* Standard errors by which the distance must exceed that of noise alone: four
- * to become uneven, since the test is repeated often, and one to stay so. */
-#define UNEVEN_ERRORS 4.0
-#define EVEN_ERRORS 1.0
+/* Standard errors by which the distance must exceed that of noise alone: five
+ * to become uneven, since the test is repeated with every sample, and none to
+ * stay so. With four and one, workers of which a third was 30 % slower for a
+ * time changed more than twice in 4 of 60 seeded runs. */
+#define UNEVEN_ERRORS 5.0
+#define EVEN_ERRORS 0.0
 /* Smallest distances between the deciles, without noise, as logarithms: 15 % to
  * become uneven, and 8 % to stay so. */
 #define UNEVEN_SPREAD 0.14
 #define EVEN_SPREAD 0.08
-/* Smallest difference between two groups of workers (logarithm of 1.1), and
- * the same in standard deviations of the noise. Splitting noise alone at its
- * median yields 1.6 deviations. */
-#define MIN_GROUP_LOG 0.0953
-#define MIN_GROUP_ERRORS 2.4
-/* At most 2 to the power of this number groups. */
-#define MAX_GROUP_DEPTH 3
 #define MIN_SLOWNESS 0.25
 #define MAX_SLOWNESS 4.0
 
@@ -60,6 +59,7 @@
 {
   GHashTable *workers; /* name -> struct worker */
   double sample_noise; /* variance of a single sample, as observed */
+  double noise_weight; /* samples that it rests on */
   bool changed;        /* since the last update */
   bool uneven;
   struct gr_speeds_summary summary;
@@ -71,9 +71,10 @@
   uint32_t n_seen;
   GPtrArray *known; /* ordered by mean, after spread_shrink () by location */
   double median;
-  double distance; /* between the deciles */
-  double noise;    /* mean variance of the means */
-  double true_var; /* variance of the workers without noise */
+  double distance;     /* between the deciles */
+  double noise;        /* mean variance of the means */
+  double true_var;     /* variance of the workers without noise */
+  double shrunk_noise; /* mean variance of the locations by noise */
 };
 
 static void
@@ -93,6 +94,7 @@
   speeds->workers =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, worker_free);
   speeds->sample_noise = SAMPLE_NOISE * SAMPLE_NOISE;
+  speeds->noise_weight = MIN_NOISE_SAMPLES;
   speeds->summary = (struct gr_speeds_summary){ 0, 1.0, 1.0 };
   return speeds;
 }
@@ -153,8 +155,9 @@
 {
   double expected = 1 + 1 / effective_samples (worker);
 
+  speeds->noise_weight = MIN (speeds->noise_weight + weight, NOISE_SAMPLES);
   speeds->sample_noise +=
-      weight / NOISE_SAMPLES
+      weight / speeds->noise_weight
       * (distance * distance / expected - speeds->sample_noise);
 }
 
@@ -194,7 +197,7 @@
   if (!worker_set_incarnation (worker, incarnation_unix_ms))
     return;
   sample = CLAMP (log (ratio), -MAX_SAMPLE_LOG, MAX_SAMPLE_LOG);
-  if (worker_is_known (worker))
+  if (worker->weight > 0)
     noise_add (speeds, worker, sample - worker->mean, weight);
   worker->weight = worker->weight * (1 - weight / MAX_WEIGHT) + weight;
   worker->mean += weight / worker->weight * (sample - worker->mean);
@@ -294,82 +297,34 @@
 
       worker->location =
           spread->median + share * (worker->mean - spread->median);
+      spread->shrunk_noise += share * share * noise / spread->known->len;
     }
   g_ptr_array_sort (spread->known, compare_locations);
 }
 
-/* Groups of workers of nearly equal speed: ranges of spread->known, with
- * sums[i] the sum of the first i locations. */
-struct grouping
-{
-  struct spread *spread;
-  double *sums;
-};
-
-static double
-range_mean (const struct grouping *g, uint32_t from, uint32_t to)
-{
-  return (g->sums[to] - g->sums[from]) / (to - from);
-}
-
-/* Splits the range where the two parts differ most (largest sum of squares
- * between them), as long as they differ clearly; otherwise its workers are all
- * given the mean of the range. */
+/* Workers of nearly equal speed get the same slowness, so that noise does not
+ * order them. */
 static void
-group_range (const struct grouping *g, uint32_t from, uint32_t to, int depth)
-{
-  double min_difference =
-      MAX (MIN_GROUP_LOG, MIN_GROUP_ERRORS * sqrt (g->spread->noise));
-  double best = 0;
-  uint32_t best_at = from;
-
-  for (uint32_t at = from + 1; at < to && depth < MAX_GROUP_DEPTH; at++)
-    {
-      double difference = range_mean (g, at, to) - range_mean (g, from, at);
-      double between = difference * difference * (at - from) * (to - at);
-
-      if (difference < min_difference || between <= best)
-        continue;
-      best = between;
-      best_at = at;
-    }
-  if (best_at > from)
-    {
-      group_range (g, from, best_at, depth + 1);
-      group_range (g, best_at, to, depth + 1);
-      return;
-    }
-  for (uint32_t i = from; i < to; i++)
-    {
-      struct worker *worker = g_ptr_array_index (g->spread->known, i);
-
-      worker->slowness = range_mean (g, from, to);
-    }
-}
-
-static void
-spread_group (struct spread *spread)
+spread_group (const struct spread *spread)
 {
   uint32_t n = spread->known->len;
-  struct grouping grouping = { spread, g_new0 (double, n + 1) };
-  double median;
+  double *values = g_new0 (double, n);
 
   for (uint32_t i = 0; i < n; i++)
     {
       const struct worker *worker = g_ptr_array_index (spread->known, i);
 
-      grouping.sums[i + 1] = grouping.sums[i] + worker->location;
+      values[i] = worker->location;
     }
-  group_range (&grouping, 0, n, 0);
-  median = at_quantile (spread->known, 0.5)->slowness;
+  gr_group_values (values, n, spread->shrunk_noise);
   for (uint32_t i = 0; i < n; i++)
     {
       struct worker *worker = g_ptr_array_index (spread->known, i);
 
       worker->slowness =
-          CLAMP (exp (worker->slowness - median), MIN_SLOWNESS, MAX_SLOWNESS);
+          CLAMP (exp (values[i] - values[n / 2]), MIN_SLOWNESS, MAX_SLOWNESS);
     }
-  g_free (grouping.sums);
+  g_free (values);
 }
 
 /* Slowness of a known worker before grouping. */
