sched: run times from learn/run-times

Cause: the histograms of run times by account and shape would exist twice with the model that steps/ needs. Change: the core has one table of learned run times, with the account and shape as the narrow key and the account as the wide one; sched/learn.c keeps the classes and the attained and remaining times. Expected times are no longer rounded up to powers of two, and memory no longer grows with the number of shapes (1,024 keys).

--- a/sched/core.c
+++ b/sched/core.c
@@ -3,6 +3,7 @@
 #include "sched/gang.h"
 #include "sched/invariants.h"
 #include "sched/jobs.h"
+#include "sched/learn.h"
 #include "sched/place.h"
 #include "sched/quarantine.h"
 #include "sched/witness.h"
@@ -35,6 +36,7 @@
   core->rand = rand;
   core->first_ms = -1;
   core->renew_slot_ms = MAX (1, config->run_lease_term_ms / 3 / GR_RENEW_SLOTS);
+  core->run_times = gr_learned_create ();
   core->accounts =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gr_account_free);
   core->account_list = g_ptr_array_new ();
@@ -73,6 +75,7 @@
   g_hash_table_destroy (core->unbound);
   g_hash_table_destroy (core->jobs);
   g_hash_table_destroy (core->accounts);
+  gr_learned_destroy (core->run_times);
   g_hash_table_destroy (core->workers);
   g_hash_table_destroy (core->racks);
   g_ptr_array_free (core->account_list, TRUE);
--- a/sched/jobs.c
+++ b/sched/jobs.c
@@ -45,7 +45,7 @@
 static uint32_t
 waiting_class (const struct gr_core *core, const struct gr_core_job *job)
 {
-  int64_t expected = gr_expected_run_ms (job->account, &job->record.spec, 0.5);
+  int64_t expected = gr_expected_run_ms (core, &job->record.spec, 0.5);
 
   if (core->config.policy != GR_POLICY_DEFAULT)
     return 0;
--- a/sched/learn.c
+++ b/sched/learn.c
@@ -1,18 +1,9 @@
 #include "sched/learn.h"
 
-#include <math.h>
+#include "learn/run-times.h"
 
-#define N_BUCKETS 40 /* powers of two in ms; cover more than 30 days */
-#define MIN_SAMPLES 3
-/* Counts are halved when their sum reaches this value, so that old samples
- * lose weight. */
-#define MAX_WEIGHT 256
-
-struct gr_learned
-{
-  uint32_t weight;
-  uint32_t buckets[N_BUCKETS];
-};
+/* Accounts and shapes whose run times are remembered; about 200 KB. */
+#define MAX_KEYS 1024
 
 /* Upper bounds of the classes. Ten minutes and two hours separate
  * interactive work, ordinary runs and overnight batches in both deployments.
@@ -24,83 +15,49 @@
   8 * 3600LL * 1000,
 };
 
-GHashTable *
-gr_learned_table_create (void)
+struct gr_run_times *
+gr_learned_create (void)
 {
-  return g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  return gr_run_times_create (MAX_KEYS);
 }
 
-static void *
-shape_key (const struct gr_job_spec *spec)
+void
+gr_learned_destroy (struct gr_run_times *times)
 {
-  return GUINT_TO_POINTER (spec->shape.workers * 64
-                           + spec->shape.accelerators_per_worker);
+  gr_run_times_destroy (times);
 }
 
-static uint32_t
-bucket_of (int64_t ran_ms)
+/* Writes the key of the account and the shape to text. */
+static struct gr_run_time_keys
+keys_of (const struct gr_job_spec *spec, char *text, size_t size)
 {
-  uint32_t bucket = 0;
-
-  while (bucket < N_BUCKETS - 1 && (1LL << bucket) < ran_ms)
-    bucket++;
-  return bucket;
+  g_snprintf (text, size, "%s/%ux%u", spec->account, spec->shape.workers,
+              spec->shape.accelerators_per_worker);
+  return (struct gr_run_time_keys){ { text, spec->account } };
 }
 
 void
-gr_learn_run_time (struct gr_core_account *account,
+gr_learn_run_time (struct gr_core *core,
                    const struct gr_job_spec *spec,
                    int64_t ran_ms)
 {
-  struct gr_learned *learned =
-      g_hash_table_lookup (account->learned, shape_key (spec));
-  double ratio = log2 ((double)MAX (ran_ms, 1) / (double)spec->run_ms);
+  char text[GR_NAME_MAX + 24];
+  struct gr_run_time_keys keys = keys_of (spec, text, sizeof text);
 
-  if (learned == NULL)
-    {
-      learned = g_new0 (struct gr_learned, 1);
-      g_hash_table_insert (account->learned, shape_key (spec), learned);
-    }
-  learned->buckets[bucket_of (ran_ms)]++;
-  learned->weight++;
-  if (learned->weight >= MAX_WEIGHT)
-    {
-      learned->weight = 0;
-      for (uint32_t i = 0; i < N_BUCKETS; i++)
-        {
-          learned->buckets[i] /= 2;
-          learned->weight += learned->buckets[i];
-        }
-    }
-  account->n_ratio = MIN (account->n_ratio + 1, 32);
-  account->ratio_log2 += (ratio - account->ratio_log2) / account->n_ratio;
+  gr_run_times_add (core->run_times, &keys, spec->run_ms, ran_ms);
 }
 
 int64_t
-gr_expected_run_ms (const struct gr_core_account *account,
+gr_expected_run_ms (const struct gr_core *core,
                     const struct gr_job_spec *spec,
                     double quantile)
 {
-  const struct gr_learned *learned =
-      g_hash_table_lookup (account->learned, shape_key (spec));
-  double wanted;
-  uint32_t sum = 0;
-
-  if (learned == NULL || learned->weight < MIN_SAMPLES)
-    {
-      double ratio = account->n_ratio >= MIN_SAMPLES ? account->ratio_log2 : 0;
-      double expected = (double)spec->run_ms * exp2 (ratio);
+  char text[GR_NAME_MAX + 24];
+  struct gr_run_time_keys keys = keys_of (spec, text, sizeof text);
+  int64_t expected =
+      gr_run_times_expect (core->run_times, &keys, spec->run_ms, quantile);
 
-      return (int64_t)CLAMP (expected, 1, (double)GR_JOB_MAX_RUN_MS);
-    }
-  wanted = quantile * learned->weight;
-  for (uint32_t i = 0; i < N_BUCKETS; i++)
-    {
-      sum += learned->buckets[i];
-      if (sum >= wanted && sum > 0)
-        return 1LL << i;
-    }
-  return 1LL << (N_BUCKETS - 1);
+  return MIN (expected, GR_JOB_MAX_RUN_MS);
 }
 
 uint32_t
@@ -125,7 +82,7 @@
 gr_expected_remaining_ms (const struct gr_core *core,
                           const struct gr_core_job *job)
 {
-  int64_t total = gr_expected_run_ms (job->account, &job->record.spec, 0.5);
+  int64_t total = gr_expected_run_ms (core, &job->record.spec, 0.5);
   int64_t attained = gr_attained_run_ms (core, job);
 
   return MAX (total - job->record.saved_ms - attained, attained / 10 + 1000);
--- a/sched/learn.h
+++ b/sched/learn.h
@@ -4,17 +4,18 @@
 
 #include "sched/tables.h"
 
-GHashTable *gr_learned_table_create (void);
+struct gr_run_times *gr_learned_create (void);
+void gr_learned_destroy (struct gr_run_times *times);
 
-/* Adds a sample: a job of the account finished after ran_ms. */
-void gr_learn_run_time (struct gr_core_account *account,
+/* Adds a sample: a job finished after ran_ms. */
+void gr_learn_run_time (struct gr_core *core,
                         const struct gr_job_spec *spec,
                         int64_t ran_ms);
 
-/* Expected run time in ms: the quantile (0 to 1) of the samples for the
- * shape or, with too few samples, the declared time corrected by the average
- * error of the account. */
-int64_t gr_expected_run_ms (const struct gr_core_account *account,
+/* Expected run time in ms: the quantile (0 to 1) of what is learned for the
+ * account and shape or, with too few samples, for the account or all jobs; see
+ * learn/run-times.h. */
+int64_t gr_expected_run_ms (const struct gr_core *core,
                             const struct gr_job_spec *spec,
                             double quantile);
 
--- a/sched/place.c
+++ b/sched/place.c
@@ -167,7 +167,7 @@
 may_backfill (const struct gr_core *core, const struct gr_core_job *job)
 {
   int64_t end_ms =
-      core->now_ms + gr_expected_run_ms (job->account, &job->record.spec, 0.9);
+      core->now_ms + gr_expected_run_ms (core, &job->record.spec, 0.9);
 
   if (core->reserving->len == 0)
     return false;
--- a/sched/steps.c
+++ b/sched/steps.c
@@ -22,7 +22,7 @@
 finish (struct gr_core *core, struct gr_core_job *job)
 {
   if (job->running_since_ms != 0)
-    gr_learn_run_time (job->account, &job->record.spec,
+    gr_learn_run_time (core, &job->record.spec,
                        core->now_ms - job->running_since_ms
                            + job->record.saved_ms);
   for (uint32_t i = 0; i < job->n_members; i++)
--- a/sched/tables.c
+++ b/sched/tables.c
@@ -1,6 +1,5 @@
 #include "sched/tables.h"
 
-#include "sched/learn.h"
 #include "sched/witness.h"
 
 #include <string.h>
@@ -56,7 +55,6 @@
   account->guarantee_slots = g_ptr_array_new ();
   for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
     account->waiting[p] = g_sequence_new (NULL);
-  account->learned = gr_learned_table_create ();
   g_hash_table_insert (core->accounts, account->settings.name, account);
   g_ptr_array_add (core->account_list, account);
   g_ptr_array_sort (core->account_list, compare_accounts);
@@ -73,7 +71,6 @@
   g_ptr_array_free (account->guarantee_slots, TRUE);
   for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
     g_sequence_free (account->waiting[p]);
-  g_hash_table_destroy (account->learned);
   g_free (account);
 }
 
--- a/sched/tables.h
+++ b/sched/tables.h
@@ -46,9 +46,6 @@
                             guaranteed work */
   GSequence *waiting[GR_N_PRIORITIES]; /* jobs in order of submission */
   GQueue active;                       /* jobs that hold accelerators */
-  GHashTable *learned;                 /* shape -> struct gr_learned */
-  double ratio_log2;                   /* log2 of real over declared run time */
-  uint32_t n_ratio;
 };
 
 struct gr_core_rack
@@ -233,7 +230,8 @@
   int64_t active_ms; /* running time without pauses of the process */
   bool durable;
   GArray *out; /* destination of commands: the array of the tick, or pending */
-  GArray *pending; /* commands of events between ticks */
+  GArray *pending;                /* commands of events between ticks */
+  struct gr_run_times *run_times; /* learned from finished jobs */
   GHashTable *accounts;
   GPtrArray *account_list; /* ordered by name */
   GHashTable *racks;
