--- a/instance/learned.c
+++ b/instance/learned.c
@@ -172,6 +172,7 @@
   if (gr_steps_learned_speeds_state (steps, &state))
     {
       gr_pack_double (packer, "noise", state.sample_noise);
+      gr_pack_double (packer, "noise_weight", state.noise_weight);
       gr_pack_bool (packer, "uneven", state.uneven);
     }
   data = gr_packer_data (packer, &size);
@@ -230,6 +231,7 @@
 {
   struct gr_speeds_state state = {
     .sample_noise = gr_unpack_double (map, "noise", MISSING),
+    .noise_weight = gr_unpack_double (map, "noise_weight", MISSING),
     .uneven = gr_unpack_bool (map, "uneven", false),
   };
 
--- a/learn/speeds.c
+++ b/learn/speeds.c
@@ -449,6 +449,7 @@
                      struct gr_speeds_state *state)
 {
   state->sample_noise = speeds->sample_noise;
+  state->noise_weight = speeds->noise_weight;
   state->uneven = speeds->uneven;
 }
 
@@ -459,9 +460,12 @@
   /* Two samples differ by twice the largest logarithm at most. NaN fails the
    * comparison. */
   if (!(state->sample_noise >= 0
-        && state->sample_noise <= 4 * MAX_SAMPLE_LOG * MAX_SAMPLE_LOG))
+        && state->sample_noise <= 4 * MAX_SAMPLE_LOG * MAX_SAMPLE_LOG
+        && state->noise_weight >= MIN_NOISE_SAMPLES
+        && state->noise_weight <= NOISE_SAMPLES))
     return false;
   speeds->sample_noise = state->sample_noise;
+  speeds->noise_weight = state->noise_weight;
   speeds->uneven = state->uneven;
   speeds->changed = true;
   return true;
--- a/learn/speeds.h
+++ b/learn/speeds.h
@@ -70,12 +70,13 @@
 struct gr_speeds_state
 {
   double sample_noise; /* variance of the logarithm of a single sample */
+  double noise_weight; /* samples that the noise rests on */
   bool uneven;
 };
 
 void gr_speeds_get_state (const struct gr_speeds *speeds,
                           struct gr_speeds_state *state);
-/* Returns false, and changes nothing, if the noise is not finite or out of
- * range. */
+/* Returns false, and changes nothing, if the noise or its weight is not
+ * finite or out of range. */
 bool gr_speeds_restore_state (struct gr_speeds *speeds,
                               const struct gr_speeds_state *state);
