--- a/tests/test-samples.c
+++ b/tests/test-samples.c
@@ -354,6 +354,35 @@
 }
 END_TEST
 
+static void
+check_gang_row (const struct gr_speed_row *row, void *context)
+{
+  /* The workers of the second rack. */
+  ck_assert_int_ge (g_ascii_strtoll (row->worker + 1, NULL, 10), 8);
+  ck_assert_double_lt (row->mean, 0);
+  ++*(uint32_t *)context;
+}
+
+/* Guards against a slow gang that is held against all its members: only one of
+ * them need be slow, and which one is not known. */
+START_TEST (slow_gangs_teach_nothing_about_several_unknown_workers)
+{
+  struct steps_model *model = create_model (16, 1, GR_MODE_ON);
+  uint32_t n = 0;
+
+  steps_model_set_slowness (model, 0, 3);
+  for (uint32_t i = 0; i < 50; i++)
+    steps_model_add_job (model, 1 + i, "normal", "a", &steps_gang, 1, 500);
+  steps_model_run (model, 40000);
+  ck_assert_uint_gt (learned (model).run_time_samples, 40);
+  gr_steps_each_learned_speed (steps_model_core (model), check_gang_row, &n);
+  ck_assert_uint_eq (n, 8);
+  for (uint32_t i = 0; i < 16; i++)
+    ck_assert_double_eq (slowness (model, i), 1.0);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -370,6 +399,8 @@
   tcase_add_test (tests, disturbed_runs_teach_nothing);
   tcase_add_test (tests, restarted_worker_is_unknown_again);
   tcase_add_test (tests, successor_restores_and_forecasts_the_same);
+  tcase_add_test (tests,
+                  slow_gangs_teach_nothing_about_several_unknown_workers);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
