--- a/learn/run-times.c
+++ b/learn/run-times.c
@@ -31,8 +31,6 @@
 /* Times above this value (31 years) count as this value. */
 #define MAX_TIME_MS 1000000000000LL
 #define MAX_LOG_TIME 27.7 /* logarithm of MAX_TIME_MS, rounded up */
-#define N_KEYS ((int)G_N_ELEMENTS (((struct gr_run_time_keys *)NULL)->keys))
-
 /* Weighted mean values of x, the logarithm of the estimate, and y, that of the
  * time. */
 struct moments
@@ -162,7 +160,7 @@
   double y = log_ms (ran_ms);
 
   moments_add (&times->all, x, y);
-  for (int i = N_KEYS - 1; i >= 0; i--)
+  for (size_t i = G_N_ELEMENTS (keys->keys); i-- > 0;)
     if (keys->keys[i] != NULL)
       {
         struct model *model = model_use (times, keys->keys[i]);
@@ -270,7 +268,7 @@
   if (times->all.weight <= 0)
     return MAX (estimate_ms, 1);
   belief_narrow (&belief, &times->all);
-  for (int i = N_KEYS - 1; i >= 0; i--)
+  for (size_t i = G_N_ELEMENTS (keys->keys); i-- > 0;)
     {
       const struct model *model =
           keys->keys[i] != NULL
