learn, steps, instance: learned run times and speeds

Cause: estimates are off by up to ten times and workers differ by a factor of two; nothing in steps/ knew either.

--- a/instance/owner.c
+++ b/instance/owner.c
@@ -4,6 +4,7 @@
 #include "instance/advice-calls.h"
 #include "instance/evacuation-control.h"
 #include "instance/expiry.h"
+#include "instance/learned.h"
 #include "instance/owner-load.h"
 #include "instance/ownership.h"
 #include "instance/progress-log.h"
@@ -51,6 +52,7 @@
   struct gr_steps *steps;
   struct gr_worker_io *io;
   struct gr_progress_log *log;
+  struct gr_learned *learned;
   struct gr_upkeep *upkeep;
   struct gr_expiry *expiry;
   struct gr_advice_calls *advice;
@@ -154,6 +156,7 @@
   gr_upkeep_run (owner->upkeep);
   gr_expiry_run (owner->expiry);
   write_progress (owner);
+  gr_learned_run (owner->learned);
   gr_owner_load_add_pass (&owner->load, g_get_monotonic_time () - start_us);
   if (gr_steps_fenced (owner->steps))
     report_superseded (owner, "a worker has seen a higher epoch");
@@ -486,6 +489,7 @@
       return;
     }
   owner->loaded = true;
+  gr_learned_restore (owner->learned);
   inherit_workers (owner);
   gr_mirror_each (owner->deps.mirror, inherit_job, owner);
   schedule_pass (owner);
@@ -531,6 +535,7 @@
   owner->log = gr_progress_log_create (
       deps->store, deps->mirror, revision,
       &(struct gr_progress_log_events){ committed, not_owner, owner });
+  owner->learned = gr_learned_create (deps, owner->steps, revision);
   gr_steps_set_registry_settled (owner->steps,
                                  store_up_since (owner) + REGISTRY_SETTLE_MS);
   owner->addresses =
@@ -562,6 +567,13 @@
   *lateness = *gr_worker_io_lateness (owner->io);
 }
 
+void
+gr_owner_learning (const struct gr_owner *owner,
+                   struct gr_steps_learning *learning)
+{
+  gr_steps_learning (owner->steps, learning);
+}
+
 void
 gr_owner_destroy (struct gr_owner *owner)
 {
@@ -581,6 +593,7 @@
   gr_evacuation_control_destroy (owner->evacuation);
   gr_worker_io_destroy (owner->io);
   gr_progress_log_destroy (owner->log);
+  gr_learned_destroy (owner->learned);
   gr_steps_destroy (owner->steps);
   g_hash_table_destroy (owner->addresses);
   g_free (owner->published_started);
