steps: split placement by job

Change: rank.c orders the steps, fit.c tells what fits on a worker, place-gangs.c and place-tasks.c choose workers, guarantee.c tells which work is within its guarantee, place.c is the pass. Code is moved, not changed. Result: tests steps, steps-gangs, steps-load, steps-crashes and waves pass.

--- /dev/null
+++ b/steps/place.h
@@ -0,0 +1,25 @@
+/* Functions of the placement pass (place.c), split by job: rank.c orders the
+ * steps, fit.c tells what fits on a worker, place-gangs.c and place-tasks.c
+ * choose the workers. Private to these files. */
+#pragma once
+
+#include "steps/tables.h"
+
+/* Steps that are ready and have waiting tasks, in the order in which they are
+ * tried. Free with g_ptr_array_unref (). */
+GPtrArray *gr_rank_steps (struct gr_steps *steps);
+
+/* Starts the whole gang, or nothing. Returns false if it does not fit. */
+bool gr_place_gang (struct gr_steps *steps, struct step *step);
+/* Starts as many waiting tasks as fit. Returns false if no worker has capacity
+ * for one of them. */
+bool gr_place_tasks (struct gr_steps *steps, struct step *step);
+/* Assigns the task to the worker and queues its start. */
+void gr_place_task_on (struct gr_steps *steps,
+                       struct task *task,
+                       struct worker *worker,
+                       uint32_t run);
+/* Urgent starts are sent before others, so a backlog does not hold them
+ * back. */
+bool gr_place_may_queue_start (const struct gr_steps *steps,
+                               const struct step *step);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -390,6 +390,11 @@
                         const struct step *step);
 /* True if the unfinished urgent work of the account fits its guarantee. */
 bool gr_account_within_guarantee (const struct account *account);
+/* True for urgent work of an account that is within its guarantee. */
+bool gr_step_is_guaranteed (const struct step *step);
+/* Computes the accelerators that each account's urgent work needs; they decide
+ * whether it is within its guarantee. */
+void gr_accounts_update_demand (struct gr_steps *steps);
 
 /* Stops runs, those with the least loss first, so that an urgent step can
  * start. */
