steps: choose workers by expected completion

Cause: a gang runs at the pace of its slowest worker, and on deployments where a quarter of the workers is twice as fast, urgent gangs start on whatever has the least free capacity; that is where their value is lost. Change: with objectives on and workers of different speeds, work takes the slowest workers that are fast enough for its objective, and a gang the rack where it meets its objective at the least loss of fast capacity to others. Observe counts the choices that would differ.

--- a/steps/place.c
+++ b/steps/place.c
@@ -1,4 +1,5 @@
 #include "steps/place.h"
+#include "steps/deadline.h"
 
 #include "common/log.h"
 
@@ -36,6 +37,35 @@
          || !gr_orders_backlogged (steps);
 }
 
+bool
+gr_place_by_speed (const struct gr_steps *steps, const struct step *step)
+{
+  return steps->settings.objectives != GR_MODE_OFF && steps->uneven_speeds
+         && !step->spec->lasting;
+}
+
+void
+gr_place_count_expected (struct gr_steps *steps,
+                         struct step *step,
+                         double slowness)
+{
+  struct gr_steps_placement *counts = &steps->placement;
+  int64_t run_ms;
+
+  if (step->spec->lasting || step->placement_counted)
+    return;
+  step->placement_counted = true;
+  run_ms = (int64_t)((double)gr_deadline (steps, step)->run_ms * slowness);
+  if (run_ms > gr_deadline_left_ms (steps, step, 1))
+    counts->steps_expected_late++;
+  if (!step->spec->gang)
+    return;
+  if (slowness <= gr_deadline_max_slowness (steps, step))
+    counts->gangs_fast_enough++;
+  else
+    counts->gangs_too_slow++;
+}
+
 static void
 update_free_accelerators (struct gr_steps *steps)
 {
@@ -144,6 +174,8 @@
 
   gr_accounts_update_demand (steps);
   update_free_accelerators (steps);
+  if (steps->settings.objectives != GR_MODE_OFF)
+    gr_workers_update_speeds (steps);
   ranked = gr_rank_steps (steps);
   for (guint i = 0; i < ranked->len; i++)
     try_step (steps, ranked->pdata[i], failed);
--- a/steps/place.h
+++ b/steps/place.h
@@ -1,6 +1,6 @@
 /* Functions of the placement pass (place.c), split by job: rank.c orders the
- * steps, fit.c tells what fits on a worker, place-gangs.c and place-tasks.c
- * choose the workers. Private to these files. */
+ * steps, fit.c tells what fits on a worker, place-gangs.c (with candidates.c)
+ * and place-tasks.c choose the workers. Private to these files. */
 #pragma once
 
 #include "steps/tables.h"
@@ -9,6 +9,14 @@
  * tried. Free with g_ptr_array_unref (). */
 GPtrArray *gr_rank_steps (struct gr_steps *steps);
 
+/* True if the workers of the step are chosen by speed: they differ in it, and
+ * the step ends by itself. Also in GR_MODE_OBSERVE. */
+bool gr_place_by_speed (const struct gr_steps *steps, const struct step *step);
+/* Counts whether a start at this slowness is expected to meet the objective, at
+ * the first start of the step. */
+void gr_place_count_expected (struct gr_steps *steps,
+                              struct step *step,
+                              double slowness);
 /* Starts the whole gang, or nothing. Returns false if it does not fit. */
 bool gr_place_gang (struct gr_steps *steps, struct step *step);
 /* Starts as many waiting tasks as fit. Returns false if no worker has capacity
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -322,6 +322,23 @@
                                 void (*visit) (const char *id, void *context),
                                 void *context);
 
+/* Decisions by expected completion since this owner started. With
+ * GR_MODE_OBSERVE, those that would have been taken. */
+struct gr_steps_placement
+{
+  uint64_t gangs_fast_enough; /* their objective is expected to be met */
+  uint64_t gangs_too_slow;
+  uint64_t steps_expected_late; /* not expected to meet it when first placed */
+  uint64_t choices_changed; /* workers differ from the choice without speeds */
+  uint64_t orders_changed;  /* passes whose order differs from arrival order;
+                               only with GR_MODE_OBSERVE */
+  uint64_t gangs_waited;    /* for faster workers */
+  uint64_t reservations_made;
+  uint64_t reservations_kept; /* the gang started in time */
+  uint64_t reservations_expired;
+  uint64_t tasks_backfilled;
+};
+
 /* For logs and metrics. */
 struct gr_steps_counts
 {
@@ -335,6 +352,7 @@
   uint32_t accelerators;
   uint32_t accelerators_used;
   uint32_t orders; /* queued, not taken yet */
+  struct gr_steps_placement placement;
 };
 void gr_steps_counts (const struct gr_steps *steps,
                       struct gr_steps_counts *counts);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -16,6 +16,11 @@
   struct gr_resources used;  /* by the tasks assigned to the worker */
   struct step *reserved_for; /* the only step placed here; NULL: any */
   int64_t reserved_until_ms;
+  struct step *planned_for; /* gang that is expected to start here at
+                               planned_ms; see planned.c */
+  int64_t planned_ms;
+  int32_t speed;    /* class of equal speeds; higher is slower, 0 is typical */
+  double slowness;  /* of the class; set in each placement pass */
   GPtrArray *tasks; /* struct task; not owned */
   int64_t incarnation_unix_ms;
   bool registered;
@@ -112,6 +117,17 @@
   int64_t until_ms;            /* expiry of the ticket */
 };
 
+/* Expected times of a step; see deadline.h. */
+struct deadline
+{
+  int64_t checked_ms;  /* when last computed; 0: never */
+  int64_t run_ms;      /* of a task at slowness 1.0, half of the runs */
+  int64_t late_run_ms; /* the same, nine of ten runs */
+  int64_t accepted_ms; /* when its objective began to count */
+  int64_t objective_ms;
+  int64_t rest_ms; /* of the longest chain of steps after it */
+};
+
 struct step
 {
   struct occurrence *occurrence;
@@ -130,8 +146,12 @@
   int64_t reclaim_started_ms;  /* when capacity was last reclaimed for it */
   int64_t reclaim_failed_ms; /* when reclaiming last found no workers to free */
   int64_t rack_fit_checked_ms; /* when fits_rack was last computed; 0: never */
-  bool suspected;              /* workers have crashed under one of its tasks */
-  bool fits_rack; /* some rack is large enough for the whole gang */
+  struct deadline deadline;
+  int64_t wait_until_ms;  /* it waits for faster workers; 0: never considered */
+  bool placement_logged;  /* that speeds decided; once for each step */
+  bool placement_counted; /* whether it is expected to be late */
+  bool suspected;         /* workers have crashed under one of its tasks */
+  bool fits_rack;         /* some rack is large enough for the whole gang */
 };
 
 struct occurrence
@@ -170,6 +190,9 @@
   uint32_t objective_ms;
   double stretch;
   bool needs_advice;
+  struct step *planned_step; /* gang that workers are planned for */
+  int64_t planned_ms;        /* when it is expected to start */
+  int64_t plan_checked_ms;   /* when a plan was last computed; 0: never */
 };
 
 struct account
@@ -212,7 +235,10 @@
   uint64_t sequence;
   uint64_t committed; /* changes up to this sequence number are durable */
   bool fenced;
-  bool mostly_free;    /* at least half of the accelerators are free */
+  bool mostly_free;   /* at least half of the accelerators are free */
+  bool uneven_speeds; /* workers differ in their speed class */
+  double fastest;     /* least slowness of a usable worker */
+  struct gr_steps_placement placement;
   bool all_runs_known; /* no inherited job can have a run that was not seen */
 };
 
