tests: placement and order on workers of different speeds

Cause: the choices by expected completion had no test. Change: the model gets the slowness of workers; the slowness that the core expects is replaced when the test is linked. Tests play slack and urgent work, a gang, a light load with all modes, and an overload of batch jobs.

--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -80,6 +80,7 @@
   bool clock_known; /* to the owner, after the first poll; that poll therefore
                        grants no lease */
   uint32_t starts;
+  double slowness;
 };
 
 struct model_job
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -1,5 +1,6 @@
 #include "tests/steps-model-private.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -366,9 +367,12 @@
   g_ptr_array_remove_index (worker->runs, index);
 }
 
-/* Number of active members of a gang with this run number. */
+/* Number of active members of a gang with this run number. *slowness is set to
+ * that of the slowest. */
 static uint32_t
-count_gang_runs (struct steps_model *model, const struct model_run *run)
+count_gang_runs (struct steps_model *model,
+                 const struct model_run *run,
+                 double *slowness)
 {
   uint32_t n = 0;
 
@@ -380,8 +384,11 @@
         {
           const struct model_run *other = worker->runs->pdata[k];
 
-          n += other->job == run->job && other->step == run->step
-               && other->run == run->run;
+          if (other->job != run->job || other->step != run->step
+              || other->run != run->run)
+            continue;
+          n++;
+          *slowness = MAX (*slowness, worker->slowness);
         }
     }
   return n;
@@ -454,12 +461,13 @@
 {
   const struct model_job *job = model_get_job (model, run->job);
   const struct gr_step_spec *spec = model_run_spec (model, run);
+  double slowness = worker->slowness;
 
   if (model->now_ms > worker->lease_until_ms)
     *how = GR_END_LAPSED;
   else if (run->stop_ms != 0 && model->now_ms >= run->stop_ms)
     *how = GR_END_STOPPED;
-  else if (spec->gang && count_gang_runs (model, run) < spec->count)
+  else if (spec->gang && count_gang_runs (model, run, &slowness) < spec->count)
     {
       *how = GR_END_ALONE;
       return model->now_ms > run->started_ms + model->settings.gang_wait_ms;
@@ -467,7 +475,7 @@
   else
     {
       check_tail (model, worker, run);
-      run->worked_ms += TICK_MS * run->pace / 100;
+      run->worked_ms += llround (TICK_MS * run->pace / 100 / slowness);
       if (spec->lasting)
         return false;
       if (run->worked_ms - run->saved_ms >= CHECKPOINT_INTERVAL_MS
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -71,6 +71,7 @@
   worker->ended_runs =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   worker->incarnation = 1;
+  worker->slowness = 1;
   worker->entry_revision = 1;
   g_ptr_array_add (model->workers, worker);
   model_register_worker (model, worker);
@@ -79,6 +80,15 @@
 
 struct steps_model *
 steps_model_create (uint32_t workers, uint32_t per_rack, uint32_t seed)
+{
+  return steps_model_create_with (workers, per_rack, seed, GR_MODE_OFF);
+}
+
+struct steps_model *
+steps_model_create_with (uint32_t workers,
+                         uint32_t per_rack,
+                         uint32_t seed,
+                         enum gr_mode objectives)
 {
   struct steps_model *model = g_new0 (struct steps_model, 1);
 
@@ -95,6 +105,7 @@
     .heartbeat_ms = HEARTBEAT_MS,
     .checkpoint_ms = CHECKPOINT_INTERVAL_MS,
     .far_factor = 3,
+    .objectives = objectives,
   };
   model->workers = g_ptr_array_new ();
   model->jobs = g_ptr_array_new ();
@@ -271,6 +282,14 @@
   get_worker (model, worker)->fails_runs = fails;
 }
 
+void
+steps_model_set_slowness (struct steps_model *model,
+                          uint32_t worker,
+                          double factor)
+{
+  get_worker (model, worker)->slowness = factor;
+}
+
 void
 steps_model_set_worker_unreachable (struct steps_model *model,
                                     uint32_t worker,
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -37,6 +37,11 @@
 
 struct steps_model *
 steps_model_create (uint32_t workers, uint32_t per_rack, uint32_t seed);
+/* The same, with placement by expected completion. */
+struct steps_model *steps_model_create_with (uint32_t workers,
+                                             uint32_t per_rack,
+                                             uint32_t seed,
+                                             enum gr_mode objectives);
 void steps_model_destroy (struct steps_model *model);
 
 struct gr_steps *steps_model_core (struct steps_model *model);
@@ -87,6 +92,11 @@
 void steps_model_fail_worker (struct steps_model *model,
                               uint32_t worker,
                               bool fails);
+/* Runs on the worker take factor times their work; a gang runs at the pace of
+ * its slowest worker. */
+void steps_model_set_slowness (struct steps_model *model,
+                               uint32_t worker,
+                               double factor);
 /* While unreachable is true, calls to the worker get no answer; its runs
  * continue under their lease. */
 void steps_model_set_worker_unreachable (struct steps_model *model,
--- /dev/null
+++ b/tests/test-placement.c
@@ -0,0 +1,295 @@
+/* Tests of order and placement by expected completion, on a model of workers.
+ * The slowness that the core expects of a worker is that of the model. */
+#include "steps/forecast.h"
+#include "tests/steps-model.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+#define WORKERS 48
+#define PER_RACK 12
+#define FAST 0.55
+#define SLOW 1.2
+
+static double slowness_of[WORKERS];
+
+double __wrap_gr_forecast_slowness (const struct gr_steps *steps,
+                                    const struct worker *worker);
+
+/* Replaces the learned slowness; see wrapped_functions in meson.build. */
+double
+__wrap_gr_forecast_slowness (const struct gr_steps *steps,
+                             const struct worker *worker)
+{
+  (void)steps;
+  return slowness_of[g_ascii_strtoull (worker->id + 1, NULL, 10)];
+}
+
+/* Which workers of each rack are fast; the others are slow. */
+enum fast
+{
+  FIRST_3,
+  LAST_3,
+  ALIKE, /* all workers have a slowness of 1.0 */
+};
+
+static double
+slowness_in_rack (enum fast fast, uint32_t number)
+{
+  if (fast == ALIKE)
+    return 1.0;
+  return (fast == FIRST_3 ? number : PER_RACK - 1 - number) < 3 ? FAST : SLOW;
+}
+
+static struct steps_model *
+create (enum gr_mode mode, enum fast fast, uint32_t seed)
+{
+  struct steps_model *model =
+      steps_model_create_with (WORKERS, PER_RACK, seed, mode);
+
+  steps_model_set_queue (model, "urgent", 0, 3);
+  steps_model_set_queue (model, "rebuild", 1, 3);
+  steps_model_set_queue (model, "batch", 2, 3);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    {
+      slowness_of[i] = slowness_in_rack (fast, i % PER_RACK);
+      steps_model_set_slowness (model, i, slowness_of[i]);
+    }
+  steps_model_run (model, 500);
+  return model;
+}
+
+static void
+set_objective (struct steps_model *model,
+               const char *name,
+               uint32_t priority,
+               uint32_t objective_ms,
+               double stretch)
+{
+  struct gr_steps_queue queue = {
+    .name = name,
+    .service = "render",
+    .priority = priority,
+    .max_attempts = 3,
+    .objective_ms = objective_ms,
+    .stretch = stretch,
+  };
+
+  gr_steps_set_queue (steps_model_core (model), &queue);
+}
+
+static void
+destroy (struct steps_model *model)
+{
+  ck_assert_msg (steps_model_violation (model) == NULL, "%s",
+                 steps_model_violation (model));
+  steps_model_destroy (model);
+}
+
+static void
+add (struct steps_model *model,
+     uint32_t number,
+     const char *queue,
+     uint32_t count,
+     uint32_t accelerators,
+     uint32_t run_ms)
+{
+  bool gang = !g_str_equal (queue, "batch");
+  struct gr_step_spec step = {
+    .count = count,
+    .needs = { 1000, 1000, accelerators },
+    .estimate_ms = run_ms,
+    .gang = gang,
+    .one_rack = gang,
+  };
+
+  steps_model_add_job (model, number, queue, "a", &step, 1, run_ms);
+}
+
+static uint32_t
+starts_on (const struct steps_model *model, double slowness)
+{
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < WORKERS; i++)
+    if (slowness_of[i] == slowness)
+      n += steps_model_starts_on (model, i);
+  return n;
+}
+
+/* Half of the load needs fast workers for its objective, the other half has
+ * slack. Guards against work with slack that takes the fast workers, so that
+ * urgent work runs on slow ones. */
+START_TEST (work_with_slack_leaves_fast_workers_free)
+{
+  struct steps_model *model = create (GR_MODE_ON, FIRST_3, 1);
+
+  set_objective (model, "urgent", 0, 300, 1.5);
+  add (model, 1, "batch", 200, 1, 8000);
+  add (model, 2, "rebuild", 4, 8, 8000);
+  steps_model_run (model, 100);
+  ck_assert_uint_eq (starts_on (model, FAST), 0);
+  add (model, 3, "urgent", 3, 8, 2200);
+  steps_model_run (model, 100);
+  ck_assert_uint_eq (starts_on (model, FAST), 3);
+  steps_model_run (model, 1400);
+  ck_assert_int_eq (steps_model_state (model, 3), GR_JOB_COMPLETED);
+  /* At full load the fast workers fill up too. */
+  add (model, 4, "batch", 400, 1, 8000);
+  steps_model_run (model, 100);
+  ck_assert_uint_ge (starts_on (model, FAST), 3 + 12 * 8);
+  destroy (model);
+}
+END_TEST
+
+/* A batch job that is short of time beside free workers of both kinds. Guards
+ * against work with slack that stays on slow workers once they would make it
+ * late. */
+START_TEST (work_without_slack_takes_fast_workers)
+{
+  struct steps_model *model = create (GR_MODE_ON, LAST_3, 1);
+
+  set_objective (model, "batch", 2, 0, 1.1);
+  add (model, 1, "batch", 8, 1, 4000);
+  steps_model_run (model, 100);
+  ck_assert_uint_eq (starts_on (model, FAST), 8);
+  destroy (model);
+}
+END_TEST
+
+/* A gang of five on racks with three fast workers each. Guards against a gang
+ * that takes fast workers although its slowest member makes it slow. */
+START_TEST (gang_takes_no_fast_member_beside_a_slow_one)
+{
+  struct steps_model *model = create (GR_MODE_ON, FIRST_3, 1);
+
+  set_objective (model, "urgent", 0, 300, 1.5);
+  add (model, 1, "urgent", 5, 8, 2200);
+  steps_model_run (model, 100);
+  ck_assert_uint_eq (starts_on (model, SLOW), 5);
+  destroy (model);
+}
+END_TEST
+
+/* The number of starts on each worker, over a load of small jobs that never has
+ * to wait. */
+static void
+play_light_load (enum gr_mode mode, enum fast fast, uint32_t starts[WORKERS])
+{
+  struct steps_model *model = create (mode, fast, 7);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (7);
+  static const char *const queues[] = { "urgent", "rebuild", "batch" };
+
+  for (uint32_t number = 1; number <= 150; number++)
+    {
+      add (model, number, queues[g_rand_int_range (rand, 0, 3)],
+           (uint32_t)g_rand_int_range (rand, 1, 17),
+           (uint32_t)g_rand_int_range (rand, 1, 5),
+           (uint32_t)g_rand_int_range (rand, 500, 3000));
+      steps_model_run (model, 160);
+    }
+  for (uint32_t i = 0; i < WORKERS; i++)
+    starts[i] = steps_model_starts_on (model, i);
+  destroy (model);
+}
+
+/* Guards against a choice that differs from the plain one although all workers
+ * are alike, and against one that is applied in observe mode. */
+START_TEST (alike_workers_and_observing_change_nothing)
+{
+  uint32_t plain[WORKERS];
+  uint32_t others[WORKERS];
+
+  play_light_load (GR_MODE_OFF, ALIKE, plain);
+  play_light_load (GR_MODE_ON, ALIKE, others);
+  ck_assert_mem_eq (plain, others, sizeof plain);
+  play_light_load (GR_MODE_OFF, LAST_3, plain);
+  play_light_load (GR_MODE_OBSERVE, LAST_3, others);
+  ck_assert_mem_eq (plain, others, sizeof plain);
+}
+END_TEST
+
+/* What callers get under an overload of batch jobs. */
+struct outcome
+{
+  uint32_t in_time;
+  uint32_t large; /* jobs of the largest tenth */
+  uint32_t large_in_time;
+  uint32_t unfinished;
+};
+
+#define OVERLOAD_JOBS 160
+
+/* For 40 s, batch jobs arrive that need 1.4 times what 384 accelerators can do:
+ * 10 to 80 tasks of 2 or 9 s each, then nothing for 60 s. */
+static struct outcome
+play_overload (enum gr_mode mode, uint32_t seed)
+{
+  struct steps_model *model = create (mode, ALIKE, seed);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+  int64_t objective_ms[OVERLOAD_JOBS + 1];
+  uint32_t counts[OVERLOAD_JOBS + 1];
+  struct outcome outcome = { 0 };
+
+  set_objective (model, "batch", 2, 2000, 2);
+  for (uint32_t i = 1; i <= OVERLOAD_JOBS; i++)
+    {
+      uint32_t run_ms = g_rand_boolean (rand) ? 2000 : 9000;
+
+      counts[i] = (uint32_t)g_rand_int_range (rand, 10, 51);
+      if (i % 10 == 0)
+        counts[i] = 80;
+      objective_ms[i] = 2000 + 2 * run_ms;
+      add (model, i, "batch", counts[i], 1, run_ms);
+      steps_model_run (model, 250);
+    }
+  steps_model_run (model, 60000);
+  for (uint32_t i = 1; i <= OVERLOAD_JOBS; i++)
+    {
+      int64_t completion_ms = steps_model_completion_ms (model, i);
+      bool in_time = completion_ms >= 0 && completion_ms <= objective_ms[i];
+
+      outcome.in_time += in_time;
+      outcome.large += counts[i] == 80;
+      outcome.large_in_time += in_time && counts[i] == 80;
+      outcome.unfinished += completion_ms < 0;
+    }
+  destroy (model);
+  return outcome;
+}
+
+/* Guards against an order under which fewer jobs meet their objective than by
+ * arrival, large jobs are served less than half as often as the others, or some
+ * are never served. */
+START_TEST (overload_serves_more_jobs_in_time)
+{
+  struct outcome by_arrival = play_overload (GR_MODE_OFF, (uint32_t)_i + 1);
+  struct outcome ordered = play_overload (GR_MODE_ON, (uint32_t)_i + 1);
+
+  ck_assert_uint_gt (ordered.in_time, by_arrival.in_time);
+  ck_assert_uint_ge (ordered.large_in_time * 2 * OVERLOAD_JOBS,
+                     ordered.in_time * ordered.large);
+  ck_assert_uint_eq (ordered.unfinished, 0);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("placement");
+  TCase *tests = tcase_create ("placement");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, work_with_slack_leaves_fast_workers_free);
+  tcase_add_test (tests, work_without_slack_takes_fast_workers);
+  tcase_add_test (tests, gang_takes_no_fast_member_beside_a_slow_one);
+  tcase_add_test (tests, alike_workers_and_observing_change_nothing);
+  tcase_add_loop_test (tests, overload_serves_more_jobs_in_time, 0, 5);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
