steps: planned reservations for wide gangs, waits for faster workers

Cause: small tasks take each accelerator as it becomes free, so a gang that needs most of a rack never finds one; and an urgent gang that finds only slow workers starts on them although fast ones are nearly free. Change: with objectives on, the first gang of a queue that does not fit is planned on the rack where it is expected to complete first, and other work runs there only if it ends before. Racks without enough free accelerators are skipped.

--- a/instance/metrics.c
+++ b/instance/metrics.c
@@ -44,6 +44,37 @@
     "Orders to workers that are queued to be sent; only on the owner. More "
     "than a hundred for several seconds mean that the owner's processor is "
     "too slow." },
+  { "gangs_fast_enough_total", "counter", "",
+    "Gangs that were placed on workers fast enough for their objective. "
+    "Counters of placement are 0 with objectives = off and start anew with "
+    "each owner; with observe they count what would have been done; only on "
+    "the owner." },
+  { "gangs_too_slow_total", "counter", "",
+    "Gangs that were placed on workers too slow for their objective; only "
+    "on the owner." },
+  { "steps_expected_late_total", "counter", "",
+    "Steps that were expected to miss their objective when first placed; "
+    "only on the owner." },
+  { "placement_choices_changed_total", "counter", "",
+    "Choices of workers that differ from the choice without speeds; only on "
+    "the owner." },
+  { "placement_orders_changed_total", "counter", "",
+    "Looks, at most five a second with objectives = observe, at which the "
+    "order of work differs from the order of arrival; only on the owner." },
+  { "gangs_waited_total", "counter", "",
+    "Urgent gangs that waited for faster workers; only on the owner." },
+  { "reservations_made_total", "counter", "",
+    "Planned reservations of workers for gangs that did not fit; only on "
+    "the owner." },
+  { "reservations_kept_total", "counter", "",
+    "Gangs that started while they had a planned reservation; only on the "
+    "owner." },
+  { "reservations_expired_total", "counter", "",
+    "Planned reservations that were dropped, because the planned time was "
+    "missed or a worker could not be used; only on the owner." },
+  { "tasks_backfilled_total", "counter", "",
+    "Tasks that were placed on workers planned for a gang; only on the "
+    "owner." },
   { "loop_late_ms", "gauge", "",
     "Recent lateness of the owner's main loop, in milliseconds." },
   { "response_ms", "gauge", "",
@@ -86,11 +117,12 @@
 gr_metrics_set (struct gr_counters *counters,
                 const struct gr_metrics_state *state)
 {
+  const struct gr_steps_placement *placement = &state->counts.placement;
   const struct
   {
     const char *name;
     int64_t value;
-  } gauges[] = {
+  } values[] = {
     { "owner", state->is_owner },
     { "jobs_known", state->jobs_known },
     { "jobs", state->counts.jobs },
@@ -103,6 +135,16 @@
     { "accelerators", state->counts.accelerators },
     { "accelerators_used", state->counts.accelerators_used },
     { "orders_waiting", state->counts.orders },
+    { "gangs_fast_enough_total", (int64_t)placement->gangs_fast_enough },
+    { "gangs_too_slow_total", (int64_t)placement->gangs_too_slow },
+    { "steps_expected_late_total", (int64_t)placement->steps_expected_late },
+    { "placement_choices_changed_total", (int64_t)placement->choices_changed },
+    { "placement_orders_changed_total", (int64_t)placement->orders_changed },
+    { "gangs_waited_total", (int64_t)placement->gangs_waited },
+    { "reservations_made_total", (int64_t)placement->reservations_made },
+    { "reservations_kept_total", (int64_t)placement->reservations_kept },
+    { "reservations_expired_total", (int64_t)placement->reservations_expired },
+    { "tasks_backfilled_total", (int64_t)placement->tasks_backfilled },
     { "loop_late_ms", state->lateness.loop_ms },
     { "response_ms", (int64_t)state->lateness.response_ms },
     { "config_version", state->config_version },
@@ -110,7 +152,7 @@
     { "store_silent_ms", state->store_silent_ms },
   };
 
-  for (size_t i = 0; i < G_N_ELEMENTS (gauges); i++)
-    gr_counter_set (gr_counters_get (counters, gauges[i].name, ""),
-                    gauges[i].value);
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    gr_counter_set (gr_counters_get (counters, values[i].name, ""),
+                    values[i].value);
 }
--- a/steps/candidates.c
+++ b/steps/candidates.c
@@ -1,6 +1,7 @@
 #include "steps/candidates.h"
 
 #include "steps/place.h"
+#include "steps/planned.h"
 
 #include <string.h>
 
@@ -17,7 +18,9 @@
       struct gr_resources available;
       struct candidate candidate = { .worker = worker };
 
-      if (!gr_worker_allowed (steps, worker, step))
+      if (!gr_worker_allowed (steps, worker, step)
+          || (worker->planned_for != NULL
+              && gr_worker_is_planned (steps, worker, step)))
         continue;
       available = gr_worker_free_resources (worker, step);
       candidate.slots = gr_step_slots_in (step, worker, &available);
--- a/steps/fit.c
+++ b/steps/fit.c
@@ -58,6 +58,17 @@
   return available;
 }
 
+bool
+gr_rack_is_known_full (const struct gr_steps *steps,
+                       const struct rack *rack,
+                       const struct step *step,
+                       uint32_t n_tasks)
+{
+  return steps->settings.objectives == GR_MODE_ON
+         && (uint64_t)step->spec->needs.accelerators * n_tasks
+                > rack->free_accelerators;
+}
+
 static uint32_t
 tasks_of_step_on (const struct step *step, const struct worker *worker)
 {
--- a/steps/job.c
+++ b/steps/job.c
@@ -191,7 +191,13 @@
       if (worker->reserved_for != NULL
           && gr_step_job (worker->reserved_for) == job)
         worker->reserved_for = NULL;
+      if (worker->planned_for != NULL
+          && gr_step_job (worker->planned_for) == job)
+        worker->planned_for = NULL;
     }
+  if (job->queue->planned_step != NULL
+      && gr_step_job (job->queue->planned_step) == job)
+    job->queue->planned_step = NULL;
 }
 
 /* A final job without tasks on workers is removed once its state is durable. If
--- a/steps/place-gangs.c
+++ b/steps/place-gangs.c
@@ -1,6 +1,8 @@
 #include "steps/candidates.h"
 #include "steps/deadline.h"
+#include "steps/gang-wait.h"
 #include "steps/place.h"
+#include "steps/planned.h"
 
 #include "common/log.h"
 
@@ -39,6 +41,7 @@
                           step->gang_run);
     }
   g_assert (next == step->n_tasks);
+  gr_planned_started (steps, step);
   for (guint i = 0; i < steps->worker_rows->len; i++)
     {
       struct worker *worker = steps->worker_rows->pdata[i];
@@ -135,6 +138,8 @@
       struct rack *rack = racks->pdata[i];
       struct option option = { 0 };
 
+      if (gr_rack_is_known_full (steps, rack, step, step->n_tasks))
+        continue;
       option.candidates = gr_candidates_find (steps, step, rack->workers);
       if (gr_candidates_slots (option.candidates) < step->n_tasks)
         {
@@ -260,6 +265,13 @@
     start_gang_on (steps, step, plain->candidates);
 }
 
+static bool
+waits (struct gr_steps *steps, struct step *step, const struct option *by_speed)
+{
+  return by_speed->candidates != NULL && !by_speed->in_time
+         && gr_gang_waits (steps, step, by_speed->slowness);
+}
+
 bool
 gr_place_gang (struct gr_steps *steps, struct step *step)
 {
@@ -276,7 +288,7 @@
                 && !step->spec->one_rack)
     add_spread (steps, step, &plain, &by_speed);
   fits = plain.candidates != NULL;
-  if (fits)
+  if (fits && !waits (steps, step, &by_speed))
     start_option (steps, step, &plain, &by_speed);
   g_clear_pointer (&plain.candidates, g_array_unref);
   g_clear_pointer (&by_speed.candidates, g_array_unref);
--- a/steps/place-tasks.c
+++ b/steps/place-tasks.c
@@ -1,5 +1,6 @@
 #include "steps/deadline.h"
 #include "steps/place.h"
+#include "steps/planned.h"
 
 #include "common/log.h"
 
@@ -71,7 +72,10 @@
       struct gr_resources available;
       uint64_t score;
 
-      if (!gr_worker_allowed (steps, worker, step))
+      if (gr_rack_is_known_full (steps, worker->rack_row, step, 1)
+          || !gr_worker_allowed (steps, worker, step)
+          || (worker->planned_for != NULL
+              && gr_worker_is_planned (steps, worker, step)))
         continue;
       available = gr_worker_free_resources (worker, step);
       if (gr_step_slots_in (step, worker, &available) == 0)
--- a/steps/place.c
+++ b/steps/place.c
@@ -1,5 +1,6 @@
 #include "steps/place.h"
 #include "steps/deadline.h"
+#include "steps/planned.h"
 
 #include "common/log.h"
 
@@ -21,6 +22,8 @@
   char name[GR_TASK_NAME_SIZE];
   char text[16];
 
+  if (worker->planned_for != NULL && worker->planned_for != task->step)
+    steps->placement.tasks_backfilled++;
   gr_task_assign (task, worker);
   task->run = run;
   gr_order_start (steps, task);
@@ -95,9 +98,20 @@
       (double)available >= (double)capacity * MOSTLY_FREE_SHARE;
 }
 
+/* Short work may fit on planned workers where longer work does not. */
+static bool
+may_fit_if_shorter (const struct gr_steps *steps,
+                    const struct step *step,
+                    const struct step *failed)
+{
+  return steps->has_plans && gr_step_job (step)->queue->priority > 0
+         && step->deadline.late_run_ms < failed->deadline.late_run_ms;
+}
+
 /* True if the step needs at least as much, on the same workers, as one that
- * already failed in this pass. It need not be tried, as free capacity only
- * shrinks within a pass. Keeps a pass short with hundreds of waiting gangs. */
+ * already failed in this pass. It need not be tried, as free
+ * capacity only shrinks within a pass. Keeps a pass short with hundreds of
+ * waiting gangs. */
 static bool
 needs_at_least (const struct step *step, const struct step *failed)
 {
@@ -120,10 +134,12 @@
                      const GPtrArray *failed)
 {
   /* Workers may be reserved for it by now, or it may spread over racks. */
-  if (step->reclaim_started_ms != 0 || gr_step_may_spread (steps, step))
+  if (step->reclaim_started_ms != 0 || gr_step_may_spread (steps, step)
+      || gr_step_job (step)->queue->planned_step == step)
     return false;
   for (guint i = 0; i < failed->len; i++)
-    if (needs_at_least (step, failed->pdata[i]))
+    if (needs_at_least (step, failed->pdata[i])
+        && !may_fit_if_shorter (steps, step, failed->pdata[i]))
       return true;
   return false;
 }
@@ -161,6 +177,7 @@
     return;
   if (!gr_step_may_spread (steps, step))
     g_ptr_array_add (failed, step);
+  gr_planned_make (steps, step);
   gr_advice_request_if_needed (steps, step);
   if (gr_step_job (step)->queue->priority == 0)
     gr_reclaim_capacity (steps, step);
@@ -175,7 +192,10 @@
   gr_accounts_update_demand (steps);
   update_free_accelerators (steps);
   if (steps->settings.objectives != GR_MODE_OFF)
-    gr_workers_update_speeds (steps);
+    {
+      gr_workers_update_speeds (steps);
+      gr_planned_tick (steps);
+    }
   ranked = gr_rank_steps (steps);
   for (guint i = 0; i < ranked->len; i++)
     try_step (steps, ranked->pdata[i], failed);
--- a/steps/place.h
+++ b/steps/place.h
@@ -9,6 +9,14 @@
  * tried. Free with g_ptr_array_unref (). */
 GPtrArray *gr_rank_steps (struct gr_steps *steps);
 
+/* True if the rack had too few free accelerators for so many tasks of the step
+ * at the start of the pass. Capacity that is freed within a pass counts from
+ * the next one on. Saves most of a pass on a full site; never true with
+ * objectives off, when each pass is as it was before. */
+bool gr_rack_is_known_full (const struct gr_steps *steps,
+                            const struct rack *rack,
+                            const struct step *step,
+                            uint32_t n_tasks);
 /* True if the workers of the step are chosen by speed: they differ in it, and
  * the step ends by itself. Also in GR_MODE_OBSERVE. */
 bool gr_place_by_speed (const struct gr_steps *steps, const struct step *step);
--- a/steps/rank.c
+++ b/steps/rank.c
@@ -29,6 +29,10 @@
 
 #define MAX_PRIORITY 100
 
+/* With GR_MODE_OBSERVE, two orders are computed no more often than this, so
+ * that passes stay short. */
+#define OBSERVE_INTERVAL_MS 200
+
 static uint32_t
 rank_class (const struct step *step, enum lateness lateness)
 {
@@ -173,10 +177,12 @@
   if (steps->settings.objectives == GR_MODE_ON)
     return rank_steps (steps, rank_by_completion);
   rows = rank_steps (steps, rank_by_arrival);
-  if (steps->settings.objectives == GR_MODE_OBSERVE)
+  if (steps->settings.objectives == GR_MODE_OBSERVE
+      && steps->now_ms - steps->order_observed_ms >= OBSERVE_INTERVAL_MS)
     {
       g_autoptr (GPtrArray) other = rank_steps (steps, rank_by_completion);
 
+      steps->order_observed_ms = steps->now_ms;
       if (!is_same_order (rows, other))
         steps->placement.orders_changed++;
     }
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -330,8 +330,8 @@
   uint64_t gangs_too_slow;
   uint64_t steps_expected_late; /* not expected to meet it when first placed */
   uint64_t choices_changed; /* workers differ from the choice without speeds */
-  uint64_t orders_changed;  /* passes whose order differs from arrival order;
-                               only with GR_MODE_OBSERVE */
+  uint64_t orders_changed;  /* looks, five a second with GR_MODE_OBSERVE, at
+                               which the order differs from arrival order */
   uint64_t gangs_waited;    /* for faster workers */
   uint64_t reservations_made;
   uint64_t reservations_kept; /* the gang started in time */
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -16,9 +16,7 @@
   struct gr_resources used;  /* by the tasks assigned to the worker */
   struct step *reserved_for; /* the only step placed here; NULL: any */
   int64_t reserved_until_ms;
-  struct step *planned_for; /* gang that is expected to start here at
-                               planned_ms; see planned.c */
-  int64_t planned_ms;
+  struct step *planned_for; /* gang expected to start here; see planned.c */
   int32_t speed;    /* class of equal speeds; higher is slower, 0 is typical */
   double slowness;  /* of the class; set in each placement pass */
   GPtrArray *tasks; /* struct task; not owned */
@@ -149,6 +147,7 @@
   struct deadline deadline;
   int64_t wait_until_ms;  /* it waits for faster workers; 0: never considered */
   bool placement_logged;  /* that speeds decided; once for each step */
+  double wait_slowness;   /* of the slowest of these */
   bool placement_counted; /* whether it is expected to be late */
   bool suspected;         /* workers have crashed under one of its tasks */
   bool fits_rack;         /* some rack is large enough for the whole gang */
@@ -235,9 +234,11 @@
   uint64_t sequence;
   uint64_t committed; /* changes up to this sequence number are durable */
   bool fenced;
-  bool mostly_free;   /* at least half of the accelerators are free */
-  bool uneven_speeds; /* workers differ in their speed class */
-  double fastest;     /* least slowness of a usable worker */
+  bool mostly_free;          /* at least half of the accelerators are free */
+  int64_t order_observed_ms; /* see rank.c */
+  bool has_plans;            /* some queue has a planned reservation */
+  bool uneven_speeds;        /* workers differ in their speed class */
+  double fastest;            /* least slowness of a usable worker */
   struct gr_steps_placement placement;
   bool all_runs_known; /* no inherited job can have a run that was not seen */
 };
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -273,6 +273,93 @@
 }
 END_TEST
 
+/* Four urgent gangs run on all fast workers; a fifth arrives 0.3 s before they
+ * end. Returns the time until it completes. */
+static int64_t
+play_late_gang (uint32_t guarantee, int64_t *start_delay_ms)
+{
+  struct steps_model *model = create (GR_MODE_ON, FIRST_3, 1);
+  int64_t completion_ms;
+
+  set_objective (model, "urgent", 0, 300, 1.2);
+  for (uint32_t i = 1; i <= 4; i++)
+    add (model, i, "urgent", 3, 8, 2200);
+  steps_model_run (model, 900);
+  ck_assert_uint_eq (starts_on (model, FAST), 12);
+  steps_model_set_guarantee (model, "a", guarantee);
+  add (model, 5, "urgent", 3, 8, 2200);
+  steps_model_run (model, 3000);
+  completion_ms = steps_model_completion_ms (model, 5);
+  *start_delay_ms = steps_model_start_delay_ms (model, 5);
+  destroy (model);
+  return completion_ms;
+}
+
+/* Guards against an urgent gang that runs for 2.6 s on slow workers although
+ * fast ones are free in 0.3 s, and against guaranteed work that waits. */
+START_TEST (urgent_gang_waits_for_fast_workers_that_are_nearly_free)
+{
+  int64_t start_delay_ms;
+
+  ck_assert_int_lt (play_late_gang (0, &start_delay_ms), 2000);
+  ck_assert_int_le (start_delay_ms, 600);
+  ck_assert_int_gt (play_late_gang (400, &start_delay_ms), 2400);
+  ck_assert_int_le (start_delay_ms, 100);
+}
+END_TEST
+
+/* Batch tasks, one half of 0.2 s, the other of 1 to 4 s, keep all workers busy;
+ * after 6 s a gang arrives that needs 10 of the 12 workers of a rack. Returns
+ * how long it waits, or -1.
+ */
+static int64_t
+play_wide_gang (enum gr_mode mode, uint32_t seed)
+{
+  struct steps_model *model = create (mode, ALIKE, seed);
+  g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+  struct gr_steps_counts counts;
+  uint32_t most_idle = 0;
+  int64_t waited_ms;
+
+  set_objective (model, "rebuild", 1, 30000, 3);
+  set_objective (model, "batch", 2, 60000, 3);
+  for (uint32_t i = 1; i <= 300; i++)
+    {
+      add (model, i, "batch", 20, 1,
+           i % 2 == 0 ? 200 : (uint32_t)g_rand_int_range (rand, 1000, 4000));
+      if (i == 100)
+        add (model, 1000, "rebuild", 10, 8, 3000);
+      steps_model_run (model, 60);
+      gr_steps_counts (steps_model_core (model), &counts);
+      if (i > 100)
+        most_idle =
+            MAX (most_idle, counts.accelerators - counts.accelerators_used);
+    }
+  waited_ms = steps_model_start_delay_ms (model, 1000);
+  if (mode == GR_MODE_ON)
+    {
+      ck_assert_uint_ge (counts.placement.reservations_kept, 1);
+      ck_assert_uint_gt (counts.placement.tasks_backfilled, 0);
+      /* One rack, and what ends between two passes. */
+      ck_assert_uint_le (most_idle, PER_RACK * 8 + 24);
+    }
+  destroy (model);
+  return waited_ms;
+}
+
+/* Guards against small tasks that take each accelerator as it becomes free, so
+ * that a wide gang never finds a rack. */
+START_TEST (wide_gang_keeps_its_turn)
+{
+  int64_t waited_ms = play_wide_gang (GR_MODE_ON, (uint32_t)_i + 1);
+
+  ck_assert_int_eq (play_wide_gang (GR_MODE_OFF, (uint32_t)_i + 1), -1);
+  ck_assert_int_ge (waited_ms, 0);
+  /* The longest run that was there, and one that was expected to end sooner. */
+  ck_assert_int_le (waited_ms, 8000);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -286,6 +373,9 @@
   tcase_add_test (tests, work_without_slack_takes_fast_workers);
   tcase_add_test (tests, gang_takes_no_fast_member_beside_a_slow_one);
   tcase_add_test (tests, alike_workers_and_observing_change_nothing);
+  tcase_add_test (tests,
+                  urgent_gang_waits_for_fast_workers_that_are_nearly_free);
+  tcase_add_loop_test (tests, wide_gang_keeps_its_turn, 0, 3);
   tcase_add_loop_test (tests, overload_serves_more_jobs_in_time, 0, 5);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
