steps, tests: findings of the linters

Cause: clang-tidy reported a leak on a path it could not follow, and implicit conversions in tests. Change: explicit free and conversions.

--- a/steps/deadline.c
+++ b/steps/deadline.c
@@ -27,7 +27,7 @@
 {
   const struct occurrence *occurrence = step->occurrence;
   uint32_t n_steps = occurrence->job->spec->n_steps;
-  g_autofree int64_t *chain = NULL;
+  int64_t *chain;
   int64_t longest = 0;
 
   if (step->number + 1 >= n_steps)
@@ -51,6 +51,7 @@
         chain[i] = before + gr_forecast_run_ms (steps, later, 0.5);
       longest = MAX (longest, chain[i]);
     }
+  g_free (chain);
   return longest;
 }
 
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -462,6 +462,7 @@
   const struct model_job *job = model_get_job (model, run->job);
   const struct gr_step_spec *spec = model_run_spec (model, run);
   double slowness = worker->slowness;
+  uint32_t advance_ms;
 
   if (model->now_ms > worker->lease_until_ms)
     *how = GR_END_LAPSED;
@@ -475,7 +476,8 @@
   else
     {
       check_tail (model, worker, run);
-      run->worked_ms += llround (TICK_MS * run->pace / 100 / slowness);
+      advance_ms = TICK_MS * run->pace / 100;
+      run->worked_ms += llround ((double)advance_ms / slowness);
       if (spec->lasting)
         return false;
       if (run->worked_ms - run->saved_ms >= CHECKPOINT_INTERVAL_MS
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -265,10 +265,12 @@
 {
   struct outcome by_arrival = play_overload (GR_MODE_OFF, (uint32_t)_i + 1);
   struct outcome ordered = play_overload (GR_MODE_ON, (uint32_t)_i + 1);
+  double large_share;
 
   ck_assert_uint_gt (ordered.in_time, by_arrival.in_time);
-  ck_assert_uint_ge (ordered.large_in_time * 2 * OVERLOAD_JOBS,
-                     ordered.in_time * ordered.large);
+  large_share = (double)ordered.large_in_time / ordered.large;
+  ck_assert_double_ge (large_share,
+                       0.5 * (double)ordered.in_time / OVERLOAD_JOBS);
   ck_assert_uint_eq (ordered.unfinished, 0);
 }
 END_TEST
