steps: order and placement by expected completion

Cause: a gang runs at the pace of its slowest worker and nothing in steps/ knew it; estimates that are off ranked work as late that was not.

--- a/steps/forecast.c
+++ b/steps/forecast.c
@@ -66,7 +66,7 @@
 double
 gr_forecast_slowness (const struct gr_steps *steps, const struct worker *worker)
 {
-  return steps->settings.speeds == GR_MODE_ON ? worker->slowness : 1.0;
+  return steps->settings.speeds == GR_MODE_ON ? worker->learned_slowness : 1.0;
 }
 
 /* Slowness of the workers that determine when the run ends. */
--- a/steps/samples.c
+++ b/steps/samples.c
@@ -230,7 +230,7 @@
     return task->total_ms;
   if (!has_run_for (task, least_ms))
     return 0;
-  return projected_ms (task) / task->worker->slowness;
+  return projected_ms (task) / task->worker->learned_slowness;
 }
 
 static int
@@ -342,7 +342,7 @@
   const struct worker *slowest = step->tasks[0].worker;
 
   for (uint32_t i = 1; i < step->n_tasks; i++)
-    if (step->tasks[i].worker->slowness > slowest->slowness)
+    if (step->tasks[i].worker->learned_slowness > slowest->learned_slowness)
       slowest = step->tasks[i].worker;
   return slowest;
 }
@@ -366,7 +366,7 @@
       const struct worker *worker = step->tasks[i].worker;
 
       if (!is_repeated (step, i) && needs_gang_samples (worker)
-          && ratio < worker->slowness)
+          && ratio < worker->learned_slowness)
         add_speed (steps, worker, ratio, GANG_WEIGHT);
     }
 }
@@ -402,7 +402,7 @@
 
   if (reference_ms <= 0)
     return;
-  if (ratio < slowest_member (step)->slowness)
+  if (ratio < slowest_member (step)->learned_slowness)
     sample_fast_gang (steps, step, ratio);
   else
     sample_slow_gang (steps, step, ratio);
@@ -471,7 +471,7 @@
   if (steps->samples.speeds != NULL)
     sample_gang_speeds (steps, step, ran_ms);
   if (steps->samples.run_times != NULL)
-    add_run_time (steps, step, ran_ms, slowest_member (step)->slowness);
+    add_run_time (steps, step, ran_ms, slowest_member (step)->learned_slowness);
 }
 
 void
@@ -494,11 +494,11 @@
       return;
     }
   ran_ms = MAX (steps->now_ms - task->confirmed_ms, 1);
-  task->total_ms = (double)ran_ms / task->worker->slowness;
+  task->total_ms = (double)ran_ms / task->worker->learned_slowness;
   if (steps->samples.speeds != NULL)
     sample_task_speed (steps, task, ran_ms);
   if (steps->samples.run_times != NULL)
-    add_run_time (steps, task->step, ran_ms, task->worker->slowness);
+    add_run_time (steps, task->step, ran_ms, task->worker->learned_slowness);
 }
 
 void
@@ -525,7 +525,7 @@
 void
 gr_samples_forget_worker (struct gr_steps *steps, struct worker *worker)
 {
-  worker->slowness = 1.0;
+  worker->learned_slowness = 1.0;
   worker->speed_samples = 0;
   if (steps->samples.speeds == NULL)
     return;
@@ -564,8 +564,8 @@
     {
       struct worker *worker = steps->worker_rows->pdata[i];
 
-      worker->slowness = gr_speeds_slowness (samples->speeds, worker->id,
-                                             worker->incarnation_unix_ms);
+      worker->learned_slowness = gr_speeds_slowness (
+          samples->speeds, worker->id, worker->incarnation_unix_ms);
     }
 }
 
@@ -656,7 +656,7 @@
     {
       struct worker *worker = steps->worker_rows->pdata[i];
 
-      worker->slowness = 1.0;
+      worker->learned_slowness = 1.0;
       worker->speed_samples = 0;
     }
 }
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -17,7 +17,10 @@
   struct gr_resources used;  /* by the tasks assigned to the worker */
   struct step *reserved_for; /* the only step placed here; NULL: any */
   int64_t reserved_until_ms;
-  GPtrArray *tasks; /* struct task; not owned */
+  struct step *planned_for; /* gang expected to start here; see planned.c */
+  int32_t speed; /* class of equal speeds; higher is slower, 0 is typical */
+  double class_slowness; /* of the class; set in each placement pass */
+  GPtrArray *tasks;      /* struct task; not owned */
   int64_t incarnation_unix_ms;
   bool registered;
   bool evacuated; /* its data centre is; gets no new work */
@@ -52,7 +55,8 @@
   uint32_t quarantine_ms;
   uint32_t pace; /* percent of processor time that filler tasks may use here */
   int64_t pace_changed_ms;
-  double slowness;        /* learned; 1.0 if unknown or the workers are alike */
+  double
+      learned_slowness;   /* learned; 1.0 if unknown or the workers are alike */
   uint32_t speed_samples; /* of this incarnation, from tasks outside gangs */
 };
 
@@ -131,6 +135,17 @@
 
 #define GR_FORECAST_QUANTILES 2
 
+/* Expected times of a step; see deadline.h. */
+struct deadline
+{
+  int64_t checked_ms;  /* when last computed; 0: never */
+  int64_t run_ms;      /* of a task at slowness 1.0, half of the runs */
+  int64_t late_run_ms; /* the same, nine of ten runs */
+  int64_t accepted_ms; /* when its objective began to count */
+  int64_t objective_ms;
+  int64_t rest_ms; /* of the longest chain of steps after it */
+};
+
 struct step
 {
   struct occurrence *occurrence;
@@ -149,9 +164,14 @@
   int64_t reclaim_started_ms;  /* when capacity was last reclaimed for it */
   int64_t reclaim_failed_ms; /* when reclaiming last found no workers to free */
   int64_t rack_fit_checked_ms; /* when fits_rack was last computed; 0: never */
-  bool suspected;              /* workers have crashed under one of its tasks */
-  bool fits_rack; /* some rack is large enough for the whole gang */
   struct step_forecast *forecasts; /* cache, GR_FORECAST_QUANTILES entries */
+  struct deadline deadline;
+  int64_t wait_until_ms;  /* it waits for faster workers; 0: never considered */
+  bool placement_logged;  /* that speeds decided; once for each step */
+  double wait_slowness;   /* of the slowest of these */
+  bool placement_counted; /* whether it is expected to be late */
+  bool suspected;         /* workers have crashed under one of its tasks */
+  bool fits_rack;         /* some rack is large enough for the whole gang */
 };
 
 struct occurrence
@@ -200,6 +220,9 @@
   double stretch;
   bool needs_advice;
   uint32_t run_time_samples; /* of its jobs, accepted by this owner */
+  struct step *planned_step; /* gang that workers are planned for */
+  int64_t planned_ms;        /* when it is expected to start */
+  int64_t plan_checked_ms;   /* when a plan was last computed; 0: never */
 };
 
 struct account
@@ -257,7 +280,12 @@
   int64_t evacuation_changed_ms; /* when `evacuated` last changed; 0: never */
   uint32_t starts_withdrawn;     /* not taken yet */
   bool starts_held;              /* see gr_steps_hold_starts () */
-  bool mostly_free;    /* at least half of the accelerators are free */
+  bool mostly_free;          /* at least half of the accelerators are free */
+  int64_t order_observed_ms; /* see rank.c */
+  bool has_plans;            /* some queue has a planned reservation */
+  bool uneven_speeds;        /* workers differ in their speed class */
+  double fastest;            /* least slowness of a usable worker */
+  struct gr_steps_placement placement;
   bool all_runs_known; /* no inherited job can have a run that was not seen */
   struct samples samples;
 };
@@ -446,6 +474,11 @@
                         const struct step *step);
 /* True if the unfinished urgent work of the account fits its guarantee. */
 bool gr_account_within_guarantee (const struct account *account);
+/* True for urgent work of an account that is within its guarantee. */
+bool gr_step_is_guaranteed (const struct step *step);
+/* Computes the accelerators that each account's urgent work needs; they decide
+ * whether it is within its guarantee. */
+void gr_accounts_update_demand (struct gr_steps *steps);
 
 /* Stops runs, those with the least loss first, so that an urgent step can
  * start. */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -150,7 +150,7 @@
   worker->reachable = true;
   gr_worker_request_poll (steps, worker);
   worker->pace = 100;
-  worker->slowness = 1.0;
+  worker->learned_slowness = 1.0;
   steps->samples.slowness_stale = true;
   g_hash_table_insert (steps->workers, worker->id, worker);
   g_ptr_array_add (steps->worker_rows, worker);
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -68,7 +68,6 @@
   bool draining;
   bool entry_lost;
   bool held_orders;
-  double slowness;
   bool poll_in_flight;
   int64_t remaining_ms;
   struct gr_resources capacity;
@@ -83,6 +82,7 @@
   bool clock_known; /* to the owner, after the first poll; that poll therefore
                        grants no lease */
   uint32_t starts;
+  double slowness;
 };
 
 struct model_job
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -82,6 +82,15 @@
 
 struct steps_model *
 steps_model_create (uint32_t workers, uint32_t per_rack, uint32_t seed)
+{
+  return steps_model_create_with (workers, per_rack, seed, GR_MODE_OFF);
+}
+
+struct steps_model *
+steps_model_create_with (uint32_t workers,
+                         uint32_t per_rack,
+                         uint32_t seed,
+                         enum gr_mode objectives)
 {
   struct steps_model *model = g_new0 (struct steps_model, 1);
 
@@ -98,6 +107,7 @@
     .heartbeat_ms = HEARTBEAT_MS,
     .checkpoint_ms = CHECKPOINT_INTERVAL_MS,
     .far_factor = 3,
+    .objectives = objectives,
   };
   model->workers = g_ptr_array_new ();
   model->jobs = g_ptr_array_new ();
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -37,6 +37,11 @@
 
 struct steps_model *
 steps_model_create (uint32_t workers, uint32_t per_rack, uint32_t seed);
+/* The same, with placement by expected completion. */
+struct steps_model *steps_model_create_with (uint32_t workers,
+                                             uint32_t per_rack,
+                                             uint32_t seed,
+                                             enum gr_mode objectives);
 void steps_model_destroy (struct steps_model *model);
 
 struct gr_steps *steps_model_core (struct steps_model *model);
