steps: stops in rounds, with a budget, and runs that end soon are waited for

Cause: reclaiming chose whole workers by the age of their runs, counted a gang on each of its workers, stopped runs that were about to end, and retried after 700 ms although a stop can take 900 ms.

Change: with settings.budget on, a plan chooses workers and runs by lost work, counts gangs once, and waits for runs that observed progress shows to end within the duration of a stop. Stops come in rounds that last until they must have ended. Work beyond its guarantee may cost as much as it will use. A reservation covers only the room that the step needs. With observe, decisions are counted, not made. With off, decisions are as before.

--- a/steps/core.c
+++ b/steps/core.c
@@ -359,7 +359,7 @@
 void
 gr_steps_counts (const struct gr_steps *steps, struct gr_steps_counts *counts)
 {
-  *counts = (struct gr_steps_counts){ 0 };
+  *counts = (struct gr_steps_counts){ .preemption = steps->preemption };
   for (guint i = 0; i < steps->job_rows->len; i++)
     count_job (steps->job_rows->pdata[i], counts);
   for (guint i = 0; i < steps->worker_rows->len; i++)
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -120,6 +120,7 @@
   task->percent = 0;
   task->percent_ms = steps->now_ms;
   task->first_percent_ms = 0;
+  task->stop_failed_ms = 0;
   task->pace = 100;
   task->usage = 0;
   send_start (steps, task);
@@ -161,6 +162,7 @@
   g_assert (gr_task_is_active (task));
   if (task->state == TASK_STOPPING)
     return;
+  task->stop_failed_ms = 0;
   /* Without a call. An owner with a backlog would send nothing but stops. */
   if (was_never_sent (task))
     {
@@ -300,7 +302,10 @@
       if (task->stop_confirmed_ms == 0)
         task->stop_confirmed_ms = steps->now_ms;
       gr_worker_request_poll (steps, task->worker);
+      task->stop_failed_ms = 0;
     }
+  else
+    task->stop_failed_ms = steps->now_ms;
 }
 
 void
--- a/steps/place.c
+++ b/steps/place.c
@@ -77,21 +77,32 @@
          && (is_guaranteed (worker->reserved_for) || !is_guaranteed (step));
 }
 
+static uint32_t
+remaining (uint32_t capacity, uint32_t used)
+{
+  return capacity > used ? capacity - used : 0;
+}
+
 struct gr_resources
 gr_worker_free_resources (const struct worker *worker, const struct step *step)
 {
-  struct gr_resources available = { 0 };
+  struct gr_resources used = worker->used;
 
   if (gr_worker_is_reserved (worker, step))
-    return available;
-  if (worker->capacity.cpu_milli > worker->used.cpu_milli)
-    available.cpu_milli = worker->capacity.cpu_milli - worker->used.cpu_milli;
-  if (worker->capacity.memory_mb > worker->used.memory_mb)
-    available.memory_mb = worker->capacity.memory_mb - worker->used.memory_mb;
-  if (worker->capacity.accelerators > worker->used.accelerators)
-    available.accelerators =
-        worker->capacity.accelerators - worker->used.accelerators;
-  return available;
+    {
+      if (worker->reserved.memory_mb == 0 && worker->reserved.cpu_milli == 0
+          && worker->reserved.accelerators == 0)
+        return (struct gr_resources){ 0 };
+      used.cpu_milli += worker->reserved.cpu_milli;
+      used.memory_mb += worker->reserved.memory_mb;
+      used.accelerators += worker->reserved.accelerators;
+    }
+  return (struct gr_resources){
+    .cpu_milli = remaining (worker->capacity.cpu_milli, used.cpu_milli),
+    .memory_mb = remaining (worker->capacity.memory_mb, used.memory_mb),
+    .accelerators =
+        remaining (worker->capacity.accelerators, used.accelerators),
+  };
 }
 
 static uint32_t
--- a/steps/reclaim.c
+++ b/steps/reclaim.c
@@ -18,25 +18,6 @@
   double loss; /* core-seconds */
 };
 
-/* The first guaranteed task on a worker prevents large tasks of other accounts
- * from running there; that counts as this many core-seconds. */
-#define FIRST_GUARANTEED_TASK_LOSS 60.0
-
-static bool
-has_guaranteed_work (const struct worker *worker)
-{
-  for (guint i = 0; i < worker->tasks->len; i++)
-    {
-      const struct task *task = worker->tasks->pdata[i];
-      const struct job *job = gr_task_job (task);
-
-      if (job->queue->priority == 0
-          && gr_account_within_guarantee (job->account))
-        return true;
-    }
-  return false;
-}
-
 static gint
 compare_candidates (gconstpointer left, gconstpointer right)
 {
@@ -48,15 +29,6 @@
   return a_loss < b_loss ? -1 : a_loss > b_loss;
 }
 
-static bool
-is_usable_for (const struct gr_steps *steps,
-               const struct worker *worker,
-               const struct step *step)
-{
-  return gr_worker_allowed (steps, worker, step)
-         && !gr_worker_is_reserved (worker, step);
-}
-
 /* Workers that together can take `wanted` tasks, those with the least loss per
  * task first; NULL if there are not enough. *loss is set to their total. */
 static GArray *
@@ -75,11 +47,11 @@
     {
       struct candidate candidate = { .worker = workers->pdata[i] };
 
-      if (!is_usable_for (steps, candidate.worker, step))
+      if (!gr_reclaim_may_use (steps, candidate.worker, step))
         continue;
       candidate.slots = gr_preempt_tasks (steps, step, candidate.worker, wanted,
                                           false, &candidate.loss);
-      if (!has_guaranteed_work (candidate.worker))
+      if (!gr_worker_has_guaranteed_work (candidate.worker))
         candidate.loss += FIRST_GUARANTEED_TASK_LOSS;
       if (candidate.slots > 0)
         g_array_append_val (candidates, candidate);
@@ -128,8 +100,8 @@
   return best;
 }
 
-void
-gr_reclaim_capacity (struct gr_steps *steps, struct step *step)
+static void
+reclaim_without_budget (struct gr_steps *steps, struct step *step)
 {
   uint32_t wanted = step->spec->gang ? step->n_tasks : step->n_waiting;
   GArray *candidates = NULL;
@@ -165,3 +137,12 @@
     }
   g_array_unref (candidates);
 }
+
+void
+gr_reclaim_capacity (struct gr_steps *steps, struct step *step)
+{
+  if (steps->settings.budget != GR_MODE_OFF)
+    gr_reclaim_round (steps, step, steps->settings.budget == GR_MODE_ON);
+  if (steps->settings.budget != GR_MODE_ON)
+    reclaim_without_budget (steps, step);
+}
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -8,7 +8,9 @@
  * stopped, and run ends change the progress of jobs. */
 
 static void
-set_checkpoint (struct task *task, const char *checkpoint)
+set_checkpoint (const struct gr_steps *steps,
+                struct task *task,
+                const char *checkpoint)
 {
   struct task *checkpoint_task =
       task->step->spec->gang ? &task->step->tasks[0] : task;
@@ -20,6 +22,7 @@
     return;
   g_free (checkpoint_task->checkpoint);
   checkpoint_task->checkpoint = g_strdup (checkpoint);
+  checkpoint_task->checkpoint_seen_ms = steps->now_ms;
 }
 
 static void
@@ -149,7 +152,7 @@
   if (ended->checkpoint[0] != '\0'
       && (current_run || !gr_task_is_active (task)))
     {
-      set_checkpoint (task, ended->checkpoint);
+      set_checkpoint (steps, task, ended->checkpoint);
       gr_job_mark_changed (steps, gr_task_job (task));
     }
   if (ended->how == GR_END_FAILED)
@@ -198,7 +201,7 @@
                 struct task *task,
                 const struct gr_run_status *running)
 {
-  set_checkpoint (task, running->checkpoint);
+  set_checkpoint (steps, task, running->checkpoint);
   if (task->state == TASK_STARTING)
     {
       task->state = TASK_RUNNING;
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -322,6 +322,18 @@
                                 void (*visit) (const char *id, void *context),
                                 void *context);
 
+/* Totals since the core was created. Index 0: for guaranteed work, 1: for
+ * other urgent work. A core-second of an accelerator counts as 8. */
+struct gr_preemption_counts
+{
+  uint64_t runs[2]; /* stopped */
+  double core_s[2]; /* work that these runs lost, in core-seconds */
+  /* The rest is counted in the modes observe and on. */
+  double planned_core_s; /* work that the stops decided under the budget lose */
+  uint64_t awaited_runs; /* runs waited for instead of being stopped */
+  uint64_t refused_steps;
+};
+
 /* For logs and metrics. */
 struct gr_steps_counts
 {
@@ -335,6 +347,7 @@
   uint32_t accelerators;
   uint32_t accelerators_used;
   uint32_t orders; /* queued, not taken yet */
+  struct gr_preemption_counts preemption;
 };
 void gr_steps_counts (const struct gr_steps *steps,
                       struct gr_steps_counts *counts);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -16,7 +16,9 @@
   struct gr_resources used;  /* by the tasks assigned to the worker */
   struct step *reserved_for; /* the only step placed here; NULL: any */
   int64_t reserved_until_ms;
-  GPtrArray *tasks; /* struct task; not owned */
+  struct gr_resources reserved; /* that are kept for reserved_for; all 0: the
+                                   whole worker */
+  GPtrArray *tasks;             /* struct task; not owned */
   int64_t incarnation_unix_ms;
   bool registered;
   bool draining;
@@ -98,8 +100,16 @@
   int64_t first_percent_ms;
   char avoid_worker[GR_TASK_NAME_SIZE]; /* worker of the last failure; others
                                            are preferred */
-  uint32_t usage; /* from the last poll, see struct gr_run_status */
-  uint32_t pace;  /* percent that the worker has acknowledged */
+  int64_t checkpoint_seen_ms; /* when a new checkpoint was last reported; 0:
+                                 never */
+  int64_t stop_failed_ms;     /* when a stop of the run last had no effect; 0:
+                                 never */
+  uint32_t awaited_run;       /* run whose expected end an urgent step waited
+                                 for; 0: none */
+  int64_t awaited_until_ms;   /* when that run should have ended */
+  uint32_t plan;              /* last reclaim plan that stops the run */
+  uint32_t usage;             /* from the last poll, see struct gr_run_status */
+  uint32_t pace;              /* percent that the worker has acknowledged */
   int64_t pace_sent_ms;
 };
 
@@ -129,6 +139,12 @@
   int64_t ready_ms;            /* since when the step can start; 0: not ready */
   int64_t reclaim_started_ms;  /* when capacity was last reclaimed for it */
   int64_t reclaim_failed_ms; /* when reclaiming last found no workers to free */
+  int64_t round_failed_ms;   /* when no plan within the budget was last found */
+  int64_t round_until_ms;    /* no run is stopped for it until then, unless the
+                                round fails; 0: no round yet */
+  double reclaim_cost; /* core-seconds lost for it since it last started */
+  uint32_t reclaim_gang_run;   /* gang_run when reclaim_cost was last reset */
+  bool budget_refused;         /* logged as refused since it last started */
   int64_t rack_fit_checked_ms; /* when fits_rack was last computed; 0: never */
   bool suspected;              /* workers have crashed under one of its tasks */
   bool fits_rack; /* some rack is large enough for the whole gang */
@@ -159,6 +175,7 @@
   GPtrArray *occurrences;
   uint32_t n_complete;
   uint32_t active; /* number of tasks assigned to workers */
+  uint32_t plan;   /* last reclaim plan that stops runs of the job */
 };
 
 struct queue
@@ -211,6 +228,11 @@
   uint32_t advice_pending;    /* requests without an answer */
   uint64_t sequence;
   uint64_t committed; /* changes up to this sequence number are durable */
+  uint32_t plan;      /* number of the last reclaim plan */
+  const struct step *held_for; /* step that was refused and for which workers
+                                  are kept as their runs end; only compared */
+  int64_t held_until_ms;
+  struct gr_preemption_counts preemption;
   bool fenced;
   bool mostly_free;    /* at least half of the accelerators are free */
   bool all_runs_known; /* no inherited job can have a run that was not seen */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -470,6 +470,7 @@
 {
   worker->reserved_for = step;
   worker->reserved_until_ms = steps->now_ms + RESERVATION_MS;
+  worker->reserved = (struct gr_resources){ 0 };
 }
 
 void
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -143,6 +143,7 @@
   struct gr_steps_settings settings;
   int64_t epoch;
   int64_t now_ms;
+  int64_t stop_ms; /* time that a stop takes */
   GRand *rand;
   struct steps_model_faults faults;
   GPtrArray *workers;
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -203,7 +203,7 @@
       return run != NULL ? GR_ORDER_DONE : GR_ORDER_REJECTED;
     }
   if (run != NULL && run->run <= order->run && run->stop_ms == 0)
-    run->stop_ms = model->now_ms + STOP_MS;
+    run->stop_ms = model->now_ms + model->stop_ms;
   else if (run == NULL)
     record_ended_run (worker, order->task, order->run);
   return GR_ORDER_DONE;
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -84,6 +84,7 @@
 
   model->now_ms = 1000;
   model->epoch = 1;
+  model->stop_ms = STOP_MS;
   model->store_works = true;
   model->orders_per_tick = UINT32_MAX;
   model->rand = g_rand_new_with_seed (seed);
@@ -158,6 +159,32 @@
   g_free (model);
 }
 
+void
+steps_model_set_preemption (struct steps_model *model,
+                            enum gr_mode budget,
+                            uint32_t stop_ms)
+{
+  model->settings.budget = budget;
+  model->settings.stop_ms = stop_ms;
+  model->stop_ms = stop_ms;
+  gr_steps_destroy (model->steps);
+  model->steps =
+      gr_steps_create (&model->settings, model->epoch, model->now_ms);
+  for (guint i = 0; i < model->workers->len; i++)
+    model_register_worker (model, model->workers->pdata[i]);
+}
+
+struct steps_model *
+steps_model_create_with_budget (uint32_t workers,
+                                uint32_t per_rack,
+                                uint32_t seed)
+{
+  struct steps_model *model = steps_model_create (workers, per_rack, seed);
+
+  steps_model_set_preemption (model, GR_MODE_ON, 200);
+  return model;
+}
+
 struct gr_steps *
 steps_model_core (struct steps_model *model)
 {
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -38,6 +38,15 @@
 struct steps_model *
 steps_model_create (uint32_t workers, uint32_t per_rack, uint32_t seed);
 void steps_model_destroy (struct steps_model *model);
+/* Sets the mode of the preemption budget and how long a stop takes, 60 ms by
+ * default. Replaces the core, so it must be called before anything else. */
+void steps_model_set_preemption (struct steps_model *model,
+                                 enum gr_mode budget,
+                                 uint32_t stop_ms);
+/* As steps_model_create (), with the budget on and stops of 200 ms. */
+struct steps_model *steps_model_create_with_budget (uint32_t workers,
+                                                    uint32_t per_rack,
+                                                    uint32_t seed);
 
 struct gr_steps *steps_model_core (struct steps_model *model);
 int64_t steps_model_now_ms (const struct steps_model *model);
