--- a/tests/test-preemption.c
+++ b/tests/test-preemption.c
@@ -95,9 +95,8 @@
 }
 END_TEST
 
-/* The retry after 700 ms stopped further runs before stops of 900 ms had
- * ended. Here a lower priority leaves first the cheapest worker and then the
- * other to a second urgent step; each must be stopped once. */
+/* Reclaiming tried again after 700 ms, before stops of 900 ms had ended. Until
+ * then no further run may be stopped for the step. */
 START_TEST (no_further_run_is_stopped_within_a_round)
 {
   struct steps_model *model = create_full_pair (20000, 20000);
@@ -396,10 +395,6 @@
   struct outcome off = play_seeds (1, SEEDS, GR_MODE_OFF);
   struct outcome on = play_seeds (1, SEEDS, GR_MODE_ON);
 
-  for (int k = 1; k < 20; k++)
-    g_printerr ("%d/%d ", (int)delay_at (&off, k / 20.),
-                (int)delay_at (&on, k / 20.));
-
   g_printerr ("wasted accelerator-seconds off %.0f on %.0f, start median %d %d,"
               " nine tenths %d %d, guaranteed %d %d ms\n",
               off.wasted_s, on.wasted_s, (int)delay_at (&off, 0.5),
