instance: metrics of preemption

Runs stopped and core-seconds lost for guaranteed and other work, the core-seconds of the stops that the budget decides, runs waited for and steps refused, from gr_steps_counts (). docs/metrics.md is generated.

Tests: instance, settings, owner-load pass.

--- a/instance/metrics.c
+++ b/instance/metrics.c
@@ -44,6 +44,24 @@
     "Orders to workers that are queued to be sent; only on the owner. More "
     "than a hundred for several seconds mean that the owner's processor is "
     "too slow." },
+  { "preempted_runs_total", "counter", "work",
+    "Runs that were stopped to make room for urgent work that is within its "
+    "account's guarantee (guaranteed) or beyond it (other); only on the owner, "
+    "as are the other metrics of preemption. They start at 0 with each "
+    "owner." },
+  { "preempted_core_seconds_total", "counter", "work",
+    "Work that these runs lost, in core-seconds; an accelerator counts as 8 "
+    "cores." },
+  { "preemption_planned_core_seconds_total", "counter", "",
+    "Work that is lost by the stops that the preemption budget decides, in "
+    "core-seconds. In the mode observe these stops are not made, and "
+    "`preempted_core_seconds_total` shows those made instead." },
+  { "preemption_awaited_runs_total", "counter", "",
+    "Runs that were expected to end within the duration of a stop and were "
+    "waited for; in the mode observe those that would have been." },
+  { "preemption_refused_total", "counter", "",
+    "Steps that were refused room because of their preemption budget; in the "
+    "mode observe those that would have been." },
   { "loop_late_ms", "gauge", "",
     "Recent lateness of the owner's main loop, in milliseconds." },
   { "response_ms", "gauge", "",
@@ -82,6 +100,32 @@
                             table[i].type, table[i].labels, table[i].meaning);
 }
 
+static void
+set_preemption (struct gr_counters *counters,
+                const struct gr_preemption_counts *counts)
+{
+  static const char *const labels[] = { "work=\"guaranteed\"",
+                                        "work=\"other\"" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (labels); i++)
+    {
+      gr_counter_set (
+          gr_counters_get (counters, "preempted_runs_total", labels[i]),
+          (int64_t)counts->runs[i]);
+      gr_counter_set (
+          gr_counters_get (counters, "preempted_core_seconds_total", labels[i]),
+          (int64_t)counts->core_s[i]);
+    }
+  gr_counter_set (
+      gr_counters_get (counters, "preemption_planned_core_seconds_total", ""),
+      (int64_t)counts->planned_core_s);
+  gr_counter_set (
+      gr_counters_get (counters, "preemption_awaited_runs_total", ""),
+      (int64_t)counts->awaited_runs);
+  gr_counter_set (gr_counters_get (counters, "preemption_refused_total", ""),
+                  (int64_t)counts->refused_steps);
+}
+
 void
 gr_metrics_set (struct gr_counters *counters,
                 const struct gr_metrics_state *state)
@@ -113,4 +157,5 @@
   for (size_t i = 0; i < G_N_ELEMENTS (gauges); i++)
     gr_counter_set (gr_counters_get (counters, gauges[i].name, ""),
                     gauges[i].value);
+  set_preemption (counters, &state->counts.preemption);
 }
