steps: plans respect max_away across workers

Cause: offers of other workers were computed before a task of a lasting step was chosen, so a plan could include more of them than permitted. The stops themselves were checked, but were made for a gang that could not fit. Change: these offers are computed again; the test checks that nothing is stopped. Tests: preemption passes; without the check the test fails.

--- a/steps/reclaim-plan.c
+++ b/steps/reclaim-plan.c
@@ -279,10 +279,15 @@
     planner->plan->jobs++;
   job->plan = planner->number;
   unit->task->plan = planner->number;
-  for (uint32_t i = 0; step->spec->gang && i < step->n_tasks; i++)
+  if (!step->spec->gang && !step->spec->lasting)
+    return;
+  /* A gang is stopped as a whole, and of a lasting step fewer others may be
+   * stopped now. */
+  for (uint32_t i = 0; i < step->n_tasks; i++)
     if (gr_task_is_active (&step->tasks[i]))
       {
-        step->tasks[i].plan = planner->number;
+        if (step->spec->gang)
+          step->tasks[i].plan = planner->number;
         set_stale (planner, step->tasks[i].worker);
       }
 }
--- a/tests/test-preemption.c
+++ b/tests/test-preemption.c
@@ -197,7 +197,8 @@
 }
 END_TEST
 
-/* One plan must not stop more tasks of a lasting step than max_away. */
+/* One plan must not stop more tasks of a lasting step than max_away, and none
+ * for a gang that cannot fit then. */
 START_TEST (plan_respects_max_away)
 {
   struct gr_step_spec lasting = urgent_step;
@@ -212,6 +213,8 @@
   steps_model_add_job (model, 1, "normal", "", &lasting, 1, 1000);
   steps_model_run (model, 2000);
   steps_model_add_job (model, 2, "urgent", "guaranteed", &urgent, 1, 500);
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (get_counts (model).runs[0], 0);
   urgent.count = 1;
   steps_model_add_job (model, 3, "urgent", "guaranteed", &urgent, 1, 500);
   for (int i = 0; i < 200; i++)
