steps: stops before a worker leaves begin early enough

Cause: they begin 500 ms before, and a stop can take 900 ms, so checkpoints of the stop came too late and the work since the last one was lost. Change: with the preemption budget on, they begin stop_ms and 300 ms before. Tests: preemption passes with the new test.

--- a/steps/leaving.c
+++ b/steps/leaving.c
@@ -12,6 +12,18 @@
  * late. */
 #define STOP_LEAD_MS 500
 
+/* Transit times and a main loop that runs late, as in STOP_LEAD_MS. */
+#define STOP_TRANSIT_MS 300
+
+/* Work was lost on platforms where a stop takes longer than STOP_LEAD_MS. */
+static int64_t
+stop_lead_ms (const struct gr_steps *steps)
+{
+  if (steps->settings.budget != GR_MODE_ON)
+    return STOP_LEAD_MS;
+  return MAX (STOP_LEAD_MS, (int64_t)steps->settings.stop_ms + STOP_TRANSIT_MS);
+}
+
 static bool
 should_move (const struct gr_steps *steps,
              const struct task *task,
@@ -23,7 +35,7 @@
     return false;
   if (spec->lasting)
     return gr_task_may_be_stopped (task);
-  return spec->checkpointing && remaining_ms <= STOP_LEAD_MS
+  return spec->checkpointing && remaining_ms <= stop_lead_ms (steps)
          && gr_forecast_remaining_ms (steps, task) > remaining_ms;
 }
 
--- a/tests/test-preemption.c
+++ b/tests/test-preemption.c
@@ -197,6 +197,24 @@
 }
 END_TEST
 
+/* Stops began 500 ms before a worker left and took longer, so work that a
+ * checkpoint could have saved was lost. */
+START_TEST (work_is_saved_before_a_worker_leaves)
+{
+  struct gr_step_spec saved = batch_step;
+  struct steps_model *model = create_model (1, GR_MODE_ON);
+
+  saved.checkpointing = true;
+  steps_model_add_job (model, 1, "batch", "", &saved, 1, 20000);
+  steps_model_run (model, 2500);
+  steps_model_notify_leave (model, 0, 1500);
+  steps_model_run (model, 1500);
+  ck_assert_uint_eq (steps_model_running (model, 1), 0);
+  ck_assert_double_le (steps_model_wasted_accelerator_s (model), 0.01);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* One plan must not stop more tasks of a lasting step than max_away, and none
  * for a gang that cannot fit then. */
 START_TEST (plan_respects_max_away)
@@ -448,6 +466,7 @@
   tcase_add_test (tests, gang_is_counted_once);
   tcase_add_test (tests, work_beyond_the_guarantee_keeps_its_budget);
   tcase_add_test (tests, stopped_gang_keeps_its_place);
+  tcase_add_test (tests, work_is_saved_before_a_worker_leaves);
   tcase_add_test (tests, plan_respects_max_away);
   tcase_add_test (tests, budget_halves_the_waste);
   tcase_add_test (tests, observing_changes_nothing);
