--- a/instance/metrics.c
+++ b/instance/metrics.c
@@ -62,11 +62,76 @@
   { "preemption_refused_total", "counter", "",
     "Steps that were refused room because of their preemption budget; in the "
     "mode observe those that would have been." },
+  { "gangs_fast_enough_total", "counter", "",
+    "Gangs that were placed on workers fast enough for their objective. "
+    "Counters of placement are 0 with objectives = off and start anew with "
+    "each owner; with observe they count what would have been done; only on "
+    "the owner." },
+  { "gangs_too_slow_total", "counter", "",
+    "Gangs that were placed on workers too slow for their objective; only "
+    "on the owner." },
+  { "steps_expected_late_total", "counter", "",
+    "Steps that were expected to miss their objective when first placed; "
+    "only on the owner." },
+  { "placement_choices_changed_total", "counter", "",
+    "Choices of workers that differ from the choice without speeds; only on "
+    "the owner." },
+  { "placement_orders_changed_total", "counter", "",
+    "Looks, at most five a second with objectives = observe, at which the "
+    "order of work differs from the order of arrival; only on the owner." },
+  { "gangs_waited_total", "counter", "",
+    "Urgent gangs that waited for faster workers; only on the owner." },
+  { "reservations_made_total", "counter", "",
+    "Planned reservations of workers for gangs that did not fit; only on "
+    "the owner." },
+  { "reservations_kept_total", "counter", "",
+    "Gangs that started while they had a planned reservation; only on the "
+    "owner." },
+  { "reservations_expired_total", "counter", "",
+    "Planned reservations that were dropped, because the planned time was "
+    "missed or a worker could not be used; only on the owner." },
+  { "tasks_backfilled_total", "counter", "",
+    "Tasks that were placed on workers planned for a gang; only on the "
+    "owner." },
   { "loop_late_ms", "gauge", "",
     "Recent lateness of the owner's main loop, in milliseconds." },
   { "response_ms", "gauge", "",
     "Smoothed time in which workers answer the owner's calls, in milliseconds. "
     "More than a few tens mean that the owner's processor or link is full." },
+  { "starts_withdrawn_total", "counter", "",
+    "Starts that the owner has withdrawn because their data centre, or that of "
+    "another member of their gang, was evacuated." },
+  { "data_centres_evacuated", "gauge", "",
+    "Data centres that are evacuated, as far as this instance knows." },
+  { "data_centre_evacuated_ms", "gauge", "data_centre",
+    "Time since which the data centre has been known to be evacuated, in "
+    "milliseconds; 0 if it is back in use." },
+  { "run_time_samples_total", "counter", "",
+    "Runs from which run times were learned; only on the owner, since it "
+    "became the owner." },
+  { "speed_samples_total", "counter", "",
+    "Samples from which the speeds of workers were learned; only on the "
+    "owner, since it became the owner." },
+  { "samples_rejected_total", "counter", "reason",
+    "Runs from which nothing was learned when they ended, by reason; only on "
+    "the owner, since it became the owner." },
+  { "run_time_keys", "gauge", "", "Models of run times; only on the owner." },
+  { "workers_speed_known", "gauge", "",
+    "Workers whose speed is known; only on the owner." },
+  { "speeds_uneven", "gauge", "",
+    "1 if the known workers differ in speed by clearly more than the noise, "
+    "otherwise 0; only on the owner." },
+  { "slowness_first_decile", "gauge", "",
+    "Run time on the fast workers (first decile of the known ones) relative to "
+    "the median worker, in thousandths; only on the owner." },
+  { "slowness_last_decile", "gauge", "",
+    "As above, on the slow workers (last decile)." },
+  { "estimate_error", "gauge", "",
+    "Recent mean of the absolute natural logarithm of the true run time "
+    "divided by the client's estimate, in thousandths; only on the owner." },
+  { "forecast_error", "gauge", "",
+    "As above, divided by the learned forecast and corrected by the speed of "
+    "the worker." },
   { "config_version", "gauge", "",
     "Version of the configuration that is in use." },
   { "config_age_ms", "gauge", "",
@@ -126,15 +191,56 @@
                   (int64_t)counts->refused_steps);
 }
 
+static int64_t
+thousandths (double value)
+{
+  return (int64_t)(value * 1000.0 + 0.5);
+}
+
+static void
+set_learning (struct gr_counters *counters,
+              const struct gr_steps_learning *learning)
+{
+  const struct
+  {
+    const char *name;
+    int64_t value;
+  } rows[] = {
+    { "run_time_samples_total", (int64_t)learning->run_time_samples },
+    { "speed_samples_total", (int64_t)learning->speed_samples },
+    { "run_time_keys", learning->keys },
+    { "workers_speed_known", learning->speeds.known },
+    { "speeds_uneven", learning->uneven },
+    { "slowness_first_decile", thousandths (learning->speeds.fastest) },
+    { "slowness_last_decile", thousandths (learning->speeds.slowest) },
+    { "estimate_error", thousandths (learning->estimate_error) },
+    { "forecast_error", thousandths (learning->forecast_error) },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    gr_counter_set (gr_counters_get (counters, rows[i].name, ""),
+                    rows[i].value);
+  for (uint32_t i = GR_SAMPLE_NOT_DONE; i < GR_SAMPLE_REASONS; i++)
+    {
+      g_autofree char *labels = g_strdup_printf (
+          "reason=\"%s\"", gr_sample_reject_name ((enum gr_sample_reject)i));
+
+      gr_counter_set (
+          gr_counters_get (counters, "samples_rejected_total", labels),
+          (int64_t)learning->rejected[i]);
+    }
+}
+
 void
 gr_metrics_set (struct gr_counters *counters,
                 const struct gr_metrics_state *state)
 {
+  const struct gr_steps_placement *placement = &state->counts.placement;
   const struct
   {
     const char *name;
     int64_t value;
-  } gauges[] = {
+  } values[] = {
     { "owner", state->is_owner },
     { "jobs_known", state->jobs_known },
     { "jobs", state->counts.jobs },
@@ -147,6 +253,16 @@
     { "accelerators", state->counts.accelerators },
     { "accelerators_used", state->counts.accelerators_used },
     { "orders_waiting", state->counts.orders },
+    { "gangs_fast_enough_total", (int64_t)placement->gangs_fast_enough },
+    { "gangs_too_slow_total", (int64_t)placement->gangs_too_slow },
+    { "steps_expected_late_total", (int64_t)placement->steps_expected_late },
+    { "placement_choices_changed_total", (int64_t)placement->choices_changed },
+    { "placement_orders_changed_total", (int64_t)placement->orders_changed },
+    { "gangs_waited_total", (int64_t)placement->gangs_waited },
+    { "reservations_made_total", (int64_t)placement->reservations_made },
+    { "reservations_kept_total", (int64_t)placement->reservations_kept },
+    { "reservations_expired_total", (int64_t)placement->reservations_expired },
+    { "tasks_backfilled_total", (int64_t)placement->tasks_backfilled },
     { "loop_late_ms", state->lateness.loop_ms },
     { "response_ms", (int64_t)state->lateness.response_ms },
     { "config_version", state->config_version },
@@ -154,8 +270,9 @@
     { "store_silent_ms", state->store_silent_ms },
   };
 
-  for (size_t i = 0; i < G_N_ELEMENTS (gauges); i++)
-    gr_counter_set (gr_counters_get (counters, gauges[i].name, ""),
-                    gauges[i].value);
   set_preemption (counters, &state->counts.preemption);
+  set_learning (counters, &state->learning);
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    gr_counter_set (gr_counters_get (counters, values[i].name, ""),
+                    values[i].value);
 }
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -2,7 +2,9 @@
 
 #include "common/log.h"
 #include "instance/advice-calls.h"
+#include "instance/evacuation-control.h"
 #include "instance/expiry.h"
+#include "instance/learned.h"
 #include "instance/owner-load.h"
 #include "instance/ownership.h"
 #include "instance/progress-log.h"
@@ -50,9 +52,11 @@
   struct gr_steps *steps;
   struct gr_worker_io *io;
   struct gr_progress_log *log;
+  struct gr_learned *learned;
   struct gr_upkeep *upkeep;
   struct gr_expiry *expiry;
   struct gr_advice_calls *advice;
+  struct gr_evacuation_control *evacuation;
   struct gr_worker_registry *registry;
   GHashTable *addresses; /* worker id -> IP:PORT, the last known address */
   bool loaded;
@@ -144,6 +148,7 @@
 
   if (!owner->loaded || !owner->registry_read || owner->superseded)
     return;
+  gr_evacuation_control_run (owner->evacuation);
   gr_steps_tick (owner->steps, gr_clock_now_ms (owner->deps.clock),
                  gr_clock_unix_ms ());
   gr_worker_io_run (owner->io);
@@ -151,6 +156,7 @@
   gr_upkeep_run (owner->upkeep);
   gr_expiry_run (owner->expiry);
   write_progress (owner);
+  gr_learned_run (owner->learned);
   gr_owner_load_add_pass (&owner->load, g_get_monotonic_time () - start_us);
   if (gr_steps_fenced (owner->steps))
     report_superseded (owner, "a worker has seen a higher epoch");
@@ -226,6 +232,7 @@
   struct gr_steps_worker worker = {
     .id = entry->worker,
     .service = entry->service,
+    .data_centre = entry->data_centre,
     .rack = entry->rack,
     .labels = (const char *const *)entry->labels,
     .capacity = entry->capacity,
@@ -442,6 +449,7 @@
   const struct gr_cluster_config *config =
       gr_config_view_get (owner->deps.config);
 
+  gr_evacuation_control_run (owner->evacuation);
   if (config == NULL)
     return;
   for (size_t i = 0; i < config->n_queues; i++)
@@ -481,6 +489,7 @@
       return;
     }
   owner->loaded = true;
+  gr_learned_restore (owner->learned);
   inherit_workers (owner);
   gr_mirror_each (owner->deps.mirror, inherit_job, owner);
   schedule_pass (owner);
@@ -526,6 +535,7 @@
   owner->log = gr_progress_log_create (
       deps->store, deps->mirror, revision,
       &(struct gr_progress_log_events){ committed, not_owner, owner });
+  owner->learned = gr_learned_create (deps, owner->steps, revision);
   gr_steps_set_registry_settled (owner->steps,
                                  store_up_since (owner) + REGISTRY_SETTLE_MS);
   owner->addresses =
@@ -534,6 +544,7 @@
   owner->upkeep = gr_upkeep_create (deps, owner->steps, epoch, revision);
   owner->advice =
       gr_advice_calls_create (deps, owner->steps, schedule_pass, owner);
+  owner->evacuation = gr_evacuation_control_create (&owner->deps, owner->steps);
   gr_owner_config_changed (owner);
   owner->last_tick_ms = gr_clock_now_ms (deps->clock);
   owner->tick_timer = g_timeout_add (TICK_MS, on_tick, owner);
@@ -556,6 +567,13 @@
   *lateness = *gr_worker_io_lateness (owner->io);
 }
 
+void
+gr_owner_learning (const struct gr_owner *owner,
+                   struct gr_steps_learning *learning)
+{
+  gr_steps_learning (owner->steps, learning);
+}
+
 void
 gr_owner_destroy (struct gr_owner *owner)
 {
@@ -572,8 +590,10 @@
   gr_upkeep_destroy (owner->upkeep);
   gr_expiry_destroy (owner->expiry);
   gr_advice_calls_destroy (owner->advice);
+  gr_evacuation_control_destroy (owner->evacuation);
   gr_worker_io_destroy (owner->io);
   gr_progress_log_destroy (owner->log);
+  gr_learned_destroy (owner->learned);
   gr_steps_destroy (owner->steps);
   g_hash_table_destroy (owner->addresses);
   g_free (owner->published_started);
--- a/instance/owner.h
+++ b/instance/owner.h
@@ -37,10 +37,13 @@
 void gr_owner_job_changed (struct gr_owner *owner,
                            const char *id,
                            const struct gr_mirror_job *job);
-/* Passes queues and guarantees of the current configuration to the core. */
+/* Passes queues and guarantees of the current configuration, and the evacuated
+ * data centres, to the core. */
 void gr_owner_config_changed (struct gr_owner *owner);
 
 /* For metrics: the core's counts, and the recent lateness of the main loop. */
 void gr_owner_counts (const struct gr_owner *owner,
                       struct gr_steps_counts *counts,
                       struct gr_lateness *lateness);
+void gr_owner_learning (const struct gr_owner *owner,
+                        struct gr_steps_learning *learning);
--- a/steps/core.c
+++ b/steps/core.c
@@ -1,4 +1,4 @@
-#include "steps/tables.h"
+#include "steps/samples.h"
 
 #include <string.h>
 
@@ -42,8 +42,11 @@
   steps->job_rows = g_ptr_array_new ();
   for (size_t i = 0; i < G_N_ELEMENTS (steps->orders); i++)
     g_queue_init (&steps->orders[i]);
+  steps->evacuated =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&steps->changed);
   g_queue_init (&steps->advice_requests);
+  gr_samples_init (steps);
   return steps;
 }
 
@@ -59,10 +62,12 @@
   g_hash_table_destroy (steps->jobs);
   g_hash_table_destroy (steps->queues);
   g_hash_table_destroy (steps->accounts);
+  g_hash_table_destroy (steps->evacuated);
   for (size_t i = 0; i < G_N_ELEMENTS (steps->orders); i++)
     g_queue_clear_full (&steps->orders[i], g_free);
   g_queue_clear (&steps->changed);
   g_queue_clear_full (&steps->advice_requests, g_free);
+  gr_samples_clear (steps);
   g_free (steps);
 }
 
@@ -222,8 +227,11 @@
   gr_jobs_tick (steps, unix_ms);
   gr_orders_tick (steps);
   gr_leaving_tick (steps);
+  gr_evacuation_tick (steps);
   gr_gangs_tick (steps);
-  gr_place_tick (steps);
+  gr_samples_tick (steps);
+  if (!steps->starts_held)
+    gr_place_tick (steps);
 }
 
 const char *
@@ -374,6 +382,7 @@
       counts->accelerators += worker->capacity.accelerators;
       counts->accelerators_used += worker->used.accelerators;
     }
+  counts->placement = steps->placement;
   for (size_t i = 0; i < G_N_ELEMENTS (steps->orders); i++)
     counts->orders += steps->orders[i].length;
 }
--- a/steps/reclaim.h
+++ b/steps/reclaim.h
@@ -10,9 +10,6 @@
 
 /* Victims: the runs that may be stopped for a step, and what that costs. */
 
-/* True if the step is urgent and its account is within its guarantee. */
-bool gr_step_is_guaranteed (const struct step *step);
-bool gr_worker_has_guaranteed_work (const struct worker *worker);
 /* True if the worker may run tasks of the step and is not reserved for others;
  * its runs may then be stopped for the step. */
 bool gr_reclaim_may_use (const struct gr_steps *steps,
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -6,6 +6,8 @@
 #pragma once
 
 #include "common/mode.h"
+#include "learn/run-times.h"
+#include "learn/speeds.h"
 #include "steps/look.h"
 #include "steps/spec.h"
 
@@ -52,6 +54,7 @@
 {
   const char *id;
   const char *service;
+  const char *data_centre; /* NULL or "" if unknown */
   const char *rack;
   const char *const *labels; /* NULL-terminated */
   struct gr_resources capacity;
@@ -130,6 +133,10 @@
  * longer. */
 #define GR_ORDER_TIMEOUT_MS 250
 
+/* A worker does not start a run later than this after it was placed, so that a
+ * delayed order has no effect. */
+#define GR_START_LIMIT_MS 2000
+
 enum gr_order_kind
 {
   GR_ORDER_START,
@@ -168,6 +175,21 @@
 bool gr_steps_evacuate_worker (struct gr_steps *steps,
                                const char *worker,
                                bool force);
+/* Starts (evacuated) or ends the evacuation of a data centre. While it is
+ * evacuated, nothing is started on its workers, starts without a result are
+ * withdrawn together with their gangs, and they do not count as capacity;
+ * confirmed runs continue, except that lasting tasks move as far as max_away of
+ * their step allows. Withdrawals are queued before the call returns. The data
+ * centre need not have workers yet. Returns true if this is a change. */
+bool gr_steps_set_evacuated (struct gr_steps *steps,
+                             const char *data_centre,
+                             bool evacuated);
+/* Returns the number of starts that evacuations have withdrawn since the last
+ * call. */
+uint32_t gr_steps_take_starts_withdrawn (struct gr_steps *steps);
+/* While held, nothing is placed and queued starts are not taken, because the
+ * set of evacuated data centres may be out of date. */
+void gr_steps_hold_starts (struct gr_steps *steps, bool held);
 /* Number of runs on the worker; 0 if it is unknown. */
 uint32_t gr_steps_worker_load (const struct gr_steps *steps,
                                const char *worker);
@@ -334,6 +356,23 @@
   uint64_t refused_steps;
 };
 
+/* Decisions by expected completion since this owner started. With
+ * GR_MODE_OBSERVE, those that would have been taken. */
+struct gr_steps_placement
+{
+  uint64_t gangs_fast_enough; /* their objective is expected to be met */
+  uint64_t gangs_too_slow;
+  uint64_t steps_expected_late; /* not expected to meet it when first placed */
+  uint64_t choices_changed; /* workers differ from the choice without speeds */
+  uint64_t orders_changed;  /* looks, five a second with GR_MODE_OBSERVE, at
+                               which the order differs from arrival order */
+  uint64_t gangs_waited;    /* for faster workers */
+  uint64_t reservations_made;
+  uint64_t reservations_kept; /* the gang started in time */
+  uint64_t reservations_expired;
+  uint64_t tasks_backfilled;
+};
+
 /* For logs and metrics. */
 struct gr_steps_counts
 {
@@ -348,6 +387,67 @@
   uint32_t accelerators_used;
   uint32_t orders; /* queued, not taken yet */
   struct gr_preemption_counts preemption;
+  struct gr_steps_placement placement;
 };
 void gr_steps_counts (const struct gr_steps *steps,
                       struct gr_steps_counts *counts);
+
+/* Learned run times and speeds; see docs/design/learning.md. */
+
+/* Why nothing was learned from a run. */
+enum gr_sample_reject
+{
+  GR_SAMPLE_ACCEPTED,
+  GR_SAMPLE_NOT_DONE,      /* failed, stopped, broken, lapsed or crashed */
+  GR_SAMPLE_KIND,          /* a lasting or filler task */
+  GR_SAMPLE_ADOPTED,       /* started by a former owner */
+  GR_SAMPLE_RESUMED,       /* from a checkpoint */
+  GR_SAMPLE_START_UNCLEAR, /* its start was ordered more than once */
+  GR_SAMPLE_FAR,           /* not on the rack of its data */
+  GR_SAMPLE_SPREAD,        /* a gang for one rack that ran on several racks */
+  GR_SAMPLE_SILENT,        /* its worker did not answer */
+  GR_SAMPLE_DRAINING,      /* its worker was about to leave */
+  GR_SAMPLE_REASONS,
+};
+
+/* Name of the reason for logs and metrics; static. */
+const char *gr_sample_reject_name (enum gr_sample_reject reason);
+
+struct gr_steps_learning
+{
+  uint64_t run_time_samples;
+  uint64_t speed_samples;
+  uint64_t rejected[GR_SAMPLE_REASONS];
+  uint32_t keys; /* models of run times */
+  bool uneven;
+  struct gr_speeds_summary speeds;
+  /* Recent mean of the absolute natural logarithm of true to predicted time. */
+  double estimate_error;
+  double forecast_error;
+};
+/* Zero for what is not learned. */
+void gr_steps_learning (const struct gr_steps *steps,
+                        struct gr_steps_learning *learning);
+
+/* Call visit for each row of the tables; no calls if nothing is learned. */
+void gr_steps_each_learned_run_time (
+    const struct gr_steps *steps,
+    void (*visit) (const struct gr_run_time_row *row, void *context),
+    void *context);
+void gr_steps_each_learned_speed (const struct gr_steps *steps,
+                                  void (*visit) (const struct gr_speed_row *row,
+                                                 void *context),
+                                  void *context);
+/* Returns false if speeds are not learned. */
+bool gr_steps_learned_speeds_state (const struct gr_steps *steps,
+                                    struct gr_speeds_state *state);
+/* Restore a row that a former owner has stored. Return false if a value is out
+ * of range; true without effect if the table is not learned. */
+bool gr_steps_restore_run_time (struct gr_steps *steps,
+                                const struct gr_run_time_row *row);
+bool gr_steps_restore_speed (struct gr_steps *steps,
+                             const struct gr_speed_row *row);
+bool gr_steps_restore_speeds_state (struct gr_steps *steps,
+                                    const struct gr_speeds_state *state);
+/* Discards all that was learned. */
+void gr_steps_reset_learned (struct gr_steps *steps);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -9,6 +9,7 @@
 {
   char *id;
   char *service;
+  char *data_centre; /* "" if unknown */
   char *rack;
   struct rack *rack_row; /* set by gr_racks () */
   char **labels;
@@ -18,9 +19,13 @@
   int64_t reserved_until_ms;
   struct gr_resources reserved; /* that are kept for reserved_for; all 0: the
                                    whole worker */
-  GPtrArray *tasks;             /* struct task; not owned */
+  struct step *planned_for;     /* gang expected to start here; see planned.c */
+  int32_t speed; /* class of equal speeds; higher is slower, 0 is typical */
+  double class_slowness; /* of the class; set in each placement pass */
+  GPtrArray *tasks;      /* struct task; not owned */
   int64_t incarnation_unix_ms;
   bool registered;
+  bool evacuated; /* its data centre is; gets no new work */
   bool draining;
   int64_t earliest_leave_ms; /* while draining: it does not leave before this
                                 time; 0: unknown */
@@ -52,6 +57,9 @@
   uint32_t quarantine_ms;
   uint32_t pace; /* percent of processor time that filler tasks may use here */
   int64_t pace_changed_ms;
+  double
+      learned_slowness;   /* learned; 1.0 if unknown or the workers are alike */
+  uint32_t speed_samples; /* of this incarnation, from tasks outside gangs */
 };
 
 /* Pace of an adopted run: a former owner may have changed it. */
@@ -111,6 +119,11 @@
   uint32_t usage;             /* from the last poll, see struct gr_run_status */
   uint32_t pace;              /* percent that the worker has acknowledged */
   int64_t pace_sent_ms;
+  int64_t seen_ms; /* when a report last listed the run; 0: never */
+  enum gr_sample_reject reject; /* why its run teaches nothing */
+  bool speed_sampled;           /* the run has given its sample of speed */
+  double total_ms; /* of the run that completed it, on a worker of slowness 1.0;
+                      0: unknown */
 };
 
 /* Advice on whether a worker may run a step. */
@@ -122,6 +135,27 @@
   int64_t until_ms;            /* expiry of the ticket */
 };
 
+/* Forecast for one quantile of a step's run times. */
+struct step_forecast
+{
+  double quantile;
+  int64_t run_ms; /* 0: not computed */
+  int64_t computed_ms;
+};
+
+#define GR_FORECAST_QUANTILES 2
+
+/* Expected times of a step; see deadline.h. */
+struct deadline
+{
+  int64_t checked_ms;  /* when last computed; 0: never */
+  int64_t run_ms;      /* of a task at slowness 1.0, half of the runs */
+  int64_t late_run_ms; /* the same, nine of ten runs */
+  int64_t accepted_ms; /* when its objective began to count */
+  int64_t objective_ms;
+  int64_t rest_ms; /* of the longest chain of steps after it */
+};
+
 struct step
 {
   struct occurrence *occurrence;
@@ -146,8 +180,14 @@
   uint32_t reclaim_gang_run;   /* gang_run when reclaim_cost was last reset */
   bool budget_refused;         /* logged as refused since it last started */
   int64_t rack_fit_checked_ms; /* when fits_rack was last computed; 0: never */
-  bool suspected;              /* workers have crashed under one of its tasks */
-  bool fits_rack; /* some rack is large enough for the whole gang */
+  struct step_forecast *forecasts; /* cache, GR_FORECAST_QUANTILES entries */
+  struct deadline deadline;
+  int64_t wait_until_ms;  /* it waits for faster workers; 0: never considered */
+  bool placement_logged;  /* that speeds decided; once for each step */
+  double wait_slowness;   /* of the slowest of these */
+  bool placement_counted; /* whether it is expected to be late */
+  bool suspected;         /* workers have crashed under one of its tasks */
+  bool fits_rack;         /* some rack is large enough for the whole gang */
 };
 
 struct occurrence
@@ -176,6 +216,15 @@
   uint32_t n_complete;
   uint32_t active; /* number of tasks assigned to workers */
   uint32_t plan;   /* last reclaim plan that stops runs of the job */
+  /* Sums over the runs that run times were learned from. */
+  struct
+  {
+    uint32_t runs;
+    double estimate_ms;
+    double forecast_ms; /* on a worker of slowness 1.0 */
+    double ran_ms;
+    double slowness;
+  } learned;
 };
 
 struct queue
@@ -187,6 +236,10 @@
   uint32_t objective_ms;
   double stretch;
   bool needs_advice;
+  uint32_t run_time_samples; /* of its jobs, accepted by this owner */
+  struct step *planned_step; /* gang that workers are planned for */
+  int64_t planned_ms;        /* when it is expected to start */
+  int64_t plan_checked_ms;   /* when a plan was last computed; 0: never */
 };
 
 struct account
@@ -205,6 +258,16 @@
   ORDER_RANKS,
 };
 
+/* What is learned from runs; see samples.c. */
+struct samples
+{
+  struct gr_run_times *run_times; /* NULL: not learned */
+  struct gr_speeds *speeds;       /* NULL: not learned */
+  bool slowness_stale;            /* struct worker holds former figures */
+  int64_t updated_ms;
+  struct gr_steps_learning counts;
+};
+
 struct gr_steps
 {
   struct gr_steps_settings settings;
@@ -236,8 +299,19 @@
   uint32_t searches;   /* for room for work beyond its guarantee */
   struct gr_preemption_counts preemption;
   bool fenced;
-  bool mostly_free;    /* at least half of the accelerators are free */
+  GHashTable *evacuated; /* names of data centres */
+  bool all_evacuated; /* there is an evacuation, and no worker outside of it */
+  int64_t evacuation_changed_ms; /* when `evacuated` last changed; 0: never */
+  uint32_t starts_withdrawn;     /* not taken yet */
+  bool starts_held;              /* see gr_steps_hold_starts () */
+  bool mostly_free;          /* at least half of the accelerators are free */
+  int64_t order_observed_ms; /* see rank.c */
+  bool has_plans;            /* some queue has a planned reservation */
+  bool uneven_speeds;        /* workers differ in their speed class */
+  double fastest;            /* least slowness of a usable worker */
+  struct gr_steps_placement placement;
   bool all_runs_known; /* no inherited job can have a run that was not seen */
+  struct samples samples;
 };
 
 /* Tasks. */
@@ -391,6 +465,16 @@
 /* Moves work away from workers that are about to leave. */
 void gr_leaving_tick (struct gr_steps *steps);
 
+/* Evacuated data centres. */
+
+/* Applies the evacuations to a worker that is new or has another data
+ * centre. */
+void gr_evacuation_update_worker (struct gr_steps *steps,
+                                  struct worker *worker);
+/* Moves lasting tasks away from evacuated data centres, and updates
+ * all_evacuated. */
+void gr_evacuation_tick (struct gr_steps *steps);
+
 /* Placement. */
 void gr_place_tick (struct gr_steps *steps);
 /* True if the worker is reserved for another step that this one does not
@@ -414,6 +498,11 @@
                         const struct step *step);
 /* True if the unfinished urgent work of the account fits its guarantee. */
 bool gr_account_within_guarantee (const struct account *account);
+/* True for urgent work of an account that is within its guarantee. */
+bool gr_step_is_guaranteed (const struct step *step);
+/* Computes the accelerators that each account's urgent work needs; they decide
+ * whether it is within its guarantee. */
+void gr_accounts_update_demand (struct gr_steps *steps);
 
 /* Stops runs, those with the least loss first, so that an urgent step can
  * start. */
--- a/steps/victims.c
+++ b/steps/victims.c
@@ -25,15 +25,6 @@
          && !gr_account_within_guarantee (victim->account);
 }
 
-bool
-gr_step_is_guaranteed (const struct step *step)
-{
-  const struct job *job = gr_step_job (step);
-
-  return job->queue->priority == 0
-         && gr_account_within_guarantee (job->account);
-}
-
 bool
 gr_worker_has_guaranteed_work (const struct worker *worker)
 {
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -1,4 +1,4 @@
-#include "steps/tables.h"
+#include "steps/samples.h"
 
 #include "common/log.h"
 
@@ -44,8 +44,8 @@
 bool
 gr_worker_usable (const struct gr_steps *steps, const struct worker *worker)
 {
-  return worker->registered && !worker->draining && !worker->closed
-         && worker->reachable && worker->polled
+  return worker->registered && !worker->evacuated && !worker->draining
+         && !worker->closed && worker->reachable && worker->polled
          && steps->now_ms >= worker->quarantine_until_ms
          && steps->now_ms >= worker->full_until_ms;
 }
@@ -85,6 +85,7 @@
       g_snprintf (run, sizeof run, "%u", task->run);
       gr_log_event ("run-lost", "task", name, "run", run, "worker", worker->id,
                     "reason", reason, NULL);
+      gr_samples_reject (steps, GR_SAMPLE_NOT_DONE);
       gr_task_release (steps, task);
       if (crashed)
         gr_crash_record (steps, worker, task);
@@ -111,6 +112,7 @@
   worker->quarantine_until_ms = 0;
   worker->quarantine_ms = 0;
   worker->lease_until_ms = 0;
+  gr_samples_forget_worker (steps, worker);
 }
 
 void
@@ -142,11 +144,14 @@
   worker->id = g_strdup (id);
   worker->service = g_strdup ("");
   worker->rack = g_strdup ("");
+  worker->data_centre = g_strdup ("");
   worker->labels = g_new0 (char *, 1);
   worker->tasks = g_ptr_array_new ();
   worker->reachable = true;
   gr_worker_request_poll (steps, worker);
   worker->pace = 100;
+  worker->learned_slowness = 1.0;
+  steps->samples.slowness_stale = true;
   g_hash_table_insert (steps->workers, worker->id, worker);
   g_ptr_array_add (steps->worker_rows, worker);
   steps->racks_stale = true;
@@ -163,6 +168,18 @@
   return strcmp ((*a)->id, (*b)->id);
 }
 
+static void
+set_data_centre (struct gr_steps *steps,
+                 struct worker *worker,
+                 const char *data_centre)
+{
+  if (g_str_equal (worker->data_centre, data_centre))
+    return;
+  g_free (worker->data_centre);
+  worker->data_centre = g_strdup (data_centre);
+  gr_evacuation_update_worker (steps, worker);
+}
+
 void
 gr_steps_set_worker (struct gr_steps *steps,
                      const struct gr_steps_worker *row,
@@ -184,6 +201,7 @@
       worker->rack = g_strdup (row->rack);
       steps->racks_stale = true;
     }
+  set_data_centre (steps, worker, row->data_centre ? row->data_centre : "");
   g_free (worker->service);
   g_strfreev (worker->labels);
   worker->service = g_strdup (row->service);
@@ -191,6 +209,8 @@
   worker->capacity = row->capacity;
   if (row->draining && !worker->draining)
     gr_log_event ("worker-draining", "worker", worker->id, NULL);
+  if (row->draining)
+    gr_samples_disturb_worker (worker, GR_SAMPLE_DRAINING);
   /* The remaining time counts from when the entry was written, so an unchanged
    * entry does not extend it. */
   if (row->remaining_ms == 0)
@@ -325,6 +345,8 @@
   if (worker == NULL || worker->reachable == reachable)
     return;
   worker->reachable = reachable;
+  if (!reachable)
+    gr_samples_disturb_worker (worker, GR_SAMPLE_SILENT);
   gr_log_event (reachable ? "worker-reachable" : "worker-unreachable", "worker",
                 id, NULL);
 }
@@ -356,6 +378,7 @@
   g_ptr_array_unref (worker->tasks);
   g_strfreev (worker->labels);
   g_free (worker->service);
+  g_free (worker->data_centre);
   g_free (worker->rack);
   g_free (worker->id);
   g_free (worker);
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -39,6 +39,7 @@
   int64_t saved_ms;          /* work that the last checkpoint holds */
   int64_t stop_ms;           /* when it ends by a stop order; 0: not stopped */
   uint32_t pace;             /* percent of its full speed */
+  double noise;              /* factor of its work */
   int64_t over_target_ticks; /* consecutive ticks with a tail latency over its
                                 target */
 };
@@ -52,6 +53,7 @@
 {
   char id[16];
   char rack[16];
+  char data_centre[16];
   GPtrArray *runs;
   GArray *ends;           /* struct gr_ended_run; not acknowledged yet */
   GHashTable *ended_runs; /* task -> highest run that ended or was stopped */
@@ -80,6 +82,7 @@
   bool clock_known; /* to the owner, after the first poll; that poll therefore
                        grants no lease */
   uint32_t starts;
+  double slowness;
 };
 
 struct model_job
@@ -151,6 +154,7 @@
   GPtrArray *queues;
   GPtrArray *transit_orders; /* struct transit_order */
   GPtrArray *polls;          /* struct model_poll */
+  GHashTable *evacuated;     /* data centre -> time in ms (gint) */
   bool store_works;
   int64_t commit_ms;
   GQueue commits; /* struct commit, oldest first */
@@ -160,6 +164,7 @@
   uint32_t drop_results;
   uint32_t runs_alone;
   int64_t last_fault_ms;
+  double noise; /* see steps_model_set_noise () */
   bool needs_tickets;
   bool allows_overload;
   char *violation;
@@ -183,10 +188,17 @@
                             struct model_worker *worker);
 /* The worker loses all its runs and all ends that were not acknowledged. */
 void model_forget_runs (struct model_worker *worker);
+/* Time since which the worker's data centre is evacuated; -1 if it is not. */
+int64_t model_evacuated_ms (const struct steps_model *model,
+                            const struct model_worker *worker);
 struct model_run *model_find_run (struct model_worker *worker,
                                   const char *task);
 const struct gr_step_spec *model_run_spec (const struct steps_model *model,
                                            const struct model_run *run);
+/* Time that the run takes on its worker in all. */
+int64_t model_run_work_ms (const struct steps_model *model,
+                           const struct model_worker *worker,
+                           const struct model_run *run);
 void model_send_order (struct steps_model *model, const struct gr_order *order);
 void model_transit_order_free (struct transit_order *transit);
 void model_advance_orders (struct steps_model *model);
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -37,6 +37,11 @@
 
 struct steps_model *
 steps_model_create (uint32_t workers, uint32_t per_rack, uint32_t seed);
+/* The same, with placement by expected completion. */
+struct steps_model *steps_model_create_with (uint32_t workers,
+                                             uint32_t per_rack,
+                                             uint32_t seed,
+                                             enum gr_mode objectives);
 void steps_model_destroy (struct steps_model *model);
 /* Sets the mode of the preemption budget and how long a stop takes, 60 ms by
  * default. Replaces the core, so it must be called before anything else. */
@@ -101,10 +106,33 @@
 void steps_model_set_worker_unreachable (struct steps_model *model,
                                          uint32_t worker,
                                          bool unreachable);
+/* Runs on the worker take slowness times as long; a gang runs at the pace of
+ * its slowest member. */
+void steps_model_set_slowness (struct steps_model *model,
+                               uint32_t worker,
+                               double slowness);
+/* The work of each run outside gangs is random: standard deviation of its
+ * natural logarithm. */
+void steps_model_set_noise (struct steps_model *model, double deviation);
+/* The core knows the modes from the next owner on. */
+void steps_model_set_learning (struct steps_model *model,
+                               enum gr_mode run_times,
+                               enum gr_mode speeds);
 void steps_model_restart_worker (struct steps_model *model, uint32_t worker);
 void steps_model_drain_worker (struct steps_model *model,
                                uint32_t worker,
                                bool draining);
+/* Workers are in data centre "dc0" unless set otherwise. */
+void steps_model_set_data_centre (struct steps_model *model,
+                                  uint32_t worker,
+                                  const char *data_centre);
+/* Evacuates a data centre or ends its evacuation; the core knows it at once,
+ * and the next owner before it places work. From then on, sending a start to
+ * its workers violates an invariant, and so does a start that takes effect
+ * later than it may. */
+void steps_model_evacuate (struct steps_model *model,
+                           const char *data_centre,
+                           bool evacuated);
 /* The worker starts to drain and announces that it does not leave within
  * remaining_ms. */
 void steps_model_notify_leave (struct steps_model *model,
