--- a/steps/reclaim.h
+++ b/steps/reclaim.h
@@ -10,6 +10,8 @@
 
 /* Victims: the runs that may be stopped for a step, and what that costs. */
 
+/* True if a task of guaranteed work is on the worker. */
+bool gr_worker_has_guaranteed_work (const struct worker *worker);
 /* True if the worker may run tasks of the step and is not reserved for others;
  * its runs may then be stopped for the step. */
 bool gr_reclaim_may_use (const struct gr_steps *steps,
