--- a/steps/tables.h
+++ b/steps/tables.h
@@ -17,7 +17,9 @@
   struct gr_resources used;  /* by the tasks assigned to the worker */
   struct step *reserved_for; /* the only step placed here; NULL: any */
   int64_t reserved_until_ms;
-  struct step *planned_for; /* gang expected to start here; see planned.c */
+  struct gr_resources reserved; /* that are kept for reserved_for; all 0: the
+                                   whole worker */
+  struct step *planned_for;     /* gang expected to start here; see planned.c */
   int32_t speed; /* class of equal speeds; higher is slower, 0 is typical */
   double class_slowness; /* of the class; set in each placement pass */
   GPtrArray *tasks;      /* struct task; not owned */
@@ -106,8 +108,16 @@
   int64_t first_percent_ms;
   char avoid_worker[GR_TASK_NAME_SIZE]; /* worker of the last failure; others
                                            are preferred */
-  uint32_t usage; /* from the last poll, see struct gr_run_status */
-  uint32_t pace;  /* percent that the worker has acknowledged */
+  int64_t checkpoint_seen_ms; /* when a new checkpoint was last reported; 0:
+                                 never */
+  int64_t stop_failed_ms;     /* when a stop of the run last had no effect; 0:
+                                 never */
+  uint32_t awaited_run;       /* run whose expected end an urgent step waited
+                                 for; 0: none */
+  int64_t awaited_until_ms;   /* when that run should have ended */
+  uint32_t plan;              /* last reclaim plan that stops the run */
+  uint32_t usage;             /* from the last poll, see struct gr_run_status */
+  uint32_t pace;              /* percent that the worker has acknowledged */
   int64_t pace_sent_ms;
   int64_t seen_ms; /* when a report last listed the run; 0: never */
   enum gr_sample_reject reject; /* why its run teaches nothing */
@@ -163,6 +173,12 @@
   int64_t ready_ms;            /* since when the step can start; 0: not ready */
   int64_t reclaim_started_ms;  /* when capacity was last reclaimed for it */
   int64_t reclaim_failed_ms; /* when reclaiming last found no workers to free */
+  int64_t round_failed_ms;   /* when no plan within the budget was last found */
+  int64_t round_until_ms;    /* no run is stopped for it until then, unless the
+                                round fails; 0: no round yet */
+  double reclaim_cost; /* core-seconds lost for it since it last started */
+  uint32_t reclaim_gang_run;   /* gang_run when reclaim_cost was last reset */
+  bool budget_refused;         /* logged as refused since it last started */
   int64_t rack_fit_checked_ms; /* when fits_rack was last computed; 0: never */
   struct step_forecast *forecasts; /* cache, GR_FORECAST_QUANTILES entries */
   struct deadline deadline;
@@ -199,6 +215,7 @@
   GPtrArray *occurrences;
   uint32_t n_complete;
   uint32_t active; /* number of tasks assigned to workers */
+  uint32_t plan;   /* last reclaim plan that stops runs of the job */
   /* Sums over the runs that run times were learned from. */
   struct
   {
@@ -274,6 +291,13 @@
   uint32_t advice_pending;    /* requests without an answer */
   uint64_t sequence;
   uint64_t committed; /* changes up to this sequence number are durable */
+  uint32_t plan;      /* number of the last reclaim plan */
+  const struct step *held_for; /* step that was refused and for which workers
+                                  are kept as their runs end; only compared */
+  int64_t held_until_ms;
+  int64_t searched_ms; /* pass to which the number of searches belongs */
+  uint32_t searches;   /* for room for work beyond its guarantee */
+  struct gr_preemption_counts preemption;
   bool fenced;
   GHashTable *evacuated; /* names of data centres */
   bool all_evacuated; /* there is an evacuation, and no worker outside of it */
