instance, steps: findings of a review of evacuations and state calls

Cause: read by somebody who had not written them. A late watch answer beside a full read could bring back a deleted request; a dropped reservation left its step in its round, or waiting for the workers that were gone; starts before a hold had no margin for a slow clock; waiting state calls could use up the connections. Change: read once more after such an answer, end the round and the wait, 100 ms of margin, at most 7 open watches. The late watch answer has no test of its own.

--- a/instance/call.c
+++ b/instance/call.c
@@ -494,6 +494,10 @@
                     (struct gr_metastore_reply){ progress_read_done, call });
 }
 
+/* State calls that wait leave enough connections to the store for other calls:
+ * up to three watches are always open, and a waiting call is the exception. */
+#define MAX_OPEN_WATCHES 7
+
 /* Waits at the store for a change of the job's progress. Clients ask as soon as
  * their job has ended, some ten milliseconds before its progress is durable and
  * up to a quarter of a second before the mirror shows it; without the wait they
@@ -532,6 +536,7 @@
       return;
     }
   if (job != NULL && may_change (job) && call->deps->settings->state_wait_ms > 0
+      && gr_metastore_open_watches (call->deps->store) < MAX_OPEN_WATCHES
       && !store_is_unresponsive (call))
     {
       wait_for_progress (call);
--- a/instance/config-view.c
+++ b/instance/config-view.c
@@ -306,6 +306,12 @@
       return;
     }
   apply_items (view, result, view->watch_sent_ms);
+  /* A read beside this watch may cover later revisions. The next watch would
+   * then not return the deletion of an item that was applied here. */
+  if (result->n_items > 0 && view->reading)
+    view->read_again = true;
+  else if (result->n_items > 0 && result->as_of < view->watched_revision)
+    view->needs_full_read = true;
   confirm_all (view, view->watch_sent_ms);
   view->watched_revision = MAX (view->watched_revision, result->as_of);
   schedule (view, 0);
--- a/instance/evacuation-control.c
+++ b/instance/evacuation-control.c
@@ -5,7 +5,10 @@
 /* Starts are not held below this age of the knowledge. While one watch is
  * silent, it is 1,900 ms and the time of a read; while the store is silent, the
  * last read that failed was sent at most 2,600 ms ago. */
-#define MIN_HOLD_AGE_MS 3000
+#define MIN_HOLD_AGE_MS 2900
+
+/* A worker's clock can be 2 % slow; the rest is the transit of the order. */
+#define START_LIMIT_MARGIN_MS 100
 
 struct gr_evacuation_control
 {
@@ -37,7 +40,8 @@
 static int64_t
 hold_age_ms (const struct gr_evacuation_control *control)
 {
-  return MAX ((int64_t)control->deps->settings->evacuate_ms - GR_START_LIMIT_MS,
+  return MAX ((int64_t)control->deps->settings->evacuate_ms - GR_START_LIMIT_MS
+                  - START_LIMIT_MARGIN_MS,
               MIN_HOLD_AGE_MS);
 }
 
--- a/steps/evacuation.c
+++ b/steps/evacuation.c
@@ -12,11 +12,18 @@
 /* Capacity that was reclaimed on an evacuated worker is of no use, so the step
  * may reclaim elsewhere without the usual pause. */
 static void
-drop_reservation (struct worker *worker)
+drop_reservation (struct gr_steps *steps, struct worker *worker)
 {
-  if (worker->reserved_for == NULL)
+  struct step *step = worker->reserved_for;
+
+  if (step == NULL)
     return;
-  worker->reserved_for->reclaim_started_ms = 0;
+  step->round_until_ms = 0;
+  if (steps->settings.budget != GR_MODE_ON)
+    step->reclaim_started_ms = 0;
+  /* A time of 0 would allow the gang to wait for faster workers again. */
+  if (step->wait_until_ms != 0)
+    step->wait_until_ms = MIN (step->wait_until_ms, steps->now_ms);
   worker->reserved_for = NULL;
 }
 
@@ -79,7 +86,7 @@
   struct task *task;
 
   worker->evacuated = true;
-  drop_reservation (worker);
+  drop_reservation (steps, worker);
   /* Each withdrawal changes the list of tasks, so it is searched again. */
   while ((task = find_start (worker)) != NULL)
     withdraw_start (steps, task, worker->data_centre);
