steps: findings of a review of learning and placement

A gang that waited for more than 1.5 s lost its workers to batch work; a queue with many wide gangs kept the gangs of others from starting; workers that left stayed in the table of speeds; a forecast that is far too long put off the age limit. Change: the reservation lasts as long as the wait; plans are asked again in order once a planned gang has started; workers that left are forgotten; the age limit is bounded by the estimate. Tests of placement, samples, learn, learned, steps, gangs, crashes, waves, preemption and evacuation pass.

--- a/steps/gang-wait.c
+++ b/steps/gang-wait.c
@@ -92,7 +92,13 @@
       step->wait_until_ms = steps->now_ms + wait.wait_ms;
       step->wait_slowness = wait.slowness;
       for (guint i = 0; i < wait.workers->len; i++)
-        gr_worker_reserve (steps, wait.workers->pdata[i], step);
+        {
+          struct worker *worker = wait.workers->pdata[i];
+
+          gr_worker_reserve (steps, worker, step);
+          worker->reserved_until_ms =
+              MAX (worker->reserved_until_ms, step->wait_until_ms);
+        }
     }
   g_ptr_array_unref (wait.workers);
   return steps->now_ms < step->wait_until_ms;
--- a/steps/place.c
+++ b/steps/place.c
@@ -105,7 +105,8 @@
                     const struct step *failed)
 {
   return steps->has_plans && gr_step_job (step)->queue->priority > 0
-         && step->deadline.late_run_ms < failed->deadline.late_run_ms;
+         && ((failed->spec->lasting && !step->spec->lasting)
+             || step->deadline.late_run_ms < failed->deadline.late_run_ms);
 }
 
 /* True if the step needs at least as much, on the same workers, as one that
@@ -134,7 +135,8 @@
                      const GPtrArray *failed)
 {
   /* Workers may be reserved for it by now, or it may spread over racks. */
-  if (step->reclaim_started_ms != 0 || gr_step_may_spread (steps, step)
+  if (step->reclaim_started_ms != 0 || step->wait_slowness > 0
+      || gr_step_may_spread (steps, step)
       || gr_step_job (step)->queue->planned_step == step)
     return false;
   for (guint i = 0; i < failed->len; i++)
--- a/steps/planned.c
+++ b/steps/planned.c
@@ -145,7 +145,7 @@
 
   if (steps->settings.objectives == GR_MODE_OFF || !step->spec->gang
       || step->n_waiting < step->n_tasks || queue->priority == 0
-      || queue->planned_step != NULL)
+      || queue->planned_step != NULL || steps->plan_started_ms == steps->now_ms)
     return false;
   if (queue->plan_checked_ms != 0
       && steps->now_ms - queue->plan_checked_ms < PLAN_INTERVAL_MS)
@@ -191,6 +191,21 @@
   g_ptr_array_unref (plan.workers);
 }
 
+/* The steps that go first have failed in this pass before the workers were
+ * given up. They are asked first in the next one, so that a queue with many
+ * gangs does not keep its workers from the gangs of others. */
+static void
+allow_plans_again (struct gr_steps *steps)
+{
+  GHashTableIter iter;
+  void *value;
+
+  steps->plan_started_ms = steps->now_ms;
+  g_hash_table_iter_init (&iter, steps->queues);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct queue *)value)->plan_checked_ms = 0;
+}
+
 void
 gr_planned_started (struct gr_steps *steps, struct step *step)
 {
@@ -200,6 +215,7 @@
     return;
   steps->placement.reservations_kept++;
   drop_plan (steps, queue);
+  allow_plans_again (steps);
 }
 
 bool
--- a/steps/rank.c
+++ b/steps/rank.c
@@ -68,7 +68,11 @@
 is_aged (const struct gr_steps *steps, struct step *step, int64_t spare_ms)
 {
   int64_t waited_ms = steps->now_ms - step->ready_ms;
+  int64_t longest_ms =
+      gr_job_objective_ms (gr_step_job (step)) * GR_LATE_FACTOR;
 
+  /* A forecast that is far too long must not defer the age limit. */
+  spare_ms = MIN (spare_ms, longest_ms);
   return (double)waited_ms >= (double)(waited_ms + spare_ms) * AGED_SHARE;
 }
 
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -306,6 +306,7 @@
   bool starts_held;              /* see gr_steps_hold_starts () */
   bool mostly_free;          /* at least half of the accelerators are free */
   int64_t order_observed_ms; /* see rank.c */
+  int64_t plan_started_ms;   /* pass in which a planned gang last started */
   bool has_plans;            /* some queue has a planned reservation */
   bool uneven_speeds;        /* workers differ in their speed class */
   double fastest;            /* least slowness of a usable worker */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -300,6 +300,7 @@
   worker->polled = true;
   worker->lease_until_ms = 0;
   release_runs (steps, worker, "the worker left", false);
+  gr_samples_forget_worker (steps, worker);
 }
 
 void
@@ -314,6 +315,7 @@
   worker->polled = true;
   worker->lease_until_ms = 0;
   release_runs (steps, worker, "the worker's process is gone", true);
+  gr_samples_forget_worker (steps, worker);
 }
 
 void
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -362,6 +362,58 @@
 }
 END_TEST
 
+/* Guards against a gang that waits for faster workers and loses them to batch
+ * work that arrives all the time, because their reservation ends before the
+ * wait. */
+START_TEST (gang_that_waits_keeps_its_workers)
+{
+  struct steps_model *model = create (GR_MODE_ON, FIRST_3, 1);
+
+  set_objective (model, "urgent", 0, 300, 1.3);
+  for (uint32_t i = 1; i <= 12; i++)
+    add (model, i, "urgent", 1, 8, 8000 + i * 100);
+  steps_model_run (model, 2400);
+  add (model, 500, "urgent", 3, 8, 8000);
+  for (uint32_t i = 0; i < 150; i++)
+    {
+      add (model, 1000 + i, "batch", 20, 1, 6000);
+      steps_model_run (model, 100);
+    }
+  ck_assert_int_ge (steps_model_completion_ms (model, 500), 0);
+  /* Its objective: 300 ms and 1.3 times its run time of 8 s. */
+  ck_assert_int_le (steps_model_completion_ms (model, 500), 10700);
+  steps_model_destroy (model);
+}
+END_TEST
+
+/* Guards against a queue with many wide gangs that plans the next rack for each
+ * of them in turn, so that the gang of another queue, which is due first, never
+ * starts. */
+START_TEST (wide_gangs_of_two_queues_take_turns)
+{
+  struct steps_model *model = create (GR_MODE_ON, ALIKE, 3);
+
+  steps_model_set_queue (model, "nightly", 1, 3);
+  set_objective (model, "rebuild", 1, 30000, 3);
+  set_objective (model, "nightly", 1, 30000, 3);
+  set_objective (model, "batch", 2, 60000, 3);
+  for (uint32_t i = 1; i <= 1500; i++)
+    {
+      if (i % 2 == 0)
+        add (model, i, "batch", 20, 1, 2000);
+      if (i % 6 == 0)
+        add (model, 10000 + i, "rebuild", 10, 8, 3000);
+      if (i == 300)
+        add (model, 5000, "nightly", 12, 8, 8000);
+      steps_model_run (model, 100);
+    }
+  ck_assert_int_ge (steps_model_start_delay_ms (model, 5000), 0);
+  /* Its objective: 30 s and 3 times its run time of 8 s. */
+  ck_assert_int_le (steps_model_start_delay_ms (model, 5000), 54000);
+  steps_model_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -371,6 +423,8 @@
   int failed;
 
   tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, gang_that_waits_keeps_its_workers);
+  tcase_add_test (tests, wide_gangs_of_two_queues_take_turns);
   tcase_add_test (tests, work_with_slack_leaves_fast_workers_free);
   tcase_add_test (tests, work_without_slack_takes_fast_workers);
   tcase_add_test (tests, gang_takes_no_fast_member_beside_a_slow_one);
