steps: findings of a review of preemption

Cause: read by somebody who had not written it. Change: no waiting in the last round, searches in turns, reservations end at the start, the budget grows by the step's own work for each objective waited. Result: two new tests, each fails without its change; preemption, steps, gangs, crashes, placement, evacuation, samples, waves and load with the budget pass.

--- a/steps/place-gangs.c
+++ b/steps/place-gangs.c
@@ -42,13 +42,7 @@
     }
   g_assert (next == step->n_tasks);
   gr_planned_started (steps, step);
-  for (guint i = 0; i < steps->worker_rows->len; i++)
-    {
-      struct worker *worker = steps->worker_rows->pdata[i];
-
-      if (worker->reserved_for == step)
-        worker->reserved_for = NULL;
-    }
+  gr_workers_release_reserved (steps, step);
 }
 
 static uint64_t
--- a/steps/place-tasks.c
+++ b/steps/place-tasks.c
@@ -150,5 +150,8 @@
         return false;
       gr_place_task_on (steps, task, worker, gr_next_run (steps, task->run));
     }
+  /* The reserved room is in use now and would count twice. */
+  if (steps->settings.budget == GR_MODE_ON && step->reclaim_started_ms != 0)
+    gr_workers_release_reserved (steps, step);
   return true;
 }
--- a/steps/place.c
+++ b/steps/place.c
@@ -1,6 +1,7 @@
 #include "steps/place.h"
 #include "steps/deadline.h"
 #include "steps/planned.h"
+#include "steps/reclaim.h"
 
 #include "common/log.h"
 
@@ -136,7 +137,7 @@
 {
   /* Workers may be reserved for it by now, or it may spread over racks. */
   if (step->reclaim_started_ms != 0 || step->wait_slowness > 0
-      || gr_step_may_spread (steps, step)
+      || steps->held_for == step || gr_step_may_spread (steps, step)
       || gr_step_job (step)->queue->planned_step == step)
     return false;
   for (guint i = 0; i < failed->len; i++)
@@ -198,6 +199,7 @@
       gr_workers_update_speeds (steps);
       gr_planned_tick (steps);
     }
+  gr_reclaim_begin_pass (steps);
   ranked = gr_rank_steps (steps);
   for (guint i = 0; i < ranked->len; i++)
     try_step (steps, ranked->pdata[i], failed);
--- a/steps/reclaim-plan.c
+++ b/steps/reclaim-plan.c
@@ -56,7 +56,7 @@
                     const struct task *task,
                     int64_t wait_ms)
 {
-  if (task->state != TASK_RUNNING || task->step->spec->lasting
+  if (wait_ms < 0 || task->state != TASK_RUNNING || task->step->spec->lasting
       || task->first_percent_ms == 0 || task->percent <= task->first_percent
       || gr_forecast_remaining_ms (steps, task) > wait_ms)
     return false;
--- a/steps/reclaim-rounds.c
+++ b/steps/reclaim-rounds.c
@@ -103,12 +103,28 @@
   return false;
 }
 
+static bool
+is_held (const struct gr_steps *steps, const struct step *step)
+{
+  return step == steps->held_for && steps->now_ms < steps->held_until_ms;
+}
+
 /* Counts a search for room. Returns false if there were enough in this pass. */
 static bool
 may_search (struct gr_steps *steps, const struct step *step)
 {
   if (gr_step_is_guaranteed (step))
     return true;
+  if (is_held (steps, step))
+    return true; /* otherwise its workers would be given up */
+  /* A refused step searches again once each of the others had a search, so that
+   * the first ones in the order do not use up all searches. */
+  if (step->round_failed_ms != 0
+      && step->round_failed_ms >= steps->search_cycle_ms)
+    {
+      steps->searches_deferred = true;
+      return false;
+    }
   if (steps->searched_ms != steps->now_ms)
     {
       steps->searched_ms = steps->now_ms;
@@ -137,12 +153,19 @@
   step->budget_refused = false;
 }
 
-/* What the step itself uses, in core-seconds. */
+/* Core-seconds that the step may cost. It grows by the step's own work for each
+ * objective that it has waited: without that, a wide gang beyond its guarantee
+ * waits until runs end by themselves, 25 s and more for batch work, and the
+ * largest jobs of a kind would be served less often than the others. */
 static double
 budget_of (const struct gr_steps *steps, const struct step *step)
 {
-  return gr_step_task_cores (step) * step->n_tasks
-         * (double)gr_forecast_run_ms (steps, step, 0.5) / 1000.0;
+  double work = gr_step_task_cores (step) * step->n_tasks
+                * (double)gr_forecast_run_ms (steps, step, 0.5) / 1000.0;
+  double waited = (double)(steps->now_ms - step->ready_ms)
+                  / (double)MAX (gr_job_objective_ms (gr_step_job (step)), 1);
+
+  return work * (1.0 + waited);
 }
 
 static bool
@@ -381,6 +404,15 @@
       gr_victim_stop (steps, step, plan->victims->pdata[i]);
 }
 
+void
+gr_reclaim_begin_pass (struct gr_steps *steps)
+{
+  if (steps->searches_deferred && steps->searches == 0)
+    steps->search_cycle_ms = steps->now_ms;
+  steps->searches_deferred = false;
+  steps->searches = 0;
+}
+
 void
 gr_reclaim_round (struct gr_steps *steps, struct step *step, bool apply)
 {
--- a/steps/reclaim.h
+++ b/steps/reclaim.h
@@ -86,6 +86,8 @@
 
 /* Rounds: when runs are stopped for a step, and how much that may cost. */
 
+/* Starts a pass, in which the steps share a limited number of searches. */
+void gr_reclaim_begin_pass (struct gr_steps *steps);
 /* As gr_reclaim_capacity (), with rounds and budgets. Without apply nothing is
  * stopped or reserved; only the step's own record of rounds changes. */
 void gr_reclaim_round (struct gr_steps *steps, struct step *step, bool apply);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -295,8 +295,10 @@
   const struct step *held_for; /* step that was refused and for which workers
                                   are kept as their runs end; only compared */
   int64_t held_until_ms;
-  int64_t searched_ms; /* pass to which the number of searches belongs */
-  uint32_t searches;   /* for room for work beyond its guarantee */
+  int64_t search_cycle_ms; /* since when each refused step may search once */
+  bool searches_deferred;  /* in this pass, a step has to wait for the others */
+  int64_t searched_ms;     /* pass to which the number of searches belongs */
+  uint32_t searches;       /* for room for work beyond its guarantee */
   struct gr_preemption_counts preemption;
   bool fenced;
   GHashTable *evacuated; /* names of data centres */
@@ -359,6 +361,9 @@
 void gr_worker_reserve (struct gr_steps *steps,
                         struct worker *worker,
                         struct step *step);
+/* Ends all reservations for the step. */
+void gr_workers_release_reserved (struct gr_steps *steps,
+                                  const struct step *step);
 
 /* Jobs. */
 void gr_job_mark_changed (struct gr_steps *steps, struct job *job);
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -424,6 +424,9 @@
         steps->all_runs_known = false;
       if (!may_be_removed (steps, worker))
         continue;
+      /* Room that was reclaimed here is gone; its step need not wait for it. */
+      if (worker->reserved_for != NULL)
+        worker->reserved_for->round_until_ms = 0;
       steps->racks_stale = true;
       g_ptr_array_remove_index (steps->worker_rows, i);
       g_hash_table_remove (steps->workers, worker->id);
@@ -498,6 +501,18 @@
   worker->reserved = (struct gr_resources){ 0 };
 }
 
+void
+gr_workers_release_reserved (struct gr_steps *steps, const struct step *step)
+{
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      struct worker *worker = steps->worker_rows->pdata[i];
+
+      if (worker->reserved_for == step)
+        worker->reserved_for = NULL;
+    }
+}
+
 void
 gr_workers_destroy (struct gr_steps *steps)
 {
--- a/tests/test-preemption.c
+++ b/tests/test-preemption.c
@@ -450,6 +450,58 @@
 }
 END_TEST
 
+/* Guards against a last round that waits for runs which make no progress, so
+ * that guaranteed work starts late. */
+START_TEST (last_round_waits_for_no_run)
+{
+  struct steps_model *model = steps_model_create (2, 8, 1);
+  struct model_worker *worker;
+
+  steps_model_set_preemption (model, GR_MODE_ON, 2300);
+  steps_model_set_queue (model, "urgent", 0, 3);
+  steps_model_set_queue (model, "batch", 2, 3);
+  steps_model_set_guarantee (model, "guaranteed", 64);
+  steps_model_add_job (model, 1, "batch", "", &batch_step, 1, 8000);
+  steps_model_run (model, 500);
+  steps_model_add_job (model, 2, "batch", "", &batch_step, 1, 20000);
+  steps_model_run (model, 6900);
+  worker = model->workers->pdata[0];
+  for (guint i = 0; i < worker->runs->len; i++)
+    ((struct model_run *)worker->runs->pdata[i])->pace = 0;
+  steps_model_run (model, 1500);
+  steps_model_add_job (model, 3, "urgent", "guaranteed", &urgent_step, 1, 500);
+  steps_model_run (model, 6000);
+  ck_assert_int_ge (steps_model_start_delay_ms (model, 3), 0);
+  ck_assert_int_le (steps_model_start_delay_ms (model, 3), RECLAIM_MS);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* Guards against refused steps that use up all searches for room, so that a
+ * step behind them never gets one although it is within its budget. */
+START_TEST (refused_steps_leave_searches_to_others)
+{
+  struct gr_step_spec wide = urgent_step;
+  struct gr_step_spec small = urgent_step;
+  struct steps_model *model = create_model (4, GR_MODE_ON);
+
+  wide.count = 2;
+  wide.estimate_ms = 5000;
+  small.estimate_ms = 60000;
+  steps_model_add_job (model, 1, "batch", "", &batch_step, 1, 60000);
+  for (uint32_t i = 11; i <= 13; i++)
+    steps_model_add_job (model, i, "batch", "", &batch_step, 1, 60000);
+  steps_model_run (model, 6000);
+  for (uint32_t i = 0; i < 12; i++)
+    steps_model_add_job (model, 20 + i, "urgent", "other", &wide, 1, 500);
+  steps_model_run (model, 1500);
+  steps_model_add_job (model, 99, "urgent", "another", &small, 1, 500);
+  steps_model_run (model, RECLAIM_MS);
+  ck_assert_int_ge (steps_model_start_delay_ms (model, 99), 0);
+  steps_model_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -470,6 +522,8 @@
   tcase_add_test (tests, plan_respects_max_away);
   tcase_add_test (tests, budget_halves_the_waste);
   tcase_add_test (tests, observing_changes_nothing);
+  tcase_add_test (tests, last_round_waits_for_no_run);
+  tcase_add_test (tests, refused_steps_leave_searches_to_others);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
