steps: samples split by job

Change: samples of speeds in sample-speeds.c, access to the tables in learned-tables.c; no behaviour changes. Result: tests of samples, learned, steps, placement and decode pass.

--- a/steps/core.c
+++ b/steps/core.c
@@ -46,7 +46,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&steps->changed);
   g_queue_init (&steps->advice_requests);
-  gr_samples_init (steps);
+  gr_samples_create_tables (steps);
   return steps;
 }
 
@@ -67,7 +67,7 @@
     g_queue_clear_full (&steps->orders[i], g_free);
   g_queue_clear (&steps->changed);
   g_queue_clear_full (&steps->advice_requests, g_free);
-  gr_samples_clear (steps);
+  gr_samples_destroy_tables (steps);
   g_free (steps);
 }
 
--- a/steps/samples.h
+++ b/steps/samples.h
@@ -4,8 +4,9 @@
 
 #include "steps/tables.h"
 
-void gr_samples_init (struct gr_steps *steps);
-void gr_samples_clear (struct gr_steps *steps);
+/* Creates the tables that the settings ask for, or destroys them. */
+void gr_samples_create_tables (struct gr_steps *steps);
+void gr_samples_destroy_tables (struct gr_steps *steps);
 
 /* A start of the task is ordered. checkpoint is that from which it resumes, ""
  * if there is none. */
@@ -27,6 +28,20 @@
 /* Updates the slowness of the workers. */
 void gr_samples_tick (struct gr_steps *steps);
 
+/* Why nothing is learned from the task's run; GR_SAMPLE_ACCEPTED if it counts.
+ */
+enum gr_sample_reject gr_sample_run_reject (const struct task *task);
+
+/* Speeds of workers; see sample-speeds.c. ran_ms is the time for which the run,
+ * which has ended as done, or all members of the gang, have run. */
+void gr_sample_task_speed (struct gr_steps *steps,
+                           struct task *task,
+                           int64_t ran_ms);
+void gr_sample_gang_speeds (struct gr_steps *steps,
+                            const struct step *step,
+                            int64_t ran_ms);
+const struct worker *gr_gang_slowest_member (const struct step *step);
+
 /* Keys of the models of a step's run times. Names that do not fit are cut off;
  * such steps share a model. */
 struct step_keys
