tools: mutant 3 is found again

Cause: the rule moved to targets/executor.c and its variable was renamed. Result: with mutant 3 applied test-executor fails (responses_map_to_error_kinds); the whole script was not run.

--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -35,7 +35,7 @@
 mutant 2 "no unthrottling before the record is durable" sched/steps.c \
   '/^step_committing/,/^}/s/if (job->durable_version < job->record.version)/if (false)/' sched-random
 mutant 3 "a response must carry the key of the request" targets/executor.c \
-  's/if (!header_equals (answer, "Request-Key", request_key))/if (false \&\& !header_equals (answer, "Request-Key", request_key))/' executor
+  's/if (!header_equals (response, "Request-Key", request_key))/if (false \&\& !header_equals (response, "Request-Key", request_key))/' executor
 mutant 4 "a lost owner reply does not mean not-run" entry/owner.c \
   's/bool no_effect = error->kind == GR_ERROR_NO_TARGET;/bool no_effect = true;/' publish
 mutant 5 "a mark is created once" entry/marks.c \
