steps, instance: log what a lost run was judged by

Adds worker-restarted, report-outdated, workers-inherited, handover-not-written, ages in run-placed, run-lost, worker-gone, worker-left and worker-silent, and runs_lost_total by reason. Runs are released in one place, steps/losses.c; run-missing became a reason of run-lost. No decision changes. Tests of steps, gangs, crashes, worker-io, instance and timeline pass.

--- a/instance/metrics.c
+++ b/instance/metrics.c
@@ -62,6 +62,11 @@
   { "preemption_refused_total", "counter", "",
     "Steps that were refused room because of their preemption budget; in the "
     "mode observe those that would have been." },
+  { "runs_lost_total", "counter", "reason",
+    "Runs that count as ended although their worker reported no end: it was "
+    "restarted, its process is gone, it left, their lease expired, or it does "
+    "not report them (missing); only on the owner, since it became the "
+    "owner." },
   { "gangs_fast_enough_total", "counter", "",
     "Gangs that were placed on workers fast enough for their objective. "
     "Counters of placement are 0 with objectives = off and start anew with "
@@ -191,6 +196,19 @@
                   (int64_t)counts->refused_steps);
 }
 
+static void
+set_losses (struct gr_counters *counters, const uint64_t *runs_lost)
+{
+  for (uint32_t i = 0; i < GR_LOSS_REASONS; i++)
+    {
+      g_autofree char *labels = g_strdup_printf (
+          "reason=\"%s\"", gr_loss_reason_name ((enum gr_loss_reason)i));
+
+      gr_counter_set (gr_counters_get (counters, "runs_lost_total", labels),
+                      (int64_t)runs_lost[i]);
+    }
+}
+
 static int64_t
 thousandths (double value)
 {
@@ -271,6 +289,7 @@
   };
 
   set_preemption (counters, &state->counts.preemption);
+  set_losses (counters, state->counts.runs_lost);
   set_learning (counters, &state->learning);
   for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
     gr_counter_set (gr_counters_get (counters, values[i].name, ""),
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -308,6 +308,9 @@
   /* After a failure the lists are written again, even if they do not change. */
   if (error == NULL && result->conditions_held)
     return;
+  gr_log_event (
+      "handover-not-written", "reason",
+      error != NULL ? error->message : "the owner's record has changed", NULL);
   g_clear_pointer (&owner->published_started, g_free);
   g_clear_pointer (&owner->published_handover, g_free);
 }
@@ -398,6 +401,8 @@
 {
   g_auto (GStrv) lines =
       g_strsplit (gr_mirror_handover_workers (owner->deps.mirror), "\n", -1);
+  uint32_t n = 0;
+  char workers[16];
 
   for (char **line = lines; *line != NULL; line++)
     {
@@ -410,7 +415,10 @@
       g_hash_table_replace (owner->addresses, g_strdup (words[0]),
                             g_strdup (words[1]));
       gr_worker_io_set_address (owner->io, words[0], words[1]);
+      n++;
     }
+  g_snprintf (workers, sizeof workers, "%u", n);
+  gr_log_event ("workers-inherited", "workers", workers, NULL);
 }
 
 static void
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -223,7 +223,7 @@
 }
 
 static void
-poll_failed (struct peer *peer, const struct gr_error *error)
+poll_failed (struct peer *peer, const struct gr_error *error, int64_t sent_ms)
 {
   struct gr_worker_io *io = peer->io;
   int64_t now_ms = gr_clock_now_ms (io->clock);
@@ -234,7 +234,7 @@
     gr_log_event ("worker-look-failed", "worker", peer->worker, "reason",
                   error->message, NULL);
   if (error->kind == GR_ERROR_NOT_FOUND)
-    gr_steps_worker_gone (io->steps, peer->worker, now_ms);
+    gr_steps_worker_gone (io->steps, peer->worker, sent_ms, now_ms);
   /* The worker gets no new work until it answers a poll; polling continues. */
   gr_steps_set_worker_reachable (io->steps, peer->worker, false, now_ms);
 }
@@ -247,9 +247,10 @@
   struct poll_call *call = context;
   struct peer *peer = call->peer;
   struct gr_worker_io *io = peer->io;
+  int64_t sent_ms = call->sent_ms;
 
   if (!io->destroyed)
-    record_time (peer, call->sent_ms, call->is_long_poll ? LONG_POLL_MS : 0,
+    record_time (peer, sent_ms, call->is_long_poll ? LONG_POLL_MS : 0,
                  error == NULL);
   if (call->is_long_poll)
     {
@@ -270,7 +271,7 @@
       if (error != NULL && error->kind == GR_ERROR_FORBIDDEN)
         gr_steps_set_fenced (io->steps);
       else if (error != NULL)
-        poll_failed (peer, error);
+        poll_failed (peer, error, sent_ms);
       else
         {
           peer->failed_polls = 0;
--- a/steps/core.c
+++ b/steps/core.c
@@ -383,6 +383,7 @@
       counts->accelerators_used += worker->used.accelerators;
     }
   counts->placement = steps->placement;
+  memcpy (counts->runs_lost, steps->runs_lost, sizeof counts->runs_lost);
   for (size_t i = 0; i < G_N_ELEMENTS (steps->orders); i++)
     counts->orders += steps->orders[i].length;
 }
--- /dev/null
+++ b/steps/losses.c
@@ -0,0 +1,93 @@
+#include "steps/losses.h"
+
+#include "common/log.h"
+#include "steps/samples.h"
+
+/* Releases runs that have ended without a report of their end, and logs what
+ * shows it and how old that is: it must be later than the start of the run. */
+
+static const struct
+{
+  const char *name;
+  const char *text;
+  bool crashed; /* the process has ended, and may not have been leaving */
+} reasons[GR_LOSS_REASONS] = {
+  [GR_LOSS_RESTARTED] = { "restarted", "the worker was restarted", true },
+  [GR_LOSS_GONE] = { "gone", "the worker's process is gone", true },
+  [GR_LOSS_LEFT] = { "left", "the worker left", false },
+  [GR_LOSS_LEASE] = { "lease", "the lease expired", false },
+  [GR_LOSS_MISSING] = { "missing", "the worker does not report it", false },
+};
+
+const char *
+gr_loss_reason_name (enum gr_loss_reason reason)
+{
+  return reasons[reason].name;
+}
+
+const char *
+gr_loss_age (const struct gr_steps *steps, int64_t time_ms, char text[24])
+{
+  if (time_ms == 0)
+    return "-";
+  g_snprintf (text, 24, "%" G_GINT64_FORMAT, steps->now_ms - time_ms);
+  return text;
+}
+
+static const char *
+start_state (const struct task *task)
+{
+  if (!task->start_sent)
+    return "not sent";
+  return task->confirmed_ms != 0 ? "confirmed" : "not confirmed";
+}
+
+static void
+log_loss (const struct gr_steps *steps,
+          const struct task *task,
+          const struct gr_loss *loss)
+{
+  char name[GR_TASK_NAME_SIZE];
+  char run[16];
+  char ages[3][24];
+
+  gr_task_name (task, name);
+  g_snprintf (run, sizeof run, "%u", task->run);
+  gr_log_event ("run-lost", "task", name, "run", run, "worker",
+                task->worker->id, "reason", reasons[loss->reason].text, "start",
+                start_state (task), "placed_ms",
+                gr_loss_age (steps, task->placed_ms, ages[0]), "confirmed_ms",
+                gr_loss_age (steps, task->confirmed_ms, ages[1]), "observed_ms",
+                gr_loss_age (steps, loss->observed_ms, ages[2]), NULL);
+}
+
+void
+gr_loss_release (struct gr_steps *steps,
+                 struct task *task,
+                 const struct gr_loss *loss)
+{
+  const struct worker *worker = task->worker;
+
+  log_loss (steps, task, loss);
+  steps->runs_lost[loss->reason]++;
+  gr_samples_reject (steps, GR_SAMPLE_NOT_DONE);
+  gr_task_release (steps, task);
+  if (reasons[loss->reason].crashed)
+    gr_crash_record (steps, worker, task);
+}
+
+void
+gr_loss_release_all (struct gr_steps *steps,
+                     struct worker *worker,
+                     const struct gr_loss *loss)
+{
+  while (worker->tasks->len > 0)
+    {
+      struct task *task = worker->tasks->pdata[worker->tasks->len - 1];
+      struct step *step = task->step;
+
+      gr_loss_release (steps, task, loss);
+      if (step->spec->gang)
+        gr_gang_abort (steps, step);
+    }
+}
--- /dev/null
+++ b/steps/losses.h
@@ -0,0 +1,24 @@
+/* Runs that have ended without a report of their end. Private to steps/. */
+#pragma once
+
+#include "steps/tables.h"
+
+/* What shows that the runs of a worker have ended. */
+struct gr_loss
+{
+  enum gr_loss_reason reason;
+  int64_t observed_ms; /* not later than what was observed, for example when the
+                          call was sent; 0: unknown */
+};
+
+/* Releases a task whose run has ended. Does not abort its gang. */
+void gr_loss_release (struct gr_steps *steps,
+                      struct task *task,
+                      const struct gr_loss *loss);
+/* Releases all tasks on the worker. */
+void gr_loss_release_all (struct gr_steps *steps,
+                          struct worker *worker,
+                          const struct gr_loss *loss);
+/* Time since then as text for the log; "-" if time_ms is 0. */
+const char *
+gr_loss_age (const struct gr_steps *steps, int64_t time_ms, char text[24]);
--- a/steps/place.c
+++ b/steps/place.c
@@ -1,5 +1,6 @@
 #include "steps/place.h"
 #include "steps/deadline.h"
+#include "steps/losses.h"
 #include "steps/planned.h"
 #include "steps/reclaim.h"
 
@@ -22,6 +23,7 @@
 {
   char name[GR_TASK_NAME_SIZE];
   char text[16];
+  char reported[24];
 
   if (worker->planned_for != NULL && worker->planned_for != task->step)
     steps->placement.tasks_backfilled++;
@@ -31,7 +33,8 @@
   gr_task_name (task, name);
   g_snprintf (text, sizeof text, "%u", run);
   gr_log_event ("run-placed", "task", name, "run", text, "worker", worker->id,
-                NULL);
+                "reported_ms",
+                gr_loss_age (steps, worker->reported_ms, reported), NULL);
 }
 
 bool
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -1,3 +1,4 @@
+#include "steps/losses.h"
 #include "steps/samples.h"
 
 #include "common/log.h"
@@ -277,6 +278,8 @@
                  struct worker *worker,
                  const struct gr_run_report *report)
 {
+  const struct gr_loss loss = { GR_LOSS_MISSING, report->sent_ms };
+
   for (guint i = worker->tasks->len; i-- > 0;)
     {
       struct task *task;
@@ -294,14 +297,25 @@
       gr_task_name (task, name);
       if (is_reported (report, name, task->run))
         continue;
-      gr_log_event ("run-missing", "task", name, "worker", worker->id, NULL);
-      gr_samples_reject (steps, GR_SAMPLE_NOT_DONE);
-      gr_task_release (steps, task);
+      gr_loss_release (steps, task, &loss);
       if (task->step->spec->gang)
         gr_gang_abort (steps, task->step);
     }
 }
 
+static void
+log_if_outdated (const struct gr_steps *steps,
+                 const struct worker *worker,
+                 const struct gr_run_report *report)
+{
+  char observed[24];
+
+  if (report->incarnation_unix_ms != 0
+      && report->incarnation_unix_ms < worker->incarnation_unix_ms)
+    gr_log_event ("report-outdated", "worker", worker->id, "observed_ms",
+                  gr_loss_age (steps, report->sent_ms, observed), NULL);
+}
+
 void
 gr_steps_process_report (struct gr_steps *steps,
                          const char *id,
@@ -313,8 +327,11 @@
   steps->now_ms = now_ms;
   if (worker == NULL)
     return;
-  gr_worker_check_incarnation (steps, worker, report->incarnation_unix_ms);
+  log_if_outdated (steps, worker, report);
+  gr_worker_check_incarnation (steps, worker, report->incarnation_unix_ms,
+                               report->sent_ms);
   worker->polled = true;
+  worker->reported_ms = MAX (worker->reported_ms, report->sent_ms);
   worker->reachable = true;
   /* A poll that was sent before the request cannot answer it. */
   if (report->sent_ms >= worker->poll_requested_ms)
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -198,9 +198,11 @@
  * has ended, and all its runs with it. A worker that is cut off or without
  * power does not refuse connections, so this says more than a missing answer.
  * Saves a successor the wait for the longest lease of workers that left while
- * there was no owner. */
-void
-gr_steps_worker_gone (struct gr_steps *steps, const char *id, int64_t now_ms);
+ * there was no owner. sent_ms: when the call that shows it was sent. */
+void gr_steps_worker_gone (struct gr_steps *steps,
+                           const char *id,
+                           int64_t sent_ms,
+                           int64_t now_ms);
 
 /* Inputs. Structs are copied. */
 void gr_steps_set_queue (struct gr_steps *steps,
@@ -373,6 +375,20 @@
   uint64_t tasks_backfilled;
 };
 
+/* Why a run counts as ended although no end was reported. */
+enum gr_loss_reason
+{
+  GR_LOSS_RESTARTED, /* the worker has a new incarnation */
+  GR_LOSS_GONE,      /* nothing listens at the worker's address */
+  GR_LOSS_LEFT,      /* the worker's registry entry was removed */
+  GR_LOSS_LEASE,     /* its lease has expired */
+  GR_LOSS_MISSING,   /* the worker does not report it */
+  GR_LOSS_REASONS,
+};
+
+/* Name of the reason for logs and metrics; static. */
+const char *gr_loss_reason_name (enum gr_loss_reason reason);
+
 /* For logs and metrics. */
 struct gr_steps_counts
 {
@@ -388,6 +404,7 @@
   uint32_t orders; /* queued, not taken yet */
   struct gr_preemption_counts preemption;
   struct gr_steps_placement placement;
+  uint64_t runs_lost[GR_LOSS_REASONS]; /* since the core was created */
 };
 void gr_steps_counts (const struct gr_steps *steps,
                       struct gr_steps_counts *counts);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -34,6 +34,8 @@
   bool polled;               /* this owner has received a poll reply from it */
   bool poll_needed;          /* its state or that of a run is unknown */
   int64_t poll_requested_ms; /* time at which poll_needed was last set */
+  int64_t reported_ms;       /* when the poll with the last report was sent; 0:
+                                never */
   bool unknown_runs; /* the last report listed runs that were then ordered to
                         stop because the core does not know them */
   int64_t unregistered_ms; /* when it was found to have no registry entry; 0:
@@ -300,6 +302,7 @@
   int64_t searched_ms;     /* pass to which the number of searches belongs */
   uint32_t searches;       /* for room for work beyond its guarantee */
   struct gr_preemption_counts preemption;
+  uint64_t runs_lost[GR_LOSS_REASONS];
   bool fenced;
   GHashTable *evacuated; /* names of data centres */
   bool all_evacuated; /* there is an evacuation, and no worker outside of it */
@@ -349,10 +352,12 @@
 GPtrArray *gr_racks (struct gr_steps *steps);
 void gr_workers_destroy (struct gr_steps *steps);
 /* Handles a reported start time of the worker. If it belongs to a new
- * incarnation, all runs of the previous one have ended. */
+ * incarnation, all runs of the previous one have ended. observed_ms: when the
+ * poll that reports it was sent; 0 for a registry entry. */
 void gr_worker_check_incarnation (struct gr_steps *steps,
                                   struct worker *worker,
-                                  int64_t incarnation_unix_ms);
+                                  int64_t incarnation_unix_ms,
+                                  int64_t observed_ms);
 /* Assumes the longest possible lease, for runs whose lease was granted by a
  * former owner. */
 void gr_worker_assume_longest_lease (struct gr_steps *steps,
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -1,3 +1,4 @@
+#include "steps/losses.h"
 #include "steps/samples.h"
 
 #include "common/log.h"
@@ -66,40 +67,39 @@
   return false;
 }
 
-/* Releases all tasks on the worker after their runs have certainly ended.
- * crashed: its process has ended, and the worker may not have been leaving. */
 static void
-release_runs (struct gr_steps *steps,
-              struct worker *worker,
-              const char *reason,
-              bool crashed)
-{
-  while (worker->tasks->len > 0)
-    {
-      struct task *task = worker->tasks->pdata[worker->tasks->len - 1];
-      struct step *step = task->step;
-      char name[GR_TASK_NAME_SIZE];
-      char run[16];
-
-      gr_task_name (task, name);
-      g_snprintf (run, sizeof run, "%u", task->run);
-      gr_log_event ("run-lost", "task", name, "run", run, "worker", worker->id,
-                    "reason", reason, NULL);
-      gr_samples_reject (steps, GR_SAMPLE_NOT_DONE);
-      gr_task_release (steps, task);
-      if (crashed)
-        gr_crash_record (steps, worker, task);
-      if (step->spec->gang)
-        gr_gang_abort (steps, step);
-    }
+log_restart (const struct gr_steps *steps,
+             const struct worker *worker,
+             int64_t incarnation_unix_ms,
+             int64_t observed_ms)
+{
+  char ages[2][24];
+  char incarnations[2][24];
+  char runs[16];
+
+  g_snprintf (incarnations[0], sizeof incarnations[0], "%" G_GINT64_FORMAT,
+              worker->incarnation_unix_ms);
+  g_snprintf (incarnations[1], sizeof incarnations[1], "%" G_GINT64_FORMAT,
+              incarnation_unix_ms);
+  g_snprintf (runs, sizeof runs, "%u", worker->tasks->len);
+  gr_log_event ("worker-restarted", "worker", worker->id, "former_incarnation",
+                incarnations[0], "incarnation", incarnations[1], "source",
+                observed_ms != 0 ? "report" : "registry", "observed_ms",
+                gr_loss_age (steps, observed_ms, ages[0]), "reported_ms",
+                gr_loss_age (steps, worker->reported_ms, ages[1]), "runs", runs,
+                NULL);
 }
 
 static void
 reset_incarnation (struct gr_steps *steps,
                    struct worker *worker,
-                   int64_t incarnation_unix_ms)
+                   int64_t incarnation_unix_ms,
+                   int64_t observed_ms)
 {
-  release_runs (steps, worker, "the worker was restarted", true);
+  const struct gr_loss loss = { GR_LOSS_RESTARTED, observed_ms };
+
+  log_restart (steps, worker, incarnation_unix_ms, observed_ms);
+  gr_loss_release_all (steps, worker, &loss);
   worker->incarnation_unix_ms = incarnation_unix_ms;
   worker->processed_end = 0;
   worker->durable_end = 0;
@@ -118,7 +118,8 @@
 void
 gr_worker_check_incarnation (struct gr_steps *steps,
                              struct worker *worker,
-                             int64_t incarnation_unix_ms)
+                             int64_t incarnation_unix_ms,
+                             int64_t observed_ms)
 {
   if (incarnation_unix_ms == 0
       || worker->incarnation_unix_ms == incarnation_unix_ms)
@@ -131,7 +132,7 @@
       worker->incarnation_unix_ms = incarnation_unix_ms;
       return;
     }
-  reset_incarnation (steps, worker, incarnation_unix_ms);
+  reset_incarnation (steps, worker, incarnation_unix_ms, observed_ms);
 }
 
 static gint compare_workers (gconstpointer left, gconstpointer right);
@@ -194,7 +195,7 @@
       worker->incarnation_unix_ms = row->incarnation_unix_ms;
     }
   else
-    gr_worker_check_incarnation (steps, worker, row->incarnation_unix_ms);
+    gr_worker_check_incarnation (steps, worker, row->incarnation_unix_ms, 0);
   if (!g_str_equal (worker->rack, row->rack))
     {
       g_free (worker->rack);
@@ -283,38 +284,53 @@
                               int64_t now_ms)
 {
   struct worker *worker = gr_worker_find (steps, id);
+  const struct gr_loss loss = { GR_LOSS_LEFT, 0 };
+  char renewed[24];
+  char reported[24];
 
   if (worker == NULL || !worker->registered)
     return;
+  steps->now_ms = now_ms;
   worker->registered = false;
   worker->unregistered_ms = now_ms;
+  gr_loss_age (steps, worker->renewed_ms, renewed);
+  gr_loss_age (steps, worker->reported_ms, reported);
   if (!store_healthy || worker->renewed_ms == 0
       || now_ms - worker->renewed_ms
              >= (int64_t)steps->settings.heartbeat_ms * 2)
     {
-      gr_log_event ("worker-silent", "worker", id, NULL);
+      gr_log_event ("worker-silent", "worker", id, "renewed_ms", renewed,
+                    "reported_ms", reported, NULL);
       return;
     }
-  gr_log_event ("worker-left", "worker", id, NULL);
-  steps->now_ms = now_ms;
+  gr_log_event ("worker-left", "worker", id, "renewed_ms", renewed,
+                "reported_ms", reported, NULL);
   worker->polled = true;
   worker->lease_until_ms = 0;
-  release_runs (steps, worker, "the worker left", false);
+  gr_loss_release_all (steps, worker, &loss);
   gr_samples_forget_worker (steps, worker);
 }
 
 void
-gr_steps_worker_gone (struct gr_steps *steps, const char *id, int64_t now_ms)
+gr_steps_worker_gone (struct gr_steps *steps,
+                      const char *id,
+                      int64_t sent_ms,
+                      int64_t now_ms)
 {
   struct worker *worker = gr_worker_find (steps, id);
+  const struct gr_loss loss = { GR_LOSS_GONE, sent_ms };
+  char observed[24];
+  char reported[24];
 
   if (worker == NULL || (worker->polled && worker->tasks->len == 0))
     return;
   steps->now_ms = now_ms;
-  gr_log_event ("worker-gone", "worker", id, NULL);
+  gr_log_event ("worker-gone", "worker", id, "observed_ms",
+                gr_loss_age (steps, sent_ms, observed), "reported_ms",
+                gr_loss_age (steps, worker->reported_ms, reported), NULL);
   worker->polled = true;
   worker->lease_until_ms = 0;
-  release_runs (steps, worker, "the worker's process is gone", true);
+  gr_loss_release_all (steps, worker, &loss);
   gr_samples_forget_worker (steps, worker);
 }
 
@@ -409,6 +425,8 @@
 void
 gr_workers_tick (struct gr_steps *steps)
 {
+  const struct gr_loss expired = { GR_LOSS_LEASE, 0 };
+
   steps->all_runs_known = steps->now_ms >= steps->registry_settled_ms;
   for (guint i = steps->worker_rows->len; i-- > 0;)
     {
@@ -416,7 +434,7 @@
 
       if (worker->tasks->len > 0
           && steps->now_ms >= lease_expiry_ms (steps, worker))
-        release_runs (steps, worker, "the lease expired", false);
+        gr_loss_release_all (steps, worker, &expired);
       if (worker->reserved_for != NULL
           && steps->now_ms >= worker->reserved_until_ms)
         worker->reserved_for = NULL;
