--- a/instance/owner.c
+++ b/instance/owner.c
@@ -520,6 +520,7 @@
   const struct gr_instance_settings *settings = deps->settings;
   struct gr_steps_settings core = {
     .run_lease_ms = MIN (RUN_LEASE_MS, settings->max_hold_ms),
+    .max_hold_ms = settings->max_hold_ms,
     .gang_wait_ms = settings->gang_wait_ms,
     .reclaim_ms = settings->reclaim_ms,
     .fencing_delay_ms = FENCING_DELAY_MS,
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -19,6 +19,8 @@
 {
   uint32_t run_lease_ms; /* longest lease on its runs that an owner grants to a
                             worker */
+  uint32_t max_hold_ms;  /* longest lease that a worker grants, whatever it is
+                            asked for */
   uint32_t gang_wait_ms; /* longest wait of a gang member for the others */
   uint32_t reclaim_ms;   /* guaranteed work starts within this time */
   /* Longest time for which a former owner may extend leases after this owner
--- a/tests/steps-model-crashes.c
+++ b/tests/steps-model-crashes.c
@@ -121,6 +121,11 @@
           worker->limit_until_ms = 0;
           worker->limit = worker->capacity;
         }
+      if (worker->register_ms != 0 && model->now_ms >= worker->register_ms)
+        {
+          worker->register_ms = 0;
+          model_register_worker (model, worker);
+        }
       if (worker->report_ms != 0 && model->now_ms >= worker->report_ms)
         report_capacity (model, worker);
       if (model_is_down (worker) && model->now_ms >= worker->down_until_ms)
--- a/tests/steps-model-polls.c
+++ b/tests/steps-model-polls.c
@@ -71,6 +71,9 @@
     return false;
   worker->highest_epoch = poll->epoch;
   acknowledge_ends (model, worker, poll->durable_end);
+  if (worker->clock_stale && poll->lease_until_ms > 0)
+    poll->lease_until_ms = model->now_ms + MAX_HOLD_MS;
+  worker->clock_stale = false;
   worker->lease_until_ms = MAX (worker->lease_until_ms, poll->lease_until_ms);
   poll->report.clock_ms = model->now_ms;
   poll->report.incarnation_unix_ms = worker->incarnation;
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -7,6 +7,7 @@
 #define TICK_MS 20
 #define POLL_INTERVAL_MS 100
 #define RUN_LEASE_MS 7000
+#define MAX_HOLD_MS 10000
 #define ANSWER_MS 2
 #define GANG_WAIT_MS 3000
 #define STOP_MS 60
@@ -78,6 +79,8 @@
   struct gr_resources reported;   /* capacity in the registry */
   struct steps_model_crash crash; /* the last one */
   int64_t down_until_ms;          /* after a crash; 0: it is up */
+  int64_t register_ms;   /* when the registry shows its restart; 0: it does */
+  bool clock_stale;      /* the owner uses the clock of its former process */
   int64_t unregister_ms; /* when its registry entry is removed; 0: never */
   bool clock_known; /* to the owner, after the first poll; that poll therefore
                        grants no lease */
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -162,6 +162,8 @@
 
   if (run != NULL && run->run == order->run)
     return GR_ORDER_DONE;
+  if (worker->clock_stale)
+    until_ms = model->now_ms + MAX_HOLD_MS;
   worker->lease_until_ms = MAX (worker->lease_until_ms, until_ms);
   if (until_ms < model->now_ms)
     return GR_ORDER_TOO_LATE;
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -102,6 +102,7 @@
   model->rand = g_rand_new_with_seed (seed);
   model->settings = (struct gr_steps_settings){
     .run_lease_ms = RUN_LEASE_MS,
+    .max_hold_ms = MAX_HOLD_MS,
     .gang_wait_ms = GANG_WAIT_MS,
     .reclaim_ms = 2700,
     .fencing_delay_ms = 2500,
@@ -421,6 +422,21 @@
   model_register_worker (model, worker);
 }
 
+void
+steps_model_restart_unnoticed (struct steps_model *model,
+                               uint32_t number,
+                               int64_t after_ms)
+{
+  struct model_worker *worker = get_worker (model, number);
+
+  model_forget_runs (worker);
+  worker->incarnation++;
+  worker->entry_revision++;
+  worker->register_ms = model->now_ms + after_ms;
+  worker->clock_stale = true;
+  model->last_fault_ms = model->now_ms;
+}
+
 void
 steps_model_set_commit_ms (struct steps_model *model, int64_t commit_ms)
 {
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -119,6 +119,13 @@
                                enum gr_mode run_times,
                                enum gr_mode speeds);
 void steps_model_restart_worker (struct steps_model *model, uint32_t worker);
+/* The worker restarts; the core learns it from its next poll or, after_ms
+ * later, from the registry. Until its next poll the worker grants the longest
+ * lease to runs, as the owner's idea of its clock is that of the former
+ * process. */
+void steps_model_restart_unnoticed (struct steps_model *model,
+                                    uint32_t worker,
+                                    int64_t after_ms);
 void steps_model_drain_worker (struct steps_model *model,
                                uint32_t worker,
                                bool draining);
