steps: a restart releases only runs that the new process does not have

An idle worker is not polled, so a start can reach a process that restarted since; the registry then showed the restart and the core released every run of the worker, although the run was on the new process. Runs now stay assigned at a restart until a report of the new incarnation that was asked for after their start does not list them; a start without an answer is stopped there instead of being sent again. The lease counts as the longest that a worker grants, as it was computed on the former process's clock.

--- a/steps/orders.c
+++ b/steps/orders.c
@@ -111,6 +111,7 @@
   task->state = TASK_STARTING;
   task->step->n_waiting--;
   task->placed_ms = steps->now_ms;
+  task->incarnation_unix_ms = task->worker->incarnation_unix_ms;
   task->tries = 0;
   task->start_sent = false;
   task->confirmed_ms = 0;
@@ -339,8 +340,10 @@
     }
 }
 
-static void
-give_up_start (struct gr_steps *steps, struct task *task, const char *reason)
+void
+gr_order_abandon_start (struct gr_steps *steps,
+                        struct task *task,
+                        const char *reason)
 {
   char name[GR_TASK_NAME_SIZE];
   char run[16];
@@ -365,9 +368,9 @@
       /* At the limit also while the start is queued or has no result: the rest
        * of its gang waits for it. */
       if (steps->now_ms >= start_limit_ms (steps, task))
-        give_up_start (steps, task, "start limit");
+        gr_order_abandon_start (steps, task, "start limit");
       else if (!task->start_pending && task->tries >= MAX_START_ATTEMPTS)
-        give_up_start (steps, task, "attempts");
+        gr_order_abandon_start (steps, task, "attempts");
       else if (!task->start_pending)
         send_start (steps, task);
       return;
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -197,6 +197,7 @@
   task->usage = running->usage;
   task->reject = GR_SAMPLE_ADOPTED;
   task->start_sent = true;
+  task->incarnation_unix_ms = worker->incarnation_unix_ms;
   gr_task_job (task)->started = true;
   if (gr_job_is_final (gr_task_job (task)))
     gr_order_stop (steps, task);
@@ -208,6 +209,7 @@
                 const struct gr_run_status *running)
 {
   set_checkpoint (steps, task, running->checkpoint);
+  task->incarnation_unix_ms = task->worker->incarnation_unix_ms;
   if (task->state == TASK_STARTING)
     {
       task->state = TASK_RUNNING;
@@ -271,6 +273,15 @@
   return false;
 }
 
+/* True if the run was placed on an earlier incarnation of its worker, and the
+ * current one has not listed it. */
+static bool
+is_of_former_incarnation (const struct task *task)
+{
+  return task->incarnation_unix_ms != 0
+         && task->incarnation_unix_ms != task->worker->incarnation_unix_ms;
+}
+
 /* Releases runs that the worker should have had when the poll was sent, but
  * does not report. */
 static void
@@ -278,10 +289,9 @@
                  struct worker *worker,
                  const struct gr_run_report *report)
 {
-  const struct gr_loss loss = { GR_LOSS_MISSING, report->sent_ms };
-
   for (guint i = worker->tasks->len; i-- > 0;)
     {
+      struct gr_loss loss = { GR_LOSS_MISSING, report->sent_ms };
       struct task *task;
       int64_t since_ms;
       char name[GR_TASK_NAME_SIZE];
@@ -297,12 +307,32 @@
       gr_task_name (task, name);
       if (is_reported (report, name, task->run))
         continue;
+      if (is_of_former_incarnation (task))
+        loss.reason = GR_LOSS_RESTARTED;
       gr_loss_release (steps, task, &loss);
       if (task->step->spec->gang)
         gr_gang_abort (steps, task->step);
     }
 }
 
+/* Either process may have received a start without an answer, so it is stopped
+ * instead of being sent again. */
+static void
+abandon_unanswered (struct gr_steps *steps, struct worker *worker)
+{
+  for (guint i = worker->tasks->len; i-- > 0;)
+    {
+      struct task *task;
+
+      if (i >= worker->tasks->len)
+        continue;
+      task = worker->tasks->pdata[i];
+      if (task->state == TASK_STARTING && task->start_sent
+          && !task->start_pending && is_of_former_incarnation (task))
+        gr_order_abandon_start (steps, task, "the worker was restarted");
+    }
+}
+
 static void
 log_if_outdated (const struct gr_steps *steps,
                  const struct worker *worker,
@@ -348,5 +378,6 @@
     handle_run (steps, worker, &report->running[i]);
   if (report->all_ended)
     release_missing (steps, worker, report);
+  abandon_unanswered (steps, worker);
   gr_pace_update (steps, worker);
 }
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -104,6 +104,8 @@
   int64_t confirmed_ms; /* since when the run is known to be on the worker; 0:
                            not known */
   int64_t stop_confirmed_ms;
+  int64_t incarnation_unix_ms; /* of its worker, as known when the run was
+                                  placed or last listed; 0: unknown */
   uint32_t percent;
   int64_t percent_ms; /* when percent last changed */
   uint32_t first_percent;
@@ -351,10 +353,10 @@
 /* Racks with their workers, sorted by worker id. */
 GPtrArray *gr_racks (struct gr_steps *steps);
 void gr_workers_destroy (struct gr_steps *steps);
-/* Handles a reported start time of the worker. If it belongs to a new
- * incarnation, all runs of the previous one have ended. observed_ms: when the
- * poll that reports it was sent; 0 for a registry entry. */
-void gr_worker_check_incarnation (struct gr_steps *steps,
+/* Handles a reported start time of the worker. observed_ms: when the poll that
+ * reports it was sent; 0 for a registry entry. Returns false if it belongs to
+ * an earlier incarnation than the known one. */
+bool gr_worker_check_incarnation (struct gr_steps *steps,
                                   struct worker *worker,
                                   int64_t incarnation_unix_ms,
                                   int64_t observed_ms);
@@ -362,6 +364,10 @@
  * former owner. */
 void gr_worker_assume_longest_lease (struct gr_steps *steps,
                                      struct worker *worker);
+/* Assumes the longest lease that a worker grants: a lease that is computed on
+ * the clock of its former process can end at any later time on that of the new
+ * one. */
+void gr_worker_assume_max_hold (struct gr_steps *steps, struct worker *worker);
 /* Reserves the worker's capacity that is free, or becomes free, for a step. */
 void gr_worker_reserve (struct gr_steps *steps,
                         struct worker *worker,
@@ -390,6 +396,11 @@
 void gr_order_start (struct gr_steps *steps, struct task *task);
 /* Queues a stop order for the task's run, unless one was queued already. */
 void gr_order_stop (struct gr_steps *steps, struct task *task);
+/* Stops a run whose start could not be confirmed, and its gang. reason is a
+ * text for the log. */
+void gr_order_abandon_start (struct gr_steps *steps,
+                             struct task *task,
+                             const char *reason);
 /* Queues a stop order for any run; changes no task. */
 void gr_order_stop_run (struct gr_steps *steps,
                         const struct worker *worker,
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -90,16 +90,16 @@
                 NULL);
 }
 
+/* Runs stay assigned until a report of the new incarnation shows which of them
+ * it has: a start that was sent to the former process can have reached the new
+ * one. */
 static void
-reset_incarnation (struct gr_steps *steps,
+begin_incarnation (struct gr_steps *steps,
                    struct worker *worker,
                    int64_t incarnation_unix_ms,
                    int64_t observed_ms)
 {
-  const struct gr_loss loss = { GR_LOSS_RESTARTED, observed_ms };
-
   log_restart (steps, worker, incarnation_unix_ms, observed_ms);
-  gr_loss_release_all (steps, worker, &loss);
   worker->incarnation_unix_ms = incarnation_unix_ms;
   worker->processed_end = 0;
   worker->durable_end = 0;
@@ -111,11 +111,11 @@
   worker->failures = 0;
   worker->quarantine_until_ms = 0;
   worker->quarantine_ms = 0;
-  worker->lease_until_ms = 0;
+  gr_worker_assume_max_hold (steps, worker);
   gr_samples_forget_worker (steps, worker);
 }
 
-void
+bool
 gr_worker_check_incarnation (struct gr_steps *steps,
                              struct worker *worker,
                              int64_t incarnation_unix_ms,
@@ -123,16 +123,14 @@
 {
   if (incarnation_unix_ms == 0
       || worker->incarnation_unix_ms == incarnation_unix_ms)
-    return;
-  /* The registry lags behind polls; an earlier start time is out of date. */
+    return true;
   if (worker->incarnation_unix_ms > incarnation_unix_ms)
-    return;
-  if (worker->incarnation_unix_ms == 0 && worker->polled)
-    {
-      worker->incarnation_unix_ms = incarnation_unix_ms;
-      return;
-    }
-  reset_incarnation (steps, worker, incarnation_unix_ms, observed_ms);
+    return false;
+  if (worker->incarnation_unix_ms == 0)
+    worker->incarnation_unix_ms = incarnation_unix_ms;
+  else
+    begin_incarnation (steps, worker, incarnation_unix_ms, observed_ms);
+  return true;
 }
 
 static gint compare_workers (gconstpointer left, gconstpointer right);
@@ -390,6 +388,17 @@
       MAX (worker->lease_until_ms, steps->now_ms + longest_ms);
 }
 
+void
+gr_worker_assume_max_hold (struct gr_steps *steps, struct worker *worker)
+{
+  int64_t longest_ms =
+      (int64_t)(MAX (steps->settings.max_hold_ms, steps->settings.run_lease_ms)
+                * CLOCK_DRIFT_FACTOR);
+
+  worker->lease_until_ms =
+      MAX (worker->lease_until_ms, steps->now_ms + longest_ms);
+}
+
 static void
 worker_destroy (struct worker *worker)
 {
