steps: a refused call ends only runs that began before it

A run is released only if no start of it is on its way and the last result came earlier; otherwise it is kept (run-kept) until a later refusal or report.

--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -163,7 +163,9 @@
     record_time (peer, call->sent_ms, 0, answered);
   gr_call_budget_end (&io->budget, &peer->calls, GR_BUDGET_ORDER, call->counted,
                       answered);
-  if (!io->destroyed && !peer->removed)
+  /* Also if the worker has another address since: the core waits for the result
+   * of each order. */
+  if (!io->destroyed)
     {
       update_clock (peer, clock_ms);
       gr_steps_order_result (io->steps, &call->order, result,
--- a/steps/losses.c
+++ b/steps/losses.c
@@ -91,3 +91,58 @@
         gr_gang_abort (steps, step);
     }
 }
+
+/* A start that is on its way can begin at any later time. */
+static bool
+began_before (const struct task *task, int64_t time_ms)
+{
+  if (!task->start_sent)
+    return true;
+  return !task->start_pending && task->start_result_ms < time_ms;
+}
+
+static void
+log_kept (const struct gr_steps *steps,
+          const struct task *task,
+          const struct gr_loss *loss)
+{
+  char name[GR_TASK_NAME_SIZE];
+  char run[16];
+  char ages[2][24];
+
+  gr_task_name (task, name);
+  g_snprintf (run, sizeof run, "%u", task->run);
+  gr_log_event (
+      "run-kept", "task", name, "run", run, "worker", task->worker->id,
+      "reason", reasons[loss->reason].text, "started_ms",
+      task->start_pending ? "pending"
+                          : gr_loss_age (steps, task->start_result_ms, ages[0]),
+      "observed_ms", gr_loss_age (steps, loss->observed_ms, ages[1]), NULL);
+}
+
+bool
+gr_loss_release_older (struct gr_steps *steps,
+                       struct worker *worker,
+                       const struct gr_loss *loss)
+{
+  for (guint i = worker->tasks->len; i-- > 0;)
+    {
+      struct task *task;
+      struct step *step;
+
+      /* Aborting a gang releases further tasks. */
+      if (i >= worker->tasks->len)
+        continue;
+      task = worker->tasks->pdata[i];
+      step = task->step;
+      if (!began_before (task, loss->observed_ms))
+        {
+          log_kept (steps, task, loss);
+          continue;
+        }
+      gr_loss_release (steps, task, loss);
+      if (step->spec->gang)
+        gr_gang_abort (steps, step);
+    }
+  return worker->tasks->len == 0;
+}
--- a/steps/losses.h
+++ b/steps/losses.h
@@ -19,6 +19,11 @@
 void gr_loss_release_all (struct gr_steps *steps,
                           struct worker *worker,
                           const struct gr_loss *loss);
+/* Releases the tasks on the worker whose runs cannot have begun later than
+ * loss->observed_ms. Returns true if none is left. */
+bool gr_loss_release_older (struct gr_steps *steps,
+                            struct worker *worker,
+                            const struct gr_loss *loss);
 /* Time since then as text for the log; "-" if time_ms is 0. */
 const char *
 gr_loss_age (const struct gr_steps *steps, int64_t time_ms, char text[24]);
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -114,6 +114,7 @@
   task->incarnation_unix_ms = task->worker->incarnation_unix_ms;
   task->tries = 0;
   task->start_sent = false;
+  task->start_result_ms = 0;
   task->confirmed_ms = 0;
   task->stop_confirmed_ms = 0;
   task->percent = 0;
@@ -326,6 +327,7 @@
   if (order->kind == GR_ORDER_START)
     {
       task->start_pending = false;
+      task->start_result_ms = now_ms;
       start_result (steps, task, result);
     }
   else if (order->kind == GR_ORDER_PACE)
@@ -425,10 +427,13 @@
 {
   struct task *task = gr_task_find (steps, order->task);
 
-  if (task == NULL || task->state != TASK_STARTING || task->run != order->run
+  if (task == NULL || !gr_task_is_active (task) || task->run != order->run
       || !g_str_equal (task->worker->id, order->worker))
     return NULL;
-  return task;
+  if (task->state == TASK_STARTING)
+    return task;
+  task->start_pending = false;
+  return NULL;
 }
 
 static bool
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -197,6 +197,8 @@
   task->usage = running->usage;
   task->reject = GR_SAMPLE_ADOPTED;
   task->start_sent = true;
+  task->start_pending = false;
+  task->start_result_ms = steps->now_ms;
   task->incarnation_unix_ms = worker->incarnation_unix_ms;
   gr_task_job (task)->started = true;
   if (gr_job_is_final (gr_task_job (task)))
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -99,8 +99,10 @@
   int64_t order_sent_ms; /* when the last order was queued */
   bool start_sent;       /* a start order for the run has left the queue */
   bool start_pending; /* a start order has neither a result nor a timeout yet */
-  bool stop_pending;  /* a stop order has neither a result nor a timeout yet */
-  uint32_t tries;     /* start orders sent for this run */
+  int64_t start_result_ms; /* when a start order last had a result or a timeout,
+                              or the run was adopted; 0: never */
+  bool stop_pending; /* a stop order has neither a result nor a timeout yet */
+  uint32_t tries;    /* start orders sent for this run */
   int64_t confirmed_ms; /* since when the run is known to be on the worker; 0:
                            not known */
   int64_t stop_confirmed_ms;
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -327,8 +327,8 @@
                 gr_loss_age (steps, sent_ms, observed), "reported_ms",
                 gr_loss_age (steps, worker->reported_ms, reported), NULL);
   worker->polled = true;
-  worker->lease_until_ms = 0;
-  gr_loss_release_all (steps, worker, &loss);
+  if (gr_loss_release_older (steps, worker, &loss))
+    worker->lease_until_ms = 0;
   gr_samples_forget_worker (steps, worker);
 }
 
