http: a refusal counts only for calls made after it

A call at the limit of connections takes over an attempt to connect that a timed-out call has left. If that attempt had been refused before, the call was reported as refused, although a process listens at the address by then: the owner concludes from it that a worker's process and its runs are gone.

--- a/http/call-pool.c
+++ b/http/call-pool.c
@@ -46,6 +46,8 @@
   struct pool_call *call; /* NULL if there is none, or if it has timed out */
   int fd;                 /* -1 after the connection was closed */
   bool connected;
+  bool taken_over;        /* a later call waits for it than the one it was
+                             opened for */
   bool reused;            /* it has carried a response before */
   bool awaits_late;       /* for the response to a call that has timed out */
   bool watches_write;     /* epoll reports when it becomes writable */
@@ -195,7 +197,8 @@
 
 /* Closes a connection that has failed. A call on a reused connection that got
  * no byte of a response is sent again once: the peer may have closed the
- * connection while it was idle. */
+ * connection while it was idle. A call that has taken over an attempt to
+ * connect makes one of its own: the attempt can have failed before the call. */
 static void
 connection_fail (struct connection *connection,
                  enum gr_error_kind kind,
@@ -205,10 +208,16 @@
   struct address *address = connection->address;
   bool may_resend =
       connection->reused && !connection->response_begun && call != NULL;
+  bool is_earlier = connection->taken_over && !connection->connected;
 
   connection->call = NULL;
   connection_close (connection);
-  if (call != NULL && may_resend && !call->resent)
+  if (call != NULL && is_earlier)
+    {
+      call->connection = NULL;
+      g_queue_push_head (&address->waiting, call);
+    }
+  else if (call != NULL && may_resend && !call->resent)
     {
       call->connection = NULL;
       call->resent = true;
@@ -390,7 +399,10 @@
         return NULL;
       /* The call that opened it has timed out, but it may still connect. */
       if (!late->connected && !late->awaits_late)
-        return late;
+        {
+          late->taken_over = true;
+          return late;
+        }
       connection_close (late);
     }
   late = connection_open (pool, address);
--- a/tests/test-call-pool.c
+++ b/tests/test-call-pool.c
@@ -3,10 +3,12 @@
 #include "http/call-pool.h"
 #include "http/http.h"
 
+#include <arpa/inet.h>
 #include <check.h>
 #include <gio/gio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define WAIT_TIMEOUT_MS 10000
 #define CALL_TIMEOUT_MS 5000
@@ -405,6 +407,62 @@
 }
 END_TEST
 
+/* Opens a listening socket that accepts nothing, and fills its queue, so that
+ * further connections to it wait. Sets port if it is 0. */
+static int
+listen_without_room (uint16_t *port, int *queued)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (*port) };
+  socklen_t size = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int on = 1;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  ck_assert_int_eq (bind (fd, (struct sockaddr *)&address, size), 0);
+  ck_assert_int_eq (listen (fd, 0), 0);
+  ck_assert_int_eq (getsockname (fd, (struct sockaddr *)&address, &size), 0);
+  *port = ntohs (address.sin_port);
+  *queued = socket (AF_INET, SOCK_STREAM, 0);
+  ck_assert_int_eq (connect (*queued, (struct sockaddr *)&address, size), 0);
+  return fd;
+}
+
+/* Guards against a refusal that was received before a call was sent, but is
+ * reported as the result of that call: since then a process has begun to
+ * listen. */
+START_TEST (refusal_of_an_earlier_attempt_is_not_that_of_a_later_call)
+{
+  struct fixture fixture;
+  uint16_t port = 0;
+  char address[32];
+  int queued;
+  int fd;
+
+  fixture_create (&fixture, NULL, 0);
+  gr_call_pool_destroy (fixture.pool);
+  fixture.pool = gr_call_pool_create (1);
+  fd = listen_without_room (&port, &queued);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", port);
+  send_to (&fixture, address, 100);
+  wait_for (&fixture, 1);
+  ck_assert_int_eq (fixture.error.kind, GR_ERROR_NO_TARGET);
+  close (fd);
+  close (queued);
+  /* The connection is attempted again 1 s after the first attempt, and then
+   * refused. */
+  g_usleep (1500 * 1000);
+  fd = listen_without_room (&port, &queued);
+  send_to (&fixture, address, 300);
+  wait_for (&fixture, 2);
+  ck_assert_int_eq (fixture.error.kind, GR_ERROR_NO_TARGET);
+  close (fd);
+  close (queued);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* Guards against calls whose callback never comes, or comes after the pool has
  * been destroyed. */
 START_TEST (destroying_ends_open_calls)
@@ -489,6 +547,8 @@
   tcase_add_test (tests, late_response_keeps_the_connection);
   tcase_add_test (tests, waiting_calls_replace_silent_connections);
   tcase_add_test (tests, refused_connection_is_reported_as_not_found);
+  tcase_add_test (tests,
+                  refusal_of_an_earlier_attempt_is_not_that_of_a_later_call);
   tcase_add_test (tests, destroying_ends_open_calls);
   tcase_add_test (tests, late_client_reads_a_response_that_is_unread);
   suite_add_tcase (suite, tests);
