instance: leases follow the clock of the worker's new process

A lease is a time on the worker's clock, which a restarted process has anew. An answer of the former process that was handled late brought its clock back, and a start on the former clock can be granted the longest lease of the platform (10 s), while the owner counted with 2.2 s: it would start the task again while a silent worker still ran it. Clocks are taken in the order in which the calls were sent. An answer that does not fit the known clock shows a restart (worker-clock-changed): the longest lease is assumed and the worker polled.

--- /dev/null
+++ b/instance/worker-clock.h
@@ -0,0 +1,27 @@
+/* A worker's clock, as known from its answers. Leases are times on it. A
+ * process that has been restarted has another clock, which the answers to
+ * orders show first. */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Zero: unknown. */
+struct gr_worker_clock
+{
+  int64_t clock_ms; /* worker's clock at handled_ms of ours */
+  int64_t handled_ms;
+  int64_t sent_ms; /* when the call that was answered so was sent */
+};
+
+/* Takes the time clock_ms (0: none) from an answer that is handled at now_ms;
+ * its call was sent at sent_ms. Ignored if the call was sent earlier than that
+ * of the known time. Returns false if the worker has another clock than the
+ * known one, so that its process must be another. */
+bool gr_worker_clock_update (struct gr_worker_clock *clock,
+                             int64_t clock_ms,
+                             int64_t sent_ms,
+                             int64_t now_ms);
+/* Estimate of the worker's clock at now_ms; 0 if it is unknown. */
+int64_t gr_worker_clock_read (const struct gr_worker_clock *clock,
+                              int64_t now_ms);
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -3,6 +3,7 @@
 #include "common/log.h"
 #include "instance/call-budget.h"
 #include "instance/lateness.h"
+#include "instance/worker-clock.h"
 
 /* A worker's clock can be 2 % slow; 1 % is added for the owner's clock. */
 #define CLOCK_DRIFT_FACTOR 1.03
@@ -33,8 +34,7 @@
   struct gr_worker_io *io;
   char *worker;
   char *address;
-  int64_t clock_ms; /* worker's clock at clock_at_ms of ours; 0: unknown */
-  int64_t clock_at_ms;
+  struct gr_worker_clock clock;
   int64_t next_poll_ms;
   int64_t acknowledged_sent;
   uint32_t failed_polls;
@@ -112,12 +112,14 @@
 }
 
 static void
-update_clock (struct peer *peer, int64_t clock_ms)
+update_clock (struct peer *peer, int64_t clock_ms, int64_t sent_ms)
 {
-  if (clock_ms == 0)
+  int64_t now_ms = gr_clock_now_ms (peer->io->clock);
+
+  if (gr_worker_clock_update (&peer->clock, clock_ms, sent_ms, now_ms))
     return;
-  peer->clock_ms = clock_ms;
-  peer->clock_at_ms = gr_clock_now_ms (peer->io->clock);
+  gr_log_event ("worker-clock-changed", "worker", peer->worker, NULL);
+  gr_steps_worker_clock_changed (peer->io->steps, peer->worker, now_ms);
 }
 
 /* Returns the time on the worker's clock term_ms from now. Reports to the core
@@ -126,13 +128,13 @@
 extend_lease (struct peer *peer, int64_t term_ms)
 {
   int64_t now_ms = gr_clock_now_ms (peer->io->clock);
-  int64_t since_ms = now_ms - peer->clock_at_ms;
+  int64_t since_ms = now_ms - peer->clock.handled_ms;
 
   gr_steps_extend_worker_lease (
       peer->io->steps, peer->worker,
       now_ms + (int64_t)((double)(term_ms + since_ms) * CLOCK_DRIFT_FACTOR)
           - since_ms);
-  return peer->clock_ms + since_ms + term_ms;
+  return peer->clock.clock_ms + since_ms + term_ms;
 }
 
 /* Records the time of a call that could wait at the worker for wait_ms. An
@@ -167,7 +169,7 @@
    * of each order. */
   if (!io->destroyed)
     {
-      update_clock (peer, clock_ms);
+      update_clock (peer, clock_ms, call->sent_ms);
       gr_steps_order_result (io->steps, &call->order, result,
                              gr_clock_now_ms (io->clock));
       io->events.changed (io->events.context);
@@ -277,7 +279,7 @@
       else
         {
           peer->failed_polls = 0;
-          update_clock (peer, result->clock_ms);
+          update_clock (peer, result->clock_ms, sent_ms);
           gr_steps_process_report (io->steps, peer->worker, result, now_ms);
         }
       io->events.changed (io->events.context);
@@ -321,7 +323,7 @@
    * extended. After a failed poll the next one may fail as well, and must not
    * postpone the time at which the lease has certainly expired, unless this
    * process itself is too slow. */
-  if (peer->clock_ms != 0
+  if (peer->clock.clock_ms != 0
       && (peer->failed_polls == 0 || gr_lateness_is_overloaded (&io->lateness)))
     until_ms = extend_lease (peer, io->run_lease_ms);
   peer->acknowledged_sent = gr_steps_durable_end (io->steps, peer->worker);
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -206,6 +206,13 @@
                            int64_t sent_ms,
                            int64_t now_ms);
 
+/* The worker has another clock than the one on which leases were granted to its
+ * runs so far, so its process has been restarted. Leases may last as long as
+ * the worker permits, and a poll is requested. */
+void gr_steps_worker_clock_changed (struct gr_steps *steps,
+                                    const char *id,
+                                    int64_t now_ms);
+
 /* Inputs. Structs are copied. */
 void gr_steps_set_queue (struct gr_steps *steps,
                          const struct gr_steps_queue *queue);
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -332,6 +332,20 @@
   gr_samples_forget_worker (steps, worker);
 }
 
+void
+gr_steps_worker_clock_changed (struct gr_steps *steps,
+                               const char *id,
+                               int64_t now_ms)
+{
+  struct worker *worker = gr_worker_find (steps, id);
+
+  if (worker == NULL)
+    return;
+  steps->now_ms = now_ms;
+  gr_worker_assume_max_hold (steps, worker);
+  gr_worker_request_poll (steps, worker);
+}
+
 void
 gr_steps_add_inherited_worker (struct gr_steps *steps,
                                const char *id,
