--- a/standins/metastore.c
+++ b/standins/metastore.c
@@ -865,6 +865,13 @@
   return gr_platform_worker_base (platform->workers->pdata[number]);
 }
 
+int64_t
+gr_standin_platform_restart_worker (struct gr_standin_platform *platform,
+                                    uint32_t number)
+{
+  return gr_platform_worker_restart (platform->workers->pdata[number]);
+}
+
 uint32_t
 gr_standin_platform_starts (struct gr_standin_platform *platform,
                             const char *task)
--- a/standins/metastore.h
+++ b/standins/metastore.h
@@ -38,6 +38,12 @@
 gr_standin_platform_worker (struct gr_standin_platform *platform,
                             uint32_t number);
 
+/* Restarts a worker under its id; the registry shows it with the next
+ * heartbeat. Returns the start of the new process, in Unix milliseconds. */
+int64_t
+gr_standin_platform_restart_worker (struct gr_standin_platform *platform,
+                                    uint32_t number);
+
 /* Writes a key with a text value, as the operator or a worker does. */
 void gr_standin_platform_put (struct gr_standin_platform *platform,
                               const char *key,
--- a/standins/platform-worker.c
+++ b/standins/platform-worker.c
@@ -476,6 +476,18 @@
   worker->started_unix_ms = g_get_real_time () / 1000;
 }
 
+int64_t
+gr_platform_worker_restart (struct gr_platform_worker *worker)
+{
+  int64_t former_ms = worker->started_unix_ms;
+
+  crash (worker);
+  listen_again (worker);
+  /* Two restarts can fall into one millisecond. */
+  worker->started_unix_ms = MAX (worker->started_unix_ms, former_ms + 1);
+  return worker->started_unix_ms;
+}
+
 struct gr_platform_worker *
 gr_platform_worker_create (uint32_t number,
                            const struct gr_standin_platform_settings *settings,
--- a/standins/platform-worker.h
+++ b/standins/platform-worker.h
@@ -20,6 +20,10 @@
                            struct gr_error *error);
 void gr_platform_worker_destroy (struct gr_platform_worker *worker);
 
+/* Ends the worker's process and starts a new one at the same address and under
+ * the same id. Returns the start of the new one, in Unix milliseconds. */
+int64_t gr_platform_worker_restart (struct gr_platform_worker *worker);
+
 /* Returns the HTTP part of the stand-in, owned by the worker; NULL while it is
  * down after a crash. */
 struct gr_standin *gr_platform_worker_base (struct gr_platform_worker *worker);
--- a/tests/test-instance.c
+++ b/tests/test-instance.c
@@ -28,6 +28,29 @@
   (void)context;
 }
 
+/* As the registry shows the worker; incarnation 0: it does not show it. */
+static void
+register_worker (struct fixture *fixture, uint32_t number, int64_t incarnation)
+{
+  const char *labels[] = { "a", "r1-0", NULL };
+  char id[16];
+  struct gr_steps_worker worker = {
+    .id = id,
+    .service = "render",
+    .rack = "r1-0",
+    .labels = labels,
+    .capacity = { 128000, 256000, 8 },
+    .incarnation_unix_ms = incarnation,
+  };
+
+  g_snprintf (id, sizeof id, "i-%04u", number);
+  gr_steps_set_worker (fixture->steps, &worker,
+                       gr_clock_now_ms (fixture->clock));
+  gr_worker_io_set_address (fixture->io, id,
+                            gr_standin_address (gr_standin_platform_worker (
+                                fixture->platform, number)));
+}
+
 static void
 fixture_create (struct fixture *fixture,
                 uint32_t workers,
@@ -72,24 +95,7 @@
       fixture->steps, 1, run_lease_ms, fixture->clock, fixture->counters,
       &(struct gr_worker_io_events){ ignore_change, NULL });
   for (uint32_t i = 0; i < workers; i++)
-    {
-      const char *labels[] = { "a", "r1-0", NULL };
-      char id[16];
-      struct gr_steps_worker worker = {
-        .id = id,
-        .service = "render",
-        .rack = "r1-0",
-        .labels = labels,
-        .capacity = { 128000, 256000, 8 },
-      };
-
-      g_snprintf (id, sizeof id, "i-%04u", i);
-      gr_steps_set_worker (fixture->steps, &worker,
-                           gr_clock_now_ms (fixture->clock));
-      gr_worker_io_set_address (fixture->io, id,
-                                gr_standin_address (gr_standin_platform_worker (
-                                    fixture->platform, i)));
-    }
+    register_worker (fixture, i, 0);
 }
 
 static void
@@ -265,6 +271,28 @@
 }
 END_TEST
 
+/* Guards against a second run on a worker whose restart the registry shows
+ * after the first one was started there. The worker was idle and not polled. */
+START_TEST (restart_that_is_noticed_late_starts_no_task_twice)
+{
+  struct fixture fixture;
+  const char *task = "00000000000000a1.0.0.0";
+  int64_t incarnation;
+
+  fixture_create (&fixture, 1, 7000);
+  run_main_loop (&fixture, 200);
+  incarnation = gr_standin_platform_restart_worker (fixture.platform, 0);
+  add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 1);
+  run_main_loop (&fixture, 200);
+  ck_assert_uint_eq (gr_standin_platform_starts (fixture.platform, task), 1);
+  register_worker (&fixture, 0, incarnation);
+  run_main_loop (&fixture, 500);
+  ck_assert_uint_eq (gr_standin_platform_starts (fixture.platform, task), 1);
+  ck_assert_uint_eq (gr_steps_worker_load (fixture.steps, "i-0000"), 1);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 static enum gr_job_state
 job_state (const struct fixture *fixture, const char *id)
 {
@@ -461,6 +489,7 @@
   tcase_add_test (tests, silent_worker_loses_its_runs);
   tcase_add_test (tests, silent_workers_do_not_hold_up_others);
   tcase_add_test (tests, refused_connection_shows_that_a_worker_is_gone);
+  tcase_add_test (tests, restart_that_is_noticed_late_starts_no_task_twice);
   tcase_add_test (tests, task_that_crashes_workers_is_given_up);
   tcase_add_test (tests, late_answers_do_not_lose_runs);
   tcase_add_test (tests, waiting_orders_do_not_delay_polls);
