instance, steps: date registry changes by the call before them

The age of a renewal was taken from the time at which its answer was handled. After a late answer, or when everything is read again, the last renewal and the expiry 4.5 s later are handled together, so the renewal seemed to be 0 ms old.

A change in an answer is later than the revision known before it, and that one was current at the earliest when the call that returned it was sent. The registry passes this time on, and a departure is certain only if the removal is handled less than 2.5 heartbeats after it; an entry expires after 3. The limit was 2 heartbeats of a smaller age.

The new test of the core failed before ("steps_model_starts (model, 1) == 1" failed: 2 == 1) and passes now; a test of the registry checks the times.

--- a/instance/owner.c
+++ b/instance/owner.c
@@ -226,6 +226,7 @@
 static void
 set_worker (const struct gr_registry_entry *entry,
             int64_t revision,
+            int64_t since_ms,
             void *context)
 {
   struct gr_owner *owner = context;
@@ -240,6 +241,7 @@
     .remaining_ms = MAX (entry->remaining_ms - REGISTRY_LAG_MS, 0),
     .incarnation_unix_ms = entry->incarnation_unix_ms,
     .entry_revision = revision,
+    .since_ms = since_ms,
   };
 
   gr_steps_set_worker (owner->steps, &worker,
@@ -270,11 +272,12 @@
 }
 
 static void
-worker_unregistered (const char *worker, void *context)
+worker_unregistered (const char *worker, int64_t since_ms, void *context)
 {
   struct gr_owner *owner = context;
 
-  gr_steps_worker_unregistered (owner->steps, worker, store_is_stable (owner),
+  gr_steps_worker_unregistered (owner->steps, worker, since_ms,
+                                store_is_stable (owner),
                                 gr_clock_now_ms (owner->deps.clock));
 }
 
@@ -560,7 +563,7 @@
       g_timeout_add (PUBLISH_PERIOD_MS, on_publish_timer, owner);
   reload (owner);
   owner->registry = gr_worker_registry_create (
-      deps->store,
+      deps->store, deps->clock,
       &(struct gr_worker_registry_events){ set_worker, worker_unregistered,
                                            registry_current, owner });
   return owner;
--- a/instance/worker-registry.c
+++ b/instance/worker-registry.c
@@ -20,11 +20,18 @@
 struct gr_worker_registry
 {
   struct gr_metastore *store;
+  const struct gr_clock *clock;
   struct gr_worker_registry_events events;
   GHashTable *entries; /* key -> struct entry */
   uint32_t read_number;
   int64_t watched_revision;
-  int64_t read_as_of; /* of the first page of the read in progress */
+  int64_t read_as_of;   /* of the first page of the read in progress */
+  int64_t read_sent_ms; /* when that page was requested */
+  /* The store was at known_revision at the earliest at known_ms, when the call
+   * that returned this revision was sent. Later revisions are later than that.
+   */
+  int64_t known_revision;
+  int64_t known_ms; /* 0: no call has been answered yet */
   struct registry_call *call;
   guint timer;
 };
@@ -33,6 +40,7 @@
 struct registry_call
 {
   struct gr_worker_registry *registry; /* NULL after it was destroyed */
+  int64_t sent_ms;
 };
 
 struct entry
@@ -53,6 +61,7 @@
   struct registry_call *call = g_new0 (struct registry_call, 1);
 
   call->registry = registry;
+  call->sent_ms = gr_clock_now_ms (registry->clock);
   registry->call = call;
   return (struct gr_metastore_reply){ done, call };
 }
@@ -69,18 +78,40 @@
 }
 
 static void
-report_removed (struct gr_worker_registry *registry, const char *key)
+set_known (struct gr_worker_registry *registry,
+           int64_t revision,
+           int64_t sent_ms)
+{
+  if (revision < registry->known_revision)
+    return;
+  registry->known_revision = revision;
+  registry->known_ms = sent_ms;
+}
+
+/* Returns a time before the change with this revision; 0: unknown. */
+static int64_t
+since_of (const struct gr_worker_registry *registry, int64_t revision)
+{
+  return revision > registry->known_revision ? registry->known_ms : 0;
+}
+
+static void
+report_removed (struct gr_worker_registry *registry,
+                const char *key,
+                int64_t since_ms)
 {
   if (g_str_has_prefix (key, gr_registry_prefix))
-    registry->events.removed (key + strlen (gr_registry_prefix),
+    registry->events.removed (key + strlen (gr_registry_prefix), since_ms,
                               registry->events.context);
 }
 
 static void
-remove_entry (struct gr_worker_registry *registry, const char *key)
+remove_entry (struct gr_worker_registry *registry,
+              const char *key,
+              int64_t since_ms)
 {
   if (g_hash_table_remove (registry->entries, key))
-    report_removed (registry, key);
+    report_removed (registry, key, since_ms);
 }
 
 /* Returns false if the item is older than what is known of the key. A range
@@ -109,18 +140,21 @@
     {
       gr_log_warning ("registry-entry-unreadable", "key", item->key, "reason",
                       error.message, NULL);
-      remove_entry (registry, item->key);
+      remove_entry (registry, item->key, since_of (registry, item->revision));
       return;
     }
   entry = g_new0 (struct entry, 1);
   entry->revision = item->revision;
   entry->read_number = registry->read_number;
   g_hash_table_replace (registry->entries, g_strdup (item->key), entry);
-  registry->events.entry (decoded, item->revision, registry->events.context);
+  registry->events.entry (decoded, item->revision,
+                          since_of (registry, item->revision),
+                          registry->events.context);
   gr_registry_entry_destroy (decoded);
 }
 
-/* Removes the entries that a complete read did not return. */
+/* Removes the entries that a complete read did not return. They were still
+ * present at the known revision. */
 static void
 remove_unread (struct gr_worker_registry *registry)
 {
@@ -134,7 +168,7 @@
     if (((struct entry *)value)->read_number != registry->read_number)
       g_ptr_array_add (keys, g_strdup (key));
   for (guint i = 0; i < keys->len; i++)
-    remove_entry (registry, keys->pdata[i]);
+    remove_entry (registry, keys->pdata[i], registry->known_ms);
 }
 
 static void
@@ -169,6 +203,7 @@
            const struct gr_error *error,
            void *context)
 {
+  int64_t sent_ms = ((struct registry_call *)context)->sent_ms;
   struct gr_worker_registry *registry = end_call (context);
 
   if (registry == NULL || (error != NULL && error->kind == GR_ERROR_CANCELLED))
@@ -180,7 +215,10 @@
       return;
     }
   if (registry->read_as_of == 0)
-    registry->read_as_of = result->as_of;
+    {
+      registry->read_as_of = result->as_of;
+      registry->read_sent_ms = sent_ms;
+    }
   for (size_t i = 0; i < result->n_items; i++)
     {
       struct entry *entry =
@@ -198,6 +236,7 @@
     }
   remove_unread (registry);
   registry->watched_revision = registry->read_as_of;
+  set_known (registry, registry->read_as_of, registry->read_sent_ms);
   registry->events.current (registry->events.context);
   schedule (registry, 0);
 }
@@ -214,6 +253,7 @@
             const struct gr_error *error,
             void *context)
 {
+  int64_t sent_ms = ((struct registry_call *)context)->sent_ms;
   struct gr_worker_registry *registry = end_call (context);
 
   if (registry == NULL || (error != NULL && error->kind == GR_ERROR_CANCELLED))
@@ -232,11 +272,13 @@
       if (!is_newer (registry, &result->items[i]))
         continue;
       if (result->items[i].deleted)
-        remove_entry (registry, result->items[i].key);
+        remove_entry (registry, result->items[i].key,
+                      since_of (registry, result->items[i].revision));
       else
         apply_item (registry, &result->items[i]);
     }
   registry->watched_revision = MAX (registry->watched_revision, result->as_of);
+  set_known (registry, result->as_of, sent_ms);
   registry->events.current (registry->events.context);
   schedule (registry, WATCH_PAUSE_MS);
 }
@@ -251,11 +293,13 @@
 
 struct gr_worker_registry *
 gr_worker_registry_create (struct gr_metastore *store,
+                           const struct gr_clock *clock,
                            const struct gr_worker_registry_events *events)
 {
   struct gr_worker_registry *registry = g_new0 (struct gr_worker_registry, 1);
 
   registry->store = store;
+  registry->clock = clock;
   registry->events = *events;
   registry->entries =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -64,6 +64,7 @@
   int64_t incarnation_unix_ms; /* start of this incarnation; 0 if unknown */
   int64_t entry_revision; /* revision of its registry entry; rises with each
                              heartbeat */
+  int64_t since_ms;       /* a time before the entry was written; 0: unknown */
 };
 
 enum gr_job_state
@@ -216,13 +217,15 @@
                           const struct gr_steps_worker *worker,
                           int64_t now_ms);
 /* Records that the worker has no registry entry any more. If its entry was
- * renewed less than two heartbeats ago and store_healthy is true, the worker
- * has left, and all its runs have ended. Otherwise it is silent, and its runs
- * may continue until their lease has expired. store_healthy: the store has had
- * no failures, so entries are removed only because the worker left or stopped
+ * certainly renewed less than two and a half heartbeats ago and store_healthy
+ * is true, the worker has left, and all its runs have ended. Otherwise it is
+ * silent, and its runs may continue until their lease has expired. since_ms: a
+ * time before the removal; 0: unknown. store_healthy: the store has had no
+ * failures, so entries are removed only because the worker left or stopped
  * renewing. */
 void gr_steps_worker_unregistered (struct gr_steps *steps,
                                    const char *worker,
+                                   int64_t since_ms,
                                    bool store_healthy,
                                    int64_t now_ms);
 /* Adds a worker that a former owner has handed over: it may have active runs,
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -41,8 +41,8 @@
   int64_t unregistered_ms; /* when it was found to have no registry entry; 0:
                               registered */
   int64_t entry_revision;  /* of its registry entry */
-  int64_t renewed_ms; /* when the registry entry was last seen to change; 0:
-                         never */
+  int64_t renewed_ms; /* a time before its registry entry was last renewed; 0:
+                         unknown */
   int64_t lease_until_ms;
   int64_t full_until_ms; /* no placement until then, as it had less free
                             capacity than computed */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -17,6 +17,12 @@
  * take 200 ms, and their ends are read within about 100 ms more. */
 #define RESERVATION_MS 1500
 
+/* An entry expires three heartbeats after its last renewal. A worker that
+ * leaves has renewed its entry up to one heartbeat before; the watch of the
+ * registry adds up to 1.4 s to the age of the renewal and 0.4 s until the
+ * removal is handled, with heartbeats of 1.5 s. */
+#define LEFT_HEARTBEATS 2.5
+
 struct worker *
 gr_worker_find (struct gr_steps *steps, const char *id)
 {
@@ -219,11 +225,8 @@
   else if (!worker->draining || row->entry_revision != worker->entry_revision)
     worker->earliest_leave_ms = now_ms + row->remaining_ms;
   worker->draining = row->draining;
-  /* The first read of an entry does not show how old it is, so it does not
-   * count as a renewal. */
-  if (worker->entry_revision != 0
-      && row->entry_revision > worker->entry_revision)
-    worker->renewed_ms = now_ms;
+  if (row->since_ms != 0 && row->entry_revision > worker->entry_revision)
+    worker->renewed_ms = row->since_ms;
   worker->entry_revision = row->entry_revision;
   worker->registered = true;
   worker->unregistered_ms = 0;
@@ -277,14 +280,25 @@
   return worker ? worker->tasks->len : 0;
 }
 
+/* Returns whether the entry was removed too soon after its renewal to have
+ * expired. */
+static bool
+has_left (const struct gr_steps *steps, const struct worker *worker)
+{
+  return worker->renewed_ms != 0
+         && steps->now_ms - worker->renewed_ms
+                < (int64_t)(steps->settings.heartbeat_ms * LEFT_HEARTBEATS);
+}
+
 void
 gr_steps_worker_unregistered (struct gr_steps *steps,
                               const char *id,
+                              int64_t since_ms,
                               bool store_healthy,
                               int64_t now_ms)
 {
   struct worker *worker = gr_worker_find (steps, id);
-  const struct gr_loss loss = { GR_LOSS_LEFT, 0 };
+  const struct gr_loss loss = { GR_LOSS_LEFT, since_ms };
   char renewed[24];
   char reported[24];
 
@@ -295,9 +309,7 @@
   worker->unregistered_ms = now_ms;
   gr_loss_age (steps, worker->renewed_ms, renewed);
   gr_loss_age (steps, worker->reported_ms, reported);
-  if (!store_healthy || worker->renewed_ms == 0
-      || now_ms - worker->renewed_ms
-             >= (int64_t)steps->settings.heartbeat_ms * 2)
+  if (!store_healthy || !has_left (steps, worker))
     {
       gr_log_event ("worker-silent", "worker", id, "renewed_ms", renewed,
                     "reported_ms", reported, NULL);
--- a/tests/steps-model-crashes.c
+++ b/tests/steps-model-crashes.c
@@ -96,7 +96,8 @@
 {
   worker->unregister_ms = 0;
   worker->entry_lost = true;
-  gr_steps_worker_unregistered (model->steps, worker->id, true, model->now_ms);
+  gr_steps_worker_unregistered (model->steps, worker->id, model->now_ms, true,
+                                model->now_ms);
 }
 
 static void
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -37,8 +37,11 @@
   return NULL;
 }
 
-void
-model_register_worker (struct steps_model *model, struct model_worker *worker)
+/* since_ms: a time before the entry was written; 0: unknown. */
+static void
+register_entry (struct steps_model *model,
+                struct model_worker *worker,
+                int64_t since_ms)
 {
   const char *labels[] = { "a", worker->rack, NULL };
   struct gr_steps_worker row = {
@@ -52,11 +55,18 @@
     .remaining_ms = worker->remaining_ms,
     .incarnation_unix_ms = worker->incarnation,
     .entry_revision = worker->entry_revision,
+    .since_ms = since_ms,
   };
 
   gr_steps_set_worker (model->steps, &row, model->now_ms);
 }
 
+void
+model_register_worker (struct steps_model *model, struct model_worker *worker)
+{
+  register_entry (model, worker, model->now_ms);
+}
+
 struct model_worker *
 model_add_worker (struct steps_model *model, const char *rack)
 {
@@ -502,7 +512,7 @@
       worker->poll_in_flight = false;
       worker->next_poll_ms = 0;
       if (!worker->entry_lost)
-        model_register_worker (model, worker);
+        register_entry (model, worker, 0);
     }
   for (guint i = 0; i < handover_workers->len; i++)
     gr_steps_add_inherited_worker (model->steps, handover_workers->pdata[i],
@@ -707,17 +717,21 @@
 }
 
 void
-steps_model_renew_entry (struct steps_model *model, uint32_t number)
+steps_model_renew_entry (struct steps_model *model,
+                         uint32_t number,
+                         int64_t late_ms)
 {
   get_worker (model, number)->entry_revision++;
-  model_register_worker (model, get_worker (model, number));
+  register_entry (model, get_worker (model, number), model->now_ms - late_ms);
 }
 
 void
-steps_model_unregister_worker (struct steps_model *model, uint32_t number)
+steps_model_unregister_worker (struct steps_model *model,
+                               uint32_t number,
+                               int64_t late_ms)
 {
   gr_steps_worker_unregistered (model->steps, get_worker (model, number)->id,
-                                true, model->now_ms);
+                                model->now_ms - late_ms, true, model->now_ms);
 }
 
 void
@@ -730,10 +744,10 @@
   worker->unreachable = true;
   if (silent_ms < HEARTBEAT_MS)
     g_ptr_array_set_size (worker->runs, 0);
-  steps_model_renew_entry (model, number);
+  steps_model_renew_entry (model, number, 0);
   for (int64_t waited = 0; waited < silent_ms; waited += TICK_MS)
     steps_model_run (model, TICK_MS);
-  gr_steps_worker_unregistered (model->steps, worker->id, true, model->now_ms);
+  steps_model_unregister_worker (model, number, 0);
 }
 
 void
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -141,10 +141,16 @@
 /* Swaps the order in which the model handles two workers. */
 void
 steps_model_swap_workers (struct steps_model *model, uint32_t a, uint32_t b);
-/* The worker renews its registry entry. */
-void steps_model_renew_entry (struct steps_model *model, uint32_t worker);
-/* The worker's registry entry is removed; its runs continue. */
-void steps_model_unregister_worker (struct steps_model *model, uint32_t worker);
+/* The core is told that the worker has renewed its registry entry, up to
+ * late_ms ago. */
+void steps_model_renew_entry (struct steps_model *model,
+                              uint32_t worker,
+                              int64_t late_ms);
+/* The core is told that the worker's registry entry was removed, up to late_ms
+ * ago; its runs continue. */
+void steps_model_unregister_worker (struct steps_model *model,
+                                    uint32_t worker,
+                                    int64_t late_ms);
 /* The worker's registry entry is missing when the next owner reads the
  * registry; the current owner does not notice. */
 void steps_model_lose_entry_at_takeover (struct steps_model *model,
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -272,7 +272,26 @@
   steps_model_run (model, 500);
   steps_model_new_owner (model);
   steps_model_run (model, 300);
-  steps_model_unregister_worker (model, busy_worker (model));
+  steps_model_unregister_worker (model, busy_worker (model), 0);
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* After an answer of the store that was seconds late, the last renewal and the
+ * expiry of an entry 4.5 s later were handled together. The worker was treated
+ * as one that had left, and its active runs were started a second time. */
+START_TEST (expiry_reported_with_the_last_renewal_is_no_departure)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 6000);
+  steps_model_renew_entry (model, busy_worker (model), 4900);
+  steps_model_unregister_worker (model, busy_worker (model), 4900);
   steps_model_run (model, 1000);
   ck_assert_uint_eq (steps_model_starts (model, 1), 1);
   steps_fixture_destroy (model);
@@ -560,6 +579,7 @@
   tcase_add_test (tests, silent_worker_is_waited_for);
   tcase_add_test (tests, queued_start_orders_extend_the_lease);
   tcase_add_test (tests, first_read_of_an_entry_does_not_count_as_heartbeat);
+  tcase_add_test (tests, expiry_reported_with_the_last_renewal_is_no_departure);
   tcase_add_test (tests, worker_with_expired_entry_is_waited_for);
   tcase_add_test (tests, start_without_a_result_is_abandoned);
   tcase_add_test (tests, waiting_stops_are_not_queued_again);
--- a/tests/test-worker-registry.c
+++ b/tests/test-worker-registry.c
@@ -17,27 +17,32 @@
   struct gr_counters *counters;
   struct gr_metastore *store;
   struct gr_worker_registry *registry;
+  struct gr_clock *clock;
   GHashTable *workers; /* id -> "ready" or "draining" */
+  int64_t since_ms;    /* of the last event */
   uint32_t current;    /* times that the registry was up to date */
 };
 
 static void
 entry_read (const struct gr_registry_entry *entry,
             int64_t revision,
+            int64_t since_ms,
             void *context)
 {
   struct fixture *fixture = context;
 
   ck_assert_int_gt (revision, 0);
+  fixture->since_ms = since_ms;
   g_hash_table_replace (fixture->workers, g_strdup (entry->worker),
                         g_strdup (entry->draining ? "draining" : "ready"));
 }
 
 static void
-entry_removed (const char *worker, void *context)
+entry_removed (const char *worker, int64_t since_ms, void *context)
 {
   struct fixture *fixture = context;
 
+  fixture->since_ms = since_ms;
   ck_assert (g_hash_table_remove (fixture->workers, worker));
 }
 
@@ -82,6 +87,16 @@
   g_source_remove (timer);
 }
 
+static void
+run_for (int64_t for_ms)
+{
+  for (int64_t ms = 0; ms < for_ms; ms += 10)
+    {
+      g_main_context_iteration (NULL, FALSE);
+      g_usleep (10000);
+    }
+}
+
 static void
 fixture_create (struct fixture *fixture)
 {
@@ -106,7 +121,9 @@
       fixture->counters);
   fixture->workers =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  fixture->registry = gr_worker_registry_create (fixture->store, &events);
+  fixture->clock = gr_clock_create ();
+  fixture->registry =
+      gr_worker_registry_create (fixture->store, fixture->clock, &events);
   wait_for_current (fixture, 1);
 }
 
@@ -114,6 +131,7 @@
 fixture_destroy (struct fixture *fixture)
 {
   gr_worker_registry_destroy (fixture->registry);
+  gr_clock_destroy (fixture->clock);
   gr_metastore_destroy (fixture->store);
   gr_counters_destroy (fixture->counters);
   gr_standin_platform_destroy (fixture->platform);
@@ -214,11 +232,7 @@
   put_worker (&fixture, "i-old", "draining");
   put_worker (&fixture, "i-new", "ready");
   current = fixture.current;
-  for (int i = 0; i < 50; i++)
-    {
-      g_main_context_iteration (NULL, FALSE);
-      g_usleep (10000);
-    }
+  run_for (500);
   faults->down = 0;
   wait_for_current (&fixture, current + 1);
   wait_until (&fixture, "i-old", "draining");
@@ -227,6 +241,36 @@
 }
 END_TEST
 
+/* Guards against a change that counts as recent because the answer that
+ * reported it was late, and against the first read counting as a recent change.
+ */
+START_TEST (changes_are_dated_before_they_happened)
+{
+  struct fixture fixture;
+  struct gr_standin_faults *faults;
+  int64_t changed_ms;
+
+  fixture_create (&fixture);
+  ck_assert_int_eq (fixture.since_ms, 0);
+  faults = gr_standin_faults (gr_standin_platform_base (fixture.platform));
+  faults->down = 1;
+  changed_ms = gr_clock_now_ms (fixture.clock);
+  put_worker (&fixture, "i-new", "ready");
+  run_for (700);
+  faults->down = 0;
+  wait_until (&fixture, "i-new", "ready");
+  ck_assert_int_gt (fixture.since_ms, changed_ms - 1500);
+  ck_assert_int_le (fixture.since_ms, changed_ms);
+  wait_for_current (&fixture, fixture.current + 1);
+  changed_ms = gr_clock_now_ms (fixture.clock);
+  remove_worker (&fixture, "i-new");
+  wait_until (&fixture, "i-new", NULL);
+  ck_assert_int_gt (fixture.since_ms, changed_ms - 1500);
+  ck_assert_int_le (fixture.since_ms, gr_clock_now_ms (fixture.clock));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -241,6 +285,7 @@
   tcase_add_test (tests, changes_are_reported);
   tcase_add_test (tests, unreadable_entry_counts_as_removed);
   tcase_add_test (tests, changes_during_an_outage_are_reported);
+  tcase_add_test (tests, changes_are_dated_before_they_happened);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
