steps, instance: ignore registry entries of former processes

The start time of an entry was compared with the known one for a restart only. Now an entry with an earlier start time changes nothing but the record of who wrote the entry, and its removal makes the worker silent, not left. The address in worker-io is kept as well, and the decision is logged (worker-entry-outdated).

--- a/instance/owner.c
+++ b/instance/owner.c
@@ -244,8 +244,9 @@
     .since_ms = since_ms,
   };
 
-  gr_steps_set_worker (owner->steps, &worker,
-                       gr_clock_now_ms (owner->deps.clock));
+  if (!gr_steps_set_worker (owner->steps, &worker,
+                            gr_clock_now_ms (owner->deps.clock)))
+    return;
   gr_worker_io_set_address (owner->io, entry->worker, entry->address);
   if (g_strcmp0 (g_hash_table_lookup (owner->addresses, entry->worker),
                  entry->address)
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -212,8 +212,10 @@
 void gr_steps_set_guarantee (struct gr_steps *steps,
                              const char *account,
                              uint32_t accelerators);
-/* Adds a worker, or updates it, from its registry entry. */
-void gr_steps_set_worker (struct gr_steps *steps,
+/* Adds a worker, or updates it, from its registry entry. Returns false, without
+ * effect on the worker, if a former process of it wrote the entry: a write can
+ * be carried out seconds late. */
+bool gr_steps_set_worker (struct gr_steps *steps,
                           const struct gr_steps_worker *worker,
                           int64_t now_ms);
 /* Records that the worker has no registry entry any more. If its entry was
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -41,6 +41,8 @@
   int64_t unregistered_ms; /* when it was found to have no registry entry; 0:
                               registered */
   int64_t entry_revision;  /* of its registry entry */
+  int64_t entry_incarnation_unix_ms; /* of the process that wrote it; 0:
+                                        unknown */
   int64_t renewed_ms; /* a time before its registry entry was last renewed; 0:
                          unknown */
   int64_t lease_until_ms;
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -187,7 +187,33 @@
   gr_evacuation_update_worker (steps, worker);
 }
 
-void
+static bool
+is_of_former_process (const struct worker *worker,
+                      const struct gr_steps_worker *row)
+{
+  return row->incarnation_unix_ms != 0
+         && row->incarnation_unix_ms < worker->incarnation_unix_ms;
+}
+
+static void
+log_former_entry (const struct gr_steps *steps,
+                  const struct worker *worker,
+                  const struct gr_steps_worker *row)
+{
+  char incarnations[2][24];
+  char since[24];
+
+  g_snprintf (incarnations[0], sizeof incarnations[0], "%" G_GINT64_FORMAT,
+              row->incarnation_unix_ms);
+  g_snprintf (incarnations[1], sizeof incarnations[1], "%" G_GINT64_FORMAT,
+              worker->incarnation_unix_ms);
+  gr_log_event ("worker-entry-outdated", "worker", worker->id,
+                "entry_incarnation", incarnations[0], "incarnation",
+                incarnations[1], "since_ms",
+                gr_loss_age (steps, row->since_ms, since), NULL);
+}
+
+bool
 gr_steps_set_worker (struct gr_steps *steps,
                      const struct gr_steps_worker *row,
                      int64_t now_ms)
@@ -195,6 +221,13 @@
   struct worker *worker = gr_worker_find (steps, row->id);
 
   steps->now_ms = now_ms;
+  if (worker != NULL && is_of_former_process (worker, row))
+    {
+      log_former_entry (steps, worker, row);
+      worker->entry_revision = row->entry_revision;
+      worker->entry_incarnation_unix_ms = row->incarnation_unix_ms;
+      return false;
+    }
   if (worker == NULL)
     {
       worker = worker_create (steps, row->id);
@@ -228,8 +261,10 @@
   if (row->since_ms != 0 && row->entry_revision > worker->entry_revision)
     worker->renewed_ms = row->since_ms;
   worker->entry_revision = row->entry_revision;
+  worker->entry_incarnation_unix_ms = row->incarnation_unix_ms;
   worker->registered = true;
   worker->unregistered_ms = 0;
+  return true;
 }
 
 void
@@ -280,11 +315,14 @@
   return worker ? worker->tasks->len : 0;
 }
 
-/* Returns whether the entry was removed too soon after its renewal to have
- * expired. */
+/* Returns whether the entry was that of the present process, and was removed
+ * too soon after its renewal to have expired. */
 static bool
 has_left (const struct gr_steps *steps, const struct worker *worker)
 {
+  if (worker->entry_incarnation_unix_ms != 0
+      && worker->entry_incarnation_unix_ms < worker->incarnation_unix_ms)
+    return false;
   return worker->renewed_ms != 0
          && steps->now_ms - worker->renewed_ms
                 < (int64_t)(steps->settings.heartbeat_ms * LEFT_HEARTBEATS);
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -40,7 +40,7 @@
 /* since_ms: a time before the entry was written; 0: unknown. */
 static void
 register_entry (struct steps_model *model,
-                struct model_worker *worker,
+                const struct model_worker *worker,
                 int64_t since_ms)
 {
   const char *labels[] = { "a", worker->rack, NULL };
@@ -725,6 +725,18 @@
   register_entry (model, get_worker (model, number), model->now_ms - late_ms);
 }
 
+void
+steps_model_write_former_entry (struct steps_model *model, uint32_t number)
+{
+  struct model_worker *worker = get_worker (model, number);
+  struct model_worker former = *worker;
+
+  former.incarnation--;
+  former.entry_revision = ++worker->entry_revision;
+  former.draining = true;
+  register_entry (model, &former, model->now_ms);
+}
+
 void
 steps_model_unregister_worker (struct steps_model *model,
                                uint32_t number,
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -146,6 +146,10 @@
 void steps_model_renew_entry (struct steps_model *model,
                               uint32_t worker,
                               int64_t late_ms);
+/* A write of the worker's former process is carried out late: it replaces the
+ * registry entry by one of that process, which was draining. */
+void steps_model_write_former_entry (struct steps_model *model,
+                                     uint32_t worker);
 /* The core is told that the worker's registry entry was removed, up to late_ms
  * ago; its runs continue. */
 void steps_model_unregister_worker (struct steps_model *model,
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -298,6 +298,50 @@
 }
 END_TEST
 
+/* An entry that a former process of a worker wrote late made the worker drain,
+ * so it got no work until the next heartbeat. */
+START_TEST (late_entry_of_a_former_process_is_ignored)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (1, 1);
+
+  one.count = 1;
+  steps_model_run (model, 500);
+  steps_model_restart_worker (model, 0);
+  steps_model_run (model, 500);
+  steps_model_write_former_entry (model, 0);
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 2000);
+  steps_model_run (model, 500);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* The removal of such an entry was treated as the departure of the worker, and
+ * the active runs of its present process were started a second time. */
+START_TEST (removed_entry_of_a_former_process_is_no_departure)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (2, 1);
+
+  one.count = 1;
+  steps_model_run (model, 500);
+  steps_model_restart_worker (model, 0);
+  steps_model_restart_worker (model, 1);
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 3000);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      steps_model_write_former_entry (model, i);
+      steps_model_unregister_worker (model, i, 0);
+      steps_model_renew_entry (model, i, 0);
+    }
+  steps_model_run (model, 500);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* While the store loses writes, the registry entry of a live worker can expire.
  * After a takeover at that moment, the worker's active runs were started a
  * second time. */
@@ -580,6 +624,8 @@
   tcase_add_test (tests, queued_start_orders_extend_the_lease);
   tcase_add_test (tests, first_read_of_an_entry_does_not_count_as_heartbeat);
   tcase_add_test (tests, expiry_reported_with_the_last_renewal_is_no_departure);
+  tcase_add_test (tests, late_entry_of_a_former_process_is_ignored);
+  tcase_add_test (tests, removed_entry_of_a_former_process_is_no_departure);
   tcase_add_test (tests, worker_with_expired_entry_is_waited_for);
   tcase_add_test (tests, start_without_a_result_is_abandoned);
   tcase_add_test (tests, waiting_stops_are_not_queued_again);
