steps: release only runs older than the departure of a worker

A removal ends the runs of the process whose entry it was. A run is on that process for certain only if its start was confirmed before a time that precedes the departure: the lower bound of the removal's time, or the sending of the last answered poll, if it showed the process that wrote the entry. Later runs, and starts that may still take effect, are kept and a poll is requested: a refused connection, the report or the lease decides. worker-left logs how many runs were released and kept.

The new test failed before ("steps_model_starts (model, 1) == 1" failed: 2 == 1).

--- a/steps/steps.h
+++ b/steps/steps.h
@@ -220,11 +220,12 @@
                           int64_t now_ms);
 /* Records that the worker has no registry entry any more. If its entry was
  * certainly renewed less than two and a half heartbeats ago and store_healthy
- * is true, the worker has left, and all its runs have ended. Otherwise it is
- * silent, and its runs may continue until their lease has expired. since_ms: a
- * time before the removal; 0: unknown. store_healthy: the store has had no
- * failures, so entries are removed only because the worker left or stopped
- * renewing. */
+ * is true, the worker has left, and the runs that are older than that have
+ * ended; later ones may be on a process that has started since, which a poll
+ * shows. Otherwise it is silent, and its runs may continue until their lease
+ * has expired. since_ms: a time before the removal; 0: unknown. store_healthy:
+ * the store has had no failures, so entries are removed only because the worker
+ * left or stopped renewing. */
 void gr_steps_worker_unregistered (struct gr_steps *steps,
                                    const char *worker,
                                    int64_t since_ms,
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -328,6 +328,86 @@
                 < (int64_t)(steps->settings.heartbeat_ms * LEFT_HEARTBEATS);
 }
 
+/* Returns a time before the departure of the process whose entry was removed.
+ * If it is the one that the last report is from, it was there when the poll was
+ * sent. */
+static int64_t
+departure_since_ms (const struct worker *worker, int64_t since_ms)
+{
+  bool present =
+      worker->entry_incarnation_unix_ms != 0
+      && worker->entry_incarnation_unix_ms == worker->incarnation_unix_ms;
+
+  return present ? MAX (since_ms, worker->reported_ms) : since_ms;
+}
+
+/* A later run, or one whose start may still take effect, can be on a process
+ * that has started since. */
+static bool
+is_older (const struct task *task, int64_t departure_ms)
+{
+  if (!task->start_sent && task->confirmed_ms == 0)
+    return true;
+  return task->confirmed_ms != 0 && task->confirmed_ms <= departure_ms;
+}
+
+static void
+log_departure (const struct gr_steps *steps,
+               const struct worker *worker,
+               int64_t since_ms,
+               uint32_t released)
+{
+  char ages[3][24];
+  char runs[2][16];
+
+  g_snprintf (runs[0], sizeof runs[0], "%u", released);
+  g_snprintf (runs[1], sizeof runs[1], "%u", worker->tasks->len);
+  gr_log_event ("worker-left", "worker", worker->id, "renewed_ms",
+                gr_loss_age (steps, worker->renewed_ms, ages[0]), "reported_ms",
+                gr_loss_age (steps, worker->reported_ms, ages[1]), "since_ms",
+                gr_loss_age (steps, since_ms, ages[2]), "released", runs[0],
+                "kept", runs[1], NULL);
+}
+
+/* Releases the runs on a worker that has left. For those that may be later than
+ * that, a poll is needed; if it gets no answer, their lease decides. */
+static void
+release_older_runs (struct gr_steps *steps,
+                    struct worker *worker,
+                    int64_t since_ms)
+{
+  const struct gr_loss loss = { GR_LOSS_LEFT,
+                                departure_since_ms (worker, since_ms) };
+  uint32_t released = 0;
+
+  for (guint i = worker->tasks->len; i-- > 0;)
+    {
+      struct task *task;
+      struct step *step;
+
+      /* The end of a gang can release several tasks. */
+      if (i >= worker->tasks->len)
+        continue;
+      task = worker->tasks->pdata[i];
+      step = task->step;
+      if (!is_older (task, loss.observed_ms))
+        continue;
+      gr_loss_release (steps, task, &loss);
+      released++;
+      if (step->spec->gang)
+        gr_gang_abort (steps, step);
+    }
+  log_departure (steps, worker, since_ms, released);
+  gr_samples_forget_worker (steps, worker);
+  if (worker->tasks->len > 0)
+    {
+      gr_worker_request_poll (steps, worker);
+      return;
+    }
+  worker->polled = true;
+  worker->lease_until_ms = 0;
+}
+
 void
 gr_steps_worker_unregistered (struct gr_steps *steps,
                               const char *id,
@@ -336,7 +416,6 @@
                               int64_t now_ms)
 {
   struct worker *worker = gr_worker_find (steps, id);
-  const struct gr_loss loss = { GR_LOSS_LEFT, since_ms };
   char renewed[24];
   char reported[24];
 
@@ -353,12 +432,7 @@
                     "reported_ms", reported, NULL);
       return;
     }
-  gr_log_event ("worker-left", "worker", id, "renewed_ms", renewed,
-                "reported_ms", reported, NULL);
-  worker->polled = true;
-  worker->lease_until_ms = 0;
-  gr_loss_release_all (steps, worker, &loss);
-  gr_samples_forget_worker (steps, worker);
+  release_older_runs (steps, worker, since_ms);
 }
 
 void
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -342,6 +342,51 @@
 }
 END_TEST
 
+/* One answer held the removal of an entry and the entry of the next process of
+ * the worker. The removal released a run that had been started on that process
+ * in the meantime, and it was started a second time. */
+START_TEST (removal_does_not_end_runs_that_may_be_later)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
+  uint32_t worker;
+
+  one.count = 1;
+  steps_model_run (model, 2000);
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 100);
+  worker = busy_worker (model);
+  steps_model_renew_entry (model, worker, 900);
+  steps_model_unregister_worker (model, worker, 400);
+  steps_model_run (model, 200);
+  steps_model_renew_entry (model, worker, 100);
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* Guards against work that waits for a lease although a report shows that it
+ * was older than the departure of its worker. */
+START_TEST (removal_ends_runs_that_were_reported_before)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
+  uint32_t worker;
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 4000);
+  worker = busy_worker (model);
+  steps_model_set_worker_unreachable (model, worker, true);
+  steps_model_renew_entry (model, worker, 900);
+  steps_model_unregister_worker (model, worker, 400);
+  steps_model_run (model, 40);
+  ck_assert_uint_eq (steps_model_task_starts (model, 1, 0), 2);
+  steps_model_destroy (model);
+}
+END_TEST
+
 /* While the store loses writes, the registry entry of a live worker can expire.
  * After a takeover at that moment, the worker's active runs were started a
  * second time. */
@@ -626,6 +671,8 @@
   tcase_add_test (tests, expiry_reported_with_the_last_renewal_is_no_departure);
   tcase_add_test (tests, late_entry_of_a_former_process_is_ignored);
   tcase_add_test (tests, removed_entry_of_a_former_process_is_no_departure);
+  tcase_add_test (tests, removal_does_not_end_runs_that_may_be_later);
+  tcase_add_test (tests, removal_ends_runs_that_were_reported_before);
   tcase_add_test (tests, worker_with_expired_entry_is_waited_for);
   tcase_add_test (tests, start_without_a_result_is_abandoned);
   tcase_add_test (tests, waiting_stops_are_not_queued_again);
