steps, instance: count remaining-ms from the writing of the entry

Work on a worker about to leave could be stopped too late to be saved: the time that is left was counted from when the entry was handled, less a fixed guess of 600 ms, although an answer of the store can be seconds late. With 600 ms or less left, the guess made the time unknown, so nothing was moved any more.

The time now counts from the lower bound that the registry gives for the write, or, for an entry whose age is unknown, from one heartbeat ago.

The new test failed before: with a notice of 3 s that was 2.8 s late, no run was stopped and started elsewhere within 400 ms (4 starts instead of 8).

--- a/instance/owner.c
+++ b/instance/owner.c
@@ -36,9 +36,6 @@
 /* Period of the core's scheduling passes when no event triggers one. */
 #define TICK_MS 100
 
-/* A registry entry may have been written this long before it is processed. */
-#define REGISTRY_LAG_MS 600
-
 /* Period for publishing which jobs have started. Counts shown to clients may
  * be 2 s old. */
 #define PUBLISH_PERIOD_MS 900
@@ -238,7 +235,7 @@
     .labels = (const char *const *)entry->labels,
     .capacity = entry->capacity,
     .draining = entry->draining,
-    .remaining_ms = MAX (entry->remaining_ms - REGISTRY_LAG_MS, 0),
+    .remaining_ms = entry->remaining_ms,
     .incarnation_unix_ms = entry->incarnation_unix_ms,
     .entry_revision = revision,
     .since_ms = since_ms,
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -59,8 +59,8 @@
   const char *const *labels; /* NULL-terminated */
   struct gr_resources capacity;
   bool draining;
-  int64_t remaining_ms; /* while draining: minimum time until it leaves; 0:
-                           unknown */
+  int64_t remaining_ms; /* while draining: minimum time from when the entry was
+                           written until it leaves; 0: unknown */
   int64_t incarnation_unix_ms; /* start of this incarnation; 0 if unknown */
   int64_t entry_revision; /* revision of its registry entry; rises with each
                              heartbeat */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -187,6 +187,15 @@
   gr_evacuation_update_worker (steps, worker);
 }
 
+/* Returns a time before the entry was written. Each heartbeat writes it anew,
+ * so an entry of unknown age is hardly older than that. */
+static int64_t
+written_ms (const struct gr_steps *steps, const struct gr_steps_worker *row)
+{
+  return row->since_ms != 0 ? row->since_ms
+                            : steps->now_ms - steps->settings.heartbeat_ms;
+}
+
 static bool
 is_of_former_process (const struct worker *worker,
                       const struct gr_steps_worker *row)
@@ -256,7 +265,7 @@
   if (row->remaining_ms == 0)
     worker->earliest_leave_ms = 0;
   else if (!worker->draining || row->entry_revision != worker->entry_revision)
-    worker->earliest_leave_ms = now_ms + row->remaining_ms;
+    worker->earliest_leave_ms = written_ms (steps, row) + row->remaining_ms;
   worker->draining = row->draining;
   if (row->since_ms != 0 && row->entry_revision > worker->entry_revision)
     worker->renewed_ms = row->since_ms;
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -403,10 +403,12 @@
 void
 steps_model_notify_leave (struct steps_model *model,
                           uint32_t worker,
-                          int64_t remaining_ms)
+                          int64_t remaining_ms,
+                          int64_t late_ms)
 {
   get_worker (model, worker)->remaining_ms = remaining_ms;
-  steps_model_drain_worker (model, worker, true);
+  get_worker (model, worker)->draining = true;
+  register_entry (model, get_worker (model, worker), model->now_ms - late_ms);
 }
 
 void
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -133,11 +133,12 @@
 void steps_model_evacuate (struct steps_model *model,
                            const char *data_centre,
                            bool evacuated);
-/* The worker starts to drain and announces that it does not leave within
- * remaining_ms. */
+/* The core is told that the worker has announced, up to late_ms ago, that it
+ * drains and does not leave within remaining_ms of that. */
 void steps_model_notify_leave (struct steps_model *model,
                                uint32_t worker,
-                               int64_t remaining_ms);
+                               int64_t remaining_ms,
+                               int64_t late_ms);
 /* Swaps the order in which the model handles two workers. */
 void
 steps_model_swap_workers (struct steps_model *model, uint32_t a, uint32_t b);
--- a/tests/test-preemption.c
+++ b/tests/test-preemption.c
@@ -207,7 +207,7 @@
   saved.checkpointing = true;
   steps_model_add_job (model, 1, "batch", "", &saved, 1, 20000);
   steps_model_run (model, 2500);
-  steps_model_notify_leave (model, 0, 1500);
+  steps_model_notify_leave (model, 0, 1500, 0);
   steps_model_run (model, 1500);
   ck_assert_uint_eq (steps_model_running (model, 1), 0);
   ck_assert_double_le (steps_model_wasted_accelerator_s (model), 0.01);
--- a/tests/test-samples.c
+++ b/tests/test-samples.c
@@ -210,7 +210,7 @@
 static void
 drain_worker (struct steps_model *model)
 {
-  steps_model_notify_leave (model, 0, 20000);
+  steps_model_notify_leave (model, 0, 20000, 0);
 }
 
 static void
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -553,7 +553,7 @@
 
   steps_model_add_job (model, 1, "normal", "a", step, 1, work_ms);
   steps_model_run (model, 2500);
-  steps_model_notify_leave (model, busy_worker (model), 1500);
+  steps_model_notify_leave (model, busy_worker (model), 1500, 0);
   steps_model_run (model, 1500);
   return model;
 }
@@ -575,6 +575,24 @@
 }
 END_TEST
 
+/* The time that is left was counted from when the entry was handled. After a
+ * late answer of the store the work was stopped too late to be saved. */
+START_TEST (time_until_a_worker_leaves_counts_from_the_notice)
+{
+  struct gr_step_spec saved = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
+
+  saved.checkpointing = true;
+  saved.estimate_ms = 10000;
+  steps_model_add_job (model, 1, "normal", "a", &saved, 1, 10000);
+  steps_model_run (model, 2500);
+  steps_model_notify_leave (model, busy_worker (model), 3000, 2800);
+  steps_model_run (model, 400);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 8);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* Work that ends before its worker leaves must not be stopped. */
 START_TEST (work_that_ends_in_time_stays_on_a_leaving_worker)
 {
@@ -680,6 +698,7 @@
   tcase_add_test (tests, placement_pauses_while_starts_are_queued);
   tcase_add_test (tests, confirmed_stop_ends_at_the_next_poll);
   tcase_add_test (tests, work_is_saved_before_a_worker_leaves);
+  tcase_add_test (tests, time_until_a_worker_leaves_counts_from_the_notice);
   tcase_add_test (tests, work_that_ends_in_time_stays_on_a_leaving_worker);
   tcase_add_test (tests, work_that_cannot_be_saved_stays_on_a_leaving_worker);
   tcase_add_test (tests, gang_larger_than_a_rack_does_not_wait_for_one);
