--- a/instance/owner.c
+++ b/instance/owner.c
@@ -36,9 +36,6 @@
 /* Period of the core's scheduling passes when no event triggers one. */
 #define TICK_MS 100
 
-/* A registry entry may have been written this long before it is processed. */
-#define REGISTRY_LAG_MS 600
-
 /* Period for publishing which jobs have started. Counts shown to clients may
  * be 2 s old. */
 #define PUBLISH_PERIOD_MS 900
@@ -226,6 +223,7 @@
 static void
 set_worker (const struct gr_registry_entry *entry,
             int64_t revision,
+            int64_t since_ms,
             void *context)
 {
   struct gr_owner *owner = context;
@@ -237,13 +235,15 @@
     .labels = (const char *const *)entry->labels,
     .capacity = entry->capacity,
     .draining = entry->draining,
-    .remaining_ms = MAX (entry->remaining_ms - REGISTRY_LAG_MS, 0),
+    .remaining_ms = entry->remaining_ms,
     .incarnation_unix_ms = entry->incarnation_unix_ms,
     .entry_revision = revision,
+    .since_ms = since_ms,
   };
 
-  gr_steps_set_worker (owner->steps, &worker,
-                       gr_clock_now_ms (owner->deps.clock));
+  if (!gr_steps_set_worker (owner->steps, &worker,
+                            gr_clock_now_ms (owner->deps.clock)))
+    return;
   gr_worker_io_set_address (owner->io, entry->worker, entry->address);
   if (g_strcmp0 (g_hash_table_lookup (owner->addresses, entry->worker),
                  entry->address)
@@ -270,11 +270,12 @@
 }
 
 static void
-worker_unregistered (const char *worker, void *context)
+worker_unregistered (const char *worker, int64_t since_ms, void *context)
 {
   struct gr_owner *owner = context;
 
-  gr_steps_worker_unregistered (owner->steps, worker, store_is_stable (owner),
+  gr_steps_worker_unregistered (owner->steps, worker, since_ms,
+                                store_is_stable (owner),
                                 gr_clock_now_ms (owner->deps.clock));
 }
 
@@ -561,7 +562,7 @@
       g_timeout_add (PUBLISH_PERIOD_MS, on_publish_timer, owner);
   reload (owner);
   owner->registry = gr_worker_registry_create (
-      deps->store,
+      deps->store, deps->clock,
       &(struct gr_worker_registry_events){ set_worker, worker_unregistered,
                                            registry_current, owner });
   return owner;
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -61,11 +61,12 @@
   const char *const *labels; /* NULL-terminated */
   struct gr_resources capacity;
   bool draining;
-  int64_t remaining_ms; /* while draining: minimum time until it leaves; 0:
-                           unknown */
+  int64_t remaining_ms; /* while draining: minimum time from when the entry was
+                           written until it leaves; 0: unknown */
   int64_t incarnation_unix_ms; /* start of this incarnation; 0 if unknown */
   int64_t entry_revision; /* revision of its registry entry; rises with each
                              heartbeat */
+  int64_t since_ms;       /* a time before the entry was written; 0: unknown */
 };
 
 enum gr_job_state
@@ -220,18 +221,23 @@
 void gr_steps_set_guarantee (struct gr_steps *steps,
                              const char *account,
                              uint32_t accelerators);
-/* Adds a worker, or updates it, from its registry entry. */
-void gr_steps_set_worker (struct gr_steps *steps,
+/* Adds a worker, or updates it, from its registry entry. Returns false, without
+ * effect on the worker, if a former process of it wrote the entry: a write can
+ * be carried out seconds late. */
+bool gr_steps_set_worker (struct gr_steps *steps,
                           const struct gr_steps_worker *worker,
                           int64_t now_ms);
 /* Records that the worker has no registry entry any more. If its entry was
- * renewed less than two heartbeats ago and store_healthy is true, the worker
- * has left, and all its runs have ended. Otherwise it is silent, and its runs
- * may continue until their lease has expired. store_healthy: the store has had
- * no failures, so entries are removed only because the worker left or stopped
- * renewing. */
+ * certainly renewed less than two and a half heartbeats ago and store_healthy
+ * is true, the worker has left, and the runs that are older than that have
+ * ended; later ones may be on a process that has started since, which a poll
+ * shows. Otherwise it is silent, and its runs may continue until their lease
+ * has expired. since_ms: a time before the removal; 0: unknown. store_healthy:
+ * the store has had no failures, so entries are removed only because the worker
+ * left or stopped renewing. */
 void gr_steps_worker_unregistered (struct gr_steps *steps,
                                    const char *worker,
+                                   int64_t since_ms,
                                    bool store_healthy,
                                    int64_t now_ms);
 /* Adds a worker that a former owner has handed over: it may have active runs,
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -17,6 +17,12 @@
  * take 200 ms, and their ends are read within about 100 ms more. */
 #define RESERVATION_MS 1500
 
+/* An entry expires three heartbeats after its last renewal. A worker that
+ * leaves has renewed its entry up to one heartbeat before; the watch of the
+ * registry adds up to 1.4 s to the age of the renewal and 0.4 s until the
+ * removal is handled, with heartbeats of 1.5 s. */
+#define LEFT_HEARTBEATS 2.5
+
 struct worker *
 gr_worker_find (struct gr_steps *steps, const char *id)
 {
@@ -179,7 +185,42 @@
   gr_evacuation_update_worker (steps, worker);
 }
 
-void
+/* Returns a time before the entry was written. Each heartbeat writes it anew,
+ * so an entry of unknown age is hardly older than that. */
+static int64_t
+written_ms (const struct gr_steps *steps, const struct gr_steps_worker *row)
+{
+  return row->since_ms != 0 ? row->since_ms
+                            : steps->now_ms - steps->settings.heartbeat_ms;
+}
+
+static bool
+is_of_former_process (const struct worker *worker,
+                      const struct gr_steps_worker *row)
+{
+  return row->incarnation_unix_ms != 0
+         && row->incarnation_unix_ms < worker->incarnation_unix_ms;
+}
+
+static void
+log_former_entry (const struct gr_steps *steps,
+                  const struct worker *worker,
+                  const struct gr_steps_worker *row)
+{
+  char incarnations[2][24];
+  char since[24];
+
+  g_snprintf (incarnations[0], sizeof incarnations[0], "%" G_GINT64_FORMAT,
+              row->incarnation_unix_ms);
+  g_snprintf (incarnations[1], sizeof incarnations[1], "%" G_GINT64_FORMAT,
+              worker->incarnation_unix_ms);
+  gr_log_event ("worker-entry-outdated", "worker", worker->id,
+                "entry_incarnation", incarnations[0], "incarnation",
+                incarnations[1], "since_ms",
+                gr_loss_age (steps, row->since_ms, since), NULL);
+}
+
+bool
 gr_steps_set_worker (struct gr_steps *steps,
                      const struct gr_steps_worker *row,
                      int64_t now_ms)
@@ -187,6 +228,13 @@
   struct worker *worker = gr_worker_find (steps, row->id);
 
   steps->now_ms = now_ms;
+  if (worker != NULL && is_of_former_process (worker, row))
+    {
+      log_former_entry (steps, worker, row);
+      worker->entry_revision = row->entry_revision;
+      worker->entry_incarnation_unix_ms = row->incarnation_unix_ms;
+      return false;
+    }
   if (worker == NULL)
     {
       worker = worker_create (steps, row->id);
@@ -215,16 +263,15 @@
   if (row->remaining_ms == 0)
     worker->earliest_leave_ms = 0;
   else if (!worker->draining || row->entry_revision != worker->entry_revision)
-    worker->earliest_leave_ms = now_ms + row->remaining_ms;
+    worker->earliest_leave_ms = written_ms (steps, row) + row->remaining_ms;
   worker->draining = row->draining;
-  /* The first read of an entry does not show how old it is, so it does not
-   * count as a renewal. */
-  if (worker->entry_revision != 0
-      && row->entry_revision > worker->entry_revision)
-    worker->renewed_ms = now_ms;
+  if (row->since_ms != 0 && row->entry_revision > worker->entry_revision)
+    worker->renewed_ms = row->since_ms;
   worker->entry_revision = row->entry_revision;
+  worker->entry_incarnation_unix_ms = row->incarnation_unix_ms;
   worker->registered = true;
   worker->unregistered_ms = 0;
+  return true;
 }
 
 void
@@ -275,14 +322,107 @@
   return worker ? worker->tasks->len : 0;
 }
 
+/* Returns whether the entry was that of the present process, and was removed
+ * too soon after its renewal to have expired. */
+static bool
+has_left (const struct gr_steps *steps, const struct worker *worker)
+{
+  if (worker->entry_incarnation_unix_ms != 0
+      && worker->entry_incarnation_unix_ms < worker->incarnation_unix_ms)
+    return false;
+  return worker->renewed_ms != 0
+         && steps->now_ms - worker->renewed_ms
+                < (int64_t)(steps->settings.heartbeat_ms * LEFT_HEARTBEATS);
+}
+
+/* Returns a time before the departure of the process whose entry was removed.
+ * If it is the one that the last report is from, it was there when the poll was
+ * sent. */
+static int64_t
+departure_since_ms (const struct worker *worker, int64_t since_ms)
+{
+  bool present =
+      worker->entry_incarnation_unix_ms != 0
+      && worker->entry_incarnation_unix_ms == worker->incarnation_unix_ms;
+
+  return present ? MAX (since_ms, worker->reported_ms) : since_ms;
+}
+
+/* A later run, or one whose start may still take effect, can be on a process
+ * that has started since. */
+static bool
+is_older (const struct task *task, int64_t departure_ms)
+{
+  if (!task->start_sent && task->confirmed_ms == 0)
+    return true;
+  return task->confirmed_ms != 0 && task->confirmed_ms <= departure_ms;
+}
+
+static void
+log_departure (const struct gr_steps *steps,
+               const struct worker *worker,
+               int64_t since_ms,
+               uint32_t released)
+{
+  char ages[3][24];
+  char runs[2][16];
+
+  g_snprintf (runs[0], sizeof runs[0], "%u", released);
+  g_snprintf (runs[1], sizeof runs[1], "%u", worker->tasks->len);
+  gr_log_event ("worker-left", "worker", worker->id, "renewed_ms",
+                gr_loss_age (steps, worker->renewed_ms, ages[0]), "reported_ms",
+                gr_loss_age (steps, worker->reported_ms, ages[1]), "since_ms",
+                gr_loss_age (steps, since_ms, ages[2]), "released", runs[0],
+                "kept", runs[1], NULL);
+}
+
+/* Releases the runs on a worker that has left. For those that may be later than
+ * that, a poll is needed; if it gets no answer, their lease decides. */
+static void
+release_older_runs (struct gr_steps *steps,
+                    struct worker *worker,
+                    int64_t since_ms)
+{
+  const struct gr_loss loss = { GR_LOSS_LEFT,
+                                departure_since_ms (worker, since_ms) };
+  uint32_t released = 0;
+
+  for (guint i = worker->tasks->len; i-- > 0;)
+    {
+      struct task *task;
+      struct step *step;
+
+      /* The end of a gang can release several tasks. */
+      if (i >= worker->tasks->len)
+        continue;
+      task = worker->tasks->pdata[i];
+      step = task->step;
+      if (!is_older (task, loss.observed_ms))
+        continue;
+      gr_loss_release (steps, task, &loss);
+      released++;
+      if (step->spec->gang)
+        gr_gang_abort (steps, step);
+    }
+  log_departure (steps, worker, since_ms, released);
+  gr_samples_forget_worker (steps, worker);
+  if (worker->tasks->len > 0)
+    {
+      gr_worker_request_poll (steps, worker);
+      return;
+    }
+  worker->polled = true;
+  worker->lease_until_ms = 0;
+}
+
 void
 gr_steps_worker_unregistered (struct gr_steps *steps,
                               const char *id,
+                              int64_t since_ms,
                               bool store_healthy,
                               int64_t now_ms)
 {
   struct worker *worker = gr_worker_find (steps, id);
-  const struct gr_loss loss = { GR_LOSS_LEFT, 0 };
   char renewed[24];
   char reported[24];
 
@@ -293,20 +433,13 @@
   worker->unregistered_ms = now_ms;
   gr_loss_age (steps, worker->renewed_ms, renewed);
   gr_loss_age (steps, worker->reported_ms, reported);
-  if (!store_healthy || worker->renewed_ms == 0
-      || now_ms - worker->renewed_ms
-             >= (int64_t)steps->settings.heartbeat_ms * 2)
+  if (!store_healthy || !has_left (steps, worker))
     {
       gr_log_event ("worker-silent", "worker", id, "renewed_ms", renewed,
                     "reported_ms", reported, NULL);
       return;
     }
-  gr_log_event ("worker-left", "worker", id, "renewed_ms", renewed,
-                "reported_ms", reported, NULL);
-  worker->polled = true;
-  worker->lease_until_ms = 0;
-  gr_loss_release_all (steps, worker, &loss);
-  gr_samples_forget_worker (steps, worker);
+  release_older_runs (steps, worker, since_ms);
 }
 
 void
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -272,13 +272,121 @@
   steps_model_run (model, 500);
   steps_model_new_owner (model);
   steps_model_run (model, 300);
-  steps_model_unregister_worker (model, busy_worker (model));
+  steps_model_unregister_worker (model, busy_worker (model), 0);
   steps_model_run (model, 1000);
   ck_assert_uint_eq (steps_model_starts (model, 1), 1);
   steps_fixture_destroy (model);
 }
 END_TEST
 
+/* After an answer of the store that was seconds late, the last renewal and the
+ * expiry of an entry 4.5 s later were handled together. The worker was treated
+ * as one that had left, and its active runs were started a second time. */
+START_TEST (expiry_reported_with_the_last_renewal_is_no_departure)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 6000);
+  steps_model_renew_entry (model, busy_worker (model), 4900);
+  steps_model_unregister_worker (model, busy_worker (model), 4900);
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* An entry that a former process of a worker wrote late made the worker drain,
+ * so it got no work until the next heartbeat. */
+START_TEST (late_entry_of_a_former_process_is_ignored)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (1, 1);
+
+  one.count = 1;
+  steps_model_run (model, 500);
+  steps_model_restart_worker (model, 0);
+  steps_model_run (model, 500);
+  steps_model_write_former_entry (model, 0);
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 2000);
+  steps_model_run (model, 500);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* The removal of such an entry was treated as the departure of the worker, and
+ * the active runs of its present process were started a second time. */
+START_TEST (removed_entry_of_a_former_process_is_no_departure)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (2, 1);
+
+  one.count = 1;
+  steps_model_run (model, 500);
+  steps_model_restart_worker (model, 0);
+  steps_model_restart_worker (model, 1);
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 3000);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      steps_model_write_former_entry (model, i);
+      steps_model_unregister_worker (model, i, 0);
+      steps_model_renew_entry (model, i, 0);
+    }
+  steps_model_run (model, 500);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* One answer held the removal of an entry and the entry of the next process of
+ * the worker. The removal released a run that had been started on that process
+ * in the meantime, and it was started a second time. */
+START_TEST (removal_does_not_end_runs_that_may_be_later)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
+  uint32_t worker;
+
+  one.count = 1;
+  steps_model_run (model, 2000);
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 100);
+  worker = busy_worker (model);
+  steps_model_renew_entry (model, worker, 900);
+  steps_model_unregister_worker (model, worker, 400);
+  steps_model_run (model, 200);
+  steps_model_renew_entry (model, worker, 100);
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* Guards against work that waits for a lease although a report shows that it
+ * was older than the departure of its worker. */
+START_TEST (removal_ends_runs_that_were_reported_before)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
+  uint32_t worker;
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 4000);
+  worker = busy_worker (model);
+  steps_model_set_worker_unreachable (model, worker, true);
+  steps_model_renew_entry (model, worker, 900);
+  steps_model_unregister_worker (model, worker, 400);
+  steps_model_run (model, 40);
+  ck_assert_uint_eq (steps_model_task_starts (model, 1, 0), 2);
+  steps_model_destroy (model);
+}
+END_TEST
+
 /* While the store loses writes, the registry entry of a live worker can expire.
  * After a takeover at that moment, the worker's active runs were started a
  * second time. */
@@ -445,7 +553,7 @@
 
   steps_model_add_job (model, 1, "normal", "a", step, 1, work_ms);
   steps_model_run (model, 2500);
-  steps_model_notify_leave (model, busy_worker (model), 1500);
+  steps_model_notify_leave (model, busy_worker (model), 1500, 0);
   steps_model_run (model, 1500);
   return model;
 }
@@ -467,6 +575,24 @@
 }
 END_TEST
 
+/* The time that is left was counted from when the entry was handled. After a
+ * late answer of the store the work was stopped too late to be saved. */
+START_TEST (time_until_a_worker_leaves_counts_from_the_notice)
+{
+  struct gr_step_spec saved = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
+
+  saved.checkpointing = true;
+  saved.estimate_ms = 10000;
+  steps_model_add_job (model, 1, "normal", "a", &saved, 1, 10000);
+  steps_model_run (model, 2500);
+  steps_model_notify_leave (model, busy_worker (model), 3000, 2800);
+  steps_model_run (model, 400);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 8);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* Work that ends before its worker leaves must not be stopped. */
 START_TEST (work_that_ends_in_time_stays_on_a_leaving_worker)
 {
@@ -560,6 +686,11 @@
   tcase_add_test (tests, silent_worker_is_waited_for);
   tcase_add_test (tests, queued_start_orders_extend_the_lease);
   tcase_add_test (tests, first_read_of_an_entry_does_not_count_as_heartbeat);
+  tcase_add_test (tests, expiry_reported_with_the_last_renewal_is_no_departure);
+  tcase_add_test (tests, late_entry_of_a_former_process_is_ignored);
+  tcase_add_test (tests, removed_entry_of_a_former_process_is_no_departure);
+  tcase_add_test (tests, removal_does_not_end_runs_that_may_be_later);
+  tcase_add_test (tests, removal_ends_runs_that_were_reported_before);
   tcase_add_test (tests, worker_with_expired_entry_is_waited_for);
   tcase_add_test (tests, start_without_a_result_is_abandoned);
   tcase_add_test (tests, waiting_stops_are_not_queued_again);
@@ -567,6 +698,7 @@
   tcase_add_test (tests, placement_pauses_while_starts_are_queued);
   tcase_add_test (tests, confirmed_stop_ends_at_the_next_poll);
   tcase_add_test (tests, work_is_saved_before_a_worker_leaves);
+  tcase_add_test (tests, time_until_a_worker_leaves_counts_from_the_notice);
   tcase_add_test (tests, work_that_ends_in_time_stays_on_a_leaving_worker);
   tcase_add_test (tests, work_that_cannot_be_saved_stays_on_a_leaving_worker);
   tcase_add_test (tests, gang_larger_than_a_rack_does_not_wait_for_one);
