scheduler: the term of a lease counts from its command

A task could be started again while it ran. The core takes a lease for ended 3 s (GR_WORKER_LOST_CALL_MS) after the term of its last grant or renewal, counted from the command. A command can wait longer in the queue of its worker: behind calls without answers, or while the owner has not confirmed that it still owns the shard. It was then sent with its full term, so the lease outlasted the end that the core assumes by the time that the command had waited. Now the time that a grant or renewal has waited is taken off its term, at each try, and after its term it is not sent and ends like a call without an answer (event worker-command-outdated). So the lease ends at most one call after the time that the core knows.

--- a/scheduler/worker-io.c
+++ b/scheduler/worker-io.c
@@ -1,5 +1,7 @@
 #include "scheduler/worker-io.h"
 
+#include "common/log.h"
+
 #include <string.h>
 
 /* Delay before a command is retried, and before checking again whether queued
@@ -20,6 +22,7 @@
   enum call_kind kind;
   struct gr_command command;
   char *spec;
+  int64_t queued_ms;
 };
 
 struct worker
@@ -240,6 +243,42 @@
 
 /* --- Calls -------------------------------------------------------------- */
 
+/* The core counts the term of a lease from its command. Counted from the time
+ * at which the command is sent, a lease could outlast the end that the core
+ * assumes, and its task would be started again while it runs. */
+static int64_t
+remaining_term_ms (const struct worker *worker, const struct call *call)
+{
+  int64_t now_ms = gr_clock_now_ms (worker->io->clock);
+
+  return call->command.term_ms - (now_ms - call->queued_ms);
+}
+
+static bool
+is_outdated (const struct worker *worker, const struct call *call)
+{
+  return call->kind == CALL_COMMAND
+         && (call->command.kind == GR_COMMAND_GRANT
+             || call->command.kind == GR_COMMAND_RENEW)
+         && remaining_term_ms (worker, call) <= 0;
+}
+
+/* Ends the call at the head of the queue, whose term is over, without sending
+ * it. */
+static void
+end_outdated (struct worker *worker, const struct call *call)
+{
+  char term[24];
+
+  g_snprintf (term, sizeof term, "%" G_GINT64_FORMAT,
+              (gint64)call->command.term_ms);
+  gr_log_event ("worker-command-outdated", "worker", worker->name, "lease",
+                call->command.lease, "term_ms", term, NULL);
+  worker->batch_size = 1;
+  finish_batch (worker, GR_ERROR_TIMEOUT);
+}
+
+/* The term is that of the first renewal, which has waited longest. */
 static void
 send_renewals (struct worker *worker)
 {
@@ -259,7 +298,7 @@
     }
   worker->batch_size = n;
   gr_worker_renew (worker->io->client, worker->address, leases, n,
-                   first->command.term_ms, GR_WORKER_CALL_TIMEOUT_MS,
+                   remaining_term_ms (worker, first), GR_WORKER_CALL_TIMEOUT_MS,
                    command_done, worker);
 }
 
@@ -286,7 +325,7 @@
     {
     case GR_COMMAND_GRANT:
       gr_worker_grant (io->client, worker->address, command->lease, io->holder,
-                       command->accelerators, command->term_ms,
+                       command->accelerators, remaining_term_ms (worker, call),
                        GR_WORKER_CALL_TIMEOUT_MS, command_done, worker);
       break;
     case GR_COMMAND_RENEW:
@@ -346,16 +385,30 @@
   return NULL;
 }
 
-static void
-start_next (struct worker *worker)
+/* Moves the next call that may be sent to the head of the queue. */
+static const struct call *
+next_call (struct worker *worker)
 {
   const struct call *call = g_queue_peek_head (&worker->calls);
 
-  if (worker->in_flight || worker->next_timer != 0 || call == NULL)
-    return;
-  if (call->kind == CALL_COMMAND
+  if (call != NULL && call->kind == CALL_COMMAND
       && !worker->io->events.may_command (worker->io->context))
     call = promote_allowed_call (worker);
+  return call;
+}
+
+static void
+start_next (struct worker *worker)
+{
+  const struct call *call;
+
+  if (worker->in_flight || worker->next_timer != 0
+      || g_queue_is_empty (&worker->calls))
+    return;
+  while ((call = next_call (worker)) != NULL && is_outdated (worker, call))
+    end_outdated (worker, call);
+  if (g_queue_is_empty (&worker->calls))
+    return;
   if (call == NULL)
     start_next_later (worker, RETRY_MS);
   else if (call->kind == CALL_REPORT)
@@ -493,6 +546,7 @@
   call->command = *command;
   call->command.spec = NULL;
   call->spec = g_strdup (command->spec);
+  call->queued_ms = gr_clock_now_ms (io->clock);
   g_queue_push_tail (&worker->calls, call);
   io->pending++;
   start_next (worker);
--- a/scheduler/worker-io.h
+++ b/scheduler/worker-io.h
@@ -87,8 +87,10 @@
 /* Polls all workers now. */
 void gr_worker_io_poll_all (struct gr_worker_io *io);
 
-/* Queues a copy of a command. Its kind must not be commit. For an unknown
- * worker the event command_result is emitted at once, with kind no-target. */
+/* Queues a copy of a command. Its kind must not be commit. The term of a grant
+ * or renewal counts from this call: what it has waited is taken off, and after
+ * its term it is not sent and ends with kind timeout. For an unknown worker the
+ * event command_result is emitted at once, with kind no-target. */
 void gr_worker_io_send (struct gr_worker_io *io,
                         const struct gr_command *command);
 
--- a/tests/test-worker-io.c
+++ b/tests/test-worker-io.c
@@ -20,6 +20,7 @@
   bool may_command;
   bool may_renew;
   int reports;
+  int64_t remaining_ms; /* of the first lease in the last report */
   int n_results;
   enum gr_command_kind kinds[MAX_RESULTS];
   enum gr_error_kind outcomes[MAX_RESULTS];
@@ -52,8 +53,11 @@
 static void
 on_report (const struct gr_worker_report *report, void *context)
 {
+  struct fixture *f = context;
+
   ck_assert_str_eq (report->worker, "w1");
-  ((struct fixture *)context)->reports++;
+  f->remaining_ms = report->n_leases > 0 ? report->leases[0].remaining_ms : -1;
+  f->reports++;
 }
 
 static void
@@ -114,7 +118,7 @@
   };
 
   fixture = g_new0 (struct fixture, 1);
-  fixture->clock = gr_clock_create ();
+  fixture->clock = gr_clock_create_manual (0);
   fixture->counters = gr_counters_create ();
   fixture->worker = gr_standin_worker_create ("127.0.0.1:0", &settings, &error);
   fixture->base = gr_standin_worker_base (fixture->worker);
@@ -248,6 +252,44 @@
 }
 END_TEST
 
+/* Guards against a lease that outlasts its term at the core, which then starts
+ * the task again while it runs, because its renewal waited in the queue. */
+START_TEST (waiting_renewals_do_not_prolong_leases)
+{
+  send (GR_COMMAND_GRANT, 0);
+  wait_for (&fixture->n_results, 1);
+  fixture->may_command = false;
+  send (GR_COMMAND_RENEW, 0);
+  gr_clock_advance (fixture->clock, 3000);
+  fixture->may_command = true;
+  wait_for (&fixture->n_results, 2);
+  check_result (1, GR_COMMAND_RENEW, GR_ERROR_NONE);
+  fixture->reports = 0;
+  gr_worker_io_poll_all (fixture->io);
+  wait_for (&fixture->reports, 1);
+  ck_assert_int_ge (fixture->remaining_ms, 0);
+  ck_assert_int_le (fixture->remaining_ms, 2000);
+}
+END_TEST
+
+/* Guards against grants and renewals that are sent after their term is over. */
+START_TEST (outdated_terms_are_not_sent)
+{
+  fixture->may_command = false;
+  send (GR_COMMAND_GRANT, 0);
+  send (GR_COMMAND_RENEW, 1);
+  gr_clock_advance (fixture->clock, 5000);
+  send (GR_COMMAND_GRANT, 2);
+  fixture->may_command = true;
+  wait_for (&fixture->n_results, 3);
+  check_result (0, GR_COMMAND_GRANT, GR_ERROR_TIMEOUT);
+  check_result (1, GR_COMMAND_RENEW, GR_ERROR_TIMEOUT);
+  check_result (2, GR_COMMAND_GRANT, GR_ERROR_NONE);
+  ck_assert_int_eq (gr_standin_call_count (fixture->base, "/v1/leases"), 1);
+  ck_assert_int_eq (gr_standin_call_count (fixture->base, "/v1/renew"), 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -262,6 +304,8 @@
   tcase_add_test (tcase, lost_answers_are_tried_again);
   tcase_add_test (tcase, silent_worker_ends_commands);
   tcase_add_test (tcase, held_commands_wait);
+  tcase_add_test (tcase, waiting_renewals_do_not_prolong_leases);
+  tcase_add_test (tcase, outdated_terms_are_not_sent);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
