scheduler: an answer of an ended attempt acquires no shard

An instance that had released a shard could own it again at once: on a stop, or after a recovery that failed, while the owner key was being created again. The handlers of the grant, of the creation and of the read-back did not check whether the attempt that sent the call was still under way, so a late answer went on with it, up to the event "acquired" after the event "released"; an answer of an earlier attempt could also be mixed with a later one. Now they act only while an attempt is under way, and the next attempt begins only when the last call of the former one has ended. Before: released_shard_is_not_reclaimed fails, the shard is acquired a second time.

--- a/scheduler/acquire.c
+++ b/scheduler/acquire.c
@@ -2,6 +2,7 @@
  * first time or again after the lease has expired. */
 #include "scheduler/ownership-private.h"
 
+#include "common/log.h"
 #include "rpc/pack.h"
 
 #include <string.h>
@@ -10,6 +11,29 @@
 
 static void create_owner_key (struct gr_ownership *own);
 
+static void
+begin_call (struct gr_ownership *own)
+{
+  own->calls_in_flight++;
+  own->attempt_in_flight = true;
+}
+
+/* To be called first by each response handler. False if the attempt has ended
+ * since the call was sent: a shard that was released must not be acquired
+ * because of it. */
+static bool
+is_attempt_current (struct gr_ownership *own)
+{
+  if (!gr_own_call_ended (own))
+    return false;
+  own->attempt_in_flight = false;
+  if (own->state == GR_OWNERSHIP_ACQUIRING
+      || own->state == GR_OWNERSHIP_RECLAIMING)
+    return true;
+  gr_log_event ("owner-answer-outdated", "shard", own->config.shard, NULL);
+  return false;
+}
+
 static bool
 outcome_is_unknown (const struct gr_error *error)
 {
@@ -70,7 +94,7 @@
       end_attempt (own);
       return G_SOURCE_REMOVE;
     }
-  own->calls_in_flight++;
+  begin_call (own);
   gr_kv_range (own->kv, "owner", own->owner_key, false, 0,
                own->config.call_timeout_ms, read_back_done, own);
   return G_SOURCE_REMOVE;
@@ -94,7 +118,7 @@
   struct gr_ownership *own = context;
   const struct gr_kv_entry *entry;
 
-  if (!gr_own_call_ended (own))
+  if (!is_attempt_current (own))
     return;
   if (error != NULL)
     {
@@ -127,7 +151,7 @@
   struct gr_ownership *own = context;
   const struct gr_kv_entry *entry;
 
-  if (!gr_own_call_ended (own))
+  if (!is_attempt_current (own))
     return;
   if (error != NULL && error->kind == GR_ERROR_NOT_FOUND)
     {
@@ -178,7 +202,7 @@
     gr_kv_txn_if_modified_at (txn, own->commit_key, own->commit_revision);
   gr_kv_txn_put (txn, own->owner_key, data, size, own->lease);
   gr_kv_txn_else_get (txn, own->owner_key);
-  own->calls_in_flight++;
+  begin_call (own);
   gr_kv_commit (own->kv, "owner", txn, own->config.call_timeout_ms, create_done,
                 own);
   gr_packer_destroy (value);
@@ -203,7 +227,7 @@
 {
   struct gr_ownership *own = context;
 
-  if (!gr_own_call_ended (own))
+  if (!is_attempt_current (own))
     return;
   if (error == NULL && result->lease != 0)
     {
@@ -223,7 +247,7 @@
 {
   own->lease_requested_ms = gr_own_now_ms (own);
   own->term_ms = own->config.ttl_s * 1000;
-  own->calls_in_flight++;
+  begin_call (own);
   gr_kv_lease_grant (own->kv, "owner", own->config.ttl_s,
                      own->config.call_timeout_ms, grant_done, own);
 }
@@ -246,7 +270,7 @@
   struct gr_ownership *own = context;
   const struct gr_kv_entry *entry;
 
-  if (!gr_own_call_ended (own) || own->state != GR_OWNERSHIP_RECLAIMING)
+  if (!is_attempt_current (own))
     return;
   if (error != NULL)
     {
@@ -266,7 +290,7 @@
 static void
 read_commit_key (struct gr_ownership *own)
 {
-  own->calls_in_flight++;
+  begin_call (own);
   gr_kv_range (own->kv, "owner", own->commit_key, false, 0,
                own->config.call_timeout_ms, commit_key_done, own);
 }
--- a/scheduler/ownership-private.h
+++ b/scheduler/ownership-private.h
@@ -19,6 +19,7 @@
   bool destroyed;
   uint32_t consecutive_failures; /* since the last response; 2 and more: the
                                     store counts as down */
+  bool attempt_in_flight;        /* a call of acquire.c is in flight */
   bool polling;                  /* a read of the owner key is in flight */
   guint poll_timer;
   guint renew_timer;
--- a/scheduler/ownership.c
+++ b/scheduler/ownership.c
@@ -171,7 +171,7 @@
   if (own->owner_absent_since_ms < 0)
     own->owner_absent_since_ms = now;
   if (now - own->owner_absent_since_ms < yield_ms || now < own->not_before_ms
-      || !own->events.eligible (own->context))
+      || own->attempt_in_flight || !own->events.eligible (own->context))
     return;
   own->state = GR_OWNERSHIP_ACQUIRING;
   own->commit_revision = -1;
--- a/tests/test-scheduler-store.c
+++ b/tests/test-scheduler-store.c
@@ -503,6 +503,29 @@
 }
 END_TEST
 
+/* Guards against an instance that owns a shard which it has released, because
+ * an answer of its last attempt to reclaim it came later. */
+START_TEST (released_shard_is_not_reclaimed)
+{
+  struct gr_standin *base = gr_standin_kv_base (fixture->store);
+
+  candidate_start (&fixture->a, "writer-a", 9);
+  wait_for (&fixture->a.loaded, 1);
+  expire_owner ();
+  put (&fixture->a, "k", 1);
+  while (gr_standin_call_count (base, "/v3/lease/grant") < 2)
+    g_main_context_iteration (NULL, TRUE);
+  ck_assert_int_eq (gr_ownership_state (fixture->a.own),
+                    GR_OWNERSHIP_RECLAIMING);
+  gr_ownership_release (fixture->a.own);
+  ck_assert_int_eq (fixture->a.released, 1);
+  run_for (500);
+  ck_assert_int_eq (fixture->a.acquired, 1);
+  ck_assert_int_eq (gr_ownership_state (fixture->a.own), GR_OWNERSHIP_WAITING);
+  ck_assert (!store_has ("/geraniumrack/shards/dc1/owner"));
+}
+END_TEST
+
 /* Guards against an owner key that remains after a planned stop. */
 START_TEST (release_hands_the_shard_over)
 {
@@ -668,6 +691,7 @@
   tcase_add_test (tcase, expired_lease_is_reclaimed);
   tcase_add_test (tcase, changed_shard_is_not_reclaimed);
   tcase_add_test (tcase, store_outage);
+  tcase_add_test (tcase, released_shard_is_not_reclaimed);
   tcase_add_test (tcase, release_hands_the_shard_over);
   tcase_add_test (tcase, damaged_pages_are_noticed);
   tcase_add_test (tcase, pages_stay_below_the_limit);
