rpc: a late client reads replies before it reports timeouts

A call to another process could end with a timeout, "may have run", although its reply had arrived in time: with one timer per call, a main loop that was late ran the timers before it read the sockets. The HTTP clients had the same fault and postpone a deadline once by 20 ms if the loop is late. The deadlines of the HTTP clients move to common/ unchanged in what they do, and the RPC client uses them. A callback of a timeout may destroy the client, as before, so deadlines can now be destroyed while they are dispatched. Before: late_client_reads_a_reply_that_is_unread fails with a timeout. timeout_may_destroy_the_client guards the second part, it passes with both. Now test-rpc (also under valgrind), members, call-pool and publish pass.

--- a/bench/calls.c
+++ b/bench/calls.c
@@ -1,7 +1,7 @@
 #include "bench/bench.h"
 
+#include "common/deadlines.h"
 #include "http/call-pool.h"
-#include "http/deadlines.h"
 #include "http/http.h"
 
 #include <arpa/inet.h>
--- a/http/deadlines.c
+++ b/common/deadlines.c
@@ -1,4 +1,4 @@
-#include "http/deadlines.h"
+#include "common/deadlines.h"
 
 /* A deadline that expires while the main loop is late by more than LATE_US is
  * postponed once by POSTPONE_US. Until then the loop reads responses that
@@ -11,6 +11,8 @@
   GSource *source;
   GHashTable *pending; /* struct gr_deadline */
   int64_t next_us;     /* ready time of the source; -1: none is set */
+  bool dispatching;
+  bool destroyed; /* by a callback; freed at the end of the dispatch */
 };
 
 static int64_t
@@ -62,6 +64,14 @@
   return true;
 }
 
+static void
+free_deadlines (struct gr_deadlines *deadlines)
+{
+  g_source_unref (deadlines->source);
+  g_hash_table_destroy (deadlines->pending);
+  g_free (deadlines);
+}
+
 /* Calls on_expiry of all expired deadlines. Such a call may clear other expired
  * deadlines, which are then skipped. */
 static gboolean
@@ -72,6 +82,7 @@
   GPtrArray *expired = collect_expired (deadlines, now_us);
 
   (void)callback;
+  deadlines->dispatching = true;
   for (guint i = 0; i < expired->len; i++)
     {
       struct gr_deadline *deadline = expired->pdata[i];
@@ -84,6 +95,12 @@
       deadline->on_expiry (deadline);
     }
   g_ptr_array_unref (expired);
+  deadlines->dispatching = false;
+  if (deadlines->destroyed)
+    {
+      free_deadlines (deadlines);
+      return G_SOURCE_REMOVE;
+    }
   set_ready_time (deadlines, earliest_us (deadlines));
   return G_SOURCE_CONTINUE;
 }
@@ -119,9 +136,9 @@
     return;
   g_assert (g_hash_table_size (deadlines->pending) == 0);
   g_source_destroy (deadlines->source);
-  g_source_unref (deadlines->source);
-  g_hash_table_destroy (deadlines->pending);
-  g_free (deadlines);
+  deadlines->destroyed = true;
+  if (!deadlines->dispatching)
+    free_deadlines (deadlines);
 }
 
 void
--- a/http/deadlines.h
+++ b/common/deadlines.h
@@ -20,7 +20,8 @@
 };
 
 struct gr_deadlines *gr_deadlines_create (void);
-/* All deadlines must have expired or been cleared. */
+/* All deadlines must have expired or been cleared. May be called by on_expiry.
+ */
 void gr_deadlines_destroy (struct gr_deadlines *deadlines);
 
 /* Sets a deadline that is not set, after_ms from now. on_expiry is called once
--- a/http/call-pool.c
+++ b/http/call-pool.c
@@ -1,6 +1,6 @@
 #include "http/call-pool.h"
 
-#include "http/deadlines.h"
+#include "common/deadlines.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
--- a/http/http.c
+++ b/http/http.c
@@ -1,7 +1,7 @@
 #include "http/http.h"
 
+#include "common/deadlines.h"
 #include "common/log.h"
-#include "http/deadlines.h"
 
 #include <stddef.h>
 #include <string.h>
--- a/rpc/client.c
+++ b/rpc/client.c
@@ -1,5 +1,8 @@
 #include "rpc/rpc.h"
 
+#include "common/deadlines.h"
+
+#include <stddef.h>
 #include <string.h>
 
 #define READ_BYTES 16384
@@ -7,7 +10,7 @@
 struct pending_call
 {
   uint64_t id;
-  GSource *timer;
+  struct gr_deadline deadline;
   struct gr_rpc_client *client;
   void (*done) (const msgpack_object *body,
                 const struct gr_error *error,
@@ -34,25 +37,13 @@
   char *address;
   uint64_t next_id;
   GHashTable *pending; /* id to struct pending_call */
+  struct gr_deadlines *deadlines;
   struct connection *connection;
 };
 
 static void start_read (struct connection *connection);
 static void start_write (struct connection *connection);
 
-static void
-pending_free (void *data)
-{
-  struct pending_call *call = data;
-
-  if (call->timer != NULL)
-    {
-      g_source_destroy (call->timer);
-      g_source_unref (call->timer);
-    }
-  g_free (call);
-}
-
 struct gr_rpc_client *
 gr_rpc_client_create (const char *address)
 {
@@ -61,6 +52,7 @@
   client->address = g_strdup (address);
   client->next_id = 1;
   client->pending = g_hash_table_new (g_int64_hash, g_int64_equal);
+  client->deadlines = gr_deadlines_create ();
   return client;
 }
 
@@ -88,8 +80,10 @@
              const msgpack_object *body,
              const struct gr_error *error)
 {
+  /* Before the callback, which may destroy the client. */
+  gr_deadline_clear (&call->deadline);
   call->done (body, error, call->context);
-  pending_free (call);
+  g_free (call);
 }
 
 /* Drops the connection and ends all calls in flight with error. */
@@ -128,6 +122,7 @@
                 client->address);
   drop_connection (client, &error);
   g_hash_table_destroy (client->pending);
+  gr_deadlines_destroy (client->deadlines);
   g_free (client->address);
   g_free (client);
 }
@@ -288,10 +283,12 @@
   g_object_unref (connector);
 }
 
-static gboolean
-call_timed_out (gpointer data)
+static void
+call_timed_out (struct gr_deadline *deadline)
 {
-  struct pending_call *call = data;
+  struct pending_call *call =
+      (struct pending_call *)((char *)deadline
+                              - offsetof (struct pending_call, deadline));
   struct gr_error error = GR_ERROR_INIT;
   gint64 id = (gint64)call->id;
 
@@ -299,7 +296,6 @@
                 call->client->address);
   g_hash_table_remove (call->client->pending, &id);
   finish_call (call, NULL, &error);
-  return G_SOURCE_REMOVE;
 }
 
 void
@@ -321,9 +317,8 @@
   call->client = client;
   call->done = done;
   call->context = context;
-  call->timer = g_timeout_source_new (timeout_ms);
-  g_source_set_callback (call->timer, call_timed_out, call, NULL);
-  g_source_attach (call->timer, NULL);
+  gr_deadline_set (client->deadlines, &call->deadline, timeout_ms,
+                   call_timed_out);
   g_hash_table_insert (client->pending, &call->id, call);
   ensure_connection (client);
   frame = gr_frame_build (GR_FRAME_CALL, call->id, method, body);
--- a/rpc/rpc.h
+++ b/rpc/rpc.h
@@ -26,7 +26,8 @@
  * NULL and the kind is the one that the server returned, or no-target, timeout,
  * io, protocol or cancelled. no-target means that no connection was
  * established, so the call had no effect. After timeout, io,
- * protocol and cancelled it may have had one. */
+ * protocol and cancelled it may have had one. timeout is reported up to 20 ms
+ * late if the main loop is late, so that replies that are unread are read. */
 void gr_rpc_call (struct gr_rpc_client *client,
                   const char *method,
                   struct gr_packer *body,
--- a/tests/test-rpc.c
+++ b/tests/test-rpc.c
@@ -10,6 +10,7 @@
 {
   GMainLoop *loop;
   struct gr_rpc_call *held;
+  struct gr_rpc_client *client; /* destroyed by destroy_client () */
   int replies;
   enum gr_error_kind last_kind;
   int64_t values[2];
@@ -116,6 +117,95 @@
 }
 END_TEST
 
+/* Accepts the connection of a call and waits for the bytes of the call. */
+static GSocket *
+accept_call (GSocket *listener)
+{
+  GSocket *peer = NULL;
+
+  while (peer == NULL)
+    {
+      g_main_context_iteration (NULL, FALSE);
+      if (g_socket_condition_check (listener, G_IO_IN) != 0)
+        peer = g_socket_accept (listener, NULL, NULL);
+    }
+  while (g_socket_condition_check (peer, G_IO_IN) == 0)
+    g_main_context_iteration (NULL, FALSE);
+  return peer;
+}
+
+/* Guards against a timeout that is reported although the reply has arrived in
+ * time and is unread because the main loop is late. */
+START_TEST (late_client_reads_a_reply_that_is_unread)
+{
+  struct fixture fixture = { .loop = g_main_loop_new (NULL, FALSE) };
+  GSocketAddress *any = g_inet_socket_address_new_from_string ("127.0.0.1", 0);
+  GSocket *listener = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                    G_SOCKET_PROTOCOL_TCP, NULL);
+  GBytes *reply = gr_frame_build (GR_FRAME_REPLY, 1, "", NULL);
+  g_autofree char *address = NULL;
+  struct gr_rpc_client *client;
+  GSocketAddress *local;
+  GSocket *peer;
+
+  ck_assert (g_socket_bind (listener, any, FALSE, NULL));
+  ck_assert (g_socket_listen (listener, NULL));
+  local = g_socket_get_local_address (listener, NULL);
+  address = g_strdup_printf (
+      "127.0.0.1:%u",
+      g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (local)));
+  client = gr_rpc_client_create (address);
+  gr_rpc_call (client, "echo", NULL, 300, record_reply, &fixture);
+  peer = accept_call (listener);
+  ck_assert_int_eq (g_socket_send (peer, g_bytes_get_data (reply, NULL),
+                                   g_bytes_get_size (reply), NULL, NULL),
+                    (gssize)g_bytes_get_size (reply));
+  g_usleep (400 * G_TIME_SPAN_MILLISECOND);
+  g_main_loop_run (fixture.loop);
+  ck_assert_int_eq (fixture.last_kind, GR_ERROR_NONE);
+  gr_rpc_client_destroy (client);
+  ck_assert_int_eq (fixture.replies, 1);
+  g_bytes_unref (reply);
+  g_object_unref (peer);
+  g_object_unref (listener);
+  g_object_unref (local);
+  g_object_unref (any);
+  g_main_loop_unref (fixture.loop);
+}
+END_TEST
+
+static void
+destroy_client (const msgpack_object *body,
+                const struct gr_error *error,
+                void *context)
+{
+  struct fixture *fixture = context;
+
+  ck_assert_ptr_null (body);
+  ck_assert_int_eq (error->kind, GR_ERROR_TIMEOUT);
+  gr_rpc_client_destroy (fixture->client);
+  fixture->replies++;
+}
+
+/* Guards against the use of freed memory after the callback of a timeout has
+ * destroyed the client. */
+START_TEST (timeout_may_destroy_the_client)
+{
+  struct fixture fixture = { .loop = g_main_loop_new (NULL, FALSE) };
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_rpc_server *server =
+      gr_rpc_server_create ("127.0.0.1:0", handle, &fixture, &error);
+
+  fixture.client = gr_rpc_client_create (gr_rpc_server_address (server));
+  gr_rpc_call (fixture.client, "hold", NULL, 50, destroy_client, &fixture);
+  while (fixture.replies == 0)
+    g_main_context_iteration (NULL, TRUE);
+  gr_rpc_reply (fixture.held, NULL);
+  gr_rpc_server_destroy (server);
+  g_main_loop_unref (fixture.loop);
+}
+END_TEST
+
 /* Guards against a frame reader that does not check lengths and types received
  * from the network. */
 START_TEST (malformed_frames_are_refused)
@@ -184,6 +274,8 @@
 
   tcase_add_test (tcase, replies_out_of_order_reach_their_calls);
   tcase_add_test (tcase, calls_end_when_peer_is_silent_or_unreachable);
+  tcase_add_test (tcase, late_client_reads_a_reply_that_is_unread);
+  tcase_add_test (tcase, timeout_may_destroy_the_client);
   tcase_add_test (tcase, malformed_frames_are_refused);
   tcase_add_test (tcase, split_frames_are_reassembled);
   suite_add_tcase (suite, tcase);
