route: late results of a former process do not count against its successor

An executor that had started again under its name could get no work: a refused connection, "leaving", "busy" or a status report of its former process that was handled after the new address was known counted for the new process. "Leaving" stayed until the next list, a refused connection put it into quarantine. The table is keyed by the name, and nothing ordered a result against the change of the address. Now results and reports of calls that were sent before the list with the new address only end the request that they belong to. Before: results_of_a_former_process_are_ignored fails (leaving after the list).

--- a/bench/executors.c
+++ b/bench/executors.c
@@ -297,7 +297,7 @@
       entry->queue = gr_queue_create (20000);
       gr_executors_configure (entry->executors, policy, CONNECTIONS,
                               LONG_SHARE_PERCENT);
-      gr_executors_list_begin (entry->executors);
+      gr_executors_list_begin (entry->executors, 0);
       for (uint32_t x = 0; x < N_EXECUTORS; x++)
         gr_executors_list_add (entry->executors, sim->names[x], sim->names[x],
                                false);
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -14,6 +14,7 @@
 {
   struct gr_entry *entry;
   char name[GR_NAME_MAX];
+  int64_t sent_ms;
 };
 
 void
@@ -55,7 +56,7 @@
 static void
 update_executors (struct gr_entry *entry, const GArray *targets)
 {
-  gr_executors_list_begin (entry->executors);
+  gr_executors_list_begin (entry->executors, gr_clock_now_ms (entry->clock));
   for (guint i = 0; i < targets->len; i++)
     {
       const struct gr_target *target =
@@ -125,7 +126,7 @@
     {
       gr_executors_apply_report (entry->executors, call->name, status->slots,
                                  status->slots_busy, status->leaving,
-                                 gr_clock_now_ms (entry->clock));
+                                 call->sent_ms);
       if (status->leaving)
         gr_entry_target_leaving (entry, call->name);
     }
@@ -149,6 +150,7 @@
       call = g_new0 (struct status_call, 1);
       call->entry = entry;
       g_strlcpy (call->name, info->name, sizeof call->name);
+      call->sent_ms = gr_clock_now_ms (entry->clock);
       gr_executor_get_status (entry->executor_client, info->address,
                               STATUS_TIMEOUT_MS, status_done, call);
     }
--- a/route/executors.c
+++ b/route/executors.c
@@ -22,7 +22,8 @@
   uint32_t failures;   /* in a row */
   uint32_t refusals;   /* in a row */
   int64_t busy_until_ms;
-  int64_t reported_ms;       /* time of the last update of others_busy */
+  int64_t reported_ms; /* time of the last update of others_busy */
+  int64_t listed_ms;   /* when its address changed; 0: it has not changed */
   int64_t probe_interval_ms; /* time between probes; 0: not quarantined */
   int64_t probe_at_ms;
 };
@@ -37,6 +38,7 @@
   uint32_t total_slots;
   uint32_t in_flight;
   uint32_t long_in_flight;
+  int64_t list_ms; /* time of the list that is being applied */
 };
 
 struct gr_executors *
@@ -129,8 +131,9 @@
 }
 
 void
-gr_executors_list_begin (struct gr_executors *executors)
+gr_executors_list_begin (struct gr_executors *executors, int64_t now_ms)
 {
+  executors->list_ms = now_ms;
   for (guint i = 0; i < executors->table->len; i++)
     ((struct executor *)executors->table->pdata[i])->listed = false;
 }
@@ -157,6 +160,8 @@
     {
       /* A new process under the same name: discard the failures, quarantine and
        * load of the old one. */
+      if (executor->info.address[0] != '\0')
+        executor->listed_ms = executors->list_ms;
       g_strlcpy (executor->info.address, address,
                  sizeof executor->info.address);
       executor->failures = 0;
@@ -182,6 +187,14 @@
   update_long_allowed (executors);
 }
 
+/* True if a call that was sent at sent_ms may have reached an earlier process
+ * of the same name. */
+static bool
+concerns_former_process (const struct executor *executor, int64_t sent_ms)
+{
+  return executor->listed_ms > 0 && sent_ms <= executor->listed_ms;
+}
+
 static void
 update_others_busy (struct executor *executor, int32_t busy, int64_t now_ms)
 {
@@ -198,17 +211,17 @@
                            int32_t slots,
                            int32_t busy,
                            bool leaving,
-                           int64_t now_ms)
+                           int64_t requested_ms)
 {
   struct executor *executor = g_hash_table_lookup (executors->by_name, name);
 
-  if (executor == NULL)
+  if (executor == NULL || concerns_former_process (executor, requested_ms))
     return;
   if (slots >= 1)
     executor->info.slots = (uint32_t)slots;
   if (executor->failures < GR_QUARANTINE_FAILURES)
     executor->probe_interval_ms = 0;
-  update_others_busy (executor, busy, now_ms);
+  update_others_busy (executor, busy, requested_ms);
   executor->info.leaving = executor->info.leaving || leaving;
   update_long_allowed (executors);
 }
@@ -430,6 +443,8 @@
       executor->info.long_in_flight--;
       executors->long_in_flight--;
     }
+  if (concerns_former_process (executor, now_ms - latency_ms))
+    return;
   update_others_busy (executor, busy, now_ms);
   switch (result)
     {
--- a/route/executors.h
+++ b/route/executors.h
@@ -80,22 +80,24 @@
 
 /* Applies a new list of executors: call begin, add once for each executor, end.
  * Executors that are not on the list get no new requests and are removed once
- * none is in flight. */
-void gr_executors_list_begin (struct gr_executors *executors);
+ * none is in flight. An executor with a new address is a new process: results
+ * and reports of calls that were sent until now_ms say nothing about it. */
+void gr_executors_list_begin (struct gr_executors *executors, int64_t now_ms);
 void gr_executors_list_add (struct gr_executors *executors,
                             const char *name,
                             const char *address,
                             bool leaving);
 void gr_executors_list_end (struct gr_executors *executors);
 
-/* Applies a status report, with the numbers of all slots and of busy slots. The
- * report ends a quarantine that was caused by refused connections alone. */
+/* Applies a status report that was requested at requested_ms, with the numbers
+ * of all slots and of busy slots. The report ends a quarantine that was caused
+ * by refused connections alone. */
 void gr_executors_apply_report (struct gr_executors *executors,
                                 const char *name,
                                 int32_t slots,
                                 int32_t busy,
                                 bool leaving,
-                                int64_t now_ms);
+                                int64_t requested_ms);
 
 /* Chooses an executor and counts the request as in flight there. Returns the
  * executor's name, owned by the table, or NULL if none can accept the request
@@ -114,8 +116,9 @@
 void gr_executors_reclassify_long (struct gr_executors *executors,
                                    const char *name);
 
-/* Ends a request that was counted by gr_executors_acquire (). busy: number of
- * busy slots as reported in the response, or -1. */
+/* Ends a request that was counted by gr_executors_acquire () and sent
+ * latency_ms before now_ms. busy: number of busy slots as reported in the
+ * response, or -1. */
 void gr_executors_release (struct gr_executors *executors,
                            const char *name,
                            bool is_long,
--- a/tests/test-route.c
+++ b/tests/test-route.c
@@ -362,7 +362,7 @@
 {
   struct gr_executors *executors = gr_executors_create ();
 
-  gr_executors_list_begin (executors);
+  gr_executors_list_begin (executors, 0);
   for (int i = 0; i < count; i++)
     {
       char name[16];
@@ -481,7 +481,7 @@
       gr_executors_acquire (executors, false, false, tried, 6002, rng), "x0");
   gr_executors_release (executors, "x0", false, GR_TRY_INCONCLUSIVE, -1, 1,
                         6002);
-  gr_executors_list_begin (executors);
+  gr_executors_list_begin (executors, 0);
   gr_executors_list_end (executors);
   ck_assert_uint_eq (gr_executors_count (executors), 0);
   gr_executors_release (executors, "x1", false, GR_TRY_OK, -1, 1, 6000);
@@ -489,6 +489,38 @@
 }
 END_TEST
 
+/* Guards against an executor that gets no work because of late results and
+ * reports of a process that had its name before. */
+START_TEST (results_of_a_former_process_are_ignored)
+{
+  static const enum gr_try_result results[] = {
+    GR_TRY_LEAVING,
+    GR_TRY_UNREACHABLE,
+    GR_TRY_BUSY,
+  };
+  struct gr_executors *executors = make_executors (1);
+  struct gr_executor_info info;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (results); i++)
+    gr_executors_acquire (executors, false, true, NULL, 1000, rng);
+  gr_executors_list_begin (executors, 1500);
+  gr_executors_list_add (executors, "x0", "new-x0", false);
+  gr_executors_list_end (executors);
+  for (size_t i = 0; i < G_N_ELEMENTS (results); i++)
+    gr_executors_release (executors, "x0", false, results[i], 8, 1000, 2000);
+  gr_executors_apply_report (executors, "x0", 8, 8, true, 1500);
+  ck_assert (gr_executors_get (executors, "x0", &info));
+  ck_assert (!info.leaving && !info.quarantined);
+  ck_assert_int_eq (info.others_busy, 0);
+  ck_assert_str_eq (
+      gr_executors_acquire (executors, false, true, NULL, 2001, rng), "x0");
+  gr_executors_release (executors, "x0", false, GR_TRY_LEAVING, -1, 499, 2500);
+  ck_assert (gr_executors_get (executors, "x0", &info) && info.leaving);
+  ck_assert_uint_eq (info.in_flight, 0);
+  gr_executors_destroy (executors);
+}
+END_TEST
+
 /* Guards against an entry that keeps sending to an executor whose slots are
  * held by others, and against a window that does not grow again after these
  * slots have become free. */
@@ -627,6 +659,7 @@
   tcase_add_test (tcase, connections_and_long_share_are_bounded);
   tcase_add_test (tcase, executors_that_fail_everything_are_quarantined);
   tcase_add_test (tcase, ineligible_executors_get_no_work);
+  tcase_add_test (tcase, results_of_a_former_process_are_ignored);
   tcase_add_test (tcase, window_follows_refusals_and_answers);
   tcase_add_test (tcase, run_times_are_learned);
   tcase_add_test (tcase, queue_is_ordered_and_bounded);
