members: a leaving notice has the time of the question

A worker or executor that had started again at a new address could count as leaving for up to a minute (GR_LEAVING_EXPIRE_MS) and get no work: a notice of its former process is void if it is older than the list with the new address, but it was given the time at which the answer was handled, by the scheduler, by the entry and for what peers pass on. An answer that was read after that list counted for the new process. Now a notice has the time at which the call was sent, the earliest time that it can speak of; reports of workers carry the time of their poll. Notices in the calls of peers have no such time and keep that of their receipt. Before: late_notices_do_not_concern_a_new_process fails, the new process counts as leaving. reports_have_the_time_of_their_poll is new with the parameter. Now test-members, worker-io, entry, scheduler, publish and route pass.

--- a/entry/internal.h
+++ b/entry/internal.h
@@ -91,5 +91,8 @@
                                  const char *value);
 
 /* Records that a target has reported itself as leaving, in a response or a
- * status report, and updates the executor table. */
-void gr_entry_target_leaving (struct gr_entry *entry, const char *target);
+ * status report to a call that was sent at asked_ms, and updates the executor
+ * table. */
+void gr_entry_target_leaving (struct gr_entry *entry,
+                              const char *target,
+                              int64_t asked_ms);
--- a/entry/request.c
+++ b/entry/request.c
@@ -439,7 +439,7 @@
                         response != NULL ? response->slots_busy : -1,
                         elapsed_ms, now_ms);
   if (response != NULL && response->leaving)
-    gr_entry_target_leaving (entry, executor);
+    gr_entry_target_leaving (entry, executor, request->sent_ms);
   if (outcome == GR_TRY_FAILED || outcome == GR_TRY_INCONCLUSIVE)
     request->may_have_run = true;
   request->excluded[request->tries - 1] = outcome != GR_TRY_BUSY;
--- a/entry/watch.c
+++ b/entry/watch.c
@@ -18,10 +18,11 @@
 };
 
 void
-gr_entry_target_leaving (struct gr_entry *entry, const char *target)
+gr_entry_target_leaving (struct gr_entry *entry,
+                         const char *target,
+                         int64_t asked_ms)
 {
-  if (gr_members_record_target_leaving (entry->members, target,
-                                        gr_clock_now_ms (entry->clock)))
+  if (gr_members_record_target_leaving (entry->members, target, asked_ms))
     gr_watch_update (entry);
 }
 
@@ -128,7 +129,7 @@
                                  status->slots_busy, status->leaving,
                                  call->sent_ms);
       if (status->leaving)
-        gr_entry_target_leaving (entry, call->name);
+        gr_entry_target_leaving (entry, call->name, call->sent_ms);
     }
   g_free (call);
 }
--- a/members/members.h
+++ b/members/members.h
@@ -99,9 +99,10 @@
                                    const struct gr_member *reported,
                                    int64_t sent_ms);
 
-/* Records that a target was seen leaving at seen_ms, as reported by the
- * target itself or by a peer. Returns true if there was no leaving notice for
- * it yet. */
+/* Records that a target was seen leaving, as reported by the target itself or
+ * by a peer, at seen_ms or later: the time at which it was asked. A notice from
+ * before the list with a new address of the target concerns an earlier process.
+ * Returns true if there was no leaving notice for it yet. */
 bool gr_members_record_target_leaving (struct gr_members *members,
                                        const char *target,
                                        int64_t seen_ms);
--- a/members/peers.c
+++ b/members/peers.c
@@ -155,10 +155,12 @@
   return true;
 }
 
+/* The ages count from asked_ms, a lower bound of the time at which the peer
+ * sent them: an answer may be read long after that. */
 static void
 apply_leaving_notices (struct gr_peers *peers,
                        const msgpack_object *map,
-                       int64_t now_ms)
+                       int64_t asked_ms)
 {
   size_t count;
   const msgpack_object *elements = gr_unpack_array (map, "leaving", &count);
@@ -172,7 +174,7 @@
           || !read_name (&elements[i], "target", target))
         continue;
       gr_members_record_target_leaving (peers->members, target,
-                                        now_ms - age_ms);
+                                        asked_ms - age_ms);
     }
 }
 
@@ -198,7 +200,7 @@
   if (error == NULL && !peers->stopping && read_reported (body, &reported))
     {
       gr_members_update_from_reply (peers->members, &reported, round->sent_ms);
-      apply_leaving_notices (peers, body, gr_clock_now_ms (peers->clock));
+      apply_leaving_notices (peers, body, round->sent_ms);
     }
   round_call_done (round);
 }
--- a/scheduler/shard.c
+++ b/scheduler/shard.c
@@ -214,14 +214,16 @@
 /* --- Worker events ------------------------------------------------------ */
 
 static void
-on_report (const struct gr_worker_report *report, void *context)
+on_report (const struct gr_worker_report *report,
+           int64_t requested_ms,
+           void *context)
 {
   struct gr_shard *shard = context;
 
   gr_core_worker_report (shard->core, report, now_ms (shard));
   if (report->leaving)
     gr_members_record_target_leaving (shard->env.members, report->worker,
-                                      now_ms (shard));
+                                      requested_ms);
   if (report->n_tasks > 0)
     gr_shard_tick_within (shard, EVENT_TICK_MS);
 }
--- a/scheduler/worker-io.c
+++ b/scheduler/worker-io.c
@@ -40,6 +40,7 @@
   uint32_t tries;
   uint32_t report_interval_ms; /* poll interval */
   int64_t last_contact_ms;
+  int64_t report_requested_ms;
   guint next_timer;
   guint report_timer;
 };
@@ -236,7 +237,7 @@
     delay_ms = GR_REPORT_RETRY_MS;
   record_contact (worker, error != NULL ? error->kind : GR_ERROR_NONE);
   if (report != NULL)
-    io->events.report (report, io->context);
+    io->events.report (report, worker->report_requested_ms, io->context);
   schedule_report (worker, delay_ms);
   start_next (worker);
 }
@@ -358,6 +359,7 @@
 request_report (struct worker *worker)
 {
   worker->in_flight = true;
+  worker->report_requested_ms = gr_clock_now_ms (worker->io->clock);
   gr_counter_add (worker->io->reports, 1);
   gr_worker_get_report (worker->io->client, worker->address,
                         GR_REPORT_TIMEOUT_MS, report_done, worker);
--- a/scheduler/worker-io.h
+++ b/scheduler/worker-io.h
@@ -41,7 +41,11 @@
 
 struct gr_worker_io_events
 {
-  void (*report) (const struct gr_worker_report *report, void *context);
+  /* requested_ms: when the poll was sent; the report may be from any time
+   * since. */
+  void (*report) (const struct gr_worker_report *report,
+                  int64_t requested_ms,
+                  void *context);
   void (*removed) (const char *worker, void *context);
 
   /* Result of a command, as gr_core_command_result () expects it. */
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -176,6 +176,8 @@
   struct gr_members *members;
   struct gr_peers *peers;
   struct gr_rpc_server *server;
+  int fills;
+  int calls;
   int rounds;
 };
 
@@ -188,13 +190,14 @@
   struct process *process = context;
 
   ck_assert_str_eq (method, "peer.heartbeat");
+  process->calls++;
   gr_peers_handle_heartbeat (process->peers, call, body);
 }
 
 static void
 fill (struct gr_member *self, void *context)
 {
-  (void)context;
+  ((struct process *)context)->fills++;
   self->state = GR_MEMBER_READY;
   self->settings_revision = 42;
 }
@@ -261,6 +264,40 @@
 }
 END_TEST
 
+/* Guards against a target that gets no work because the notice of a process
+ * that had its name before comes from a peer after the list with the new one.
+ */
+START_TEST (late_notices_do_not_concern_a_new_process)
+{
+  struct process a = { 0 };
+  struct process b = { 0 };
+  struct gr_instance list[2];
+
+  start_process (&a, "a");
+  start_process (&b, "b");
+  list[0] =
+      make_instance ("b", GR_ROLE_ENTRY, gr_rpc_server_address (b.server));
+  list[1] = make_instance ("x1", GR_ROLE_EXECUTOR, "x1:1");
+  gr_members_apply_list (a.members, list, 2, gr_clock_now_ms (a.clock));
+  while (a.fills < 1)
+    g_main_context_iteration (NULL, TRUE);
+  gr_members_record_target_leaving (b.members, "x1", gr_clock_now_ms (b.clock));
+  while (b.calls < 1)
+    g_main_context_iteration (NULL, TRUE);
+  g_usleep (50 * G_TIME_SPAN_MILLISECOND);
+  list[1] = make_instance ("x1", GR_ROLE_EXECUTOR, "x1:2");
+  gr_members_apply_list (a.members, list, 2, gr_clock_now_ms (a.clock));
+  while (a.rounds < 1)
+    g_main_context_iteration (NULL, TRUE);
+  ck_assert (!target_is_leaving (a.members, gr_clock_now_ms (a.clock)));
+  gr_members_record_target_leaving (b.members, "x1", gr_clock_now_ms (b.clock));
+  while (!target_is_leaving (a.members, gr_clock_now_ms (a.clock)))
+    g_main_context_iteration (NULL, TRUE);
+  stop_process (&a);
+  stop_process (&b);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -275,6 +312,7 @@
   tcase_add_test (tcase, leaving_comes_from_any_source_and_expires);
   tcase_add_test (tcase, owner_is_the_claim_with_the_highest_epoch);
   tcase_add_test (tcase, heartbeats_update_both_sides);
+  tcase_add_test (tcase, late_notices_do_not_concern_a_new_process);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
--- a/tests/test-publish.c
+++ b/tests/test-publish.c
@@ -202,7 +202,7 @@
 {
   int64_t start_ms = gr_clock_now_ms (world.entries[0]->clock);
 
-  gr_entry_target_leaving (world.entries[0], "x0");
+  gr_entry_target_leaving (world.entries[0], "x0", start_ms);
   ck_assert_uint_eq (gr_executors_count (world.entries[0]->executors), 1);
   world_until (leaving_has_reached_other_entry, NULL);
   ck_assert_int_le (gr_clock_now_ms (world.entries[0]->clock) - start_ms, 3000);
--- a/tests/test-worker-io.c
+++ b/tests/test-worker-io.c
@@ -20,6 +20,7 @@
   bool may_command;
   bool may_renew;
   int reports;
+  int64_t requested_ms; /* of the last report */
   int64_t remaining_ms; /* of the first lease in the last report */
   int n_results;
   enum gr_command_kind kinds[MAX_RESULTS];
@@ -51,12 +52,15 @@
 }
 
 static void
-on_report (const struct gr_worker_report *report, void *context)
+on_report (const struct gr_worker_report *report,
+           int64_t requested_ms,
+           void *context)
 {
   struct fixture *f = context;
 
   ck_assert_str_eq (report->worker, "w1");
   f->remaining_ms = report->n_leases > 0 ? report->leases[0].remaining_ms : -1;
+  f->requested_ms = requested_ms;
   f->reports++;
 }
 
@@ -290,6 +294,22 @@
 }
 END_TEST
 
+/* Guards against a state of a former process that is held for one of its
+ * successor because its report was read late. */
+START_TEST (reports_have_the_time_of_their_poll)
+{
+  int polls = gr_standin_call_count (fixture->base, "/v1/report");
+
+  gr_clock_advance (fixture->clock, 1000);
+  gr_worker_io_poll_all (fixture->io);
+  while (gr_standin_call_count (fixture->base, "/v1/report") == polls)
+    g_main_context_iteration (NULL, TRUE);
+  gr_clock_advance (fixture->clock, 100);
+  wait_for (&fixture->reports, 2);
+  ck_assert_int_eq (fixture->requested_ms, 1000);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -306,6 +326,7 @@
   tcase_add_test (tcase, held_commands_wait);
   tcase_add_test (tcase, waiting_renewals_do_not_prolong_leases);
   tcase_add_test (tcase, outdated_terms_are_not_sent);
+  tcase_add_test (tcase, reports_have_the_time_of_their_poll);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
