--- a/scheduler/worker-io.h
+++ b/scheduler/worker-io.h
@@ -41,7 +41,11 @@
 
 struct gr_worker_io_events
 {
-  void (*report) (const struct gr_worker_report *report, void *context);
+  /* requested_ms: when the poll was sent; the report may be from any time
+   * since. */
+  void (*report) (const struct gr_worker_report *report,
+                  int64_t requested_ms,
+                  void *context);
   void (*removed) (const char *worker, void *context);
 
   /* Result of a command, as gr_core_command_result () expects it. */
@@ -87,8 +91,10 @@
 /* Polls all workers now. */
 void gr_worker_io_poll_all (struct gr_worker_io *io);
 
-/* Queues a copy of a command. Its kind must not be commit. For an unknown
- * worker the event command_result is emitted at once, with kind no-target. */
+/* Queues a copy of a command. Its kind must not be commit. The term of a grant
+ * or renewal counts from this call: what it has waited is taken off, and after
+ * its term it is not sent and ends with kind timeout. For an unknown worker the
+ * event command_result is emitted at once, with kind no-target. */
 void gr_worker_io_send (struct gr_worker_io *io,
                         const struct gr_command *command);
 
