instance: an unreadable registry entry is no departure

An entry that another writer has made unreadable was reported like one that was removed. Right after a renewal the core takes a removal for a departure and releases the worker's runs, which may still be active: they would be started a second time (found while reviewing the registry for the same class of fault). The registry reports it as unreadable; the worker gets no new work and its runs keep their lease.

--- a/instance/owner.c
+++ b/instance/owner.c
@@ -279,6 +279,17 @@
                                 gr_clock_now_ms (owner->deps.clock));
 }
 
+/* The worker gets no new work, but it may be alive: its runs keep their
+ * lease. */
+static void
+worker_unreadable (const char *worker, void *context)
+{
+  struct gr_owner *owner = context;
+
+  gr_steps_worker_unregistered (owner->steps, worker, 0, false,
+                                gr_clock_now_ms (owner->deps.clock));
+}
+
 static void
 registry_current (void *context)
 {
@@ -564,7 +575,8 @@
   owner->registry = gr_worker_registry_create (
       deps->store, deps->clock,
       &(struct gr_worker_registry_events){ set_worker, worker_unregistered,
-                                           registry_current, owner });
+                                           worker_unreadable, registry_current,
+                                           owner });
   return owner;
 }
 
--- a/instance/worker-registry.c
+++ b/instance/worker-registry.c
@@ -140,7 +140,9 @@
     {
       gr_log_warning ("registry-entry-unreadable", "key", item->key, "reason",
                       error.message, NULL);
-      remove_entry (registry, item->key, since_of (registry, item->revision));
+      if (g_hash_table_remove (registry->entries, item->key))
+        registry->events.unreadable (item->key + strlen (gr_registry_prefix),
+                                     registry->events.context);
       return;
     }
   entry = g_new0 (struct entry, 1);
--- a/instance/worker-registry.h
+++ b/instance/worker-registry.h
@@ -19,8 +19,11 @@
                  int64_t revision,
                  int64_t since_ms,
                  void *context);
-  /* An entry was removed, or can no longer be decoded. since_ms: as above. */
+  /* An entry was removed. since_ms: as above. */
   void (*removed) (const char *worker, int64_t since_ms, void *context);
+  /* An entry can no longer be decoded: another writer has replaced it. This
+   * says nothing about the worker. */
+  void (*unreadable) (const char *worker, void *context);
   /* All changes so far have been reported; the first time: all entries. */
   void (*current) (void *context);
   void *context;
--- a/tests/test-worker-registry.c
+++ b/tests/test-worker-registry.c
@@ -20,7 +20,8 @@
   struct gr_clock *clock;
   GHashTable *workers; /* id -> "ready" or "draining" */
   int64_t since_ms;    /* of the last event */
-  uint32_t current;    /* times that the registry was up to date */
+  uint32_t unreadable;
+  uint32_t current; /* times that the registry was up to date */
 };
 
 static void
@@ -46,6 +47,15 @@
   ck_assert (g_hash_table_remove (fixture->workers, worker));
 }
 
+static void
+entry_unreadable (const char *worker, void *context)
+{
+  struct fixture *fixture = context;
+
+  fixture->unreadable++;
+  ck_assert (g_hash_table_remove (fixture->workers, worker));
+}
+
 static void
 registry_current (void *context)
 {
@@ -110,6 +120,7 @@
     .memory_mb = 1000,
   };
   struct gr_worker_registry_events events = { entry_read, entry_removed,
+                                              entry_unreadable,
                                               registry_current, fixture };
 
   memset (fixture, 0, sizeof *fixture);
@@ -200,9 +211,10 @@
 }
 END_TEST
 
-/* Guards against an entry of another writer that disturbs the others, and
- * against use of a worker whose entry can no longer be read. */
-START_TEST (unreadable_entry_counts_as_removed)
+/* Guards against an entry of another writer that disturbs the others, against
+ * use of a worker whose entry can no longer be read, and against taking it for
+ * one that has left: its runs were started a second time. */
+START_TEST (unreadable_entry_is_not_used_and_no_departure)
 {
   struct fixture fixture;
 
@@ -213,6 +225,7 @@
   put_worker (&fixture, "i-new", "on holiday");
   wait_until (&fixture, "i-new", NULL);
   ck_assert_uint_eq (g_hash_table_size (fixture.workers), WORKERS);
+  ck_assert_uint_eq (fixture.unreadable, 1);
   fixture_destroy (&fixture);
 }
 END_TEST
@@ -283,7 +296,7 @@
   tcase_set_timeout (tests, 30);
   tcase_add_test (tests, first_read_returns_all_entries);
   tcase_add_test (tests, changes_are_reported);
-  tcase_add_test (tests, unreadable_entry_counts_as_removed);
+  tcase_add_test (tests, unreadable_entry_is_not_used_and_no_departure);
   tcase_add_test (tests, changes_during_an_outage_are_reported);
   tcase_add_test (tests, changes_are_dated_before_they_happened);
   suite_add_tcase (suite, tests);
