steps: close the worker that replaces one on a machine in upkeep

Work could be placed on a worker shortly before the upkeep of its machine, which ended its runs. The worker of a machine was closed once, when its upkeep began. A worker that replaced it while the machine was being emptied, or that registered only then, was not closed, and the former one stayed closed for good.

While a machine is closed or its order is not confirmed, the worker of the last machine list is closed at each pass, and a replaced one is opened again. A list that shows no worker keeps the last known one, which may come back.

The new test failed before: the start went to "new" instead of "w0".

--- a/steps/waves.c
+++ b/steps/waves.c
@@ -191,6 +191,22 @@
          && requested_ms >= member->since_ms + LIST_DELAY_MS;
 }
 
+static void
+set_worker (struct gr_waves *waves, struct member *member, const char *worker)
+{
+  /* While the machine has no worker, the former one may come back. */
+  if (worker[0] == '\0' || g_str_equal (member->worker, worker))
+    return;
+  if (member->state != MEMBER_PENDING)
+    {
+      gr_log_event ("upkeep-worker-replaced", "machine", member->machine,
+                    "former", member->worker, "worker", worker, NULL);
+      gr_steps_close_worker (waves->steps, member->worker, false);
+    }
+  g_free (member->worker);
+  member->worker = g_strdup (worker);
+}
+
 static void
 update_member (struct gr_waves *waves,
                struct member *member,
@@ -212,11 +228,8 @@
       set_state (waves, member, MEMBER_DONE);
     }
   member->machine_state = row->state;
-  if (member->state <= MEMBER_CLOSING)
-    {
-      g_free (member->worker);
-      member->worker = g_strdup (row->worker);
-    }
+  if (member->state <= MEMBER_ORDERED)
+    set_worker (waves, member, row->worker);
 }
 
 void
@@ -320,6 +333,9 @@
 {
   bool grace_over = waves->now_ms - member->since_ms >= EVACUATION_GRACE_MS;
 
+  /* The worker may have been replaced or registered since. */
+  if (member->state == MEMBER_CLOSING || member->state == MEMBER_ORDERED)
+    gr_steps_close_worker (waves->steps, member->worker, true);
   if (member->state == MEMBER_CLOSING
       && gr_steps_evacuate_worker (waves->steps, member->worker, grace_over))
     {
--- a/tests/test-waves.c
+++ b/tests/test-waves.c
@@ -182,6 +182,63 @@
 }
 END_TEST
 
+static void
+add_worker (struct gr_steps *steps, const char *id)
+{
+  static const char *const labels[] = { NULL };
+  struct gr_steps_worker worker = { .id = id,
+                                    .service = "s",
+                                    .rack = "",
+                                    .labels = labels,
+                                    .capacity = { 9, 9, 9 } };
+  struct gr_run_report report = { .all_ended = true };
+
+  gr_steps_set_worker (steps, &worker, 1000);
+  gr_steps_process_report (steps, id, &report, 1000);
+}
+
+static void
+add_job (struct gr_steps *steps)
+{
+  struct gr_steps_queue queue = { .name = "q",
+                                  .service = "s",
+                                  .max_attempts = 3 };
+  struct gr_step_spec step = { .count = 1, .needs = { 1, 1, 1 } };
+  struct gr_job_spec job = { .id = "00000000000000a1",
+                             .queue = (char *)"q",
+                             .account = (char *)"a",
+                             .payload = (char *)"",
+                             .steps = &step,
+                             .n_steps = 1 };
+
+  gr_steps_set_queue (steps, &queue);
+  gr_steps_add_job (steps, &job, NULL, false, 1000);
+}
+
+/* A machine's worker was replaced while the machine was closed for upkeep. The
+ * new worker was not closed, so its runs ended with the upkeep. */
+START_TEST (replaced_worker_of_a_closed_machine_gets_no_work)
+{
+  struct machine_model model;
+  struct gr_order order;
+
+  machine_model_create (&model);
+  add_worker (model.steps, "w0");
+  add_worker (model.steps, "new");
+  gr_waves_update_machines (model.waves, model.machines, 1, 1000);
+  gr_waves_tick (model.waves, 1100);
+  g_free (model.machines[0].worker);
+  model.machines[0].worker = g_strdup ("new");
+  gr_waves_update_machines (model.waves, model.machines, 1, 1200);
+  gr_waves_tick (model.waves, 1300);
+  add_job (model.steps);
+  gr_steps_tick (model.steps, 1400, 1400);
+  ck_assert (gr_steps_take_order (model.steps, NULL, NULL, &order));
+  ck_assert_str_eq (order.worker, "w0");
+  machine_model_destroy (&model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -193,6 +250,7 @@
   tcase_add_test (tests, wave_keeps_to_its_cap);
   tcase_add_test (tests, wave_is_complete_only_at_the_end);
   tcase_add_test (tests, done_machines_are_not_ordered_again);
+  tcase_add_test (tests, replaced_worker_of_a_closed_machine_gets_no_work);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
