steps: list the machines of a wave before their upkeep

Upkeep could be ordered for a machine whose work had not been stopped or saved. A machine list was awaited once for all waves. The machines of a wave that was added after it counted as up and without a worker, so they were not emptied.

Each machine now waits for a list that arrives after its wave was added; until then it counts as down for the cap.

The new test failed before: an order for wave 2 was sent before the list.

--- a/steps/waves.c
+++ b/steps/waves.c
@@ -27,6 +27,7 @@
 {
   char *machine;
   char *worker; /* from the last machine list */
+  bool listed;  /* a machine list has arrived since the wave was added */
   enum gr_machine_state machine_state;
   enum member_state state;
   int64_t since_ms; /* when state last changed */
@@ -45,7 +46,6 @@
   struct gr_steps *steps;
   GPtrArray *waves;
   GQueue orders;
-  bool machines_known;
   int64_t now_ms;
 };
 
@@ -213,6 +213,7 @@
                const struct gr_machine *row,
                int64_t requested_ms)
 {
+  member->listed = true;
   if (row == NULL)
     {
       if (member->state != MEMBER_DONE)
@@ -238,7 +239,6 @@
                           size_t n_machines,
                           int64_t requested_ms)
 {
-  waves->machines_known = true;
   for (guint i = 0; i < waves->waves->len; i++)
     {
       const struct wave *wave = waves->waves->pdata[i];
@@ -285,7 +285,7 @@
   return member->state == MEMBER_ORDERED || member->state == MEMBER_AWAY
          || member->state == MEMBER_CLOSING
          || (member->state == MEMBER_PENDING
-             && member->machine_state != GR_MACHINE_UP);
+             && (!member->listed || member->machine_state != GR_MACHINE_UP));
 }
 
 /* Of the machines whose upkeep is pending, the one whose worker has the fewest
@@ -301,7 +301,7 @@
       struct member *member = wave->members->pdata[i];
       uint32_t load;
 
-      if (member->state != MEMBER_PENDING
+      if (member->state != MEMBER_PENDING || !member->listed
           || member->machine_state != GR_MACHINE_UP)
         continue;
       load = gr_steps_worker_load (waves->steps, member->worker);
@@ -373,8 +373,6 @@
 gr_waves_tick (struct gr_waves *waves, int64_t now_ms)
 {
   waves->now_ms = now_ms;
-  if (!waves->machines_known)
-    return;
   for (guint i = 0; i < waves->waves->len; i++)
     advance_wave (waves, waves->waves->pdata[i]);
 }
--- a/tests/test-waves.c
+++ b/tests/test-waves.c
@@ -239,6 +239,32 @@
 }
 END_TEST
 
+/* A wave that was added after the last machine list took its machines for up
+ * and without a worker, and ordered their upkeep before they were emptied. */
+START_TEST (machines_of_a_new_wave_are_listed_before_their_upkeep)
+{
+  static const char *const names[] = { "m5", NULL };
+  struct machine_model model;
+  struct gr_upkeep_order order;
+
+  machine_model_create (&model);
+  gr_waves_update_machines (model.waves, model.machines, MACHINES, 1000);
+  gr_waves_tick (model.waves, 1100);
+  gr_waves_set (model.waves, 2, names, 1);
+  for (int64_t now_ms = 1200; now_ms < 1600; now_ms += TICK_MS)
+    gr_waves_tick (model.waves, now_ms);
+  while (gr_waves_take_order (model.waves, &order))
+    ck_assert_int_eq (order.wave, 1);
+  gr_waves_update_machines (model.waves, model.machines, MACHINES, 1600);
+  for (int64_t now_ms = 1700; now_ms < 2000; now_ms += TICK_MS)
+    gr_waves_tick (model.waves, now_ms);
+  do
+    ck_assert (gr_waves_take_order (model.waves, &order));
+  while (order.wave != 2);
+  machine_model_destroy (&model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -251,6 +277,7 @@
   tcase_add_test (tests, wave_is_complete_only_at_the_end);
   tcase_add_test (tests, done_machines_are_not_ordered_again);
   tcase_add_test (tests, replaced_worker_of_a_closed_machine_gets_no_work);
+  tcase_add_test (tests, machines_of_a_new_wave_are_listed_before_their_upkeep);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
