steps: hand over draining workers and ends that are not durable

Cause: gr_steps_each_handover_worker () left out registered workers that drain, as their entries vanish when they leave. Late renewals make them vanish while the workers are up. A worker without an entry was also forgotten when its lease had expired, with ends that only it could still report.

Every worker that may have runs, or ends that are not durable, is handed over now. A worker that has left refuses the connection, so a successor does not wait for it; a test guards that.

Three of the four new tests failed before: 2 starts instead of 1.

--- a/steps/steps.h
+++ b/steps/steps.h
@@ -252,8 +252,9 @@
 void gr_steps_set_registry_settled (struct gr_steps *steps,
                                     int64_t registry_settled_ms);
 /* Calls visit for each worker that must be handed over to the next owner, which
- * may find no registry entry of it: all that are registered and not draining,
- * and unregistered ones that may still have runs. */
+ * may find no registry entry of it: all that are registered, draining or not,
+ * and unregistered ones that may still have runs or ends that are not
+ * durable. */
 void gr_steps_each_handover_worker (const struct gr_steps *steps,
                                     void (*visit) (const char *worker,
                                                    void *context),
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -569,11 +569,27 @@
   return expiry_ms;
 }
 
+/* A successor can read such ends only from the worker, which keeps them until
+ * they are acknowledged. */
+static bool
+has_ends_that_are_not_durable (const struct gr_steps *steps,
+                               const struct worker *worker)
+{
+  return worker->processed_end > worker->durable_end
+         && steps->committed < steps->sequence;
+}
+
+static bool
+must_be_handed_over (const struct gr_steps *steps, const struct worker *worker)
+{
+  return worker->registered || steps->now_ms < lease_expiry_ms (steps, worker)
+         || has_ends_that_are_not_durable (steps, worker);
+}
+
 static bool
 may_be_removed (const struct gr_steps *steps, const struct worker *worker)
 {
-  return !worker->registered && worker->tasks->len == 0
-         && steps->now_ms >= lease_expiry_ms (steps, worker);
+  return worker->tasks->len == 0 && !must_be_handed_over (steps, worker);
 }
 
 /* Releases runs whose lease has certainly expired, drops unused reservations
@@ -618,10 +634,8 @@
     {
       const struct worker *worker = steps->worker_rows->pdata[i];
 
-      /* The entry of a live worker can expire. A draining worker is left out:
-       * its work ends soon, and its entry disappears because it leaves. */
-      if (worker->registered ? !worker->draining
-                             : steps->now_ms < lease_expiry_ms (steps, worker))
+      /* The entry of a live worker can expire, draining or not. */
+      if (must_be_handed_over (steps, worker))
         visit (worker->id, context);
     }
 }
--- /dev/null
+++ b/tests/test-steps-handover.c
@@ -0,0 +1,131 @@
+#include "tests/steps-fixture.h"
+
+#include <check.h>
+#include <stdlib.h>
+
+#define WORKERS 4
+
+static struct steps_model *
+start_one_task (int64_t work_ms)
+{
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
+  struct gr_step_spec one = steps_plain;
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, work_ms);
+  steps_model_run (model, 500);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  return model;
+}
+
+static uint32_t
+busy_worker (struct steps_model *model)
+{
+  for (uint32_t i = 0; i < WORKERS; i++)
+    if (steps_model_starts_on (model, i) > 0)
+      return i;
+  ck_abort_msg ("no worker has started a run");
+  return 0;
+}
+
+/* A successor that found no registry entry of a draining worker started its
+ * runs a second time. */
+START_TEST (runs_on_a_draining_worker_are_handed_over)
+{
+  struct steps_model *model = start_one_task (20000);
+
+  steps_model_drain_worker (model, busy_worker (model), true);
+  steps_model_run (model, 500);
+  steps_model_lose_entry_at_takeover (model, busy_worker (model));
+  steps_model_new_owner (model);
+  steps_model_run (model, 3000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  ck_assert_uint_eq (steps_model_running (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* A task that was done on a draining worker was started again if the former
+ * owner could not store its end. */
+START_TEST (end_that_is_not_durable_is_handed_over_with_a_draining_worker)
+{
+  struct steps_model *model = start_one_task (2000);
+
+  steps_model_drain_worker (model, busy_worker (model), true);
+  steps_model_set_store (model, false);
+  steps_model_run (model, 3000);
+  steps_model_lose_entry_at_takeover (model, busy_worker (model));
+  steps_model_set_store (model, true);
+  steps_model_new_owner (model);
+  steps_model_run (model, 3000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* A worker without an entry was forgotten when its lease had expired, although
+ * the end of its run was not durable: the next owner started the task again. */
+START_TEST (end_that_is_not_durable_keeps_a_silent_worker_handed_over)
+{
+  struct steps_model *model = start_one_task (2000);
+  uint32_t worker = busy_worker (model);
+
+  steps_model_set_store (model, false);
+  steps_model_run (model, 3000);
+  steps_model_set_worker_unreachable (model, worker, true);
+  steps_model_renew_entry (model, worker, 0);
+  steps_model_run (model, 4500);
+  steps_model_unregister_worker (model, worker, 0);
+  steps_model_run (model, 10000);
+  steps_model_set_worker_unreachable (model, worker, false);
+  steps_model_lose_entry_at_takeover (model, worker);
+  steps_model_set_store (model, true);
+  steps_model_new_owner (model);
+  steps_model_run (model, 3000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* Guards against a takeover that waits for the leases of a draining worker
+ * which has really left. */
+START_TEST (draining_worker_that_left_does_not_delay_a_successor)
+{
+  struct steps_model *model = start_one_task (20000);
+  uint32_t worker = busy_worker (model);
+
+  steps_model_drain_worker (model, worker, true);
+  steps_model_run (model, 500);
+  steps_model_lose_entry_at_takeover (model, worker);
+  steps_model_crash_worker (model, worker,
+                            &(struct steps_model_crash){ .down_ms = 60000 });
+  steps_model_new_owner (model);
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 2);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("steps-handover");
+  TCase *tests = tcase_create ("handover");
+  SRunner *runner;
+  int failed;
+
+  tcase_add_test (tests, runs_on_a_draining_worker_are_handed_over);
+  tcase_add_test (
+      tests, end_that_is_not_durable_is_handed_over_with_a_draining_worker);
+  tcase_add_test (tests,
+                  end_that_is_not_durable_keeps_a_silent_worker_handed_over);
+  tcase_add_test (tests, draining_worker_that_left_does_not_delay_a_successor);
+  suite_add_tcase (suite, tests);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_ENV);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
