members: leaving notices of a former process are ignored

Now a notice also has the time at which the call was sent that it answers, and is ignored if that is before the list with the new address. Reports of workers carry the time of their poll. Notices in the calls of peers have no such time and count from their receipt.

--- a/entry/watch.c
+++ b/entry/watch.c
@@ -22,7 +22,8 @@
                          const char *target,
                          int64_t asked_ms)
 {
-  if (gr_members_record_target_leaving (entry->members, target, asked_ms))
+  if (gr_members_record_target_leaving (entry->members, target, asked_ms,
+                                        gr_clock_now_ms (entry->clock)))
     gr_watch_update (entry);
 }
 
--- a/members/members.c
+++ b/members/members.c
@@ -275,10 +275,15 @@
 bool
 gr_members_record_target_leaving (struct gr_members *members,
                                   const char *target,
+                                  int64_t asked_ms,
                                   int64_t seen_ms)
 {
+  const struct target_record *record =
+      g_hash_table_lookup (members->targets, target);
   int64_t *known = g_hash_table_lookup (members->notices, target);
 
+  if (record != NULL && asked_ms < record->notices_valid_from_ms)
+    return false;
   if (known != NULL)
     {
       *known = MAX (*known, seen_ms);
--- a/members/members.h
+++ b/members/members.h
@@ -99,12 +99,14 @@
                                    const struct gr_member *reported,
                                    int64_t sent_ms);
 
-/* Records that a target was seen leaving, as reported by the target itself or
- * by a peer, at seen_ms or later: the time at which it was asked. A notice from
- * before the list with a new address of the target concerns an earlier process.
- * Returns true if there was no leaving notice for it yet. */
+/* Records that a target was seen leaving at seen_ms, as reported by the target
+ * itself or by a peer in an answer to a call that was sent at asked_ms. Ignored
+ * if that was before the list with a new address of the target, because it
+ * concerns an earlier process. Returns true if there was no leaving notice for
+ * it yet. */
 bool gr_members_record_target_leaving (struct gr_members *members,
                                        const char *target,
+                                       int64_t asked_ms,
                                        int64_t seen_ms);
 
 struct gr_leaving_notice
--- a/members/peers.c
+++ b/members/peers.c
@@ -155,12 +155,12 @@
   return true;
 }
 
-/* The ages count from asked_ms, a lower bound of the time at which the peer
- * sent them: an answer may be read long after that. */
+/* asked_ms: when the call was sent that the peer answers with these notices. */
 static void
 apply_leaving_notices (struct gr_peers *peers,
                        const msgpack_object *map,
-                       int64_t asked_ms)
+                       int64_t asked_ms,
+                       int64_t now_ms)
 {
   size_t count;
   const msgpack_object *elements = gr_unpack_array (map, "leaving", &count);
@@ -174,7 +174,7 @@
           || !read_name (&elements[i], "target", target))
         continue;
       gr_members_record_target_leaving (peers->members, target,
-                                        asked_ms - age_ms);
+                                        asked_ms - age_ms, now_ms - age_ms);
     }
 }
 
@@ -200,7 +200,8 @@
   if (error == NULL && !peers->stopping && read_reported (body, &reported))
     {
       gr_members_update_from_reply (peers->members, &reported, round->sent_ms);
-      apply_leaving_notices (peers, body, round->sent_ms);
+      apply_leaving_notices (peers, body, round->sent_ms,
+                             gr_clock_now_ms (peers->clock));
     }
   round_call_done (round);
 }
@@ -340,7 +341,7 @@
       return;
     }
   gr_members_update_from_call (peers->members, &reported, now_ms);
-  apply_leaving_notices (peers, body, now_ms);
+  apply_leaving_notices (peers, body, now_ms, now_ms);
   reply = pack_self (peers, now_ms);
   gr_rpc_reply (call, reply);
   gr_packer_destroy (reply);
--- a/scheduler/shard.c
+++ b/scheduler/shard.c
@@ -223,7 +223,7 @@
   gr_core_worker_report (shard->core, report, now_ms (shard));
   if (report->leaving)
     gr_members_record_target_leaving (shard->env.members, report->worker,
-                                      requested_ms);
+                                      requested_ms, now_ms (shard));
   if (report->n_tasks > 0)
     gr_shard_tick_within (shard, EVENT_TICK_MS);
 }
--- a/tests/test-members.c
+++ b/tests/test-members.c
@@ -116,8 +116,8 @@
 
   gr_members_apply_list (members, &list, 1, 1000);
   ck_assert (!target_is_leaving (members, 1000));
-  ck_assert (gr_members_record_target_leaving (members, "x1", 2000));
-  ck_assert (!gr_members_record_target_leaving (members, "x1", 1500));
+  ck_assert (gr_members_record_target_leaving (members, "x1", 2000, 2000));
+  ck_assert (!gr_members_record_target_leaving (members, "x1", 1500, 1500));
   ck_assert (target_is_leaving (members, 2000));
   notices =
       gr_members_leaving_notices (members, 2000 + GR_LEAVING_PROPAGATE_MS);
@@ -130,14 +130,20 @@
   gr_members_apply_list (members, &list, 1, 30000);
   ck_assert (target_is_leaving (members, 30000));
   ck_assert (!target_is_leaving (members, 2001 + GR_LEAVING_EXPIRE_MS));
-  gr_members_record_target_leaving (members, "x1", 65000);
+  gr_members_record_target_leaving (members, "x1", 65000, 65000);
   ck_assert (target_is_leaving (members, 66000));
   list = make_instance ("x1", GR_ROLE_EXECUTOR, "x1:2");
   gr_members_apply_list (members, &list, 1, 67000);
   ck_assert (!target_is_leaving (members, 67000));
+  gr_members_record_target_leaving (members, "x1", 66999, 68000);
+  ck_assert (!target_is_leaving (members, 68000));
   list.leaving = true;
   gr_members_apply_list (members, &list, 1, 70000);
   ck_assert (target_is_leaving (members, 70000));
+  list.leaving = false;
+  gr_members_apply_list (members, &list, 1, 71000);
+  gr_members_record_target_leaving (members, "x1", 67000, 140000);
+  ck_assert (target_is_leaving (members, 140000));
   gr_members_destroy (members);
 }
 END_TEST
@@ -250,7 +256,8 @@
   list[1] = make_instance ("x1", GR_ROLE_EXECUTOR, "x1:1");
   gr_members_apply_list (a.members, list, 2, gr_clock_now_ms (a.clock));
   gr_members_apply_list (b.members, list + 1, 1, gr_clock_now_ms (b.clock));
-  gr_members_record_target_leaving (a.members, "x1", gr_clock_now_ms (a.clock));
+  gr_members_record_target_leaving (a.members, "x1", gr_clock_now_ms (a.clock),
+                                    gr_clock_now_ms (a.clock));
   while (a.rounds < 1
          || !target_is_leaving (b.members, gr_clock_now_ms (b.clock)))
     g_main_context_iteration (NULL, TRUE);
@@ -281,7 +288,8 @@
   gr_members_apply_list (a.members, list, 2, gr_clock_now_ms (a.clock));
   while (a.fills < 1)
     g_main_context_iteration (NULL, TRUE);
-  gr_members_record_target_leaving (b.members, "x1", gr_clock_now_ms (b.clock));
+  gr_members_record_target_leaving (b.members, "x1", gr_clock_now_ms (b.clock),
+                                    gr_clock_now_ms (b.clock));
   while (b.calls < 1)
     g_main_context_iteration (NULL, TRUE);
   g_usleep (50 * G_TIME_SPAN_MILLISECOND);
@@ -290,7 +298,8 @@
   while (a.rounds < 1)
     g_main_context_iteration (NULL, TRUE);
   ck_assert (!target_is_leaving (a.members, gr_clock_now_ms (a.clock)));
-  gr_members_record_target_leaving (b.members, "x1", gr_clock_now_ms (b.clock));
+  gr_members_record_target_leaving (b.members, "x1", gr_clock_now_ms (b.clock),
+                                    gr_clock_now_ms (b.clock));
   while (!target_is_leaving (a.members, gr_clock_now_ms (a.clock)))
     g_main_context_iteration (NULL, TRUE);
   stop_process (&a);
