instance, steps: place no work before the handover list is durable

The list was written every 0.9 s, placement did not wait for it, and a write without an answer could later replace a newer list.

Before: 2 starts of one task (worker_gets_no_runs_before_it_is_handed_over), and a worker that no list named was used without the store (new_worker_is_used_once_the_store_works_again).

Workers of an inherited list are usable at once. A worker whose address changes waits again.

The model publishes its list like an owner now, instead of asking the former core at the takeover, so tests without a store see what was stored last.

--- a/bench/steps.c
+++ b/bench/steps.c
@@ -57,6 +57,7 @@
       g_snprintf (id, sizeof id, "w%03u", i);
       g_snprintf (rack, sizeof rack, "rack%u", i / RACK_WORKERS);
       gr_steps_set_worker (testbed->steps, &worker, testbed->now_ms);
+      gr_steps_add_inherited_worker (testbed->steps, id, testbed->now_ms);
       gr_steps_process_report (testbed->steps, id, &report, testbed->now_ms);
     }
 }
--- a/instance/metrics.c
+++ b/instance/metrics.c
@@ -36,6 +36,9 @@
   { "workers_quarantined", "gauge", "",
     "Workers that temporarily get no new work, because several jobs failed "
     "on them or they reported themselves unhealthy; only on the owner." },
+  { "workers_held_back", "gauge", "",
+    "Workers that get no work until the list that hands them over to the "
+    "next owner is stored; only on the owner." },
   { "accelerators", "gauge", "",
     "Accelerators of all workers; only on the owner." },
   { "accelerators_used", "gauge", "",
@@ -268,6 +271,7 @@
     { "workers", state->counts.workers },
     { "workers_usable", state->counts.workers_usable },
     { "workers_quarantined", state->counts.workers_quarantined },
+    { "workers_held_back", state->counts.workers_held_back },
     { "accelerators", state->counts.accelerators },
     { "accelerators_used", state->counts.accelerators_used },
     { "orders_waiting", state->counts.orders },
--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -695,10 +695,11 @@
   return mirror->last_epoch;
 }
 
-const char *
-gr_mirror_handover_workers (const struct gr_mirror *mirror)
+int64_t
+gr_mirror_handover_workers (const struct gr_mirror *mirror, const char **text)
 {
-  return mirror->handover_workers ? mirror->handover_workers : "";
+  *text = mirror->handover_workers ? mirror->handover_workers : "";
+  return mirror->handover_revision;
 }
 
 GBytes *
--- a/instance/mirror.h
+++ b/instance/mirror.h
@@ -87,10 +87,12 @@
  * and NULL if there is none. */
 int64_t gr_mirror_owner (const struct gr_mirror *mirror, const char **text);
 
-/* Returns the workers that the last owner has handed over, which may have runs
- * although they may be missing from the registry: one line per worker, with its
+/* Returns the revision of the list of workers that an owner hands over, 0 if
+ * there is none, and sets *text to the list: workers that may have runs
+ * although they may be missing from the registry, one line per worker with its
  * id and address. Never NULL; valid until the record changes. */
-const char *gr_mirror_handover_workers (const struct gr_mirror *mirror);
+int64_t gr_mirror_handover_workers (const struct gr_mirror *mirror,
+                                    const char **text);
 
 /* Returns the newest record of learned run times and speeds; NULL if there is
  * none. Owned by the mirror; valid until the record changes. */
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -4,6 +4,7 @@
 #include "instance/advice-calls.h"
 #include "instance/evacuation-control.h"
 #include "instance/expiry.h"
+#include "instance/handover.h"
 #include "instance/learned.h"
 #include "instance/owner-load.h"
 #include "instance/ownership.h"
@@ -36,11 +37,6 @@
 /* Period of the core's scheduling passes when no event triggers one. */
 #define TICK_MS 100
 
-/* Period for publishing which jobs have started. Counts shown to clients may
- * be 2 s old. */
-#define PUBLISH_PERIOD_MS 900
-#define PUBLISH_TIMEOUT_MS 800
-
 struct gr_owner
 {
   struct gr_owner_deps deps;
@@ -55,60 +51,25 @@
   struct gr_advice_calls *advice;
   struct gr_evacuation_control *evacuation;
   struct gr_worker_registry *registry;
-  GHashTable *addresses; /* worker id -> IP:PORT, the last known address */
+  struct gr_handover *handover;
   bool loaded;
   bool registry_read;
   bool superseded;
-  char *published_started;
-  char *published_handover;
-  bool started_changed;
-  bool handover_changed;
-  int64_t published_revision;
   guint tick_timer;
   int64_t last_tick_ms;
   guint pass_timer;
   struct gr_owner_load load;
-  guint publish_timer;
-  struct owner_call *calls[2];
+  struct owner_call *reload_call; /* NULL: none is open */
 };
 
 /* A call that may end after the owner was destroyed. */
 struct owner_call
 {
   struct gr_owner *owner; /* NULL after the owner was destroyed */
-  struct owner_call **slot;
-};
-
-enum call_slot
-{
-  SLOT_PUBLISH,
-  SLOT_RELOAD,
 };
 
 static void run_pass (struct gr_owner *owner);
 
-static struct owner_call *
-open_call (struct gr_owner *owner, enum call_slot slot)
-{
-  struct owner_call *call = g_new0 (struct owner_call, 1);
-
-  call->owner = owner;
-  call->slot = &owner->calls[slot];
-  owner->calls[slot] = call;
-  return call;
-}
-
-static struct gr_owner *
-end_call (struct owner_call *call)
-{
-  struct gr_owner *owner = call->owner;
-
-  if (owner != NULL)
-    *call->slot = NULL;
-  g_free (call);
-  return owner;
-}
-
 static void
 report_superseded (struct gr_owner *owner, const char *reason)
 {
@@ -153,6 +114,7 @@
   gr_upkeep_run (owner->upkeep);
   gr_expiry_run (owner->expiry);
   write_progress (owner);
+  gr_handover_run (owner->handover);
   gr_learned_run (owner->learned);
   gr_owner_load_add_pass (&owner->load, g_get_monotonic_time () - start_us);
   if (gr_steps_fenced (owner->steps))
@@ -244,12 +206,7 @@
   if (!gr_steps_set_worker (owner->steps, &worker,
                             gr_clock_now_ms (owner->deps.clock)))
     return;
-  gr_worker_io_set_address (owner->io, entry->worker, entry->address);
-  if (g_strcmp0 (g_hash_table_lookup (owner->addresses, entry->worker),
-                 entry->address)
-      != 0)
-    g_hash_table_replace (owner->addresses, g_strdup (entry->worker),
-                          g_strdup (entry->address));
+  gr_handover_set_address (owner->handover, entry->worker, entry->address);
 }
 
 static int64_t
@@ -299,140 +256,6 @@
   schedule_pass (owner);
 }
 
-static void
-append_id (const char *id, void *context)
-{
-  GString *text = context;
-
-  g_string_append (text, id);
-  g_string_append_c (text, '\n');
-}
-
-static void
-publish_done (const struct gr_metastore_result *result,
-              const struct gr_error *error,
-              void *context)
-{
-  struct gr_owner *owner = end_call (context);
-
-  if (owner == NULL)
-    return;
-  /* After a failure the lists are written again, even if they do not change. */
-  if (error == NULL && result->conditions_held)
-    return;
-  gr_log_event (
-      "handover-not-written", "reason",
-      error != NULL ? error->message : "the owner's record has changed", NULL);
-  g_clear_pointer (&owner->published_started, g_free);
-  g_clear_pointer (&owner->published_handover, g_free);
-}
-
-struct handover_text
-{
-  struct gr_owner *owner;
-  GString *text;
-};
-
-static void
-append_handover_worker (const char *worker, void *context)
-{
-  struct handover_text *handover = context;
-  const char *address =
-      g_hash_table_lookup (handover->owner->addresses, worker);
-
-  if (address != NULL)
-    g_string_append_printf (handover->text, "%s %s\n", worker, address);
-}
-
-static void
-write_published (struct gr_owner *owner)
-{
-  struct gr_metastore_txn *txn = gr_metastore_txn_create ();
-  const struct
-  {
-    const char *key;
-    const char *text;
-    bool changed;
-  } rows[] = {
-    { GR_RECORD_STARTED, owner->published_started, owner->started_changed },
-    { GR_RECORD_HANDOVER, owner->published_handover, owner->handover_changed },
-  };
-
-  gr_metastore_txn_expect (txn, GR_RECORD_OWNER, owner->revision);
-  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
-    if (rows[i].changed)
-      gr_metastore_txn_put (txn, rows[i].key, rows[i].text,
-                            strlen (rows[i].text), 0);
-  gr_metastore_commit (owner->deps.store, txn, PUBLISH_TIMEOUT_MS,
-                       (struct gr_metastore_reply){
-                           publish_done, open_call (owner, SLOT_PUBLISH) });
-}
-
-/* Replaces *published by text, of which it takes ownership. Returns true if the
- * two differ. */
-static bool
-replace_published (char **published, GString *text)
-{
-  g_autofree char *former = *published;
-
-  *published = g_string_free (text, FALSE);
-  return g_strcmp0 (former, *published) != 0;
-}
-
-/* Publishes the started jobs, for the counts shown to clients, and, for a
- * successor, the workers that may have runs but may be missing from the
- * registry. Few of these change in a second, so the lists are written only when
- * they change. */
-static gboolean
-on_publish_timer (gpointer data)
-{
-  struct gr_owner *owner = data;
-  struct handover_text handover = { owner, NULL };
-  GString *started;
-
-  if (owner->calls[SLOT_PUBLISH] != NULL || owner->superseded || !owner->loaded)
-    return G_SOURCE_CONTINUE;
-  started = g_string_new (NULL);
-  handover.text = g_string_new (NULL);
-  gr_steps_each_started_job (owner->steps, append_id, started);
-  gr_steps_each_handover_worker (owner->steps, append_handover_worker,
-                                 &handover);
-  owner->started_changed =
-      replace_published (&owner->published_started, started);
-  owner->handover_changed =
-      replace_published (&owner->published_handover, handover.text);
-  if (owner->started_changed || owner->handover_changed)
-    write_published (owner);
-  return G_SOURCE_CONTINUE;
-}
-
-/* Passes to the core the workers that the former owner has handed over: one
- * line per worker, with its id and address. */
-static void
-inherit_workers (struct gr_owner *owner)
-{
-  g_auto (GStrv) lines =
-      g_strsplit (gr_mirror_handover_workers (owner->deps.mirror), "\n", -1);
-  uint32_t n = 0;
-  char workers[16];
-
-  for (char **line = lines; *line != NULL; line++)
-    {
-      g_auto (GStrv) words = g_strsplit (*line, " ", 2);
-
-      if (g_strv_length (words) != 2)
-        continue;
-      gr_steps_add_inherited_worker (owner->steps, words[0],
-                                     gr_clock_now_ms (owner->deps.clock));
-      g_hash_table_replace (owner->addresses, g_strdup (words[0]),
-                            g_strdup (words[1]));
-      gr_worker_io_set_address (owner->io, words[0], words[1]);
-      n++;
-    }
-  g_snprintf (workers, sizeof workers, "%u", n);
-  gr_log_event ("workers-inherited", "workers", workers, NULL);
-}
-
 static void
 set_job (struct gr_owner *owner,
          const char *id,
@@ -499,10 +322,12 @@
 reload_done (bool loaded, void *context)
 {
   struct owner_call *call = context;
-  struct gr_owner *owner = end_call (call);
+  struct gr_owner *owner = call->owner;
 
+  g_free (call);
   if (owner == NULL)
     return;
+  owner->reload_call = NULL;
   if (!loaded)
     {
       reload (owner);
@@ -510,7 +335,7 @@
     }
   owner->loaded = true;
   gr_learned_restore (owner->learned);
-  inherit_workers (owner);
+  gr_handover_inherit (owner->handover);
   gr_mirror_each (owner->deps.mirror, inherit_job, owner);
   schedule_pass (owner);
 }
@@ -519,8 +344,9 @@
 static void
 reload (struct gr_owner *owner)
 {
-  gr_mirror_reload (owner->deps.mirror, reload_done,
-                    open_call (owner, SLOT_RELOAD));
+  owner->reload_call = g_new0 (struct owner_call, 1);
+  owner->reload_call->owner = owner;
+  gr_mirror_reload (owner->deps.mirror, reload_done, owner->reload_call);
 }
 
 struct gr_owner *
@@ -559,8 +385,9 @@
   owner->learned = gr_learned_create (deps, owner->steps, revision);
   gr_steps_set_registry_settled (owner->steps,
                                  store_up_since (owner) + REGISTRY_SETTLE_MS);
-  owner->addresses =
-      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  owner->handover =
+      gr_handover_create (deps, owner->steps, owner->io, revision,
+                          &(struct gr_handover_events){ schedule_pass, owner });
   owner->expiry = gr_expiry_create (deps, revision);
   owner->upkeep = gr_upkeep_create (deps, owner->steps, epoch, revision);
   owner->advice =
@@ -569,8 +396,6 @@
   gr_owner_config_changed (owner);
   owner->last_tick_ms = gr_clock_now_ms (deps->clock);
   owner->tick_timer = g_timeout_add (TICK_MS, on_tick, owner);
-  owner->publish_timer =
-      g_timeout_add (PUBLISH_PERIOD_MS, on_publish_timer, owner);
   reload (owner);
   owner->registry = gr_worker_registry_create (
       deps->store, deps->clock,
@@ -601,11 +426,9 @@
 {
   if (owner == NULL)
     return;
-  for (size_t i = 0; i < G_N_ELEMENTS (owner->calls); i++)
-    if (owner->calls[i] != NULL)
-      owner->calls[i]->owner = NULL;
+  if (owner->reload_call != NULL)
+    owner->reload_call->owner = NULL;
   g_source_remove (owner->tick_timer);
-  g_source_remove (owner->publish_timer);
   if (owner->pass_timer != 0)
     g_source_remove (owner->pass_timer);
   gr_worker_registry_destroy (owner->registry);
@@ -613,12 +436,10 @@
   gr_expiry_destroy (owner->expiry);
   gr_advice_calls_destroy (owner->advice);
   gr_evacuation_control_destroy (owner->evacuation);
+  gr_handover_destroy (owner->handover);
   gr_worker_io_destroy (owner->io);
   gr_progress_log_destroy (owner->log);
   gr_learned_destroy (owner->learned);
   gr_steps_destroy (owner->steps);
-  g_hash_table_destroy (owner->addresses);
-  g_free (owner->published_started);
-  g_free (owner->published_handover);
   g_free (owner);
 }
--- a/steps/core.c
+++ b/steps/core.c
@@ -32,6 +32,8 @@
   steps->epoch = epoch;
   steps->created_ms = now_ms;
   steps->now_ms = now_ms;
+  steps->handover_list = GR_INHERITED_HANDOVER_LIST;
+  steps->durable_handover_list = GR_INHERITED_HANDOVER_LIST;
   steps->queues =
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, queue_destroy);
   steps->accounts =
@@ -377,6 +379,7 @@
       counts->workers++;
       counts->tasks_running += worker->tasks->len;
       counts->workers_usable += gr_worker_usable (steps, worker);
+      counts->workers_held_back += gr_worker_is_held_back (steps, worker);
       counts->workers_quarantined +=
           steps->now_ms < worker->quarantine_until_ms;
       counts->accelerators += worker->capacity.accelerators;
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -240,9 +240,8 @@
                                    int64_t since_ms,
                                    bool store_healthy,
                                    int64_t now_ms);
-/* Adds a worker that a former owner has handed over: it may have active runs,
- * whether it has a registry entry or not. No effect if the worker is already
- * known. */
+/* Adds a worker that the durable list of a former owner names: it may have
+ * active runs, whether it has a registry entry or not. */
 void gr_steps_add_inherited_worker (struct gr_steps *steps,
                                     const char *worker,
                                     int64_t now_ms);
@@ -251,14 +250,24 @@
  * recorded one is ignored. */
 void gr_steps_set_registry_settled (struct gr_steps *steps,
                                     int64_t registry_settled_ms);
-/* Calls visit for each worker that must be handed over to the next owner, which
- * may find no registry entry of it: all that are registered, draining or not,
- * and unregistered ones that may still have runs or ends that are not
- * durable. */
-void gr_steps_each_handover_worker (const struct gr_steps *steps,
-                                    void (*visit) (const char *worker,
-                                                   void *context),
-                                    void *context);
+/* Lists the workers that must be handed over to the next owner, which may find
+ * no registry entry of them: all that are registered, draining or not, and
+ * unregistered ones that may still have runs or ends that are not durable. add
+ * is called for each and returns false if it cannot be named. Returns the
+ * number of the list. */
+uint64_t gr_steps_list_handover_workers (struct gr_steps *steps,
+                                         bool (*add) (const char *worker,
+                                                      void *context),
+                                         void *context);
+/* The list, which has this number, is what a successor reads from now on. A
+ * worker gets no work before a list that names it is durable. */
+void gr_steps_set_handover_list_durable (struct gr_steps *steps, uint64_t list);
+/* What the lists say of the worker is out of date, such as its address: it gets
+ * no work until a further list is durable. */
+void gr_steps_set_handover_outdated (struct gr_steps *steps,
+                                     const char *worker);
+/* True if a worker gets no work only because no durable list names it. */
+bool gr_steps_has_workers_held_back (const struct gr_steps *steps);
 /* Set to false when calls to the worker fail, and to true when they succeed
  * again. */
 void gr_steps_set_worker_reachable (struct gr_steps *steps,
@@ -415,6 +424,7 @@
   uint32_t workers;
   uint32_t workers_usable;
   uint32_t workers_quarantined;
+  uint32_t workers_held_back; /* see gr_steps_has_workers_held_back () */
   uint32_t accelerators;
   uint32_t accelerators_used;
   uint32_t orders; /* queued, not taken yet */
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -5,6 +5,9 @@
 
 struct rack;
 
+/* Number of the list that a core inherits; it is durable. */
+#define GR_INHERITED_HANDOVER_LIST 1
+
 struct worker
 {
   char *id;
@@ -45,6 +48,8 @@
                                         unknown */
   int64_t renewed_ms; /* a time before its registry entry was last renewed; 0:
                          unknown */
+  uint64_t handover_list; /* first of the handover lists that have named it
+                             since without a gap; 0: the last did not */
   int64_t lease_until_ms;
   int64_t full_until_ms; /* no placement until then, as it had less free
                             capacity than computed */
@@ -309,6 +314,8 @@
   uint32_t searches;       /* for room for work beyond its guarantee */
   struct gr_preemption_counts preemption;
   uint64_t runs_lost[GR_LOSS_REASONS];
+  uint64_t handover_list; /* number of the last handover list */
+  uint64_t durable_handover_list;
   bool fenced;
   GHashTable *evacuated; /* names of data centres */
   bool all_evacuated; /* there is an evacuation, and no worker outside of it */
@@ -349,6 +356,9 @@
 struct worker *gr_worker_find (struct gr_steps *steps, const char *id);
 bool gr_worker_usable (const struct gr_steps *steps,
                        const struct worker *worker);
+/* True if it gets no work until a handover list that names it is durable. */
+bool gr_worker_is_held_back (const struct gr_steps *steps,
+                             const struct worker *worker);
 /* Requests a poll; one that was sent earlier does not satisfy the request. */
 void gr_worker_request_poll (const struct gr_steps *steps,
                              struct worker *worker);
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -48,11 +48,29 @@
          && steps->now_ms < steps->created_ms + former_owner_lease_ms (steps);
 }
 
+/* Without a registry entry, a successor would not know of runs on a worker that
+ * no durable list names. */
+static bool
+is_handed_over (const struct gr_steps *steps, const struct worker *worker)
+{
+  return worker->handover_list != 0
+         && worker->handover_list <= steps->durable_handover_list;
+}
+
+bool
+gr_worker_is_held_back (const struct gr_steps *steps,
+                        const struct worker *worker)
+{
+  return worker->registered && !worker->draining
+         && !is_handed_over (steps, worker);
+}
+
 bool
 gr_worker_usable (const struct gr_steps *steps, const struct worker *worker)
 {
   return worker->registered && !worker->evacuated && !worker->draining
          && !worker->closed && worker->reachable && worker->polled
+         && is_handed_over (steps, worker)
          && steps->now_ms >= worker->quarantine_until_ms
          && steps->now_ms >= worker->full_until_ms;
 }
@@ -484,8 +502,15 @@
                                const char *id,
                                int64_t now_ms)
 {
-  if (gr_worker_find (steps, id) == NULL)
-    worker_create (steps, id)->unregistered_ms = now_ms;
+  struct worker *worker = gr_worker_find (steps, id);
+
+  if (worker == NULL)
+    {
+      worker = worker_create (steps, id);
+      worker->unregistered_ms = now_ms;
+    }
+  if (worker->handover_list == 0)
+    worker->handover_list = GR_INHERITED_HANDOVER_LIST;
 }
 
 void
@@ -624,20 +649,47 @@
     }
 }
 
-void
-gr_steps_each_handover_worker (const struct gr_steps *steps,
-                               void (*visit) (const char *worker,
-                                              void *context),
-                               void *context)
+uint64_t
+gr_steps_list_handover_workers (struct gr_steps *steps,
+                                bool (*add) (const char *worker, void *context),
+                                void *context)
 {
+  steps->handover_list++;
   for (guint i = 0; i < steps->worker_rows->len; i++)
     {
-      const struct worker *worker = steps->worker_rows->pdata[i];
+      struct worker *worker = steps->worker_rows->pdata[i];
 
       /* The entry of a live worker can expire, draining or not. */
-      if (must_be_handed_over (steps, worker))
-        visit (worker->id, context);
+      if (!must_be_handed_over (steps, worker) || !add (worker->id, context))
+        worker->handover_list = 0;
+      else if (worker->handover_list == 0)
+        worker->handover_list = steps->handover_list;
     }
+  return steps->handover_list;
+}
+
+void
+gr_steps_set_handover_list_durable (struct gr_steps *steps, uint64_t list)
+{
+  steps->durable_handover_list = MAX (steps->durable_handover_list, list);
+}
+
+void
+gr_steps_set_handover_outdated (struct gr_steps *steps, const char *id)
+{
+  struct worker *worker = gr_worker_find (steps, id);
+
+  if (worker != NULL)
+    worker->handover_list = 0;
+}
+
+bool
+gr_steps_has_workers_held_back (const struct gr_steps *steps)
+{
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    if (gr_worker_is_held_back (steps, steps->worker_rows->pdata[i]))
+      return true;
+  return false;
 }
 
 static void
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -155,9 +155,10 @@
   GPtrArray *workers;
   GPtrArray *jobs; /* by number; NULL where there is none */
   GPtrArray *queues;
-  GPtrArray *transit_orders; /* struct transit_order */
-  GPtrArray *polls;          /* struct model_poll */
-  GHashTable *evacuated;     /* data centre -> time in ms (gint) */
+  GPtrArray *handover_workers; /* ids, as last published by an owner */
+  GPtrArray *transit_orders;   /* struct transit_order */
+  GPtrArray *polls;            /* struct model_poll */
+  GHashTable *evacuated;       /* data centre -> time in ms (gint) */
   bool store_works;
   int64_t commit_ms;
   GQueue commits; /* struct commit, oldest first */
@@ -235,3 +236,5 @@
 /* The store. */
 void model_commit_progress (struct steps_model *model);
 void model_drop_commits (struct steps_model *model);
+/* Publishes the workers for the next owner, unless the store does not work. */
+void model_publish_workers (struct steps_model *model);
--- a/tests/steps-model-store.c
+++ b/tests/steps-model-store.c
@@ -84,3 +84,21 @@
       g_free (commit);
     }
 }
+
+static bool
+collect_worker (const char *worker, void *context)
+{
+  g_ptr_array_add (context, g_strdup (worker));
+  return true;
+}
+
+void
+model_publish_workers (struct steps_model *model)
+{
+  if (!model->store_works)
+    return;
+  g_ptr_array_set_size (model->handover_workers, 0);
+  gr_steps_set_handover_list_durable (
+      model->steps, gr_steps_list_handover_workers (
+                        model->steps, collect_worker, model->handover_workers));
+}
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -124,6 +124,7 @@
   model->workers = g_ptr_array_new ();
   model->jobs = g_ptr_array_new ();
   model->queues = g_ptr_array_new ();
+  model->handover_workers = g_ptr_array_new_with_free_func (g_free);
   model->transit_orders = g_ptr_array_new ();
   model->polls = g_ptr_array_new ();
   model->evacuated =
@@ -136,9 +137,17 @@
       g_snprintf (rack, sizeof rack, "rack%u", i / per_rack);
       model_add_worker (model, rack);
     }
+  model_publish_workers (model);
   return model;
 }
 
+uint32_t
+steps_model_add_worker (struct steps_model *model)
+{
+  model_add_worker (model, "rack0");
+  return model->workers->len - 1;
+}
+
 static void
 job_free (struct model_job *job)
 {
@@ -181,6 +190,7 @@
       g_free (model->queues->pdata[i]);
     }
   g_ptr_array_unref (model->queues);
+  g_ptr_array_unref (model->handover_workers);
   g_rand_free (model->rand);
   g_free (model->violation);
   g_free (model);
@@ -199,6 +209,7 @@
       gr_steps_create (&model->settings, model->epoch, model->now_ms);
   for (guint i = 0; i < model->workers->len; i++)
     model_register_worker (model, model->workers->pdata[i]);
+  model_publish_workers (model);
 }
 
 struct steps_model *
@@ -476,12 +487,6 @@
   get_worker (model, number)->entry_lost = true;
 }
 
-static void
-collect_worker (const char *worker, void *context)
-{
-  g_ptr_array_add (context, g_strdup (worker));
-}
-
 static void
 apply_evacuations (struct steps_model *model)
 {
@@ -496,11 +501,6 @@
 void
 steps_model_new_owner (struct steps_model *model)
 {
-  g_autoptr (GPtrArray) handover_workers =
-      g_ptr_array_new_with_free_func (g_free);
-
-  gr_steps_each_handover_worker (model->steps, collect_worker,
-                                 handover_workers);
   gr_steps_destroy (model->steps);
   model_drop_commits (model);
   model->last_fault_ms = model->now_ms;
@@ -532,9 +532,9 @@
       if (!worker->entry_lost)
         register_entry (model, worker, 0);
     }
-  for (guint i = 0; i < handover_workers->len; i++)
-    gr_steps_add_inherited_worker (model->steps, handover_workers->pdata[i],
-                                   model->now_ms);
+  for (guint i = 0; i < model->handover_workers->len; i++)
+    gr_steps_add_inherited_worker (
+        model->steps, model->handover_workers->pdata[i], model->now_ms);
 }
 
 /* Workers with an even number may run any step. */
@@ -602,6 +602,7 @@
   model_advance_orders (model);
   model_update_workers (model);
   model_advance_polls (model);
+  model_publish_workers (model);
   gr_steps_tick (model->steps, model->now_ms, model->now_ms);
   for (uint32_t sent = 0;
        sent < model->orders_per_tick
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -118,6 +118,8 @@
 void steps_model_set_learning (struct steps_model *model,
                                enum gr_mode run_times,
                                enum gr_mode speeds);
+/* A new worker registers itself. Returns its number. */
+uint32_t steps_model_add_worker (struct steps_model *model);
 void steps_model_restart_worker (struct steps_model *model, uint32_t worker);
 /* The worker restarts; the core learns it from its next poll or, after_ms
  * later, from the registry. Until its next poll the worker grants the longest
--- a/tests/test-config-view.c
+++ b/tests/test-config-view.c
@@ -178,6 +178,7 @@
 
   gr_steps_set_queue (steps, &queue);
   gr_steps_set_worker (steps, &worker, 1000);
+  gr_steps_add_inherited_worker (steps, "w", 1000);
   gr_steps_process_report (steps, "w", &report, 1000);
   gr_steps_add_job (steps, &job, NULL, false, 1000);
   return steps;
--- a/tests/test-instance.c
+++ b/tests/test-instance.c
@@ -46,6 +46,8 @@
   g_snprintf (id, sizeof id, "i-%04u", number);
   gr_steps_set_worker (fixture->steps, &worker,
                        gr_clock_now_ms (fixture->clock));
+  gr_steps_add_inherited_worker (fixture->steps, id,
+                                 gr_clock_now_ms (fixture->clock));
   gr_worker_io_set_address (fixture->io, id,
                             gr_standin_address (gr_standin_platform_worker (
                                 fixture->platform, number)));
--- a/tests/test-restarts.c
+++ b/tests/test-restarts.c
@@ -122,6 +122,7 @@
   fixture->steps = gr_steps_create (&settings, 1, fixture->now_ms);
   gr_steps_set_queue (fixture->steps, &queue);
   register_worker (fixture, FORMER);
+  gr_steps_add_inherited_worker (fixture->steps, WORKER, fixture->now_ms);
   report (fixture, FORMER, fixture->now_ms, 0);
   fixture->now_ms += 20000;
   gr_steps_add_job (fixture->steps, &job, NULL, false, fixture->now_ms);
--- a/tests/test-steps-handover.c
+++ b/tests/test-steps-handover.c
@@ -108,6 +108,58 @@
 }
 END_TEST
 
+/* A worker got runs before the list that names it was stored. A successor that
+ * found no registry entry of it either started them a second time. */
+START_TEST (worker_gets_no_runs_before_it_is_handed_over)
+{
+  struct steps_model *model = start_one_task (20000);
+  struct gr_step_spec one = steps_plain;
+  uint32_t worker;
+
+  one.count = 1;
+  steps_model_set_store (model, false);
+  for (uint32_t i = 0; i < WORKERS; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "w%03u", i);
+      gr_steps_close_worker (steps_model_core (model), id, true);
+    }
+  worker = steps_model_add_worker (model);
+  steps_model_add_job (model, 2, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 500);
+  steps_model_lose_entry_at_takeover (model, worker);
+  steps_model_set_store (model, true);
+  steps_model_new_owner (model);
+  steps_model_run (model, 3000);
+  ck_assert_uint_eq (steps_model_starts (model, 2), 1);
+  ck_assert_uint_eq (steps_model_starts_on (model, worker), 0);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* Guards against new workers that stay unused after the store works again, and
+ * against an owner without the store that uses no worker at all. */
+START_TEST (new_worker_is_used_once_the_store_works_again)
+{
+  struct steps_model *model = start_one_task (20000);
+  struct gr_step_spec whole = steps_plain;
+  uint32_t worker;
+
+  whole.count = WORKERS;
+  whole.needs.accelerators = 8;
+  steps_model_set_store (model, false);
+  worker = steps_model_add_worker (model);
+  steps_model_add_job (model, 2, "normal", "a", &whole, 1, 20000);
+  steps_model_run (model, 500);
+  ck_assert_uint_eq (steps_model_running (model, 2), WORKERS - 1);
+  steps_model_set_store (model, true);
+  steps_model_run (model, 100);
+  ck_assert_uint_eq (steps_model_starts_on (model, worker), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -122,6 +174,8 @@
   tcase_add_test (tests,
                   end_that_is_not_durable_keeps_a_silent_worker_handed_over);
   tcase_add_test (tests, draining_worker_that_left_does_not_delay_a_successor);
+  tcase_add_test (tests, worker_gets_no_runs_before_it_is_handed_over);
+  tcase_add_test (tests, new_worker_is_used_once_the_store_works_again);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
