instance: prefer a worker's registered address to the inherited one

A successor that had read the registry before the handover list polled such a worker at the address in the list, although its entry named a later one. The connection to the former address is refused, so the worker would count as gone and its active runs would be started again.

The list is older than the registry: it names where the worker was when a former owner last wrote. A known registered address is kept now, and the worker gets no work until a list with it is durable.

address_in_the_registry_is_newer_than_the_list failed before (the worker was used with the former address in the list).

--- a/instance/handover.c
+++ b/instance/handover.c
@@ -308,15 +308,20 @@
                         g_strdup (address));
 }
 
+/* The registry is newer than the list of a former owner. A refused connection
+ * to an address of a former process would release runs that are active. */
 static void
 inherit_worker (struct gr_handover *handover,
                 const char *worker,
                 const char *address)
 {
+  const char *registered = g_hash_table_lookup (handover->addresses, worker);
+
   gr_steps_add_inherited_worker (handover->steps, worker, now_ms (handover));
-  g_hash_table_replace (handover->addresses, g_strdup (worker),
-                        g_strdup (address));
-  gr_worker_io_set_address (handover->io, worker, address);
+  if (registered == NULL)
+    gr_handover_set_address (handover, worker, address);
+  else if (!g_str_equal (registered, address))
+    gr_steps_set_handover_outdated (handover->steps, worker);
 }
 
 void
--- a/tests/test-handover.c
+++ b/tests/test-handover.c
@@ -9,6 +9,7 @@
 /* Tests of the list of workers that an owner publishes, against the stand-in of
  * the store. */
 
+#define OLD_ADDRESS "127.0.0.1:2"
 #define NEW_ADDRESS "127.0.0.1:3"
 
 struct fixture
@@ -216,6 +217,23 @@
 }
 END_TEST
 
+/* A successor polled the address of a worker's former process, although the
+ * registry had the new one: the refused connection released active runs. */
+START_TEST (address_in_the_registry_is_newer_than_the_list)
+{
+  struct fixture fixture;
+
+  fixture_create (&fixture, "w " OLD_ADDRESS "\n");
+  register_worker (&fixture, "w", NEW_ADDRESS);
+  gr_handover_inherit (fixture.handover);
+  ck_assert (gr_steps_has_workers_held_back (fixture.steps));
+  run_for (&fixture, 500);
+  ck_assert_str_eq (stored_list (&fixture), "w " NEW_ADDRESS "\n");
+  ck_assert (!gr_steps_has_workers_held_back (fixture.steps));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* Guards against a successor that waits for a write before it uses the workers
  * of the list that it has inherited. */
 START_TEST (inherited_worker_is_not_held_back)
@@ -244,6 +262,7 @@
   tcase_add_test (tests, list_counts_as_stored_without_an_answer_to_its_write);
   tcase_add_test (tests, list_that_is_stored_late_counts_for_its_workers);
   tcase_add_test (tests, write_requires_the_list_that_it_replaces);
+  tcase_add_test (tests, address_in_the_registry_is_newer_than_the_list);
   tcase_add_test (tests, inherited_worker_is_not_held_back);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
