steps: give no job up for starts that no process received

Three such workers in a row took 20 ms.

A crash now counts in full only if the start was answered or a report listed the run. With an unknown result it counts as unconfirmed, and four crashes of both kinds give the job up; a start that was not sent or was rejected does not count, whichever of the result and the refused poll is handled first. A task that crashes each worker before it answers has four starts instead of three; the platform permits five. For 7 s after a loss, tasks of the step are started only on workers that have reported since; others are polled first, at most 8 in a pass. Other steps are placed as before. The progress record has a further number for unconfirmed crashes; old records read as before.

Nine tests are new in test-steps-crashes. Seven failed before: task_beside_workers_that_are_gone_completes, task_in_several_waves_of_gone_workers_completes, start_that_was_not_sent_never_counts, start_that_was_answered_late_counts, task_waits_for_the_result_of_its_last_start, late_report_does_not_hold_up_a_start, polls_before_a_start_are_bounded. Two hold the limit for tasks that do crash their workers. Existing tests are unchanged and pass.

--- a/steps/core.c
+++ b/steps/core.c
@@ -131,7 +131,8 @@
   memcpy (task->failed_runs, row->failed_runs, sizeof task->failed_runs);
   task->crashes = row->crashes;
   task->early_crashes = row->early_crashes;
-  if (row->crashes > 0)
+  task->unconfirmed_crashes = row->unconfirmed_crashes;
+  if (row->crashes > 0 || row->unconfirmed_crashes > 0)
     task->step->suspected = true;
   if (row->checkpoint[0] != '\0')
     task->checkpoint = g_strdup (row->checkpoint);
@@ -269,7 +270,7 @@
 has_progress (const struct task *task)
 {
   return task->state == TASK_DONE || task->failures > 0 || task->crashes > 0
-         || task->checkpoint != NULL;
+         || task->unconfirmed_crashes > 0 || task->checkpoint != NULL;
 }
 
 static void
@@ -283,6 +284,7 @@
     .failures = task->failures,
     .crashes = task->crashes,
     .early_crashes = task->early_crashes,
+    .unconfirmed_crashes = task->unconfirmed_crashes,
   };
 
   memcpy (row.failed_runs, task->failed_runs, sizeof row.failed_runs);
--- a/steps/losses.c
+++ b/steps/losses.c
@@ -67,13 +67,14 @@
                  const struct gr_loss *loss)
 {
   const struct worker *worker = task->worker;
+  bool confirmed = gr_crash_is_confirmed (task);
 
   log_loss (steps, task, loss);
   steps->runs_lost[loss->reason]++;
   gr_samples_reject (steps, GR_SAMPLE_NOT_DONE);
   gr_task_release (steps, task);
   if (reasons[loss->reason].crashed)
-    gr_crash_record (steps, worker, task);
+    gr_crash_record (steps, worker, task, confirmed);
 }
 
 void
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -115,6 +115,7 @@
   task->tries = 0;
   task->start_sent = false;
   task->start_result_ms = 0;
+  task->possible_starts = 0;
   task->confirmed_ms = 0;
   task->stop_confirmed_ms = 0;
   task->percent = 0;
@@ -328,6 +329,7 @@
     {
       task->start_pending = false;
       task->start_result_ms = now_ms;
+      gr_crash_start_result (task, result);
       start_result (steps, task, result);
     }
   else if (order->kind == GR_ORDER_PACE)
@@ -459,7 +461,10 @@
           *order = *queued;
           g_free (queued);
           if (task != NULL)
-            task->start_sent = true;
+            {
+              task->start_sent = true;
+              task->possible_starts++;
+            }
           if (!obsolete)
             return true;
         }
--- a/steps/place-gangs.c
+++ b/steps/place-gangs.c
@@ -234,6 +234,30 @@
                 NULL);
 }
 
+/* Requests reports of the workers on which the gang would be started, as far as
+ * they are needed; returns whether the gang has to wait for them. */
+static bool
+waits_for_reports (struct gr_steps *steps,
+                   const struct step *step,
+                   const GArray *candidates)
+{
+  bool waits = false;
+  uint32_t slots = 0;
+
+  for (guint i = 0; i < candidates->len && slots < step->n_tasks; i++)
+    {
+      const struct candidate *candidate =
+          &g_array_index (candidates, struct candidate, i);
+
+      slots += candidate->slots;
+      if (!gr_crash_needs_report (steps, step, candidate->worker))
+        continue;
+      gr_crash_request_report (steps, step, candidate->worker);
+      waits = true;
+    }
+  return waits;
+}
+
 /* Counts the choice, and starts the gang on its workers. */
 static void
 start_option (struct gr_steps *steps,
@@ -242,8 +266,13 @@
               const struct option *by_speed)
 {
   struct gr_steps_placement *counts = &steps->placement;
+  const GArray *chosen = plain->candidates;
 
   gr_candidates_sort_by_fit (plain->candidates);
+  if (by_speed->candidates != NULL && steps->settings.objectives == GR_MODE_ON)
+    chosen = by_speed->candidates;
+  if (waits_for_reports (steps, step, chosen))
+    return;
   if (steps->settings.objectives != GR_MODE_OFF)
     gr_place_count_expected (
         steps, step, by_speed->candidates != NULL ? by_speed->slowness : 1.0);
@@ -253,10 +282,7 @@
       counts->choices_changed++;
       log_choice (steps, step, by_speed);
     }
-  if (by_speed->candidates != NULL && steps->settings.objectives == GR_MODE_ON)
-    start_gang_on (steps, step, by_speed->candidates);
-  else
-    start_gang_on (steps, step, plain->candidates);
+  start_gang_on (steps, step, chosen);
 }
 
 static bool
--- a/steps/place-tasks.c
+++ b/steps/place-tasks.c
@@ -51,6 +51,7 @@
 {
   struct worker *plain;    /* the best regardless of speeds; NULL: none */
   struct worker *by_speed; /* the best by expected completion */
+  bool awaited;            /* a worker was left out until it reports */
 };
 
 /* The best worker for the task: preferably not the one on which it last failed,
@@ -80,6 +81,11 @@
       available = gr_worker_free_resources (worker, step);
       if (gr_step_slots_in (step, worker, &available) == 0)
         continue;
+      if (gr_crash_report_is_late (steps, step, worker))
+        {
+          best.awaited = true;
+          continue;
+        }
       score = fit_score (task, worker, &available);
       if (score < best_score[0])
         {
@@ -117,10 +123,11 @@
 }
 
 static struct worker *
-choose_worker (struct gr_steps *steps, const struct task *task)
+choose_worker (struct gr_steps *steps, const struct task *task, bool *awaited)
 {
   struct choice choice = find_workers (steps, task);
 
+  *awaited = choice.awaited;
   if (choice.plain == NULL || steps->settings.objectives == GR_MODE_OFF)
     return choice.plain;
   gr_place_count_expected (steps, task->step, choice.by_speed->class_slowness);
@@ -140,14 +147,20 @@
     {
       struct task *task = &step->tasks[i];
       struct worker *worker;
+      bool awaited;
 
       if (task->state != TASK_WAITING)
         continue;
       if (!gr_place_may_queue_start (steps, step))
         return true;
-      worker = choose_worker (steps, task);
+      worker = choose_worker (steps, task, &awaited);
       if (worker == NULL)
-        return false;
+        return awaited;
+      if (gr_crash_needs_report (steps, step, worker))
+        {
+          gr_crash_request_report (steps, step, worker);
+          return true;
+        }
       gr_place_task_on (steps, task, worker, gr_next_run (steps, task->run));
     }
   /* The reserved room is in use now and would count twice. */
--- a/steps/place.c
+++ b/steps/place.c
@@ -195,6 +195,7 @@
   g_autoptr (GPtrArray) ranked = NULL;
   g_autoptr (GPtrArray) failed = g_ptr_array_new ();
 
+  steps->reports_requested = 0;
   gr_accounts_update_demand (steps);
   update_free_accelerators (steps);
   if (steps->settings.objectives != GR_MODE_OFF)
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -118,6 +118,9 @@
    * start. */
   uint32_t crashes;
   uint32_t early_crashes;
+  /* Workers that were gone after a start that they may not have received. Not
+   * included in crashes. */
+  uint32_t unconfirmed_crashes;
   char checkpoint[GR_CHECKPOINT_SIZE];
 };
 
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -101,10 +101,14 @@
   uint32_t failed_runs[GR_FAILED_RUNS]; /* of a gang: only in task 0 */
   uint32_t crashes;       /* workers that crashed under it; see crashes.c */
   uint32_t early_crashes; /* of these, soon after its start */
-  char *checkpoint;       /* NULL if there is none */
+  uint32_t unconfirmed_crashes; /* further workers that were gone after a start
+                                   that they may not have received */
+  char *checkpoint;             /* NULL if there is none */
   int64_t placed_ms;
-  int64_t order_sent_ms; /* when the last order was queued */
-  bool start_sent;       /* a start order for the run has left the queue */
+  int64_t order_sent_ms;    /* when the last order was queued */
+  bool start_sent;          /* a start order for the run has left the queue */
+  uint32_t possible_starts; /* start orders of the run that were sent and may
+                               have had an effect */
   bool start_pending; /* a start order has neither a result nor a timeout yet */
   int64_t start_result_ms; /* when a start order last had a result or a timeout,
                               or the run was adopted; 0: never */
@@ -200,6 +204,8 @@
   double wait_slowness;   /* of the slowest of these */
   bool placement_counted; /* whether it is expected to be late */
   bool suspected;         /* workers have crashed under one of its tasks */
+  int64_t crashed_ms;     /* when a run of it was last lost in a crash that this
+                             owner noticed; 0: never */
   bool fits_rack;         /* some rack is large enough for the whole gang */
 };
 
@@ -329,6 +335,7 @@
   bool uneven_speeds;        /* workers differ in their speed class */
   double fastest;            /* least slowness of a usable worker */
   struct gr_steps_placement placement;
+  uint32_t reports_requested; /* in this placement pass, see crashes.c */
   bool all_runs_known; /* no inherited job can have a run that was not seen */
   struct samples samples;
 };
@@ -460,10 +467,33 @@
 /* Tasks that crash their workers. */
 
 /* Counts the crash of the worker against a task whose run it ended, and fails
- * the job once the task is likely to crash every worker. */
+ * the job once the task is likely to crash every worker. confirmed: the process
+ * is known to have received the start of the run. */
 void gr_crash_record (struct gr_steps *steps,
                       const struct worker *worker,
-                      struct task *task);
+                      struct task *task,
+                      bool confirmed);
+/* True if the process of the worker is known to have received the start of the
+ * task's run. */
+bool gr_crash_is_confirmed (const struct task *task);
+/* Notes whether a start order of the task's run certainly had no effect. */
+void gr_crash_start_result (struct task *task, enum gr_order_result result);
+/* True if tasks of the step are started on the worker only after it has
+ * reported again: runs of the step were lost, and the worker may be gone as
+ * well. */
+bool gr_crash_needs_report (const struct gr_steps *steps,
+                            const struct step *step,
+                            const struct worker *worker);
+/* Requests a report of the worker, unless one was requested already or too many
+ * were in this placement pass. */
+void gr_crash_request_report (struct gr_steps *steps,
+                              const struct step *step,
+                              struct worker *worker);
+/* True if the requested report is late, so that other workers are considered
+ * meanwhile. */
+bool gr_crash_report_is_late (const struct gr_steps *steps,
+                              const struct step *step,
+                              const struct worker *worker);
 /* True if tasks of the step and a task of another job that has just started on
  * the worker are suspected of crashing workers. They are kept apart, so that a
  * task is not given up because it was placed beside the cause again. */
--- a/tests/steps-model-crashes.c
+++ b/tests/steps-model-crashes.c
@@ -51,7 +51,7 @@
   worker->clock_known = false;
   if (crash->new_id)
     worker->unregister_ms = model->now_ms + UNREGISTER_MS;
-  if (crash->silent)
+  if (crash->silent || crash->unnoticed)
     return;
   /* Its connections are closed, which ends a poll that waits there. */
   gr_steps_set_worker_reachable (model->steps, worker->id, false,
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -276,7 +276,8 @@
   if (order->kind == GR_ORDER_START)
     gr_steps_extend_worker_lease (model->steps, worker->id, until_ms + 100);
   if (model_is_down (worker) && !worker->crash.silent)
-    result = GR_ORDER_NOT_SENT;
+    result =
+        worker->crash.orders_unknown ? GR_ORDER_UNKNOWN : GR_ORDER_NOT_SENT;
   else if (worker->unreachable || model_is_down (worker)
            || model_chance (model, model->faults.lose_order))
     result = GR_ORDER_UNKNOWN;
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -31,6 +31,10 @@
                        answer */
   bool new_id;      /* a new worker takes its place; its registry entry is
                        removed after three heartbeats */
+  bool unnoticed;   /* it was cut off before, so the owner learns of the crash
+                       only when it calls the worker */
+  bool orders_unknown; /* while it is down, the results of orders are unknown
+                          instead of "not sent" */
 };
 
 #define STEPS_MODEL_ALL_TASKS UINT32_MAX
--- a/tests/test-decode.c
+++ b/tests/test-decode.c
@@ -276,6 +276,7 @@
       .failed_runs = { 7, 9 },
       .crashes = 3,
       .early_crashes = 1,
+      .unconfirmed_crashes = 2,
       .checkpoint = "00000bb87a21d94b" },
   };
   struct gr_job_progress progress = {
@@ -298,6 +299,8 @@
   ck_assert_uint_eq (decoded.tasks[1].failed_runs[1], 9);
   ck_assert_uint_eq (decoded.tasks[1].crashes, 3);
   ck_assert_uint_eq (decoded.tasks[1].early_crashes, 1);
+  ck_assert_uint_eq (decoded.tasks[0].unconfirmed_crashes, 0);
+  ck_assert_uint_eq (decoded.tasks[1].unconfirmed_crashes, 2);
   ck_assert_str_eq (decoded.tasks[1].checkpoint, "00000bb87a21d94b");
   gr_job_progress_clear (&decoded);
   for (gsize size = 0; size < g_bytes_get_size (value); size++)
--- a/tests/test-steps-crashes.c
+++ b/tests/test-steps-crashes.c
@@ -408,6 +408,357 @@
 }
 END_TEST
 
+/* Workers 0 to n - 1 crash behind a cut, so that those without runs are not
+ * noticed, and the first run of job 1 is lost with one of them. */
+static struct steps_model *
+create_with_gone_workers (const struct gr_step_spec *step,
+                          uint32_t workers,
+                          uint32_t n,
+                          const struct steps_model_crash *crash)
+{
+  struct steps_model *model = steps_fixture_create (workers, 1);
+
+  steps_model_add_job (model, 1, "normal", "a", step, 1, 3000);
+  steps_model_run (model, 500);
+  ck_assert_uint_eq (steps_model_running (model, 1), step->count);
+  for (uint32_t i = 0; i < n; i++)
+    steps_model_crash_worker (model, i, crash);
+  return model;
+}
+
+static void
+check_completes_beside_gone_workers (const struct gr_step_spec *step,
+                                     uint32_t workers,
+                                     uint32_t n)
+{
+  for (uint32_t i = 0; i < 8; i++)
+    {
+      const struct steps_model_crash crash = {
+        .down_ms = 3200,
+        .unnoticed = true,
+        .orders_unknown = i % 2 == 0,
+        .new_id = i / 2 % 2 == 1,
+        .silent = i / 4 == 1,
+      };
+      struct steps_model *model =
+          create_with_gone_workers (step, workers, n, &crash);
+
+      steps_model_run (model, 20000);
+      ck_assert_msg (steps_model_state (model, 1) == GR_JOB_COMPLETED,
+                     "variant %u: state %d after %u starts", i,
+                     steps_model_state (model, 1),
+                     steps_model_task_starts (model, 1, 0));
+      steps_fixture_destroy (model);
+    }
+}
+
+/* A task was started on one worker after the other that was gone already, and
+ * given up although no process had received its starts. */
+START_TEST (task_beside_workers_that_are_gone_completes)
+{
+  struct gr_step_spec one = steps_plain;
+
+  one.count = 1;
+  check_completes_beside_gone_workers (&one, 16, 15);
+  check_completes_beside_gone_workers (&one, 16, 16);
+  check_completes_beside_gone_workers (&steps_plain, 16, 15);
+  check_completes_beside_gone_workers (&steps_gang, 32, 24);
+  check_completes_beside_gone_workers (&steps_gang, 32, 32);
+}
+END_TEST
+
+/* As above, if workers crash in several waves. */
+START_TEST (task_in_several_waves_of_gone_workers_completes)
+{
+  const struct steps_model_crash crash = { .down_ms = 2000,
+                                           .unnoticed = true,
+                                           .orders_unknown = true };
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model;
+
+  one.count = 1;
+  model = create_with_gone_workers (&one, 16, 8, &crash);
+  steps_model_run (model, 3000);
+  for (uint32_t i = 4; i < 12; i++)
+    steps_model_crash_worker (model, i, &crash);
+  steps_model_run (model, 3000);
+  for (uint32_t i = 0; i < 16; i += 2)
+    steps_model_crash_worker (model, i, &crash);
+  steps_model_run (model, 20000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* Takes the start of job 1's task after a tick of the core; false if there is
+ * none. */
+static bool
+take_start (struct gr_steps *steps, int64_t *now_ms, struct gr_order *order)
+{
+  *now_ms += 20;
+  gr_steps_tick (steps, *now_ms, *now_ms);
+  return gr_steps_take_order (steps, NULL, NULL, order)
+         && order->kind == GR_ORDER_START;
+}
+
+static enum gr_job_state
+core_state (struct gr_steps *steps)
+{
+  struct gr_job_progress progress;
+  enum gr_job_state state = GR_JOB_FAILED;
+
+  if (gr_steps_progress (steps, "0000000000000001", &progress))
+    state = progress.state;
+  gr_job_progress_clear (&progress);
+  return state;
+}
+
+static void
+report_worker (struct gr_steps *steps, uint32_t worker, int64_t now_ms)
+{
+  const struct gr_run_report report = {
+    .incarnation_unix_ms = 1,
+    .all_ended = true,
+    .sent_ms = now_ms,
+  };
+  char id[16];
+
+  g_snprintf (id, sizeof id, "w%03u", worker);
+  gr_steps_process_report (steps, id, &report, now_ms);
+}
+
+static void
+report_all (struct gr_steps *steps, uint32_t workers, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < workers; i++)
+    report_worker (steps, i, now_ms);
+}
+
+/* A start that was not sent counted as a crash if the refusal of a poll was
+ * handled first. */
+START_TEST (start_that_was_not_sent_never_counts)
+{
+  for (uint32_t gone_first = 0; gone_first < 2; gone_first++)
+    {
+      struct steps_model *model = steps_fixture_create (16, 1);
+      struct gr_steps *steps = steps_model_core (model);
+      struct gr_step_spec one = steps_plain;
+      struct gr_order order;
+      int64_t now_ms = steps_model_now_ms (model);
+
+      one.count = 1;
+      steps_model_add_job (model, 1, "normal", "a", &one, 1, 3000);
+      for (uint32_t i = 0; i < 16; i++)
+        {
+          report_all (steps, 16, now_ms);
+          ck_assert_msg (take_start (steps, &now_ms, &order), "no start %u", i);
+          if (gone_first)
+            gr_steps_worker_gone (steps, order.worker, now_ms + 4, now_ms + 5);
+          gr_steps_order_result (steps, &order, GR_ORDER_NOT_SENT, now_ms + 6);
+          if (!gone_first)
+            gr_steps_worker_gone (steps, order.worker, now_ms + 4, now_ms + 7);
+          ck_assert_int_ne (core_state (steps), GR_JOB_FAILED);
+        }
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
+/* The first refusal of a poll is handled before the result of the start, which
+ * may still reach a process; the second one decides. */
+START_TEST (start_that_was_answered_late_counts)
+{
+  static const enum gr_order_result results[] = { GR_ORDER_DONE,
+                                                  GR_ORDER_UNKNOWN };
+
+  for (uint32_t k = 0; k < 2; k++)
+    {
+      struct steps_model *model = steps_fixture_create (16, 1);
+      struct gr_steps *steps = steps_model_core (model);
+      struct gr_step_spec one = steps_plain;
+      struct gr_order order;
+      int64_t now_ms = steps_model_now_ms (model);
+      uint32_t starts = 0;
+
+      one.count = 1;
+      steps_model_add_job (model, 1, "normal", "a", &one, 1, 3000);
+      for (report_all (steps, 16, now_ms);
+           take_start (steps, &now_ms, &order) && starts < 10; starts++)
+        {
+          gr_steps_worker_gone (steps, order.worker, now_ms + 4, now_ms + 5);
+          gr_steps_order_result (steps, &order, results[k], now_ms + 6);
+          gr_steps_worker_gone (steps, order.worker, now_ms + 7, now_ms + 8);
+          report_all (steps, 16, now_ms + 10);
+        }
+      ck_assert_int_eq (core_state (steps), GR_JOB_FAILED);
+      ck_assert_uint_eq (starts, results[k] == GR_ORDER_DONE ? 3 : 4);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
+/* A task was given up for a crash although its start turned out not to have
+ * been sent, or started again before that was known. */
+START_TEST (task_waits_for_the_result_of_its_last_start)
+{
+  for (uint32_t answered = 0; answered < 2; answered++)
+    {
+      struct steps_model *model = steps_fixture_create (16, 1);
+      struct gr_steps *steps = steps_model_core (model);
+      struct gr_step_spec one = steps_plain;
+      struct gr_order order;
+      struct gr_order last;
+      int64_t now_ms = steps_model_now_ms (model);
+
+      one.count = 1;
+      steps_model_add_job (model, 1, "normal", "a", &one, 1, 3000);
+      for (uint32_t i = 0; i < 4; i++)
+        {
+          report_all (steps, 16, now_ms);
+          ck_assert (take_start (steps, &now_ms, &order));
+          last = order;
+          if (i < 3)
+            gr_steps_order_result (steps, &order, GR_ORDER_UNKNOWN, now_ms);
+          gr_steps_worker_gone (steps, order.worker, now_ms + 4, now_ms + 5);
+        }
+      ck_assert_int_ne (core_state (steps), GR_JOB_FAILED);
+      ck_assert (!take_start (steps, &now_ms, &order));
+      gr_steps_order_result (steps, &last,
+                             answered ? GR_ORDER_NOT_SENT : GR_ORDER_UNKNOWN,
+                             now_ms);
+      ck_assert_int_ne (core_state (steps), GR_JOB_FAILED);
+      gr_steps_worker_gone (steps, last.worker, now_ms + 1, now_ms + 2);
+      ck_assert_int_eq (core_state (steps) == GR_JOB_FAILED, !answered);
+      report_all (steps, 16, now_ms + 3);
+      ck_assert_int_eq (take_start (steps, &now_ms, &order), answered);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
+/* A worker that is cut off must not hold up a start that another can take. */
+START_TEST (late_report_does_not_hold_up_a_start)
+{
+  struct steps_model *model = steps_fixture_create (8, 1);
+  struct gr_steps *steps = steps_model_core (model);
+  struct gr_step_spec one = steps_plain;
+  struct gr_order order;
+  int64_t now_ms;
+  bool started = false;
+
+  one.count = 1;
+  steps_model_run (model, 3000);
+  now_ms = steps_model_now_ms (model);
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 3000);
+  ck_assert (take_start (steps, &now_ms, &order));
+  gr_steps_order_result (steps, &order, GR_ORDER_DONE, now_ms + 1);
+  gr_steps_worker_gone (steps, order.worker, now_ms + 4, now_ms + 5);
+  gr_steps_set_worker_reachable (steps, order.worker, false, now_ms + 5);
+  for (int i = 0; i < 15 && !started; i++)
+    {
+      started = take_start (steps, &now_ms, &order);
+      if (gr_steps_poll_need (steps, "w002") == GR_POLL_NOW)
+        report_worker (steps, 2, now_ms);
+    }
+  ck_assert (started);
+  ck_assert_str_eq (order.worker, "w002");
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* As crashes_count_over_a_takeover, for starts that are never answered. */
+START_TEST (unconfirmed_crashes_count_over_a_takeover)
+{
+  struct steps_model_crash at_once = crash_soon;
+
+  at_once.after_ms = 0;
+  for (uint32_t starts = 1; starts <= 3; starts++)
+    for (int64_t pause_ms = 0; pause_ms <= 1000; pause_ms += 250)
+      {
+        struct steps_model *model = steps_fixture_create (16, 1);
+
+        add_crashing_job (model, &steps_plain, 1, &at_once);
+        run_until_starts (model, starts);
+        steps_model_run (model, pause_ms);
+        steps_model_new_owner (model);
+        check_given_up (model, 1);
+        steps_fixture_destroy (model);
+      }
+}
+END_TEST
+
+/* A task that crashes its workers is given up in time also where others are
+ * gone, and the workers that it has not reached stay up. */
+START_TEST (crashing_task_beside_workers_that_are_gone_is_given_up)
+{
+  const struct steps_model_crash gone = { .down_ms = 3200,
+                                          .unnoticed = true,
+                                          .orders_unknown = true };
+  struct steps_model_crash crash = crash_soon;
+
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      struct steps_model *model = steps_fixture_create (32, 1);
+
+      crash.after_ms = i == 0 ? 0 : i == 1 ? 10 : 2000;
+      for (uint32_t k = 0; k < 32; k += 2)
+        steps_model_crash_worker (model, k, &gone);
+      add_crashing_job (model, &steps_plain, 1, &crash);
+      check_given_up (model, 1);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
+/* Polls are charged, so that gangs on several racks must not request those of
+ * all idle workers at once. */
+START_TEST (polls_before_a_start_are_bounded)
+{
+  struct steps_model *model = steps_model_create (64, 16, 1);
+  struct gr_steps *steps = steps_model_core (model);
+  struct gr_step_spec gang = steps_gang;
+  struct gr_order orders[33];
+  int64_t now_ms;
+  uint32_t gone = 0;
+  uint32_t needed = 0;
+
+  steps_model_set_queue (model, "normal", 1, 2);
+  steps_model_run (model, 3000);
+  now_ms = steps_model_now_ms (model) + 20;
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      char rack[16];
+
+      g_snprintf (rack, sizeof rack, "rack%u", i);
+      gang.label = rack;
+      steps_model_add_job (model, i + 1, "normal", "a", &gang, 1, 3000);
+    }
+  gr_steps_tick (steps, now_ms, now_ms);
+  while (gone < 33 && gr_steps_take_order (steps, NULL, NULL, &orders[gone]))
+    gr_steps_order_result (steps, &orders[gone++], GR_ORDER_DONE, now_ms + 1);
+  ck_assert_uint_eq (gone, 32);
+  for (uint32_t i = 0; i < gone; i++)
+    {
+      gr_steps_worker_gone (steps, orders[i].worker, now_ms + 4, now_ms + 5);
+      gr_steps_set_worker_reachable (steps, orders[i].worker, false,
+                                     now_ms + 5);
+    }
+  gr_steps_tick (steps, now_ms + 20, now_ms + 20);
+  while (gr_steps_take_order (steps, NULL, NULL, &orders[0]))
+    ck_assert_int_ne (orders[0].kind, GR_ORDER_START);
+  for (uint32_t i = 0; i < 64; i++)
+    {
+      char id[16];
+
+      g_snprintf (id, sizeof id, "w%03u", i);
+      needed += gr_steps_poll_need (steps, id) == GR_POLL_NOW;
+    }
+  ck_assert_uint_gt (needed, gone);
+  ck_assert_uint_le (needed, gone + 8);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* Starts relied on the capacity that a worker had before it shrank, and
  * exceeded it on a worker that does not reject them. */
 START_TEST (shrunk_capacity_gets_no_new_work)
@@ -515,6 +866,16 @@
   tcase_add_test (crashes, workers_that_crash_by_themselves_fail_no_job);
   tcase_add_test (crashes, workers_that_leave_fail_no_job);
   tcase_add_test (crashes, workers_that_are_cut_off_fail_no_job);
+  tcase_add_test (crashes, task_beside_workers_that_are_gone_completes);
+  tcase_add_test (crashes, task_in_several_waves_of_gone_workers_completes);
+  tcase_add_test (crashes, start_that_was_not_sent_never_counts);
+  tcase_add_test (crashes, start_that_was_answered_late_counts);
+  tcase_add_test (crashes, task_waits_for_the_result_of_its_last_start);
+  tcase_add_test (crashes, late_report_does_not_hold_up_a_start);
+  tcase_add_test (crashes, unconfirmed_crashes_count_over_a_takeover);
+  tcase_add_test (crashes,
+                  crashing_task_beside_workers_that_are_gone_is_given_up);
+  tcase_add_test (crashes, polls_before_a_start_are_bounded);
   tcase_add_test (capacity, shrunk_capacity_gets_no_new_work);
   tcase_add_test (capacity, nothing_is_stopped_for_capacity_that_is_gone);
   tcase_add_test (capacity, grown_capacity_gets_new_work);
