steps: a restart with an earlier start time is noticed

A worker's start time is taken from its machine's clock, which can be set back. Reports of the process that started then counted as late ones of a former process and were dropped for good: the worker got no work, and its runs were not known (a consequence of ordering processes by their start times, found in review).

--- a/steps/tables.h
+++ b/steps/tables.h
@@ -27,6 +27,8 @@
   double class_slowness; /* of the class; set in each placement pass */
   GPtrArray *tasks;      /* struct task; not owned */
   int64_t incarnation_unix_ms;
+  int64_t incarnation_seen_ms; /* when a report or entry of it was last
+                                  handled */
   bool registered;
   bool evacuated; /* its data centre is; gets no new work */
   bool draining;
@@ -376,7 +378,7 @@
 void gr_workers_destroy (struct gr_steps *steps);
 /* Handles a reported start time of the worker. observed_ms: when the poll that
  * reports it was sent; 0 for a registry entry. Returns false if it belongs to
- * an earlier incarnation than the known one. */
+ * a former incarnation. */
 bool gr_worker_check_incarnation (struct gr_steps *steps,
                                   struct worker *worker,
                                   int64_t incarnation_unix_ms,
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -145,15 +145,20 @@
                              int64_t incarnation_unix_ms,
                              int64_t observed_ms)
 {
-  if (incarnation_unix_ms == 0
-      || worker->incarnation_unix_ms == incarnation_unix_ms)
+  /* A poll that was sent after the known process was last observed is answered
+   * by the present one, whatever its start time: the clock of a machine can be
+   * set back. Entries have no such order. */
+  bool is_present = observed_ms > worker->incarnation_seen_ms;
+
+  if (incarnation_unix_ms == 0)
     return true;
-  if (worker->incarnation_unix_ms > incarnation_unix_ms)
+  if (worker->incarnation_unix_ms > incarnation_unix_ms && !is_present)
     return false;
   if (worker->incarnation_unix_ms == 0)
     worker->incarnation_unix_ms = incarnation_unix_ms;
-  else
+  else if (worker->incarnation_unix_ms != incarnation_unix_ms)
     begin_incarnation (steps, worker, incarnation_unix_ms, observed_ms);
+  worker->incarnation_seen_ms = steps->now_ms;
   return true;
 }
 
@@ -249,6 +254,7 @@
   if (worker != NULL && is_of_former_process (worker, row))
     {
       log_former_entry (steps, worker, row);
+      gr_worker_request_poll (steps, worker);
       worker->entry_revision = row->entry_revision;
       worker->entry_incarnation_unix_ms = row->incarnation_unix_ms;
       return false;
--- a/tests/test-restarts.c
+++ b/tests/test-restarts.c
@@ -286,6 +286,28 @@
 }
 END_TEST
 
+/* The clock of a worker's machine was set back between two starts. Reports of
+ * the new process were taken for late ones and dropped for good. */
+START_TEST (restart_with_an_earlier_start_time_is_noticed)
+{
+  struct fixture fixture;
+
+  set_up (&fixture);
+  answer_start (&fixture, GR_ORDER_DONE);
+  report (&fixture, FORMER, fixture.now_ms, 1);
+  advance (&fixture, 50);
+  register_worker (&fixture, FORMER - 50);
+  advance (&fixture, 5);
+  check_kept (&fixture);
+  ck_assert_int_eq (gr_steps_poll_need (fixture.steps, WORKER), GR_POLL_NOW);
+  report (&fixture, FORMER - 50, fixture.now_ms - 1, 0);
+  advance (&fixture, 5);
+  ck_assert_uint_eq (fixture.starts, 2);
+  ck_assert_uint_eq (fixture.stops, 0);
+  tear_down (&fixture);
+}
+END_TEST
+
 /* A refusal that was observed before the worker's process started released a
  * run that was started on it since. */
 START_TEST (refusal_does_not_end_a_newer_run)
@@ -378,6 +400,7 @@
   tcase_add_test (tests,
                   silent_restarted_worker_keeps_its_runs_for_the_longest_lease);
   tcase_add_test (tests, report_of_a_former_incarnation_is_ignored);
+  tcase_add_test (tests, restart_with_an_earlier_start_time_is_noticed);
   tcase_add_test (tests, refusal_does_not_end_a_newer_run);
   tcase_add_test (tests, refusal_does_not_end_a_run_whose_start_is_on_its_way);
   tcase_add_test (tests, restarts_under_load_start_no_task_twice);
