tests, standins: the soak restarts workers under their ids

A worker restarts about every 2 s now (control member restart of the platform stand-in). A completion that is lost with its process no longer counts as one, as the task has to run again.

--- a/standins/metastore.c
+++ b/standins/metastore.c
@@ -619,15 +619,22 @@
 }
 
 /* Writes a key if the body has the member "put", for example
- * {"put":{"key":"op/config","text":"..."}}, and removes one if it has the
- * member "remove", such as {"remove":"op/evacuate/dc1"}. */
+ * {"put":{"key":"op/config","text":"..."}}, removes one if it has the member
+ * "remove", such as {"remove":"op/evacuate/dc1"}, and restarts a worker if it
+ * has the member "restart", such as {"restart":3}. */
 static bool
 control (JsonObject *body, void *context)
 {
   struct gr_standin_platform *platform = context;
   JsonObject *put = NULL;
   const char *removed = gr_json_peek_string (body, "remove");
+  int64_t restarted;
 
+  if (!gr_json_get_int (body, "restart", 0, platform->workers->len - 1, -1,
+                        &restarted))
+    return false;
+  if (restarted >= 0)
+    gr_standin_platform_restart_worker (platform, (uint32_t)restarted);
   if (removed != NULL)
     {
       platform->revision++;
--- a/standins/platform-worker.c
+++ b/standins/platform-worker.c
@@ -192,6 +192,23 @@
   g_ptr_array_remove_index (worker->runs, index);
 }
 
+/* A completion that nobody has acknowledged is lost with the process, so the
+ * task may run again. */
+static void
+forget_completions (struct gr_platform_worker *worker)
+{
+  for (guint i = 0; i < worker->ends->len; i++)
+    {
+      const struct run_end *end = worker->ends->pdata[i];
+      guint count = GPOINTER_TO_UINT (
+          g_hash_table_lookup (worker->settings.done, end->task));
+
+      if (strcmp (end->outcome, "done") == 0 && count > 0)
+        g_hash_table_replace (worker->settings.done, g_strdup (end->task),
+                              GUINT_TO_POINTER (count - 1));
+    }
+}
+
 /* Closes the listening socket and all connections, and forgets all runs. */
 static void
 crash (struct gr_platform_worker *worker)
@@ -200,6 +217,7 @@
     g_hash_table_remove (waiting_polls, worker->waiting_poll);
   worker->waiting_poll = NULL;
   g_clear_pointer (&worker->base, gr_standin_destroy);
+  forget_completions (worker);
   g_ptr_array_set_size (worker->runs, 0);
   g_ptr_array_set_size (worker->ends, 0);
   g_hash_table_remove_all (worker->ended_runs);
--- a/tests/test-process-instance.c
+++ b/tests/test-process-instance.c
@@ -16,6 +16,7 @@
  * GR_SOAK_S set the seed and the duration in seconds. */
 
 #define INSTANCES 3
+#define WORKERS 12
 #define DEFAULT_DURATION_S 12
 #define JOBS_PER_S 8
 #define JOBS_PER_CRASHING_JOB 40
@@ -132,7 +133,7 @@
                    (char *)"--listen",
                    NULL,
                    (char *)"--workers",
-                   (char *)"12",
+                   (char *)G_STRINGIFY (WORKERS),
                    (char *)"--per-rack",
                    (char *)"4",
                    (char *)"--accelerators",
@@ -225,6 +226,19 @@
   ck_assert_uint_eq (call (fixture, "POST", control, body, NULL), 200);
 }
 
+/* Restarts a worker under its id; the registry shows it at its next
+ * heartbeat. */
+static void
+restart_worker (struct fixture *fixture)
+{
+  g_autofree char *control =
+      g_strdup_printf ("http://127.0.0.1:%u/control", fixture->port);
+  g_autofree char *body = g_strdup_printf (
+      "{\"restart\":%d}", g_rand_int_range (fixture->rand, 0, WORKERS));
+
+  ck_assert_uint_eq (call (fixture, "POST", control, body, NULL), 200);
+}
+
 static void
 inject_fault (struct fixture *fixture)
 {
@@ -299,8 +313,9 @@
 }
 
 /* Guards against accepted jobs that are lost or run twice when their owner is
- * killed, paused or stopped, also beside tasks that crash their workers, and
- * against starts in data centres that are evacuated. */
+ * killed, paused or stopped, also beside tasks that crash their workers and
+ * workers that restart, and against starts in data centres that are evacuated.
+ */
 START_TEST (accepted_jobs_finish_once)
 {
   const char *seed_text = g_getenv ("GR_SOAK_SEED");
@@ -318,6 +333,8 @@
       submit (&fixture);
       if (g_rand_int_range (fixture.rand, 0, JOBS_PER_S) == 0)
         inject_fault (&fixture);
+      if (g_rand_int_range (fixture.rand, 0, JOBS_PER_S * 2) == 0)
+        restart_worker (&fixture);
       if (g_rand_int_range (fixture.rand, 0, JOBS_PER_S * 3) == 0)
         evacuate (&fixture, g_rand_int_range (fixture.rand, 1, 4),
                   g_rand_int_range (fixture.rand, 0, 3) > 0);
