steps: an unconfirmed start of a completed task is released

Room on a worker stayed taken for good when an earlier run, for example of a former owner, completed a task whose current start was not confirmed. The stop was sent once and without a state, results for completed tasks were dropped, and a worker lists no end of a run that it never had. Since restarts and refusals release only runs that are known to have begun earlier, these did not free the room either.

--- a/steps/orders.c
+++ b/steps/orders.c
@@ -150,6 +150,15 @@
   gr_order_stop_run (steps, task->worker, name, task->run);
 }
 
+/* A run of a completed task that was never confirmed may not be on the worker,
+ * which then reports no end of it. */
+static bool
+needs_stop (const struct task *task)
+{
+  return task->state == TASK_STOPPING
+         || (task->state == TASK_DONE && task->confirmed_ms == 0);
+}
+
 static bool
 was_never_sent (const struct task *task)
 {
@@ -322,7 +331,7 @@
   steps->now_ms = now_ms;
   if (result == GR_ORDER_FENCED)
     steps->fenced = true;
-  if (task == NULL || !gr_task_is_active (task) || task->run != order->run
+  if (task == NULL || task->worker == NULL || task->run != order->run
       || !g_str_equal (task->worker->id, order->worker))
     return;
   if (order->kind == GR_ORDER_START)
@@ -337,7 +346,7 @@
       if (result == GR_ORDER_DONE)
         task->pace = order->percent;
     }
-  else if (task->state == TASK_STOPPING)
+  else if (needs_stop (task))
     {
       task->stop_pending = false;
       stop_result (steps, task, result);
@@ -379,7 +388,7 @@
         send_start (steps, task);
       return;
     }
-  if (task->state != TASK_STOPPING
+  if (!needs_stop (task)
       || steps->now_ms - task->order_sent_ms
              < (task->stop_pending ? RESULT_TIMEOUT_MS : STOP_RESEND_MS))
     return;
@@ -429,7 +438,7 @@
 {
   struct task *task = gr_task_find (steps, order->task);
 
-  if (task == NULL || !gr_task_is_active (task) || task->run != order->run
+  if (task == NULL || task->worker == NULL || task->run != order->run
       || !g_str_equal (task->worker->id, order->worker))
     return NULL;
   if (task->state == TASK_STARTING)
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -95,7 +95,6 @@
              uint32_t run)
 {
   struct step *step = task->step;
-  struct worker *worker = task->worker;
 
   if (step->spec->lasting)
     {
@@ -103,14 +102,9 @@
         gr_task_release (steps, task);
       return;
     }
+  /* An earlier run completed the task, so the current one is not needed. */
   if (!current_run && gr_task_is_active (task) && run < task->run)
-    {
-      char name[GR_TASK_NAME_SIZE];
-
-      /* An earlier run completed the task, so the current one is not needed. */
-      gr_task_name (task, name);
-      gr_order_stop_run (steps, worker, name, task->run);
-    }
+    gr_order_stop (steps, task);
   if (current_run)
     {
       gr_samples_run_done (steps, task);
@@ -301,7 +295,8 @@
       if (i >= worker->tasks->len)
         continue;
       task = worker->tasks->pdata[i];
-      since_ms = task->state == TASK_STOPPING && task->stop_confirmed_ms != 0
+      since_ms = (task->state == TASK_STOPPING || task->state == TASK_DONE)
+                         && task->stop_confirmed_ms != 0
                      ? task->stop_confirmed_ms
                      : task->confirmed_ms;
       if (since_ms == 0 || report->sent_ms <= since_ms)
--- a/tests/test-restarts.c
+++ b/tests/test-restarts.c
@@ -86,9 +86,10 @@
                          fixture->now_ms);
 }
 
-/* The start order of run 1 has been taken and has no result yet. */
+/* The start order of the first run of this epoch has been taken and has no
+ * result yet. */
 static void
-set_up (struct fixture *fixture)
+set_up_epoch (struct fixture *fixture, int64_t epoch)
 {
   const struct gr_steps_settings settings = {
     .run_lease_ms = 7000,
@@ -119,7 +120,7 @@
 
   step.count = 1;
   *fixture = (struct fixture){ .now_ms = 1000 };
-  fixture->steps = gr_steps_create (&settings, 1, fixture->now_ms);
+  fixture->steps = gr_steps_create (&settings, epoch, fixture->now_ms);
   gr_steps_set_queue (fixture->steps, &queue);
   register_worker (fixture, FORMER);
   gr_steps_add_inherited_worker (fixture->steps, WORKER, fixture->now_ms);
@@ -131,6 +132,23 @@
   fixture->now_ms += 2;
 }
 
+/* The start order of run 1 has been taken and has no result yet. */
+static void
+set_up (struct fixture *fixture)
+{
+  set_up_epoch (fixture, 1);
+}
+
+static void
+answer_stop (struct fixture *fixture, enum gr_order_result result)
+{
+  struct gr_order stop = { .kind = GR_ORDER_STOP, .run = fixture->start.run };
+
+  g_strlcpy (stop.worker, WORKER, sizeof stop.worker);
+  g_strlcpy (stop.task, TASK, sizeof stop.task);
+  gr_steps_order_result (fixture->steps, &stop, result, fixture->now_ms);
+}
+
 static void
 tear_down (struct fixture *fixture)
 {
@@ -351,6 +369,43 @@
 }
 END_TEST
 
+/* A start that was never confirmed kept its room for good when a former owner's
+ * run completed the task. */
+START_TEST (start_of_a_task_done_by_an_earlier_run_is_released)
+{
+  static const enum gr_order_result results[] = { GR_ORDER_UNKNOWN,
+                                                  GR_ORDER_NO_ROOM };
+  struct gr_ended_run ended = { .number = 1, .run = 1, .how = GR_END_DONE };
+  struct gr_run_report done = {
+    .incarnation_unix_ms = FORMER,
+    .ended = &ended,
+    .n_ended = 1,
+    .all_ended = true,
+  };
+
+  g_strlcpy (ended.task, TASK, sizeof ended.task);
+  for (size_t i = 0; i < G_N_ELEMENTS (results); i++)
+    {
+      struct fixture fixture;
+
+      set_up_epoch (&fixture, 2);
+      done.sent_ms = fixture.now_ms - 1;
+      gr_steps_process_report (fixture.steps, WORKER, &done, fixture.now_ms);
+      answer_start (&fixture, results[i]);
+      advance (&fixture, 5);
+      ck_assert_uint_eq (fixture.stops, 1);
+      answer_stop (&fixture, GR_ORDER_UNKNOWN);
+      advance (&fixture, 1000);
+      ck_assert_uint_eq (fixture.stops, 2);
+      answer_stop (&fixture, GR_ORDER_DONE);
+      advance (&fixture, 5);
+      report (&fixture, FORMER, fixture.now_ms, 0);
+      ck_assert_uint_eq (gr_steps_worker_load (fixture.steps, WORKER), 0);
+      tear_down (&fixture);
+    }
+}
+END_TEST
+
 /* Idle and busy workers restart under load, and the registry shows it up to
  * 600 ms later. The model fails the test if a task runs twice. */
 START_TEST (restarts_under_load_start_no_task_twice)
@@ -403,6 +458,7 @@
   tcase_add_test (tests, restart_with_an_earlier_start_time_is_noticed);
   tcase_add_test (tests, refusal_does_not_end_a_newer_run);
   tcase_add_test (tests, refusal_does_not_end_a_run_whose_start_is_on_its_way);
+  tcase_add_test (tests, start_of_a_task_done_by_an_earlier_run_is_released);
   tcase_add_test (tests, restarts_under_load_start_no_task_twice);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
