steps: a restart does not release a run whose start is on its way

A run was released when the first report of a new incarnation did not list it, although a start of it was still on its way: the former process had confirmed its stop or listed it.

--- a/steps/losses.c
+++ b/steps/losses.c
@@ -94,8 +94,8 @@
 }
 
 /* A start that is on its way can begin at any later time. */
-static bool
-began_before (const struct task *task, int64_t time_ms)
+bool
+gr_loss_began_before (const struct task *task, int64_t time_ms)
 {
   if (!task->start_sent)
     return true;
@@ -136,7 +136,7 @@
         continue;
       task = worker->tasks->pdata[i];
       step = task->step;
-      if (!began_before (task, loss->observed_ms))
+      if (!gr_loss_began_before (task, loss->observed_ms))
         {
           log_kept (steps, task, loss);
           continue;
--- a/steps/losses.h
+++ b/steps/losses.h
@@ -19,6 +19,9 @@
 void gr_loss_release_all (struct gr_steps *steps,
                           struct worker *worker,
                           const struct gr_loss *loss);
+/* True if the task's run cannot begin later than time_ms on a process that does
+ * not know of its stop. */
+bool gr_loss_began_before (const struct task *task, int64_t time_ms);
 /* Releases the tasks on the worker whose runs cannot have begun later than
  * loss->observed_ms. Returns true if none is left. */
 bool gr_loss_release_older (struct gr_steps *steps,
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -305,7 +305,11 @@
       if (is_reported (report, name, task->run))
         continue;
       if (is_of_former_incarnation (task))
-        loss.reason = GR_LOSS_RESTARTED;
+        {
+          if (!gr_loss_began_before (task, report->sent_ms))
+            continue;
+          loss.reason = GR_LOSS_RESTARTED;
+        }
       gr_loss_release (steps, task, &loss);
       if (task->step->spec->gang)
         gr_gang_abort (steps, task->step);
--- a/tests/test-restarts.c
+++ b/tests/test-restarts.c
@@ -406,6 +406,33 @@
 }
 END_TEST
 
+/* The former process had confirmed the stop of a run whose start was still on
+ * its way. The new process does not know of the stop, so the start could take
+ * effect there after the run had been released. */
+START_TEST (stop_confirmed_before_a_restart_does_not_end_a_pending_start)
+{
+  struct fixture fixture;
+
+  set_up (&fixture);
+  while (fixture.stops == 0)
+    advance (&fixture, 100);
+  answer_stop (&fixture, GR_ORDER_DONE);
+  advance (&fixture, 1);
+  register_worker (&fixture, NEW);
+  advance (&fixture, 1);
+  report (&fixture, NEW, fixture.now_ms, 0);
+  advance (&fixture, 5);
+  ck_assert_uint_eq (fixture.starts, 1);
+  ck_assert_uint_eq (gr_steps_worker_load (fixture.steps, WORKER), 1);
+  answer_start (&fixture, GR_ORDER_UNKNOWN);
+  advance (&fixture, 5);
+  report (&fixture, NEW, fixture.now_ms, 0);
+  advance (&fixture, 5);
+  ck_assert_uint_eq (fixture.starts, 2);
+  tear_down (&fixture);
+}
+END_TEST
+
 /* Idle and busy workers restart under load, and the registry shows it up to
  * 600 ms later. The model fails the test if a task runs twice. */
 START_TEST (restarts_under_load_start_no_task_twice)
@@ -459,6 +486,8 @@
   tcase_add_test (tests, refusal_does_not_end_a_newer_run);
   tcase_add_test (tests, refusal_does_not_end_a_run_whose_start_is_on_its_way);
   tcase_add_test (tests, start_of_a_task_done_by_an_earlier_run_is_released);
+  tcase_add_test (tests,
+                  stop_confirmed_before_a_restart_does_not_end_a_pending_start);
   tcase_add_test (tests, restarts_under_load_start_no_task_twice);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
