steps, instance: a new process is not told to forget unread ends

A task that had ended as done was started again after its worker had restarted under its id. Each poll acknowledged all ends up to the last durable one, also when the worker had confirmed that before. Numbers of ends start anew with a process, so one that the owner did not know of yet forgot its own first ends. An acknowledgement is now sent until a poll that carried it is answered, and not in the polls between a failed one and the next answer.

--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -72,6 +72,7 @@
   struct peer *peer;
   bool is_long_poll;
   int64_t sent_ms;
+  int64_t acknowledged_end;
   bool counted;
 };
 
@@ -252,6 +253,7 @@
   struct peer *peer = call->peer;
   struct gr_worker_io *io = peer->io;
   int64_t sent_ms = call->sent_ms;
+  int64_t acknowledged_end = call->acknowledged_end;
 
   if (!io->destroyed)
     record_time (peer, sent_ms, call->is_long_poll ? LONG_POLL_MS : 0,
@@ -278,9 +280,12 @@
         poll_failed (peer, error, sent_ms);
       else
         {
+          struct gr_run_report report = *result;
+
+          report.acknowledged_end = acknowledged_end;
           peer->failed_polls = 0;
           update_clock (peer, result->clock_ms, sent_ms);
-          gr_steps_process_report (io->steps, peer->worker, result, now_ms);
+          gr_steps_process_report (io->steps, peer->worker, &report, now_ms);
         }
       io->events.changed (io->events.context);
     }
@@ -326,8 +331,10 @@
   if (peer->clock.clock_ms != 0
       && (peer->failed_polls == 0 || gr_lateness_is_overloaded (&io->lateness)))
     until_ms = extend_lease (peer, io->run_lease_ms);
-  peer->acknowledged_sent = gr_steps_durable_end (io->steps, peer->worker);
-  gr_worker_poll_runs (io->calls, &target, until_ms, peer->acknowledged_sent,
+  call->acknowledged_end =
+      gr_steps_end_to_acknowledge (io->steps, peer->worker);
+  peer->acknowledged_sent = call->acknowledged_end;
+  gr_worker_poll_runs (io->calls, &target, until_ms, call->acknowledged_end,
                        wait_ms, wait_ms + poll_timeout_ms (peer),
                        (struct gr_run_poll_reply){ poll_done, call });
 }
@@ -337,8 +344,8 @@
 {
   struct gr_worker_io *io = peer->io;
   enum gr_poll_need need = gr_steps_poll_need (io->steps, peer->worker);
-  bool must_acknowledge =
-      gr_steps_durable_end (io->steps, peer->worker) > peer->acknowledged_sent;
+  bool must_acknowledge = gr_steps_end_to_acknowledge (io->steps, peer->worker)
+                          > peer->acknowledged_sent;
 
   if (need == GR_POLL_NOW || need == GR_POLL_PERIODIC
       || (must_acknowledge && need == GR_POLL_NONE))
--- a/steps/look.h
+++ b/steps/look.h
@@ -47,6 +47,7 @@
 {
   int64_t sent_ms;             /* owner's clock, when the poll was sent */
   int64_t clock_ms;            /* worker's clock when it answered */
+  int64_t acknowledged_end;    /* that the poll carried; 0: none */
   int64_t incarnation_unix_ms; /* start of the incarnation; 0: not reported */
   size_t n_running;
   struct gr_run_status *running;
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -364,6 +364,9 @@
       return;
     }
   worker->polled = true;
+  if (report->sent_ms > worker->incarnation_seen_ms)
+    worker->acknowledged_end =
+        MAX (worker->acknowledged_end, report->acknowledged_end);
   worker->reported_ms = MAX (worker->reported_ms, report->sent_ms);
   worker->reachable = true;
   /* A poll that was sent before the request cannot answer it. */
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -354,6 +354,12 @@
 /* Number of the worker's last run end whose effect is durable; ends up to it
  * can be acknowledged to the worker. */
 int64_t gr_steps_durable_end (const struct gr_steps *steps, const char *worker);
+/* As above, but 0 once the worker has answered a poll that acknowledged it, and
+ * after a failed poll until the next answer. A process that has started since
+ * under the same id, which the owner may not know of yet, would forget ends of
+ * its own up to that number. */
+int64_t gr_steps_end_to_acknowledge (const struct gr_steps *steps,
+                                     const char *worker);
 
 enum gr_poll_need
 {
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -53,11 +53,13 @@
   uint64_t handover_list; /* first of the handover lists that have named it
                              since without a gap; 0: the last did not */
   int64_t lease_until_ms;
-  int64_t full_until_ms; /* no placement until then, as it had less free
-                            capacity than computed */
-  int64_t processed_end; /* number of the last run end that was processed */
-  int64_t durable_end;   /* number of the last run end whose effect is
-                                      durable */
+  int64_t full_until_ms;    /* no placement until then, as it had less free
+                               capacity than computed */
+  int64_t processed_end;    /* number of the last run end that was processed */
+  int64_t durable_end;      /* number of the last run end whose effect is
+                                         durable */
+  int64_t acknowledged_end; /* acknowledged by a poll that this incarnation has
+                               answered */
   int64_t pending_end; /* run end that becomes durable with pending_sequence */
   uint64_t pending_sequence; /* change that makes pending_end durable; 0:
                                 nothing is pending */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -127,6 +127,7 @@
   worker->incarnation_unix_ms = incarnation_unix_ms;
   worker->processed_end = 0;
   worker->durable_end = 0;
+  worker->acknowledged_end = 0;
   worker->pending_sequence = 0;
   worker->unknown_runs = false;
   worker->polled = false;
@@ -778,6 +779,17 @@
   return worker ? worker->durable_end : 0;
 }
 
+int64_t
+gr_steps_end_to_acknowledge (const struct gr_steps *steps, const char *id)
+{
+  const struct worker *worker = g_hash_table_lookup (steps->workers, id);
+
+  if (worker == NULL || !worker->reachable
+      || worker->durable_end <= worker->acknowledged_end)
+    return 0;
+  return worker->durable_end;
+}
+
 /* A run end counts as durable once every change up to the moment it was
  * processed is durable. */
 void
--- a/tests/steps-model-polls.c
+++ b/tests/steps-model-polls.c
@@ -136,7 +136,8 @@
   poll->worker = worker;
   poll->epoch = model->epoch;
   poll->incarnation = worker->incarnation;
-  poll->durable_end = gr_steps_durable_end (model->steps, worker->id);
+  poll->durable_end = gr_steps_end_to_acknowledge (model->steps, worker->id);
+  poll->report.acknowledged_end = poll->durable_end;
   poll->report.sent_ms = model->now_ms;
   poll->due_ms = model->now_ms + model_transit_ms (model);
   if (worker->clock_known)
--- a/tests/test-restarts.c
+++ b/tests/test-restarts.c
@@ -466,6 +466,55 @@
 }
 END_TEST
 
+/* A new process was told to forget ends up to the last of the former one, and
+ * forgot ends of its own that had not been read. */
+START_TEST (ends_after_a_restart_are_not_acknowledged_unread)
+{
+  static const struct steps_model_faults faults[] = {
+    { .max_transit_ms = 30, .lose_answer = 0.05, .lose_order = 0.03 },
+    { .max_transit_ms = 200, .lose_answer = 0.1, .lose_poll = 0.05 },
+    { .late_order = 0.05, .lose_answer = 0.05, .lose_poll = 0.02 },
+  };
+  for (uint32_t seed = 166; seed < 206; seed++)
+    {
+      struct steps_model *model = steps_fixture_create (8, seed);
+      g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+      struct gr_step_spec step = steps_plain;
+
+      steps_model_set_faults (model, &faults[seed % G_N_ELEMENTS (faults)]);
+      steps_model_run (model, 500);
+      for (uint32_t i = 1; i <= 100; i++)
+        {
+          step.count = (uint32_t)g_rand_int_range (rand, 1, 5);
+          step.gang = step.count > 1 && i % 4 == 0;
+          step.checkpointing = i % 3 == 0;
+          steps_model_add_job (model, i, "normal", "a", &step, 1,
+                               g_rand_int_range (rand, 100, 1500));
+          if (i % 15 == 0)
+            steps_model_restart_unnoticed (
+                model, (uint32_t)g_rand_int_range (rand, 0, 8),
+                g_rand_int_range (rand, 0, 600));
+          if (i % 37 == 0)
+            steps_model_new_owner (model);
+          steps_model_run (model, g_rand_int_range (rand, 20, 250));
+        }
+      steps_model_set_faults (model, &(struct steps_model_faults){ 0 });
+      steps_model_run (model, 60000);
+      for (uint32_t i = 1; i <= 100; i++)
+        ck_assert_int_eq (steps_model_state (model, i), GR_JOB_COMPLETED);
+      for (uint32_t w = 0; w < 8; w++)
+        {
+          char id[16];
+
+          g_snprintf (id, sizeof id, "w%03u", w);
+          ck_assert_uint_eq (
+              gr_steps_worker_load (steps_model_core (model), id), 0);
+        }
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -489,6 +538,7 @@
   tcase_add_test (tests,
                   stop_confirmed_before_a_restart_does_not_end_a_pending_start);
   tcase_add_test (tests, restarts_under_load_start_no_task_twice);
+  tcase_add_test (tests, ends_after_a_restart_are_not_acknowledged_unread);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
