steps: the present process is known since it was first seen

The acknowledgement of ends is remembered for polls that were sent after the known process was first seen. Its time was renewed with each report, so an acknowledgement never counted as answered and was sent with every poll, also to a process that the owner does not know of yet. It now stays at the first sight of the process, which also orders reports with an earlier start time.

--- a/steps/tables.h
+++ b/steps/tables.h
@@ -27,8 +27,7 @@
   double class_slowness; /* of the class; set in each placement pass */
   GPtrArray *tasks;      /* struct task; not owned */
   int64_t incarnation_unix_ms;
-  int64_t incarnation_seen_ms; /* when a report or entry of it was last
-                                  handled */
+  int64_t incarnation_seen_ms; /* when it was first seen; 0: unknown */
   bool registered;
   bool evacuated; /* its data centre is; gets no new work */
   bool draining;
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -146,20 +146,20 @@
                              int64_t incarnation_unix_ms,
                              int64_t observed_ms)
 {
-  /* A poll that was sent after the known process was last observed is answered
-   * by the present one, whatever its start time: the clock of a machine can be
-   * set back. Entries have no such order. */
-  bool is_present = observed_ms > worker->incarnation_seen_ms;
-
-  if (incarnation_unix_ms == 0)
+  if (incarnation_unix_ms == 0
+      || worker->incarnation_unix_ms == incarnation_unix_ms)
     return true;
-  if (worker->incarnation_unix_ms > incarnation_unix_ms && !is_present)
+  /* A poll that was sent after the known process was first seen is answered by
+   * the present one, whatever its start time: the clock of a machine can be set
+   * back. Entries have no such order. */
+  if (worker->incarnation_unix_ms > incarnation_unix_ms
+      && observed_ms <= worker->incarnation_seen_ms)
     return false;
+  worker->incarnation_seen_ms = steps->now_ms;
   if (worker->incarnation_unix_ms == 0)
     worker->incarnation_unix_ms = incarnation_unix_ms;
-  else if (worker->incarnation_unix_ms != incarnation_unix_ms)
+  else
     begin_incarnation (steps, worker, incarnation_unix_ms, observed_ms);
-  worker->incarnation_seen_ms = steps->now_ms;
   return true;
 }
 
@@ -264,6 +264,7 @@
     {
       worker = worker_create (steps, row->id);
       worker->incarnation_unix_ms = row->incarnation_unix_ms;
+      worker->incarnation_seen_ms = now_ms;
     }
   else
     gr_worker_check_incarnation (steps, worker, row->incarnation_unix_ms, 0);
--- a/tests/test-call-pool.c
+++ b/tests/test-call-pool.c
@@ -453,7 +453,7 @@
   close (queued);
   /* The connection is attempted again 1 s after the first attempt, and then
    * refused. */
-  g_usleep (1500 * 1000);
+  g_usleep (G_USEC_PER_SEC * 3 / 2);
   fd = listen_without_room (&port, &queued);
   send_to (&fixture, address, 300);
   wait_for (&fixture, 2);
