instance: no start is sent before the worker's clock is known

A worker whose address changed has no known clock until its next answer. A start sent in between was valid until a time on no clock at all, and its lease was counted from the start of the machine: 3 % of its uptime longer, so that runs of a silent worker were held for minutes (found in review, by reading). Such a start counts as not sent, as for an unknown worker; the next poll makes the worker usable again. No test of its own; the 10 tests of test-instance pass.

--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -189,7 +189,9 @@
       gr_lateness_timeout_ms (&io->lateness, GR_ORDER_TIMEOUT_MS);
   struct order_call *call;
 
-  if (peer == NULL)
+  /* Without the worker's clock a start cannot say until when it is valid. */
+  if (peer == NULL
+      || (order->kind == GR_ORDER_START && peer->clock.clock_ms == 0))
     {
       gr_steps_order_result (io->steps, order, GR_ORDER_NOT_SENT,
                              gr_clock_now_ms (io->clock));
