steps: one loop for runs that are older than an observation

The release of runs after a refused poll and after a departure were written twice, with two rules for what is older. A start whose result is unknown was kept after a departure, and released after a refusal. Both use gr_loss_release_older () now: a run counts as begun when its last start order has a result. Tests of the core, restarts, handover and crashes pass.

--- a/steps/workers.c
+++ b/steps/workers.c
@@ -374,16 +374,6 @@
   return present ? MAX (since_ms, worker->reported_ms) : since_ms;
 }
 
-/* A later run, or one whose start may still take effect, can be on a process
- * that has started since. */
-static bool
-is_older (const struct task *task, int64_t departure_ms)
-{
-  if (!task->start_sent && task->confirmed_ms == 0)
-    return true;
-  return task->confirmed_ms != 0 && task->confirmed_ms <= departure_ms;
-}
-
 static void
 log_departure (const struct gr_steps *steps,
                const struct worker *worker,
@@ -411,26 +401,10 @@
 {
   const struct gr_loss loss = { GR_LOSS_LEFT,
                                 departure_since_ms (worker, since_ms) };
-  uint32_t released = 0;
+  uint32_t runs = worker->tasks->len;
 
-  for (guint i = worker->tasks->len; i-- > 0;)
-    {
-      struct task *task;
-      struct step *step;
-
-      /* The end of a gang can release several tasks. */
-      if (i >= worker->tasks->len)
-        continue;
-      task = worker->tasks->pdata[i];
-      step = task->step;
-      if (!is_older (task, loss.observed_ms))
-        continue;
-      gr_loss_release (steps, task, &loss);
-      released++;
-      if (step->spec->gang)
-        gr_gang_abort (steps, step);
-    }
-  log_departure (steps, worker, since_ms, released);
+  gr_loss_release_older (steps, worker, &loss);
+  log_departure (steps, worker, since_ms, runs - worker->tasks->len);
   gr_samples_forget_worker (steps, worker);
   if (worker->tasks->len > 0)
     {
