--- a/http/call-pool.c
+++ b/http/call-pool.c
@@ -46,8 +46,7 @@
   struct pool_call *call; /* NULL if there is none, or if it has timed out */
   int fd;                 /* -1 after the connection was closed */
   bool connected;
-  bool taken_over;        /* a later call waits for it than the one it was
-                             opened for */
+  bool taken_over;        /* by a later call than that it was opened for */
   bool reused;            /* it has carried a response before */
   bool awaits_late;       /* for the response to a call that has timed out */
   bool watches_write;     /* epoll reports when it becomes writable */
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -356,7 +356,8 @@
   steps->now_ms = now_ms;
   if (worker == NULL)
     return;
-  /* Its ends have numbers of their own, and its runs are gone. */
+  /* Ends of a former process have numbers of their own, and its runs have
+   * ended. */
   if (!gr_worker_check_incarnation (steps, worker, report->incarnation_unix_ms,
                                     report->sent_ms))
     {
