--- a/instance/metrics.c
+++ b/instance/metrics.c
@@ -70,6 +70,10 @@
     "restarted, its process is gone, it left, their lease expired, or it does "
     "not report them (missing); only on the owner, since it became the "
     "owner." },
+  { "jobs_failed_total", "counter", "cause",
+    "Jobs that were shown as failed: a task used up the attempts of its queue, "
+    "or crashed the workers that started it; only on the owner, since it "
+    "became the owner." },
   { "gangs_fast_enough_total", "counter", "",
     "Gangs that were placed on workers fast enough for their objective. "
     "Counters of placement are 0 with objectives = off and start anew with "
@@ -212,6 +216,19 @@
     }
 }
 
+static void
+set_failures (struct gr_counters *counters, const uint64_t *jobs_failed)
+{
+  for (uint32_t i = 0; i < GR_FAILURE_CAUSES; i++)
+    {
+      g_autofree char *labels = g_strdup_printf (
+          "cause=\"%s\"", gr_failure_cause_name ((enum gr_failure_cause)i));
+
+      gr_counter_set (gr_counters_get (counters, "jobs_failed_total", labels),
+                      (int64_t)jobs_failed[i]);
+    }
+}
+
 static int64_t
 thousandths (double value)
 {
@@ -294,6 +311,7 @@
 
   set_preemption (counters, &state->counts.preemption);
   set_losses (counters, state->counts.runs_lost);
+  set_failures (counters, state->counts.jobs_failed);
   set_learning (counters, &state->learning);
   for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
     gr_counter_set (gr_counters_get (counters, values[i].name, ""),
--- a/steps/core.c
+++ b/steps/core.c
@@ -389,6 +389,7 @@
     }
   counts->placement = steps->placement;
   memcpy (counts->runs_lost, steps->runs_lost, sizeof counts->runs_lost);
+  memcpy (counts->jobs_failed, steps->jobs_failed, sizeof counts->jobs_failed);
   for (size_t i = 0; i < G_N_ELEMENTS (steps->orders); i++)
     counts->orders += steps->orders[i].length;
 }
--- a/steps/crashes.c
+++ b/steps/crashes.c
@@ -65,30 +65,30 @@
 }
 
 static void
-log_crash (const struct task *task, const char *worker, const char *start)
+log_crash (const struct gr_steps *steps,
+           const struct task *task,
+           const char *worker,
+           const char *start)
 {
   char name[GR_TASK_NAME_SIZE];
   char crashes[2][16];
+  char age[24];
 
   gr_task_name (task, name);
   g_snprintf (crashes[0], sizeof crashes[0], "%u", task->crashes);
   g_snprintf (crashes[1], sizeof crashes[1], "%u", task->unconfirmed_crashes);
   gr_log_event ("worker-crashed", "worker", worker, "task", name, "start",
-                start, "crashes", crashes[0], "unconfirmed", crashes[1], NULL);
+                start, "placed_ms", gr_loss_age (steps, task->placed_ms, age),
+                "crashes", crashes[0], "unconfirmed", crashes[1], NULL);
 }
 
 static void
-give_up_if_due (struct gr_steps *steps, struct task *task)
+give_up_if_due (struct gr_steps *steps, const struct task *task)
 {
-  struct job *job = gr_task_job (task);
-
   if (task->early_crashes < MAX_EARLY_CRASHES
       && task->crashes + task->unconfirmed_crashes < MAX_CRASHES)
     return;
-  gr_log_event ("job-failed", "job", job->spec->id, "worker",
-                task->avoid_worker, "reason",
-                "workers crashed under one of its tasks", NULL);
-  gr_job_finish (steps, job, GR_JOB_FAILED);
+  gr_job_fail (steps, task, task->avoid_worker, GR_FAILURE_CRASHES);
 }
 
 bool
@@ -119,7 +119,8 @@
   task->step->suspected = true;
   g_strlcpy (task->avoid_worker, worker->id, sizeof task->avoid_worker);
   gr_job_mark_changed (steps, job);
-  log_crash (task, worker->id, confirmed ? "confirmed" : "not confirmed");
+  log_crash (steps, task, worker->id,
+             confirmed ? "confirmed" : "not confirmed");
   give_up_if_due (steps, task);
 }
 
--- a/steps/job.c
+++ b/steps/job.c
@@ -1,3 +1,4 @@
+#include "common/log.h"
 #include "steps/samples.h"
 
 #include <string.h>
@@ -120,6 +121,59 @@
     gr_samples_log_job (job);
 }
 
+static const struct
+{
+  const char *name;
+  const char *text;
+} failure_causes[GR_FAILURE_CAUSES] = {
+  [GR_FAILURE_ATTEMPTS] = { "attempts", "a task used up its attempts" },
+  [GR_FAILURE_CRASHES] = { "crashes",
+                           "workers crashed under one of its tasks" },
+};
+
+const char *
+gr_failure_cause_name (enum gr_failure_cause cause)
+{
+  return failure_causes[cause].name;
+}
+
+static void
+log_failure (const struct task *task,
+             const char *worker,
+             enum gr_failure_cause cause)
+{
+  const struct job *job = gr_task_job (task);
+  char name[GR_TASK_NAME_SIZE];
+  char counts[5][16];
+
+  gr_task_name (task, name);
+  g_snprintf (counts[0], sizeof counts[0], "%u", task->failures);
+  g_snprintf (counts[1], sizeof counts[1], "%u", job->queue->max_attempts);
+  g_snprintf (counts[2], sizeof counts[2], "%u", task->crashes);
+  g_snprintf (counts[3], sizeof counts[3], "%u", task->early_crashes);
+  g_snprintf (counts[4], sizeof counts[4], "%u", task->unconfirmed_crashes);
+  gr_log_event ("job-failed", "job", job->spec->id, "worker", worker, "reason",
+                failure_causes[cause].text, "task", name, "failures", counts[0],
+                "max_attempts", counts[1], "crashes", counts[2],
+                "early_crashes", counts[3], "unconfirmed_crashes", counts[4],
+                NULL);
+}
+
+void
+gr_job_fail (struct gr_steps *steps,
+             const struct task *task,
+             const char *worker,
+             enum gr_failure_cause cause)
+{
+  struct job *job = gr_task_job (task);
+
+  if (gr_job_is_final (job))
+    return;
+  log_failure (task, worker, cause);
+  steps->jobs_failed[cause]++;
+  gr_job_finish (steps, job, GR_JOB_FAILED);
+}
+
 int64_t
 gr_job_objective_ms (const struct job *job)
 {
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -73,12 +73,8 @@
   counted->failed_runs[counted->failures % GR_FAILED_RUNS] = run;
   counted->failures++;
   gr_job_mark_changed (steps, job);
-  if (counted->failures >= job->queue->max_attempts && !gr_job_is_final (job))
-    {
-      gr_log_event ("job-failed", "job", job->spec->id, "worker", worker->id,
-                    NULL);
-      gr_job_finish (steps, job, GR_JOB_FAILED);
-    }
+  if (counted->failures >= job->queue->max_attempts)
+    gr_job_fail (steps, counted, worker->id, GR_FAILURE_ATTEMPTS);
 }
 
 static void
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -423,6 +423,17 @@
 /* Name of the reason for logs and metrics; static. */
 const char *gr_loss_reason_name (enum gr_loss_reason reason);
 
+/* Why a job was shown as failed. */
+enum gr_failure_cause
+{
+  GR_FAILURE_ATTEMPTS, /* a task used up the attempts of its queue */
+  GR_FAILURE_CRASHES,  /* a task crashed the workers that started it */
+  GR_FAILURE_CAUSES,
+};
+
+/* Name of the cause for metrics; static. */
+const char *gr_failure_cause_name (enum gr_failure_cause cause);
+
 /* For logs and metrics. */
 struct gr_steps_counts
 {
@@ -439,7 +450,8 @@
   uint32_t orders; /* queued, not taken yet */
   struct gr_preemption_counts preemption;
   struct gr_steps_placement placement;
-  uint64_t runs_lost[GR_LOSS_REASONS]; /* since the core was created */
+  uint64_t runs_lost[GR_LOSS_REASONS];     /* since the core was created */
+  uint64_t jobs_failed[GR_FAILURE_CAUSES]; /* since the core was created */
 };
 void gr_steps_counts (const struct gr_steps *steps,
                       struct gr_steps_counts *counts);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -323,6 +323,7 @@
   uint32_t searches;       /* for room for work beyond its guarantee */
   struct gr_preemption_counts preemption;
   uint64_t runs_lost[GR_LOSS_REASONS];
+  uint64_t jobs_failed[GR_FAILURE_CAUSES];
   uint64_t handover_list; /* number of the last handover list */
   uint64_t durable_handover_list;
   bool fenced;
@@ -405,6 +406,12 @@
 void gr_job_finish (struct gr_steps *steps,
                     struct job *job,
                     enum gr_job_state state);
+/* Ends the task's job as failed, and logs and counts the cause. worker: id of
+ * the worker of the last failure or crash. Does nothing if the job is final. */
+void gr_job_fail (struct gr_steps *steps,
+                  const struct task *task,
+                  const char *worker,
+                  enum gr_failure_cause cause);
 bool gr_job_is_final (const struct job *job);
 void gr_jobs_tick (struct gr_steps *steps, int64_t unix_ms);
 void gr_job_destroy (struct job *job);
