steps: a crash after a confirmed stop does not count against the task

Cause: runs stay assigned until their end is listed, and a crash in between counted as one under the task. A run whose stop the worker has confirmed is released without a crash now; one whose stop has no answer still counts. crash_after_a_confirmed_stop_does_not_count held 1 crash against the task before, 0 now; tests of crashes, restarts, handover and gangs pass.

--- a/steps/losses.c
+++ b/steps/losses.c
@@ -68,12 +68,13 @@
 {
   const struct worker *worker = task->worker;
   bool confirmed = gr_crash_is_confirmed (task);
+  bool stopped = task->stop_confirmed_ms != 0;
 
   log_loss (steps, task, loss);
   steps->runs_lost[loss->reason]++;
   gr_samples_reject (steps, GR_SAMPLE_NOT_DONE);
   gr_task_release (steps, task);
-  if (reasons[loss->reason].crashed)
+  if (reasons[loss->reason].crashed && !stopped)
     gr_crash_record (steps, worker, task, confirmed);
 }
 
--- a/tests/test-steps-crashes.c
+++ b/tests/test-steps-crashes.c
@@ -654,6 +654,62 @@
 }
 END_TEST
 
+/* Crashes of all kinds that the core holds against job 1's task. */
+static uint32_t
+crashes_held_against_task (struct gr_steps *steps)
+{
+  struct gr_job_progress progress;
+  uint32_t crashes = 0;
+
+  ck_assert (gr_steps_progress (steps, "0000000000000001", &progress));
+  for (size_t i = 0; i < progress.n_tasks; i++)
+    crashes += progress.tasks[i].crashes + progress.tasks[i].unconfirmed_crashes
+               + progress.tasks[i].dismissed_crashes;
+  gr_job_progress_clear (&progress);
+  return crashes;
+}
+
+/* A crash counted against a task whose run the worker had already stopped. */
+START_TEST (crash_after_a_confirmed_stop_does_not_count)
+{
+  for (uint32_t stopped = 0; stopped < 2; stopped++)
+    {
+      struct steps_model *model = steps_fixture_create (16, 1);
+      struct gr_steps *steps = steps_model_core (model);
+      struct gr_step_spec one = steps_plain;
+      struct gr_order order;
+      struct gr_order stop;
+      int64_t now_ms = steps_model_now_ms (model);
+
+      one.count = 1;
+      one.checkpointing = true;
+      steps_model_add_job (model, 1, "normal", "a", &one, 1, 3000);
+      report_all (steps, 16, now_ms);
+      ck_assert (take_start (steps, &now_ms, &order));
+      gr_steps_order_result (steps, &order, GR_ORDER_DONE, now_ms);
+      gr_steps_process_report (
+          steps, order.worker,
+          &(struct gr_run_report){
+              .running =
+                  &(struct gr_run_status){ .task = "0000000000000001.0.0.0",
+                                           .run = order.run },
+              .n_running = 1,
+              .incarnation_unix_ms = 1,
+              .all_ended = true,
+              .sent_ms = now_ms },
+          now_ms + 1);
+      gr_steps_evacuate_worker (steps, order.worker, true);
+      ck_assert (gr_steps_take_order (steps, NULL, NULL, &stop));
+      ck_assert_int_eq (stop.kind, GR_ORDER_STOP);
+      if (stopped)
+        gr_steps_order_result (steps, &stop, GR_ORDER_DONE, now_ms + 2);
+      gr_steps_worker_gone (steps, order.worker, now_ms + 4, now_ms + 5);
+      ck_assert_uint_eq (crashes_held_against_task (steps), stopped ? 0 : 1);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 /* A worker that is cut off must not hold up a start that another can take. */
 START_TEST (late_report_does_not_hold_up_a_start)
 {
@@ -889,6 +945,7 @@
   tcase_add_test (crashes, start_that_was_not_sent_never_counts);
   tcase_add_test (crashes, start_that_was_answered_late_counts);
   tcase_add_test (crashes, task_waits_for_the_result_of_its_last_start);
+  tcase_add_test (crashes, crash_after_a_confirmed_stop_does_not_count);
   tcase_add_test (crashes, late_report_does_not_hold_up_a_start);
   tcase_add_test (crashes, unconfirmed_crashes_count_over_a_takeover);
   tcase_add_test (crashes,
