steps: only the process that had the run can confirm its stop

Cause: an unanswered start is stopped, and the restarted process confirms that stop although it never had the run. A stop counts only if the start was confirmed too and the worker has not restarted.

--- a/steps/losses.c
+++ b/steps/losses.c
@@ -68,7 +68,9 @@
 {
   const struct worker *worker = task->worker;
   bool confirmed = gr_crash_is_confirmed (task);
-  bool stopped = task->stop_confirmed_ms != 0;
+  /* A process that has restarted confirms stops of runs that it never had. */
+  bool stopped = confirmed && task->stop_confirmed_ms != 0
+                 && loss->reason != GR_LOSS_RESTARTED;
 
   log_loss (steps, task, loss);
   steps->runs_lost[loss->reason]++;
