steps: bound the search for other crashes

At a site of 1,100 workers, hundreds can crash at once, with several tasks each: each of these crashes was compared with all others in the next tick (by reading).

--- a/steps/crash-log.c
+++ b/steps/crash-log.c
@@ -68,7 +68,9 @@
 {
   struct gr_crash_context context = { 0 };
 
-  for (guint i = 0; i < log->crashes->len; i++)
+  for (guint i = 0;
+       i < log->crashes->len && context.unsuspected < GR_CRASH_MAX_UNSUSPECTED;
+       i++)
     {
       const struct crash *crash = log->crashes->pdata[i];
 
--- a/steps/crash-log.h
+++ b/steps/crash-log.h
@@ -5,6 +5,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* More say no more, and at a large site a thousand workers can crash at once.
+ */
+#define GR_CRASH_MAX_UNSUSPECTED 16
+
 struct gr_crash_log;
 
 /* Crashes of other workers around a crash under a job. */
@@ -26,7 +30,7 @@
                        bool suspected,
                        int64_t at_ms);
 /* Counts the crashes of other workers than this one from from_ms to to_ms, as
- * seen by the job. */
+ * seen by the job. Stops at GR_CRASH_MAX_UNSUSPECTED. */
 struct gr_crash_context gr_crash_log_context (const struct gr_crash_log *log,
                                               const char *worker,
                                               const char *job,
