steps: a task without attempts left is not started again

A task that had failed as often as its queue permits was started once more if the limit had been lowered since its last failed run, by the same owner or by the next one, and its job was shown as failed one run too late.

Failures were compared with the limit only at the moment a failure was counted. They are now also compared before each placement, for tasks that have no active run; one that was started under the former limit may still complete its job. The counting moves to attempts.c, and the line job-failed names the task, its failures and the limit.

task_without_attempts_left_is_not_started_again failed before (3 starts instead of 2). lowered_limit_does_not_end_an_active_run passed before and guards the change.

--- /dev/null
+++ b/steps/attempts.c
@@ -0,0 +1,117 @@
+#include "steps/tables.h"
+
+#include "common/log.h"
+
+/* Failed runs of tasks. A job is given up once one of its tasks, or a gang, has
+ * failed as often as its queue permits. Runs of lasting tasks do not count. */
+
+/* The run of a gang counts as one failure, whichever of its members report
+ * it. */
+static struct task *
+counting_task (struct task *task)
+{
+  return task->step->spec->gang ? &task->step->tasks[0] : task;
+}
+
+static bool
+failure_is_counted (const struct task *task, uint32_t run)
+{
+  for (uint32_t i = 0; i < MIN (task->failures, GR_FAILED_RUNS); i++)
+    if (task->failed_runs[i] == run)
+      return true;
+  return false;
+}
+
+static bool
+is_exhausted (const struct task *task)
+{
+  return task->failures >= gr_task_job (task)->queue->max_attempts;
+}
+
+static void
+give_up (struct gr_steps *steps, const struct task *task, const char *worker)
+{
+  struct job *job = gr_task_job (task);
+  char name[GR_TASK_NAME_SIZE];
+  char failures[16];
+  char max_attempts[16];
+
+  gr_task_name (task, name);
+  g_snprintf (failures, sizeof failures, "%u", task->failures);
+  g_snprintf (max_attempts, sizeof max_attempts, "%u",
+              job->queue->max_attempts);
+  gr_log_event ("job-failed", "job", job->spec->id, "worker", worker, "reason",
+                "runs of one of its tasks failed", "task", name, "failures",
+                failures, "max_attempts", max_attempts, NULL);
+  gr_job_finish (steps, job, GR_JOB_FAILED);
+}
+
+void
+gr_attempts_count_failure (struct gr_steps *steps,
+                           struct task *task,
+                           struct worker *worker,
+                           uint32_t run)
+{
+  struct job *job = gr_task_job (task);
+  struct task *counted = counting_task (task);
+
+  g_strlcpy (task->avoid_worker, worker->id, sizeof task->avoid_worker);
+  if (task->step->spec->lasting)
+    return;
+  /* An end that was not acknowledged is reported again to the next owner. */
+  if (failure_is_counted (counted, run))
+    return;
+  counted->failed_runs[counted->failures % GR_FAILED_RUNS] = run;
+  counted->failures++;
+  job->has_failures = true;
+  gr_job_mark_changed (steps, job);
+  if (is_exhausted (counted) && !gr_job_is_final (job))
+    give_up (steps, counted, worker->id);
+}
+
+/* Without an active run, so the task or its gang would be started again. */
+static bool
+waits (const struct task *task)
+{
+  const struct step *step = task->step;
+
+  return task->state == TASK_WAITING
+         && (!step->spec->gang || step->n_waiting == step->n_tasks);
+}
+
+static const struct task *
+find_exhausted_task (const struct job *job)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      const struct occurrence *occurrence = job->occurrences->pdata[i];
+
+      if (occurrence == NULL || occurrence->complete)
+        continue;
+      for (uint32_t s = 0; s < job->spec->n_steps; s++)
+        for (uint32_t k = 0; k < occurrence->steps[s].n_tasks; k++)
+          {
+            const struct task *task = &occurrence->steps[s].tasks[k];
+
+            if (task->failures > 0 && is_exhausted (task) && waits (task))
+              return task;
+          }
+    }
+  return NULL;
+}
+
+void
+gr_attempts_tick (struct gr_steps *steps)
+{
+  for (guint i = 0; i < steps->job_rows->len; i++)
+    {
+      const struct job *job = steps->job_rows->pdata[i];
+      const struct task *task;
+
+      if (!job->has_failures || gr_job_is_final (job))
+        continue;
+      task = find_exhausted_task (job);
+      if (task != NULL)
+        give_up (steps, task, task->avoid_worker);
+    }
+}
--- a/steps/core.c
+++ b/steps/core.c
@@ -132,6 +132,8 @@
   task->crashes = row->crashes;
   task->early_crashes = row->early_crashes;
   task->unconfirmed_crashes = row->unconfirmed_crashes;
+  if (row->failures > 0)
+    gr_task_job (task)->has_failures = true;
   if (row->crashes > 0 || row->unconfirmed_crashes > 0)
     task->step->suspected = true;
   if (row->checkpoint[0] != '\0')
@@ -233,6 +235,7 @@
   gr_evacuation_tick (steps);
   gr_gangs_tick (steps);
   gr_samples_tick (steps);
+  gr_attempts_tick (steps);
   if (!steps->starts_held)
     gr_place_tick (steps);
 }
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -43,44 +43,6 @@
                 worker->id, "how", names[ended->how], "outcome", outcome, NULL);
 }
 
-static bool
-failure_is_counted (const struct task *task, uint32_t run)
-{
-  for (uint32_t i = 0; i < MIN (task->failures, GR_FAILED_RUNS); i++)
-    if (task->failed_runs[i] == run)
-      return true;
-  return false;
-}
-
-/* The run of a gang counts as one failure, whichever of its members report
- * it. */
-void
-gr_task_count_failure (struct gr_steps *steps,
-                       struct task *task,
-                       struct worker *worker,
-                       uint32_t run)
-{
-  struct step *step = task->step;
-  struct job *job = gr_task_job (task);
-  struct task *counted = step->spec->gang ? &step->tasks[0] : task;
-
-  g_strlcpy (task->avoid_worker, worker->id, sizeof task->avoid_worker);
-  if (step->spec->lasting)
-    return;
-  /* An end that was not acknowledged is reported again to the next owner. */
-  if (failure_is_counted (counted, run))
-    return;
-  counted->failed_runs[counted->failures % GR_FAILED_RUNS] = run;
-  counted->failures++;
-  gr_job_mark_changed (steps, job);
-  if (counted->failures >= job->queue->max_attempts && !gr_job_is_final (job))
-    {
-      gr_log_event ("job-failed", "job", job->spec->id, "worker", worker->id,
-                    NULL);
-      gr_job_finish (steps, job, GR_JOB_FAILED);
-    }
-}
-
 static void
 set_gang_done (struct gr_steps *steps, struct step *step)
 {
@@ -156,7 +118,7 @@
   if (ended->how == GR_END_FAILED)
     {
       gr_health_record_failure (steps, worker, gr_task_job (task));
-      gr_task_count_failure (steps, task, worker, ended->run);
+      gr_attempts_count_failure (steps, task, worker, ended->run);
     }
   if (!current_run)
     return;
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -230,6 +230,7 @@
   bool inherited;
   bool started;
   bool changed;
+  bool has_failures;       /* runs of some task have failed */
   uint64_t final_sequence; /* of the change that made it final */
   int64_t added_ms;        /* same as accepted_ms */
   int64_t accepted_ms; /* owner's clock; when the job was added to this core,
@@ -448,12 +449,17 @@
 /* Stops inherited gangs of which only a part was found, if it only waits. */
 void gr_gangs_tick (struct gr_steps *steps);
 
+/* Failed runs. */
+
 /* Counts a failed run once, however often it is reported, and fails the job
  * after max_attempts. Runs of lasting tasks are not counted. */
-void gr_task_count_failure (struct gr_steps *steps,
-                            struct task *task,
-                            struct worker *worker,
-                            uint32_t run);
+void gr_attempts_count_failure (struct gr_steps *steps,
+                                struct task *task,
+                                struct worker *worker,
+                                uint32_t run);
+/* Fails the jobs of which a task waits to be started although it has failed as
+ * often as permitted: the limit can be lowered, also before a takeover. */
+void gr_attempts_tick (struct gr_steps *steps);
 
 /* Health of workers. */
 
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -104,6 +104,61 @@
 }
 END_TEST
 
+/* A task that had failed as often as a lowered limit permits was started once
+ * more, by the same owner or the next one. */
+START_TEST (task_without_attempts_left_is_not_started_again)
+{
+  for (int takeover = 0; takeover < 2; takeover++)
+    {
+      struct gr_step_spec one = steps_plain;
+      struct steps_model *model = steps_fixture_create (1, 1);
+
+      one.count = 1;
+      steps_model_set_queue (model, "limited", 1, 3);
+      steps_model_add_job (model, 1, "limited", "a", &one, 1, 500);
+      steps_model_fail_job (model, 1);
+      while (steps_model_starts (model, 1) < 2)
+        steps_model_run (model, 20);
+      steps_model_drain_worker (model, 0, true);
+      steps_model_run (model, 1000);
+      ck_assert_uint_eq (steps_model_failures (model, 1), 2);
+      steps_model_set_queue (model, "limited", 1, 2);
+      if (takeover)
+        steps_model_new_owner (model);
+      steps_model_drain_worker (model, 0, false);
+      steps_model_run (model, 1000);
+      ck_assert_uint_eq (steps_model_starts (model, 1), 2);
+      ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
+/* Guards against a job that is given up for a lowered limit while a permitted
+ * run of its task is still active. */
+START_TEST (lowered_limit_does_not_end_an_active_run)
+{
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      struct steps_model *model = steps_fixture_create (8, 1);
+
+      steps_model_set_queue (model, "limited", 1, 3);
+      steps_model_add_job (model, 1, "limited", "a",
+                           i == 0 ? &steps_plain : &steps_gang, 1, 500);
+      while (steps_model_running (model, 1) == 0)
+        steps_model_run (model, 20);
+      for (uint32_t worker = 0; worker < 8; worker++)
+        steps_model_fail_runs (model, worker);
+      while (steps_model_running (model, 1) == 0)
+        steps_model_run (model, 20);
+      steps_model_set_queue (model, "limited", 1, 1);
+      steps_model_run (model, 2000);
+      ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 /* A lasting task whose run ended was treated as done, or was not started again
  * after max_attempts failures. */
 START_TEST (lasting_work_is_started_again_however_it_ends)
@@ -678,6 +733,8 @@
   tcase_add_test (tests, completed_job_added_again_does_not_run_again);
   tcase_add_test (tests, failure_counts_once_over_a_takeover);
   tcase_add_test (tests, failures_count_in_any_order);
+  tcase_add_test (tests, task_without_attempts_left_is_not_started_again);
+  tcase_add_test (tests, lowered_limit_does_not_end_an_active_run);
   tcase_add_test (tests, lasting_work_is_started_again_however_it_ends);
   tcase_add_test (tests, reclaiming_respects_max_away);
   tcase_add_test (tests, filler_tasks_are_slowed_down);
