steps: a job is not given up before its queue's limit is known

A job was shown as failed after the first failed run of a task, whatever its queue permits, if the owner read that end before it knew the queue: it has no configuration yet, or an older one without the queue, or the queue was removed. The runs that such an owner finds on workers go on, and their ends count.

A queue that the configuration had not named was made with a limit of one failed run. Its limit is now unknown, and an unknown limit gives no job up. Failed runs are still counted and stored. As soon as the limit is known, a task that has used it up is not started again and its job is shown as failed.

failure_before_the_queue_is_known_is_one_of_several failed before (state failed after one of three permitted failures). failure_before_the_queue_is_known_counts guards against an additional start.

--- a/steps/attempts.c
+++ b/steps/attempts.c
@@ -22,10 +22,14 @@
   return false;
 }
 
+/* An owner can learn of failed runs before it has read the configuration of
+ * their queue. */
 static bool
 is_exhausted (const struct task *task)
 {
-  return task->failures >= gr_task_job (task)->queue->max_attempts;
+  uint32_t max_attempts = gr_task_job (task)->queue->max_attempts;
+
+  return max_attempts != 0 && task->failures >= max_attempts;
 }
 
 static void
--- a/steps/core.c
+++ b/steps/core.c
@@ -83,7 +83,6 @@
   queue = g_new0 (struct queue, 1);
   queue->name = g_strdup (name);
   queue->service = g_strdup ("");
-  queue->max_attempts = 1;
   queue->stretch = 1;
   g_hash_table_insert (steps->queues, queue->name, queue);
   return queue;
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -255,7 +255,7 @@
   char *name;
   char *service;
   uint32_t priority;
-  uint32_t max_attempts;
+  uint32_t max_attempts; /* 0: not known */
   uint32_t objective_ms;
   double stretch;
   bool needs_advice;
@@ -458,7 +458,8 @@
                                 struct worker *worker,
                                 uint32_t run);
 /* Fails the jobs of which a task waits to be started although it has failed as
- * often as permitted: the limit can be lowered, also before a takeover. */
+ * often as permitted: the limit can be lowered, also before a takeover, or
+ * become known later than the failures. */
 void gr_attempts_tick (struct gr_steps *steps);
 
 /* Health of workers. */
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -262,6 +262,21 @@
   gr_steps_set_queue (model->steps, queue);
 }
 
+void
+steps_model_forget_queue (struct steps_model *model, const char *name)
+{
+  for (guint i = model->queues->len; i-- > 0;)
+    {
+      struct gr_steps_queue *queue = model->queues->pdata[i];
+
+      if (!g_str_equal (queue->name, name))
+        continue;
+      g_ptr_array_remove_index (model->queues, i);
+      g_free ((char *)queue->name);
+      g_free (queue);
+    }
+}
+
 void
 steps_model_set_gang_wait (struct steps_model *model, uint32_t wait_ms)
 {
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -65,6 +65,9 @@
                             const char *name,
                             uint32_t priority,
                             uint32_t max_attempts);
+/* The next owner does not know the queue until it is set again, as when its
+ * configuration is missing or lacks the queue. */
+void steps_model_forget_queue (struct steps_model *model, const char *name);
 /* Time for which a member of a gang waits for the others, 3 s by default. The
  * core knows it from the next owner on. */
 void steps_model_set_gang_wait (struct steps_model *model, uint32_t wait_ms);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -159,6 +159,56 @@
 }
 END_TEST
 
+/* Starts a task on worker 0 that fails once under an owner which does not know
+ * the queue, whose limit is max_attempts. */
+static struct steps_model *
+fail_before_the_queue_is_known (uint32_t max_attempts)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (1, 1);
+
+  one.count = 1;
+  steps_model_set_queue (model, "late", 1, max_attempts);
+  steps_model_add_job (model, 1, "late", "a", &one, 1, 500);
+  steps_model_run (model, 300);
+  ck_assert_uint_eq (steps_model_running (model, 1), 1);
+  steps_model_forget_queue (model, "late");
+  steps_model_new_owner (model);
+  steps_model_fail_runs (model, 0);
+  steps_model_run (model, 1000);
+  ck_assert_int_ne (steps_model_state (model, 1), GR_JOB_FAILED);
+  ck_assert_uint_eq (steps_model_failures (model, 1), 1);
+  return model;
+}
+
+/* A successor that did not know the queue yet gave a job up after the first
+ * failed run of a task. */
+START_TEST (failure_before_the_queue_is_known_is_one_of_several)
+{
+  struct steps_model *model = fail_before_the_queue_is_known (3);
+
+  steps_model_set_queue (model, "late", 1, 3);
+  steps_model_run (model, 2000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 2);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* Guards against a task that is started again although it had failed as often
+ * as permitted before the limit was known. */
+START_TEST (failure_before_the_queue_is_known_counts)
+{
+  struct steps_model *model = fail_before_the_queue_is_known (1);
+
+  steps_model_set_queue (model, "late", 1, 1);
+  steps_model_run (model, 2000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* A lasting task whose run ended was treated as done, or was not started again
  * after max_attempts failures. */
 START_TEST (lasting_work_is_started_again_however_it_ends)
@@ -735,6 +785,8 @@
   tcase_add_test (tests, failures_count_in_any_order);
   tcase_add_test (tests, task_without_attempts_left_is_not_started_again);
   tcase_add_test (tests, lowered_limit_does_not_end_an_active_run);
+  tcase_add_test (tests, failure_before_the_queue_is_known_is_one_of_several);
+  tcase_add_test (tests, failure_before_the_queue_is_known_counts);
   tcase_add_test (tests, lasting_work_is_started_again_however_it_ends);
   tcase_add_test (tests, reclaiming_respects_max_away);
   tcase_add_test (tests, filler_tasks_are_slowed_down);
