platform, steps: a queue without max-attempts is not limited to one run

A configuration that leaves out the limit of a queue made the owner show jobs as failed after the first failed run of a task, also those of a queue whose limit an earlier version had stated.

The decoder read a missing field as 1, which then replaced the known limit. It is now 0, which leaves the limit as it was set before; without any, failed runs end no job. Each version that lacks a limit is logged for each such queue.

route_without_max_attempts_sets_no_limit failed before (1 instead of 0), as did configuration_without_a_limit_keeps_the_known_one (1 start instead of 2).

--- a/instance/config-view.c
+++ b/instance/config-view.c
@@ -91,6 +91,16 @@
     visit (wave, context);
 }
 
+/* Jobs of such a queue do not fail, unless an earlier version has a limit. */
+static void
+log_missing_limits (const struct gr_cluster_config *config)
+{
+  for (size_t i = 0; i < config->n_queues; i++)
+    if (config->queues[i].max_attempts == 0)
+      gr_log_warning ("queue-without-max-attempts", "queue",
+                      config->queues[i].name, NULL);
+}
+
 static void
 apply_item (struct gr_config_view *view,
             const struct gr_metastore_item *item,
@@ -132,6 +142,7 @@
   gr_config_view_confirm (view, current_ms);
   g_snprintf (version, sizeof version, "%" G_GINT64_FORMAT, config->version);
   gr_log_event ("config-applied", "version", version, NULL);
+  log_missing_limits (config);
   view->changed (view->context);
 }
 
--- a/steps/core.c
+++ b/steps/core.c
@@ -109,7 +109,8 @@
   g_free (queue->service);
   queue->service = g_strdup (row->service);
   queue->priority = row->priority;
-  queue->max_attempts = MAX (row->max_attempts, 1);
+  if (row->max_attempts > 0)
+    queue->max_attempts = row->max_attempts;
   queue->objective_ms = row->objective_ms;
   queue->stretch = row->stretch;
   queue->needs_advice = row->needs_advice;
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -44,7 +44,8 @@
   const char *name;
   const char *service;   /* only its workers run the queue's tasks */
   uint32_t priority;     /* 0 is the most urgent */
-  uint32_t max_attempts; /* failed runs of one task after which a job fails */
+  uint32_t max_attempts; /* failed runs of one task after which a job fails; 0:
+                            as set before, or no limit */
   /* A job should be complete within objective_ms + stretch * the sum of its
    * steps' estimates. */
   uint32_t objective_ms;
--- a/tests/test-decode.c
+++ b/tests/test-decode.c
@@ -170,6 +170,18 @@
 }
 END_TEST
 
+/* A route without a limit was read as one that permits a single failed run. */
+START_TEST (route_without_max_attempts_sets_no_limit)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_cluster_config *config = read_config (config_text, &error);
+
+  ck_assert_msg (config != NULL, "%s", error.message);
+  ck_assert_uint_eq (config->queues[1].max_attempts, 0);
+  gr_cluster_config_destroy (config);
+}
+END_TEST
+
 static struct gr_job_spec *
 read_job (const char *text, struct gr_error *error)
 {
@@ -423,6 +435,7 @@
   tcase_add_test (tests, longest_prefix_of_the_host_wins);
   tcase_add_test (tests, calls_are_refused_for_the_right_reason);
   tcase_add_test (tests, configuration_is_read_whole_or_not_at_all);
+  tcase_add_test (tests, route_without_max_attempts_sets_no_limit);
   tcase_add_test (tests, jobs_that_cannot_be_run_are_refused);
   tcase_add_test (tests, job_records_keep_every_field);
   tcase_add_test (tests,
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -209,6 +209,23 @@
 }
 END_TEST
 
+/* A queue whose limit a configuration lacked was limited to one failed run. */
+START_TEST (configuration_without_a_limit_keeps_the_known_one)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (1, 1);
+
+  one.count = 1;
+  steps_model_set_queue (model, "normal", 1, 0);
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 500);
+  steps_model_fail_job (model, 1);
+  steps_model_run (model, 2000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 2);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* A lasting task whose run ended was treated as done, or was not started again
  * after max_attempts failures. */
 START_TEST (lasting_work_is_started_again_however_it_ends)
@@ -787,6 +804,7 @@
   tcase_add_test (tests, lowered_limit_does_not_end_an_active_run);
   tcase_add_test (tests, failure_before_the_queue_is_known_is_one_of_several);
   tcase_add_test (tests, failure_before_the_queue_is_known_counts);
+  tcase_add_test (tests, configuration_without_a_limit_keeps_the_known_one);
   tcase_add_test (tests, lasting_work_is_started_again_however_it_ends);
   tcase_add_test (tests, reclaiming_respects_max_away);
   tcase_add_test (tests, filler_tasks_are_slowed_down);
