instance: records of a former job do not count for one with the same id

A job whose id had been used before, by a job whose records were removed, could be shown as failed or cancelled at once, and an owner then did not run it.

The copy of the records kept the specification, progress and cancellation of the former job if the store had discarded the history of its removal, and also took progress or a cancellation that was read before the removal and arrived after it. The record of a job is written once. So a later revision of it now replaces what is known of the former job, records that are older than it are ignored, and a removal that is older removes nothing.

new_job_has_no_state_of_a_former_one_in_lost_history and late_records_of_a_former_job_are_ignored failed before (state failed instead of queued).

--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -124,6 +124,45 @@
   gr_log_warning ("record-unreadable", "key", key, NULL);
 }
 
+static void
+discard_progress (struct gr_mirror_job *job)
+{
+  gr_job_progress_clear (&job->progress);
+  job->progress_revision = 0;
+  job->final_since_ms = 0;
+}
+
+static void
+remove_job (struct gr_mirror *mirror, const char *id, int64_t revision)
+{
+  const struct gr_mirror_job *job = g_hash_table_lookup (mirror->jobs, id);
+
+  if (job != NULL && job->job_revision <= revision)
+    g_hash_table_remove (mirror->jobs, id);
+}
+
+/* The record of a job is written once, so one with a later revision is that of
+ * another job with the same id. Earlier records belong to the former one. */
+static void
+apply_spec (struct gr_mirror *mirror,
+            struct gr_mirror_job *job,
+            const char *id,
+            const struct gr_metastore_item *item)
+{
+  if (item->revision <= job->job_revision)
+    return;
+  gr_job_spec_destroy (job->spec);
+  job->spec = item->value ? gr_record_decode_job (id, item->value) : NULL;
+  job->job_revision = item->revision;
+  job->started = g_hash_table_contains (mirror->started_ids, id);
+  if (job->spec == NULL)
+    log_unreadable (item->key);
+  if (job->progress_revision < item->revision)
+    discard_progress (job);
+  if (job->cancel_revision < item->revision)
+    job->cancel_revision = 0;
+}
+
 static void
 apply_progress (struct gr_mirror *mirror,
                 struct gr_mirror_job *job,
@@ -131,7 +170,8 @@
 {
   struct gr_job_progress progress;
 
-  if (item->revision <= job->progress_revision)
+  if (item->revision <= job->progress_revision
+      || item->revision < job->job_revision)
     return;
   if (item->value == NULL
       || !gr_record_decode_progress (item->value, &progress))
@@ -157,20 +197,15 @@
   if (item->deleted)
     {
       if (kind == GR_RECORD_JOB)
-        g_hash_table_remove (mirror->jobs, id);
+        remove_job (mirror, id, item->revision);
       return;
     }
   job = ensure_job (mirror, id);
-  if (kind == GR_RECORD_JOB && job->spec == NULL)
-    {
-      job->spec = item->value ? gr_record_decode_job (id, item->value) : NULL;
-      job->job_revision = item->revision;
-      if (job->spec == NULL)
-        log_unreadable (item->key);
-    }
+  if (kind == GR_RECORD_JOB)
+    apply_spec (mirror, job, id, item);
   else if (kind == GR_RECORD_PROGRESS)
     apply_progress (mirror, job, item);
-  else if (kind == GR_RECORD_CANCEL)
+  else if (kind == GR_RECORD_CANCEL && item->revision >= job->job_revision)
     job->cancel_revision = item->revision;
   if (mirror->events.job_changed != NULL && job->spec != NULL)
     mirror->events.job_changed (id, job, mirror->events.context);
--- a/tests/test-platform-store.c
+++ b/tests/test-platform-store.c
@@ -200,8 +200,8 @@
 }
 END_TEST
 
-static void
-put_job (struct fixture *fixture, const char *id, enum gr_job_state state)
+static GBytes *
+encode_job (const char *id)
 {
   struct gr_step_spec step = { .count = 1, .needs = { 1000, 100, 1 } };
   struct gr_job_spec spec = {
@@ -211,25 +211,42 @@
     .steps = &step,
     .n_steps = 1,
   };
-  struct gr_job_progress progress = { .state = state };
-  enum gr_record_kind kinds[] = { GR_RECORD_JOB, GR_RECORD_PROGRESS };
-  GBytes *values[2];
 
   g_strlcpy (spec.id, id, sizeof spec.id);
-  values[0] = gr_record_encode_job (&spec);
-  values[1] = gr_record_encode_progress (&progress);
-  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
-    {
-      struct gr_metastore_txn *txn = gr_metastore_txn_create ();
-      g_autofree char *key = gr_record_key (kinds[i], id);
+  return gr_record_encode_job (&spec);
+}
 
-      gr_metastore_txn_put (txn, key, g_bytes_get_data (values[i], NULL),
-                            g_bytes_get_size (values[i]), 0);
-      gr_metastore_commit (fixture->store, txn, 400,
-                           (struct gr_metastore_reply){ reply_done, fixture });
-      wait_for_answer (fixture);
-      g_bytes_unref (values[i]);
-    }
+static GBytes *
+encode_state (enum gr_job_state state)
+{
+  struct gr_job_progress progress = { .state = state };
+
+  return gr_record_encode_progress (&progress);
+}
+
+/* Writes a record of the job, and releases the value. */
+static void
+put_record (struct fixture *fixture,
+            enum gr_record_kind kind,
+            const char *id,
+            GBytes *value)
+{
+  struct gr_metastore_txn *txn = gr_metastore_txn_create ();
+  g_autofree char *key = gr_record_key (kind, id);
+
+  gr_metastore_txn_put (txn, key, g_bytes_get_data (value, NULL),
+                        g_bytes_get_size (value), 0);
+  gr_metastore_commit (fixture->store, txn, 400,
+                       (struct gr_metastore_reply){ reply_done, fixture });
+  wait_for_answer (fixture);
+  g_bytes_unref (value);
+}
+
+static void
+put_job (struct fixture *fixture, const char *id, enum gr_job_state state)
+{
+  put_record (fixture, GR_RECORD_JOB, id, encode_job (id));
+  put_record (fixture, GR_RECORD_PROGRESS, id, encode_state (state));
 }
 
 static bool
@@ -331,6 +348,103 @@
 }
 END_TEST
 
+static void
+check_new_job (const struct gr_mirror *mirror, const char *id)
+{
+  const struct gr_mirror_job *job = gr_mirror_find (mirror, id);
+
+  ck_assert_ptr_nonnull (job);
+  ck_assert_int_eq (job->progress.state, GR_JOB_QUEUED);
+  ck_assert_int_eq (job->progress_revision, 0);
+  ck_assert_int_eq (job->cancel_revision, 0);
+  ck_assert_int_eq (job->final_since_ms, 0);
+}
+
+/* A job was shown in the final state of a removed job with the same id. */
+START_TEST (new_job_has_no_state_of_a_former_one_in_lost_history)
+{
+  static const char id[] = "00000000000000a1";
+  enum gr_record_kind kinds[] = { GR_RECORD_PROGRESS, GR_RECORD_CANCEL,
+                                  GR_RECORD_JOB };
+  struct fixture fixture;
+  struct gr_mirror_events events = { 0 };
+  struct gr_clock *clock = gr_clock_create ();
+  struct gr_mirror *mirror;
+
+  fixture_create (&fixture);
+  put_job (&fixture, id, GR_JOB_FAILED);
+  put_record (&fixture, GR_RECORD_CANCEL, id, g_bytes_new_static ("1", 1));
+  mirror = gr_mirror_create (fixture.store, clock, &events);
+  while (!gr_mirror_is_loaded (mirror))
+    g_main_context_iteration (NULL, TRUE);
+  ck_assert_int_eq (gr_mirror_find (mirror, id)->progress.state, GR_JOB_FAILED);
+  run_for (50);
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      g_autofree char *key = gr_record_key (kinds[i], id);
+
+      gr_standin_platform_remove_and_forget (fixture.platform, key);
+    }
+  put_record (&fixture, GR_RECORD_JOB, id, encode_job (id));
+  run_for (3000);
+  check_new_job (mirror, id);
+  gr_metastore_destroy (fixture.store);
+  fixture.store = NULL;
+  gr_mirror_destroy (mirror);
+  gr_clock_destroy (clock);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+static void
+apply (struct gr_mirror *mirror,
+       enum gr_record_kind kind,
+       const char *id,
+       int64_t revision,
+       GBytes *value)
+{
+  g_autofree char *key = gr_record_key (kind, id);
+  struct gr_metastore_item item = {
+    .key = key,
+    .value = value,
+    .revision = revision,
+    .deleted = value == NULL,
+  };
+
+  gr_mirror_apply (mirror, &item);
+  g_clear_pointer (&value, g_bytes_unref);
+}
+
+/* Records of a former job that were read late counted for a later one. */
+START_TEST (late_records_of_a_former_job_are_ignored)
+{
+  static const char id[] = "00000000000000a1";
+  struct fixture fixture;
+  struct gr_mirror_events events = { 0 };
+  struct gr_clock *clock = gr_clock_create ();
+  struct gr_mirror *mirror;
+
+  fixture_create (&fixture);
+  mirror = gr_mirror_create (fixture.store, clock, &events);
+  while (!gr_mirror_is_loaded (mirror))
+    g_main_context_iteration (NULL, TRUE);
+  for (int i = 0; i < 2; i++)
+    {
+      apply (mirror, GR_RECORD_PROGRESS, id, 103, encode_state (GR_JOB_FAILED));
+      apply (mirror, GR_RECORD_CANCEL, id, 102, g_bytes_new_static ("1", 1));
+      apply (mirror, GR_RECORD_JOB, id, 105, encode_job (id));
+      check_new_job (mirror, id);
+      apply (mirror, GR_RECORD_JOB, id, 104, NULL);
+      check_new_job (mirror, id);
+    }
+  gr_metastore_destroy (fixture.store);
+  fixture.store = NULL;
+  gr_mirror_destroy (mirror);
+  gr_clock_destroy (clock);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* Guards against instances that all read all records whenever the store loses
  * its history: 147 of them filled its link for 1.5 s. */
 START_TEST (reloads_after_lost_history_are_spread)
@@ -542,6 +656,8 @@
   tcase_add_test (tests, unresponsive_store_is_detected);
   tcase_add_test (tests, watch_shows_that_the_store_answers);
   tcase_add_test (tests, jobs_deleted_in_lost_history_are_forgotten);
+  tcase_add_test (tests, new_job_has_no_state_of_a_former_one_in_lost_history);
+  tcase_add_test (tests, late_records_of_a_former_job_are_ignored);
   tcase_add_test (tests, reloads_after_lost_history_are_spread);
   tcase_add_test (tests, silent_watches_are_replaced);
   tcase_add_test (tests, refusing_store_is_not_flooded);
