tests: the core's model checks attempts and jobs shown as failed

A job that is shown as failed too early was only noticed by tests that look at one job, and a start after the last permitted failure only by counting starts.

The model now notes failed ends, which of them were acknowledged, and runs that were on a worker when it crashed, once for each run of a task or gang. A job that becomes failed before a task or gang has used its attempts, or two workers have crashed under a task, violates an invariant, and so does a start after the last permitted failure has been acknowledged. All tests that use the model check this. no_job_fails_before_its_attempts_are_used is a random load of failed runs with takeovers, restarts, an unavailable store, silent workers and lost, late and overtaking calls.

--- a/tests/steps-model-crashes.c
+++ b/tests/steps-model-crashes.c
@@ -44,7 +44,7 @@
                     struct model_worker *worker,
                     const struct steps_model_crash *crash)
 {
-  model_forget_runs (worker);
+  model_forget_runs (model, worker);
   model->last_fault_ms = model->now_ms;
   worker->crash = *crash;
   worker->down_until_ms = model->now_ms + MAX (crash->down_ms, TICK_MS);
--- a/tests/steps-model-polls.c
+++ b/tests/steps-model-polls.c
@@ -35,6 +35,8 @@
       if (row->how == GR_END_DONE)
         g_hash_table_add (model_get_job (model, job)->done,
                           g_strdup (row->task));
+      else if (row->how == GR_END_FAILED)
+        model_note_acknowledged_failure (model, row->task, row->run);
       g_array_remove_index (worker->ends, 0);
     }
 }
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -88,6 +88,15 @@
   double slowness;
 };
 
+/* Runs that ended in some way, each counted once, by what they belong to: a
+ * task or a gang. */
+struct model_attempts
+{
+  GHashTable *runs;   /* name and run */
+  GHashTable *counts; /* name -> number of runs */
+  uint32_t most;      /* largest of these numbers */
+};
+
 struct model_job
 {
   struct gr_job_spec *spec;
@@ -105,6 +114,9 @@
   uint32_t starts;
   GHashTable *done; /* names of tasks whose end as done was acknowledged */
   GHashTable *task_starts; /* name of a task -> number of its starts */
+  struct model_attempts *failures;
+  struct model_attempts *acknowledged_failures;
+  struct model_attempts *crashed_runs; /* of tasks, also in gangs */
 };
 
 /* An order that the worker executes later. */
@@ -155,6 +167,7 @@
   GPtrArray *workers;
   GPtrArray *jobs; /* by number; NULL where there is none */
   GPtrArray *queues;
+  GHashTable *limits;          /* name of a queue -> max_attempts */
   GPtrArray *handover_workers; /* ids, as last published by an owner */
   GPtrArray *transit_orders;   /* struct transit_order */
   GPtrArray *polls;            /* struct model_poll */
@@ -190,8 +203,9 @@
                                        const char *rack);
 void model_register_worker (struct steps_model *model,
                             struct model_worker *worker);
-/* The worker loses all its runs and all ends that were not acknowledged. */
-void model_forget_runs (struct model_worker *worker);
+/* The worker crashes: it loses all its runs and all ends that were not
+ * acknowledged. */
+void model_forget_runs (struct steps_model *model, struct model_worker *worker);
 /* Time since which the worker's data centre is evacuated; -1 if it is not. */
 int64_t model_evacuated_ms (const struct steps_model *model,
                             const struct model_worker *worker);
@@ -233,6 +247,32 @@
 /* Restarts crashed workers and updates the registry. */
 void model_update_workers (struct steps_model *model);
 
+/* Attempts. */
+struct model_attempts *model_attempts_create (void);
+void model_attempts_destroy (struct model_attempts *attempts);
+void model_attempts_add (struct model_attempts *attempts,
+                         const char *unit,
+                         uint32_t run);
+uint32_t model_attempts_count (const struct model_attempts *attempts,
+                               const char *unit);
+void
+model_note_failure (struct steps_model *model, const char *task, uint32_t run);
+void model_note_acknowledged_failure (struct steps_model *model,
+                                      const char *task,
+                                      uint32_t run);
+/* Notes the runs on a worker that crashes. */
+void model_note_crash (struct steps_model *model,
+                       const struct model_worker *worker);
+/* 0: the limit does not change. */
+void model_set_limit (struct steps_model *model,
+                      const char *queue,
+                      uint32_t max_attempts);
+/* Check a run that starts, and a job whose failure is durable. */
+void model_check_attempt (struct steps_model *model,
+                          const struct model_run *run);
+void model_check_failed (struct steps_model *model,
+                         const struct model_job *job);
+
 /* The store. */
 void model_commit_progress (struct steps_model *model);
 void model_drop_commits (struct steps_model *model);
--- a/tests/steps-model-store.c
+++ b/tests/steps-model-store.c
@@ -17,6 +17,8 @@
   job->has_durable_progress = true;
   if (commit->progress.state >= GR_JOB_COMPLETED && job->final_ms < 0)
     job->final_ms = model->now_ms;
+  if (commit->progress.state == GR_JOB_FAILED)
+    model_check_failed (model, job);
 }
 
 static void
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -75,6 +75,7 @@
   if (g_hash_table_contains (job->done, run->task))
     model_report_violation (model, "started after its end was acknowledged",
                             run->task);
+  model_check_attempt (model, run);
   for (guint i = 0; i < worker->runs->len; i++)
     {
       const struct model_run *other = worker->runs->pdata[i];
@@ -384,6 +385,8 @@
   if (how != GR_END_DONE && how != GR_END_FAILED)
     model->wasted_s += (double)(run->worked_ms - run->saved_ms) / 1000.0
                        * spec->needs.accelerators;
+  if (how == GR_END_FAILED)
+    model_note_failure (model, run->task, run->run);
   if (how == GR_END_ALONE)
     check_alone (model, run);
   record_ended_run (worker, run->task, run->run);
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -124,6 +124,7 @@
   model->workers = g_ptr_array_new ();
   model->jobs = g_ptr_array_new ();
   model->queues = g_ptr_array_new ();
+  model->limits = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   model->handover_workers = g_ptr_array_new_with_free_func (g_free);
   model->transit_orders = g_ptr_array_new ();
   model->polls = g_ptr_array_new ();
@@ -157,6 +158,9 @@
   gr_job_progress_clear (&job->durable);
   g_hash_table_destroy (job->done);
   g_hash_table_destroy (job->task_starts);
+  model_attempts_destroy (job->failures);
+  model_attempts_destroy (job->acknowledged_failures);
+  model_attempts_destroy (job->crashed_runs);
   g_free (job);
 }
 
@@ -190,6 +194,7 @@
       g_free (model->queues->pdata[i]);
     }
   g_ptr_array_unref (model->queues);
+  g_hash_table_destroy (model->limits);
   g_ptr_array_unref (model->handover_workers);
   g_rand_free (model->rand);
   g_free (model->violation);
@@ -259,6 +264,7 @@
     .stretch = 3,
   };
   g_ptr_array_add (model->queues, queue);
+  model_set_limit (model, name, max_attempts);
   gr_steps_set_queue (model->steps, queue);
 }
 
@@ -318,6 +324,9 @@
   job->done = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   job->task_starts =
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  job->failures = model_attempts_create ();
+  job->acknowledged_failures = model_attempts_create ();
+  job->crashed_runs = model_attempts_create ();
   while (model->jobs->len <= number)
     g_ptr_array_add (model->jobs, NULL);
   model->jobs->pdata[number] = job;
@@ -439,8 +448,9 @@
 }
 
 void
-model_forget_runs (struct model_worker *worker)
+model_forget_runs (struct steps_model *model, struct model_worker *worker)
 {
+  model_note_crash (model, worker);
   g_ptr_array_set_size (worker->runs, 0);
   g_array_set_size (worker->ends, 0);
   g_hash_table_remove_all (worker->ended_runs);
@@ -454,7 +464,7 @@
 {
   struct model_worker *worker = get_worker (model, number);
 
-  model_forget_runs (worker);
+  model_forget_runs (model, worker);
   worker->incarnation++;
   model->last_fault_ms = model->now_ms;
   model_register_worker (model, worker);
@@ -467,7 +477,7 @@
 {
   struct model_worker *worker = get_worker (model, number);
 
-  model_forget_runs (worker);
+  model_forget_runs (model, worker);
   worker->incarnation++;
   worker->entry_revision++;
   worker->register_ms = model->now_ms + after_ms;
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -104,8 +104,7 @@
 }
 END_TEST
 
-/* A task that had failed as often as a lowered limit permits was started once
- * more, by the same owner or the next one. */
+/* A task that had used up a lowered limit was started once more. */
 START_TEST (task_without_attempts_left_is_not_started_again)
 {
   for (int takeover = 0; takeover < 2; takeover++)
@@ -134,8 +133,7 @@
 }
 END_TEST
 
-/* Guards against a job that is given up for a lowered limit while a permitted
- * run of its task is still active. */
+/* Guards against giving a job up while a run that was permitted is active. */
 START_TEST (lowered_limit_does_not_end_an_active_run)
 {
   for (uint32_t i = 0; i < 2; i++)
@@ -181,8 +179,7 @@
   return model;
 }
 
-/* A successor that did not know the queue yet gave a job up after the first
- * failed run of a task. */
+/* An owner that did not know the queue yet gave a job up after one failure. */
 START_TEST (failure_before_the_queue_is_known_is_one_of_several)
 {
   struct steps_model *model = fail_before_the_queue_is_known (3);
@@ -195,8 +192,7 @@
 }
 END_TEST
 
-/* Guards against a task that is started again although it had failed as often
- * as permitted before the limit was known. */
+/* Guards against a start of a task that failed before its limit was known. */
 START_TEST (failure_before_the_queue_is_known_counts)
 {
   struct steps_model *model = fail_before_the_queue_is_known (1);
@@ -787,6 +783,94 @@
 }
 END_TEST
 
+#define ATTEMPT_WORKERS 16
+
+/* One change around failed runs: of a worker, the owner, the store or a call.
+ */
+static void
+disturb_attempts (struct steps_model *model, GRand *rand)
+{
+  uint32_t worker = (uint32_t)g_rand_int_range (rand, 0, ATTEMPT_WORKERS);
+  struct steps_model_faults faults = { .max_transit_ms = 200 };
+
+  switch (g_rand_int_range (rand, 0, 10))
+    {
+    case 0:
+      steps_model_new_owner (model);
+      break;
+    case 1:
+      steps_model_restart_worker (model, worker);
+      break;
+    case 2:
+      steps_model_restart_unnoticed (model, worker, 1000);
+      break;
+    case 3:
+      steps_model_set_store (model, false);
+      break;
+    case 4:
+      steps_model_set_worker_unreachable (model, worker, true);
+      break;
+    case 5:
+      faults.lose_answer = 0.2;
+      faults.lose_order = 0.1;
+      faults.late_order = 0.1;
+      faults.lose_poll = 0.2;
+      steps_model_set_faults (model, &faults);
+      break;
+    default:
+      steps_model_set_store (model, true);
+      steps_model_set_faults (model, &faults);
+      for (uint32_t i = 0; i < ATTEMPT_WORKERS; i++)
+        steps_model_set_worker_unreachable (model, i, false);
+    }
+}
+
+static void
+add_attempt_job (struct steps_model *model, GRand *rand, uint32_t number)
+{
+  static const char *const queues[] = { "one", "two", "many" };
+  struct gr_step_spec step = {
+    .count = (uint32_t)g_rand_int_range (rand, 1, 6),
+    .needs = { 1000, 1000, 1 },
+    .estimate_ms = 500,
+    .gang = g_rand_int_range (rand, 0, 2) == 1,
+    .checkpointing = g_rand_int_range (rand, 0, 2) == 1,
+  };
+
+  steps_model_add_job (model, number, queues[g_rand_int_range (rand, 0, 3)],
+                       "a", &step, 1, g_rand_int_range (rand, 100, 3000));
+  if (g_rand_int_range (rand, 0, 4) == 0)
+    steps_model_fail_job (model, number);
+}
+
+/* Guards against failures that are counted twice, or for the wrong run. */
+START_TEST (no_job_fails_before_its_attempts_are_used)
+{
+  uint32_t seed = (uint32_t)_i + 1;
+  struct steps_model *model = steps_fixture_create (ATTEMPT_WORKERS, seed);
+  GRand *rand = g_rand_new_with_seed (seed);
+
+  steps_model_set_queue (model, "one", 1, 1);
+  steps_model_set_queue (model, "two", 1, 2);
+  steps_model_set_queue (model, "many", 1, 12);
+  for (uint32_t i = 1; i <= 150; i++)
+    {
+      add_attempt_job (model, rand, i);
+      disturb_attempts (model, rand);
+      for (int k = 0; k < 3; k++)
+        {
+          steps_model_fail_runs (
+              model, (uint32_t)g_rand_int_range (rand, 0, ATTEMPT_WORKERS));
+          steps_model_run (model, 100);
+        }
+    }
+  g_rand_free (rand);
+  ck_assert_msg (steps_model_violation (model) == NULL, "seed %u: %s", seed,
+                 steps_model_violation (model));
+  steps_model_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -830,6 +914,7 @@
   tcase_add_test (tests, work_that_cannot_be_saved_stays_on_a_leaving_worker);
   tcase_add_test (tests, gang_larger_than_a_rack_does_not_wait_for_one);
   tcase_add_test (tests, gang_does_not_wait_for_a_rack_while_most_is_free);
+  tcase_add_loop_test (tests, no_job_fails_before_its_attempts_are_used, 0, 40);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
