--- a/steps/core.c
+++ b/steps/core.c
@@ -85,7 +85,6 @@
   queue = g_new0 (struct queue, 1);
   queue->name = g_strdup (name);
   queue->service = g_strdup ("");
-  queue->max_attempts = 1;
   queue->stretch = 1;
   g_hash_table_insert (steps->queues, queue->name, queue);
   return queue;
@@ -112,7 +111,8 @@
   g_free (queue->service);
   queue->service = g_strdup (row->service);
   queue->priority = row->priority;
-  queue->max_attempts = MAX (row->max_attempts, 1);
+  if (row->max_attempts > 0)
+    queue->max_attempts = row->max_attempts;
   queue->objective_ms = row->objective_ms;
   queue->stretch = row->stretch;
   queue->needs_advice = row->needs_advice;
@@ -137,6 +137,8 @@
   task->early_crashes = row->early_crashes;
   task->unconfirmed_crashes = row->unconfirmed_crashes;
   task->dismissed_crashes = row->dismissed_crashes;
+  if (row->failures > 0)
+    gr_task_job (task)->has_failures = true;
   if (row->checkpoint[0] != '\0')
     task->checkpoint = g_strdup (row->checkpoint);
   if (!row->done)
@@ -242,6 +244,7 @@
   gr_evacuation_tick (steps);
   gr_gangs_tick (steps);
   gr_samples_tick (steps);
+  gr_attempts_tick (steps);
   gr_crash_tick (steps);
   if (!steps->starts_held)
     gr_place_tick (steps);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -104,6 +104,124 @@
 }
 END_TEST
 
+/* A task that had used up a lowered limit was started once more. */
+START_TEST (task_without_attempts_left_is_not_started_again)
+{
+  for (int takeover = 0; takeover < 2; takeover++)
+    {
+      struct gr_step_spec one = steps_plain;
+      struct steps_model *model = steps_fixture_create (1, 1);
+
+      one.count = 1;
+      steps_model_set_queue (model, "limited", 1, 3);
+      steps_model_add_job (model, 1, "limited", "a", &one, 1, 500);
+      steps_model_fail_job (model, 1);
+      while (steps_model_starts (model, 1) < 2)
+        steps_model_run (model, 20);
+      steps_model_drain_worker (model, 0, true);
+      steps_model_run (model, 1000);
+      ck_assert_uint_eq (steps_model_failures (model, 1), 2);
+      steps_model_set_queue (model, "limited", 1, 2);
+      if (takeover)
+        steps_model_new_owner (model);
+      steps_model_drain_worker (model, 0, false);
+      steps_model_run (model, 1000);
+      ck_assert_uint_eq (steps_model_starts (model, 1), 2);
+      ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
+/* Guards against giving a job up while a run that was permitted is active. */
+START_TEST (lowered_limit_does_not_end_an_active_run)
+{
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      struct steps_model *model = steps_fixture_create (8, 1);
+
+      steps_model_set_queue (model, "limited", 1, 3);
+      steps_model_add_job (model, 1, "limited", "a",
+                           i == 0 ? &steps_plain : &steps_gang, 1, 500);
+      while (steps_model_running (model, 1) == 0)
+        steps_model_run (model, 20);
+      for (uint32_t worker = 0; worker < 8; worker++)
+        steps_model_fail_runs (model, worker);
+      while (steps_model_running (model, 1) == 0)
+        steps_model_run (model, 20);
+      steps_model_set_queue (model, "limited", 1, 1);
+      steps_model_run (model, 2000);
+      ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
+/* Starts a task on worker 0 that fails once under an owner which does not know
+ * the queue, whose limit is max_attempts. */
+static struct steps_model *
+fail_before_the_queue_is_known (uint32_t max_attempts)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (1, 1);
+
+  one.count = 1;
+  steps_model_set_queue (model, "late", 1, max_attempts);
+  steps_model_add_job (model, 1, "late", "a", &one, 1, 500);
+  steps_model_run (model, 300);
+  ck_assert_uint_eq (steps_model_running (model, 1), 1);
+  steps_model_forget_queue (model, "late");
+  steps_model_new_owner (model);
+  steps_model_fail_runs (model, 0);
+  steps_model_run (model, 1000);
+  ck_assert_int_ne (steps_model_state (model, 1), GR_JOB_FAILED);
+  ck_assert_uint_eq (steps_model_failures (model, 1), 1);
+  return model;
+}
+
+/* An owner that did not know the queue yet gave a job up after one failure. */
+START_TEST (failure_before_the_queue_is_known_is_one_of_several)
+{
+  struct steps_model *model = fail_before_the_queue_is_known (3);
+
+  steps_model_set_queue (model, "late", 1, 3);
+  steps_model_run (model, 2000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 2);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* Guards against a start of a task that failed before its limit was known. */
+START_TEST (failure_before_the_queue_is_known_counts)
+{
+  struct steps_model *model = fail_before_the_queue_is_known (1);
+
+  steps_model_set_queue (model, "late", 1, 1);
+  steps_model_run (model, 2000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* A queue whose limit a configuration lacked was limited to one failed run. */
+START_TEST (configuration_without_a_limit_keeps_the_known_one)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (1, 1);
+
+  one.count = 1;
+  steps_model_set_queue (model, "normal", 1, 0);
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 500);
+  steps_model_fail_job (model, 1);
+  steps_model_run (model, 2000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 2);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* A lasting task whose run ended was treated as done, or was not started again
  * after max_attempts failures. */
 START_TEST (lasting_work_is_started_again_however_it_ends)
@@ -665,6 +783,94 @@
 }
 END_TEST
 
+#define ATTEMPT_WORKERS 16
+
+/* One change around failed runs: of a worker, the owner, the store or a call.
+ */
+static void
+disturb_attempts (struct steps_model *model, GRand *rand)
+{
+  uint32_t worker = (uint32_t)g_rand_int_range (rand, 0, ATTEMPT_WORKERS);
+  struct steps_model_faults faults = { .max_transit_ms = 200 };
+
+  switch (g_rand_int_range (rand, 0, 10))
+    {
+    case 0:
+      steps_model_new_owner (model);
+      break;
+    case 1:
+      steps_model_restart_worker (model, worker);
+      break;
+    case 2:
+      steps_model_restart_unnoticed (model, worker, 1000);
+      break;
+    case 3:
+      steps_model_set_store (model, false);
+      break;
+    case 4:
+      steps_model_set_worker_unreachable (model, worker, true);
+      break;
+    case 5:
+      faults.lose_answer = 0.2;
+      faults.lose_order = 0.1;
+      faults.late_order = 0.1;
+      faults.lose_poll = 0.2;
+      steps_model_set_faults (model, &faults);
+      break;
+    default:
+      steps_model_set_store (model, true);
+      steps_model_set_faults (model, &faults);
+      for (uint32_t i = 0; i < ATTEMPT_WORKERS; i++)
+        steps_model_set_worker_unreachable (model, i, false);
+    }
+}
+
+static void
+add_attempt_job (struct steps_model *model, GRand *rand, uint32_t number)
+{
+  static const char *const queues[] = { "one", "two", "many" };
+  struct gr_step_spec step = {
+    .count = (uint32_t)g_rand_int_range (rand, 1, 6),
+    .needs = { 1000, 1000, 1 },
+    .estimate_ms = 500,
+    .gang = g_rand_int_range (rand, 0, 2) == 1,
+    .checkpointing = g_rand_int_range (rand, 0, 2) == 1,
+  };
+
+  steps_model_add_job (model, number, queues[g_rand_int_range (rand, 0, 3)],
+                       "a", &step, 1, g_rand_int_range (rand, 100, 3000));
+  if (g_rand_int_range (rand, 0, 4) == 0)
+    steps_model_fail_job (model, number);
+}
+
+/* Guards against failures that are counted twice, or for the wrong run. */
+START_TEST (no_job_fails_before_its_attempts_are_used)
+{
+  uint32_t seed = (uint32_t)_i + 1;
+  struct steps_model *model = steps_fixture_create (ATTEMPT_WORKERS, seed);
+  GRand *rand = g_rand_new_with_seed (seed);
+
+  steps_model_set_queue (model, "one", 1, 1);
+  steps_model_set_queue (model, "two", 1, 2);
+  steps_model_set_queue (model, "many", 1, 12);
+  for (uint32_t i = 1; i <= 150; i++)
+    {
+      add_attempt_job (model, rand, i);
+      disturb_attempts (model, rand);
+      for (int k = 0; k < 3; k++)
+        {
+          steps_model_fail_runs (
+              model, (uint32_t)g_rand_int_range (rand, 0, ATTEMPT_WORKERS));
+          steps_model_run (model, 100);
+        }
+    }
+  g_rand_free (rand);
+  ck_assert_msg (steps_model_violation (model) == NULL, "seed %u: %s", seed,
+                 steps_model_violation (model));
+  steps_model_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -678,6 +884,11 @@
   tcase_add_test (tests, completed_job_added_again_does_not_run_again);
   tcase_add_test (tests, failure_counts_once_over_a_takeover);
   tcase_add_test (tests, failures_count_in_any_order);
+  tcase_add_test (tests, task_without_attempts_left_is_not_started_again);
+  tcase_add_test (tests, lowered_limit_does_not_end_an_active_run);
+  tcase_add_test (tests, failure_before_the_queue_is_known_is_one_of_several);
+  tcase_add_test (tests, failure_before_the_queue_is_known_counts);
+  tcase_add_test (tests, configuration_without_a_limit_keeps_the_known_one);
   tcase_add_test (tests, lasting_work_is_started_again_however_it_ends);
   tcase_add_test (tests, reclaiming_respects_max_away);
   tcase_add_test (tests, filler_tasks_are_slowed_down);
@@ -703,6 +914,7 @@
   tcase_add_test (tests, work_that_cannot_be_saved_stays_on_a_leaving_worker);
   tcase_add_test (tests, gang_larger_than_a_rack_does_not_wait_for_one);
   tcase_add_test (tests, gang_does_not_wait_for_a_rack_while_most_is_free);
+  tcase_add_loop_test (tests, no_job_fails_before_its_attempts_are_used, 0, 40);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
