steps: jobs that fail by themselves count against no worker

Callers saw their jobs wait while workers were free: two different jobs that failed in a row put a worker in quarantine for 4 s, doubled with each further one up to 30 s, and jobs that can never be done put one healthy worker after the other in quarantine. A success there did not end it. Cause: a failure was held against the worker alone, although the job fails on every worker, and the worker may succeed with others. Now a success on a worker shows that the jobs that failed there since the last one fail by themselves. It ends the quarantine, and these jobs no longer count against any worker. Workers that fail everything never succeed, so that nothing changes for them.

--- a/steps/reports.c
+++ b/steps/reports.c
@@ -143,7 +143,7 @@
   log_end (worker, ended, current_run ? "current run" : "not the current run");
   if (ended->how == GR_END_DONE)
     {
-      gr_health_record_success (worker);
+      gr_health_record_success (steps, worker);
       handle_done (steps, task, current_run, ended->run);
       return;
     }
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -5,6 +5,9 @@
 
 struct rack;
 
+/* Further failed jobs of a worker are not remembered. */
+#define GR_FAILED_JOBS 8
+
 /* Number of the list that a core inherits; it is durable. */
 #define GR_INHERITED_HANDOVER_LIST 1
 
@@ -62,11 +65,13 @@
   int64_t pending_end; /* run end that becomes durable with pending_sequence */
   uint64_t pending_sequence; /* change that makes pending_end durable; 0:
                                 nothing is pending */
-  /* Consecutive failures of different jobs; see health.c. */
-  uint32_t failures;
-  char last_failed_job[GR_JOB_ID_DIGITS + 1];
+  /* Jobs that have failed on the worker since a run last succeeded there; see
+   * health.c. */
+  char failed_jobs[GR_FAILED_JOBS][GR_JOB_ID_DIGITS + 1];
+  uint32_t n_failed_jobs;
   int64_t quarantine_until_ms;
   uint32_t quarantine_ms;
+  bool quarantined_for_jobs; /* the last quarantine was for failed_jobs */
   uint32_t pace; /* percent of processor time that filler tasks may use here */
   int64_t pace_changed_ms;
   double
@@ -228,6 +233,7 @@
   struct account *account;
   enum gr_job_state state;
   bool inherited;
+  bool fails_by_itself; /* it has failed on a worker where others succeed */
   bool started;
   bool changed;
   uint64_t final_sequence; /* of the change that made it final */
@@ -461,7 +467,9 @@
 void gr_health_record_failure (struct gr_steps *steps,
                                struct worker *worker,
                                const struct job *job);
-void gr_health_record_success (struct worker *worker);
+/* Ends such a quarantine: the jobs that failed on the worker fail by
+ * themselves. */
+void gr_health_record_success (struct gr_steps *steps, struct worker *worker);
 /* Quarantines the worker unless it already is. reason is a text for the log. */
 void gr_health_quarantine (struct gr_steps *steps,
                            struct worker *worker,
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -133,7 +133,7 @@
   worker->polled = false;
   worker->reachable = true;
   gr_worker_request_poll (steps, worker);
-  worker->failures = 0;
+  worker->n_failed_jobs = 0;
   worker->quarantine_until_ms = 0;
   worker->quarantine_ms = 0;
   gr_worker_assume_max_hold (steps, worker);
