route: executors are probed as soon as they are heard again

Callers saw requests refused for up to 60 s after an entry had been cut off from all executors: every request failed at the same time, so each executor was in quarantine with a probe interval that doubled during the cut. A status report ended only the quarantine for refused connections. Requests that are not idempotent waited until an idempotent one had made the probe. Cause: failures that all executors share were held against each of them, also when the first report after the cut showed that the path was back. The first report since the failures began now permits one probe at once, by any request. Later reports do not, so an executor that fails requests but reports its status gets one request more than before in each series of failures. Evidence: executors_are_used_at_once_after_a_cut, 39 s of failed probes, failed before (no executor for the first request after the reports); reports_do_not_end_a_quarantine_for_failures guards the other case and passed before. test-entry, test-targets and process-requests pass.

--- a/route/executors.c
+++ b/route/executors.c
@@ -22,10 +22,13 @@
   uint32_t failures;   /* in a row */
   uint32_t refusals;   /* in a row */
   int64_t busy_until_ms;
-  int64_t reported_ms; /* time of the last update of others_busy */
-  int64_t listed_ms;   /* when its address changed; 0: it has not changed */
+  int64_t reported_ms;      /* time of the last update of others_busy */
+  int64_t heard_ms;         /* when the last status report was requested */
+  int64_t failing_since_ms; /* first of the failures in a row */
+  int64_t listed_ms; /* when its address changed; 0: it has not changed */
   int64_t probe_interval_ms; /* time between probes; 0: not quarantined */
   int64_t probe_at_ms;
+  bool any_probe; /* the next probe need not be idempotent */
 };
 
 struct gr_executors
@@ -205,6 +208,16 @@
   executor->reported_ms = now_ms;
 }
 
+/* While this entry was cut off, the requests to all executors failed, and the
+ * interval between probes says nothing about them. */
+static void
+allow_probe (struct executor *executor, int64_t now_ms)
+{
+  executor->probe_interval_ms = GR_QUARANTINE_MIN_MS;
+  executor->probe_at_ms = now_ms;
+  executor->any_probe = true;
+}
+
 void
 gr_executors_apply_report (struct gr_executors *executors,
                            const char *name,
@@ -221,6 +234,10 @@
     executor->info.slots = (uint32_t)slots;
   if (executor->failures < GR_QUARANTINE_FAILURES)
     executor->probe_interval_ms = 0;
+  else if (requested_ms > executor->failing_since_ms
+           && executor->heard_ms <= executor->failing_since_ms)
+    allow_probe (executor, requested_ms);
+  executor->heard_ms = MAX (executor->heard_ms, requested_ms);
   update_others_busy (executor, busy, requested_ms);
   executor->info.leaving = executor->info.leaving || leaving;
   update_long_allowed (executors);
@@ -250,11 +267,12 @@
 }
 
 /* A quarantined executor is probed by one request at a time. The request must
- * be idempotent, since it will probably fail. */
+ * be idempotent, since it will probably fail, unless the executor is heard of
+ * for the first time since its failures began. */
 static bool
 may_probe (const struct executor *executor, bool idempotent, int64_t now_ms)
 {
-  return idempotent && now_ms >= executor->probe_at_ms
+  return (idempotent || executor->any_probe) && now_ms >= executor->probe_at_ms
          && executor->info.in_flight == 0;
 }
 
@@ -390,8 +408,9 @@
 {
   /* A refused connection shows that the process is not running, not that it
    * fails requests; a later status report ends that quarantine. */
-  if (!unreachable)
-    executor->failures++;
+  executor->any_probe = false;
+  if (!unreachable && executor->failures++ == 0)
+    executor->failing_since_ms = now_ms;
   if (unreachable || executor->failures >= GR_QUARANTINE_FAILURES)
     quarantine (executor, now_ms);
 }
--- a/route/executors.h
+++ b/route/executors.h
@@ -91,7 +91,8 @@
 
 /* Applies a status report that was requested at requested_ms, with the numbers
  * of all slots and of busy slots. The report ends a quarantine that was caused
- * by refused connections alone. */
+ * by refused connections alone. The first one since requests began to fail
+ * permits a probe at once, by any request: this entry may have been cut off. */
 void gr_executors_apply_report (struct gr_executors *executors,
                                 const char *name,
                                 int32_t slots,
--- a/tests/test-route.c
+++ b/tests/test-route.c
@@ -446,6 +446,62 @@
 }
 END_TEST
 
+static void
+report_all (struct gr_executors *executors, int count, int64_t requested_ms)
+{
+  for (int i = 0; i < count; i++)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "x%d", i);
+      gr_executors_apply_report (executors, name, 8, 0, false, requested_ms);
+    }
+}
+
+/* An entry that had been cut off refused requests for up to 60 s afterwards. */
+START_TEST (executors_are_used_at_once_after_a_cut)
+{
+  struct gr_executors *executors = make_executors (4);
+  int64_t now = 1000;
+  const char *name;
+
+  report_all (executors, 4, now);
+  for (; now < 40000; now += 20)
+    while (
+        (name = gr_executors_acquire (executors, false, true, NULL, now, rng)))
+      gr_executors_release (executors, name, false, GR_TRY_FAILED, -1, 5, now);
+  report_all (executors, 4, now);
+  for (int i = 0; i < 4; i++)
+    ck_assert_ptr_nonnull (
+        gr_executors_acquire (executors, false, i % 2 == 0, NULL, now, rng));
+  gr_executors_destroy (executors);
+}
+END_TEST
+
+/* Guards against a request for each report of such an executor. */
+START_TEST (reports_do_not_end_a_quarantine_for_failures)
+{
+  struct gr_executors *executors = make_executors (1);
+  int64_t now = 1000;
+  int failed = 0;
+
+  for (; now < 61000; now += 100)
+    {
+      while (gr_executors_acquire (executors, false, true, NULL, now, rng))
+        {
+          gr_executors_release (executors, "x0", false, GR_TRY_FAILED, -1, 5,
+                                now);
+          failed++;
+        }
+      if (now % 2000 == 0)
+        gr_executors_apply_report (executors, "x0", 8, 0, false, now);
+    }
+  /* After 0.5, 1, 2, ... 32 s, and after the first report. */
+  ck_assert_int_le (failed, GR_QUARANTINE_FAILURES + 8);
+  gr_executors_destroy (executors);
+}
+END_TEST
+
 /* Guards against new requests for executors that are leaving, removed from the
  * list, busy according to a recent report or refusal, unreachable, or tried
  * before. */
@@ -658,6 +714,8 @@
   tcase_add_test (tcase, old_reports_make_no_majority);
   tcase_add_test (tcase, connections_and_long_share_are_bounded);
   tcase_add_test (tcase, executors_that_fail_everything_are_quarantined);
+  tcase_add_test (tcase, executors_are_used_at_once_after_a_cut);
+  tcase_add_test (tcase, reports_do_not_end_a_quarantine_for_failures);
   tcase_add_test (tcase, ineligible_executors_get_no_work);
   tcase_add_test (tcase, results_of_a_former_process_are_ignored);
   tcase_add_test (tcase, window_follows_refusals_and_answers);
