steps: jobs that failed before renew a quarantine

A worker that fails everything got all its work at once after its quarantine, and again without a pause, while it failed jobs that had failed there before: jobs used up their attempts on it. Cause: since "jobs that fail by themselves count against no worker" the failed jobs of a worker are remembered until a run succeeds there, and a remembered job was ignored altogether. It must not count as a further job, but it shows that the worker still fails. Evidence: same_failed_jobs_renew_a_quarantine, one worker and six jobs, failed before (18 starts in 35 s, at most 12 wanted).

--- a/steps/health.c
+++ b/steps/health.c
@@ -79,10 +79,14 @@
                           const struct job *job)
 {
   uint32_t index;
+  bool is_known;
 
-  if (job->fails_by_itself || find_failed_job (worker, job->spec->id, &index))
+  if (job->fails_by_itself)
     return;
-  if (worker->n_failed_jobs < GR_FAILED_JOBS)
+  is_known = find_failed_job (worker, job->spec->id, &index);
+  if (is_known && steps->now_ms < worker->quarantine_until_ms)
+    return;
+  if (!is_known && worker->n_failed_jobs < GR_FAILED_JOBS)
     g_strlcpy (worker->failed_jobs[worker->n_failed_jobs++], job->spec->id,
                sizeof worker->failed_jobs[0]);
   if (worker->n_failed_jobs < QUARANTINE_THRESHOLD)
--- a/tests/test-steps-health.c
+++ b/tests/test-steps-health.c
@@ -108,6 +108,20 @@
 }
 END_TEST
 
+/* After its first quarantine the worker got the same jobs without a pause. */
+START_TEST (same_failed_jobs_renew_a_quarantine)
+{
+  struct steps_model *model = steps_fixture_create (1, 1);
+
+  for (uint32_t i = 1; i <= 6; i++)
+    steps_model_add_job (model, i, "urgent", "a", &one_task, 1, 900);
+  steps_model_fail_worker (model, 0, true);
+  steps_model_run (model, 35000);
+  ck_assert_uint_le (steps_model_starts_on (model, 0), 12);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* Guards against taking the failures of such a worker for those of the jobs. */
 START_TEST (worker_that_fails_everything_stays_in_quarantine)
 {
@@ -146,6 +160,7 @@
   tcase_add_test (tests, jobs_that_fail_by_themselves_count_against_no_worker);
   tcase_add_loop_test (tests, jobs_that_always_fail_do_not_hold_up_others, 0,
                        4);
+  tcase_add_test (tests, same_failed_jobs_renew_a_quarantine);
   tcase_add_test (tests, worker_that_fails_everything_stays_in_quarantine);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
