sched: a successor does not count the failure of a stopped attempt again

Callers saw an idempotent job end as failed after a single failure of its task, when the shard changed its owner while the worker had not yet released the failed task.

Cause: the owner counts the failure in the same commit that sets the record to state stopping. Until the release arrives, the worker's report still shows the failed task, and each successor took it for a new failure on a worker without a history.

A failed task of an attempt that was restored in state stopping counts against its worker only; its record includes the failure already. If the stop was not durable, the record is in state running and the failure is counted by the successor alone.

Test: takeover_does_not_count_a_failure_twice, one failure and three takeovers. Before: failures == 4, and the job would not run again. Now 1, and it finishes. Tests sched, sched-faults, sched-random, scheduler, scheduler-store, worker-io and entry pass.

--- a/sched/member.c
+++ b/sched/member.c
@@ -84,6 +84,15 @@
                   "a task stopped unexpectedly");
 }
 
+/* The former owner counted a failure in the same commit as the stop of the
+ * attempt, so its successor does not count it again. */
+static bool
+is_failure_counted (const struct gr_core_job *job)
+{
+  return job->phase == GR_PHASE_ADOPTING
+         && job->record.state == GR_JOB_STOPPING;
+}
+
 void
 gr_member_failed (struct gr_core *core, struct gr_core_member *member)
 {
@@ -96,7 +105,7 @@
   if (!is_end_unexpected (job))
     return;
   if (member->worker != NULL)
-    gr_worker_failed (core, member->worker, job);
+    gr_worker_failed (core, member->worker, job, is_failure_counted (job));
   gr_gang_stop (core, job, GR_STOP_FAILED, "a task failed");
 }
 
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -58,7 +58,8 @@
 void
 gr_worker_failed (struct gr_core *core,
                   struct gr_core_worker *worker,
-                  struct gr_core_job *job)
+                  struct gr_core_job *job,
+                  bool counted)
 {
   bool second = job->failed_worker[0] != '\0'
                 && strcmp (job->failed_worker, worker->name) != 0;
@@ -67,7 +68,7 @@
    * job, because the worker may be at fault. It does count if the job fails on
    * the same worker twice in a row: otherwise a faulty job could fail without
    * end on a worker that has a failure count only because of it. */
-  if (worker->failures == 0 || worker->last_failed == job)
+  if (!counted && (worker->failures == 0 || worker->last_failed == job))
     job->record.failures++;
   if (worker->quarantined)
     {
--- a/sched/quarantine.h
+++ b/sched/quarantine.h
@@ -4,10 +4,12 @@
 
 #include "sched/tables.h"
 
-/* A task of the job failed on the worker, or could not be started there. */
+/* A task of the job failed on the worker, or could not be started there.
+ * counted: the record of the job includes the failure already. */
 void gr_worker_failed (struct gr_core *core,
                        struct gr_core_worker *worker,
-                       struct gr_core_job *job);
+                       struct gr_core_job *job,
+                       bool counted);
 
 /* A task ran on the worker and its job finished, or a probe passed. */
 void gr_worker_succeeded (struct gr_core *core, struct gr_core_worker *worker);
--- a/tests/sched-messages.c
+++ b/tests/sched-messages.c
@@ -243,6 +243,8 @@
   worker = model_worker (model, command->worker);
   if (!is_reachable (worker))
     add_response (model, command, GR_ERROR_NO_TARGET);
+  else if (worker->loses_releases && command->kind == GR_COMMAND_RELEASE)
+    add_response (model, command, GR_ERROR_TIMEOUT);
   else if (is_lost (model))
     {
       add_response (model, command, GR_ERROR_TIMEOUT);
--- a/tests/test-sched-faults.c
+++ b/tests/test-sched-faults.c
@@ -285,6 +285,34 @@
 }
 END_TEST
 
+/* Guards against a failure that the owner and its successors each count. */
+START_TEST (takeover_does_not_count_a_failure_twice)
+{
+  struct model *model = model_create_ready (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "j", 1, 8);
+  const struct gr_job_record *record;
+  int64_t *run_ms;
+
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model->workers[i].loses_releases = true;
+  model_must_submit (model, &spec, -1000);
+  model_run (model, 3000);
+  record = g_hash_table_lookup (model->records, "dc1.a.j");
+  ck_assert_uint_eq (record->failures, 1);
+  run_ms = g_hash_table_lookup (model->run_ms, "dc1.a.j");
+  *run_ms = 1000;
+  for (int i = 0; i < 3; i++)
+    {
+      model_replace_owner (model);
+      model_run (model, 2000);
+    }
+  ck_assert_uint_eq (gr_core_find (model->core, "dc1.a.j")->failures, 1);
+  model_run (model, 60000);
+  ck_assert_int_eq (model_state (model, "a.j"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -304,6 +332,7 @@
   tcase_add_test (tcase, scheduler_pause_does_not_silence_workers);
   tcase_add_test (tcase, result_outlives_outage_and_owner);
   tcase_add_test (tcase, replaced_worker_is_added_again);
+  tcase_add_test (tcase, takeover_does_not_count_a_failure_twice);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
