sched: a start that a leaving worker refuses is no failure

Callers saw a job end as refused ("several healthy workers refused to start the job") although it had only met workers that were leaving; such workers could also be quarantined for it.

Cause: each answer to a start other than success, conflict and not-found counted as a failure of the job on a healthy worker. The worker client reports shutting-down for a worker that leaves (targets/worker.h), which says nothing about the task.

Such a start ends the attempt like a refused lease, without a count, and the worker gets no new work until its report or the list of workers says that it is not leaving.

Test: starts_refused_by_leaving_workers_are_no_failures. Before: failures == 3 and the job refused after three starts. Now 0, and the job finishes once the workers accept starts. Tests sched, sched-faults, sched-random, scheduler, scheduler-store, worker-io and entry pass.

--- a/sched/report.c
+++ b/sched/report.c
@@ -339,6 +339,8 @@
     gr_member_started (core, member);
   else if (member->started || member->job->phase != GR_PHASE_STARTING)
     return;
+  else if (kind == GR_ERROR_SHUTTING_DOWN)
+    gr_gang_stop (core, member->job, GR_STOP_ABORT, "a worker is leaving");
   else if (is_ended (kind))
     gr_member_lost (core, member);
   else
@@ -439,6 +441,8 @@
       gr_job_wake (core, member->job);
       return;
     }
+  if (kind == GR_ERROR_SHUTTING_DOWN)
+    member->worker->leaving = true;
   gr_worker_mark_contacted (core, member->worker);
   handle_result (core, member, command, kind);
 }
--- a/tests/sched-model.c
+++ b/tests/sched-model.c
@@ -242,6 +242,8 @@
   g_assert (run_ms != NULL);
   if (task->started)
     return GR_ERROR_NONE;
+  if (worker->refuses_as_leaving)
+    return GR_ERROR_SHUTTING_DOWN;
   if (worker->failing)
     return GR_ERROR_INTERNAL;
   task->started = true;
--- a/tests/sched-model.h
+++ b/tests/sched-model.h
@@ -33,6 +33,7 @@
   bool dead;
   bool unreachable;             /* runs, but no call or report gets through */
   bool failing;                 /* refuses every start */
+  bool refuses_as_leaving;      /* refuses every start because it leaves */
   bool loses_releases;          /* no release gets through */
   bool fails_before_unthrottle; /* every task fails between its start and its
                                    unthrottle */
--- a/tests/test-sched-faults.c
+++ b/tests/test-sched-faults.c
@@ -313,6 +313,32 @@
 }
 END_TEST
 
+/* Guards against jobs that are refused, and workers that are quarantined,
+ * because the workers began to leave between a grant and the start. */
+START_TEST (starts_refused_by_leaving_workers_are_no_failures)
+{
+  struct model *model = model_create_ready (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "j", 1, 8);
+
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model->workers[i].refuses_as_leaving = true;
+  model_must_submit (model, &spec, 1000);
+  for (int i = 0; i < 20; i++)
+    {
+      model_run (model, 1000);
+      for (uint32_t w = 0; w < model->n_workers; w++)
+        gr_core_worker_leaving (model->core, model->workers[w].name, false);
+    }
+  ck_assert_uint_eq (gr_core_find (model->core, "dc1.a.j")->failures, 0);
+  ck_assert_int_eq (model_state (model, "a.j"), GR_JOB_ACCEPTED);
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model->workers[i].refuses_as_leaving = false;
+  model_run (model, 5000);
+  ck_assert_int_eq (model_state (model, "a.j"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -333,6 +359,7 @@
   tcase_add_test (tcase, result_outlives_outage_and_owner);
   tcase_add_test (tcase, replaced_worker_is_added_again);
   tcase_add_test (tcase, takeover_does_not_count_a_failure_twice);
+  tcase_add_test (tcase, starts_refused_by_leaving_workers_are_no_failures);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
