sched: lost contact to all workers is no silence of each

Callers saw all running jobs of a shard stopped when its owner alone was cut off for some seconds: idempotent jobs started again from the beginning, the others ended as may-have-run, although no worker had failed.

Cause: each worker counts as silent 5 s after its last contact, and the core then releases the jobs on it. That all workers fell silent in the same moment, which points to the observer, was not considered. The releases were carried out as soon as the link was back.

The clock of silence now advances with the contacts to any worker, and a time longer than call_timeout_ms without any does not count. The bound is two thirds of the run lease term: each running lease has that left when the contact is lost; after that no job can be saved, and the whole time counts. Since that clock may stand, a refused unthrottle is held against the task only if the lease was confirmed within call_timeout_ms of real time.

Test: cut_of_the_owner_stops_no_job, cuts of 4, 7 and 10 s. Before: the non-idempotent job ended as may-have-run. Now both jobs finish in their first attempt. loss_of_all_workers_is_noticed guards the bound; with all workers gone such a job now ends within two run lease terms, before within 40 s. dead_workers_are_not_flooded killed the whole pool, which is now taken for a cut during its 10 s; it kills the workers of the gang in a pool of two racks instead, with the same limits.

--- a/sched/core.c
+++ b/sched/core.c
@@ -291,6 +291,28 @@
 
 /* --- Tick --------------------------------------------------------------- */
 
+/* A longer time than call_timeout_ms without contact to any worker is a fault
+ * of this process or of its links, so it does not count as silence of the
+ * workers. Running leases are renewed every third of their term, so each has
+ * two thirds left when the contact is lost. After that time they lapse, no job
+ * can be saved any more, and the whole time counts. */
+static void
+advance_active_time (struct gr_core *core)
+{
+  int64_t elapsed_ms = MIN (core->now_ms - core->last_tick_ms, MAX_TICK_MS);
+  int64_t limit_ms = core->config.run_lease_term_ms / 3 * 2;
+  int64_t before_ms = core->unheard_ms;
+
+  core->unheard_ms += elapsed_ms;
+  if (core->unheard_ms > limit_ms)
+    core->active_ms += before_ms > limit_ms ? elapsed_ms : core->unheard_ms;
+  else if (core->contacted && core->unheard_ms <= core->config.call_timeout_ms)
+    core->active_ms += core->unheard_ms;
+  if (core->contacted)
+    core->unheard_ms = 0;
+  core->contacted = false;
+}
+
 void
 gr_core_tick (struct gr_core *core,
               int64_t now_ms,
@@ -299,7 +321,7 @@
               GArray *out)
 {
   gr_core_set_now (core, now_ms);
-  core->active_ms += MIN (core->now_ms - core->last_tick_ms, MAX_TICK_MS);
+  advance_active_time (core);
   core->last_tick_ms = core->now_ms;
   core->unix_ms = unix_ms;
   core->durable = durable;
--- a/sched/member.c
+++ b/sched/member.c
@@ -34,6 +34,7 @@
 void
 gr_member_granted (struct gr_core *core, struct gr_core_member *member)
 {
+  member->lease_confirmed_ms = core->now_ms;
   member->lease_confirmed_active_ms = core->active_ms;
   set_and_count (core, member, &member->granted, &member->job->n_granted);
 }
--- a/sched/report.c
+++ b/sched/report.c
@@ -355,8 +355,8 @@
                           struct gr_core_member *member,
                           enum gr_error_kind kind)
 {
-  bool lease_confirmed = core->active_ms - member->lease_confirmed_active_ms
-                         <= core->config.call_timeout_ms;
+  bool lease_confirmed =
+      core->now_ms - member->lease_confirmed_ms <= core->config.call_timeout_ms;
 
   if (kind == GR_ERROR_NONE)
     gr_member_unthrottled (core, member);
--- a/sched/tables.c
+++ b/sched/tables.c
@@ -255,6 +255,7 @@
 gr_worker_mark_contacted (struct gr_core *core, struct gr_core_worker *worker)
 {
   track_contact (core, worker);
+  core->contacted = true;
   worker->silent = false;
   worker->suspect = false;
   worker->removed = false;
--- a/sched/tables.h
+++ b/sched/tables.h
@@ -121,9 +121,10 @@
   char *expected_worker; /* adopted: name of the worker that must report it;
                             NULL once reported */
   uint32_t mask;
-  int64_t sent_ms; /* time of the last command of this phase */
-  int64_t lease_confirmed_active_ms; /* last confirmation of the lease, on the
-                                   clock of core->active_ms */
+  int64_t sent_ms;            /* time of the last command of this phase */
+  int64_t lease_confirmed_ms; /* last confirmation of the lease */
+  int64_t lease_confirmed_active_ms; /* the same on the clock of
+                                        core->active_ms */
   uint64_t last_report;     /* number of the last report that shows the lease */
   int64_t latest_expiry_ms; /* upper bound of the time when the lease expires */
   int64_t ran_ms;
@@ -227,7 +228,11 @@
   int64_t unix_ms;
   int64_t first_ms; /* time of the first call; -1: none yet */
   int64_t last_tick_ms;
-  int64_t active_ms; /* running time without pauses of the process */
+  /* Running time without pauses of the process, and without times in which it
+   * had no contact to any worker. */
+  int64_t active_ms;
+  int64_t unheard_ms; /* running time since the last contact to any worker */
+  bool contacted;     /* some worker was contacted since the last tick */
   bool durable;
   GArray *out; /* destination of commands: the array of the tick, or pending */
   GArray *pending;                /* commands of events between ticks */
