sched: workers that are away make no job impossible

Callers saw accepted jobs end as refused or failed ("this shard has no workers for ...") and got never-fits for submissions while a data centre or a rack was cut off: 30 s after its workers had left the list they were forgotten, and 60 s later each waiting job that only they could hold was ended. A new owner judged by the workers that had reported to it, so it did the same 90 s after it took over.

Cause: whether a shape can ever run was decided from the workers that are known at the moment. That many are away says nothing about the job.

The place of a removed worker in its rack now counts for 90 minutes, since cuts of a region last about an hour; a place that another worker takes counts as that one. Listed workers that have not reported to this owner may be of any size and in any place, for the same time. A shard that never knew a worker refuses no shape. A job of a former owner fitted the pool of that one, so it waits 90 minutes before its shape is judged. Reasons in the settings (quota, guarantee, data centre, account) are judged as before.

Tests: absent_workers_make_no_job_impossible (one hour without workers) and new_owner_waits_for_absent_workers (seven of eight workers silent, ten minutes). Before: both jobs refused. Now both finish after the workers return, and nine workers are refused as never-fits where eight are known. jobs_do_not_wait_for_lost_workers_without_end guards the bound.

--- a/sched/cells.h
+++ b/sched/cells.h
@@ -67,8 +67,13 @@
 /* Recomputes the totals of the rack if they are dirty, and returns the rack. */
 struct gr_core_rack *gr_rack_refresh (struct gr_core_rack *rack);
 
-/* True if some set of known workers, whatever their state, can hold the
- * shape. */
+/* How long a worker that was removed, or that is listed and has not reported,
+ * still counts in gr_shape_fits (). A cut of a region lasts about an hour. */
+#define GR_ABSENT_MS (90LL * 60 * 1000)
+
+/* True if some set of workers, whatever their state, can hold the shape: known
+ * ones, and those that have been absent for less than GR_ABSENT_MS. Also true
+ * while no worker was ever known. */
 bool gr_shape_fits (const struct gr_core *core, const struct gr_job_spec *spec);
 
 /* Accelerators that a task takes, including its share of cores and memory,
--- a/sched/core.c
+++ b/sched/core.c
@@ -220,6 +220,7 @@
   if (g_hash_table_contains (core->jobs, record->id))
     return;
   job = gr_job_create (core, record);
+  job->restored = true;
   job->durable_version = record->version;
   job->emitted_version = record->version;
   if (gr_job_state_is_final (record->state))
--- a/sched/core.h
+++ b/sched/core.h
@@ -96,6 +96,13 @@
 void
 gr_core_worker_leaving (struct gr_core *core, const char *worker, bool leaving);
 
+/* True if the worker has reported and was not removed since. */
+bool gr_core_has_worker (const struct gr_core *core, const char *worker);
+
+/* Number of listed workers that have not reported to this core yet. They may be
+ * of any size, so no shape is refused that they might hold. */
+void gr_core_set_unreported (struct gr_core *core, uint32_t n_workers);
+
 /* The worker was removed from the list of workers and does not respond. Its
  * gangs are stopped, and it is freed once it holds no lease. */
 void gr_core_worker_removed (struct gr_core *core,
--- a/sched/fit.c
+++ b/sched/fit.c
@@ -128,39 +128,123 @@
                 <= slot->shape.accelerators_per_worker;
 }
 
-bool
-gr_shape_fits (const struct gr_core *core, const struct gr_job_spec *spec)
+/* The place of a worker in a rack. */
+struct place
+{
+  uint32_t rack_slot;
+  bool fits; /* a task of the job fits there */
+};
+
+static int
+compare_places (const void *a, const void *b)
+{
+  const struct place *left = a;
+  const struct place *right = b;
+
+  if (left->rack_slot != right->rack_slot)
+    return left->rack_slot < right->rack_slot ? -1 : 1;
+  return 0;
+}
+
+static bool
+is_taken (const struct gr_core_rack *rack, uint32_t rack_slot)
+{
+  for (uint32_t i = 0; i < rack->workers->len; i++)
+    {
+      const struct gr_core_worker *worker =
+          g_ptr_array_index (rack->workers, i);
+
+      if (worker->rack_slot == rack_slot)
+        return true;
+    }
+  return false;
+}
+
+/* Fills places with those of the rack, also of absent workers, in the order of
+ * their slots. */
+static void
+list_places (const struct gr_core *core,
+             const struct gr_core_rack *rack,
+             const uint32_t *need,
+             GArray *places)
+{
+  g_array_set_size (places, 0);
+  for (uint32_t i = 0; i < rack->workers->len; i++)
+    {
+      const struct gr_core_worker *worker =
+          g_ptr_array_index (rack->workers, i);
+      struct place place = { worker->rack_slot, need[worker->type] != 0 };
+
+      g_array_append_val (places, place);
+    }
+  for (guint i = 0; i < rack->absent->len; i++)
+    {
+      const struct gr_absent_worker *absent =
+          &g_array_index (rack->absent, struct gr_absent_worker, i);
+      struct place place = { absent->rack_slot, need[absent->type] != 0 };
+
+      if (core->now_ms - absent->removed_ms < GR_ABSENT_MS
+          && !is_taken (rack, absent->rack_slot))
+        g_array_append_val (places, place);
+    }
+  if (places->len > rack->workers->len)
+    g_array_sort (places, compare_places);
+}
+
+/* Length of the longest run of adjacent places that fit; n_fitting gets the
+ * number of all that fit. */
+static uint32_t
+longest_run (const GArray *places, uint32_t *n_fitting)
 {
+  uint32_t longest = 0;
+  uint32_t run = 0;
+
+  *n_fitting = 0;
+  for (guint i = 0; i < places->len; i++)
+    {
+      const struct place *place = &g_array_index (places, struct place, i);
+
+      if (i > 0 && place->rack_slot != place[-1].rack_slot + 1)
+        run = 0;
+      run = place->fits ? run + 1 : 0;
+      if (place->fits)
+        (*n_fitting)++;
+      longest = MAX (longest, run);
+    }
+  return longest;
+}
+
+/* The largest number of adjacent workers on which tasks of the job fit. */
+static uint32_t
+most_adjacent (const struct gr_core *core, const struct gr_job_spec *spec)
+{
+  g_autoptr (GArray) places = g_array_new (FALSE, FALSE, sizeof (struct place));
   uint32_t need[GR_MAX_WORKER_TYPES] = { 0 };
   uint32_t run_of_racks = 0;
+  uint32_t most = 0;
 
   for (uint32_t i = 0; i < core->n_types; i++)
     need[i] = job_need (&core->types[i], spec);
   for (uint32_t r = 0; r < core->rack_list->len; r++)
     {
-      const struct gr_core_rack *rack = g_ptr_array_index (core->rack_list, r);
-      uint32_t run = 0;
-      uint32_t fitting = 0;
-
-      for (uint32_t i = 0; i < rack->workers->len; i++)
-        {
-          const struct gr_core_worker *worker =
-              g_ptr_array_index (rack->workers, i);
-          const struct gr_core_worker *before =
-              i > 0 ? g_ptr_array_index (rack->workers, i - 1) : NULL;
-
-          if (before != NULL && worker->rack_slot != before->rack_slot + 1)
-            run = 0;
-          run = need[worker->type] != 0 ? run + 1 : 0;
-          if (need[worker->type] != 0)
-            fitting++;
-          if (run >= spec->shape.workers)
-            return true;
-        }
-      run_of_racks = fitting > 0 ? run_of_racks + fitting : 0;
-      if (spec->shape.workers > core->max_rack_workers
-          && run_of_racks >= spec->shape.workers)
-        return true;
+      uint32_t n_fitting;
+
+      list_places (core, g_ptr_array_index (core->rack_list, r), need, places);
+      most = MAX (most, longest_run (places, &n_fitting));
+      run_of_racks = n_fitting > 0 ? run_of_racks + n_fitting : 0;
+      if (spec->shape.workers > core->max_rack_workers)
+        most = MAX (most, run_of_racks);
     }
-  return false;
+  return most;
+}
+
+/* Listed workers that have not reported may be of any type and in any place. */
+bool
+gr_shape_fits (const struct gr_core *core, const struct gr_job_spec *spec)
+{
+  uint32_t unknown =
+      core->now_ms - core->first_ms < GR_ABSENT_MS ? core->n_unreported : 0;
+
+  return core->n_types == 0
+         || most_adjacent (core, spec) + unknown >= spec->shape.workers;
 }
--- a/sched/place.c
+++ b/sched/place.c
@@ -31,10 +31,11 @@
   struct gr_job_spec failed[MAX_FAILED_SHAPES]; /* shallow copies */
 };
 
-bool
-gr_never_fits (const struct gr_core *core,
-               const struct gr_job_spec *spec,
-               struct gr_error *error)
+/* True if the settings never allow the job to run. */
+static bool
+is_excluded_by_settings (const struct gr_core *core,
+                         const struct gr_job_spec *spec,
+                         struct gr_error *error)
 {
   const struct gr_core_account *account =
       g_hash_table_lookup (core->accounts, spec->account);
@@ -60,20 +61,53 @@
     return !gr_error_set (error, GR_ERROR_NEVER_FITS,
                           "a non-idempotent job must fit into a guaranteed "
                           "shape of its account");
-  /* The pool of a new owner is incomplete until all workers have reported. */
-  if (core->first_ms < 0
-      || core->now_ms - core->first_ms < core->config.run_lease_term_ms)
-    return false;
-  if (!gr_shape_fits (core, spec))
-    return !gr_error_set (error, GR_ERROR_NEVER_FITS,
-                          "this shard has no workers for %u x %u accelerators "
-                          "with %u cores and %u MB per task",
-                          spec->shape.workers,
-                          spec->shape.accelerators_per_worker,
-                          spec->cores_per_task, spec->memory_mb_per_task);
   return false;
 }
 
+/* True if the pool can never hold the job. The pool is judged only if it has
+ * been known for known_ms. */
+static bool
+is_too_large_for_pool (const struct gr_core *core,
+                       const struct gr_job_spec *spec,
+                       int64_t known_ms,
+                       struct gr_error *error)
+{
+  if (core->first_ms < 0 || core->now_ms - core->first_ms < known_ms
+      || gr_shape_fits (core, spec))
+    return false;
+  return !gr_error_set (error, GR_ERROR_NEVER_FITS,
+                        "this shard has no workers for %u x %u accelerators "
+                        "with %u cores and %u MB per task",
+                        spec->shape.workers,
+                        spec->shape.accelerators_per_worker,
+                        spec->cores_per_task, spec->memory_mb_per_task);
+}
+
+bool
+gr_never_fits (const struct gr_core *core,
+               const struct gr_job_spec *spec,
+               struct gr_error *error)
+{
+  /* The pool of a new owner is incomplete until all workers have reported. */
+  return is_excluded_by_settings (core, spec, error)
+         || is_too_large_for_pool (core, spec, core->config.run_lease_term_ms,
+                                   error);
+}
+
+/* Like gr_never_fits (), but a restored job fitted the pool of a former owner,
+ * and workers that left before this one took over are not known here. */
+static bool
+is_unfit (const struct gr_core *core,
+          const struct gr_core_job *job,
+          struct gr_error *error)
+{
+  if (!job->restored)
+    return gr_never_fits (core, &job->record.spec, error);
+  return is_excluded_by_settings (core, &job->record.spec, error)
+         || is_too_large_for_pool (core, &job->record.spec, GR_ABSENT_MS,
+                                   error);
+}
+
 static void
 admit_job (struct gr_core *core, struct gr_core_job *job)
 {
@@ -84,7 +118,7 @@
     gr_error_set (&error, GR_ERROR_UNKNOWN_ACCOUNT,
                   "the client account does not exist");
   else
-    unfit = gr_never_fits (core, &job->record.spec, &error);
+    unfit = is_unfit (core, job, &error);
   if (!unfit)
     job->unfit_since_ms = 0;
   else if (job->unfit_since_ms == 0)
--- a/sched/place.h
+++ b/sched/place.h
@@ -7,7 +7,8 @@
 #define GR_MAX_PLACED 512
 
 /* Ends waiting jobs that can no longer run: their account was removed, or
- * gr_never_fits () has been true for a minute. */
+ * gr_never_fits () has been true for a minute. Jobs of a former owner are not
+ * ended for their shape in the first GR_ABSENT_MS of this one. */
 void gr_tick_admission (struct gr_core *core);
 
 /* True if the job can never run; error is set to the reason. */
--- a/sched/report.c
+++ b/sched/report.c
@@ -76,6 +76,18 @@
   gr_worker_update (core, worker);
 }
 
+bool
+gr_core_has_worker (const struct gr_core *core, const char *worker)
+{
+  return gr_worker_find (core, worker) != NULL;
+}
+
+void
+gr_core_set_unreported (struct gr_core *core, uint32_t n_workers)
+{
+  core->n_unreported = n_workers;
+}
+
 static void
 remove_worker (struct gr_core *core, struct gr_core_worker *worker)
 {
--- a/sched/tables.c
+++ b/sched/tables.c
@@ -101,6 +101,7 @@
   struct gr_core_rack *rack = data;
 
   g_ptr_array_free (rack->workers, TRUE);
+  g_array_free (rack->absent, TRUE);
   g_free (rack);
 }
 
@@ -114,6 +115,7 @@
   rack = g_new0 (struct gr_core_rack, 1);
   g_strlcpy (rack->name, name, sizeof rack->name);
   rack->workers = g_ptr_array_new ();
+  rack->absent = g_array_new (FALSE, FALSE, sizeof (struct gr_absent_worker));
   rack->dirty = true;
   g_hash_table_insert (core->racks, rack->name, rack);
   g_ptr_array_add (core->rack_list, rack);
@@ -190,10 +192,31 @@
   g_free (data);
 }
 
+/* Remembers the place of the worker. A place is listed once. */
+static void
+remember_absent (const struct gr_core *core,
+                 const struct gr_core_worker *worker)
+{
+  GArray *list = worker->rack->absent;
+  struct gr_absent_worker absent = {
+    .rack_slot = worker->rack_slot,
+    .type = worker->type,
+    .removed_ms = core->now_ms,
+  };
+
+  for (guint i = list->len; i > 0; i--)
+    if (g_array_index (list, struct gr_absent_worker, i - 1).rack_slot
+        == worker->rack_slot)
+      g_array_remove_index_fast (list, i - 1);
+  g_array_append_val (list, absent);
+}
+
 void
 gr_worker_remove (struct gr_core *core, struct gr_core_worker *worker)
 {
   g_assert (worker->held == 0 && worker->slot_mask == 0);
+  if (!worker->replaced)
+    remember_absent (core, worker);
   gr_worker_untrack_contact (worker);
   if (worker->in_renew)
     g_queue_unlink (&core->renewals[worker->renew_slot], &worker->renew_link);
--- a/sched/tables.h
+++ b/sched/tables.h
@@ -48,10 +48,20 @@
   GQueue active;                       /* jobs that hold accelerators */
 };
 
+/* A worker that was removed, and whose place counts for some time in the
+ * decision whether a shape can ever run. */
+struct gr_absent_worker
+{
+  uint32_t rack_slot;
+  uint32_t type;
+  int64_t removed_ms;
+};
+
 struct gr_core_rack
 {
   char name[GR_NAME_MAX];
   GPtrArray *workers; /* ordered by rack_slot */
+  GArray *absent;     /* struct gr_absent_worker */
   uint32_t index;     /* position in core->rack_list */
   bool dirty;         /* the numbers below are out of date */
   /* Sizes of free aligned blocks, as a sum of powers of two. */
@@ -184,7 +194,8 @@
   GList account_link;          /* link of account->active */
   bool in_active;
   bool in_steps;
-  bool due; /* has an event since its last step */
+  bool due;      /* has an event since its last step */
+  bool restored; /* accepted by a former owner */
   GList step_link;
   GList commit_link;
   bool in_commits;
@@ -242,6 +253,7 @@
   GHashTable *racks;
   GPtrArray *rack_list; /* ordered by adjacency */
   uint32_t max_rack_workers;
+  uint32_t n_unreported; /* listed workers that have not reported yet */
   GHashTable *workers;
   GHashTable *jobs;
   GHashTable *members; /* id -> member */
--- a/scheduler/shard.c
+++ b/scheduler/shard.c
@@ -279,6 +279,7 @@
 {
   GArray *targets =
       gr_members_targets (shard->env.members, GR_ROLE_WORKER, now_ms (shard));
+  uint32_t n_unreported = 0;
 
   for (guint i = 0; i < targets->len; i++)
     {
@@ -290,7 +291,11 @@
       gr_worker_io_set_target (shard->workers, target->name, target->address,
                                target->listed);
       gr_core_worker_leaving (shard->core, target->name, target->leaving);
+      if (target->listed && !target->leaving
+          && !gr_core_has_worker (shard->core, target->name))
+        n_unreported++;
     }
+  gr_core_set_unreported (shard->core, n_unreported);
   gr_worker_io_finish_targets (shard->workers);
   g_array_unref (targets);
 }
--- a/tests/test-sched-faults.c
+++ b/tests/test-sched-faults.c
@@ -393,6 +393,97 @@
 }
 END_TEST
 
+static void
+remove_all_workers (struct model *model)
+{
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    {
+      model_kill (model, &model->workers[i]);
+      gr_core_worker_removed (model->core, model->workers[i].name,
+                              model->now_ms);
+    }
+}
+
+static void
+revive_all_workers (struct model *model)
+{
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model->workers[i].dead = false;
+}
+
+/* Guards against jobs that are refused as impossible, or ended, while the
+ * workers that they fit are away. */
+START_TEST (absent_workers_make_no_job_impossible)
+{
+  struct model *model = model_create_ready (2, 4);
+  struct gr_job_spec spec = model_spec ("a", "waits", 4, 8);
+  struct gr_error error = GR_ERROR_INIT;
+
+  model_run (model, 40000);
+  remove_all_workers (model);
+  model_must_submit (model, &spec, 1000);
+  model_run (model, 3600000);
+  ck_assert_int_eq (model_state (model, "a.waits"), GR_JOB_ACCEPTED);
+  spec = model_spec ("a", "late", 4, 8);
+  model_must_submit (model, &spec, 1000);
+  spec = model_spec ("a", "wide", 9, 8);
+  ck_assert_ptr_null (model_submit (model, &spec, 1000, &error));
+  ck_assert_int_eq (error.kind, GR_ERROR_NEVER_FITS);
+  revive_all_workers (model);
+  model_run (model, 10000);
+  ck_assert_int_eq (model_state (model, "a.waits"), GR_JOB_FINISHED);
+  ck_assert_int_eq (model_state (model, "a.late"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against a new owner that ends accepted jobs, or refuses others,
+ * because the workers that they fit have been away since before it took over.
+ */
+START_TEST (new_owner_waits_for_absent_workers)
+{
+  struct model *model = model_create_ready (2, 4);
+  struct gr_job_spec spec = model_spec ("a", "waits", 4, 8);
+
+  for (uint32_t i = 1; i < model->n_workers; i++)
+    model_kill (model, &model->workers[i]);
+  model_must_submit (model, &spec, 1000);
+  model_run (model, 2000);
+  model_replace_owner (model);
+  gr_core_set_unreported (model->core, model->n_workers - 1);
+  model_run (model, 600000);
+  ck_assert_int_eq (model_state (model, "a.waits"), GR_JOB_ACCEPTED);
+  spec = model_spec ("a", "late", 4, 8);
+  model_must_submit (model, &spec, 1000);
+  revive_all_workers (model);
+  model_run (model, 10000);
+  ck_assert_int_eq (model_state (model, "a.waits"), GR_JOB_FINISHED);
+  ck_assert_int_eq (model_state (model, "a.late"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against jobs that wait without end for workers that do not return. */
+START_TEST (jobs_do_not_wait_for_lost_workers_without_end)
+{
+  struct model *model = model_create_ready (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "waits", 4, 8);
+
+  model_run (model, 40000);
+  model_must_submit (model, &spec, 3600000);
+  model_run (model, 2000);
+  for (uint32_t i = 1; i < model->n_workers; i++)
+    {
+      model_kill (model, &model->workers[i]);
+      gr_core_worker_removed (model->core, model->workers[i].name,
+                              model->now_ms);
+    }
+  model_run (model, 2LL * 3600000);
+  ck_assert_int_eq (model_state (model, "a.waits"), GR_JOB_FAILED);
+  model_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -416,6 +507,9 @@
   tcase_add_test (tcase, starts_refused_by_leaving_workers_are_no_failures);
   tcase_add_test (tcase, cut_of_the_owner_stops_no_job);
   tcase_add_test (tcase, loss_of_all_workers_is_noticed);
+  tcase_add_test (tcase, absent_workers_make_no_job_impossible);
+  tcase_add_test (tcase, new_owner_waits_for_absent_workers);
+  tcase_add_test (tcase, jobs_do_not_wait_for_lost_workers_without_end);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
