sched: failures end a job only where other jobs pass

Callers saw jobs end as failed or refused ("several healthy workers refused to start the job") although only the workers were at fault: three workers that fail whatever they start, met one after the other, or all workers for some seconds. Such workers are met first, because they are always free.

Cause: a failure counted against the job unless other jobs had failed on the worker before. A worker without failures was taken for healthy, and with few jobs none gathers any, since a second failure of a job is taken off the worker of its first.

A job is now ended after max_attempts failures on workers on which other jobs have been started since its first failure and have passed; the last failure must be one of them. A job without such evidence ends after three times max_attempts failures, also if it is alone in the pool. The pause between its attempts doubles from 1 s to 60 s, so these take about three minutes and no short disturbance covers them all. The failures are kept in the record as before; the list of workers is not, so a new owner gathers it again within the same bound.

Tests: test-sched-evidence. Before, 8 of 10 checks failed: 1 of 4 jobs finished beside four failing workers of eight; with the whole pool failing for 60 s, none of 1 to 7 jobs finished. Now all finish. The bound is checked as well: a faulty job alone has at most 9 starts, one beside jobs that pass at most 4. The price: a faulty job that is alone ends after three minutes, not after 3 s. Tests sched, sched-faults, sched-random, scheduler, scheduler-store, worker-io, entry, settings, ctl and process-jobs pass.

--- a/sched/gang.c
+++ b/sched/gang.c
@@ -1,5 +1,6 @@
 #include "sched/gang.h"
 
+#include "sched/faulty.h"
 #include "sched/jobs.h"
 #include "sched/learn.h"
 #include "sched/witness.h"
@@ -302,8 +303,10 @@
   g_clear_pointer (&job->record.placements, g_free);
   job->record.n_placements = 0;
   job->unthrottle_sent = false;
-  if (aborted || job->cause == GR_STOP_FAILED)
+  if (aborted)
     job->not_before_ms = core->now_ms + ABORT_PAUSE_MS;
+  else if (job->cause == GR_STOP_FAILED)
+    job->not_before_ms = core->now_ms + gr_failure_pause_ms (job);
   gr_job_record_changed (core, job);
 }
 
@@ -314,14 +317,13 @@
 
   if (may_have_run (job))
     gr_job_end (core, job, GR_JOB_FAILED, "a task failed");
-  else if (job->record.failures < core->config.max_attempts)
+  else if (!gr_job_is_faulty (core, job))
     run_again (core, job);
   else if (ran)
-    gr_job_end (core, job, GR_JOB_FAILED,
-                "the job failed on several healthy workers");
+    gr_job_end (core, job, GR_JOB_FAILED, "the job failed on several workers");
   else
     gr_job_end (core, job, GR_JOB_REFUSED,
-                "several healthy workers refused to start the job");
+                "several workers refused to start the job");
 }
 
 void
--- a/sched/job.h
+++ b/sched/job.h
@@ -61,7 +61,7 @@
   int64_t started_unix_ms; /* 0: not started yet */
   int64_t ended_unix_ms;
   int64_t saved_ms;  /* progress preserved by checkpoints */
-  uint32_t failures; /* attempts that failed on healthy workers */
+  uint32_t failures; /* attempts that failed */
   char reason[160];
   uint32_t n_placements;
   struct gr_placement *placements; /* owned */
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -1,6 +1,7 @@
 #include "sched/quarantine.h"
 
 #include "sched/cells.h"
+#include "sched/faulty.h"
 #include "sched/gang.h"
 #include "sched/jobs.h"
 
@@ -9,9 +10,6 @@
 /* A worker is quarantined after failures of this many different jobs without
  * a success in between. */
 #define MAX_FAILURES 3
-/* How long a job avoids the worker that it failed on. The time is limited
- * because a large gang may need that worker. */
-#define AVOID_MS 30000
 #define PROBE_FIRST_MS 30000
 #define PROBE_LIMIT_MS (30LL * 60 * 1000)
 /* A probe that has run for this time has passed: a faulty worker fails tasks
@@ -46,15 +44,6 @@
     }
 }
 
-static void
-avoid_worker (const struct gr_core *core,
-              const struct gr_core_worker *worker,
-              struct gr_core_job *job)
-{
-  g_strlcpy (job->failed_worker, worker->name, sizeof job->failed_worker);
-  job->avoid_until_ms = core->now_ms + AVOID_MS;
-}
-
 void
 gr_worker_failed (struct gr_core *core,
                   struct gr_core_worker *worker,
@@ -64,11 +53,9 @@
   bool second = job->failed_worker[0] != '\0'
                 && strcmp (job->failed_worker, worker->name) != 0;
 
-  /* A failure on a worker on which other jobs failed does not count against the
-   * job, because the worker may be at fault. It does count if the job fails on
-   * the same worker twice in a row: otherwise a faulty job could fail without
-   * end on a worker that has a failure count only because of it. */
-  if (!counted && (worker->failures == 0 || worker->last_failed == job))
+  /* The worker of a probe may still be at fault. It counts if the job fails
+   * there twice in a row, so that a faulty job does not fail without end. */
+  if (!counted && (!worker->quarantined || worker->last_failed == job))
     job->record.failures++;
   if (worker->quarantined)
     {
@@ -79,7 +66,7 @@
           worker->probe_due_ms = core->now_ms + worker->probe_interval_ms;
         }
       worker->last_failed = job;
-      avoid_worker (core, worker, job);
+      gr_job_note_failure (core, worker, job);
       return;
     }
   if (second && worker->failures == 0)
@@ -87,14 +74,17 @@
   else if (worker->last_failed != job)
     worker->failures++;
   worker->last_failed = job;
-  avoid_worker (core, worker, job);
+  gr_job_note_failure (core, worker, job);
   if (worker->failures >= MAX_FAILURES)
     quarantine (core, worker);
 }
 
 void
-gr_worker_succeeded (struct gr_core *core, struct gr_core_worker *worker)
+gr_worker_succeeded (struct gr_core *core,
+                     struct gr_core_worker *worker,
+                     int64_t started_ms)
 {
+  worker->last_passed_ms = MAX (worker->last_passed_ms, started_ms);
   worker->failures = 0;
   worker->last_failed = NULL;
   worker->probe_interval_ms = 0;
@@ -214,7 +204,7 @@
           g_ptr_array_index (core->quarantined, i - 1);
 
       if (worker->probing && probe_passed (core, worker))
-        gr_worker_succeeded (core, worker);
+        gr_worker_succeeded (core, worker, core->now_ms - PROBE_PASSED_MS);
       else if (core->durable && !worker->probing && !worker->silent
                && !worker->leaving && !worker->removed && !worker->replaced
                && worker->probe_due_ms <= core->now_ms)
--- a/sched/quarantine.h
+++ b/sched/quarantine.h
@@ -11,8 +11,11 @@
                        struct gr_core_job *job,
                        bool counted);
 
-/* A task ran on the worker and its job finished, or a probe passed. */
-void gr_worker_succeeded (struct gr_core *core, struct gr_core_worker *worker);
+/* A task that was started at started_ms ran on the worker and its job finished,
+ * or a probe passed. */
+void gr_worker_succeeded (struct gr_core *core,
+                          struct gr_core_worker *worker,
+                          int64_t started_ms);
 
 /* The probe has released its accelerators and has not passed. Schedules the
  * next probe. */
--- a/sched/steps.c
+++ b/sched/steps.c
@@ -21,6 +21,9 @@
 static void
 finish (struct gr_core *core, struct gr_core_job *job)
 {
+  int64_t started_ms =
+      job->running_since_ms != 0 ? job->running_since_ms : core->now_ms;
+
   if (job->running_since_ms != 0)
     gr_learn_run_time (core, &job->record.spec,
                        core->now_ms - job->running_since_ms
@@ -29,7 +32,7 @@
     {
       struct gr_core_member *member = &job->members[i];
 
-      gr_worker_succeeded (core, member->worker);
+      gr_worker_succeeded (core, member->worker, started_ms);
       if (job->phase == GR_PHASE_RUNNING)
         continue;
       /* The worker keeps the result while the lease lasts, so the lease is
--- a/sched/tables.c
+++ b/sched/tables.c
@@ -296,6 +296,7 @@
       g_free (job->members[i].expected_worker);
     }
   g_free (job->members);
+  g_clear_pointer (&job->failed_workers, g_ptr_array_unref);
   gr_block_clear (&job->claim);
   gr_block_clear (&job->reservation);
   gr_job_record_clear (&job->record);
--- a/sched/tables.h
+++ b/sched/tables.h
@@ -112,8 +112,9 @@
   bool probing;                   /* a probe is running */
   int64_t last_contact_active_ms; /* on the clock of core->active_ms */
   GList contact_link;
-  GQueue *contact_queue; /* NULL while the worker is silent */
-  uint32_t failures;     /* failed jobs since the last success */
+  GQueue *contact_queue;  /* NULL while the worker is silent */
+  uint32_t failures;      /* failed jobs since the last success */
+  int64_t last_passed_ms; /* latest start of a job that passed here */
   const struct gr_core_job *last_failed; /* only compared, never dereferenced */
   int64_t probe_interval_ms;
   int64_t probe_due_ms;
@@ -212,9 +213,11 @@
   bool pinned;                              /* must not be preempted */
   bool backfilled;                          /* runs on reserved accelerators */
   bool unthrottle_sent;                     /* the job may have run */
-  bool failure_counts; /* the failing worker appeared healthy */
-  bool probe;          /* runs on a quarantined worker */
-  char failed_worker[GR_NAME_MAX];
+  bool probe;                               /* runs on a quarantined worker */
+  GPtrArray *failed_workers; /* names, one for each failed attempt under this
+                                owner; NULL: none */
+  int64_t first_failed_ms;   /* time of the first of them */
+  char failed_worker[GR_NAME_MAX]; /* the last of them */
   int64_t avoid_until_ms; /* failed_worker is not used before this time */
   struct gr_block claim;  /* block claimed for the job until it is free */
   struct gr_guarantee_slot *claim_slot;
--- a/settings/keys.c
+++ b/settings/keys.c
@@ -162,7 +162,7 @@
     "Interval of scheduling decisions." },
   { GR_DOCUMENT_PLATFORM, GR_KEY_UINT, "jobs", "max_attempts", "starts", 1,
     100, NULL, "3", PLATFORM (max_attempts),
-    "Number of starts on healthy workers after which a job counts as faulty." },
+    "Number of failed starts on healthy workers after which a job counts as faulty; a worker is known to be healthy if other jobs pass on it. Without such workers three times as many." },
   { GR_DOCUMENT_PLATFORM, GR_KEY_UINT, "requests", "retry_percent", "%", 0,
     100, NULL, "10", PLATFORM (retry_percent),
     "Maximum number of retries, as a percentage of first attempts." },
