--- a/sched/report.c
+++ b/sched/report.c
@@ -76,6 +76,18 @@
   gr_worker_update (core, worker);
 }
 
+bool
+gr_core_has_worker (const struct gr_core *core, const char *worker)
+{
+  return gr_worker_find (core, worker) != NULL;
+}
+
+void
+gr_core_set_unreported (struct gr_core *core, uint32_t n_workers)
+{
+  core->n_unreported = n_workers;
+}
+
 static void
 remove_worker (struct gr_core *core, struct gr_core_worker *worker)
 {
@@ -339,6 +351,8 @@
     gr_member_started (core, member);
   else if (member->started || member->job->phase != GR_PHASE_STARTING)
     return;
+  else if (kind == GR_ERROR_SHUTTING_DOWN)
+    gr_gang_stop (core, member->job, GR_STOP_ABORT, "a worker is leaving");
   else if (is_ended (kind))
     gr_member_lost (core, member);
   else
@@ -353,8 +367,8 @@
                           struct gr_core_member *member,
                           enum gr_error_kind kind)
 {
-  bool lease_confirmed = core->active_ms - member->lease_confirmed_active_ms
-                         <= core->config.call_timeout_ms;
+  bool lease_confirmed =
+      core->now_ms - member->lease_confirmed_ms <= core->config.call_timeout_ms;
 
   if (kind == GR_ERROR_NONE)
     gr_member_unthrottled (core, member);
@@ -439,6 +453,8 @@
       gr_job_wake (core, member->job);
       return;
     }
+  if (kind == GR_ERROR_SHUTTING_DOWN)
+    member->worker->leaving = true;
   gr_worker_mark_contacted (core, member->worker);
   handle_result (core, member, command, kind);
 }
--- a/sched/tables.h
+++ b/sched/tables.h
@@ -48,10 +48,20 @@
   GQueue active;                       /* jobs that hold accelerators */
 };
 
+/* A worker that was removed, and whose place counts for some time in the
+ * decision whether a shape can ever run. */
+struct gr_absent_worker
+{
+  uint32_t rack_slot;
+  uint32_t type;
+  int64_t removed_ms;
+};
+
 struct gr_core_rack
 {
   char name[GR_NAME_MAX];
   GPtrArray *workers; /* ordered by rack_slot */
+  GArray *absent;     /* struct gr_absent_worker */
   uint32_t index;     /* position in core->rack_list */
   bool dirty;         /* the numbers below are out of date */
   /* Sizes of free aligned blocks, as a sum of powers of two. */
@@ -102,8 +112,9 @@
   bool probing;                   /* a probe is running */
   int64_t last_contact_active_ms; /* on the clock of core->active_ms */
   GList contact_link;
-  GQueue *contact_queue; /* NULL while the worker is silent */
-  uint32_t failures;     /* failed jobs since the last success */
+  GQueue *contact_queue;  /* NULL while the worker is silent */
+  uint32_t failures;      /* failed jobs since the last success */
+  int64_t last_passed_ms; /* latest start of a job that passed here */
   const struct gr_core_job *last_failed; /* only compared, never dereferenced */
   int64_t probe_interval_ms;
   int64_t probe_due_ms;
@@ -121,9 +132,10 @@
   char *expected_worker; /* adopted: name of the worker that must report it;
                             NULL once reported */
   uint32_t mask;
-  int64_t sent_ms; /* time of the last command of this phase */
-  int64_t lease_confirmed_active_ms; /* last confirmation of the lease, on the
-                                   clock of core->active_ms */
+  int64_t sent_ms;            /* time of the last command of this phase */
+  int64_t lease_confirmed_ms; /* last confirmation of the lease */
+  int64_t lease_confirmed_active_ms; /* the same on the clock of
+                                        core->active_ms */
   uint64_t last_report;     /* number of the last report that shows the lease */
   int64_t latest_expiry_ms; /* upper bound of the time when the lease expires */
   int64_t ran_ms;
@@ -183,7 +195,8 @@
   GList account_link;          /* link of account->active */
   bool in_active;
   bool in_steps;
-  bool due; /* has an event since its last step */
+  bool due;      /* has an event since its last step */
+  bool restored; /* accepted by a former owner */
   GList step_link;
   GList commit_link;
   bool in_commits;
@@ -200,9 +213,11 @@
   bool pinned;                              /* must not be preempted */
   bool backfilled;                          /* runs on reserved accelerators */
   bool unthrottle_sent;                     /* the job may have run */
-  bool failure_counts; /* the failing worker appeared healthy */
-  bool probe;          /* runs on a quarantined worker */
-  char failed_worker[GR_NAME_MAX];
+  bool probe;                               /* runs on a quarantined worker */
+  GPtrArray *failed_workers; /* names, one for each failed attempt under this
+                                owner; NULL: none */
+  int64_t first_failed_ms;   /* time of the first of them */
+  char failed_worker[GR_NAME_MAX]; /* the last of them */
   int64_t avoid_until_ms; /* failed_worker is not used before this time */
   struct gr_block claim;  /* block claimed for the job until it is free */
   struct gr_guarantee_slot *claim_slot;
@@ -227,7 +242,11 @@
   int64_t unix_ms;
   int64_t first_ms; /* time of the first call; -1: none yet */
   int64_t last_tick_ms;
-  int64_t active_ms; /* running time without pauses of the process */
+  /* Running time without pauses of the process, and without times in which it
+   * had no contact to any worker. */
+  int64_t active_ms;
+  int64_t unheard_ms; /* running time since the last contact to any worker */
+  bool contacted;     /* some worker was contacted since the last tick */
   bool durable;
   GArray *out; /* destination of commands: the array of the tick, or pending */
   GArray *pending;                /* commands of events between ticks */
@@ -237,6 +256,7 @@
   GHashTable *racks;
   GPtrArray *rack_list; /* ordered by adjacency */
   uint32_t max_rack_workers;
+  uint32_t n_unreported; /* listed workers that have not reported yet */
   GHashTable *workers;
   GHashTable *jobs;
   GHashTable *members; /* id -> member */
--- a/tests/test-sched-faults.c
+++ b/tests/test-sched-faults.c
@@ -114,20 +114,22 @@
  * member. */
 START_TEST (dead_workers_are_not_flooded)
 {
-  struct model *model = model_create_ready (1, 4);
+  struct model *model = model_create_ready (2, 4);
   struct gr_job_spec spec = model_spec ("a", "gang", 4, 8);
+  const struct gr_job_record *record;
   uint64_t calls;
 
   model_must_submit (model, &spec, 100000);
   model_run (model, 5000);
   ck_assert_int_eq (model_state (model, "a.gang"), GR_JOB_RUNNING);
-  for (uint32_t i = 0; i < model->n_workers; i++)
-    model_kill (model, &model->workers[i]);
+  record = gr_core_find (model->core, "dc1.a.gang");
+  for (uint32_t i = 0; i < record->n_placements; i++)
+    model_kill (model, model_worker (model, record->placements[i].worker));
   calls = model->n_commands[GR_COMMAND_RELEASE];
   model_run (model, 10000);
   calls = model->n_commands[GR_COMMAND_RELEASE] - calls;
   ck_assert_uint_gt (calls, 0);
-  ck_assert_uint_le (calls, (uint64_t)model->n_workers * 2 * 10);
+  ck_assert_uint_le (calls, (uint64_t)spec.shape.workers * 2 * 10);
   model_destroy (model);
 }
 END_TEST
@@ -285,6 +287,203 @@
 }
 END_TEST
 
+/* Guards against a failure that the owner and its successors each count. */
+START_TEST (takeover_does_not_count_a_failure_twice)
+{
+  struct model *model = model_create_ready (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "j", 1, 8);
+  const struct gr_job_record *record;
+  int64_t *run_ms;
+
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model->workers[i].loses_releases = true;
+  model_must_submit (model, &spec, -1000);
+  model_run (model, 3000);
+  record = g_hash_table_lookup (model->records, "dc1.a.j");
+  ck_assert_uint_eq (record->failures, 1);
+  run_ms = g_hash_table_lookup (model->run_ms, "dc1.a.j");
+  *run_ms = 1000;
+  for (int i = 0; i < 3; i++)
+    {
+      model_replace_owner (model);
+      model_run (model, 2000);
+    }
+  ck_assert_uint_eq (gr_core_find (model->core, "dc1.a.j")->failures, 1);
+  model_run (model, 60000);
+  ck_assert_int_eq (model_state (model, "a.j"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against jobs that are refused, and workers that are quarantined,
+ * because the workers began to leave between a grant and the start. */
+START_TEST (starts_refused_by_leaving_workers_are_no_failures)
+{
+  struct model *model = model_create_ready (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "j", 1, 8);
+
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model->workers[i].refuses_as_leaving = true;
+  model_must_submit (model, &spec, 1000);
+  for (int i = 0; i < 20; i++)
+    {
+      model_run (model, 1000);
+      for (uint32_t w = 0; w < model->n_workers; w++)
+        gr_core_worker_leaving (model->core, model->workers[w].name, false);
+    }
+  ck_assert_uint_eq (gr_core_find (model->core, "dc1.a.j")->failures, 0);
+  ck_assert_int_eq (model_state (model, "a.j"), GR_JOB_ACCEPTED);
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model->workers[i].refuses_as_leaving = false;
+  model_run (model, 5000);
+  ck_assert_int_eq (model_state (model, "a.j"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against jobs that are stopped because the owner itself is cut off from
+ * all workers for some seconds. */
+START_TEST (cut_of_the_owner_stops_no_job)
+{
+  struct model *model = model_create_ready (2, 4);
+  struct gr_job_spec again = model_spec ("a", "again", 2, 8);
+  struct gr_job_spec once = model_spec ("b", "once", 2, 8);
+
+  model_set_account (model, "b", 0, 2, 8, 1);
+  once.idempotent = false;
+  model_must_submit (model, &again, 60000);
+  model_must_submit (model, &once, 60000);
+  model_run (model, 5000);
+  for (int cut = 0; cut < 3; cut++)
+    {
+      for (uint32_t i = 0; i < model->n_workers; i++)
+        model->workers[i].unreachable = true;
+      model_run (model, 4000 + 3000 * cut);
+      for (uint32_t i = 0; i < model->n_workers; i++)
+        model->workers[i].unreachable = false;
+      model_run (model, 11000);
+    }
+  ck_assert_int_eq (model_state (model, "b.once"), GR_JOB_RUNNING);
+  model_run (model, 10000);
+  ck_assert_int_eq (model_state (model, "b.once"), GR_JOB_FINISHED);
+  ck_assert_int_eq (model_state (model, "a.again"), GR_JOB_FINISHED);
+  ck_assert_uint_eq (gr_core_find (model->core, "dc1.a.again")->attempt, 1);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against jobs that stay in state running after all workers were lost
+ * for good. */
+START_TEST (loss_of_all_workers_is_noticed)
+{
+  struct model *model = model_create_ready (1, 4);
+  struct gr_job_spec once = model_spec ("b", "once", 2, 8);
+
+  model_set_account (model, "b", 0, 2, 8, 1);
+  once.idempotent = false;
+  model_must_submit (model, &once, 600000);
+  model_run (model, 5000);
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model_kill (model, &model->workers[i]);
+  model_run (model, model->config.run_lease_term_ms);
+  ck_assert_int_eq (model_state (model, "b.once"), GR_JOB_STOPPING);
+  model_run (model, model->config.run_lease_term_ms);
+  ck_assert_int_eq (model_state (model, "b.once"), GR_JOB_MAY_HAVE_RUN);
+  model_destroy (model);
+}
+END_TEST
+
+static void
+remove_all_workers (struct model *model)
+{
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    {
+      model_kill (model, &model->workers[i]);
+      gr_core_worker_removed (model->core, model->workers[i].name,
+                              model->now_ms);
+    }
+}
+
+static void
+revive_all_workers (struct model *model)
+{
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model->workers[i].dead = false;
+}
+
+/* Guards against jobs that are refused as impossible, or ended, while the
+ * workers that they fit are away. */
+START_TEST (absent_workers_make_no_job_impossible)
+{
+  struct model *model = model_create_ready (2, 4);
+  struct gr_job_spec spec = model_spec ("a", "waits", 4, 8);
+  struct gr_error error = GR_ERROR_INIT;
+
+  model_run (model, 40000);
+  remove_all_workers (model);
+  model_must_submit (model, &spec, 1000);
+  model_run (model, 3600000);
+  ck_assert_int_eq (model_state (model, "a.waits"), GR_JOB_ACCEPTED);
+  spec = model_spec ("a", "late", 4, 8);
+  model_must_submit (model, &spec, 1000);
+  spec = model_spec ("a", "wide", 9, 8);
+  ck_assert_ptr_null (model_submit (model, &spec, 1000, &error));
+  ck_assert_int_eq (error.kind, GR_ERROR_NEVER_FITS);
+  revive_all_workers (model);
+  model_run (model, 10000);
+  ck_assert_int_eq (model_state (model, "a.waits"), GR_JOB_FINISHED);
+  ck_assert_int_eq (model_state (model, "a.late"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against a new owner that ends accepted jobs, or refuses others,
+ * because the workers that they fit have been away since before it took over.
+ */
+START_TEST (new_owner_waits_for_absent_workers)
+{
+  struct model *model = model_create_ready (2, 4);
+  struct gr_job_spec spec = model_spec ("a", "waits", 4, 8);
+
+  for (uint32_t i = 1; i < model->n_workers; i++)
+    model_kill (model, &model->workers[i]);
+  model_must_submit (model, &spec, 1000);
+  model_run (model, 2000);
+  model_replace_owner (model);
+  gr_core_set_unreported (model->core, model->n_workers - 1);
+  model_run (model, 600000);
+  ck_assert_int_eq (model_state (model, "a.waits"), GR_JOB_ACCEPTED);
+  spec = model_spec ("a", "late", 4, 8);
+  model_must_submit (model, &spec, 1000);
+  revive_all_workers (model);
+  model_run (model, 10000);
+  ck_assert_int_eq (model_state (model, "a.waits"), GR_JOB_FINISHED);
+  ck_assert_int_eq (model_state (model, "a.late"), GR_JOB_FINISHED);
+  model_destroy (model);
+}
+END_TEST
+
+/* Guards against jobs that wait without end for workers that do not return. */
+START_TEST (jobs_do_not_wait_for_lost_workers_without_end)
+{
+  struct model *model = model_create_ready (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "waits", 4, 8);
+
+  model_run (model, 40000);
+  model_must_submit (model, &spec, 3600000);
+  model_run (model, 2000);
+  for (uint32_t i = 1; i < model->n_workers; i++)
+    {
+      model_kill (model, &model->workers[i]);
+      gr_core_worker_removed (model->core, model->workers[i].name,
+                              model->now_ms);
+    }
+  model_run (model, 2LL * 3600000);
+  ck_assert_int_eq (model_state (model, "a.waits"), GR_JOB_FAILED);
+  model_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -304,6 +503,13 @@
   tcase_add_test (tcase, scheduler_pause_does_not_silence_workers);
   tcase_add_test (tcase, result_outlives_outage_and_owner);
   tcase_add_test (tcase, replaced_worker_is_added_again);
+  tcase_add_test (tcase, takeover_does_not_count_a_failure_twice);
+  tcase_add_test (tcase, starts_refused_by_leaving_workers_are_no_failures);
+  tcase_add_test (tcase, cut_of_the_owner_stops_no_job);
+  tcase_add_test (tcase, loss_of_all_workers_is_noticed);
+  tcase_add_test (tcase, absent_workers_make_no_job_impossible);
+  tcase_add_test (tcase, new_owner_waits_for_absent_workers);
+  tcase_add_test (tcase, jobs_do_not_wait_for_lost_workers_without_end);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
