steps: an adopted run has not just started

Cause: the start of an adopted run was taken for the time of its adoption, so every run seemed new, every crash seemed to have a suspect, and none showed a common cause.

--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -91,11 +91,12 @@
   g_array_unref (steps->crash_reports);
 }
 
+/* It is not known when an adopted run has started. */
 bool
 gr_crash_has_just_started (const struct gr_steps *steps,
                            const struct task *task)
 {
-  return steps->now_ms - task->placed_ms < GR_EARLY_CRASH_MS;
+  return !task->adopted && steps->now_ms - task->placed_ms < GR_EARLY_CRASH_MS;
 }
 
 bool
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -111,6 +111,7 @@
   task->state = TASK_STARTING;
   task->step->n_waiting--;
   task->placed_ms = steps->now_ms;
+  task->adopted = false;
   task->incarnation_unix_ms = task->worker->incarnation_unix_ms;
   task->tries = 0;
   task->start_sent = false;
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -144,6 +144,7 @@
   if (task->step->spec->gang)
     task->step->gang_run = MAX (task->step->gang_run, running->run);
   task->placed_ms = steps->now_ms;
+  task->adopted = true;
   task->confirmed_ms = steps->now_ms;
   task->stop_confirmed_ms = 0;
   task->percent = running->percent;
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -123,8 +123,9 @@
   uint32_t crashes_unassessed;  /* further ones that are not assessed yet */
   bool crashes_settling;        /* a counted crash may still be dismissed */
   char *checkpoint;             /* NULL if there is none */
-  int64_t placed_ms;
-  int64_t order_sent_ms;    /* when the last order was queued */
+  int64_t placed_ms;            /* when it was placed or adopted */
+  bool adopted;                 /* its run was started by a former owner */
+  int64_t order_sent_ms;        /* when the last order was queued */
   bool start_sent;          /* a start order for the run has left the queue */
   uint32_t possible_starts; /* start orders of the run that were sent and may
                                have had an effect */
--- a/tests/test-crash-evidence.c
+++ b/tests/test-crash-evidence.c
@@ -9,6 +9,7 @@
 
 #define WORKERS 32
 #define INNOCENT_JOBS 6
+#define BUSY_JOBS 24 /* use all workers */
 #define SEEDS 10
 
 static const struct steps_model_crash crash_at_once = {
@@ -127,6 +128,29 @@
 }
 END_TEST
 
+/* As above, if all runs look new to an owner that has just adopted them. */
+START_TEST (waves_of_crashes_after_takeovers_fail_no_job)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct steps_model *model = steps_fixture_create (WORKERS, seed);
+      g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+
+      add_innocent_jobs (model, 1, BUSY_JOBS);
+      for (uint32_t wave = 0; wave < 7; wave++)
+        {
+          steps_model_run (model, g_rand_int_range (rand, 2000, 3500));
+          steps_model_new_owner (model);
+          steps_model_run (model, g_rand_int_range (rand, 200, 700));
+          crash_wave (model, rand, wave % 2 == 0 ? 0 : 160);
+        }
+      steps_model_run (model, 90000);
+      check_completed (model, 1, BUSY_JOBS);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 /* A limit that only ignores waves would let a task that does crash its workers
  * go on while there are waves. */
 START_TEST (crashing_task_beside_waves_is_given_up)
@@ -188,6 +212,7 @@
   tcase_set_timeout (waves, 60);
   tcase_add_test (waves, waves_of_crashes_fail_no_job);
   tcase_add_test (waves, waves_of_crashes_over_takeovers_fail_no_job);
+  tcase_add_test (waves, waves_of_crashes_after_takeovers_fail_no_job);
   tcase_add_test (waves, crashing_task_beside_waves_is_given_up);
   tcase_add_test (waves, many_crashing_tasks_fail_no_other_job);
   suite_add_tcase (suite, waves);
