steps: new runs on other workers do not explain a wave away

Callers: with waves of crashes less than a second or so apart, every run is new when the next wave comes, so each crashed worker seemed to have a suspect, none showed a common cause, and jobs that caused nothing were given up. Change: while two or more other workers crash, with new runs or none, a crash counts only if the connection was lost within 150 ms of the start; a task that crashes its workers does that at each start. Crashes under tasks against which others count are still left out, so several such tasks do not clear each other. Ruled out: a wave is a quarter of the workers that were up (20 tasks that crash workers then cleared each other, 141 starts).

--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -21,7 +21,12 @@
 
 /* Crashes of so many other workers, none of them under a suspected task, have a
  * cause of their own. A single one may be a coincidence. */
-#define MIN_UNSUSPECTED_CRASHES 2
+#define MIN_UNRELATED_CRASHES 2
+
+/* A connection that is lost within this time after the start was confirmed was
+ * likely lost because of it. Other runs that have just started may be there
+ * only because everything was started again after a wave of crashes. */
+#define IMMEDIATE_CRASH_MS 150
 
 /* So many other workers must have reported since a crash. */
 #define MIN_REPORTS 4
@@ -71,6 +76,7 @@
                              it was */
   bool confirmed;         /* the process is known to have received the start */
   bool early;
+  bool immediate; /* the connection was lost right after the start */
   bool counted; /* as evidence; a later crash of others can still dismiss it */
   bool inherited; /* the crashes that a former owner has counted; they can no
                      longer be dismissed */
@@ -135,6 +141,24 @@
   return task->crashes > task->early_crashes ? BLAME_NEW : BLAME_OLD;
 }
 
+static enum gr_crash_suspicion
+suspicion_of (const struct gr_steps *steps, const struct worker *worker)
+{
+  enum gr_crash_suspicion suspicion = GR_CRASH_UNSUSPECTED;
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const struct task *task = worker->tasks->pdata[i];
+
+      if (blame_of (steps, task) < BLAME_NEW)
+        continue;
+      if (task->crashes + task->unconfirmed_crashes > 0)
+        return GR_CRASH_SUSPECTED;
+      suspicion = GR_CRASH_NEW_RUN;
+    }
+  return suspicion;
+}
+
 /* Other workers show whether they crashed as well. */
 static void
 request_reports (struct gr_steps *steps, const struct worker *crashed)
@@ -180,7 +204,7 @@
   g_ptr_array_add (jobs, NULL);
   gr_crash_log_add (steps->crash_log, worker->id,
                     (const char *const *)jobs->pdata,
-                    worker->blame >= BLAME_NEW, steps->now_ms);
+                    suspicion_of (steps, worker), steps->now_ms);
   request_reports (steps, worker);
 }
 
@@ -223,7 +247,8 @@
 gr_crash_record (struct gr_steps *steps,
                  const struct worker *worker,
                  struct task *task,
-                 bool confirmed)
+                 bool confirmed,
+                 int64_t started_ms)
 {
   struct job *job = gr_task_job (task);
   struct crash_report report = {
@@ -237,6 +262,8 @@
   if (gr_job_is_final (job) || worker->draining || worker->closed)
     return;
   task->step->crashed_ms = steps->now_ms;
+  report.immediate =
+      !confirmed || report.unreachable_ms - started_ms <= IMMEDIATE_CRASH_MS;
   if (!is_relevant (steps, worker, task, confirmed))
     return;
   gr_task_name (task, report.task);
@@ -267,23 +294,45 @@
   g_array_append_val (steps->crash_reports, report);
 }
 
+/* Workers that became unreachable, and have perhaps crashed. */
+struct lost_workers
+{
+  uint32_t unsuspected; /* GR_CRASH_UNSUSPECTED */
+  uint32_t new_runs;    /* GR_CRASH_NEW_RUN */
+};
+
 /* What other workers show about a crash. */
 struct evidence
 {
   struct gr_crash_context context;
-  uint32_t reports;     /* received since the crash */
-  uint32_t possible;    /* workers that could report */
-  uint32_t unreachable; /* without a suspected run, since about the same time as
-                           the worker that crashed */
+  struct lost_workers lost; /* at about the same time as the one that crashed */
+  uint32_t reports;         /* received since the crash */
+  uint32_t possible;        /* workers that could report */
 };
 
+static void
+add_lost_worker (const struct gr_steps *steps,
+                 const struct worker *worker,
+                 struct lost_workers *lost)
+{
+  enum gr_crash_suspicion suspicion = suspicion_of (steps, worker);
+
+  lost->unsuspected += suspicion == GR_CRASH_UNSUSPECTED;
+  lost->new_runs += suspicion == GR_CRASH_NEW_RUN;
+}
+
+/* immediate: the crash followed its start at once, so that other runs which
+ * have just started do not explain it. */
 static bool
-is_suspected (const struct gr_steps *steps, const struct worker *worker)
+is_wave (const struct gr_crash_context *context,
+         const struct lost_workers *lost,
+         bool immediate)
 {
-  for (guint i = 0; i < worker->tasks->len; i++)
-    if (blame_of (steps, worker->tasks->pdata[i]) >= BLAME_NEW)
-      return true;
-  return false;
+  uint32_t others = context->unsuspected + lost->unsuspected;
+
+  if (!immediate)
+    others += context->new_runs + lost->new_runs;
+  return others >= MIN_UNRELATED_CRASHES;
 }
 
 static void
@@ -297,9 +346,8 @@
     return;
   if (!worker->reachable)
     {
-      if (ABS (worker->unreachable_ms - report->unreachable_ms) <= RELATED_MS
-          && !is_suspected (steps, worker))
-        evidence->unreachable++;
+      if (ABS (worker->unreachable_ms - report->unreachable_ms) <= RELATED_MS)
+        add_lost_worker (steps, worker, &evidence->lost);
       return;
     }
   evidence->possible++;
@@ -352,19 +400,21 @@
                 const char *outcome,
                 const struct evidence *evidence)
 {
-  char counts[5][16];
+  char counts[6][16];
   char age[24];
 
   g_snprintf (counts[0], sizeof counts[0], "%u", evidence->context.others);
   g_snprintf (counts[1], sizeof counts[1], "%u", evidence->context.unsuspected);
-  g_snprintf (counts[2], sizeof counts[2], "%u", evidence->unreachable);
+  g_snprintf (counts[2], sizeof counts[2], "%u", evidence->lost.unsuspected);
   g_snprintf (counts[3], sizeof counts[3], "%u", evidence->reports);
   g_snprintf (counts[4], sizeof counts[4], "%u", evidence->possible);
+  g_snprintf (counts[5], sizeof counts[5], "%u", evidence->context.new_runs);
   gr_log_event ("crash-assessed", "task", report->task, "worker",
                 report->worker, "outcome", outcome, "age_ms",
                 gr_loss_age (steps, report->at_ms, age), "others_crashed",
-                counts[0], "unsuspected", counts[1], "unreachable", counts[2],
-                "reports", counts[3], "possible", counts[4], NULL);
+                counts[0], "unsuspected", counts[1], "new_runs", counts[5],
+                "unreachable", counts[2], "reports", counts[3], "possible",
+                counts[4], NULL);
 }
 
 static void
@@ -380,13 +430,6 @@
   ++*counter;
 }
 
-static bool
-has_common_cause (const struct evidence *evidence)
-{
-  return evidence->context.unsuspected + evidence->unreachable
-         >= MIN_UNSUSPECTED_CRASHES;
-}
-
 /* Returns whether the report is settled. */
 static bool
 assess (struct gr_steps *steps, struct task *task, struct crash_report *report)
@@ -400,7 +443,8 @@
   if (!report->counted && age_ms >= ASSESSMENT_MS)
     for (guint i = 0; i < steps->worker_rows->len; i++)
       add_worker (steps, steps->worker_rows->pdata[i], report, &evidence);
-  if (!report->inherited && has_common_cause (&evidence))
+  if (!report->inherited
+      && is_wave (&evidence.context, &evidence.lost, report->immediate))
     {
       log_assessment (steps, report, "common cause", &evidence);
       dismiss (steps, task, report, &steps->crash_counts.common_cause);
@@ -488,35 +532,27 @@
     }
 }
 
-/* Workers that became unreachable a moment ago may have crashed. */
-static uint32_t
-count_lost_workers (const struct gr_steps *steps)
-{
-  uint32_t n = 0;
-
-  for (guint i = 0; i < steps->worker_rows->len; i++)
-    {
-      const struct worker *worker = steps->worker_rows->pdata[i];
-
-      n += worker->registered && !worker->reachable && !worker->crash_noted
-           && steps->now_ms - worker->unreachable_ms < RELATED_MS
-           && !is_suspected (steps, worker);
-    }
-  return n;
-}
-
 /* True while workers crash on which the job has no runs. A new owner does not
  * know whether they do. */
 static bool
 others_crash (const struct gr_steps *steps, const struct task *task)
 {
+  struct lost_workers lost = { 0 };
   struct gr_crash_context context =
       gr_crash_log_context (steps->crash_log, "", gr_task_job (task)->spec->id,
                             steps->now_ms - RELATED_MS, steps->now_ms);
 
-  return steps->now_ms - steps->created_ms < RELATED_MS
-         || context.unsuspected + count_lost_workers (steps)
-                >= MIN_UNSUSPECTED_CRASHES;
+  if (steps->now_ms - steps->created_ms < RELATED_MS)
+    return true;
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      const struct worker *worker = steps->worker_rows->pdata[i];
+
+      if (worker->registered && !worker->reachable && !worker->crash_noted
+          && steps->now_ms - worker->unreachable_ms < RELATED_MS)
+        add_lost_worker (steps, worker, &lost);
+    }
+  return is_wave (&context, &lost, true);
 }
 
 bool
--- a/steps/crash-log.c
+++ b/steps/crash-log.c
@@ -6,7 +6,7 @@
 {
   char *worker;
   char **jobs;
-  bool suspected;
+  enum gr_crash_suspicion suspicion;
   int64_t at_ms;
 };
 
@@ -47,14 +47,14 @@
 gr_crash_log_add (struct gr_crash_log *log,
                   const char *worker,
                   const char *const *jobs,
-                  bool suspected,
+                  enum gr_crash_suspicion suspicion,
                   int64_t at_ms)
 {
   struct crash *crash = g_new0 (struct crash, 1);
 
   crash->worker = g_strdup (worker);
   crash->jobs = g_strdupv ((char **)jobs);
-  crash->suspected = suspected;
+  crash->suspicion = suspicion;
   crash->at_ms = at_ms;
   g_ptr_array_add (log->crashes, crash);
 }
@@ -79,8 +79,10 @@
           || g_strv_contains ((const char *const *)crash->jobs, job))
         continue;
       context.others++;
-      if (!crash->suspected)
+      if (crash->suspicion == GR_CRASH_UNSUSPECTED)
         context.unsuspected++;
+      else if (crash->suspicion == GR_CRASH_NEW_RUN)
+        context.new_runs++;
     }
   return context;
 }
--- a/steps/crash-log.h
+++ b/steps/crash-log.h
@@ -2,7 +2,6 @@
  * crash. Private to steps/. */
 #pragma once
 
-#include <stdbool.h>
 #include <stdint.h>
 
 /* More say no more, and at a large site a thousand workers can crash at once.
@@ -11,12 +10,20 @@
 
 struct gr_crash_log;
 
+/* What ran on a worker that crashed. */
+enum gr_crash_suspicion
+{
+  GR_CRASH_UNSUSPECTED, /* no run that is likely to have caused it */
+  GR_CRASH_NEW_RUN,     /* a run that had just started */
+  GR_CRASH_SUSPECTED,   /* a run of a task against which crashes count */
+};
+
 /* Crashes of other workers around a crash under a job. */
 struct gr_crash_context
 {
   uint32_t others;      /* of workers without runs of the job */
-  uint32_t unsuspected; /* of these, of workers without a run that is likely to
-                           have caused it */
+  uint32_t unsuspected; /* of these, GR_CRASH_UNSUSPECTED */
+  uint32_t new_runs;    /* of these, GR_CRASH_NEW_RUN */
 };
 
 struct gr_crash_log *gr_crash_log_create (void);
@@ -27,7 +34,7 @@
 void gr_crash_log_add (struct gr_crash_log *log,
                        const char *worker,
                        const char *const *jobs,
-                       bool suspected,
+                       enum gr_crash_suspicion suspicion,
                        int64_t at_ms);
 /* Counts the crashes of other workers than this one from from_ms to to_ms, as
  * seen by the job. Stops at GR_CRASH_MAX_UNSUSPECTED. */
--- a/steps/losses.c
+++ b/steps/losses.c
@@ -68,6 +68,7 @@
 {
   const struct worker *worker = task->worker;
   bool confirmed = gr_crash_is_confirmed (task);
+  int64_t started_ms = task->confirmed_ms;
   /* A process that has restarted confirms stops of runs that it never had. */
   bool stopped = confirmed && task->stop_confirmed_ms != 0
                  && loss->reason != GR_LOSS_RESTARTED;
@@ -77,7 +78,7 @@
   gr_samples_reject (steps, GR_SAMPLE_NOT_DONE);
   gr_task_release (steps, task);
   if (reasons[loss->reason].crashed && !stopped)
-    gr_crash_record (steps, worker, task, confirmed);
+    gr_crash_record (steps, worker, task, confirmed, started_ms);
 }
 
 void
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -514,11 +514,12 @@
 /* Notes a crash of the worker, which was noted before, under a task whose run
  * it ended. It counts once other workers have shown that they did not crash as
  * well. confirmed: the process is known to have received the start of the
- * run. */
+ * run, and started_ms is since when. */
 void gr_crash_record (struct gr_steps *steps,
                       const struct worker *worker,
                       struct task *task,
-                      bool confirmed);
+                      bool confirmed,
+                      int64_t started_ms);
 /* Assesses recent crashes, and fails the jobs of tasks that are likely to crash
  * every worker. */
 void gr_crash_tick (struct gr_steps *steps);
--- a/tests/test-crash-evidence.c
+++ b/tests/test-crash-evidence.c
@@ -151,6 +151,27 @@
 }
 END_TEST
 
+/* As above, if all runs are new because the wave before has just ended. */
+START_TEST (waves_in_quick_succession_fail_no_job)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct steps_model *model = steps_fixture_create (WORKERS, seed);
+      g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+
+      add_innocent_jobs (model, 1, INNOCENT_JOBS);
+      for (uint32_t wave = 0; wave < 12; wave++)
+        {
+          steps_model_run (model, g_rand_int_range (rand, 600, 1100));
+          crash_wave (model, rand, 0);
+        }
+      steps_model_run (model, 90000);
+      check_completed (model, 1, INNOCENT_JOBS);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 /* A limit that only ignores waves would let a task that does crash its workers
  * go on while there are waves. */
 START_TEST (crashing_task_beside_waves_is_given_up)
@@ -213,6 +234,7 @@
   tcase_add_test (waves, waves_of_crashes_fail_no_job);
   tcase_add_test (waves, waves_of_crashes_over_takeovers_fail_no_job);
   tcase_add_test (waves, waves_of_crashes_after_takeovers_fail_no_job);
+  tcase_add_test (waves, waves_in_quick_succession_fail_no_job);
   tcase_add_test (waves, crashing_task_beside_waves_is_given_up);
   tcase_add_test (waves, many_crashing_tasks_fail_no_other_job);
   suite_add_tcase (suite, waves);
