steps: a late report does not dismiss the crash of a task

Callers: a task that crashes its workers was started 8 times (5 allowed), as every other crash under it was dismissed as "not verified". Cause: four workers are asked for a report once. The next start of the task takes one of them down before it answers, and three reports never suffice. Workers are asked in place of those that have not answered within 100 ms, as long as the crash is not verified.

--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -3,6 +3,8 @@
 #include "common/log.h"
 #include "steps/losses.h"
 
+#include <string.h>
+
 /* A crash under a task counts against it only if nothing else explains it:
  * neither a common cause, by which other workers crashed at the same time, nor
  * another task on the same worker that is more likely to have caused it. */
@@ -134,27 +136,35 @@
   return task->crashes > task->early_crashes ? BLAME_NEW : BLAME_OLD;
 }
 
-/* Other workers show whether they crashed as well. */
+/* Other workers show whether they crashed as well. Those whose requested report
+ * is late may have crashed themselves, so that further ones are asked. */
 static void
-request_reports (struct gr_steps *steps, const struct worker *crashed)
+request_reports (struct gr_steps *steps,
+                 const char *crashed,
+                 int64_t at_ms,
+                 uint32_t wanted)
 {
-  uint32_t wanted = MIN_REPORTS;
   guint first = 0;
 
   while (first < steps->worker_rows->len
-         && steps->worker_rows->pdata[first] != crashed)
+         && strcmp (((struct worker *)steps->worker_rows->pdata[first])->id,
+                    crashed)
+                <= 0)
     first++;
-  for (guint i = 1; i < steps->worker_rows->len && wanted > 0; i++)
+  for (guint i = 0; i < steps->worker_rows->len && wanted > 0; i++)
     {
       struct worker *worker =
           steps->worker_rows->pdata[(first + i) % steps->worker_rows->len];
 
       if (!worker->registered || !worker->reachable || worker->draining
-          || worker->closed)
+          || worker->closed || worker->reported_ms >= at_ms
+          || g_str_equal (worker->id, crashed))
+        continue;
+      if (worker->poll_needed
+          && steps->now_ms - worker->poll_requested_ms >= ASSESSMENT_MS)
         continue;
       wanted--;
-      if (!worker->poll_needed)
-        gr_crash_request_poll (steps, worker);
+      gr_crash_request_poll (steps, worker);
     }
 }
 
@@ -180,7 +190,7 @@
   gr_crash_log_add (steps->crash_log, worker->id,
                     (const char *const *)jobs->pdata,
                     worker->blame >= BLAME_NEW, steps->now_ms);
-  request_reports (steps, worker);
+  request_reports (steps, worker->id, steps->now_ms, MIN_REPORTS);
 }
 
 /* True if the crash may count against the task. Lasting tasks run for so long
@@ -415,7 +425,12 @@
       return age_ms >= SETTLING_MS;
     }
   if (age_ms < MAX_ASSESSMENT_MS)
-    return false;
+    {
+      if (age_ms >= ASSESSMENT_MS && evidence.reports < MIN_REPORTS)
+        request_reports (steps, report->worker, report->at_ms,
+                         MIN_REPORTS - evidence.reports);
+      return false;
+    }
   log_assessment (steps, report, "not verified", &evidence);
   dismiss (steps, task, report, &steps->crash_counts.not_verified);
   return true;
