steps: what a crash shows is decided at the time it was noted

Callers: a task that crashes workers which start again under their ids after 0.9 to 1.0 s was started 27 times in 30 s and its job never given up (5 starts allowed); with calls of up to 40 ms, from 0.52 s on. Cause: a crash is noted when the registry shows the new process, and recorded when that process has reported. If the run passed the age of 1 s in between, it was new when the blame of the worker was found and old when it was compared with it, so that the crash counted against no task. Evidence: crash_seen_a_second_after_the_start_counts failed before (27 starts). The age of the run is now that at the time of the noted crash in both places. All 33 tests of steps-crashes and those of crash evidence pass.

--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -93,11 +93,17 @@
   g_array_unref (steps->crash_reports);
 }
 
+static bool
+had_just_started (const struct task *task, int64_t at_ms)
+{
+  return at_ms - task->placed_ms < GR_EARLY_CRASH_MS;
+}
+
 bool
 gr_crash_has_just_started (const struct gr_steps *steps,
                            const struct task *task)
 {
-  return steps->now_ms - task->placed_ms < GR_EARLY_CRASH_MS;
+  return had_just_started (task, steps->now_ms);
 }
 
 bool
@@ -126,11 +132,11 @@
 }
 
 static enum blame
-blame_of (const struct gr_steps *steps, const struct task *task)
+blame_of (const struct task *task, int64_t at_ms)
 {
   if (task->state == TASK_DONE)
     return BLAME_NONE;
-  if (gr_crash_has_just_started (steps, task))
+  if (had_just_started (task, at_ms))
     return task->crashes + task->unconfirmed_crashes > 0 ? BLAME_SUSPECTED
                                                          : BLAME_NEW;
   return task->crashes > task->early_crashes ? BLAME_NEW : BLAME_OLD;
@@ -183,7 +189,7 @@
     {
       const struct task *task = worker->tasks->pdata[i];
 
-      worker->blame = MAX (worker->blame, blame_of (steps, task));
+      worker->blame = MAX (worker->blame, blame_of (task, steps->now_ms));
       g_ptr_array_add (jobs, gr_task_job (task)->spec->id);
     }
   g_ptr_array_add (jobs, NULL);
@@ -193,21 +199,23 @@
   request_reports (steps, worker->id, steps->now_ms, MIN_REPORTS);
 }
 
-/* True if the crash may count against the task. Lasting tasks run for so long
- * that later crashes show nothing. */
+/* True if the crash may count against the task. Its run can be released later
+ * than the crash was noted. Lasting tasks run for so long that later crashes
+ * show nothing. */
 static bool
-is_relevant (const struct gr_steps *steps,
-             const struct worker *worker,
+is_relevant (const struct worker *worker,
              const struct task *task,
              bool confirmed)
 {
+  int64_t at_ms = worker->crashed_ms;
+
   if (task->state == TASK_DONE || (!confirmed && task->possible_starts == 0)
-      || blame_of (steps, task) < worker->blame)
+      || blame_of (task, at_ms) < worker->blame)
     return false;
-  if (gr_crash_has_just_started (steps, task))
+  if (had_just_started (task, at_ms))
     return true;
   return !task->step->spec->lasting
-         && steps->now_ms - task->placed_ms < GR_CRASH_WINDOW_MS;
+         && at_ms - task->placed_ms < GR_CRASH_WINDOW_MS;
 }
 
 static void
@@ -240,13 +248,13 @@
     .unreachable_ms =
         worker->reachable ? worker->crashed_ms : worker->unreachable_ms,
     .confirmed = confirmed,
-    .early = gr_crash_has_just_started (steps, task),
+    .early = had_just_started (task, worker->crashed_ms),
   };
 
   if (gr_job_is_final (job) || worker->draining || worker->closed)
     return;
   task->step->crashed_ms = steps->now_ms;
-  if (!is_relevant (steps, worker, task, confirmed))
+  if (!is_relevant (worker, task, confirmed))
     return;
   gr_task_name (task, report.task);
   g_strlcpy (report.worker, worker->id, sizeof report.worker);
@@ -290,7 +298,7 @@
 is_suspected (const struct gr_steps *steps, const struct worker *worker)
 {
   for (guint i = 0; i < worker->tasks->len; i++)
-    if (blame_of (steps, worker->tasks->pdata[i]) >= BLAME_NEW)
+    if (blame_of (worker->tasks->pdata[i], steps->now_ms) >= BLAME_NEW)
       return true;
   return false;
 }
--- a/tests/test-steps-crashes.c
+++ b/tests/test-steps-crashes.c
@@ -128,6 +128,26 @@
 }
 END_TEST
 
+/* As above, if a crash is noticed within a second after the start, but the run
+ * is released later. */
+START_TEST (crash_seen_a_second_after_the_start_counts)
+{
+  struct steps_model_crash silent = { .after_ms = 10, .silent = true };
+
+  for (silent.down_ms = 500; silent.down_ms <= 1200; silent.down_ms += 20)
+    for (int32_t transit_ms = 0; transit_ms <= 40; transit_ms += 40)
+      {
+        struct steps_model *model = steps_fixture_create (16, 1);
+
+        steps_model_set_faults (model, &(struct steps_model_faults){
+                                           .max_transit_ms = transit_ms });
+        add_crashing_job (model, &steps_plain, 1, &silent);
+        check_given_up (model, 1);
+        steps_fixture_destroy (model);
+      }
+}
+END_TEST
+
 /* As above, if a crash is dismissed because a worker that was asked for a
  * report goes down before it answers. */
 START_TEST (late_report_does_not_dismiss_a_crash)
@@ -944,6 +964,7 @@
   tcase_add_test (crashes, crash_before_the_start_is_answered_counts);
   tcase_add_test (crashes, crash_two_seconds_after_the_start_counts);
   tcase_add_test (crashes, crash_seen_after_the_restart_counts);
+  tcase_add_test (crashes, crash_seen_a_second_after_the_start_counts);
   tcase_add_test (crashes, late_report_does_not_dismiss_a_crash);
   tcase_add_test (crashes, crashing_task_among_many_others_is_given_up);
   tcase_add_test (crashes, crashes_count_over_a_takeover);
