steps: workers that are about to leave are not needed to verify a crash

Callers: beside one to six idle workers that are draining or closed for upkeep, a task that crashes its workers was started 19 times in 30 s and never given up (5 starts allowed), with 2 to 5 other workers. Cause: such workers counted among those that could report after a crash, but are left out when reports are requested. As long as fewer than four others are up, each crash is dismissed as not verified. Evidence: crash_beside_leaving_workers_counts failed before (19 starts). Both places use one condition now.

--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -142,6 +142,14 @@
   return task->crashes > task->early_crashes ? BLAME_NEW : BLAME_OLD;
 }
 
+/* Workers that are about to leave are not polled. */
+static bool
+can_report (const struct worker *worker)
+{
+  return worker->registered && worker->reachable && !worker->draining
+         && !worker->closed;
+}
+
 /* Other workers show whether they crashed as well. Those whose requested report
  * is late may have crashed themselves, so that further ones are asked. */
 static void
@@ -162,8 +170,7 @@
       struct worker *worker =
           steps->worker_rows->pdata[(first + i) % steps->worker_rows->len];
 
-      if (!worker->registered || !worker->reachable || worker->draining
-          || worker->closed || worker->reported_ms >= at_ms
+      if (!can_report (worker) || worker->reported_ms >= at_ms
           || g_str_equal (worker->id, crashed))
         continue;
       if (worker->poll_needed
@@ -319,6 +326,8 @@
         evidence->unreachable++;
       return;
     }
+  if (!can_report (worker))
+    return;
   evidence->possible++;
   if (worker->reported_ms >= report->at_ms)
     evidence->reports++;
--- a/tests/test-steps-crashes.c
+++ b/tests/test-steps-crashes.c
@@ -13,6 +13,11 @@
   .new_id = true,
 };
 
+static const struct steps_model_crash crash_same_id = {
+  .after_ms = 10,
+  .down_ms = 3200,
+};
+
 /* Adds job 1, whose task 0 crashes its workers. */
 static void
 add_crashing_job (struct steps_model *model,
@@ -128,6 +133,32 @@
 }
 END_TEST
 
+/* As above, if a crash counts only once idle workers report that are never
+ * polled because they are draining or closed. */
+START_TEST (crash_beside_leaving_workers_counts)
+{
+  for (uint32_t leaving = 1; leaving <= 6; leaving++)
+    for (uint32_t closed = 0; closed < 2; closed++)
+      {
+        struct steps_model *model = steps_fixture_create (2 + leaving, 1);
+
+        for (uint32_t i = 0; i < leaving; i++)
+          {
+            char id[16];
+
+            g_snprintf (id, sizeof id, "w%03u", i);
+            if (closed == 1)
+              gr_steps_close_worker (steps_model_core (model), id, true);
+            else
+              steps_model_drain_worker (model, i, true);
+          }
+        add_crashing_job (model, &steps_plain, 1, &crash_same_id);
+        check_given_up (model, 1);
+        steps_fixture_destroy (model);
+      }
+}
+END_TEST
+
 /* As above, if a crash is noticed within a second after the start, but the run
  * is released later. */
 START_TEST (crash_seen_a_second_after_the_start_counts)
@@ -964,6 +995,7 @@
   tcase_add_test (crashes, crash_before_the_start_is_answered_counts);
   tcase_add_test (crashes, crash_two_seconds_after_the_start_counts);
   tcase_add_test (crashes, crash_seen_after_the_restart_counts);
+  tcase_add_test (crashes, crash_beside_leaving_workers_counts);
   tcase_add_test (crashes, crash_seen_a_second_after_the_start_counts);
   tcase_add_test (crashes, late_report_does_not_dismiss_a_crash);
   tcase_add_test (crashes, crashing_task_among_many_others_is_given_up);
