steps: the restart of an idle worker does not explain a noticed crash

Callers: beside four idle of 32 workers that start again every 0.6 s, a task that crashes its workers was started 10 times in 48 s (5 allowed). Cause: idle workers are not polled, so their crashes are noticed when they are back, seconds later. That counted as crashes at that moment, as a common cause for a crash that a refused poll has shown, and kept the hold of the task up until it expires. Evidence: restarts_of_idle_workers_do_not_hide_a_crashing_task failed before. Such crashes count now only beside a crash that was noticed in the same way.

--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -71,6 +71,7 @@
   int64_t at_ms;
   int64_t unreachable_ms; /* since when the worker was not reachable; at_ms if
                              it was */
+  bool restarted;         /* noticed only when the worker was back */
   bool confirmed;         /* the process is known to have received the start */
   bool early;
   bool counted; /* as evidence; a later crash of others can still dismiss it */
@@ -182,7 +183,9 @@
 }
 
 void
-gr_crash_note_worker (struct gr_steps *steps, struct worker *worker)
+gr_crash_note_worker (struct gr_steps *steps,
+                      struct worker *worker,
+                      bool restarted)
 {
   g_autoptr (GPtrArray) jobs = NULL;
 
@@ -190,6 +193,7 @@
     return;
   worker->crash_noted = true;
   worker->crashed_ms = steps->now_ms;
+  worker->crash_restarted = restarted;
   worker->blame = BLAME_NONE;
   jobs = g_ptr_array_new ();
   for (guint i = 0; i < worker->tasks->len; i++)
@@ -202,7 +206,7 @@
   g_ptr_array_add (jobs, NULL);
   gr_crash_log_add (steps->crash_log, worker->id,
                     (const char *const *)jobs->pdata,
-                    worker->blame >= BLAME_NEW, steps->now_ms);
+                    worker->blame >= BLAME_NEW, restarted, steps->now_ms);
   request_reports (steps, worker->id, steps->now_ms, MIN_REPORTS);
 }
 
@@ -254,6 +258,7 @@
     .at_ms = worker->crashed_ms,
     .unreachable_ms =
         worker->reachable ? worker->crashed_ms : worker->unreachable_ms,
+    .restarted = worker->crash_restarted,
     .confirmed = confirmed,
     .early = had_just_started (task, worker->crashed_ms),
   };
@@ -422,7 +427,8 @@
 
   evidence.context = gr_crash_log_context (
       steps->crash_log, report->worker, gr_task_job (task)->spec->id,
-      report->at_ms - RELATED_MS, report->at_ms + SETTLING_MS);
+      report->restarted, report->at_ms - RELATED_MS,
+      report->at_ms + SETTLING_MS);
   if (!report->counted && age_ms >= ASSESSMENT_MS)
     for (guint i = 0; i < steps->worker_rows->len; i++)
       add_worker (steps, steps->worker_rows->pdata[i], report, &evidence);
@@ -543,7 +549,7 @@
 {
   struct gr_crash_context context =
       gr_crash_log_context (steps->crash_log, "", gr_task_job (task)->spec->id,
-                            steps->now_ms - RELATED_MS, steps->now_ms);
+                            false, steps->now_ms - RELATED_MS, steps->now_ms);
 
   return steps->now_ms - steps->created_ms < RELATED_MS
          || context.unsuspected + count_lost_workers (steps)
--- a/steps/crash-log.c
+++ b/steps/crash-log.c
@@ -7,6 +7,7 @@
   char *worker;
   char **jobs;
   bool suspected;
+  bool restarted;
   int64_t at_ms;
 };
 
@@ -48,6 +49,7 @@
                   const char *worker,
                   const char *const *jobs,
                   bool suspected,
+                  bool restarted,
                   int64_t at_ms)
 {
   struct crash *crash = g_new0 (struct crash, 1);
@@ -55,6 +57,7 @@
   crash->worker = g_strdup (worker);
   crash->jobs = g_strdupv ((char **)jobs);
   crash->suspected = suspected;
+  crash->restarted = restarted;
   crash->at_ms = at_ms;
   g_ptr_array_add (log->crashes, crash);
 }
@@ -63,6 +66,7 @@
 gr_crash_log_context (const struct gr_crash_log *log,
                       const char *worker,
                       const char *job,
+                      bool restarted,
                       int64_t from_ms,
                       int64_t to_ms)
 {
@@ -73,6 +77,7 @@
       const struct crash *crash = log->crashes->pdata[i];
 
       if (crash->at_ms < from_ms || crash->at_ms > to_ms
+          || (crash->restarted && !restarted)
           || g_str_equal (crash->worker, worker)
           || g_strv_contains ((const char *const *)crash->jobs, job))
         continue;
--- a/steps/losses.c
+++ b/steps/losses.c
@@ -86,7 +86,7 @@
                      const struct gr_loss *loss)
 {
   if (reasons[loss->reason].crashed)
-    gr_crash_note_worker (steps, worker);
+    gr_crash_note_worker (steps, worker, false);
   while (worker->tasks->len > 0)
     {
       struct task *task = worker->tasks->pdata[worker->tasks->len - 1];
@@ -132,7 +132,7 @@
                        const struct gr_loss *loss)
 {
   if (reasons[loss->reason].crashed)
-    gr_crash_note_worker (steps, worker);
+    gr_crash_note_worker (steps, worker, false);
   for (guint i = worker->tasks->len; i-- > 0;)
     {
       struct task *task;
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -41,8 +41,9 @@
   int64_t poll_requested_ms; /* time at which poll_needed was last set */
   int64_t reported_ms;       /* when the poll with the last report was sent; 0:
                                 never */
-  bool crash_noted;   /* since its last report; see gr_crash_note_worker () */
-  int64_t crashed_ms; /* when its last crash was noted */
+  bool crash_noted;     /* since its last report; see gr_crash_note_worker () */
+  int64_t crashed_ms;   /* when its last crash was noted */
+  bool crash_restarted; /* that crash was noticed only when it was back */
   int64_t unreachable_ms; /* since when it is not reachable; 0: it is */
   uint32_t blame;         /* least blame level of runs that its crash counts
                               against; see crash-evidence.c */
@@ -492,9 +493,12 @@
 /* Tasks that crash their workers. */
 
 /* Notes that the process of the worker has ended, before its runs are released.
+ * restarted: this shows only because a new process has taken its place.
  * Does nothing if that was noted since its last report, or if it was leaving.
  */
-void gr_crash_note_worker (struct gr_steps *steps, struct worker *worker);
+void gr_crash_note_worker (struct gr_steps *steps,
+                           struct worker *worker,
+                           bool restarted);
 /* Notes a crash of the worker, which was noted before, under a task whose run
  * it ended. It counts once other workers have shown that they did not crash as
  * well. confirmed: the process is known to have received the start of the
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -124,7 +124,7 @@
                    int64_t observed_ms)
 {
   log_restart (steps, worker, incarnation_unix_ms, observed_ms);
-  gr_crash_note_worker (steps, worker);
+  gr_crash_note_worker (steps, worker, true);
   worker->incarnation_unix_ms = incarnation_unix_ms;
   worker->processed_end = 0;
   worker->durable_end = 0;
@@ -458,7 +458,7 @@
   if (worker == NULL)
     return;
   steps->now_ms = now_ms;
-  gr_crash_note_worker (steps, worker);
+  gr_crash_note_worker (steps, worker, false);
   if (worker->polled && worker->tasks->len == 0)
     return;
   gr_log_event ("worker-gone", "worker", id, "observed_ms",
--- a/tests/test-crash-evidence.c
+++ b/tests/test-crash-evidence.c
@@ -177,6 +177,26 @@
 }
 END_TEST
 
+/* Idle workers whose crash was noticed only when they were back, at a time of
+ * its own, explained each crash under a task that crashes its workers. */
+START_TEST (restarts_of_idle_workers_do_not_hide_a_crashing_task)
+{
+  const struct steps_model_crash crash = { .down_ms = 200, .unnoticed = true };
+  struct steps_model *model = steps_fixture_create (WORKERS, 1);
+
+  for (uint32_t i = 0; i < 80; i++)
+    {
+      if (i == 4)
+        add_crashing_jobs (model, 1, 1);
+      for (uint32_t k = 0; k < 4; k++)
+        steps_model_crash_worker (model, 16 + i % 4 * 4 + k, &crash);
+      steps_model_run (model, 600);
+    }
+  check_given_up (model, 1, 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -190,6 +210,7 @@
   tcase_add_test (waves, waves_of_crashes_over_takeovers_fail_no_job);
   tcase_add_test (waves, crashing_task_beside_waves_is_given_up);
   tcase_add_test (waves, many_crashing_tasks_fail_no_other_job);
+  tcase_add_test (waves, restarts_of_idle_workers_do_not_hide_a_crashing_task);
   suite_add_tcase (suite, waves);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
