steps: no start while a crash is assessed that can give the task up

Callers: a task that crashes its workers two seconds after each start was started six times (5 allowed) if the owner changed before one of the crashes was assessed. Cause: the successor does not count a crash that was not assessed yet, so the fifth one decides. Only early crashes held a start back during the assessment, and the sixth start was made meanwhile.

--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -564,6 +564,10 @@
 
   if (gr_crash_is_proven (task))
     return true;
+  if (task->crashes_unassessed > 0
+      && task->crashes + task->unconfirmed_crashes + task->crashes_unassessed
+             >= MAX_CRASHES)
+    return true;
   if (early < SUSPECTED_EARLY_CRASHES)
     return false;
   if (task->crashes_unassessed > 0)
--- a/tests/test-steps-crashes.c
+++ b/tests/test-steps-crashes.c
@@ -278,6 +278,27 @@
 }
 END_TEST
 
+/* As above, if a task is started once more while its last crash is not assessed
+ * yet. */
+START_TEST (crashes_of_running_tasks_count_over_a_takeover)
+{
+  struct steps_model_crash later = crash_same_id;
+
+  later.after_ms = 2000;
+  for (int64_t after_ms = 20; after_ms <= 6000; after_ms += 60)
+    {
+      struct steps_model *model = steps_fixture_create (5, 1);
+
+      steps_model_run (model, 500);
+      add_crashing_job (model, &steps_plain, 1, &later);
+      steps_model_run (model, after_ms);
+      steps_model_new_owner (model);
+      check_given_up (model, 1);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 /* As above, if a crash counts only once it is durable. */
 START_TEST (crashes_count_while_the_store_is_away)
 {
@@ -1002,6 +1023,7 @@
   tcase_add_test (crashes, crashes_count_over_a_takeover);
   tcase_add_test (crashes, crashes_count_over_several_takeovers);
   tcase_add_test (crashes, crashes_of_adopted_runs_count);
+  tcase_add_test (crashes, crashes_of_running_tasks_count_over_a_takeover);
   tcase_add_test (crashes, crashes_count_while_the_store_is_away);
   tcase_add_test (crashes, lasting_task_that_crashes_workers_is_given_up);
   tcase_add_test (crashes, work_beside_a_crashing_task_completes);
