steps: a task that lost a worker is kept apart for a bounded time

Cause: a suspected task starts only where no task of another job has just started, and each start of another job renews that. Evidence: task_that_lost_a_worker_starts_beside_short_tasks failed before. Suspected tasks are kept apart from all others for 2 s after a crash, later only from other suspected ones, as before.

--- a/steps/crashes.c
+++ b/steps/crashes.c
@@ -14,6 +14,11 @@
  * asked as well, as a poll of a worker that is cut off takes 350 ms. */
 #define REPORT_WAIT_MS 100
 
+/* Suspected tasks are kept apart from all others for this time after a crash,
+ * later only from each other. A task for which there is room must run within
+ * 3 s. */
+#define MAX_APART_MS 2000
+
 /* Polls are charged. A gang needs up to 8 workers. */
 #define MAX_REPORTS_REQUESTED 8
 
@@ -85,11 +90,14 @@
                       const struct step *step,
                       const struct worker *worker)
 {
+  bool from_all =
+      step->suspected && steps->now_ms - step->crashed_ms < MAX_APART_MS;
+
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       const struct task *task = worker->tasks->pdata[i];
 
-      if ((step->suspected || task->step->suspected)
+      if ((from_all || task->step->suspected)
           && gr_crash_has_just_started (steps, task)
           && gr_task_job (task) != gr_step_job (step))
         return true;
--- a/tests/test-steps-crashes.c
+++ b/tests/test-steps-crashes.c
@@ -381,6 +381,31 @@
 }
 END_TEST
 
+/* A task that lost a worker waited without end for one on which no other task
+ * had just started, although most slots were free. */
+START_TEST (task_that_lost_a_worker_starts_beside_short_tasks)
+{
+  for (int64_t every_ms = 100; every_ms <= 300; every_ms += 100)
+    {
+      struct steps_model *model = steps_fixture_create (1, 1);
+      struct gr_step_spec one = steps_plain;
+
+      one.count = 1;
+      steps_model_add_job (model, 1, "batch", "a", &one, 1, 4000);
+      steps_model_run (model, 400);
+      steps_model_crash_worker (model, 0,
+                                &(struct steps_model_crash){ .down_ms = 1500 });
+      for (uint32_t i = 0; i < 8000 / every_ms; i++)
+        {
+          steps_model_add_job (model, i + 2, "normal", "b", &one, 1, 300);
+          steps_model_run (model, every_ms);
+        }
+      ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 /* The worker that has started a run of job 1 since the last call. */
 static uint32_t
 worker_with_starts (struct steps_model *model, uint32_t workers, uint32_t *seen)
@@ -1029,6 +1054,7 @@
   tcase_add_test (crashes, work_beside_a_crashing_task_completes);
   tcase_add_test (crashes,
                   work_beside_a_crashing_task_on_full_workers_completes);
+  tcase_add_test (crashes, task_that_lost_a_worker_starts_beside_short_tasks);
   tcase_add_test (crashes, long_task_outlives_crashes_that_it_does_not_cause);
   tcase_add_test (crashes, workers_that_crash_by_themselves_fail_no_job);
   tcase_add_test (crashes, workers_that_leave_fail_no_job);
