--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -3,6 +3,8 @@
 #include "common/log.h"
 #include "steps/losses.h"
 
+#include <string.h>
+
 /* A crash under a task counts against it only if nothing else explains it:
  * neither a common cause, by which other workers crashed at the same time, nor
  * another task on the same worker that is more likely to have caused it. */
@@ -74,6 +76,7 @@
   int64_t at_ms;
   int64_t unreachable_ms; /* since when the worker was not reachable; at_ms if
                              it was */
+  bool restarted;         /* noticed only when the worker was back */
   bool confirmed;         /* the process is known to have received the start */
   bool early;
   bool immediate; /* the connection was lost right after the start */
@@ -98,11 +101,17 @@
 }
 
 /* It is not known when an adopted run has started. */
+static bool
+had_just_started (const struct task *task, int64_t at_ms)
+{
+  return !task->adopted && at_ms - task->placed_ms < GR_EARLY_CRASH_MS;
+}
+
 bool
 gr_crash_has_just_started (const struct gr_steps *steps,
                            const struct task *task)
 {
-  return !task->adopted && steps->now_ms - task->placed_ms < GR_EARLY_CRASH_MS;
+  return had_just_started (task, steps->now_ms);
 }
 
 bool
@@ -131,11 +140,11 @@
 }
 
 static enum blame
-blame_of (const struct gr_steps *steps, const struct task *task)
+blame_of (const struct task *task, int64_t at_ms)
 {
   if (task->state == TASK_DONE)
     return BLAME_NONE;
-  if (gr_crash_has_just_started (steps, task))
+  if (had_just_started (task, at_ms))
     return task->crashes + task->unconfirmed_crashes > 0 ? BLAME_SUSPECTED
                                                          : BLAME_NEW;
   return task->crashes > task->early_crashes ? BLAME_NEW : BLAME_OLD;
@@ -150,7 +159,7 @@
     {
       const struct task *task = worker->tasks->pdata[i];
 
-      if (blame_of (steps, task) < BLAME_NEW)
+      if (blame_of (task, steps->now_ms) < BLAME_NEW)
         continue;
       if (task->crashes + task->unconfirmed_crashes > 0)
         return GR_CRASH_SUSPECTED;
@@ -159,32 +168,49 @@
   return suspicion;
 }
 
-/* Other workers show whether they crashed as well. */
+/* Workers that are about to leave are not polled. */
+static bool
+can_report (const struct worker *worker)
+{
+  return worker->registered && worker->reachable && !worker->draining
+         && !worker->closed;
+}
+
+/* Other workers show whether they crashed as well. Those whose requested report
+ * is late may have crashed themselves, so that further ones are asked. */
 static void
-request_reports (struct gr_steps *steps, const struct worker *crashed)
+request_reports (struct gr_steps *steps,
+                 const char *crashed,
+                 int64_t at_ms,
+                 uint32_t wanted)
 {
-  uint32_t wanted = MIN_REPORTS;
   guint first = 0;
 
   while (first < steps->worker_rows->len
-         && steps->worker_rows->pdata[first] != crashed)
+         && strcmp (((struct worker *)steps->worker_rows->pdata[first])->id,
+                    crashed)
+                <= 0)
     first++;
-  for (guint i = 1; i < steps->worker_rows->len && wanted > 0; i++)
+  for (guint i = 0; i < steps->worker_rows->len && wanted > 0; i++)
     {
       struct worker *worker =
           steps->worker_rows->pdata[(first + i) % steps->worker_rows->len];
 
-      if (!worker->registered || !worker->reachable || worker->draining
-          || worker->closed)
+      if (!can_report (worker) || worker->reported_ms >= at_ms
+          || g_str_equal (worker->id, crashed))
+        continue;
+      if (worker->poll_needed
+          && steps->now_ms - worker->poll_requested_ms >= ASSESSMENT_MS)
         continue;
       wanted--;
-      if (!worker->poll_needed)
-        gr_crash_request_poll (steps, worker);
+      gr_crash_request_poll (steps, worker);
     }
 }
 
 void
-gr_crash_note_worker (struct gr_steps *steps, struct worker *worker)
+gr_crash_note_worker (struct gr_steps *steps,
+                      struct worker *worker,
+                      bool restarted)
 {
   g_autoptr (GPtrArray) jobs = NULL;
 
@@ -192,37 +218,40 @@
     return;
   worker->crash_noted = true;
   worker->crashed_ms = steps->now_ms;
+  worker->crash_restarted = restarted;
   worker->blame = BLAME_NONE;
   jobs = g_ptr_array_new ();
   for (guint i = 0; i < worker->tasks->len; i++)
     {
       const struct task *task = worker->tasks->pdata[i];
 
-      worker->blame = MAX (worker->blame, blame_of (steps, task));
+      worker->blame = MAX (worker->blame, blame_of (task, steps->now_ms));
       g_ptr_array_add (jobs, gr_task_job (task)->spec->id);
     }
   g_ptr_array_add (jobs, NULL);
   gr_crash_log_add (steps->crash_log, worker->id,
                     (const char *const *)jobs->pdata,
-                    suspicion_of (steps, worker), steps->now_ms);
-  request_reports (steps, worker);
+                    suspicion_of (steps, worker), restarted, steps->now_ms);
+  request_reports (steps, worker->id, steps->now_ms, MIN_REPORTS);
 }
 
-/* True if the crash may count against the task. Lasting tasks run for so long
- * that later crashes show nothing. */
+/* True if the crash may count against the task. Its run can be released later
+ * than the crash was noted. Lasting tasks run for so long that later crashes
+ * show nothing. */
 static bool
-is_relevant (const struct gr_steps *steps,
-             const struct worker *worker,
+is_relevant (const struct worker *worker,
              const struct task *task,
              bool confirmed)
 {
+  int64_t at_ms = worker->crashed_ms;
+
   if (task->state == TASK_DONE || (!confirmed && task->possible_starts == 0)
-      || blame_of (steps, task) < worker->blame)
+      || blame_of (task, at_ms) < worker->blame)
     return false;
-  if (gr_crash_has_just_started (steps, task))
+  if (had_just_started (task, at_ms))
     return true;
   return !task->step->spec->lasting
-         && steps->now_ms - task->placed_ms < GR_CRASH_WINDOW_MS;
+         && at_ms - task->placed_ms < GR_CRASH_WINDOW_MS;
 }
 
 static void
@@ -255,8 +284,9 @@
     .at_ms = worker->crashed_ms,
     .unreachable_ms =
         worker->reachable ? worker->crashed_ms : worker->unreachable_ms,
+    .restarted = worker->crash_restarted,
     .confirmed = confirmed,
-    .early = gr_crash_has_just_started (steps, task),
+    .early = had_just_started (task, worker->crashed_ms),
   };
 
   if (gr_job_is_final (job) || worker->draining || worker->closed)
@@ -264,7 +294,7 @@
   task->step->crashed_ms = steps->now_ms;
   report.immediate =
       !confirmed || report.unreachable_ms - started_ms <= IMMEDIATE_CRASH_MS;
-  if (!is_relevant (steps, worker, task, confirmed))
+  if (!is_relevant (worker, task, confirmed))
     return;
   gr_task_name (task, report.task);
   g_strlcpy (report.worker, worker->id, sizeof report.worker);
@@ -350,6 +380,8 @@
         add_lost_worker (steps, worker, &evidence->lost);
       return;
     }
+  if (!can_report (worker))
+    return;
   evidence->possible++;
   if (worker->reported_ms >= report->at_ms)
     evidence->reports++;
@@ -439,7 +471,8 @@
 
   evidence.context = gr_crash_log_context (
       steps->crash_log, report->worker, gr_task_job (task)->spec->id,
-      report->at_ms - RELATED_MS, report->at_ms + SETTLING_MS);
+      report->restarted, report->at_ms - RELATED_MS,
+      report->at_ms + SETTLING_MS);
   if (!report->counted && age_ms >= ASSESSMENT_MS)
     for (guint i = 0; i < steps->worker_rows->len; i++)
       add_worker (steps, steps->worker_rows->pdata[i], report, &evidence);
@@ -460,7 +493,12 @@
       return age_ms >= SETTLING_MS;
     }
   if (age_ms < MAX_ASSESSMENT_MS)
-    return false;
+    {
+      if (age_ms >= ASSESSMENT_MS && evidence.reports < MIN_REPORTS)
+        request_reports (steps, report->worker, report->at_ms,
+                         MIN_REPORTS - evidence.reports);
+      return false;
+    }
   log_assessment (steps, report, "not verified", &evidence);
   dismiss (steps, task, report, &steps->crash_counts.not_verified);
   return true;
@@ -540,7 +578,7 @@
   struct lost_workers lost = { 0 };
   struct gr_crash_context context =
       gr_crash_log_context (steps->crash_log, "", gr_task_job (task)->spec->id,
-                            steps->now_ms - RELATED_MS, steps->now_ms);
+                            false, steps->now_ms - RELATED_MS, steps->now_ms);
 
   if (steps->now_ms - steps->created_ms < RELATED_MS)
     return true;
@@ -563,6 +601,10 @@
 
   if (gr_crash_is_proven (task))
     return true;
+  if (task->crashes_unassessed > 0
+      && task->crashes + task->unconfirmed_crashes + task->crashes_unassessed
+             >= MAX_CRASHES)
+    return true;
   if (early < SUSPECTED_EARLY_CRASHES)
     return false;
   if (task->crashes_unassessed > 0)
--- a/steps/crash-log.h
+++ b/steps/crash-log.h
@@ -2,6 +2,7 @@
  * crash. Private to steps/. */
 #pragma once
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* More say no more, and at a large site a thousand workers can crash at once.
@@ -29,18 +30,21 @@
 struct gr_crash_log *gr_crash_log_create (void);
 void gr_crash_log_destroy (struct gr_crash_log *log);
 /* Adds the crash of a worker on which the jobs had runs; jobs is an array of
- * ids that ends with NULL. suspected: one of these runs is likely to have
- * caused it. */
+ * ids that ends with NULL. restarted: it was noticed only when the worker was
+ * back, so that it crashed at some time before at_ms. */
 void gr_crash_log_add (struct gr_crash_log *log,
                        const char *worker,
                        const char *const *jobs,
                        enum gr_crash_suspicion suspicion,
+                       bool restarted,
                        int64_t at_ms);
 /* Counts the crashes of other workers than this one from from_ms to to_ms, as
- * seen by the job. Stops at GR_CRASH_MAX_UNSUSPECTED. */
+ * seen by the job; those that were noticed by a restart only if restarted is
+ * true. Stops at GR_CRASH_MAX_UNSUSPECTED. */
 struct gr_crash_context gr_crash_log_context (const struct gr_crash_log *log,
                                               const char *worker,
                                               const char *job,
+                                              bool restarted,
                                               int64_t from_ms,
                                               int64_t to_ms);
 /* Removes crashes before the time. */
--- a/tests/test-steps-crashes.c
+++ b/tests/test-steps-crashes.c
@@ -13,6 +13,11 @@
   .new_id = true,
 };
 
+static const struct steps_model_crash crash_same_id = {
+  .after_ms = 10,
+  .down_ms = 3200,
+};
+
 /* Adds job 1, whose task 0 crashes its workers. */
 static void
 add_crashing_job (struct steps_model *model,
@@ -128,6 +133,69 @@
 }
 END_TEST
 
+/* As above, if a crash counts only once idle workers report that are never
+ * polled because they are draining or closed. */
+START_TEST (crash_beside_leaving_workers_counts)
+{
+  for (uint32_t leaving = 1; leaving <= 6; leaving++)
+    for (uint32_t closed = 0; closed < 2; closed++)
+      {
+        struct steps_model *model = steps_fixture_create (2 + leaving, 1);
+
+        for (uint32_t i = 0; i < leaving; i++)
+          {
+            char id[16];
+
+            g_snprintf (id, sizeof id, "w%03u", i);
+            if (closed == 1)
+              gr_steps_close_worker (steps_model_core (model), id, true);
+            else
+              steps_model_drain_worker (model, i, true);
+          }
+        add_crashing_job (model, &steps_plain, 1, &crash_same_id);
+        check_given_up (model, 1);
+        steps_fixture_destroy (model);
+      }
+}
+END_TEST
+
+/* As above, if a crash is noticed within a second after the start, but the run
+ * is released later. */
+START_TEST (crash_seen_a_second_after_the_start_counts)
+{
+  struct steps_model_crash silent = { .after_ms = 10, .silent = true };
+
+  for (silent.down_ms = 500; silent.down_ms <= 1200; silent.down_ms += 20)
+    for (int32_t transit_ms = 0; transit_ms <= 40; transit_ms += 40)
+      {
+        struct steps_model *model = steps_fixture_create (16, 1);
+
+        steps_model_set_faults (model, &(struct steps_model_faults){
+                                           .max_transit_ms = transit_ms });
+        add_crashing_job (model, &steps_plain, 1, &silent);
+        check_given_up (model, 1);
+        steps_fixture_destroy (model);
+      }
+}
+END_TEST
+
+/* As above, if a crash is dismissed because a worker that was asked for a
+ * report goes down before it answers. */
+START_TEST (late_report_does_not_dismiss_a_crash)
+{
+  struct steps_model_crash silent = { .after_ms = 10, .silent = true };
+
+  for (silent.down_ms = 1020; silent.down_ms <= 1400; silent.down_ms += 20)
+    {
+      struct steps_model *model = steps_fixture_create (16, 1);
+
+      add_crashing_job (model, &steps_plain, 1, &silent);
+      check_given_up (model, 1);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 /* Jobs 2 to n + 1, of 20 tasks each. */
 static void
 add_innocent_jobs (struct steps_model *model, uint32_t n, int64_t work_ms)
@@ -210,6 +278,27 @@
 }
 END_TEST
 
+/* As above, if a task is started once more while its last crash is not assessed
+ * yet. */
+START_TEST (crashes_of_running_tasks_count_over_a_takeover)
+{
+  struct steps_model_crash later = crash_same_id;
+
+  later.after_ms = 2000;
+  for (int64_t after_ms = 20; after_ms <= 6000; after_ms += 60)
+    {
+      struct steps_model *model = steps_fixture_create (5, 1);
+
+      steps_model_run (model, 500);
+      add_crashing_job (model, &steps_plain, 1, &later);
+      steps_model_run (model, after_ms);
+      steps_model_new_owner (model);
+      check_given_up (model, 1);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 /* As above, if a crash counts only once it is durable. */
 START_TEST (crashes_count_while_the_store_is_away)
 {
@@ -292,6 +381,31 @@
 }
 END_TEST
 
+/* A task that lost a worker waited without end for one on which no other task
+ * had just started, although most slots were free. */
+START_TEST (task_that_lost_a_worker_starts_beside_short_tasks)
+{
+  for (int64_t every_ms = 100; every_ms <= 300; every_ms += 100)
+    {
+      struct steps_model *model = steps_fixture_create (1, 1);
+      struct gr_step_spec one = steps_plain;
+
+      one.count = 1;
+      steps_model_add_job (model, 1, "batch", "a", &one, 1, 4000);
+      steps_model_run (model, 400);
+      steps_model_crash_worker (model, 0,
+                                &(struct steps_model_crash){ .down_ms = 1500 });
+      for (uint32_t i = 0; i < 8000 / every_ms; i++)
+        {
+          steps_model_add_job (model, i + 2, "normal", "b", &one, 1, 300);
+          steps_model_run (model, every_ms);
+        }
+      ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 /* The worker that has started a run of job 1 since the last call. */
 static uint32_t
 worker_with_starts (struct steps_model *model, uint32_t workers, uint32_t *seen)
@@ -927,15 +1041,20 @@
   tcase_add_test (crashes, crash_before_the_start_is_answered_counts);
   tcase_add_test (crashes, crash_two_seconds_after_the_start_counts);
   tcase_add_test (crashes, crash_seen_after_the_restart_counts);
+  tcase_add_test (crashes, crash_beside_leaving_workers_counts);
+  tcase_add_test (crashes, crash_seen_a_second_after_the_start_counts);
+  tcase_add_test (crashes, late_report_does_not_dismiss_a_crash);
   tcase_add_test (crashes, crashing_task_among_many_others_is_given_up);
   tcase_add_test (crashes, crashes_count_over_a_takeover);
   tcase_add_test (crashes, crashes_count_over_several_takeovers);
   tcase_add_test (crashes, crashes_of_adopted_runs_count);
+  tcase_add_test (crashes, crashes_of_running_tasks_count_over_a_takeover);
   tcase_add_test (crashes, crashes_count_while_the_store_is_away);
   tcase_add_test (crashes, lasting_task_that_crashes_workers_is_given_up);
   tcase_add_test (crashes, work_beside_a_crashing_task_completes);
   tcase_add_test (crashes,
                   work_beside_a_crashing_task_on_full_workers_completes);
+  tcase_add_test (crashes, task_that_lost_a_worker_starts_beside_short_tasks);
   tcase_add_test (crashes, long_task_outlives_crashes_that_it_does_not_cause);
   tcase_add_test (crashes, workers_that_crash_by_themselves_fail_no_job);
   tcase_add_test (crashes, workers_that_leave_fail_no_job);
