steps, instance: more than eight failed runs of a task are remembered

On a queue that permits more than eight failures, a job could be shown as failed one or more failures too early: a failed end that its worker had not been told to forget was reported again to the next owner, and counted again.

A task remembered its last eight failed runs to recognize such ends. It now remembers up to 64, in a list that grows with each failure, as the platform sets no bound for max-attempts. Records of tasks with up to eight failures are the same as before, and earlier records can be read; an earlier version that reads a longer list counts the failures but does not know their runs.

The test of the records has a task with ten failures now.

--- a/instance/records.c
+++ b/instance/records.c
@@ -226,6 +226,33 @@
   return spec;
 }
 
+/* Earlier versions accept exactly this number of failed runs. */
+#define MIN_PACKED_FAILED_RUNS 8
+
+static void
+pack_failed_runs (struct gr_packer *packer, const struct gr_task_progress *task)
+{
+  uint32_t runs[MAX (GR_MAX_FAILED_RUNS, MIN_PACKED_FAILED_RUNS)] = { 0 };
+  uint32_t n = gr_failed_runs_kept (task->failures);
+
+  memcpy (runs, task->failed_runs, n * sizeof *runs);
+  gr_pack_bytes (packer, "r", runs,
+                 MAX (n, MIN_PACKED_FAILED_RUNS) * sizeof *runs);
+}
+
+/* Runs that the record lacks are unknown. */
+static void
+unpack_failed_runs (const msgpack_object *map, struct gr_task_progress *task)
+{
+  size_t n_bytes = gr_failed_runs_kept (task->failures) * sizeof (uint32_t);
+  size_t size;
+  const char *runs = gr_unpack_bytes (map, "r", &size);
+
+  task->failed_runs = g_malloc0 (n_bytes);
+  if (runs != NULL && n_bytes > 0)
+    memcpy (task->failed_runs, runs, MIN (size, n_bytes));
+}
+
 static struct gr_packer *
 pack_task (const struct gr_task_progress *task)
 {
@@ -237,7 +264,7 @@
   pack_bool_if_set (packer, "d", task->done);
   pack_int_if_set (packer, "f", task->failures);
   if (task->failures > 0)
-    gr_pack_bytes (packer, "r", task->failed_runs, sizeof task->failed_runs);
+    pack_failed_runs (packer, task);
   pack_int_if_set (packer, "k", task->crashes);
   pack_int_if_set (packer, "e", task->early_crashes);
   pack_int_if_set (packer, "u", task->unconfirmed_crashes);
@@ -264,8 +291,6 @@
 unpack_task (const msgpack_object *map, struct gr_task_progress *task)
 {
   g_autofree char *checkpoint = gr_unpack_string (map, "c");
-  const char *runs;
-  size_t size;
 
   task->occurrence = unpack_uint (map, "o");
   task->step = unpack_uint (map, "s");
@@ -275,9 +300,7 @@
   task->crashes = unpack_uint (map, "k");
   task->early_crashes = unpack_uint (map, "e");
   task->unconfirmed_crashes = unpack_uint (map, "u");
-  runs = gr_unpack_bytes (map, "r", &size);
-  if (runs != NULL && size == sizeof task->failed_runs)
-    memcpy (task->failed_runs, runs, size);
+  unpack_failed_runs (map, task);
   if (checkpoint != NULL)
     g_strlcpy (task->checkpoint, checkpoint, sizeof task->checkpoint);
 }
--- a/steps/attempts.c
+++ b/steps/attempts.c
@@ -13,15 +13,32 @@
   return task->step->spec->gang ? &task->step->tasks[0] : task;
 }
 
+uint32_t
+gr_failed_runs_kept (uint32_t failures)
+{
+  return MIN (failures, GR_MAX_FAILED_RUNS);
+}
+
 static bool
 failure_is_counted (const struct task *task, uint32_t run)
 {
-  for (uint32_t i = 0; i < MIN (task->failures, GR_FAILED_RUNS); i++)
+  for (uint32_t i = 0; i < gr_failed_runs_kept (task->failures); i++)
     if (task->failed_runs[i] == run)
       return true;
   return false;
 }
 
+static void
+add_failure (struct task *task, uint32_t run)
+{
+  uint32_t index = task->failures % GR_MAX_FAILED_RUNS;
+
+  task->failures++;
+  task->failed_runs = g_renew (uint32_t, task->failed_runs,
+                               gr_failed_runs_kept (task->failures));
+  task->failed_runs[index] = run;
+}
+
 /* An owner can learn of failed runs before it has read the configuration of
  * their queue. */
 static bool
@@ -65,8 +82,7 @@
   /* An end that was not acknowledged is reported again to the next owner. */
   if (failure_is_counted (counted, run))
     return;
-  counted->failed_runs[counted->failures % GR_FAILED_RUNS] = run;
-  counted->failures++;
+  add_failure (counted, run);
   job->has_failures = true;
   gr_job_mark_changed (steps, job);
   if (is_exhausted (counted) && !gr_job_is_final (job))
--- a/steps/core.c
+++ b/steps/core.c
@@ -124,11 +124,18 @@
   get_account (steps, account)->guaranteed = accelerators;
 }
 
+static uint32_t *
+copy_failed_runs (const uint32_t *runs, uint32_t failures)
+{
+  return g_memdup2 (runs, gr_failed_runs_kept (failures) * sizeof *runs);
+}
+
 static void
 restore_task (struct task *task, const struct gr_task_progress *row)
 {
   task->failures = row->failures;
-  memcpy (task->failed_runs, row->failed_runs, sizeof task->failed_runs);
+  g_free (task->failed_runs);
+  task->failed_runs = copy_failed_runs (row->failed_runs, row->failures);
   task->crashes = row->crashes;
   task->early_crashes = row->early_crashes;
   task->unconfirmed_crashes = row->unconfirmed_crashes;
@@ -285,12 +292,12 @@
     .index = task->index,
     .done = task->state == TASK_DONE,
     .failures = task->failures,
+    .failed_runs = copy_failed_runs (task->failed_runs, task->failures),
     .crashes = task->crashes,
     .early_crashes = task->early_crashes,
     .unconfirmed_crashes = task->unconfirmed_crashes,
   };
 
-  memcpy (row.failed_runs, task->failed_runs, sizeof row.failed_runs);
   if (task->checkpoint != NULL)
     g_strlcpy (row.checkpoint, task->checkpoint, sizeof row.checkpoint);
   g_array_append_val (rows, row);
--- a/steps/job.c
+++ b/steps/job.c
@@ -47,7 +47,10 @@
       struct step *step = &occurrence->steps[i];
 
       for (uint32_t k = 0; k < step->n_tasks; k++)
-        g_free (step->tasks[k].checkpoint);
+        {
+          g_free (step->tasks[k].checkpoint);
+          g_free (step->tasks[k].failed_runs);
+        }
       g_clear_pointer (&step->advice, g_hash_table_destroy);
       g_free (step->tasks);
       g_free (step->forecasts);
@@ -232,6 +235,8 @@
 void
 gr_job_progress_clear (struct gr_job_progress *progress)
 {
+  for (size_t i = 0; i < progress->n_tasks; i++)
+    g_free (progress->tasks[i].failed_runs);
   g_free (progress->tasks);
   *progress = (struct gr_job_progress){ 0 };
 }
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -80,9 +80,10 @@
 };
 
 /* Failed runs that are remembered per task, so that a failure that is reported
- * again is not counted twice. Attempt limits are small; failures beyond this
- * number are still counted. */
-#define GR_FAILED_RUNS 8
+ * again is not counted twice. Each takes 4 bytes of the progress record, which
+ * is written with every failure. Failures beyond this number are still counted,
+ * as the platform sets no bound for max_attempts. */
+#define GR_MAX_FAILED_RUNS 64
 
 #define GR_PROGRESS_WHOLE_OCCURRENCE UINT32_MAX
 
@@ -112,9 +113,10 @@
   uint32_t index;
   bool done;
   uint32_t failures;
-  /* Ring of the last runs that were counted as failures: failure N is at index
-   * N modulo GR_FAILED_RUNS. */
-  uint32_t failed_runs[GR_FAILED_RUNS];
+  /* Ring of the last runs that were counted as failures, 0 if unknown: failure
+   * N is at index N modulo GR_MAX_FAILED_RUNS. Has gr_failed_runs_kept
+   * (failures) entries; NULL if there are none. */
+  uint32_t *failed_runs;
   /* Workers that crashed under the task, and how many of them soon after its
    * start. */
   uint32_t crashes;
@@ -132,6 +134,8 @@
   struct gr_task_progress *tasks;
 };
 
+/* Number of failed runs that are remembered of a task. */
+uint32_t gr_failed_runs_kept (uint32_t failures);
 /* Frees the tasks and zeroes the struct. */
 void gr_job_progress_clear (struct gr_job_progress *progress);
 
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -101,7 +101,8 @@
   struct worker *worker; /* where it is placed; NULL if nowhere */
   uint32_t run;          /* highest known run number */
   uint32_t failures;
-  uint32_t failed_runs[GR_FAILED_RUNS]; /* of a gang: only in task 0 */
+  uint32_t *failed_runs;  /* as in struct gr_task_progress; of a gang: only in
+                             task 0 */
   uint32_t crashes;       /* workers that crashed under it; see crashes.c */
   uint32_t early_crashes; /* of these, soon after its start */
   uint32_t unconfirmed_crashes; /* further workers that were gone after a start
--- a/tests/test-decode.c
+++ b/tests/test-decode.c
@@ -282,10 +282,15 @@
 START_TEST (progress_records_round_trip_and_invalid_ones_are_rejected)
 {
   struct gr_task_progress rows[2] = {
-    { .occurrence = 1, .step = 2, .index = 3, .done = true },
+    { .occurrence = 1,
+      .step = 2,
+      .index = 3,
+      .done = true,
+      .failures = 10,
+      .failed_runs = (uint32_t[]){ 1, 2, 3, 4, 5, 6, 7, 8, 9, 1001 } },
     { .step = GR_PROGRESS_WHOLE_OCCURRENCE,
       .failures = 2,
-      .failed_runs = { 7, 9 },
+      .failed_runs = (uint32_t[]){ 7, 9 },
       .crashes = 3,
       .early_crashes = 1,
       .unconfirmed_crashes = 2,
@@ -306,6 +311,9 @@
   ck_assert_uint_eq (decoded.tasks[0].occurrence, 1);
   ck_assert_uint_eq (decoded.tasks[0].step, 2);
   ck_assert_uint_eq (decoded.tasks[0].index, 3);
+  ck_assert_uint_eq (decoded.tasks[0].failures, 10);
+  ck_assert_mem_eq (decoded.tasks[0].failed_runs, rows[0].failed_runs,
+                    10 * sizeof (uint32_t));
   ck_assert_uint_eq (decoded.tasks[1].step, GR_PROGRESS_WHOLE_OCCURRENCE);
   ck_assert_uint_eq (decoded.tasks[1].failures, 2);
   ck_assert_uint_eq (decoded.tasks[1].failed_runs[1], 9);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -783,6 +783,33 @@
 }
 END_TEST
 
+/* An end that was not acknowledged counted again after eight further ones. */
+START_TEST (failure_counts_once_after_many_others)
+{
+  const uint32_t limit = 12;
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (2, 1);
+  uint32_t first;
+
+  one.count = 1;
+  steps_model_set_queue (model, "many", 1, limit);
+  steps_model_add_job (model, 1, "many", "a", &one, 1, 300);
+  steps_model_fail_job (model, 1);
+  while (steps_model_failures (model, 1) == 0)
+    steps_model_run (model, 20);
+  first = steps_model_starts_on (model, 0) > 0 ? 0 : 1;
+  steps_model_set_worker_unreachable (model, first, true);
+  while (steps_model_failures (model, 1) < 10)
+    steps_model_run (model, 20);
+  steps_model_set_worker_unreachable (model, first, false);
+  steps_model_new_owner (model);
+  steps_model_run (model, 5000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_FAILED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), limit);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 #define ATTEMPT_WORKERS 16
 
 /* One change around failed runs: of a worker, the owner, the store or a call.
@@ -914,6 +941,7 @@
   tcase_add_test (tests, work_that_cannot_be_saved_stays_on_a_leaving_worker);
   tcase_add_test (tests, gang_larger_than_a_rack_does_not_wait_for_one);
   tcase_add_test (tests, gang_does_not_wait_for_a_rack_while_most_is_free);
+  tcase_add_test (tests, failure_counts_once_after_many_others);
   tcase_add_loop_test (tests, no_job_fails_before_its_attempts_are_used, 0, 40);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
