instance: progress with an unknown state is freed

An instance lost memory with each read of a progress record whose state it does not know, as written by a later version, and such a record is read again with each full read of the records.

The decoder sets the progress also when it rejects the value, to be cleared by the caller, and the copy of the records did not clear it.

unreadable_progress_is_ignored failed before with the leak sanitizer (112 bytes lost); it also checks that such a record changes no state, which held before.

--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -168,7 +168,7 @@
                 struct gr_mirror_job *job,
                 const struct gr_metastore_item *item)
 {
-  struct gr_job_progress progress;
+  struct gr_job_progress progress = { 0 };
 
   if (item->revision <= job->progress_revision
       || item->revision < job->job_revision)
@@ -177,6 +177,7 @@
       || !gr_record_decode_progress (item->value, &progress))
     {
       log_unreadable (item->key);
+      gr_job_progress_clear (&progress);
       return;
     }
   gr_job_progress_clear (&job->progress);
--- a/tests/test-platform-store.c
+++ b/tests/test-platform-store.c
@@ -445,6 +445,31 @@
 }
 END_TEST
 
+/* Guards against a state that is unknown here, and against its memory. */
+START_TEST (unreadable_progress_is_ignored)
+{
+  static const char id[] = "00000000000000a1";
+  struct fixture fixture;
+  struct gr_mirror_events events = { 0 };
+  struct gr_clock *clock = gr_clock_create ();
+  struct gr_mirror *mirror;
+
+  fixture_create (&fixture);
+  mirror = gr_mirror_create (fixture.store, clock, &events);
+  while (!gr_mirror_is_loaded (mirror))
+    g_main_context_iteration (NULL, TRUE);
+  apply (mirror, GR_RECORD_JOB, id, 101, encode_job (id));
+  apply (mirror, GR_RECORD_PROGRESS, id, 102,
+         encode_state ((enum gr_job_state) (GR_JOB_CANCELLED + 1)));
+  check_new_job (mirror, id);
+  gr_metastore_destroy (fixture.store);
+  fixture.store = NULL;
+  gr_mirror_destroy (mirror);
+  gr_clock_destroy (clock);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* Guards against instances that all read all records whenever the store loses
  * its history: 147 of them filled its link for 1.5 s. */
 START_TEST (reloads_after_lost_history_are_spread)
@@ -658,6 +683,7 @@
   tcase_add_test (tests, jobs_deleted_in_lost_history_are_forgotten);
   tcase_add_test (tests, new_job_has_no_state_of_a_former_one_in_lost_history);
   tcase_add_test (tests, late_records_of_a_former_job_are_ignored);
+  tcase_add_test (tests, unreadable_progress_is_ignored);
   tcase_add_test (tests, reloads_after_lost_history_are_spread);
   tcase_add_test (tests, silent_watches_are_replaced);
   tcase_add_test (tests, refusing_store_is_not_flooded);
