sched: failures of one account close workers to that account only

Callers of other accounts waited for minutes after one team had submitted a batch of jobs that fail at once everywhere: all workers of the shard were in quarantine. The jobs of the batch did not end either, and were started again and again as probes.

Cause: failures of three different jobs were taken for independent evidence against a worker. Jobs of one account often share their fault (image, data, code), and the workers had been the same for all. Failures of probes did not count against the job.

As long as all failures on a worker are of one account, of which no job that was started since the first of them has passed elsewhere, the quarantine holds for the jobs of that account only; others use the worker, and one of theirs that passes ends it. Unused guaranteed shapes of the account move away from it. Failures of one account count as one beside those of others. A failed probe counts for the job; a job with max_attempts failures is no probe, and one without failures is taken first.

Test: faulty_batch_does_not_quarantine_the_pool, 64 such jobs on four workers. Before: an urgent job of another account, submitted 60 s later, was not started within 3.9 s. Now it is started in time, and the 64 jobs end beside jobs of the other account with at most 9 starts each.

--- a/sched/cells.c
+++ b/sched/cells.c
@@ -96,6 +96,15 @@
   return mask;
 }
 
+static const struct gr_core_account *
+account_of (const struct gr_search *search)
+{
+  if (search->job != NULL)
+    return search->job->account;
+  return search->guarantee_slot != NULL ? search->guarantee_slot->account
+                                        : NULL;
+}
+
 static uint32_t
 available_mask (const struct gr_core *core,
                 const struct gr_core_worker *worker,
@@ -103,7 +112,7 @@
 {
   uint32_t unavailable = 0;
 
-  if (!worker->usable)
+  if (!worker->usable || gr_worker_is_closed_to (worker, account_of (search)))
     return 0;
   if (search->job != NULL && search->job->avoid_until_ms > core->now_ms
       && strcmp (search->job->failed_worker, worker->name) == 0)
--- a/sched/place.c
+++ b/sched/place.c
@@ -29,6 +29,9 @@
   uint32_t preempt_searches;
   uint32_t n_failed;
   struct gr_job_spec failed[MAX_FAILED_SHAPES]; /* shallow copies */
+  /* Account to which workers are closed, so that its failure does not apply to
+   * others; NULL: the failure applies to all. */
+  const struct gr_core_account *only_for[MAX_FAILED_SHAPES];
 };
 
 /* True if the settings never allow the job to run. */
@@ -156,13 +159,17 @@
 static bool
 is_known_not_to_fit (const struct gr_core *core,
                      const struct pass *pass,
-                     const struct gr_job_spec *spec)
+                     const struct gr_core_job *job)
 {
+  const struct gr_job_spec *spec = &job->record.spec;
+
   for (uint32_t i = 0; i < pass->n_failed; i++)
     {
       const struct gr_job_spec *failed = &pass->failed[i];
       bool spans = spec->shape.workers > core->max_rack_workers;
 
+      if (pass->only_for[i] != NULL && pass->only_for[i] != job->account)
+        continue;
       if (failed->shape.workers <= spec->shape.workers
           && failed->shape.accelerators_per_worker
                  <= spec->shape.accelerators_per_worker
@@ -174,6 +181,17 @@
   return false;
 }
 
+static bool
+has_closed_worker (const struct gr_core *core,
+                   const struct gr_core_account *account)
+{
+  for (uint32_t i = 0; i < core->quarantined->len; i++)
+    if (gr_worker_is_closed_to (g_ptr_array_index (core->quarantined, i),
+                                account))
+      return true;
+  return false;
+}
+
 static void
 remember_failure (const struct gr_core *core,
                   struct pass *pass,
@@ -182,6 +200,8 @@
   /* The job avoids a worker, so its failure does not apply to other jobs. */
   if (pass->n_failed == MAX_FAILED_SHAPES || job->avoid_until_ms > core->now_ms)
     return;
+  pass->only_for[pass->n_failed] =
+      has_closed_worker (core, job->account) ? job->account : NULL;
   pass->failed[pass->n_failed++] = job->record.spec;
 }
 
@@ -290,7 +310,7 @@
 static bool
 start_job (struct gr_core *core, struct gr_core_job *job, struct pass *pass)
 {
-  if (!is_known_not_to_fit (core, pass, &job->record.spec))
+  if (!is_known_not_to_fit (core, pass, job))
     {
       if (place_free (core, job))
         return true;
--- a/sched/quarantine.c
+++ b/sched/quarantine.c
@@ -4,6 +4,7 @@
 #include "sched/faulty.h"
 #include "sched/gang.h"
 #include "sched/jobs.h"
+#include "sched/witness.h"
 
 #include <string.h>
 
@@ -16,16 +17,34 @@
  * at their start. */
 #define PROBE_PASSED_MS 60000
 
+/* closed_to: the account whose jobs get no more work here; NULL: all. */
 static void
-quarantine (struct gr_core *core, struct gr_core_worker *worker)
+quarantine (struct gr_core *core,
+            struct gr_core_worker *worker,
+            const struct gr_core_account *closed_to)
 {
+  if (!worker->quarantined)
+    g_ptr_array_add (core->quarantined, worker);
   worker->quarantined = true;
+  worker->closed_to = closed_to;
   worker->probe_interval_ms =
       worker->probe_interval_ms == 0
           ? PROBE_FIRST_MS
           : MIN (worker->probe_interval_ms * 2, PROBE_LIMIT_MS);
   worker->probe_due_ms = core->now_ms + worker->probe_interval_ms;
-  g_ptr_array_add (core->quarantined, worker);
+  if (closed_to != NULL)
+    gr_guarantee_slots_worker_closed (core, worker, closed_to);
+  gr_worker_update (core, worker);
+}
+
+static void
+end_quarantine (struct gr_core *core, struct gr_core_worker *worker)
+{
+  worker->quarantined = false;
+  worker->closed_to = NULL;
+  g_ptr_array_remove_fast (core->quarantined, worker);
+  core->slots_dirty = true;
+  gr_worker_capacity_changed (core, worker);
   gr_worker_update (core, worker);
 }
 
@@ -44,6 +63,67 @@
     }
 }
 
+/* True if another job of the account was started since since_ms and has run for
+ * longer than this one did. */
+static bool
+has_longer_run (const struct gr_core *core,
+                const struct gr_core_job *job,
+                int64_t since_ms)
+{
+  int64_t ran_ms =
+      job->running_since_ms != 0 ? core->now_ms - job->running_since_ms : 0;
+
+  for (GList *link = job->account->active.head; link; link = link->next)
+    {
+      const struct gr_core_job *other = link->data;
+
+      if (other != job && other->phase == GR_PHASE_RUNNING
+          && other->running_since_ms >= since_ms
+          && core->now_ms - other->running_since_ms
+                 > MAX (ran_ms, GR_MIN_PASSED_MS))
+        return true;
+    }
+  return false;
+}
+
+/* True if the earlier failures on the worker point to the worker. Those of a
+ * single account do so only if jobs of it that were started since then pass
+ * elsewhere: jobs of one account often share their fault. */
+static bool
+is_suspect (const struct gr_core *core,
+            const struct gr_core_worker *worker,
+            const struct gr_core_job *job)
+{
+  const struct gr_core_account *account = job->account;
+
+  if (worker->failures == 0)
+    return false;
+  if (worker->failed_account == NULL || worker->failed_account != account)
+    return true;
+  return account->last_passed_ms >= worker->failing_since_ms
+         || has_longer_run (core, job, worker->failing_since_ms);
+}
+
+static void
+add_failure (const struct gr_core *core,
+             struct gr_core_worker *worker,
+             const struct gr_core_job *job)
+{
+  if (worker->failures == 0)
+    {
+      worker->failing_since_ms = core->now_ms;
+      worker->failed_account = job->account;
+    }
+  else if (worker->failed_account != NULL
+           && worker->failed_account != job->account)
+    {
+      /* The failures of one account count as one beside those of others. */
+      worker->failed_account = NULL;
+      worker->failures = 1;
+    }
+  worker->failures++;
+}
+
 void
 gr_worker_failed (struct gr_core *core,
                   struct gr_core_worker *worker,
@@ -53,11 +133,10 @@
   bool second = job->failed_worker[0] != '\0'
                 && strcmp (job->failed_worker, worker->name) != 0;
 
-  /* The worker of a probe may still be at fault. It counts if the job fails
-   * there twice in a row, so that a faulty job does not fail without end. */
-  if (!counted && (!worker->quarantined || worker->last_failed == job))
+  if (!counted)
     job->record.failures++;
-  if (worker->quarantined)
+  if (worker->quarantined
+      && (worker->closed_to == NULL || worker->closed_to == job->account))
     {
       if (worker->probing)
         {
@@ -72,11 +151,12 @@
   if (second && worker->failures == 0)
     retract_failure (core, job);
   else if (worker->last_failed != job)
-    worker->failures++;
+    add_failure (core, worker, job);
   worker->last_failed = job;
   gr_job_note_failure (core, worker, job);
   if (worker->failures >= MAX_FAILURES)
-    quarantine (core, worker);
+    quarantine (core, worker,
+                is_suspect (core, worker, job) ? NULL : job->account);
 }
 
 void
@@ -90,10 +170,8 @@
   worker->probe_interval_ms = 0;
   if (!worker->quarantined)
     return;
-  worker->quarantined = false;
   worker->probing = false;
-  g_ptr_array_remove_fast (core->quarantined, worker);
-  gr_worker_update (core, worker);
+  end_quarantine (core, worker);
 }
 
 void
@@ -110,6 +188,7 @@
   const struct gr_core_account *account = job->account;
 
   return job->record.spec.idempotent && job->record.spec.shape.workers == 1
+         && job->record.failures < core->config.max_attempts
          && job->claim.n == 0 && account->configured
          && job->not_before_ms <= core->now_ms
          && (account->settings.quota_accelerators == 0
@@ -117,11 +196,16 @@
                     <= account->settings.quota_accelerators);
 }
 
-/* The least urgent waiting job that can run again if the probe fails. Only
- * the first 16 jobs of each queue are examined. */
+/* The least urgent waiting job that can run again if the probe fails. A job
+ * that has failed elsewhere is taken only if there is no other, because its
+ * failure says little about the worker; after max_attempts failures it is not
+ * taken, because failed probes could end it. Only the first 16 jobs of each
+ * queue are examined. */
 static struct gr_core_job *
 find_probe (const struct gr_core *core, const struct gr_core_worker *worker)
 {
+  struct gr_core_job *failed = NULL;
+
   for (int priority = GR_N_PRIORITIES - 1; priority >= 0; priority--)
     for (uint32_t class = 0; class < GR_N_CLASSES; class ++)
       {
@@ -134,12 +218,18 @@
           {
             struct gr_core_job *job = g_sequence_get (iter);
 
-            if (may_probe (core, job)
-                && strcmp (job->failed_worker, worker->name) != 0)
+            if (!may_probe (core, job)
+                || (worker->closed_to != NULL
+                    && worker->closed_to != job->account)
+                || strcmp (job->failed_worker, worker->name) == 0)
+              continue;
+            if (job->failed_worker[0] == '\0')
               return job;
+            if (failed == NULL)
+              failed = job;
           }
       }
-  return NULL;
+  return failed;
 }
 
 /* No waiting job can serve as a probe, so the worker is used again until
@@ -148,10 +238,20 @@
 static void
 release_without_probe (struct gr_core *core, struct gr_core_worker *worker)
 {
-  worker->quarantined = false;
   worker->failures = MAX_FAILURES - 1;
-  g_ptr_array_remove_fast (core->quarantined, worker);
-  gr_worker_update (core, worker);
+  end_quarantine (core, worker);
+}
+
+static bool
+has_waiting_jobs (const struct gr_core *core,
+                  const struct gr_core_account *account)
+{
+  if (account == NULL)
+    return core->jobs_waiting > 0;
+  for (uint32_t p = 0; p < GR_N_PRIORITIES; p++)
+    if (!g_sequence_is_empty (account->waiting[p]))
+      return true;
+  return false;
 }
 
 static void
@@ -165,7 +265,7 @@
 
   if (job == NULL)
     {
-      if (core->jobs_waiting > 0)
+      if (has_waiting_jobs (core, worker->closed_to))
         release_without_probe (core, worker);
       return;
     }
--- a/sched/quarantine.h
+++ b/sched/quarantine.h
@@ -1,5 +1,7 @@
 /* Quarantine: a worker on which several jobs fail gets only probe jobs until
- * one succeeds, or until no waiting job can serve as a probe. */
+ * one succeeds, or until no waiting job can serve as a probe. While all
+ * failures are of one account, whose jobs pass nowhere else, this holds for the
+ * jobs of that account only. */
 #pragma once
 
 #include "sched/tables.h"
--- a/sched/steps.c
+++ b/sched/steps.c
@@ -28,6 +28,7 @@
     gr_learn_run_time (core, &job->record.spec,
                        core->now_ms - job->running_since_ms
                            + job->record.saved_ms);
+  job->account->last_passed_ms = MAX (job->account->last_passed_ms, started_ms);
   for (uint32_t i = 0; i < job->n_members; i++)
     {
       struct gr_core_member *member = &job->members[i];
--- a/sched/tables.c
+++ b/sched/tables.c
@@ -238,7 +238,7 @@
 {
   bool usable = !worker->silent && !worker->suspect && !worker->leaving
                 && !worker->removed && !worker->replaced
-                && !worker->quarantined;
+                && (!worker->quarantined || worker->closed_to != NULL);
 
   if (usable == worker->usable)
     return;
--- a/sched/tables.h
+++ b/sched/tables.h
@@ -40,10 +40,11 @@
   struct gr_account_settings settings;
   bool configured; /* false: removed, or only in restored jobs */
   GPtrArray *guarantee_slots;
-  uint32_t used;         /* accelerators held by its jobs */
-  uint32_t claimed;      /* accelerators claimed by its waiting jobs */
-  uint32_t quota_demand; /* accelerators of the quota set aside for waiting
-                            guaranteed work */
+  int64_t last_passed_ms; /* latest start of a job of it that finished */
+  uint32_t used;          /* accelerators held by its jobs */
+  uint32_t claimed;       /* accelerators claimed by its waiting jobs */
+  uint32_t quota_demand;  /* accelerators of the quota set aside for waiting
+                             guaranteed work */
   GSequence *waiting[GR_N_PRIORITIES]; /* jobs in order of submission */
   GQueue active;                       /* jobs that hold accelerators */
 };
@@ -102,7 +103,8 @@
                              0: never */
   struct gr_core_member *holder[GR_MAX_ACCELERATORS];
   struct gr_guarantee_slot *guarantee_slot[GR_MAX_ACCELERATORS];
-  bool usable; /* may get new work: none of the next six is set */
+  bool usable; /* may get new work: none of the next six is set, except
+                  quarantined for a single account */
   bool silent;
   bool suspect; /* refused a connection; no contact since */
   bool leaving;
@@ -112,8 +114,13 @@
   bool probing;                   /* a probe is running */
   int64_t last_contact_active_ms; /* on the clock of core->active_ms */
   GList contact_link;
-  GQueue *contact_queue;  /* NULL while the worker is silent */
-  uint32_t failures;      /* failed jobs since the last success */
+  GQueue *contact_queue; /* NULL while the worker is silent */
+  uint32_t failures;     /* failed jobs since the last success */
+  const struct gr_core_account *closed_to; /* quarantined only for its jobs;
+                                              NULL: for all */
+  int64_t failing_since_ms;                /* time of the first of them */
+  const struct gr_core_account *failed_account; /* of all of them; NULL: of
+                                                   several accounts */
   int64_t last_passed_ms; /* latest start of a job that passed here */
   const struct gr_core_job *last_failed; /* only compared, never dereferenced */
   int64_t probe_interval_ms;
@@ -334,6 +341,13 @@
 void gr_block_clear (struct gr_block *block);
 uint32_t gr_block_accelerators (const struct gr_block *block);
 
+static inline bool
+gr_worker_is_closed_to (const struct gr_core_worker *worker,
+                        const struct gr_core_account *account)
+{
+  return worker->quarantined && account != NULL && worker->closed_to == account;
+}
+
 static inline uint32_t
 gr_mask_count (uint32_t mask)
 {
--- a/sched/witness.c
+++ b/sched/witness.c
@@ -91,7 +91,8 @@
   if (slot->in_use > 0)
     return;
   for (uint32_t i = 0; i < slot->block.n; i++)
-    if (!slot->block.parts[i].worker->usable)
+    if (!slot->block.parts[i].worker->usable
+        || gr_worker_is_closed_to (slot->block.parts[i].worker, slot->account))
       {
         unplace_slot (core, slot);
         return;
@@ -224,6 +225,22 @@
       unplace_slot (core, worker->guarantee_slot[a]);
 }
 
+void
+gr_guarantee_slots_worker_closed (struct gr_core *core,
+                                  struct gr_core_worker *worker,
+                                  const struct gr_core_account *account)
+{
+  core->slots_dirty = true;
+  core->next_repack_ms = 0;
+  for (uint32_t a = 0; a < worker->accelerators; a++)
+    {
+      struct gr_guarantee_slot *slot = worker->guarantee_slot[a];
+
+      if (slot != NULL && slot->account == account && slot->in_use == 0)
+        unplace_slot (core, slot);
+    }
+}
+
 /* Unplaces the other unused slots whose blocks overlap the part. */
 static void
 unplace_overlapping (struct gr_core *core,
--- a/sched/witness.h
+++ b/sched/witness.h
@@ -17,6 +17,11 @@
 void gr_guarantee_slots_worker_changed (struct gr_core *core,
                                         struct gr_core_worker *worker);
 
+/* The worker is closed to the account: moves its unused slots away. */
+void gr_guarantee_slots_worker_closed (struct gr_core *core,
+                                       struct gr_core_worker *worker,
+                                       const struct gr_core_account *account);
+
 /* Assigns a block to the unused slot. The block must not overlap other
  * slots. */
 void gr_guarantee_slot_set_block (struct gr_core *core,
--- a/tests/test-sched-evidence.c
+++ b/tests/test-sched-evidence.c
@@ -114,6 +114,42 @@
 }
 END_TEST
 
+/* Guards against a pool that is quarantined for the jobs of one account, which
+ * fail everywhere, so that other accounts wait and these jobs do not end. */
+START_TEST (faulty_batch_does_not_quarantine_the_pool)
+{
+  struct model *model = model_create_ready (1, 4);
+  struct gr_job_spec spec = model_spec ("b", "before", 1, 1);
+
+  model_set_account (model, "b", 0, 0, 0, 0);
+  model_must_submit (model, &spec, 600000);
+  model_run (model, 20000);
+  submit_many (model, "b", "bad", 64, 1, -500);
+  model_run (model, 60000);
+  spec = model_spec ("a", "good", 1, 1);
+  spec.priority = GR_PRIORITY_URGENT;
+  model_must_submit (model, &spec, 1000);
+  model_run (model, 3900);
+  ck_assert_int_ne (model_state (model, "a.good"), GR_JOB_ACCEPTED);
+  for (int i = 0; i < 600; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("beside%d", i);
+
+      spec = model_spec ("a", key, 1, 2);
+      model_must_submit (model, &spec, 1000);
+      model_run (model, 100);
+    }
+  ck_assert_uint_eq (count_in_state (model, "b.bad", 64, GR_JOB_FAILED), 64);
+  for (int i = 0; i < 64; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("dc1.b.bad%d", i);
+
+      ck_assert_uint_le (gr_core_find (model->core, id)->attempt, 9);
+    }
+  model_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -126,6 +162,7 @@
   tcase_add_test (tcase, several_failing_workers_end_no_job);
   tcase_add_loop_test (tcase, failures_of_the_whole_pool_end_no_job, 1, 9);
   tcase_add_test (tcase, faulty_jobs_end_after_a_bounded_number_of_starts);
+  tcase_add_test (tcase, faulty_batch_does_not_quarantine_the_pool);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
