entry: executors that did not receive a request do not use up its tries

Callers were refused ("no-target", not run) in the moment in which most executors began to leave, or were gone, at once, although others were free.

Cause: a request is sent at most three times, and executors that refused it because they leave, or could not be connected to, used up these tries. Three of them in a row say nothing about the request; the comment beside the check promised that they do not fail it.

Only a try that an executor received counts. The repeats stay bounded: each such result takes an executor out of the choice, but for probes, and the deadline of the request holds as before.

Test: wave_of_leaving_executors_fails_no_request, 11 of 12 executors leave.

--- a/entry/request-data.h
+++ b/entry/request-data.h
@@ -4,7 +4,8 @@
 
 #include "entry/exchange.h"
 
-/* Maximum number of times that one request is sent to an executor. */
+/* Maximum number of times that one request is sent to an executor that receives
+ * it. */
 #define GR_REQUEST_MAX_TRIES 3
 
 /* Sizes of the buffers in bytes, including the terminating NUL. */
--- a/entry/request.c
+++ b/entry/request.c
@@ -385,20 +385,29 @@
   gr_exchange_send_bytes (exchange, 200, type, g_bytes_ref (response->body));
 }
 
+/* The executor never received the request, so this counts neither as a try nor
+ * as a retry: graceful shutdowns and unreachable executors must not fail a
+ * request, however many there are at once. The table of executors offers such
+ * an executor to no one, except for probes. */
+static bool
+never_received (enum gr_try_result result)
+{
+  return result == GR_TRY_LEAVING || result == GR_TRY_UNREACHABLE;
+}
+
 static bool
 may_retry (struct gr_request *request, enum gr_try_result result)
 {
   struct gr_entry *entry = request->entry;
   int64_t now_ms = gr_clock_now_ms (entry->clock);
 
-  if (entry->destroying || request->tries >= GR_REQUEST_MAX_TRIES
+  if (entry->destroying
       || now_ms + request->estimate_ms >= request->deadline_ms)
     return false;
-  /* The executor never received the request, so this does not count as a
-   * retry: a graceful shutdown or an unreachable executor must not fail a
-   * request. */
-  if (result == GR_TRY_LEAVING || result == GR_TRY_UNREACHABLE)
+  if (never_received (result))
     return true;
+  if (request->tries >= GR_REQUEST_MAX_TRIES)
+    return false;
   if (result == GR_TRY_FAILED && !request->idempotent)
     return false;
   if (result == GR_TRY_INCONCLUSIVE)
@@ -446,7 +455,11 @@
   if (outcome == GR_TRY_OK && response != NULL)
     send_response (request, response);
   else if (may_retry (request, outcome))
-    enqueue (request);
+    {
+      if (never_received (outcome))
+        request->tries--;
+      enqueue (request);
+    }
   else
     refuse_failed (request, error);
   schedule_dispatch (entry);
--- a/tests/entry-world.h
+++ b/tests/entry-world.h
@@ -8,7 +8,7 @@
 #include "standins/kv.h"
 #include "standins/register.h"
 
-#define WORLD_MAX 3
+#define WORLD_MAX 12
 
 struct world
 {
--- a/tests/test-entry.c
+++ b/tests/test-entry.c
@@ -20,6 +20,12 @@
   world_start (&world, 1, 1, 2);
 }
 
+static void
+start_many (void)
+{
+  world_start (&world, 1, WORLD_MAX, 8);
+}
+
 static void
 stop (void)
 {
@@ -522,6 +528,24 @@
 }
 END_TEST
 
+/* Guards against requests that are refused because most executors began to
+ * leave at once: none of them has received the request. */
+START_TEST (wave_of_leaving_executors_fails_no_request)
+{
+  struct reply reply;
+  char key[16];
+
+  for (uint32_t i = 1; i < world.n_executors; i++)
+    world_control (&world, i, "{\"leaving\":true}");
+  for (int i = 0; i < 6; i++)
+    {
+      g_snprintf (key, sizeof key, "wave-%d", i);
+      reply = world_request (&world, 0, key, "", "x");
+      expect_success (&reply, "x");
+    }
+}
+END_TEST
+
 /* Guards against requests above the account's rate, and against refusals
  * without a retry-after time. */
 START_TEST (rate_is_limited)
@@ -666,6 +690,7 @@
   TCase *input = tcase_create ("input");
   TCase *requests = add_case (suite, "requests", start_one);
   TCase *load = add_case (suite, "load", start_small);
+  TCase *waves = add_case (suite, "waves", start_many);
   SRunner *runner = srunner_create (suite);
   int failed;
 
@@ -689,6 +714,7 @@
   tcase_add_test (load, overload_is_refused_in_time);
   tcase_add_test (load, unmeetable_deadlines_are_refused_early);
   tcase_add_test (load, planned_stop_finishes_what_is_in_flight);
+  tcase_add_test (waves, wave_of_leaving_executors_fails_no_request);
   srunner_set_fork_status (runner, CK_NOFORK);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
