steps: failures of one moment make one quarantine

Callers waited for up to 30 s after a moment in which runs failed on most workers: the runs of several jobs on one worker end together, and each further job doubled the quarantine that the second had begun, from 4 s to 30 s at once. Cause: failures with one cause were counted as failures after each quarantine. Failures during a quarantine no longer prolong it. So that a worker that fails everything does not get its full load after 4, 12 and 28 s, it gets one task at a time after a quarantine, preferably one that has not failed yet, until a run succeeds or the same time has passed again. Evidence: failures_of_one_moment_make_one_quarantine failed before (six jobs not done 10 s after a moment of 0.6 s); worker_gets_one_new_task_after_a_quarantine (no second attempt in 8 s before).

--- a/steps/fit.c
+++ b/steps/fit.c
@@ -110,6 +110,8 @@
     slots = MIN (slots, available->memory_mb / spec->needs.memory_mb);
   if (spec->needs.accelerators > 0)
     slots = MIN (slots, available->accelerators / spec->needs.accelerators);
+  if (worker->on_probation)
+    slots = MIN (slots, worker->tasks->len == 0 ? 1 : 0);
   if (spec->max_per_worker == 0 || slots == 0)
     return slots;
   present = tasks_of_step_on (step, worker);
--- a/steps/health.c
+++ b/steps/health.c
@@ -5,10 +5,13 @@
 #include <string.h>
 
 /* Quarantine of workers on which several different jobs fail: they get no new
- * work for a time that doubles with each quarantine. A failure may be the fault
- * of the job. Once a run succeeds on the worker, the jobs that failed there
- * before have failed by themselves, and no longer count against other workers:
- * a class of such jobs would quarantine one healthy worker after the other. */
+ * work for a time that doubles with each quarantine, and then one task at a
+ * time until a run succeeds or the same time has passed again. Failures during
+ * a quarantine do not prolong it: they can have the same cause. A failure may
+ * be the fault of the job. Once a run succeeds on the worker, the jobs that
+ * failed there before have failed by themselves, and no longer count against
+ * other workers: a class of such jobs would quarantine one healthy worker after
+ * the other. */
 
 /* Different jobs that failed in a row after which a worker is quarantined. */
 #define QUARANTINE_THRESHOLD 2
@@ -37,6 +40,7 @@
                 const char *reason)
 {
   worker->quarantine_ms = 0;
+  worker->on_probation = false;
   if (!worker->quarantined_for_jobs)
     return;
   worker->quarantined_for_jobs = false;
@@ -79,20 +83,19 @@
                           const struct job *job)
 {
   uint32_t index;
-  bool is_known;
 
   if (job->fails_by_itself)
     return;
-  is_known = find_failed_job (worker, job->spec->id, &index);
-  if (is_known && steps->now_ms < worker->quarantine_until_ms)
-    return;
-  if (!is_known && worker->n_failed_jobs < GR_FAILED_JOBS)
+  if (!find_failed_job (worker, job->spec->id, &index)
+      && worker->n_failed_jobs < GR_FAILED_JOBS)
     g_strlcpy (worker->failed_jobs[worker->n_failed_jobs++], job->spec->id,
                sizeof worker->failed_jobs[0]);
-  if (worker->n_failed_jobs < QUARANTINE_THRESHOLD)
+  if (worker->n_failed_jobs < QUARANTINE_THRESHOLD
+      || steps->now_ms < worker->quarantine_until_ms)
     return;
   quarantine (steps, worker, "several different jobs failed in a row");
   worker->quarantined_for_jobs = true;
+  worker->on_probation = true;
 }
 
 /* The job has failed on a worker where others succeed. */
@@ -121,6 +124,13 @@
   end_quarantine (steps, worker, "a run succeeded");
 }
 
+void
+gr_health_tick (struct gr_steps *steps, struct worker *worker)
+{
+  if (steps->now_ms >= worker->quarantine_until_ms + worker->quarantine_ms)
+    worker->on_probation = false;
+}
+
 void
 gr_health_quarantine (struct gr_steps *steps,
                       struct worker *worker,
--- a/steps/place-tasks.c
+++ b/steps/place-tasks.c
@@ -30,7 +30,8 @@
   if (step->spec->data_rack != NULL
       && !g_str_equal (worker->rack, step->spec->data_rack))
     score += OTHER_RACK;
-  if (g_str_equal (task->avoid_worker, worker->id))
+  if (g_str_equal (task->avoid_worker, worker->id)
+      || (worker->on_probation && task->failures > 0))
     score += AVOIDED;
   return score;
 }
@@ -55,6 +56,7 @@
 };
 
 /* The best worker for the task: preferably not the one on which it last failed,
+ * nor one on probation if it has failed, as that could be its last attempt;
  * then on the rack with the data, then by speed if speeds differ, then with the
  * least free capacity. */
 static struct choice
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -72,6 +72,7 @@
   int64_t quarantine_until_ms;
   uint32_t quarantine_ms;
   bool quarantined_for_jobs; /* the last quarantine was for failed_jobs */
+  bool on_probation;         /* gets one task at a time after a quarantine */
   uint32_t pace; /* percent of processor time that filler tasks may use here */
   int64_t pace_changed_ms;
   double
@@ -470,6 +471,8 @@
 /* Ends such a quarantine: the jobs that failed on the worker fail by
  * themselves. */
 void gr_health_record_success (struct gr_steps *steps, struct worker *worker);
+/* Ends the probation when it is over. */
+void gr_health_tick (struct gr_steps *steps, struct worker *worker);
 /* Quarantines the worker unless it already is. reason is a text for the log. */
 void gr_health_quarantine (struct gr_steps *steps,
                            struct worker *worker,
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -136,6 +136,7 @@
   worker->n_failed_jobs = 0;
   worker->quarantine_until_ms = 0;
   worker->quarantine_ms = 0;
+  worker->on_probation = false;
   gr_worker_assume_max_hold (steps, worker);
   gr_samples_forget_worker (steps, worker);
 }
@@ -611,6 +612,7 @@
     {
       struct worker *worker = steps->worker_rows->pdata[i];
 
+      gr_health_tick (steps, worker);
       if (worker->tasks->len > 0
           && steps->now_ms >= lease_expiry_ms (steps, worker))
         gr_loss_release_all (steps, worker, &expired);
--- a/tests/test-steps-health.c
+++ b/tests/test-steps-health.c
@@ -122,6 +122,40 @@
 }
 END_TEST
 
+/* A worker was in quarantine for 30 s after six runs had failed at once. */
+START_TEST (failures_of_one_moment_make_one_quarantine)
+{
+  struct steps_model *model = steps_fixture_create (1, 1);
+
+  for (uint32_t i = 1; i <= 6; i++)
+    steps_model_add_job (model, i, "urgent", "a", &one_task, 1, 900);
+  steps_model_fail_worker (model, 0, true);
+  steps_model_run (model, 600);
+  steps_model_fail_worker (model, 0, false);
+  steps_model_run (model, 10000);
+  for (uint32_t i = 1; i <= 6; i++)
+    ck_assert_int_eq (steps_model_state (model, i), GR_JOB_COMPLETED);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
+/* Guards against a worker that fails as many jobs after each quarantine. */
+START_TEST (worker_gets_one_new_task_after_a_quarantine)
+{
+  struct steps_model *model = steps_fixture_create (1, 1);
+
+  steps_model_fail_worker (model, 0, true);
+  for (uint32_t i = 1; i <= 6; i++)
+    steps_model_add_job (model, i, "urgent", "a", &one_task, 1, 900);
+  steps_model_run (model, 2000);
+  for (uint32_t i = 7; i <= 12; i++)
+    steps_model_add_job (model, i, "urgent", "a", &one_task, 1, 900);
+  steps_model_run (model, 6000);
+  ck_assert_uint_eq (steps_model_starts_on (model, 0), 7);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* Guards against taking the failures of such a worker for those of the jobs. */
 START_TEST (worker_that_fails_everything_stays_in_quarantine)
 {
@@ -161,6 +195,8 @@
   tcase_add_loop_test (tests, jobs_that_always_fail_do_not_hold_up_others, 0,
                        4);
   tcase_add_test (tests, same_failed_jobs_renew_a_quarantine);
+  tcase_add_test (tests, failures_of_one_moment_make_one_quarantine);
+  tcase_add_test (tests, worker_gets_one_new_task_after_a_quarantine);
   tcase_add_test (tests, worker_that_fails_everything_stays_in_quarantine);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
