steps: a lasting task that was at work shows a healthy worker

Callers saw lasting tasks wait for 4 to 30 s before they were started again: two failures of different lasting jobs on one worker put it in quarantine, and each further one doubled it, however long ago the last one was. Cause: lasting tasks may fail at any time, but each failure was held against the worker, and since none of them ends as done, nothing ever counted as a success on a worker that runs only such tasks. A lasting task that is at work now counts as a success of its worker, and its later failure is not held against the worker. Failures before that count as before. Evidence: failures_of_lasting_work_do_not_quarantine failed before (the first failure of three jobs at once; the tasks were not back after 2.5 s); all six rounds pass now.

--- a/steps/health.c
+++ b/steps/health.c
@@ -80,11 +80,12 @@
 void
 gr_health_record_failure (struct gr_steps *steps,
                           struct worker *worker,
-                          const struct job *job)
+                          const struct task *task)
 {
+  const struct job *job = gr_task_job (task);
   uint32_t index;
 
-  if (job->fails_by_itself)
+  if (job->fails_by_itself || gr_task_is_at_work (task))
     return;
   if (!find_failed_job (worker, job->spec->id, &index)
       && worker->n_failed_jobs < GR_FAILED_JOBS)
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -155,7 +155,7 @@
     }
   if (ended->how == GR_END_FAILED)
     {
-      gr_health_record_failure (steps, worker, gr_task_job (task));
+      gr_health_record_failure (steps, worker, task);
       gr_task_count_failure (steps, task, worker, ended->run);
     }
   if (!current_run)
@@ -221,6 +221,8 @@
     {
       task->percent = running->percent;
       task->percent_ms = steps->now_ms;
+      if (gr_task_is_at_work (task))
+        gr_health_record_success (steps, task->worker);
     }
   task->seen_ms = steps->now_ms;
   gr_samples_run_seen (steps, task);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -467,7 +467,7 @@
 /* Quarantines the worker if runs of several different jobs failed in a row. */
 void gr_health_record_failure (struct gr_steps *steps,
                                struct worker *worker,
-                               const struct job *job);
+                               const struct task *task);
 /* Ends such a quarantine: the jobs that failed on the worker fail by
  * themselves. */
 void gr_health_record_success (struct gr_steps *steps, struct worker *worker);
@@ -539,6 +539,8 @@
  * `excluded`. */
 uint32_t gr_step_unavailable_tasks (const struct step *step,
                                     const struct task *excluded);
+/* True if the run of a lasting task is fully started. */
+bool gr_task_is_at_work (const struct task *task);
 /* True if stopping the task keeps its step within max_away. */
 bool gr_task_may_be_stopped (const struct task *task);
 
--- a/steps/task.c
+++ b/steps/task.c
@@ -149,12 +149,18 @@
   return unavailable;
 }
 
+bool
+gr_task_is_at_work (const struct task *task)
+{
+  return task->step->spec->lasting && is_fully_started (task);
+}
+
 /* A task that ends by itself can always be started again. Of a lasting step, no
  * more than max_away tasks may be unavailable. */
 bool
 gr_task_may_be_stopped (const struct task *task)
 {
-  if (!task->step->spec->lasting || !is_fully_started (task))
+  if (!gr_task_is_at_work (task))
     return true;
   return gr_step_unavailable_tasks (task->step, task)
          < task->step->spec->max_away;
--- a/tests/test-steps-health.c
+++ b/tests/test-steps-health.c
@@ -156,6 +156,27 @@
 }
 END_TEST
 
+/* Tasks that had been at work kept their worker in quarantine for up to 30 s.
+ */
+START_TEST (failures_of_lasting_work_do_not_quarantine)
+{
+  struct gr_step_spec lasting = one_task;
+  struct steps_model *model = steps_fixture_create (1, 1);
+
+  lasting.lasting = true;
+  for (uint32_t i = 1; i <= 3; i++)
+    steps_model_add_job (model, i, "normal", "a", &lasting, 1, 1000);
+  for (int round = 0; round < 6; round++)
+    {
+      steps_model_run (model, 2500);
+      for (uint32_t i = 1; i <= 3; i++)
+        ck_assert_uint_eq (steps_model_running (model, i), 1);
+      steps_model_fail_runs (model, 0);
+    }
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* Guards against taking the failures of such a worker for those of the jobs. */
 START_TEST (worker_that_fails_everything_stays_in_quarantine)
 {
@@ -197,6 +218,7 @@
   tcase_add_test (tests, same_failed_jobs_renew_a_quarantine);
   tcase_add_test (tests, failures_of_one_moment_make_one_quarantine);
   tcase_add_test (tests, worker_gets_one_new_task_after_a_quarantine);
+  tcase_add_test (tests, failures_of_lasting_work_do_not_quarantine);
   tcase_add_test (tests, worker_that_fails_everything_stays_in_quarantine);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
