steps: one list without a machine does not end its upkeep

Operators saw a wave reported as completed although a machine of it had had no upkeep, and its worker could stay closed and get no work any more. Cause: a machine that one list did not name was taken for gone, for good. Pages of a list are read one after the other, and an empty list named none at all. A machine that was closed at that time was not opened again. A machine is now gone when the lists have not named it for 2 s, its worker is opened then, and it is part of the wave again if it is back, unless the platform itself has answered that it is not. One that is away for its upkeep counts as done. Evidence: machine_missing_from_one_list_has_its_upkeep and machine_that_is_listed_again_has_its_upkeep failed before (5 of 6 upkeeps, wave complete).

--- a/steps/waves.c
+++ b/steps/waves.c
@@ -13,6 +13,11 @@
 
 #define RETRY_MS 500
 
+/* A machine is gone when the lists have not named it for this time, three list
+ * periods. One list can miss a machine, as its pages are read one after the
+ * other. */
+#define GONE_AFTER_MS 2000
+
 enum member_state
 {
   MEMBER_PENDING,
@@ -26,8 +31,11 @@
 struct member
 {
   char *machine;
-  char *worker; /* from the last machine list */
-  bool listed;  /* a machine list has arrived since the wave was added */
+  char *worker;  /* from the last machine list */
+  bool listed;   /* a machine list has arrived since the wave was added */
+  bool rejected; /* the platform has answered that it is not in the wave */
+  int64_t missing_since_ms; /* first list without it since the last one with
+                               it; 0: the last list names it */
   enum gr_machine_state machine_state;
   enum member_state state;
   int64_t since_ms; /* when state last changed */
@@ -207,6 +215,22 @@
   member->worker = g_strdup (worker);
 }
 
+static void
+update_missing (struct gr_waves *waves,
+                struct member *member,
+                int64_t requested_ms)
+{
+  if (member->missing_since_ms == 0)
+    member->missing_since_ms = requested_ms;
+  if (member->state >= MEMBER_DONE
+      || requested_ms - member->missing_since_ms < GONE_AFTER_MS)
+    return;
+  if (member->state != MEMBER_PENDING)
+    gr_steps_close_worker (waves->steps, member->worker, false);
+  set_state (waves, member,
+             member->state == MEMBER_AWAY ? MEMBER_DONE : MEMBER_GONE);
+}
+
 static void
 update_member (struct gr_waves *waves,
                struct member *member,
@@ -216,10 +240,12 @@
   member->listed = true;
   if (row == NULL)
     {
-      if (member->state != MEMBER_DONE)
-        set_state (waves, member, MEMBER_GONE);
+      update_missing (waves, member, requested_ms);
       return;
     }
+  member->missing_since_ms = 0;
+  if (member->state == MEMBER_GONE && !member->rejected)
+    set_state (waves, member, MEMBER_PENDING);
   /* The answer to the order was lost, but the order took effect. */
   if (member->state == MEMBER_ORDERED && row->state == GR_MACHINE_UPKEEP)
     set_state (waves, member, MEMBER_AWAY);
@@ -273,6 +299,7 @@
   else if (result == GR_UPKEEP_NOT_IN_WAVE)
     {
       gr_steps_close_worker (waves->steps, member->worker, false);
+      member->rejected = true;
       set_state (waves, member, MEMBER_GONE);
     }
   /* Otherwise the order is sent again. It may have taken effect, so the machine
@@ -284,7 +311,7 @@
 {
   return member->state == MEMBER_ORDERED || member->state == MEMBER_AWAY
          || member->state == MEMBER_CLOSING
-         || (member->state == MEMBER_PENDING
+         || (member->state == MEMBER_PENDING && member->missing_since_ms == 0
              && (!member->listed || member->machine_state != GR_MACHINE_UP));
 }
 
@@ -302,6 +329,7 @@
       uint32_t load;
 
       if (member->state != MEMBER_PENDING || !member->listed
+          || member->missing_since_ms != 0
           || member->machine_state != GR_MACHINE_UP)
         continue;
       load = gr_steps_worker_load (waves->steps, member->worker);
--- a/tests/test-waves.c
+++ b/tests/test-waves.c
@@ -25,6 +25,9 @@
   uint32_t lose_every;
   uint32_t orders;
   bool complete;
+  /* Lists in this time do not name the last machine. */
+  int64_t missing_from_ms;
+  int64_t missing_until_ms;
 };
 
 static void
@@ -87,6 +90,15 @@
   model->complete = complete;
 }
 
+static size_t
+listed_machines (const struct machine_model *model)
+{
+  bool misses = model->now_ms >= model->missing_from_ms
+                && model->now_ms < model->missing_until_ms;
+
+  return misses ? MACHINES - 1 : MACHINES;
+}
+
 static void
 machine_model_tick (struct machine_model *model)
 {
@@ -106,8 +118,8 @@
     }
   model->max_down = MAX (model->max_down, down);
   if (model->now_ms % 700 < TICK_MS)
-    gr_waves_update_machines (model->waves, model->machines, MACHINES,
-                              model->now_ms);
+    gr_waves_update_machines (model->waves, model->machines,
+                              listed_machines (model), model->now_ms);
   gr_waves_tick (model->waves, model->now_ms);
   while (gr_waves_take_order (model->waves, &order))
     {
@@ -165,6 +177,39 @@
 }
 END_TEST
 
+/* One list without a machine ended its upkeep for good. */
+START_TEST (machine_missing_from_one_list_has_its_upkeep)
+{
+  struct machine_model model;
+
+  machine_model_create (&model);
+  model.missing_from_ms = 2000;
+  model.missing_until_ms = 2700;
+  machine_model_run (&model, 30000);
+  ck_assert_uint_eq (model.upkeeps, MACHINES);
+  ck_assert_uint_le (model.max_down, CAP);
+  ck_assert (model.complete);
+  machine_model_destroy (&model);
+}
+END_TEST
+
+/* A machine that was back in the lists was left out of its wave. */
+START_TEST (machine_that_is_listed_again_has_its_upkeep)
+{
+  struct machine_model model;
+
+  machine_model_create (&model);
+  model.missing_until_ms = 20000;
+  machine_model_run (&model, 18000);
+  ck_assert_uint_eq (model.upkeeps, MACHINES - 1);
+  ck_assert (model.complete);
+  machine_model_run (&model, 10000);
+  ck_assert_uint_eq (model.upkeeps, MACHINES);
+  ck_assert (model.complete);
+  machine_model_destroy (&model);
+}
+END_TEST
+
 /* A new owner repeated the upkeep of machines that a former owner had
  * finished. */
 START_TEST (done_machines_are_not_ordered_again)
@@ -276,6 +321,8 @@
 
   tcase_add_test (tests, wave_keeps_to_its_cap);
   tcase_add_test (tests, wave_is_complete_only_at_the_end);
+  tcase_add_test (tests, machine_missing_from_one_list_has_its_upkeep);
+  tcase_add_test (tests, machine_that_is_listed_again_has_its_upkeep);
   tcase_add_test (tests, done_machines_are_not_ordered_again);
   tcase_add_test (tests, replaced_worker_of_a_closed_machine_gets_no_work);
   tcase_add_test (tests, machines_of_a_new_wave_are_listed_before_their_upkeep);
