--- a/steps/tables.h
+++ b/steps/tables.h
@@ -79,6 +79,7 @@
   int64_t quarantine_until_ms;
   uint32_t quarantine_ms;
   bool quarantined_for_jobs; /* the last quarantine was for failed_jobs */
+  bool on_probation;         /* gets one task at a time after a quarantine */
   uint32_t pace; /* percent of processor time that filler tasks may use here */
   int64_t pace_changed_ms;
   double
@@ -498,10 +499,12 @@
 /* Quarantines the worker if runs of several different jobs failed in a row. */
 void gr_health_record_failure (struct gr_steps *steps,
                                struct worker *worker,
-                               const struct job *job);
+                               const struct task *task);
 /* Ends such a quarantine: the jobs that failed on the worker fail by
  * themselves. */
 void gr_health_record_success (struct gr_steps *steps, struct worker *worker);
+/* Ends the probation when it is over. */
+void gr_health_tick (struct gr_steps *steps, struct worker *worker);
 /* Quarantines the worker unless it already is. reason is a text for the log. */
 void gr_health_quarantine (struct gr_steps *steps,
                            struct worker *worker,
@@ -595,6 +598,8 @@
  * `excluded`. */
 uint32_t gr_step_unavailable_tasks (const struct step *step,
                                     const struct task *excluded);
+/* True if the run of a lasting task is fully started. */
+bool gr_task_is_at_work (const struct task *task);
 /* True if stopping the task keeps its step within max_away. */
 bool gr_task_may_be_stopped (const struct task *task);
 
