sched: gangs are renewed after a cut only when all members were heard

A part of a gang ran for up to 53 s after another member had been lost, where 45 s are allowed (run lease term 30 s and 15 s for the detection).

Cause: a member that is lost while no worker is heard is noticed up to 20 s later. When the contact returned, the remaining members were renewed for another 30 s before that, and a worker that was then cut off again kept its task for this time.

During a time without contact, and after it until all members of a gang have been heard, its leases are not renewed; the renewal is tried again every four time slots. So such a gang ends within the term that its leases had. Jobs with one task are renewed as before.

Test: gang_that_lost_a_member_in_a_cut_ends, 100 times of the renewal cycle.

--- a/sched/core.c
+++ b/sched/core.c
@@ -309,6 +309,8 @@
     core->active_ms += before_ms > limit_ms ? elapsed_ms : core->unheard_ms;
   else if (core->contacted && core->unheard_ms <= core->config.call_timeout_ms)
     core->active_ms += core->unheard_ms;
+  if (core->contacted && core->unheard_ms > core->config.call_timeout_ms)
+    core->heard_since_ms = core->last_tick_ms;
   if (core->contacted)
     core->unheard_ms = 0;
   core->contacted = false;
--- a/sched/renew.c
+++ b/sched/renew.c
@@ -23,9 +23,33 @@
               + g_rand_int_range (core->rand, 0, GR_RENEW_SLOTS - 1));
 }
 
+/* Delay before a renewal that was held back is tried again. */
+#define RETRY_SLOTS 4
+
+/* A member of a gang may have been lost while no worker was heard. The others
+ * are renewed only after all have been heard again, so that such a gang ends
+ * within the term that its leases had. */
+static bool
+may_renew (const struct gr_core *core, const struct gr_core_job *job)
+{
+  if (job->n_members == 1)
+    return true;
+  if (core->unheard_ms > core->config.call_timeout_ms)
+    return false;
+  if (core->now_ms - core->heard_since_ms >= core->config.run_lease_term_ms)
+    return true;
+  for (uint32_t i = 0; i < job->n_members; i++)
+    if (job->members[i].worker != NULL
+        && job->members[i].worker->last_contact_ms < core->heard_since_ms)
+      return false;
+  return true;
+}
+
 /* Renews the leases of running work; false if the worker runs none. */
 static bool
-renew_worker (struct gr_core *core, struct gr_core_worker *worker)
+renew_worker (struct gr_core *core,
+              struct gr_core_worker *worker,
+              bool *held_back)
 {
   const struct gr_core_member *last = NULL;
   bool any = false;
@@ -42,7 +66,9 @@
           && member->job->phase != GR_PHASE_ENDING)
         continue;
       any = true;
-      if (!member->lost && !member->failed && !member->stopped)
+      if (!may_renew (core, member->job))
+        *held_back = true;
+      else if (!member->lost && !member->failed && !member->stopped)
         gr_member_renew (core, member, core->config.run_lease_term_ms);
     }
   return any;
@@ -66,10 +92,13 @@
       while ((link = g_queue_pop_head_link (&due)) != NULL)
         {
           struct gr_core_worker *worker = link->data;
+          bool held_back = false;
 
           worker->in_renew = false;
-          if (renew_worker (core, worker))
-            insert (core, worker, core->renew_done + GR_RENEW_SLOTS);
+          if (renew_worker (core, worker, &held_back))
+            insert (core, worker,
+                    core->renew_done
+                        + (held_back ? RETRY_SLOTS : GR_RENEW_SLOTS));
         }
     }
 }
--- a/sched/tables.c
+++ b/sched/tables.c
@@ -279,6 +279,7 @@
 {
   track_contact (core, worker);
   core->contacted = true;
+  worker->last_contact_ms = core->now_ms;
   worker->silent = false;
   worker->suspect = false;
   worker->removed = false;
--- a/sched/tables.h
+++ b/sched/tables.h
@@ -111,7 +111,8 @@
   bool removed;
   bool replaced; /* by another machine; freed when it holds nothing */
   bool quarantined;
-  bool probing;                   /* a probe is running */
+  bool probing; /* a probe is running */
+  int64_t last_contact_ms;
   int64_t last_contact_active_ms; /* on the clock of core->active_ms */
   GList contact_link;
   GQueue *contact_queue; /* NULL while the worker is silent */
@@ -254,6 +255,7 @@
   int64_t active_ms;
   int64_t unheard_ms; /* running time since the last contact to any worker */
   bool contacted;     /* some worker was contacted since the last tick */
+  int64_t heard_since_ms; /* end of the last time without contact */
   bool durable;
   GArray *out; /* destination of commands: the array of the tick, or pending */
   GArray *pending;                /* commands of events between ticks */
--- a/tests/test-sched-faults.c
+++ b/tests/test-sched-faults.c
@@ -484,6 +484,34 @@
 }
 END_TEST
 
+/* Guards against a part of a gang that runs on for longer than one lease term,
+ * because its member was lost while the owner was cut off. */
+START_TEST (gang_that_lost_a_member_in_a_cut_ends)
+{
+  struct model *model = model_create_ready (1, 4);
+  struct gr_job_spec spec = model_spec ("a", "g", 2, 8);
+  const struct gr_job_record *record;
+  struct model_worker *left;
+
+  model_must_submit (model, &spec, 600000);
+  model_run (model, 3000 + _i * 100);
+  record = gr_core_find (model->core, "dc1.a.g");
+  left = model_worker (model, record->placements[1].worker);
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model->workers[i].unreachable = true;
+  model_kill (model, model_worker (model, record->placements[0].worker));
+  model_run (model, 18000);
+  for (uint32_t i = 0; i < model->n_workers; i++)
+    model->workers[i].unreachable = false;
+  model_run (model, 4000);
+  left->unreachable = true;
+  model_run (model, 23000);
+  /* Two tasks are the whole gang in its next attempt. */
+  ck_assert_uint_ne (model_count_running (model, "dc1.a.g"), 1);
+  model_destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -506,6 +534,7 @@
   tcase_add_test (tcase, takeover_does_not_count_a_failure_twice);
   tcase_add_test (tcase, starts_refused_by_leaving_workers_are_no_failures);
   tcase_add_test (tcase, cut_of_the_owner_stops_no_job);
+  tcase_add_loop_test (tcase, gang_that_lost_a_member_in_a_cut_ends, 0, 100);
   tcase_add_test (tcase, loss_of_all_workers_is_noticed);
   tcase_add_test (tcase, absent_workers_make_no_job_impossible);
   tcase_add_test (tcase, new_owner_waits_for_absent_workers);
