steps: five crashes right after a start give a task up

Cause: about a quarter of its starts are followed by a wave, so that the crash is dismissed, and nothing bounds the dismissals. All crashes within a second were noted as dismissed, so a bound on them would also have met jobs that waves hit early. Change: only crashes within 150 ms of a start are noted when they are dismissed, and five of these and of the counted early ones give the task up. Tests of crashes and crash evidence pass.

--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -21,6 +21,11 @@
  * sixth start as well. */
 #define MIN_CRASHES_AFTER_DISMISSED 2
 
+/* So many crashes right after a start give a task up even if others crashed at
+ * the same times: one that does not cause them hardly meets as many, and the
+ * platform permits no sixth start. */
+#define MAX_IMMEDIATE_CRASHES 5
+
 /* Crashes of so many other workers, none of them under a suspected task, have a
  * cause of their own. A single one may be a coincidence. */
 #define MIN_UNRELATED_CRASHES 2
@@ -122,7 +127,9 @@
   return task->early_crashes >= MAX_EARLY_CRASHES
          || task->crashes + task->unconfirmed_crashes >= MAX_CRASHES
          || (early >= MIN_CRASHES_AFTER_DISMISSED
-             && early + task->dismissed_crashes >= MAX_CRASHES);
+             && early + task->dismissed_crashes >= MAX_CRASHES)
+         || task->early_crashes + task->dismissed_crashes
+                >= MAX_IMMEDIATE_CRASHES;
 }
 
 bool
@@ -300,6 +307,7 @@
   g_strlcpy (report.worker, worker->id, sizeof report.worker);
   g_array_append_val (steps->crash_reports, report);
   task->crashes_unassessed++;
+  task->immediate_unassessed += report.immediate;
   task->step->suspected = true;
   g_strlcpy (task->avoid_worker, worker->id, sizeof task->avoid_worker);
   gr_job_mark_changed (steps, job);
@@ -457,7 +465,7 @@
 {
   if (report->counted)
     withdraw (steps, task, report);
-  if (report->early)
+  if (report->immediate)
     task->dismissed_crashes++;
   ++*counter;
 }
@@ -519,7 +527,10 @@
       if (report->counted)
         task->crashes_settling = true;
       else
-        task->crashes_unassessed++;
+        {
+          task->crashes_unassessed++;
+          task->immediate_unassessed += report->immediate;
+        }
     }
 }
 
@@ -539,6 +550,7 @@
           continue;
         }
       task->crashes_unassessed = 0;
+      task->immediate_unassessed = 0;
       task->crashes_settling = false;
       settled = assess (steps, task, report);
       if (!settled)
@@ -597,7 +609,7 @@
 gr_crash_holds_start (const struct gr_steps *steps, const struct task *task)
 {
   uint32_t early = task->early_crashes + task->unconfirmed_crashes
-                   + task->dismissed_crashes + task->crashes_unassessed;
+                   + task->dismissed_crashes + task->immediate_unassessed;
 
   if (gr_crash_is_proven (task))
     return true;
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -124,7 +124,7 @@
   /* Workers that were gone after a start that they may not have received. Not
    * included in crashes. */
   uint32_t unconfirmed_crashes;
-  /* Crashes soon after a start of the task that are no evidence against it.
+  /* Crashes right after a start of the task that are no evidence against it.
    * Not included in the others. */
   uint32_t dismissed_crashes;
   char checkpoint[GR_CHECKPOINT_SIZE];
--- a/tests/test-crash-evidence.c
+++ b/tests/test-crash-evidence.c
@@ -46,20 +46,31 @@
 
 /* Seven workers of ten crash within spread_ms. */
 static void
-crash_wave (struct steps_model *model, GRand *rand, int64_t spread_ms)
+crash_workers (struct steps_model *model,
+               GRand *rand,
+               uint32_t workers,
+               const struct steps_model_crash *crash,
+               int64_t spread_ms)
 {
-  const struct steps_model_crash crash = { .down_ms = 1500 };
   int64_t end_ms = steps_model_now_ms (model) + spread_ms;
 
-  for (uint32_t i = 0; i < WORKERS; i++)
+  for (uint32_t i = 0; i < workers; i++)
     {
       if (g_rand_double (rand) < 0.7)
-        steps_model_crash_worker (model, i, &crash);
+        steps_model_crash_worker (model, i, crash);
       if (steps_model_now_ms (model) < end_ms && i % 2 == 0)
-        steps_model_run (model, spread_ms * 2 / WORKERS);
+        steps_model_run (model, spread_ms * 2 / workers);
     }
 }
 
+static void
+crash_wave (struct steps_model *model, GRand *rand, int64_t spread_ms)
+{
+  const struct steps_model_crash crash = { .down_ms = 1500 };
+
+  crash_workers (model, rand, WORKERS, &crash, spread_ms);
+}
+
 static void
 check_completed (struct steps_model *model, uint32_t first, uint32_t n)
 {
@@ -199,6 +210,35 @@
 }
 END_TEST
 
+/* As above, with waves that are noticed only when the owner calls the workers:
+ * a crash was dismissed again and again. */
+START_TEST (crashing_task_beside_unnoticed_waves_is_given_up)
+{
+  const struct steps_model_crash unnoticed = { .down_ms = 1500,
+                                               .unnoticed = true,
+                                               .orders_unknown = true };
+
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct steps_model *model = steps_fixture_create (48, seed);
+      g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+
+      add_innocent_jobs (model, 3, INNOCENT_JOBS);
+      for (uint32_t wave = 0; wave < 14; wave++)
+        {
+          steps_model_run (model, g_rand_int_range (rand, 2000, 3500));
+          if (wave == 1)
+            add_crashing_jobs (model, 1, 2);
+          crash_workers (model, rand, 48, &unnoticed, 320);
+        }
+      steps_model_run (model, 90000);
+      check_given_up (model, 1, 2);
+      check_completed (model, 3, INNOCENT_JOBS);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 /* With many tasks that crash workers, jobs beside them were given up as well,
  * for crashes that these tasks caused. */
 START_TEST (many_crashing_tasks_fail_no_other_job)
@@ -256,6 +296,7 @@
   tcase_add_test (waves, waves_of_crashes_after_takeovers_fail_no_job);
   tcase_add_test (waves, waves_in_quick_succession_fail_no_job);
   tcase_add_test (waves, crashing_task_beside_waves_is_given_up);
+  tcase_add_test (waves, crashing_task_beside_unnoticed_waves_is_given_up);
   tcase_add_test (waves, many_crashing_tasks_fail_no_other_job);
   tcase_add_test (waves, restarts_of_idle_workers_do_not_hide_a_crashing_task);
   suite_add_tcase (suite, waves);
