steps: crashes that a former owner has not assessed count as early ones

Early crashes that are not assessed yet are noted as dismissed, whatever the time. Tests of crashes, crash evidence, restarts and handover pass.

--- a/steps/core.c
+++ b/steps/core.c
@@ -291,7 +291,7 @@
 {
   return task->state == TASK_DONE || task->failures > 0 || task->crashes > 0
          || task->unconfirmed_crashes > 0 || task->dismissed_crashes > 0
-         || task->immediate_unassessed > 0 || task->checkpoint != NULL;
+         || task->early_unassessed > 0 || task->checkpoint != NULL;
 }
 
 static void
@@ -308,7 +308,7 @@
     .early_crashes = task->early_crashes,
     .unconfirmed_crashes = task->unconfirmed_crashes,
     /* A later owner cannot tell what caused them. */
-    .dismissed_crashes = task->dismissed_crashes + task->immediate_unassessed,
+    .dismissed_crashes = task->dismissed_crashes + task->early_unassessed,
   };
 
   if (task->checkpoint != NULL)
--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -307,7 +307,7 @@
   g_strlcpy (report.worker, worker->id, sizeof report.worker);
   g_array_append_val (steps->crash_reports, report);
   task->crashes_unassessed++;
-  task->immediate_unassessed += report.immediate;
+  task->early_unassessed += report.early;
   task->step->suspected = true;
   g_strlcpy (task->avoid_worker, worker->id, sizeof task->avoid_worker);
   gr_job_mark_changed (steps, job);
@@ -529,7 +529,7 @@
       else
         {
           task->crashes_unassessed++;
-          task->immediate_unassessed += report->immediate;
+          task->early_unassessed += report->early;
         }
     }
 }
@@ -550,7 +550,7 @@
           continue;
         }
       task->crashes_unassessed = 0;
-      task->immediate_unassessed = 0;
+      task->early_unassessed = 0;
       task->crashes_settling = false;
       settled = assess (steps, task, report);
       if (!settled)
@@ -609,7 +609,7 @@
 gr_crash_holds_start (const struct gr_steps *steps, const struct task *task)
 {
   uint32_t early = task->early_crashes + task->unconfirmed_crashes
-                   + task->dismissed_crashes + task->immediate_unassessed;
+                   + task->dismissed_crashes + task->early_unassessed;
 
   if (gr_crash_is_proven (task))
     return true;
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -119,17 +119,17 @@
   uint32_t crashes;       /* workers that crashed under it and count as evidence
                              against it; see crash-evidence.c */
   uint32_t early_crashes; /* of these, soon after its start */
-  uint32_t unconfirmed_crashes;  /* further workers that were gone after a start
-                                    that they may not have received */
-  uint32_t dismissed_crashes;    /* further ones right after a start that are no
-                                    evidence against it; see crash-evidence.c */
-  uint32_t crashes_unassessed;   /* further ones that are not assessed yet */
-  uint32_t immediate_unassessed; /* of these, right after a start */
-  bool crashes_settling;         /* a counted crash may still be dismissed */
-  char *checkpoint;              /* NULL if there is none */
-  int64_t placed_ms;             /* when it was placed or adopted */
-  bool adopted;                  /* its run was started by a former owner */
-  int64_t order_sent_ms;         /* when the last order was queued */
+  uint32_t unconfirmed_crashes; /* further workers that were gone after a start
+                                   that they may not have received */
+  uint32_t dismissed_crashes;   /* further ones right after a start that are no
+                                   evidence against it; see crash-evidence.c */
+  uint32_t crashes_unassessed;  /* further ones that are not assessed yet */
+  uint32_t early_unassessed;    /* of these, soon after a start */
+  bool crashes_settling;        /* a counted crash may still be dismissed */
+  char *checkpoint;             /* NULL if there is none */
+  int64_t placed_ms;            /* when it was placed or adopted */
+  bool adopted;                 /* its run was started by a former owner */
+  int64_t order_sent_ms;        /* when the last order was queued */
   bool start_sent;          /* a start order for the run has left the queue */
   uint32_t possible_starts; /* start orders of the run that were sent and may
                                have had an effect */
