steps: clearer names in crash evidence

A reader named what stopped a newcomer: one limit stood for two quantities, the hold of a start had the name of a suspicion, and functions had no word on their purpose. Names and comments only. Tests of crash evidence and crashes pass.

--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -16,10 +16,11 @@
 /* Later crashes often have other causes, so more of them are needed. */
 #define MAX_CRASHES 4
 
-/* A suspected task is started only while no other workers crash, so fewer
- * crashes prove more once some were dismissed. Keeps such a task below the
- * sixth start as well. */
+/* A suspected task is started only while no other workers crash, so that fewer
+ * counted crashes are enough once, with the dismissed ones, there were so many.
+ * Keeps such a task below the sixth start as well. */
 #define MIN_CRASHES_AFTER_DISMISSED 2
+#define MIN_CRASHES_WITH_DISMISSED 4
 
 /* So many crashes right after a start give a task up even if others crashed at
  * the same times: one that does not cause them hardly meets as many, and the
@@ -58,11 +59,12 @@
  * them are assessed later than they were noted. */
 #define HISTORY_MS 10000
 
-/* A task that crashed its workers soon after so many starts is not started
- * while other workers crash. */
-#define SUSPECTED_EARLY_CRASHES 2
+/* A task that crashed its workers soon after so many starts is held back while
+ * other workers crash, as a further crash would show nothing. */
+#define HOLD_EARLY_CRASHES 2
 
-/* Such a task is held back no longer, as workers can go on crashing. */
+/* It is held back no longer than this after its last crash, as workers can go
+ * on crashing. */
 #define MAX_HOLD_MS 5000
 
 /* How likely it is that a run has caused the crash of its worker. */
@@ -74,6 +76,7 @@
   BLAME_SUSPECTED, /* it had just started, and crashes count against it */
 };
 
+/* A crash of a worker under a task that is not settled yet. */
 struct crash_report
 {
   char task[GR_TASK_NAME_SIZE];
@@ -83,8 +86,8 @@
                              it was */
   bool restarted;         /* noticed only when the worker was back */
   bool confirmed;         /* the process is known to have received the start */
-  bool early;
-  bool immediate; /* the connection was lost right after the start */
+  bool early;             /* within GR_EARLY_CRASH_MS of the start */
+  bool immediate;         /* the connection was lost right after the start */
   bool counted; /* as evidence; a later crash of others can still dismiss it */
   bool inherited; /* the crashes that a former owner has counted; they can no
                      longer be dismissed */
@@ -127,7 +130,7 @@
   return task->early_crashes >= MAX_EARLY_CRASHES
          || task->crashes + task->unconfirmed_crashes >= MAX_CRASHES
          || (early >= MIN_CRASHES_AFTER_DISMISSED
-             && early + task->dismissed_crashes >= MAX_CRASHES)
+             && early + task->dismissed_crashes >= MIN_CRASHES_WITH_DISMISSED)
          || task->early_crashes + task->dismissed_crashes
                 >= MAX_IMMEDIATE_CRASHES;
 }
@@ -157,6 +160,7 @@
   return task->crashes > task->early_crashes ? BLAME_NEW : BLAME_OLD;
 }
 
+/* What the crash of the worker would show about crashes of others. */
 static enum gr_crash_suspicion
 suspicion_of (const struct gr_steps *steps, const struct worker *worker)
 {
@@ -359,7 +363,8 @@
   lost->new_runs += suspicion == GR_CRASH_NEW_RUN;
 }
 
-/* immediate: the crash followed its start at once, so that other runs which
+/* True if so many other workers crashed that they have a cause of their own.
+ * immediate: the crash followed its start at once, so that other runs which
  * have just started do not explain it. */
 static bool
 is_wave (const struct gr_crash_context *context,
@@ -374,10 +379,10 @@
 }
 
 static void
-add_worker (const struct gr_steps *steps,
-            const struct worker *worker,
-            const struct crash_report *report,
-            struct evidence *evidence)
+add_witness (const struct gr_steps *steps,
+             const struct worker *worker,
+             const struct crash_report *report,
+             struct evidence *evidence)
 {
   if (!worker->registered || worker->crash_noted
       || g_str_equal (worker->id, report->worker))
@@ -405,7 +410,7 @@
   return evidence->reports >= MIN (evidence->possible, MIN_REPORTS);
 }
 
-/* The counter of the task to which the crash belongs. */
+/* The task's counter of such crashes. */
 static uint32_t *
 counter_of (struct task *task, const struct crash_report *report)
 {
@@ -422,6 +427,7 @@
   steps->crash_counts.counted++;
 }
 
+/* Undoes count (). */
 static void
 withdraw (struct gr_steps *steps,
           struct task *task,
@@ -457,6 +463,7 @@
                 counts[4], NULL);
 }
 
+/* The crash is no evidence against the task, and is added to *counter. */
 static void
 dismiss (struct gr_steps *steps,
          struct task *task,
@@ -483,7 +490,7 @@
       report->at_ms + SETTLING_MS);
   if (!report->counted && age_ms >= ASSESSMENT_MS)
     for (guint i = 0; i < steps->worker_rows->len; i++)
-      add_worker (steps, steps->worker_rows->pdata[i], report, &evidence);
+      add_witness (steps, steps->worker_rows->pdata[i], report, &evidence);
   if (!report->inherited
       && is_wave (&evidence.context, &evidence.lost, report->immediate))
     {
@@ -534,15 +541,16 @@
     }
 }
 
+/* Assesses each open report and removes those that are settled; adds their
+ * tasks to settled_tasks. */
 static void
-assess_all (struct gr_steps *steps, GPtrArray *proven)
+assess_all (struct gr_steps *steps, GPtrArray *settled_tasks)
 {
   for (guint i = steps->crash_reports->len; i-- > 0;)
     {
       struct crash_report *report =
           &g_array_index (steps->crash_reports, struct crash_report, i);
       struct task *task = gr_task_find (steps, report->task);
-      bool settled;
 
       if (task == NULL || gr_job_is_final (gr_task_job (task)))
         {
@@ -552,12 +560,11 @@
       task->crashes_unassessed = 0;
       task->early_unassessed = 0;
       task->crashes_settling = false;
-      settled = assess (steps, task, report);
-      if (!settled)
+      if (!assess (steps, task, report))
         continue;
       gr_job_mark_changed (steps, gr_task_job (task));
       g_array_remove_index (steps->crash_reports, i);
-      g_ptr_array_add (proven, task);
+      g_ptr_array_add (settled_tasks, task);
     }
 }
 
@@ -617,7 +624,7 @@
       && task->crashes + task->unconfirmed_crashes + task->crashes_unassessed
              >= MAX_CRASHES)
     return true;
-  if (early < SUSPECTED_EARLY_CRASHES)
+  if (early < HOLD_EARLY_CRASHES)
     return false;
   if (task->crashes_unassessed > 0)
     return true;
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -227,7 +227,8 @@
   bool placement_logged;  /* that speeds decided; once for each step */
   double wait_slowness;   /* of the slowest of these */
   bool placement_counted; /* whether it is expected to be late */
-  bool suspected;         /* workers have crashed under one of its tasks */
+  bool suspected;         /* crashes count against one of its tasks, or are not
+                             assessed yet */
   int64_t crashed_ms;     /* when a run of it was last lost in a crash that this
                              owner noticed; 0: never */
   bool fits_rack;         /* some rack is large enough for the whole gang */
