--- a/steps/crash-log.h
+++ b/steps/crash-log.h
@@ -5,8 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* More say no more, and at a large site a thousand workers can crash at once.
- */
+/* The search ends here, as two decide and a thousand workers can crash at once
+ * at a large site. */
 #define GR_CRASH_MAX_UNSUSPECTED 16
 
 struct gr_crash_log;
