--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -368,7 +368,8 @@
                 self.rig.note_end(self, task, run["run"], "gone")
             self.cond.notify_all()
         self.rig.store.remove("servers/" + self.id)
-        self.server.close()
+        if self.server is not None:
+            self.server.close()
 
     def work(self):
         born = self.born
