--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -12,6 +12,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -752,4 +753,5 @@
 
 
 def trouble():
-    return os.environ.get("TROUBLE", "1") != "0"
+    """False if run.sh was called with TROUBLE=0."""
+    return "--without-trouble" not in sys.argv[1:]
