review: ports outside the range of outgoing connections, errors exit with 2

Cause: one of five runs of case 1 exited with 2 beside the other scripts. Its log was not kept, so the cause is not proved; a port could be taken before the instance bound it. An exception in a script exited with 1, as if the rule was broken; the records of the earlier counts were not searched for it.

--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -16,6 +17,7 @@
 import tempfile
 import threading
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -619,9 +621,16 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port below those that the system gives to outgoing connections, so that
+    none takes it before the instance does, or while that is restarted."""
+    while True:
+        port = random.randrange(12000, 30000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Instance:
@@ -755,3 +764,13 @@
 def trouble():
     """False if run.sh was called with TROUBLE=0."""
     return "--without-trouble" not in sys.argv[1:]
+
+
+def run(main):
+    """Exits with what main returns, or with 2 if it fails itself."""
+    try:
+        code = main()
+    except Exception:
+        traceback.print_exc()
+        code = 2
+    sys.exit(code)
