instance, steps: a refused connection ends no run

Cause: a refused poll was taken as proof that the worker's process had ended. It also ended a successor's wait for unknown runs. Change: a new incarnation, an answer of another worker (421), a departure or the lease decide. A refusal still notes a possible crash, which holds back suspected tasks as before; it is withdrawn when the same process is heard of, and gives no job up before it is proven. Refused workers are polled every 100 ms for 2 s. Failed before: refused_connection_ends_no_run (started twice), refused_connection_does_not_show_what_ran_before_a_takeover, draining_worker_that_refuses_delays_a_successor. Two tests asked for the fault and now use an answer of another worker, with the same bounds; task_that_crashes_workers_is_given_up runs until its crashes are certain.

--- a/http/call-pool.c
+++ b/http/call-pool.c
@@ -409,7 +409,8 @@
   return late;
 }
 
-/* A refusal shows that no process listens at the address. */
+/* A firewall or a proxy on the way refuses connections like an address at which
+ * nothing listens. */
 static enum gr_error_kind
 connect_error_kind (int error)
 {
--- a/http/call-pool.h
+++ b/http/call-pool.h
@@ -52,9 +52,9 @@
 
 /* Sends a request. done is called exactly once, never from within this
  * function. If a complete response of any status was received, error is NULL.
- * Otherwise response is NULL and the kind is not-found if nothing listens at
- * the address and no byte of the request was sent, no-target if none was sent
- * for another reason, or else timeout, io or protocol.
+ * Otherwise response is NULL and the kind is not-found if the
+ * connection was refused and no byte of the request was sent, no-target if none
+ * was sent for another reason, or else timeout, io or protocol.
  *
  * A call that times out does not close its connection: a response that arrives
  * later is discarded, and the connection is used again. It is closed if the
--- a/instance/metrics.c
+++ b/instance/metrics.c
@@ -67,9 +67,9 @@
     "mode observe those that would have been." },
   { "runs_lost_total", "counter", "reason",
     "Runs that count as ended although their worker reported no end: it was "
-    "restarted, its process is gone, it left, their lease expired, or it does "
-    "not report them (missing); only on the owner, since it became the "
-    "owner." },
+    "restarted, another worker has its address (gone), it left, their lease "
+    "expired, the same after it refused connections (crashed), or it does not "
+    "report them (missing); only on the owner, since it became the owner." },
   { "jobs_failed_total", "counter", "cause",
     "Jobs that were shown as failed: a task used up the attempts of its queue, "
     "or crashed the workers that started it; only on the owner, since it "
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -19,6 +19,13 @@
 #define POLL_PAUSE_MS 60
 #define FAILED_POLL_PAUSE_MS 300
 
+/* The same after a refusal. A worker that has crashed is replaced by another
+ * process, whose answer shows that the runs of the former one have ended. */
+#define REFUSED_POLL_PAUSE_MS 100
+
+/* After so many refusals the worker has most likely not been replaced. */
+#define MAX_REFUSALS_IN_A_ROW 20
+
 /* Period of polls that return at once while ended runs are not durable, or to
  * adjust the pace of filler tasks that share a worker with serving tasks.
  * Serving tasks may exceed their target for up to 4 s. */
@@ -240,8 +247,14 @@
   if (peer->failed_polls == 1)
     gr_log_event ("worker-look-failed", "worker", peer->worker, "reason",
                   error->message, NULL);
-  if (error->kind == GR_ERROR_NOT_FOUND)
+  if (error->kind == GR_ERROR_CONFLICT)
     gr_steps_worker_gone (io->steps, peer->worker, sent_ms, now_ms);
+  else if (error->kind == GR_ERROR_NOT_FOUND)
+    {
+      if (peer->failed_polls <= MAX_REFUSALS_IN_A_ROW)
+        peer->next_poll_ms = now_ms + REFUSED_POLL_PAUSE_MS;
+      gr_steps_worker_refused (io->steps, peer->worker, sent_ms, now_ms);
+    }
   /* The worker gets no new work until it answers a poll; polling continues. */
   gr_steps_set_worker_reachable (io->steps, peer->worker, false, now_ms);
 }
--- a/standins/relay.c
+++ b/standins/relay.c
@@ -43,6 +43,7 @@
   char *target;
   bool drop;
   bool refuse;
+  bool closed; /* service is NULL */
   int64_t delay_ms;
   int64_t relayed_bytes;
   int64_t dropped_bytes;
@@ -247,21 +248,71 @@
   return true;
 }
 
+static void
+start_service (struct gr_relay *relay, GSocket *socket)
+{
+  relay->service = g_socket_service_new ();
+  g_socket_listener_add_socket (G_SOCKET_LISTENER (relay->service), socket,
+                                NULL, NULL);
+  g_signal_connect (relay->service, "incoming", G_CALLBACK (incoming), relay);
+}
+
+static void
+stop_service (struct gr_relay *relay)
+{
+  if (relay->service == NULL)
+    return;
+  g_signal_handlers_disconnect_by_data (relay->service, relay);
+  g_socket_service_stop (relay->service);
+  g_socket_listener_close (G_SOCKET_LISTENER (relay->service));
+  g_clear_object (&relay->service);
+}
+
+bool
+gr_relay_set_closed (struct gr_relay *relay, bool closed)
+{
+  struct gr_error ignored = GR_ERROR_INIT;
+  GSocket *socket;
+  char *address;
+
+  if (closed == relay->closed)
+    return true;
+  if (closed)
+    {
+      stop_service (relay);
+      gr_relay_disconnect_all (relay);
+      relay->closed = true;
+      return true;
+    }
+  socket = gr_listen (relay->address, &address, &ignored);
+  if (socket == NULL)
+    return false;
+  g_free (address);
+  start_service (relay, socket);
+  g_object_unref (socket);
+  relay->closed = false;
+  return true;
+}
+
 static bool
 control (JsonObject *body, void *context)
 {
   struct gr_relay *relay = context;
   const char *side = gr_json_peek_string (body, "half_close");
+  bool closed = relay->closed;
   bool cut = false;
 
   if (!gr_json_get_bool (body, "drop", relay->drop, &relay->drop)
       || !gr_json_get_bool (body, "refuse", relay->refuse, &relay->refuse)
       || !gr_json_get_bool (body, "cut", false, &cut)
+      || !gr_json_get_bool (body, "closed", relay->closed, &closed)
       || !gr_json_get_int (body, "delay_ms", 0, 600000, relay->delay_ms,
                            &relay->delay_ms))
     return false;
   if (cut)
     gr_relay_disconnect_all (relay);
+  if (!gr_relay_set_closed (relay, closed))
+    return false;
   return side == NULL || half_close (relay, side);
 }
 
@@ -301,7 +352,6 @@
 
   relay->target = g_strdup (target);
   relay->links = g_hash_table_new (NULL, NULL);
-  relay->service = g_socket_service_new ();
   relay->base = gr_standin_create (control_listen, &ops, relay, error);
   if (relay->base != NULL)
     socket = gr_listen (listen, &relay->address, error);
@@ -310,10 +360,8 @@
       gr_relay_destroy (relay);
       return NULL;
     }
-  g_socket_listener_add_socket (G_SOCKET_LISTENER (relay->service), socket,
-                                NULL, NULL);
+  start_service (relay, socket);
   g_object_unref (socket);
-  g_signal_connect (relay->service, "incoming", G_CALLBACK (incoming), relay);
   return relay;
 }
 
@@ -322,11 +370,8 @@
 {
   if (relay == NULL)
     return;
-  g_signal_handlers_disconnect_by_data (relay->service, relay);
-  g_socket_service_stop (relay->service);
-  g_socket_listener_close (G_SOCKET_LISTENER (relay->service));
+  stop_service (relay);
   gr_relay_disconnect_all (relay);
-  g_object_unref (relay->service);
   g_hash_table_destroy (relay->links);
   gr_standin_destroy (relay->base);
   g_free (relay->address);
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -10,6 +10,8 @@
  *   drop: discards all data that arrives
  *   delay_ms: delays each chunk of data
  *   refuse: closes new connections
+ *   closed: as if no process listened: closes all connections, and the system
+ *     refuses new ones
  *   cut: closes all connections now
  *   half_close ("client" or "target"): ends the stream to that side now
  * Returns NULL and sets error if an address cannot be listened on. */
@@ -29,3 +31,7 @@
 
 /* Closes all connections now. */
 void gr_relay_disconnect_all (struct gr_relay *relay);
+
+/* Sets the fault "closed". Returns false if the address cannot be listened on
+ * again, because another process has taken it. */
+bool gr_relay_set_closed (struct gr_relay *relay, bool closed);
--- a/steps/crash-evidence.c
+++ b/steps/crash-evidence.c
@@ -88,7 +88,10 @@
   bool confirmed;         /* the process is known to have received the start */
   bool early;             /* within GR_EARLY_CRASH_MS of the start */
   bool immediate;         /* the connection was lost right after the start */
+  bool proven;  /* the run has ended; until then the worker may only refuse
+                   connections, and the job is not given up */
   bool counted; /* as evidence; a later crash of others can still dismiss it */
+  bool dismissed; /* as no evidence */
   bool inherited; /* the crashes that a former owner has counted; they can no
                      longer be dismissed */
 };
@@ -229,6 +232,8 @@
     return;
   worker->crash_noted = true;
   worker->crashed_ms = steps->now_ms;
+  worker->crash_unreachable_ms =
+      restarted || worker->reachable ? steps->now_ms : worker->unreachable_ms;
   worker->crash_restarted = restarted;
   worker->blame = BLAME_NONE;
   jobs = g_ptr_array_new ();
@@ -287,14 +292,14 @@
 gr_crash_record (struct gr_steps *steps,
                  const struct worker *worker,
                  struct task *task,
-                 bool confirmed,
-                 int64_t started_ms)
+                 bool proven)
 {
   struct job *job = gr_task_job (task);
+  bool confirmed = gr_crash_is_confirmed (task);
   struct crash_report report = {
+    .proven = proven,
     .at_ms = worker->crashed_ms,
-    .unreachable_ms =
-        worker->reachable ? worker->crashed_ms : worker->unreachable_ms,
+    .unreachable_ms = worker->crash_unreachable_ms,
     .restarted = worker->crash_restarted,
     .confirmed = confirmed,
     .early = had_just_started (task, worker->crashed_ms),
@@ -302,9 +307,11 @@
 
   if (gr_job_is_final (job) || worker->draining || worker->closed)
     return;
+  task->crash_recorded = !proven;
   task->step->crashed_ms = steps->now_ms;
   report.immediate =
-      !confirmed || report.unreachable_ms - started_ms <= IMMEDIATE_CRASH_MS;
+      !confirmed
+      || report.unreachable_ms - task->confirmed_ms <= IMMEDIATE_CRASH_MS;
   if (!is_relevant (worker, task, confirmed))
     return;
   gr_task_name (task, report.task);
@@ -321,9 +328,9 @@
 void
 gr_crash_inherit (struct gr_steps *steps, const struct task *task)
 {
-  struct crash_report report = { .at_ms = steps->now_ms,
-                                 .counted = true,
-                                 .inherited = true };
+  struct crash_report report = {
+    .at_ms = steps->now_ms, .proven = true, .counted = true, .inherited = true
+  };
 
   if (task->crashes + task->unconfirmed_crashes + task->dismissed_crashes == 0)
     return;
@@ -463,6 +470,80 @@
                 counts[4], NULL);
 }
 
+/* Returns the report on the present run of the task; NULL if it is settled or
+ * there is none. */
+static struct crash_report *
+find_unproven (struct gr_steps *steps, const struct task *task)
+{
+  char name[GR_TASK_NAME_SIZE];
+
+  gr_task_name (task, name);
+  for (guint i = 0; i < steps->crash_reports->len; i++)
+    {
+      struct crash_report *report =
+          &g_array_index (steps->crash_reports, struct crash_report, i);
+
+      if (!report->proven && g_str_equal (report->task, name))
+        return report;
+    }
+  return NULL;
+}
+
+void
+gr_crash_prove (struct gr_steps *steps, struct task *task)
+{
+  struct crash_report *report = find_unproven (steps, task);
+
+  task->crash_recorded = false;
+  task->step->crashed_ms = steps->now_ms;
+  if (report != NULL)
+    report->proven = true;
+}
+
+void
+gr_crash_withdraw (struct gr_steps *steps, struct task *task)
+{
+  struct crash_report *report = find_unproven (steps, task);
+
+  task->crash_recorded = false;
+  if (report == NULL)
+    return;
+  if (report->counted)
+    withdraw (steps, task, report);
+  else if (report->dismissed)
+    task->dismissed_crashes -= report->immediate;
+  else
+    {
+      task->crashes_unassessed--;
+      task->early_unassessed -= report->early;
+    }
+  task->crashes_settling = false;
+  gr_job_mark_changed (steps, gr_task_job (task));
+  g_array_remove_index (
+      steps->crash_reports,
+      (guint)(report - (struct crash_report *)steps->crash_reports->data));
+  task->step->suspected = gr_crash_is_suspected (task->step);
+}
+
+void
+gr_crash_withdraw_worker (struct gr_steps *steps,
+                          struct worker *worker,
+                          int64_t since_ms)
+{
+  if (!worker->crash_noted || since_ms <= worker->crashed_ms
+      || worker->incarnation_seen_ms >= worker->crashed_ms)
+    return;
+  worker->crash_noted = false;
+  gr_crash_log_remove (steps->crash_log, worker->id, worker->crashed_ms);
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      struct task *task = worker->tasks->pdata[i];
+
+      if (task->crash_recorded)
+        gr_crash_withdraw (steps, task);
+    }
+}
+
 /* The crash is no evidence against the task, and is added to *counter. */
 static void
 dismiss (struct gr_steps *steps,
@@ -472,6 +553,7 @@
 {
   if (report->counted)
     withdraw (steps, task, report);
+  report->dismissed = true;
   if (report->immediate)
     task->dismissed_crashes++;
   ++*counter;
@@ -484,6 +566,8 @@
   int64_t age_ms = steps->now_ms - report->at_ms;
   struct evidence evidence = { 0 };
 
+  if (report->dismissed)
+    return report->proven;
   evidence.context = gr_crash_log_context (
       steps->crash_log, report->worker, gr_task_job (task)->spec->id,
       report->restarted, report->at_ms - RELATED_MS,
@@ -496,16 +580,16 @@
     {
       log_assessment (steps, report, "common cause", &evidence);
       dismiss (steps, task, report, &steps->crash_counts.common_cause);
-      return true;
+      return report->proven;
     }
   if (report->counted)
-    return age_ms >= SETTLING_MS;
+    return age_ms >= SETTLING_MS && report->proven;
   if (age_ms >= ASSESSMENT_MS && is_verified (&evidence))
     {
       count (steps, task, report);
       log_assessment (steps, report, "counted", &evidence);
       gr_job_mark_changed (steps, gr_task_job (task));
-      return age_ms >= SETTLING_MS;
+      return age_ms >= SETTLING_MS && report->proven;
     }
   if (age_ms < MAX_ASSESSMENT_MS)
     {
@@ -516,7 +600,7 @@
     }
   log_assessment (steps, report, "not verified", &evidence);
   dismiss (steps, task, report, &steps->crash_counts.not_verified);
-  return true;
+  return report->proven;
 }
 
 /* Updates what is derived from the reports that are still open. */
@@ -529,7 +613,7 @@
           &g_array_index (steps->crash_reports, struct crash_report, i);
       struct task *task = gr_task_find (steps, report->task);
 
-      if (task == NULL)
+      if (task == NULL || report->dismissed)
         continue;
       if (report->counted)
         task->crashes_settling = true;
--- a/steps/crash-log.c
+++ b/steps/crash-log.c
@@ -62,6 +62,20 @@
   g_ptr_array_add (log->crashes, crash);
 }
 
+void
+gr_crash_log_remove (struct gr_crash_log *log,
+                     const char *worker,
+                     int64_t at_ms)
+{
+  for (guint i = log->crashes->len; i-- > 0;)
+    {
+      const struct crash *crash = log->crashes->pdata[i];
+
+      if (crash->at_ms == at_ms && g_str_equal (crash->worker, worker))
+        g_ptr_array_remove_index (log->crashes, i);
+    }
+}
+
 struct gr_crash_context
 gr_crash_log_context (const struct gr_crash_log *log,
                       const char *worker,
--- a/steps/crash-log.h
+++ b/steps/crash-log.h
@@ -38,6 +38,10 @@
                        enum gr_crash_suspicion suspicion,
                        bool restarted,
                        int64_t at_ms);
+/* Removes the crash of the worker at at_ms. */
+void gr_crash_log_remove (struct gr_crash_log *log,
+                          const char *worker,
+                          int64_t at_ms);
 /* Counts the crashes of other workers than this one from from_ms to to_ms, as
  * seen by the job; those that were noticed by a restart only if restarted is
  * true. Stops at GR_CRASH_MAX_UNSUSPECTED. */
--- a/steps/losses.c
+++ b/steps/losses.c
@@ -13,9 +13,11 @@
   bool crashed; /* the process has ended, and may not have been leaving */
 } reasons[GR_LOSS_REASONS] = {
   [GR_LOSS_RESTARTED] = { "restarted", "the worker was restarted", true },
-  [GR_LOSS_GONE] = { "gone", "the worker's process is gone", true },
+  [GR_LOSS_GONE] = { "gone", "another worker has its address", true },
   [GR_LOSS_LEFT] = { "left", "the worker left", false },
   [GR_LOSS_LEASE] = { "lease", "the lease expired", false },
+  [GR_LOSS_CRASHED] = { "crashed", "the worker crashed and its lease expired",
+                        true },
   [GR_LOSS_MISSING] = { "missing", "the worker does not report it", false },
 };
 
@@ -61,24 +63,61 @@
                 gr_loss_age (steps, loss->observed_ms, ages[2]), NULL);
 }
 
+/* A process that has restarted confirms stops of runs that it never had. */
+static bool
+was_stopped (const struct task *task, enum gr_loss_reason reason)
+{
+  return gr_crash_is_confirmed (task) && task->stop_confirmed_ms != 0
+         && reason != GR_LOSS_RESTARTED;
+}
+
+/* A start that is on its way can begin at any later time. */
+bool
+gr_loss_began_before (const struct task *task, int64_t time_ms)
+{
+  if (!task->start_sent)
+    return true;
+  return !task->start_pending && task->start_result_ms < time_ms;
+}
+
 void
 gr_loss_release (struct gr_steps *steps,
                  struct task *task,
                  const struct gr_loss *loss)
 {
-  const struct worker *worker = task->worker;
-  bool confirmed = gr_crash_is_confirmed (task);
-  int64_t started_ms = task->confirmed_ms;
-  /* A process that has restarted confirms stops of runs that it never had. */
-  bool stopped = confirmed && task->stop_confirmed_ms != 0
-                 && loss->reason != GR_LOSS_RESTARTED;
+  bool crashed = reasons[loss->reason].crashed;
 
   log_loss (steps, task, loss);
   steps->runs_lost[loss->reason]++;
   gr_samples_reject (steps, GR_SAMPLE_NOT_DONE);
+  if (task->crash_recorded && crashed)
+    gr_crash_prove (steps, task);
+  else if (task->crash_recorded)
+    gr_crash_withdraw (steps, task);
+  else if (crashed && !was_stopped (task, loss->reason))
+    gr_crash_record (steps, task->worker, task, true);
   gr_task_release (steps, task);
-  if (reasons[loss->reason].crashed && !stopped)
-    gr_crash_record (steps, worker, task, confirmed, started_ms);
+}
+
+void
+gr_loss_record_refusal (struct gr_steps *steps,
+                        struct worker *worker,
+                        int64_t sent_ms)
+{
+  if (worker->refused_ms == 0)
+    gr_crash_note_worker (steps, worker, false);
+  /* Since the first refusal, its registry entry has shown that it is up. */
+  if (!worker->crash_noted)
+    return;
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      struct task *task = worker->tasks->pdata[i];
+
+      if (task->crash_recorded || !gr_loss_began_before (task, sent_ms)
+          || was_stopped (task, GR_LOSS_CRASHED))
+        continue;
+      gr_crash_record (steps, worker, task, false);
+    }
 }
 
 void
@@ -99,15 +138,6 @@
     }
 }
 
-/* A start that is on its way can begin at any later time. */
-bool
-gr_loss_began_before (const struct task *task, int64_t time_ms)
-{
-  if (!task->start_sent)
-    return true;
-  return !task->start_pending && task->start_result_ms < time_ms;
-}
-
 static void
 log_kept (const struct gr_steps *steps,
           const struct task *task,
--- a/steps/losses.h
+++ b/steps/losses.h
@@ -15,6 +15,11 @@
 void gr_loss_release (struct gr_steps *steps,
                       struct task *task,
                       const struct gr_loss *loss);
+/* Records that the worker may have crashed under the runs that cannot have
+ * begun later than sent_ms. */
+void gr_loss_record_refusal (struct gr_steps *steps,
+                             struct worker *worker,
+                             int64_t sent_ms);
 /* Releases all tasks on the worker. */
 void gr_loss_release_all (struct gr_steps *steps,
                           struct worker *worker,
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -329,6 +329,8 @@
       log_outdated (steps, worker, report);
       return;
     }
+  if (report->incarnation_unix_ms != 0)
+    gr_crash_withdraw_worker (steps, worker, report->sent_ms);
   worker->polled = true;
   if (report->sent_ms > worker->incarnation_seen_ms)
     worker->acknowledged_end =
@@ -352,6 +354,7 @@
   if (report->all_ended)
     release_missing (steps, worker, report);
   abandon_unanswered (steps, worker);
+  worker->refused_ms = 0;
   worker->crash_noted = false;
   gr_pace_update (steps, worker);
 }
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -208,11 +208,18 @@
 uint32_t gr_steps_worker_load (const struct gr_steps *steps,
                                const char *worker);
 
-/* Nothing listens at the worker's address, or another worker does: its process
- * has ended, and all its runs with it. A worker that is cut off or without
- * power does not refuse connections, so this says more than a missing answer.
- * Saves a successor the wait for the longest lease of workers that left while
- * there was no owner. sent_ms: when the call that shows it was sent. */
+/* Connections to the worker's address are refused. Its process may have ended,
+ * but a network that rejects traffic refuses connections as well, so its runs
+ * are kept until a new incarnation, a departure or their lease shows that they
+ * have ended. If they are lost, the worker counts as crashed at this time.
+ * sent_ms: when the refused call was sent. */
+void gr_steps_worker_refused (struct gr_steps *steps,
+                              const char *id,
+                              int64_t sent_ms,
+                              int64_t now_ms);
+
+/* Another worker has answered at the worker's address: its process has ended,
+ * and all its runs with it. sent_ms: when the call that shows it was sent. */
 void gr_steps_worker_gone (struct gr_steps *steps,
                            const char *id,
                            int64_t sent_ms,
@@ -421,9 +428,11 @@
 enum gr_loss_reason
 {
   GR_LOSS_RESTARTED, /* the worker has a new incarnation */
-  GR_LOSS_GONE,      /* nothing listens at the worker's address */
+  GR_LOSS_GONE,      /* another worker has its address */
   GR_LOSS_LEFT,      /* the worker's registry entry was removed */
   GR_LOSS_LEASE,     /* its lease has expired */
+  GR_LOSS_CRASHED,   /* the same, and since it refuses connections it has not
+                        renewed its registry entry */
   GR_LOSS_MISSING,   /* the worker does not report it */
   GR_LOSS_REASONS,
 };
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -44,9 +44,12 @@
   int64_t poll_requested_ms; /* time at which poll_needed was last set */
   int64_t reported_ms;       /* when the poll with the last report was sent; 0:
                                 never */
-  bool crash_noted;     /* since its last report; see gr_crash_note_worker () */
-  int64_t crashed_ms;   /* when its last crash was noted */
-  bool crash_restarted; /* that crash was noticed only when it was back */
+  int64_t refused_ms; /* when it first refused a connection since its last
+                         report; 0: it has not */
+  bool crash_noted;   /* since its last report; see gr_crash_note_worker () */
+  int64_t crashed_ms; /* when its last crash was noted */
+  int64_t crash_unreachable_ms; /* since when it had been unreachable then */
+  bool crash_restarted;   /* that crash was noticed only when it was back */
   int64_t unreachable_ms; /* since when it is not reachable; 0: it is */
   uint32_t blame;         /* least blame level of runs that its crash counts
                               against; see crash-evidence.c */
@@ -131,6 +134,7 @@
   bool adopted;                 /* its run was started by a former owner */
   int64_t order_sent_ms;        /* when the last order was queued */
   bool start_sent;          /* a start order for the run has left the queue */
+  bool crash_recorded;      /* of its worker, which is not proven yet */
   uint32_t possible_starts; /* start orders of the run that were sent and may
                                have had an effect */
   bool start_pending; /* a start order has neither a result nor a timeout yet */
@@ -521,15 +525,23 @@
 void gr_crash_note_worker (struct gr_steps *steps,
                            struct worker *worker,
                            bool restarted);
+/* The run that the crash has ended has been lost, so the crash is certain. */
+void gr_crash_prove (struct gr_steps *steps, struct task *task);
+/* There was no crash, or it did not end the run. */
+void gr_crash_withdraw (struct gr_steps *steps, struct task *task);
+/* The process that is known of the worker was up after since_ms. If that is
+ * after its crash was noted, there was none: it only refused connections. */
+void gr_crash_withdraw_worker (struct gr_steps *steps,
+                               struct worker *worker,
+                               int64_t since_ms);
 /* Notes a crash of the worker, which was noted before, under a task whose run
  * it ended. It counts once other workers have shown that they did not crash as
- * well. confirmed: the process is known to have received the start of the
- * run, and started_ms is since when. */
+ * well. If it is not proven, gr_crash_prove () or gr_crash_withdraw ()
+ * follows. Must be called before the run is released. */
 void gr_crash_record (struct gr_steps *steps,
                       const struct worker *worker,
                       struct task *task,
-                      bool confirmed,
-                      int64_t started_ms);
+                      bool proven);
 /* Assesses recent crashes, and fails the jobs of tasks that are likely to crash
  * every worker. */
 void gr_crash_tick (struct gr_steps *steps);
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -295,7 +295,11 @@
     worker->earliest_leave_ms = written_ms (steps, row) + row->remaining_ms;
   worker->draining = row->draining;
   if (row->since_ms != 0 && row->entry_revision > worker->entry_revision)
-    worker->renewed_ms = row->since_ms;
+    {
+      worker->renewed_ms = row->since_ms;
+      if (row->incarnation_unix_ms != 0)
+        gr_crash_withdraw_worker (steps, worker, row->since_ms);
+    }
   worker->entry_revision = row->entry_revision;
   worker->entry_incarnation_unix_ms = row->incarnation_unix_ms;
   worker->registered = true;
@@ -445,6 +449,29 @@
   release_older_runs (steps, worker, since_ms);
 }
 
+void
+gr_steps_worker_refused (struct gr_steps *steps,
+                         const char *id,
+                         int64_t sent_ms,
+                         int64_t now_ms)
+{
+  struct worker *worker = gr_worker_find (steps, id);
+  char reported[24];
+  char runs[16];
+
+  if (worker == NULL)
+    return;
+  steps->now_ms = now_ms;
+  gr_loss_record_refusal (steps, worker, sent_ms);
+  if (worker->refused_ms != 0)
+    return;
+  worker->refused_ms = now_ms;
+  g_snprintf (runs, sizeof runs, "%u", worker->tasks->len);
+  gr_log_event ("worker-refuses", "worker", id, "reported_ms",
+                gr_loss_age (steps, worker->reported_ms, reported), "runs",
+                runs, NULL);
+}
+
 void
 gr_steps_worker_gone (struct gr_steps *steps,
                       const char *id,
@@ -605,13 +632,20 @@
   return worker->tasks->len == 0 && !must_be_handed_over (steps, worker);
 }
 
+/* Returns whether a silent worker whose lease has expired has most likely
+ * crashed: it refuses connections, and has not renewed its registry entry
+ * since. */
+static bool
+has_crashed (const struct worker *worker)
+{
+  return worker->refused_ms != 0 && worker->renewed_ms < worker->refused_ms;
+}
+
 /* Releases runs whose lease has certainly expired, drops unused reservations
  * and removes workers that are no longer needed. */
 void
 gr_workers_tick (struct gr_steps *steps)
 {
-  const struct gr_loss expired = { GR_LOSS_LEASE, 0 };
-
   steps->all_runs_known = steps->now_ms >= steps->registry_settled_ms;
   for (guint i = steps->worker_rows->len; i-- > 0;)
     {
@@ -620,7 +654,10 @@
       gr_health_tick (steps, worker);
       if (worker->tasks->len > 0
           && steps->now_ms >= lease_expiry_ms (steps, worker))
-        gr_loss_release_all (steps, worker, &expired);
+        gr_loss_release_all (
+            steps, worker,
+            &(struct gr_loss){
+                has_crashed (worker) ? GR_LOSS_CRASHED : GR_LOSS_LEASE, 0 });
       if (worker->reserved_for != NULL
           && steps->now_ms >= worker->reserved_until_ms)
         worker->reserved_for = NULL;
