steps, instance: a job is started once a worker has begun a task

Cause: placing a start made its job a started one, before the start was sent, and a rejected start left it so. Change: a confirmed start, a listed run or a listed end makes a job started. A progress record counts only if it shows that a task has begun, as crashes before a start is received are noted there too. Failed before: job_is_started_once_a_worker_has_begun_a_task.

--- a/instance/call.c
+++ b/instance/call.c
@@ -401,6 +401,24 @@
                        (struct gr_metastore_reply){ cancel_done, call });
 }
 
+/* Progress is also noted of tasks that have not begun: a worker may have
+ * crashed before it received the start. */
+static bool
+has_begun (const struct gr_mirror_job *job)
+{
+  if (job->started || job->progress.state >= GR_JOB_RUNNING)
+    return true;
+  for (uint32_t i = 0; i < job->progress.n_tasks; i++)
+    {
+      const struct gr_task_progress *task = &job->progress.tasks[i];
+
+      if (task->done || task->failures > 0 || task->crashes > 0
+          || task->checkpoint[0] != '\0')
+        return true;
+    }
+  return false;
+}
+
 static const char *
 state_name (const struct gr_mirror_job *job)
 {
@@ -414,7 +432,7 @@
     return names[job->progress.state];
   if (job->cancel_revision != 0)
     return names[GR_JOB_CANCELLED];
-  if (job->started || job->progress_revision != 0)
+  if (has_begun (job))
     return names[GR_JOB_RUNNING];
   return names[GR_JOB_QUEUED];
 }
@@ -564,8 +582,8 @@
   struct count *count = context;
 
   (void)id;
-  if (!g_str_equal (job->spec->queue, count->queue) || job->started
-      || job->cancel_revision != 0 || job->progress_revision != 0)
+  if (!g_str_equal (job->spec->queue, count->queue) || job->cancel_revision != 0
+      || has_begun (job))
     return;
   count->pending++;
 }
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -127,7 +127,6 @@
   task->usage = 0;
   gr_samples_begin_run (task, start_checkpoint (task));
   send_start (steps, task);
-  gr_task_job (task)->started = true;
 }
 
 void
@@ -254,6 +253,7 @@
       if (task->state == TASK_STARTING)
         task->state = TASK_RUNNING;
       task->confirmed_ms = steps->now_ms;
+      gr_task_job (task)->started = true;
       return;
     case GR_ORDER_FENCED:
       steps->fenced = true;
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -91,6 +91,7 @@
       log_end (worker, ended, "the job is unknown or final");
       return;
     }
+  gr_task_job (task)->started = true;
   current_run = task->worker == worker && task->run == ended->run;
   if (!current_run && ended->run > task->run)
     task->run = ended->run;
@@ -173,6 +174,7 @@
     {
       task->state = TASK_RUNNING;
       task->confirmed_ms = steps->now_ms;
+      gr_task_job (task)->started = true;
     }
   if (task->first_percent_ms == 0)
     {
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -898,6 +898,56 @@
 }
 END_TEST
 
+static void
+count_started (const char *id, void *context)
+{
+  (void)id;
+  ++*(uint32_t *)context;
+}
+
+static uint32_t
+started_jobs (const struct gr_steps *steps)
+{
+  uint32_t count = 0;
+
+  gr_steps_each_started_job (steps, count_started, &count);
+  return count;
+}
+
+/* Guards against jobs that are not counted as pending although no task of
+ * theirs has begun: a start that was placed, sent or rejected made its job a
+ * started one. */
+START_TEST (job_is_started_once_a_worker_has_begun_a_task)
+{
+  static const enum gr_order_result results[] = {
+    GR_ORDER_UNHEALTHY, GR_ORDER_NO_ROOM, GR_ORDER_TOO_LATE,
+    GR_ORDER_NOT_SENT,  GR_ORDER_UNKNOWN, GR_ORDER_DONE,
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (results); i++)
+    {
+      struct steps_model *model = steps_fixture_create (8, 1);
+      struct gr_steps *steps = steps_model_core (model);
+      struct gr_step_spec one = steps_plain;
+      struct gr_order order;
+      int64_t now_ms;
+
+      one.count = 1;
+      steps_model_run (model, 1000);
+      now_ms = steps_model_now_ms (model) + 20;
+      steps_model_add_job (model, 1, "normal", "a", &one, 1, 3000);
+      gr_steps_tick (steps, now_ms, now_ms);
+      ck_assert_uint_eq (started_jobs (steps), 0);
+      ck_assert (gr_steps_take_order (steps, NULL, NULL, &order));
+      ck_assert_int_eq (order.kind, GR_ORDER_START);
+      ck_assert_uint_eq (started_jobs (steps), 0);
+      gr_steps_order_result (steps, &order, results[i], now_ms + 1);
+      ck_assert_uint_eq (started_jobs (steps), results[i] == GR_ORDER_DONE);
+      steps_fixture_destroy (model);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -943,6 +993,7 @@
   tcase_add_test (tests, gang_does_not_wait_for_a_rack_while_most_is_free);
   tcase_add_test (tests, failure_counts_once_after_many_others);
   tcase_add_loop_test (tests, no_job_fails_before_its_attempts_are_used, 0, 40);
+  tcase_add_test (tests, job_is_started_once_a_worker_has_begun_a_task);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
