steps: a removed entry is a departure only if it was announced

Cause: an entry that was removed less than 2.5 heartbeats after its last renewal counted as a departure, and the worker's runs were started again at once. A store that counts the silence from the arrival of a renewal, and carries it out late, removes the entry of a live worker as early. Change: the worker must have been draining, as the platform's contract says, or closed for upkeep; otherwise the lease decides. In the tests' model, workers that leave drain first. Failed before: entry_that_is_removed_early_ends_no_run (started twice).

--- a/steps/steps.h
+++ b/steps/steps.h
@@ -429,7 +429,7 @@
 {
   GR_LOSS_RESTARTED, /* the worker has a new incarnation */
   GR_LOSS_GONE,      /* another worker has its address */
-  GR_LOSS_LEFT,      /* the worker's registry entry was removed */
+  GR_LOSS_LEFT,      /* it had drained, and its registry entry was removed */
   GR_LOSS_LEASE,     /* its lease has expired */
   GR_LOSS_CRASHED,   /* the same, and since it refuses connections it has not
                         renewed its registry entry */
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -255,7 +255,7 @@
   enum gr_job_state state;
   bool inherited;
   bool fails_by_itself; /* it has failed on a worker where others succeed */
-  bool started; /* a worker has begun one of its tasks */
+  bool started;         /* a worker has begun one of its tasks */
   bool changed;
   bool has_failures;       /* runs of some task have failed */
   uint64_t final_sequence; /* of the change that made it final */
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -355,15 +355,17 @@
   return worker ? worker->tasks->len : 0;
 }
 
-/* Returns whether the entry was that of the present process, and was removed
- * too soon after its renewal to have expired. */
+/* Returns whether the entry was that of the present process, which had announced
+ * that it leaves, and was removed too soon after its renewal to have expired.
+ * The age alone says little: a store can count the silence of a worker from the
+ * arrival of a renewal that it carries out late. */
 static bool
 has_left (const struct gr_steps *steps, const struct worker *worker)
 {
   if (worker->entry_incarnation_unix_ms != 0
       && worker->entry_incarnation_unix_ms < worker->incarnation_unix_ms)
     return false;
-  return worker->renewed_ms != 0
+  return (worker->draining || worker->closed) && worker->renewed_ms != 0
          && steps->now_ms - worker->renewed_ms
                 < (int64_t)(steps->settings.heartbeat_ms * LEFT_HEARTBEATS);
 }
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -799,7 +799,10 @@
 
   worker->unreachable = true;
   if (silent_ms < HEARTBEAT_MS)
-    g_ptr_array_set_size (worker->runs, 0);
+    {
+      steps_model_drain_worker (model, number, true);
+      g_ptr_array_set_size (worker->runs, 0);
+    }
   steps_model_renew_entry (model, number, 0);
   for (int64_t waited = 0; waited < silent_ms; waited += TICK_MS)
     steps_model_run (model, TICK_MS);
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -178,7 +178,7 @@
                                          uint32_t worker);
 /* The worker stops answering. Its registry entry is renewed now and removed
  * after silent_ms. If that is less than a heartbeat interval, the worker has
- * left and its runs have ended. */
+ * drained and left, and its runs have ended. */
 void steps_model_remove_worker (struct steps_model *model,
                                 uint32_t worker,
                                 int64_t silent_ms);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -338,6 +338,31 @@
 }
 END_TEST
 
+/* Guards against a second run of a task whose worker lost its entry too soon,
+ * as the store counted a delayed renewal from its arrival: a worker that leaves
+ * announces that it drains. */
+START_TEST (entry_that_is_removed_early_ends_no_run)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
+  uint32_t worker;
+
+  one.count = 1;
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
+  steps_model_run (model, 500);
+  worker = busy_worker (model);
+  steps_model_renew_entry (model, worker, 0);
+  steps_model_run (model, 3000);
+  steps_model_unregister_worker (model, worker, 0);
+  steps_model_run (model, 3000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_model_run (model, 20000);
+  ck_assert_int_eq (steps_model_state (model, 1), GR_JOB_COMPLETED);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* A silent worker may still have active runs, so they must not be started a
  * second time before their lease has expired. */
 START_TEST (silent_worker_is_waited_for)
@@ -474,6 +499,7 @@
   steps_model_add_job (model, 1, "normal", "a", &one, 1, 20000);
   steps_model_run (model, 100);
   worker = busy_worker (model);
+  steps_model_drain_worker (model, worker, true);
   steps_model_renew_entry (model, worker, 900);
   steps_model_unregister_worker (model, worker, 400);
   steps_model_run (model, 200);
@@ -497,6 +523,7 @@
   steps_model_run (model, 4000);
   worker = busy_worker (model);
   steps_model_set_worker_unreachable (model, worker, true);
+  steps_model_drain_worker (model, worker, true);
   steps_model_renew_entry (model, worker, 900);
   steps_model_unregister_worker (model, worker, 400);
   steps_model_run (model, 40);
@@ -971,6 +998,7 @@
   tcase_add_test (tests, filler_tasks_are_slowed_down);
   tcase_add_test (tests, advice_is_requested_and_followed);
   tcase_add_test (tests, worker_that_left_is_not_waited_for);
+  tcase_add_test (tests, entry_that_is_removed_early_ends_no_run);
   tcase_add_test (tests, silent_worker_is_waited_for);
   tcase_add_test (tests, queued_start_orders_extend_the_lease);
   tcase_add_test (tests, first_read_of_an_entry_does_not_count_as_heartbeat);
