tests, standins: soak on the platform's contract with real processes

The former soak of instances had workers in the process of the store and no relays, so that no connection to a worker was ever refused or delayed.

--- a/standins/main.c
+++ b/standins/main.c
@@ -5,6 +5,7 @@
 #include "standins/load-mode.h"
 #include "standins/metastore.h"
 #include "standins/relay.h"
+#include "standins/worker-process.h"
 #include "standins/worker.h"
 
 #include <glib-unix.h>
@@ -23,6 +24,8 @@
   char *data_centre;
   char *rack;
   char *instances_url;
+  char *advertised;
+  int number;
   int workers;
   int executors;
   int slots;
@@ -42,6 +45,7 @@
   GPtrArray *executors;
   struct gr_load_mode *load;
   struct gr_standin_platform *platform;
+  struct gr_worker_process *worker_process;
   GMainLoop *loop;
   int exit_code;
 };
@@ -66,11 +70,10 @@
   return true;
 }
 
-static bool
-start_platform (struct standins *standins, struct gr_error *error)
+static struct gr_standin_platform_settings
+platform_settings (const struct options *options)
 {
-  const struct options *options = &standins->options;
-  struct gr_standin_platform_settings platform = {
+  return (struct gr_standin_platform_settings){
     .listen = options->listen,
     .workers = (uint32_t)options->workers,
     .per_rack = (uint32_t)options->per_rack,
@@ -78,6 +81,13 @@
     .cores = (uint32_t)options->cores,
     .memory_mb = (uint32_t)options->memory_mb,
   };
+}
+
+static bool
+start_platform (struct standins *standins, struct gr_error *error)
+{
+  struct gr_standin_platform_settings platform =
+      platform_settings (&standins->options);
 
   standins->platform = gr_standin_platform_create (&platform, error);
   if (standins->platform == NULL)
@@ -224,6 +234,29 @@
   return true;
 }
 
+static bool
+start_platform_worker (struct standins *standins, struct gr_error *error)
+{
+  const struct options *options = &standins->options;
+  struct gr_worker_process_settings settings = {
+    .id = options->name,
+    .listen = options->listen,
+    .advertised = options->advertised,
+    .store = options->target,
+    .number = (uint32_t)options->number,
+    .platform = platform_settings (options),
+  };
+
+  if (options->name == NULL || options->advertised == NULL
+      || options->target == NULL)
+    return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
+                         "platform-worker requires --name, --advertised and "
+                         "--target");
+  standins->worker_process =
+      gr_worker_process_create (&settings, standins->loop, error);
+  return standins->worker_process != NULL;
+}
+
 static void
 handle_load_end (uint32_t violations, void *context)
 {
@@ -252,16 +285,17 @@
   { "relay", start_relay },
   { "load", start_load },
   { "platform", start_platform },
+  { "platform-worker", start_platform_worker },
 };
 
 static bool
 check_options (const struct options *options, struct gr_error *error)
 {
-  if (options->workers < 1 || options->workers > MAX_TARGETS
+  if (options->workers < 0 || options->workers > MAX_TARGETS
       || options->executors < 1 || options->executors > MAX_TARGETS)
     return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
-                         "--workers and --executors must be 1 to %d",
-                         MAX_TARGETS);
+                         "--workers must be 0 to %d, and --executors 1 to %d",
+                         MAX_TARGETS, MAX_TARGETS);
   if (options->accelerators < 1 || options->accelerators > GR_MAX_ACCELERATORS)
     return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
                          "--accelerators must be 1 to %d", GR_MAX_ACCELERATORS);
@@ -283,7 +317,7 @@
       return modes[i].start (standins, error);
   return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
                        "the mode must be kv, instances, worker, executor, "
-                       "relay, load or platform");
+                       "relay, load, platform or platform-worker");
 }
 
 static bool
@@ -295,6 +329,10 @@
       "Address to listen on; port 0 selects a free port", "IP:PORT" },
     { "control", 0, 0, G_OPTION_ARG_STRING, &options->control,
       "Control address of a relay", "IP:PORT" },
+    { "advertised", 0, 0, G_OPTION_ARG_STRING, &options->advertised,
+      "Address in the entry of a platform worker", "IP:PORT" },
+    { "number", 0, 0, G_OPTION_ARG_INT, &options->number,
+      "Number of a platform worker", "N" },
     { "target", 0, 0, G_OPTION_ARG_STRING, &options->target,
       "Address that a relay connects to", "IP:PORT" },
     { "instances-url", 0, 0, G_OPTION_ARG_STRING, &options->instances_url,
@@ -348,7 +386,8 @@
 static void
 run_until_stopped (struct standins *standins)
 {
-  g_unix_signal_add (SIGTERM, quit_loop, standins->loop);
+  if (standins->worker_process == NULL)
+    g_unix_signal_add (SIGTERM, quit_loop, standins->loop);
   g_unix_signal_add (SIGINT, quit_loop, standins->loop);
   g_main_loop_run (standins->loop);
 }
@@ -361,6 +400,7 @@
   gr_relay_destroy (standins->relay);
   gr_load_mode_destroy (standins->load);
   gr_standin_platform_destroy (standins->platform);
+  gr_worker_process_destroy (standins->worker_process);
   g_main_loop_unref (standins->loop);
   g_ptr_array_unref (standins->workers);
   g_ptr_array_unref (standins->executors);
@@ -371,6 +411,7 @@
   g_free (standins->options.data_centre);
   g_free (standins->options.rack);
   g_free (standins->options.instances_url);
+  g_free (standins->options.advertised);
 }
 
 static void
--- a/standins/metastore.c
+++ b/standins/metastore.c
@@ -17,6 +17,10 @@
 
 #define EXPIRE_INTERVAL_MS 50
 #define HEARTBEAT_INTERVAL_MS 1000
+
+/* The entry of a worker that is a process of its own is removed after three
+ * heartbeats without a renewal. */
+#define ENTRY_TTL_MS (3 * GR_STANDIN_HEARTBEAT_MS)
 #define MAX_PAGE_ITEMS 500
 
 struct item
@@ -57,9 +61,10 @@
 struct gr_standin_platform
 {
   struct gr_standin *base;
-  GTree *items;       /* key -> struct item */
-  GQueue changes;     /* struct change, oldest first */
-  GHashTable *leases; /* id -> struct lease */
+  GTree *items;        /* key -> struct item */
+  GQueue changes;      /* struct change, oldest first */
+  GHashTable *leases;  /* id -> struct lease */
+  GHashTable *entries; /* key of a worker's entry -> int64_t, when it expires */
   GList *watchers;
   int64_t revision;
   int64_t history_start; /* changes up to this revision were discarded */
@@ -618,26 +623,64 @@
                               g_hash_table_size (platform->done));
 }
 
+static void
+renew_entry (struct gr_standin_platform *platform,
+             const char *key,
+             const char *text)
+{
+  int64_t expires_ms = now_ms () + ENTRY_TTL_MS;
+
+  g_hash_table_replace (platform->entries, g_strdup (key),
+                        g_memdup2 (&expires_ms, sizeof expires_ms));
+  gr_standin_platform_put (platform, key, text);
+}
+
+static void
+expire_entries (struct gr_standin_platform *platform)
+{
+  GHashTableIter iter;
+  void *key;
+  void *expires_ms;
+
+  g_hash_table_iter_init (&iter, platform->entries);
+  while (g_hash_table_iter_next (&iter, &key, &expires_ms))
+    {
+      if (*(int64_t *)expires_ms > now_ms ())
+        continue;
+      platform->revision++;
+      remove_item (platform, key);
+      g_hash_table_iter_remove (&iter);
+      notify_watchers (platform);
+    }
+}
+
 /* Writes a key if the body has the member "put", for example
  * {"put":{"key":"op/config","text":"..."}}, removes one if it has the member
  * "remove", such as {"remove":"op/evacuate/dc1"}, and restarts a worker if it
- * has the member "restart", such as {"restart":3}. */
+ * has the member "restart", such as {"restart":3}. "heartbeat" is like "put",
+ * for the entry of a worker, which expires. */
 static bool
 control (JsonObject *body, void *context)
 {
   struct gr_standin_platform *platform = context;
   JsonObject *put = NULL;
+  JsonObject *heartbeat = NULL;
   const char *removed = gr_json_peek_string (body, "remove");
   int64_t restarted;
 
-  if (!gr_json_get_int (body, "restart", 0, platform->workers->len - 1, -1,
-                        &restarted))
+  if (!gr_json_get_int (body, "restart", 0, MAX (platform->workers->len, 1) - 1,
+                        -1, &restarted)
+      || !gr_json_get_object (body, "heartbeat", &heartbeat))
     return false;
+  if (heartbeat != NULL)
+    renew_entry (platform, gr_json_peek_string (heartbeat, "key"),
+                 gr_json_peek_string (heartbeat, "text"));
   if (restarted >= 0)
     gr_standin_platform_restart_worker (platform, (uint32_t)restarted);
   if (removed != NULL)
     {
       platform->revision++;
+      g_hash_table_remove (platform->entries, removed);
       remove_item (platform, removed);
       notify_watchers (platform);
     }
@@ -739,6 +782,7 @@
 
   count_duplicate_runs (platform);
   count_late_starts (platform);
+  expire_entries (platform);
   g_hash_table_iter_init (&iter, platform->leases);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((struct lease *)value)->expires_ms <= now_ms ())
@@ -802,6 +846,8 @@
   g_queue_init (&platform->changes);
   platform->leases =
       g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  platform->entries =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   platform->workers = g_ptr_array_new_with_free_func (
       (GDestroyNotify)gr_platform_worker_destroy);
   platform->base = gr_standin_create (settings->listen, &ops, platform, error);
@@ -854,6 +900,7 @@
     gr_standin_destroy (platform->base);
   g_tree_unref (platform->items);
   g_hash_table_destroy (platform->leases);
+  g_hash_table_destroy (platform->entries);
   g_hash_table_destroy (platform->done);
   g_queue_clear_full (&platform->changes, change_free);
   g_free (platform);
--- a/standins/metastore.h
+++ b/standins/metastore.h
@@ -6,10 +6,13 @@
 
 struct gr_standin_platform;
 
+/* Interval at which a worker that is a process of its own writes its entry. */
+#define GR_STANDIN_HEARTBEAT_MS 1500
+
 struct gr_standin_platform_settings
 {
-  const char *listen; /* address of the store, "IP:PORT" */
-  uint32_t workers;
+  const char *listen;    /* address of the store, "IP:PORT" */
+  uint32_t workers;      /* in the process of the store */
   uint32_t per_rack;     /* workers in a rack */
   uint32_t accelerators; /* of each worker */
   uint32_t cores;        /* of each worker */
--- a/standins/platform-worker.c
+++ b/standins/platform-worker.c
@@ -6,6 +6,10 @@
 
 #define DEFAULT_RUN_MS 200
 #define CHECK_INTERVAL_MS 10
+
+/* A lease has lapsed once this time has passed since it expired, so that one
+ * that is renewed at its end does not count. */
+#define LAPSE_REPORT_MS 50
 #define DATA_CENTRES 3
 
 /* Time that a run takes to stop. */
@@ -46,6 +50,8 @@
   int64_t started_unix_ms;
   int64_t highest_epoch;
   int64_t lease_expires_ms;
+  bool lapse_reported; /* of this lease */
+  bool draining;
   int64_t last_end_sequence;
   GPtrArray *runs; /* struct run, running */
   GPtrArray *ends; /* struct run_end, oldest first */
@@ -56,6 +62,7 @@
   GHashTable *starts;                   /* task -> number of starts */
   struct gr_standin_call *waiting_poll; /* waits for a run to end, or NULL */
   GSource *timer;
+  struct gr_platform_worker_process process;
 };
 
 /* Call of a waiting status poll -> its struct gr_platform_worker, since the
@@ -70,6 +77,17 @@
   return g_get_monotonic_time () / 1000;
 }
 
+static void
+report (const struct gr_platform_worker *worker,
+        const char *event,
+        const char *task,
+        int64_t run,
+        const char *how)
+{
+  if (worker->process.event != NULL)
+    worker->process.event (event, task, run, how, worker->process.context);
+}
+
 static void
 run_free (void *data)
 {
@@ -179,6 +197,7 @@
   run_end->task = g_strdup (run->task);
   run_end->run_number = run->number;
   run_end->outcome = outcome;
+  report (worker, "end", run->task, run->number, outcome);
   record_ended_run (worker, run->task, run->number);
   if (strcmp (outcome, "done") == 0)
     {
@@ -253,6 +272,12 @@
     listen_again (worker);
   if (crashes_now (worker))
     crash (worker);
+  if (!worker->lapse_reported
+      && now_ms () > worker->lease_expires_ms + LAPSE_REPORT_MS)
+    {
+      worker->lapse_reported = true;
+      report (worker, "lapse", "-", 0, "-");
+    }
   for (guint i = worker->runs->len; i-- > 0;)
     {
       const struct run *run = worker->runs->pdata[i];
@@ -307,6 +332,8 @@
 
   if (gr_json_get_int (body, "deadline-ms", 0, INT64_MAX, 0, &expires_ms))
     worker->lease_expires_ms = MAX (worker->lease_expires_ms, expires_ms);
+  if (worker->lease_expires_ms > now_ms ())
+    worker->lapse_reported = false;
 }
 
 /* Returns the number that follows name in the payload, or the fallback. */
@@ -335,6 +362,7 @@
   if (strstr (payload, "crash_ms=") != NULL)
     run->crash_ms = run->started_ms + payload_ms (payload, "crash_ms=", 0);
   run->fails = strstr (payload, "fail") != NULL;
+  report (worker, "start", task, number, "-");
   g_ptr_array_add (worker->runs, run);
   g_hash_table_replace (worker->starts, g_strdup (task),
                         GINT_TO_POINTER (starts + 1));
@@ -429,7 +457,12 @@
   while (worker->ends->len > 0
          && ((struct run_end *)worker->ends->pdata[0])->sequence
                 <= acknowledged)
-    g_ptr_array_remove_index (worker->ends, 0);
+    {
+      const struct run_end *end = worker->ends->pdata[0];
+
+      report (worker, "noted", end->task, end->run_number, end->outcome);
+      g_ptr_array_remove_index (worker->ends, 0);
+    }
   if (wait_ms == 0 || worker->ends->len > 0 || worker->waiting_poll != NULL)
     {
       reply_run_lists (worker, call);
@@ -520,10 +553,11 @@
   return worker->started_unix_ms;
 }
 
-struct gr_platform_worker *
-gr_platform_worker_create (uint32_t number,
-                           const struct gr_standin_platform_settings *settings,
-                           struct gr_error *error)
+static struct gr_platform_worker *
+create (uint32_t number,
+        const struct gr_standin_platform_settings *settings,
+        const struct gr_platform_worker_process *process,
+        struct gr_error *error)
 {
   struct gr_platform_worker *worker = g_new0 (struct gr_platform_worker, 1);
   uint32_t rack = number / MAX (settings->per_rack, 1);
@@ -531,7 +565,10 @@
   if (waiting_polls == NULL)
     waiting_polls = g_hash_table_new (NULL, NULL);
   worker->settings = *settings;
-  worker->id = g_strdup_printf ("i-%04u", number);
+  if (process != NULL)
+    worker->process = *process;
+  worker->id = process != NULL ? g_strdup (process->id)
+                               : g_strdup_printf ("i-%04u", number);
   worker->rack = g_strdup_printf ("r1-%u", rack);
   worker->data_centre = g_strdup_printf ("dc%u", rack % DATA_CENTRES + 1);
   worker->started_unix_ms = g_get_real_time () / 1000;
@@ -544,16 +581,43 @@
   worker->timer = g_timeout_source_new (CHECK_INTERVAL_MS);
   g_source_set_callback (worker->timer, check_runs, worker, NULL);
   g_source_attach (worker->timer, NULL);
-  worker->base = gr_standin_create ("127.0.0.1:0", &ops, worker, error);
+  worker->base = gr_standin_create (
+      process != NULL ? process->listen : "127.0.0.1:0", &ops, worker, error);
   if (worker->base != NULL)
     {
-      worker->address = g_strdup (gr_standin_address (worker->base));
+      worker->address =
+          g_strdup (process != NULL ? process->advertised
+                                    : gr_standin_address (worker->base));
       return worker;
     }
   gr_platform_worker_destroy (worker);
   return NULL;
 }
 
+struct gr_platform_worker *
+gr_platform_worker_create (uint32_t number,
+                           const struct gr_standin_platform_settings *settings,
+                           struct gr_error *error)
+{
+  return create (number, settings, NULL, error);
+}
+
+struct gr_platform_worker *
+gr_platform_worker_create_process (
+    uint32_t number,
+    const struct gr_standin_platform_settings *settings,
+    const struct gr_platform_worker_process *process,
+    struct gr_error *error)
+{
+  return create (number, settings, process, error);
+}
+
+void
+gr_platform_worker_drain (struct gr_platform_worker *worker)
+{
+  worker->draining = true;
+}
+
 void
 gr_platform_worker_destroy (struct gr_platform_worker *worker)
 {
@@ -592,11 +656,12 @@
 {
   return g_strdup_printf (
       "{\"service\":\"render\",\"address\":\"%s\",\"zone\":\"%s\","
-      "\"config-version\":\"v1\",\"slots\":8,\"state\":\"ready\","
+      "\"config-version\":\"v1\",\"slots\":8,\"state\":\"%s\","
       "\"cold-left-ms\":0,\"capacity\":{\"cpu\":%u,\"mem-mb\":%u,\"gpu\":%u},"
       "\"labels\":[\"a\",\"%s\"],\"born\":%" G_GINT64_FORMAT
       ",\"sequence\":%" G_GUINT64_FORMAT "}",
-      worker->address, worker->data_centre, worker->settings.cores * 1000,
+      worker->address, worker->data_centre,
+      worker->draining ? "draining" : "ready", worker->settings.cores * 1000,
       worker->settings.memory_mb, worker->settings.accelerators, worker->rack,
       worker->started_unix_ms, sequence);
 }
--- a/standins/platform-worker.h
+++ b/standins/platform-worker.h
@@ -20,6 +20,32 @@
                            struct gr_error *error);
 void gr_platform_worker_destroy (struct gr_platform_worker *worker);
 
+/* A worker that is a process of its own. */
+struct gr_platform_worker_process
+{
+  const char *id;
+  const char *listen;     /* "IP:PORT" */
+  const char *advertised; /* address in its entry, such as that of a relay */
+  /* Called with "start", "end", "noted" (an end that was acknowledged) and
+   * "lapse" (of the lease, without a task). */
+  void (*event) (const char *event,
+                 const char *task,
+                 int64_t run,
+                 const char *how,
+                 void *context);
+  void *context;
+};
+
+/* The strings of process must outlive the worker. */
+struct gr_platform_worker *gr_platform_worker_create_process (
+    uint32_t number,
+    const struct gr_standin_platform_settings *settings,
+    const struct gr_platform_worker_process *process,
+    struct gr_error *error);
+
+/* Its entry says from now on that it is draining. */
+void gr_platform_worker_drain (struct gr_platform_worker *worker);
+
 /* Ends the worker's process and starts a new one at the same address and under
  * the same id. Returns the start of the new one, in Unix milliseconds. */
 int64_t gr_platform_worker_restart (struct gr_platform_worker *worker);
