steps: a successor creates due times before those with progress

Cause: after a takeover the table of a scheduled job's occurrences has gaps where only later ones have progress, and due times were created from its length on. Change: due times are counted and created in their order. Failed before: earlier_due_times_than_those_with_progress_run.

--- a/steps/job.c
+++ b/steps/job.c
@@ -216,11 +216,12 @@
       gr_job_occurrence (job, 0);
       return;
     }
-  while (job->occurrences->len < spec->repeats
-         && spec->first_due_unix_ms
-                    + (int64_t)job->occurrences->len * spec->interval_ms
+  /* Not from the length of the table: after a takeover it has gaps, where only
+   * later occurrences have progress. */
+  while (job->n_due < spec->repeats
+         && spec->first_due_unix_ms + (int64_t)job->n_due * spec->interval_ms
                 <= unix_ms)
-    gr_job_occurrence (job, job->occurrences->len);
+    gr_job_occurrence (job, job->n_due++);
 }
 
 static void
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -258,6 +258,7 @@
   bool started;         /* a worker has begun one of its tasks */
   bool changed;
   bool has_failures;       /* runs of some task have failed */
+  uint32_t n_due;          /* occurrences that have been due, in their order */
   uint64_t final_sequence; /* of the change that made it final */
   int64_t added_ms;        /* same as accepted_ms */
   int64_t accepted_ms; /* owner's clock; when the job was added to this core,
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -355,10 +355,10 @@
   return worker ? worker->tasks->len : 0;
 }
 
-/* Returns whether the entry was that of the present process, which had announced
- * that it leaves, and was removed too soon after its renewal to have expired.
- * The age alone says little: a store can count the silence of a worker from the
- * arrival of a renewal that it carries out late. */
+/* Returns whether the entry was that of the present process, which had
+ * announced that it leaves, and was removed too soon after its renewal to have
+ * expired. The age alone says little: a store can count the silence of a worker
+ * from the arrival of a renewal that it carries out late. */
 static bool
 has_left (const struct gr_steps *steps, const struct worker *worker)
 {
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -925,6 +925,52 @@
 }
 END_TEST
 
+/* Guards against due times of a scheduled job that are never created after a
+ * change of the owner, because a later one has progress. */
+START_TEST (earlier_due_times_than_those_with_progress_run)
+{
+  struct steps_model *model = steps_fixture_create (8, 1);
+  struct gr_steps *steps = steps_model_core (model);
+  struct gr_step_spec one = steps_plain;
+  struct gr_job_spec spec = {
+    .id = "0000000000000009",
+    .queue = (char *)"normal",
+    .account = (char *)"a",
+    .payload = (char *)"",
+    .steps = &one,
+    .n_steps = 1,
+    .repeats = 4,
+    .first_due_unix_ms = 1,
+    .interval_ms = 1,
+  };
+  struct gr_task_progress complete = {
+    .occurrence = 1,
+    .step = GR_PROGRESS_WHOLE_OCCURRENCE,
+    .done = true,
+  };
+  const struct gr_job_progress progress = {
+    .state = GR_JOB_RUNNING,
+    .n_tasks = 1,
+    .tasks = &complete,
+  };
+  struct gr_order order;
+  bool started[4] = { false };
+  int64_t now_ms;
+
+  one.count = 1;
+  steps_model_run (model, 1000);
+  now_ms = steps_model_now_ms (model) + 20;
+  gr_steps_add_job (steps, &spec, &progress, false, now_ms);
+  gr_steps_tick (steps, now_ms, now_ms);
+  while (gr_steps_take_order (steps, NULL, NULL, &order))
+    if (order.kind == GR_ORDER_START)
+      started[order.task[GR_JOB_ID_DIGITS + 1] - '0'] = true;
+  for (int i = 0; i < 4; i++)
+    ck_assert_msg (started[i] == (i != 1), "due time %d", i);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 static void
 count_started (const char *id, void *context)
 {
@@ -1021,6 +1067,7 @@
   tcase_add_test (tests, gang_does_not_wait_for_a_rack_while_most_is_free);
   tcase_add_test (tests, failure_counts_once_after_many_others);
   tcase_add_loop_test (tests, no_job_fails_before_its_attempts_are_used, 0, 40);
+  tcase_add_test (tests, earlier_due_times_than_those_with_progress_run);
   tcase_add_test (tests, job_is_started_once_a_worker_has_begun_a_task);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
