steps, instance: jobs keep the terms of their queue

Cause: a successor knows only the queues of the present configuration, and gave jobs of a removed one a queue without a service. Change: a job's record holds the service, priority, attempts and objective that its queue had at acceptance; a successor uses them for a queue that no configuration has named. Failed before: jobs_of_a_removed_queue_go_on.

--- a/instance/call.c
+++ b/instance/call.c
@@ -322,8 +322,17 @@
   if (!route_call (call, &routed))
     return;
   g_free (call->spec->queue);
+  g_free (call->spec->terms.service);
   g_free (call->spec->account);
   call->spec->queue = g_strdup (routed.queue->name);
+  call->spec->terms = (struct gr_queue_terms){
+    .service = g_strdup (routed.queue->service),
+    .priority = routed.queue->priority,
+    .max_attempts = routed.queue->max_attempts,
+    .objective_ms = routed.queue->objective_ms,
+    .stretch = routed.queue->stretch,
+    .needs_advice = routed.queue->needs_advice,
+  };
   call->spec->account = g_strdup (routed.account ? routed.account->name : "");
   value = gr_record_encode_job (call->spec);
   data = g_bytes_get_data (value, &size);
--- a/instance/records.c
+++ b/instance/records.c
@@ -105,12 +105,26 @@
   return packer;
 }
 
+static void
+pack_terms (struct gr_packer *packer, const struct gr_queue_terms *terms)
+{
+  if (terms->service == NULL)
+    return;
+  gr_pack_string (packer, "service", terms->service);
+  pack_int_if_set (packer, "priority", terms->priority);
+  pack_int_if_set (packer, "max_attempts", terms->max_attempts);
+  pack_int_if_set (packer, "objective_ms", terms->objective_ms);
+  gr_pack_double (packer, "stretch", terms->stretch);
+  pack_bool_if_set (packer, "needs_advice", terms->needs_advice);
+}
+
 GBytes *
 gr_record_encode_job (const struct gr_job_spec *spec)
 {
   struct gr_packer *packer = gr_packer_create ();
 
   gr_pack_string (packer, "queue", spec->queue);
+  pack_terms (packer, &spec->terms);
   gr_pack_string (packer, "account", spec->account);
   gr_pack_string (packer, "payload", spec->payload);
   gr_pack_int (packer, "accepted_unix_ms", spec->accepted_unix_ms);
@@ -156,6 +170,17 @@
   step->filler = gr_unpack_bool (map, "filler", false);
 }
 
+static void
+unpack_terms (const msgpack_object *map, struct gr_queue_terms *terms)
+{
+  terms->service = gr_unpack_string (map, "service");
+  terms->priority = unpack_uint (map, "priority");
+  terms->max_attempts = unpack_uint (map, "max_attempts");
+  terms->objective_ms = unpack_uint (map, "objective_ms");
+  terms->stretch = gr_unpack_double (map, "stretch", 1);
+  terms->needs_advice = gr_unpack_bool (map, "needs_advice", false);
+}
+
 static bool
 steps_are_valid (const struct gr_job_spec *spec)
 {
@@ -179,6 +204,7 @@
 
   g_strlcpy (spec->id, id, sizeof spec->id);
   spec->queue = gr_unpack_string (map, "queue");
+  unpack_terms (map, &spec->terms);
   spec->account = gr_unpack_string (map, "account");
   spec->payload = gr_unpack_string (map, "payload");
   spec->accepted_unix_ms = gr_unpack_int (map, "accepted_unix_ms", 0);
--- a/steps/core.c
+++ b/steps/core.c
@@ -1,5 +1,7 @@
 #include "steps/samples.h"
 
+#include "common/log.h"
+
 #include <string.h>
 
 static void
@@ -90,6 +92,31 @@
   return queue;
 }
 
+/* Returns the queue of the job. One that no configuration has named to this
+ * owner was removed before it took over, and gets the terms under which the job
+ * was accepted. */
+static struct queue *
+get_job_queue (struct gr_steps *steps, const struct gr_job_spec *spec)
+{
+  struct queue *queue = get_queue (steps, spec->queue);
+  const struct gr_queue_terms *terms = &spec->terms;
+
+  if (queue->service[0] != '\0' || terms->service == NULL)
+    return queue;
+  gr_log_event ("queue-restored", "queue", spec->queue, "job", spec->id,
+                "service", terms->service, NULL);
+  gr_steps_set_queue (steps, &(struct gr_steps_queue){
+                                 .name = spec->queue,
+                                 .service = terms->service,
+                                 .priority = terms->priority,
+                                 .max_attempts = terms->max_attempts,
+                                 .objective_ms = terms->objective_ms,
+                                 .stretch = terms->stretch,
+                                 .needs_advice = terms->needs_advice,
+                             });
+  return queue;
+}
+
 static struct account *
 get_account (struct gr_steps *steps, const char *name)
 {
@@ -219,7 +246,7 @@
     return;
   job = g_new0 (struct job, 1);
   job->spec = gr_job_spec_copy (spec);
-  job->queue = get_queue (steps, spec->queue);
+  job->queue = get_job_queue (steps, spec);
   job->account = get_account (steps, spec->account);
   job->inherited = inherited;
   job->added_ms = now_ms;
--- a/steps/spec.c
+++ b/steps/spec.c
@@ -16,6 +16,7 @@
     }
   g_free (spec->steps);
   g_free (spec->queue);
+  g_free (spec->terms.service);
   g_free (spec->account);
   g_free (spec->payload);
   g_free (spec);
@@ -28,6 +29,7 @@
 
   *copy = *spec;
   copy->queue = g_strdup (spec->queue);
+  copy->terms.service = g_strdup (spec->terms.service);
   copy->account = g_strdup (spec->account);
   copy->payload = g_strdup (spec->payload);
   copy->steps = g_memdup2 (spec->steps, spec->n_steps * sizeof *spec->steps);
--- a/steps/spec.h
+++ b/steps/spec.h
@@ -43,12 +43,25 @@
                         unavailable at the same time */
 };
 
+/* What a configuration says of a queue. It is kept with each job, for owners
+ * that take over after the queue was removed. */
+struct gr_queue_terms
+{
+  char *service; /* NULL: unknown */
+  uint32_t priority;
+  uint32_t max_attempts; /* 0: not stated */
+  uint32_t objective_ms;
+  double stretch;
+  bool needs_advice;
+};
+
 struct gr_job_spec
 {
   char id[GR_JOB_ID_DIGITS + 1];
   char *queue;
-  char *account; /* "" on a queue that needs no API key */
-  char *payload; /* passed to the worker with each start */
+  struct gr_queue_terms terms; /* of the queue when the job was accepted */
+  char *account;               /* "" on a queue that needs no API key */
+  char *payload;               /* passed to the worker with each start */
   struct gr_step_spec *steps;
   uint32_t n_steps;
   uint32_t repeats; /* number of scheduled occurrences; 0: the job runs once, at
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -971,6 +971,39 @@
 }
 END_TEST
 
+/* Guards against jobs of a removed queue that never go on after a change of the
+ * owner, which does not find the queue in the configuration. */
+START_TEST (jobs_of_a_removed_queue_go_on)
+{
+  struct steps_model *model = steps_fixture_create (8, 1);
+  struct gr_steps *steps = steps_model_core (model);
+  struct gr_step_spec one = steps_plain;
+  struct gr_job_spec spec = {
+    .id = "0000000000000009",
+    .queue = (char *)"removed",
+    .terms = { .service = (char *)"render",
+               .priority = 1,
+               .max_attempts = 2,
+               .stretch = 2 },
+    .account = (char *)"a",
+    .payload = (char *)"",
+    .steps = &one,
+    .n_steps = 1,
+  };
+  struct gr_order order;
+  int64_t now_ms;
+
+  one.count = 1;
+  steps_model_run (model, 1000);
+  now_ms = steps_model_now_ms (model) + 20;
+  gr_steps_add_job (steps, &spec, NULL, false, now_ms);
+  gr_steps_tick (steps, now_ms, now_ms);
+  ck_assert (gr_steps_take_order (steps, NULL, NULL, &order));
+  ck_assert_int_eq (order.kind, GR_ORDER_START);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 static void
 count_started (const char *id, void *context)
 {
@@ -1068,6 +1101,7 @@
   tcase_add_test (tests, failure_counts_once_after_many_others);
   tcase_add_loop_test (tests, no_job_fails_before_its_attempts_are_used, 0, 40);
   tcase_add_test (tests, earlier_due_times_than_those_with_progress_run);
+  tcase_add_test (tests, jobs_of_a_removed_queue_go_on);
   tcase_add_test (tests, job_is_started_once_a_worker_has_begun_a_task);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
