instance, steps: waves are held while the owner's lease may have expired

Cause: an owner that has lost the store goes on for 9 s, and only workers that have seen its successor fence it. Change: without a lease that holds until an order has arrived, waves choose no machine, stop no task and send no order.

--- a/instance/instance.c
+++ b/instance/instance.c
@@ -90,6 +90,14 @@
     instance->resign_idle = g_idle_add (on_resign_idle, instance);
 }
 
+static int64_t
+lease_until_ms (void *context)
+{
+  const struct gr_instance *instance = context;
+
+  return gr_ownership_lease_until_ms (instance->ownership);
+}
+
 static void
 ownership_acquired (int64_t epoch, int64_t revision, void *context)
 {
@@ -102,6 +110,7 @@
     .counters = instance->counters,
     .settings = instance->settings,
     .superseded = superseded,
+    .lease_until_ms = lease_until_ms,
     .context = instance,
   };
 
--- a/instance/owner.h
+++ b/instance/owner.h
@@ -23,6 +23,9 @@
   /* Called once when another instance is found to be the owner. The owner must
    * be destroyed then, but not inside this call. */
   void (*superseded) (const char *reason, void *context);
+  /* Returns the time (of clock, in ms) until which no other instance can become
+   * the owner. */
+  int64_t (*lease_until_ms) (void *context);
   void *context;
 };
 
--- a/instance/ownership.c
+++ b/instance/ownership.c
@@ -129,6 +129,12 @@
   ownership->lease = 0;
 }
 
+int64_t
+gr_ownership_lease_until_ms (const struct gr_ownership *ownership)
+{
+  return ownership->renewed_ms + LEASE_TTL_MS;
+}
+
 static gboolean on_renew_timer (gpointer data);
 
 static void
--- a/instance/ownership.h
+++ b/instance/ownership.h
@@ -41,6 +41,9 @@
 
 bool gr_ownership_is_owner (const struct gr_ownership *ownership);
 
+/* Returns the time (of clock, in ms) until which the lease on the owner's
+ * record holds, by the last renewal that was answered. */
+int64_t gr_ownership_lease_until_ms (const struct gr_ownership *ownership);
 /* Gives up the ownership. The lease is ended, which removes the record, so
  * that another instance can take over at once. */
 void gr_ownership_resign (struct gr_ownership *ownership, const char *reason);
--- a/instance/upkeep.c
+++ b/instance/upkeep.c
@@ -182,6 +182,12 @@
   if (upkeep->machines == NULL)
     return;
   list_machines (upkeep);
+  /* Machines check fences each by itself, so a former owner could take down
+   * machines that its successor has not called yet. An order takes until its
+   * timeout to arrive. */
+  gr_waves_set_lease (upkeep->waves,
+                      upkeep->deps.lease_until_ms (upkeep->deps.context)
+                          - ORDER_TIMEOUT_MS);
   gr_waves_tick (upkeep->waves, gr_clock_now_ms (upkeep->deps.clock));
   send_orders (upkeep);
   gr_waves_each (upkeep->waves, write_wave, upkeep);
--- a/steps/waves.c
+++ b/steps/waves.c
@@ -55,6 +55,7 @@
   GPtrArray *waves;
   GQueue orders;
   int64_t now_ms;
+  int64_t lease_until_ms; /* see gr_waves_set_lease () */
 };
 
 static void
@@ -82,6 +83,7 @@
   struct gr_waves *waves = g_new0 (struct gr_waves, 1);
 
   waves->steps = steps;
+  waves->lease_until_ms = INT64_MAX;
   waves->waves = g_ptr_array_new_with_free_func (wave_free);
   g_queue_init (&waves->orders);
   return waves;
@@ -397,10 +399,18 @@
     }
 }
 
+void
+gr_waves_set_lease (struct gr_waves *waves, int64_t until_ms)
+{
+  waves->lease_until_ms = until_ms;
+}
+
 void
 gr_waves_tick (struct gr_waves *waves, int64_t now_ms)
 {
   waves->now_ms = now_ms;
+  if (now_ms >= waves->lease_until_ms)
+    return;
   for (guint i = 0; i < waves->waves->len; i++)
     advance_wave (waves, waves->waves->pdata[i]);
 }
@@ -408,8 +418,11 @@
 bool
 gr_waves_take_order (struct gr_waves *waves, struct gr_upkeep_order *order)
 {
-  struct gr_upkeep_order *next = g_queue_pop_head (&waves->orders);
+  struct gr_upkeep_order *next;
 
+  if (waves->now_ms >= waves->lease_until_ms)
+    return false;
+  next = g_queue_pop_head (&waves->orders);
   if (next == NULL)
     return false;
   *order = *next;
--- a/steps/waves.h
+++ b/steps/waves.h
@@ -65,6 +65,10 @@
                       const struct gr_upkeep_order *order,
                       enum gr_upkeep_result result,
                       int64_t now_ms);
+/* Until then no other owner can act on the waves; from then on nothing is
+ * decided and no order is taken. There is no such time before the first call.
+ */
+void gr_waves_set_lease (struct gr_waves *waves, int64_t until_ms);
 /* Moves machines on to their next state and queues the orders that are due. */
 void gr_waves_tick (struct gr_waves *waves, int64_t now_ms);
 
--- a/tests/test-waves.c
+++ b/tests/test-waves.c
@@ -210,6 +210,29 @@
 }
 END_TEST
 
+/* Guards against a former owner that goes on with a wave beside its successor,
+ * which has started tasks on the machines: it had lost the store. */
+START_TEST (wave_waits_without_a_lease)
+{
+  struct machine_model model;
+  uint32_t before;
+
+  machine_model_create (&model);
+  machine_model_run (&model, 3000);
+  before = model.upkeeps;
+  ck_assert_uint_gt (before, 0);
+  gr_waves_set_lease (model.waves, model.now_ms);
+  machine_model_run (&model, 9000);
+  ck_assert_uint_eq (model.upkeeps, before);
+  ck_assert (!model.complete);
+  gr_waves_set_lease (model.waves, INT64_MAX);
+  machine_model_run (&model, 30000);
+  ck_assert_uint_eq (model.upkeeps, MACHINES);
+  ck_assert (model.complete);
+  machine_model_destroy (&model);
+}
+END_TEST
+
 /* A new owner repeated the upkeep of machines that a former owner had
  * finished. */
 START_TEST (done_machines_are_not_ordered_again)
@@ -323,6 +346,7 @@
   tcase_add_test (tests, wave_is_complete_only_at_the_end);
   tcase_add_test (tests, machine_missing_from_one_list_has_its_upkeep);
   tcase_add_test (tests, machine_that_is_listed_again_has_its_upkeep);
+  tcase_add_test (tests, wave_waits_without_a_lease);
   tcase_add_test (tests, done_machines_are_not_ordered_again);
   tcase_add_test (tests, replaced_worker_of_a_closed_machine_gets_no_work);
   tcase_add_test (tests, machines_of_a_new_wave_are_listed_before_their_upkeep);
