steps: workers that were not polled are not empty for a wave

Change: while a former owner may have left runs on a worker, it is not empty and is chosen last. The leases of those runs end the wait. Failed before: machine_of_a_worker_that_was_not_polled_is_not_empty.

--- a/steps/workers.c
+++ b/steps/workers.c
@@ -344,7 +344,8 @@
       else
         gr_order_stop (steps, task);
     }
-  return worker == NULL || worker->tasks->len == 0;
+  return worker == NULL
+         || (worker->tasks->len == 0 && !may_have_unknown_runs (steps, worker));
 }
 
 uint32_t
@@ -352,7 +353,10 @@
 {
   const struct worker *worker = g_hash_table_lookup (steps->workers, id);
 
-  return worker ? worker->tasks->len : 0;
+  if (worker == NULL)
+    return 0;
+  return may_have_unknown_runs (steps, worker) ? UINT32_MAX
+                                               : worker->tasks->len;
 }
 
 /* Returns whether the entry was that of the present process, which had
--- a/tests/test-waves.c
+++ b/tests/test-waves.c
@@ -251,7 +251,7 @@
 END_TEST
 
 static void
-add_worker (struct gr_steps *steps, const char *id)
+register_worker (struct gr_steps *steps, const char *id)
 {
   static const char *const labels[] = { NULL };
   struct gr_steps_worker worker = { .id = id,
@@ -259,10 +259,18 @@
                                     .rack = "",
                                     .labels = labels,
                                     .capacity = { 9, 9, 9 } };
-  struct gr_run_report report = { .all_ended = true };
 
   gr_steps_set_worker (steps, &worker, 1000);
   gr_steps_add_inherited_worker (steps, id, 1000);
+}
+
+/* A worker that has answered a poll. */
+static void
+add_worker (struct gr_steps *steps, const char *id)
+{
+  struct gr_run_report report = { .all_ended = true };
+
+  register_worker (steps, id);
   gr_steps_process_report (steps, id, &report, 1000);
 }
 
@@ -308,6 +316,34 @@
 }
 END_TEST
 
+/* Guards against a new owner that takes workers which it has not polled yet for
+ * empty ones, prefers them, and ends their runs by upkeeps. It need not wait
+ * for a worker that never answers longer than for the leases of its runs. */
+START_TEST (machine_of_a_worker_that_was_not_polled_is_not_empty)
+{
+  struct machine_model model;
+  struct gr_order order;
+  struct gr_upkeep_order upkeep;
+
+  machine_model_create (&model);
+  add_worker (model.steps, "w1");
+  register_worker (model.steps, "w0");
+  add_job (model.steps);
+  gr_steps_tick (model.steps, 1400, 1400);
+  ck_assert (gr_steps_take_order (model.steps, NULL, NULL, &order));
+  ck_assert_str_eq (order.worker, "w1");
+  gr_waves_update_machines (model.waves, model.machines, 2, 1500);
+  gr_waves_tick (model.waves, 1600);
+  gr_waves_tick (model.waves, 1700);
+  ck_assert (!gr_waves_take_order (model.waves, &upkeep));
+  gr_steps_tick (model.steps, 12000, 12000);
+  gr_waves_update_machines (model.waves, model.machines, 2, 12000);
+  gr_waves_tick (model.waves, 12100);
+  ck_assert (gr_waves_take_order (model.waves, &upkeep));
+  machine_model_destroy (&model);
+}
+END_TEST
+
 /* A wave that was added after the last machine list took its machines for up
  * and without a worker, and ordered their upkeep before they were emptied. */
 START_TEST (machines_of_a_new_wave_are_listed_before_their_upkeep)
@@ -349,6 +385,7 @@
   tcase_add_test (tests, wave_waits_without_a_lease);
   tcase_add_test (tests, done_machines_are_not_ordered_again);
   tcase_add_test (tests, replaced_worker_of_a_closed_machine_gets_no_work);
+  tcase_add_test (tests, machine_of_a_worker_that_was_not_polled_is_not_empty);
   tcase_add_test (tests, machines_of_a_new_wave_are_listed_before_their_upkeep);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
