--- a/standins/metastore.c
+++ b/standins/metastore.c
@@ -20,7 +20,7 @@
 
 /* The entry of a worker that is a process of its own is removed after three
  * heartbeats without a renewal. */
-#define ENTRY_TTL_MS (3 * GR_STANDIN_HEARTBEAT_MS)
+#define ENTRY_TTL_MS ((int64_t)3 * GR_STANDIN_HEARTBEAT_MS)
 #define MAX_PAGE_ITEMS 500
 
 struct item
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -204,8 +204,8 @@
 /* While held, nothing is placed and queued starts are not taken, because the
  * set of evacuated data centres may be out of date. */
 void gr_steps_hold_starts (struct gr_steps *steps, bool held);
-/* Number of runs on the worker; 0 if it is unknown, UINT32_MAX if a former owner
- * may have left runs there that are not known yet. */
+/* Number of runs on the worker; 0 if it is unknown, UINT32_MAX if a former
+ * owner may have left runs there that are not known yet. */
 uint32_t gr_steps_worker_load (const struct gr_steps *steps,
                                const char *worker);
 
--- a/tests/test-soak-platform.c
+++ b/tests/test-soak-platform.c
@@ -23,7 +23,7 @@
 #define CLIENTS 4
 #define JOBS_PER_S 6 /* of all clients */
 #define MAX_TRIES 4
-#define TICK_US (100 * 1000)
+#define TICK_US 100000UL
 #define CHECK_TICKS 50
 
 /* Chance that a series of faults begins in a tick. */
@@ -117,21 +117,19 @@
   return g_build_filename (build ? build : "build", path, NULL);
 }
 
-/* Returns a process whose output goes to the file. */
+/* Starts a program of the build with the arguments, which end with NULL; its
+ * output goes to the file. */
 static pid_t
-start_process (const char *file, const char *program, const char *first, ...)
+start_process (const char *file, const char *program, const char *const *args)
 {
-  g_autoptr (GPtrArray) args = g_ptr_array_new ();
+  g_autoptr (GPtrArray) row = g_ptr_array_new ();
   g_autofree char *path = binary_path (program);
-  va_list list;
   pid_t pid;
 
-  g_ptr_array_add (args, path);
-  va_start (list, first);
-  for (const char *arg = first; arg != NULL; arg = va_arg (list, const char *))
-    g_ptr_array_add (args, (char *)arg);
-  va_end (list);
-  g_ptr_array_add (args, NULL);
+  g_ptr_array_add (row, path);
+  for (; *args != NULL; args++)
+    g_ptr_array_add (row, (char *)*args);
+  g_ptr_array_add (row, NULL);
   pid = fork ();
   ck_assert_int_ge (pid, 0);
   if (pid > 0)
@@ -140,7 +138,7 @@
   prctl (PR_SET_PDEATHSIG, SIGKILL);
   if (freopen (file, "a", stdout) == NULL || dup2 (1, 2) < 0)
     _exit (127);
-  execv (path, (char **)args->pdata);
+  execv (path, (char **)row->pdata);
   _exit (127);
 }
 
@@ -171,9 +169,10 @@
   relay->control_port = soak->next_port++;
   listen = loopback (relay->port);
   control = loopback (relay->control_port);
-  relay->pid =
-      start_process (file, "standins/geraniumrack-standin", "relay", "--listen",
-                     listen, "--control", control, "--target", target, NULL);
+  relay->pid = start_process (
+      file, "standins/geraniumrack-standin",
+      (const char *const[]){ "relay", "--listen", listen, "--control", control,
+                             "--target", target, NULL });
 }
 
 /* Sends a request. Returns the HTTP status, or 0 without a response. */
@@ -229,11 +228,27 @@
   g_autofree char *store = loopback (soak->worker_store.port);
 
   worker->life++;
-  worker->pid = start_process (
-      file, "standins/geraniumrack-standin", "platform-worker", "--name", name,
-      "--number", number_text, "--listen", listen, "--advertised", advertised,
-      "--target", store, "--per-rack", "4", "--accelerators", "8", "--cores",
-      "128", "--memory-mb", "256000", NULL);
+  worker->pid = start_process (file, "standins/geraniumrack-standin",
+                               (const char *const[]){ "platform-worker",
+                                                      "--name",
+                                                      name,
+                                                      "--number",
+                                                      number_text,
+                                                      "--listen",
+                                                      listen,
+                                                      "--advertised",
+                                                      advertised,
+                                                      "--target",
+                                                      store,
+                                                      "--per-rack",
+                                                      "4",
+                                                      "--accelerators",
+                                                      "8",
+                                                      "--cores",
+                                                      "128",
+                                                      "--memory-mb",
+                                                      "256000",
+                                                      NULL });
   soak_runs_add_file (soak->runs, file);
 }
 
@@ -266,8 +281,9 @@
       instance->port + 2, instance->store.port);
 
   ck_assert (g_file_set_contents (file, text, -1, NULL));
-  instance->pid = start_process (log, "instance/geraniumrack-instance",
-                                 "--settings", file, NULL);
+  instance->pid =
+      start_process (log, "instance/geraniumrack-instance",
+                     (const char *const[]){ "--settings", file, NULL });
   instance->paused = false;
 }
 
@@ -305,8 +321,10 @@
   soak->store_port = soak->next_port++;
   listen = loopback (soak->store_port);
   log = g_build_filename (soak->folder, "store.log", NULL);
-  soak->store = start_process (log, "standins/geraniumrack-standin", "platform",
-                               "--listen", listen, "--workers", "0", NULL);
+  soak->store =
+      start_process (log, "standins/geraniumrack-standin",
+                     (const char *const[]){ "platform", "--listen", listen,
+                                            "--workers", "0", NULL });
   start_relay (soak, &soak->worker_store, soak->store_port);
   for (int i = 0; i < 50; i++)
     {
@@ -419,7 +437,7 @@
   while (!g_atomic_int_get (&client->soak->stopping))
     {
       submit (client, session);
-      g_usleep (G_USEC_PER_SEC * CLIENTS / JOBS_PER_S);
+      g_usleep ((gulong)G_USEC_PER_SEC * CLIENTS / JOBS_PER_S);
     }
   return NULL;
 }
@@ -624,14 +642,15 @@
 START_TEST (accepted_jobs_finish_once)
 {
   uint32_t seed = setting ("GR_SOAK_SEED", 1);
-  uint32_t ticks = setting ("GR_SOAK_S", 45) * (G_USEC_PER_SEC / TICK_US);
+  uint32_t ticks =
+      setting ("GR_SOAK_S", 45) * (uint32_t)(G_USEC_PER_SEC / TICK_US);
   struct soak soak;
   struct client clients[CLIENTS];
   GThread *threads[CLIENTS];
   uint32_t open = 1;
 
   soak_create (&soak, seed);
-  g_usleep (G_USEC_PER_SEC * 2);
+  g_usleep (2UL * G_USEC_PER_SEC);
   for (uint32_t i = 0; i < CLIENTS; i++)
     {
       clients[i] =
