--- a/review/6/case.c
+++ b/review/6/case.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#define WORKERS 4
 #define JOBS 40
 #define JOB_INTERVAL_MS 50
 #define REVOKE_AFTER_MS 1000
@@ -144,7 +145,7 @@
   struct trouble trouble = { 0 };
   int result;
 
-  if (argc != 2 || (rig = rig_create (argv[1])) == NULL)
+  if (argc != 2 || (rig = rig_create (argv[1], WORKERS)) == NULL)
     return 2;
   trouble.rig = rig;
   rig_set_store_hook (rig, &(struct rig_store_hook){ decide, &trouble });
--- a/review/8/case.c
+++ b/review/8/case.c
@@ -1,169 +1,357 @@
-/* The store goes down: it has carried out the calls that are under way, their
- * connections are reset, and then it answers 503 for some seconds. Clients are
- * told 503, which says that their jobs never run, and the jobs run. */
+/* An upkeep order of a killed owner is carried out late, while its successor
+ * has another machine of the wave down. */
 #include "review/rig-2/rig.h"
 
+#include <stdlib.h>
 #include <string.h>
 
-#define JOBS 3
-#define DOWN_MS 4500   /* for_s of platform_down in the site file */
-#define UNDERWAY_MS 60 /* calls that arrived so long before are under way */
-#define ATTEMPT_TIMEOUT_MS 2500
-#define DEADLINE_MS 3000 /* of the site's clients */
-#define RETRY_MS 1000    /* Retry-After of the answers */
-#define MAX_ATTEMPTS 5
-#define SETTLE_MS 14000
+#define MACHINES 4
+#define CAP 1
+#define MAINTENANCE_MS 2000 /* maintenance-s of the site */
+#define LATE_MS 7000        /* the pages name 2 to 12 s */
+#define DOWN_MS 3500        /* for_s of node_kill in the site file */
+#define BUSY_RUN_MS 2500
+#define WAVE_LIMIT_MS 60000
 
-struct job
+enum machine_state
 {
-  struct rig *rig;
-  char *id;
-  int instance;
-  int attempts;
-  int64_t begun_ms;
-  int64_t answered_ms;
-  guint last_status;
-  bool rejected_only;
-  bool accepted;
+  MACHINE_UP,
+  MACHINE_UPKEEP,
+};
+
+struct machine
+{
+  char *name;
+  enum machine_state state;
+  int64_t token; /* highest fencing token of an order for it */
+  bool done;     /* its upkeep has begun */
 };
 
-enum store_state
+struct cloud
 {
-  STORE_UP,
-  STORE_STOPPING, /* the calls that arrive now are under way when it goes down
-                   */
-  STORE_DOWN,
+  struct rig *rig;
+  SoupServer *server;
+  char *address;
+  struct machine machines[MACHINES];
+  bool lose_next; /* the next order gets no answer and is carried out late */
+  int lost;       /* the machine of that order; -1: none */
+  int broken;
 };
 
-struct trouble
+struct late_order
 {
-  enum store_state state;
+  struct cloud *cloud;
+  int machine;
+  int64_t token;
 };
 
-static enum rig_store_action
-decide (bool is_txn, const char *body, uint32_t *late_ms, void *context)
+static gboolean
+end_upkeep (gpointer data)
 {
-  struct trouble *trouble = context;
+  struct late_order *order = data;
+  struct machine *machine = &order->cloud->machines[order->machine];
 
-  (void)body;
-  (void)late_ms;
-  if (trouble->state == STORE_DOWN)
-    return RIG_STORE_BUSY;
-  return trouble->state == STORE_STOPPING && is_txn ? RIG_STORE_RESET
-                                                    : RIG_STORE_PASS;
+  machine->state = MACHINE_UP;
+  rig_start_worker (order->cloud->rig, order->machine);
+  rig_record (order->cloud->rig, "%s is up again as %s", machine->name,
+              rig_worker_id (order->cloud->rig, order->machine));
+  g_free (order);
+  return G_SOURCE_REMOVE;
 }
 
-static void send_attempt (struct job *job);
+/* Carries an order out. Returns the reason of a rejection, or NULL. */
+static const char *
+carry_out (struct cloud *cloud, int i, int64_t token, const char *how)
+{
+  struct machine *machine = &cloud->machines[i];
+  struct late_order *order;
+  int down = 0;
+
+  if (token < machine->token)
+    return "fence";
+  machine->token = token;
+  if (machine->done)
+    return NULL;
+  if (machine->state != MACHINE_UP)
+    return "busy";
+  for (int k = 0; k < MACHINES; k++)
+    down += cloud->machines[k].state == MACHINE_UPKEEP;
+  machine->done = true;
+  machine->state = MACHINE_UPKEEP;
+  rig_record (cloud->rig,
+              "upkeep of %s begins (%s, token %" G_GINT64_FORMAT
+              "); %d others are down for theirs, cap %d",
+              machine->name, how, token, down, CAP);
+  if (down >= CAP)
+    {
+      cloud->broken++;
+      rig_record (cloud->rig,
+                  "LIMIT: the upkeep of %s has begun while %d machines of the "
+                  "wave were down for theirs",
+                  machine->name, down);
+    }
+  rig_kill_worker (cloud->rig, i);
+  order = g_new0 (struct late_order, 1);
+  order->cloud = cloud;
+  order->machine = i;
+  g_timeout_add (MAINTENANCE_MS, end_upkeep, order);
+  return NULL;
+}
 
 static gboolean
-try_again (gpointer data)
+carry_out_late (gpointer data)
 {
-  send_attempt (data);
+  struct late_order *order = data;
+  const char *reason =
+      carry_out (order->cloud, order->machine, order->token, "late");
+
+  if (reason != NULL)
+    rig_record (order->cloud->rig, "the late order is rejected: %s", reason);
+  g_free (order);
   return G_SOURCE_REMOVE;
 }
 
 static void
-attempt_done (const struct rig_answer *answer, void *context)
+set_body (SoupServerMessage *message, guint status, const char *text)
+{
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (message, "application/json",
+                                    SOUP_MEMORY_COPY, text, strlen (text));
+}
+
+static void
+list_machines (struct cloud *cloud, SoupServerMessage *message)
+{
+  GString *text = g_string_new ("{\"machines\":[");
+
+  for (int i = 0; i < MACHINES; i++)
+    g_string_append_printf (
+        text,
+        "%s{\"machine\":\"%s\",\"pool\":\"render\",\"state\":\"%s\","
+        "\"zone\":\"dc1\",\"labels\":[\"a\",\"r1-0\"],\"capacity\":{\"cpu\":"
+        "128000,\"mem-mb\":256000,\"gpu\":8},\"id\":\"%s\"}",
+        i > 0 ? "," : "", cloud->machines[i].name,
+        cloud->machines[i].state == MACHINE_UP ? "up" : "upkeep",
+        rig_worker_id (cloud->rig, i));
+  g_string_append (text, "],\"next-token\":null}");
+  set_body (message, 200, text->str);
+  g_string_free (text, TRUE);
+}
+
+static int
+find_machine (const struct cloud *cloud, const char *name)
 {
-  struct job *job = context;
-  guint status = answer->status;
+  for (int i = 0; i < MACHINES; i++)
+    if (g_strcmp0 (cloud->machines[i].name, name) == 0)
+      return i;
+  return -1;
+}
 
-  job->last_status = status;
-  job->answered_ms = rig_now_ms ();
-  rig_record (job->rig, "job %s attempt %d at front-%d: %u", job->id,
-              job->attempts, job->instance, status);
-  if (status >= 200 && status < 300)
+static void
+order_upkeep (struct cloud *cloud, SoupServerMessage *message)
+{
+  SoupMessageHeaders *headers =
+      soup_server_message_get_request_headers (message);
+  const char *holder = soup_message_headers_get_one (headers, "X-Duty-Holder");
+  const char *text = soup_message_headers_get_one (headers, "X-Fencing-Token");
+  int64_t token = text ? g_ascii_strtoll (text, NULL, 10) : 0;
+  g_autoptr (GBytes) bytes = soup_message_body_flatten (
+      soup_server_message_get_request_body (message));
+  g_autofree char *body =
+      g_strndup (g_bytes_get_data (bytes, NULL), g_bytes_get_size (bytes));
+  g_autoptr (JsonNode) node = json_from_string (body, NULL);
+  int i = -1;
+  const char *reason;
+
+  if (node != NULL && JSON_NODE_HOLDS_OBJECT (node))
+    i = find_machine (cloud, json_object_get_string_member_with_default (
+                                 json_node_get_object (node), "machine", ""));
+  rig_record (cloud->rig, "order for %s by %s, token %" G_GINT64_FORMAT, body,
+              holder ? holder : "-", token);
+  if (i < 0)
     {
-      job->accepted = true;
+      set_body (message, 400, "{}");
+      return;
+    }
+  if (cloud->lose_next)
+    {
+      struct late_order *order = g_new0 (struct late_order, 1);
+
+      cloud->lose_next = false;
+      cloud->lost = i;
+      order->cloud = cloud;
+      order->machine = i;
+      order->token = token;
+      g_timeout_add (LATE_MS, carry_out_late, order);
+      rig_record (cloud->rig,
+                  "this order gets no answer; it is carried out %d "
+                  "ms later",
+                  LATE_MS);
+      soup_server_message_pause (message);
       return;
     }
-  if (status == 0 || status == 502 || status == 504)
-    job->rejected_only = false;
-  if (job->attempts >= MAX_ATTEMPTS
-      || job->answered_ms + RETRY_MS > job->begun_ms + DEADLINE_MS)
-    return;
-  job->instance = (job->instance + 1) % RIG_INSTANCES;
-  g_timeout_add (RETRY_MS, try_again, job);
+  reason = carry_out (cloud, i, token, "at once");
+  if (reason == NULL)
+    set_body (message, 200, "{}");
+  else
+    {
+      g_autofree char *answer = g_strdup_printf ("{\"reason\":\"%s\"}", reason);
+
+      set_body (message, 409, answer);
+    }
 }
 
 static void
-send_attempt (struct job *job)
+handle_call (SoupServer *server,
+             SoupServerMessage *message,
+             const char *path,
+             GHashTable *query,
+             gpointer data)
+{
+  struct cloud *cloud = data;
+
+  (void)server;
+  (void)query;
+  if (g_str_equal (path, "/v1/machines"))
+    list_machines (cloud, message);
+  else if (g_str_equal (path, "/v1/machine-upkeep"))
+    order_upkeep (cloud, message);
+  else
+    set_body (message, 404, "{}");
+}
+
+static bool
+listen_cloud (struct cloud *cloud)
 {
-  static const char body[] =
-      "{\"task-spec\":\"run_ms=300\",\"steps\":[{\"count\":1,\"cpu\":1000,"
-      "\"mem-mb\":100,\"gpu\":1,\"estimate-ms\":300}]}";
+  g_autoptr (GSocketAddress) address = NULL;
+  g_auto (GStrv) words = NULL;
 
-  job->attempts++;
-  rig_call (job->rig, job->instance, "POST", job->id, RIG_KEY_A, body,
-            ATTEMPT_TIMEOUT_MS, attempt_done, job);
+  cloud->address = rig_free_address ();
+  words = g_strsplit (cloud->address, ":", 2);
+  address =
+      g_inet_socket_address_new_from_string (words[0], (guint)atoi (words[1]));
+  cloud->server = soup_server_new (NULL, NULL);
+  soup_server_add_handler (cloud->server, NULL, handle_call, cloud, NULL);
+  for (int i = 0; i < MACHINES; i++)
+    cloud->machines[i].name = g_strdup_printf ("m-%d", i);
+  return soup_server_listen (cloud->server, address, 0, NULL);
 }
 
+static void
+ignore_answer (const struct rig_answer *answer, void *context)
+{
+  rig_record (context, "job that occupies all machines but one: %u",
+              answer->status);
+}
+
+/* Occupies all executors but one, so that the owner takes that machine first.
+ * Returns its number; -1 if that fails. */
 static int
-judge (struct rig *rig, const struct job *jobs)
+occupy (struct rig *rig)
 {
-  int broken = 0;
+  g_autofree char *job = rig_job_id (rig);
+  g_autofree char *body = g_strdup_printf (
+      "{\"task-spec\":\"run_ms=%d\",\"steps\":[{\"count\":%d,\"cpu\":1000,"
+      "\"mem-mb\":100,\"gpu\":8,\"estimate-ms\":%d}]}",
+      BUSY_RUN_MS, MACHINES - 1, BUSY_RUN_MS);
 
-  for (int i = 0; i < JOBS; i++)
+  rig_call (rig, 0, "POST", job, RIG_KEY_A, body, 2500, ignore_answer, rig);
+  for (int tries = 0; tries < 40; tries++)
     {
-      const struct job *job = &jobs[i];
-      const struct rig_start *start = rig_first_start (rig, job->id);
-
-      if (job->accepted || !job->rejected_only || start == NULL)
-        continue;
-      broken++;
-      rig_record (rig,
-                  "REFUSED: all %d attempts of job %s were rejected (%u), and "
-                  "its task %s was started on %s %" G_GINT64_FORMAT
-                  " ms after the last answer",
-                  job->attempts, job->id, job->last_status, start->task,
-                  start->worker, start->at_ms - job->answered_ms);
+      GPtrArray *starts;
+      bool busy[MACHINES] = { false };
+      int n = 0;
+
+      rig_wait (rig, 25);
+      starts = rig_starts (rig);
+      for (guint k = 0; k < starts->len; k++)
+        for (int i = 0; i < MACHINES; i++)
+          {
+            const struct rig_start *start = starts->pdata[k];
+
+            if (g_str_has_prefix (start->task, job)
+                && g_str_equal (start->worker, rig_worker_id (rig, i)))
+              busy[i] = true;
+          }
+      for (int i = 0; i < MACHINES; i++)
+        n += busy[i];
+      for (int i = 0; n == MACHINES - 1 && i < MACHINES; i++)
+        if (!busy[i])
+          return i;
     }
-  rig_record (rig, "%d jobs, %d ran although all attempts were rejected", JOBS,
-              broken);
-  return broken > 0 ? 1 : 0;
+  return -1;
+}
+
+/* The idle machine last: a successor that finds all machines idle takes them in
+ * the order of the request. */
+static bool
+request_wave (struct cloud *cloud, int idle)
+{
+  GString *names = g_string_new (NULL);
+  g_autofree char *text = NULL;
+  bool done;
+
+  for (int k = 1; k <= MACHINES; k++)
+    g_string_append_printf (names, "%s\"%s\"", k > 1 ? "," : "",
+                            cloud->machines[(idle + k) % MACHINES].name);
+  text = g_strdup_printf (
+      "{\"wave\":1,\"machines\":[%s],\"finish-by-s\":60,\"cap\":%d}",
+      names->str, CAP);
+  g_string_free (names, TRUE);
+  done = rig_put (cloud->rig, "op/wave/1", text);
+  rig_record (cloud->rig, "operator: %s", text);
+  return done;
+}
+
+/* Kills the owner whose order gets no answer, and starts it again. */
+static bool
+kill_owner (struct cloud *cloud)
+{
+  struct rig *rig = cloud->rig;
+  int owner = rig_owner (rig);
+
+  for (int tries = 0; cloud->lost < 0 && tries < 8000; tries++)
+    rig_wait (rig, 1);
+  if (cloud->lost < 0 || owner < 0)
+    return false;
+  rig_kill_instance (rig, owner);
+  rig_wait (rig, DOWN_MS);
+  return rig_start_instance (rig, owner);
 }
 
 int
 main (int argc, char **argv)
 {
-  struct rig *rig;
-  struct job jobs[JOBS] = { 0 };
-  struct trouble trouble = { STORE_UP };
-  int result;
+  struct cloud cloud = { .lost = -1 };
+  int64_t end_ms;
+  int idle;
+  bool ran;
 
-  if (argc != 2 || (rig = rig_create (argv[1])) == NULL)
+  if (argc != 2 || (cloud.rig = rig_create (argv[1], MACHINES)) == NULL
+      || !listen_cloud (&cloud))
     return 2;
-  rig_set_store_hook (rig, &(struct rig_store_hook){ decide, &trouble });
-  if (!rig_start (rig))
+  rig_set_machines_address (cloud.rig, cloud.address);
+  ran = rig_start (cloud.rig);
+  idle = ran ? occupy (cloud.rig) : -1;
+  cloud.lose_next = rig_trouble (cloud.rig);
+  ran = ran && idle >= 0 && request_wave (&cloud, idle)
+        && (!rig_trouble (cloud.rig) || kill_owner (&cloud));
+  end_ms = rig_now_ms () + WAVE_LIMIT_MS;
+  while (ran && rig_now_ms () < end_ms)
     {
-      rig_destroy (rig);
-      return 2;
-    }
-  if (rig_trouble (rig))
-    trouble.state = STORE_STOPPING;
-  for (int i = 0; i < JOBS; i++)
-    {
-      jobs[i] = (struct job){ .rig = rig,
-                              .id = rig_job_id (rig),
-                              .instance = i % RIG_INSTANCES,
-                              .begun_ms = rig_now_ms (),
-                              .rejected_only = true };
-      send_attempt (&jobs[i]);
-    }
-  rig_wait (rig, UNDERWAY_MS);
-  if (rig_trouble (rig))
-    {
-      trouble.state = STORE_DOWN;
-      rig_record (rig, "the store is down for %d ms", DOWN_MS);
-      rig_reset_held (rig);
+      g_autofree char *status = rig_get (cloud.rig, "status/wave/1");
+
+      if (status != NULL && strstr (status, "completed") != NULL)
+        {
+          rig_record (cloud.rig, "the wave is completed");
+          break;
+        }
+      rig_wait (cloud.rig, 200);
     }
-  rig_wait (rig, DOWN_MS);
-  trouble.state = STORE_UP;
-  rig_record (rig, "the store is up");
-  rig_wait (rig, SETTLE_MS);
-  result = judge (rig, jobs);
-  for (int i = 0; i < JOBS; i++)
-    g_free (jobs[i].id);
-  rig_destroy (rig);
-  return result;
+  rig_wait (cloud.rig, 1000);
+  rig_record (cloud.rig, "%d upkeeps began beyond the cap", cloud.broken);
+  rig_destroy (cloud.rig);
+  if (!ran)
+    return 2;
+  return cloud.broken > 0 ? 1 : 0;
 }
--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -40,10 +40,10 @@
   char *clients[RIG_INSTANCES];
   char *ready[RIG_INSTANCES];
   char *metrics[RIG_INSTANCES];
-  char *worker_ids[RIG_WORKERS];
-  char *workers[RIG_WORKERS];
+  char *worker_ids[RIG_MAX_WORKERS];
+  char *workers[RIG_MAX_WORKERS];
   struct child instances[RIG_INSTANCES];
-  struct child executors[RIG_WORKERS];
+  struct child executors[RIG_MAX_WORKERS];
   struct child platform;
   GPtrArray
       *outputs; /* struct child copies of all executors, for their output */
@@ -56,7 +56,9 @@
   FILE *record;
   int64_t begun_ms;
   uint32_t next_job;
+  int n_workers;
   uint32_t next_worker;
+  uint32_t next_output;
 };
 
 int64_t
@@ -145,7 +147,8 @@
   g_autoptr (GError) error = NULL;
 
   child->name = g_strdup (name);
-  child->output = g_strdup_printf ("%s/%s.log", rig->dir, name);
+  child->output =
+      g_strdup_printf ("%s/%s.%u.log", rig->dir, name, ++rig->next_output);
   g_subprocess_launcher_set_child_setup (launcher, setup_child, NULL, NULL);
   g_subprocess_launcher_set_stdout_file_path (launcher, child->output);
   if (settings != NULL)
@@ -571,7 +574,7 @@
 }
 
 bool
-rig_start_worker (struct rig *rig, int i)
+rig_restart_worker (struct rig *rig, int i)
 {
   g_autofree char *number = g_strdup_printf ("%d", i);
   const char *argv[] = { STANDIN_PROGRAM,
@@ -597,10 +600,6 @@
                          NULL };
   struct child *output = g_new0 (struct child, 1);
 
-  g_free (rig->worker_ids[i]);
-  g_free (rig->workers[i]);
-  rig->worker_ids[i] = g_strdup_printf ("i-%04u", ++rig->next_worker);
-  rig->workers[i] = rig_free_address ();
   argv[3] = rig->worker_ids[i];
   argv[7] = rig->workers[i];
   argv[9] = rig->workers[i];
@@ -614,6 +613,16 @@
   return true;
 }
 
+bool
+rig_start_worker (struct rig *rig, int i)
+{
+  g_free (rig->worker_ids[i]);
+  g_free (rig->workers[i]);
+  rig->worker_ids[i] = g_strdup_printf ("i-%04u", ++rig->next_worker);
+  rig->workers[i] = rig_free_address ();
+  return rig_restart_worker (rig, i);
+}
+
 void
 rig_kill_worker (struct rig *rig, int i)
 {
@@ -743,7 +752,7 @@
   if (!start_child (rig, &rig->platform, "platform", NULL, argv)
       || !wait_for_url (rig, rig->store, "/control"))
     return false;
-  for (int i = 0; i < RIG_WORKERS; i++)
+  for (int i = 0; i < rig->n_workers; i++)
     if (!rig_start_worker (rig, i))
       return false;
   if (!rig_put_config (rig, 1, keys))
@@ -783,12 +792,13 @@
 }
 
 struct rig *
-rig_create (const char *folder)
+rig_create (const char *folder, int workers)
 {
   struct rig *rig = g_new0 (struct rig, 1);
   g_autofree char *record = g_build_filename (folder, "record.txt", NULL);
 
   rig->trouble = g_strcmp0 (g_getenv ("TROUBLE"), "0") != 0;
+  rig->n_workers = MIN (workers, RIG_MAX_WORKERS);
   rig->begun_ms = rig_now_ms ();
   rig->dir = g_dir_make_tmp ("geraniumrack-review-XXXXXX", NULL);
   rig->record = fopen (record, "w");
@@ -835,7 +845,7 @@
 {
   for (int i = 0; i < RIG_INSTANCES; i++)
     kill_child (&rig->instances[i]);
-  for (int i = 0; i < RIG_WORKERS; i++)
+  for (int i = 0; i < rig->n_workers; i++)
     kill_child (&rig->executors[i]);
   kill_child (&rig->platform);
   if (g_getenv ("KEEP") == NULL)
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -10,7 +10,7 @@
 #include <stdint.h>
 
 #define RIG_INSTANCES 3
-#define RIG_WORKERS 4
+#define RIG_MAX_WORKERS 8
 #define RIG_CONFIRM_MS 3000
 
 /* Keys of the tenant in the configuration of rig_put_config (). */
@@ -57,7 +57,7 @@
 
 /* folder: of the case; record.txt is written there. Returns NULL if the case
  * cannot run. */
-struct rig *rig_create (const char *folder);
+struct rig *rig_create (const char *folder, int workers);
 /* Ends all processes and frees the rig. */
 void rig_destroy (struct rig *rig);
 /* True unless TROUBLE=0. */
@@ -105,8 +105,10 @@
 /* The instance that owns the scheduling, as the store says; -1: none. */
 int rig_owner (struct rig *rig);
 void rig_kill_worker (struct rig *rig, int worker);
-/* Starts the executor of a machine under a new id. */
+/* Starts the executor of a machine under a new id, at a new address. */
 bool rig_start_worker (struct rig *rig, int worker);
+/* Starts it again under its id, at its address. */
+bool rig_restart_worker (struct rig *rig, int worker);
 const char *rig_worker_id (struct rig *rig, int worker);
 
 /* A free loopback address, as IP:PORT. */
