--- a/review/8/case.c
+++ b/review/8/case.c
@@ -10,7 +10,7 @@
 #define MAINTENANCE_MS 2000 /* maintenance-s of the site */
 #define LATE_MS 7000        /* the pages name 2 to 12 s */
 #define DOWN_MS 3500        /* for_s of node_kill in the site file */
-#define BUSY_RUN_MS 2500
+#define BUSY_RUN_MS 1500
 #define WAVE_LIMIT_MS 60000
 
 enum machine_state
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -65,6 +65,9 @@
 /* Address of the stand-in of the machines interface; call before the instances
  * are started. */
 void rig_set_machines_address (struct rig *rig, const char *address);
+/* Address of the stand-in of the advice service, and the terms that the queue
+ * has in each configuration, as JSON. */
+void rig_set_advice (struct rig *rig, const char *address, const char *terms);
 void rig_set_store_hook (struct rig *rig, const struct rig_store_hook *hook);
 /* Starts the store, the executors and the instances, writes the configuration,
  * and waits until a job has been run. Returns false if that fails. */
