--- a/review/7/case.c
+++ b/review/7/case.c
@@ -1,180 +1,181 @@
-/* One executor goes down and up by turns. A job whose task is on it is shown as
- * failed, although no run of it has ended so. */
+/* Answers of the store are lost while a key is taken away: clients are told 401
+ * for jobs that the store holds, and the jobs run. */
 #include "review/rig-2/rig.h"
 
 #include <string.h>
 
-#define WORKERS 7
-#define RUN_MS 14000
-#define BUSY_RUN_MS 100000
-/* As in the site files: gap_s 1.4, for_s 6.5; one of seven executors is less
- * than the share of 0.15. */
-#define GAP_MS 1400
-#define FLAP_MS 6500
-#define SPANS 2
-#define CALM_MS 5000
-#define POLL_MS 250
-#define LIMIT_MS 60000
+#define WORKERS 4
+#define JOBS 40
+#define JOB_INTERVAL_MS 50
+#define REVOKE_AFTER_MS 1000
+#define LOST_MS 4500 /* for_s of platform_lost in the site file */
+#define LOST_EVERY 3 /* one write in three; the site file allows 0.35 */
+#define MAX_ATTEMPTS 5
+#define ATTEMPT_TIMEOUT_MS 3000
+#define SETTLE_MS 12000
 
 struct job
 {
   struct rig *rig;
   char *id;
-  guint status;   /* of the submission; 0: no answer yet */
-  char state[16]; /* last known */
-  bool asking;
+  int instance;
+  int attempts;
+  guint last_status;
+  bool rejected_only; /* each attempt so far was rejected */
+  bool accepted;
+  int64_t answered_ms;
 };
 
-static void
-submit_done (const struct rig_answer *answer, void *context)
+struct trouble
 {
-  struct job *job = context;
-
-  job->status = answer->status;
-  rig_record (job->rig, "job %s handed in: %u", job->id, answer->status);
-}
+  struct rig *rig;
+  bool losing;
+  uint32_t writes;
+  uint32_t lost;
+};
 
-static void
-state_done (const struct rig_answer *answer, void *context)
+static enum rig_store_action
+decide (bool is_txn, const char *body, uint32_t *late_ms, void *context)
 {
-  struct job *job = context;
-  g_autoptr (JsonNode) node = NULL;
-  const char *state = NULL;
-
-  job->asking = false;
-  if (answer->status != 200)
-    return;
-  node = json_from_string (answer->body, NULL);
-  if (node != NULL && JSON_NODE_HOLDS_OBJECT (node))
-    state = json_object_get_string_member_with_default (
-        json_node_get_object (node), "state", NULL);
-  if (state == NULL || g_str_equal (state, job->state))
-    return;
-  g_strlcpy (job->state, state, sizeof job->state);
-  rig_record (job->rig, "job %s is shown as %s", job->id, state);
+  struct trouble *trouble = context;
+
+  (void)late_ms;
+  (void)body;
+  if (!is_txn || !trouble->losing)
+    return RIG_STORE_PASS;
+  if (++trouble->writes % LOST_EVERY != 0)
+    return RIG_STORE_PASS;
+  trouble->lost++;
+  return RIG_STORE_LOSE;
 }
 
-static void
-ask (struct job *job)
+static void send_attempt (struct job *job);
+
+static gboolean
+try_again (gpointer data)
 {
-  if (job->asking)
-    return;
-  job->asking = true;
-  rig_call (job->rig, 1, "GET", job->id, RIG_KEY_A, NULL, 2500, state_done,
-            job);
+  send_attempt (data);
+  return G_SOURCE_REMOVE;
 }
 
-/* Runs the main loop and asks for the state of the job now and then. */
+/* As PROTOCOL.md says: 429 and 503: not accepted; no answer, 502 and 504: the
+ * same id again, at any node; 401 and 404: not allowed. */
 static void
-watch (struct job *job, int64_t ms)
+attempt_done (const struct rig_answer *answer, void *context)
 {
-  int64_t end_ms = rig_now_ms () + ms;
+  struct job *job = context;
+  guint status = answer->status;
 
-  while (rig_now_ms () < end_ms)
+  job->last_status = status;
+  job->answered_ms = rig_now_ms ();
+  rig_record (job->rig, "job %s attempt %d at front-%d: %u", job->id,
+              job->attempts, job->instance, status);
+  if (status >= 200 && status < 300)
     {
-      ask (job);
-      rig_wait (job->rig, (uint32_t)MIN (POLL_MS, end_ms - rig_now_ms () + 1));
+      job->accepted = true;
+      return;
     }
+  if (status == 0 || status == 502 || status == 504)
+    job->rejected_only = false;
+  if (job->attempts >= MAX_ATTEMPTS || status == 401 || status == 404)
+    return;
+  job->instance = (job->instance + 1) % RIG_INSTANCES;
+  g_timeout_add (status == 503 || status == 429 ? 1000 : 50, try_again, job);
 }
 
 static void
-hand_in (struct job *job, int count, int run_ms)
-{
-  g_autofree char *body = g_strdup_printf (
-      "{\"task-spec\":\"run_ms=%d\",\"steps\":[{\"count\":%d,\"cpu\":1000,"
-      "\"mem-mb\":100,\"gpu\":8,\"estimate-ms\":%d}]}",
-      run_ms, count, run_ms);
-
-  rig_call (job->rig, 0, "POST", job->id, RIG_KEY_A, body, 2500, submit_done,
-            job);
-  rig_wait (job->rig, 1500);
-}
-
-/* The executor on which the job's task was started; -1: none. */
-static int
-executor_of (struct job *job)
+send_attempt (struct job *job)
 {
-  const struct rig_start *start = rig_first_start (job->rig, job->id);
+  static const char body[] =
+      "{\"task-spec\":\"run_ms=300\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+      "\"mem-mb\":100,\"gpu\":1,\"estimate-ms\":300}]}";
 
-  for (int i = 0; start != NULL && i < WORKERS; i++)
-    if (g_str_equal (start->worker, rig_worker_id (job->rig, i)))
-      return i;
-  return -1;
+  job->attempts++;
+  rig_call (job->rig, job->instance, "POST", job->id, RIG_KEY_A, body,
+            ATTEMPT_TIMEOUT_MS, attempt_done, job);
 }
 
-static void
-flap (struct job *job, int executor)
+static int
+judge (struct rig *rig, const struct job *jobs)
 {
-  int64_t end_ms = rig_now_ms () + FLAP_MS;
+  int broken = 0;
+  int rejected = 0;
 
-  while (rig_now_ms () < end_ms)
+  for (int i = 0; i < JOBS; i++)
     {
-      rig_record (job->rig, "%s goes down", rig_worker_id (job->rig, executor));
-      rig_kill_worker (job->rig, executor);
-      watch (job, GAP_MS);
-      rig_record (job->rig, "%s is up again",
-                  rig_worker_id (job->rig, executor));
-      rig_restart_worker (job->rig, executor);
-      watch (job, MIN (GAP_MS, end_ms - rig_now_ms ()));
+      const struct job *job = &jobs[i];
+      const struct rig_start *start;
+
+      if (job->accepted || !job->rejected_only || job->last_status == 0)
+        continue;
+      rejected++;
+      start = rig_first_start (rig, job->id);
+      if (start == NULL)
+        continue;
+      broken++;
+      rig_record (rig,
+                  "REFUSED: all attempts of job %s were rejected (%u), and its "
+                  "task %s was started on %s %+" G_GINT64_FORMAT
+                  " ms after that answer",
+                  job->id, job->last_status, start->task, start->worker,
+                  start->at_ms - job->answered_ms);
     }
+  rig_record (rig, "%d jobs, %d with rejections only, %d of these ran", JOBS,
+              rejected, broken);
+  return broken > 0 ? 1 : 0;
 }
 
-static int
-judge (struct job *job)
+static gboolean
+end_losses (gpointer data)
 {
-  GPtrArray *starts = rig_starts (job->rig);
-  int64_t end_ms = rig_now_ms () + LIMIT_MS;
-  int n = 0;
-
-  while (rig_now_ms () < end_ms && !g_str_equal (job->state, "completed")
-         && !g_str_equal (job->state, "failed"))
-    watch (job, POLL_MS);
-  starts = rig_starts (job->rig);
-  for (guint i = 0; i < starts->len; i++)
-    n += g_str_has_prefix (((struct rig_start *)starts->pdata[i])->task,
-                           job->id);
-  rig_record (job->rig,
-              "%d runs of its task; runs that ended failed: none; it "
-              "is shown as %s",
-              n, job->state);
-  if (!g_str_equal (job->state, "failed"))
-    return 0;
-  rig_record (job->rig, "LOST: job %s is shown as failed without cause",
-              job->id);
-  return 1;
+  struct trouble *trouble = data;
+
+  trouble->losing = false;
+  rig_record (trouble->rig, "answers are no longer lost: %u of %u writes were",
+              trouble->lost, trouble->writes);
+  return G_SOURCE_REMOVE;
 }
 
 int
 main (int argc, char **argv)
 {
+  static const char *const keys[] = { RIG_KEY_B, NULL };
   struct rig *rig;
-  struct job busy = { 0 };
-  struct job job = { 0 };
-  int executor = -1;
-  int result = 2;
+  struct job jobs[JOBS] = { 0 };
+  struct trouble trouble = { 0 };
+  int result;
 
   if (argc != 2 || (rig = rig_create (argv[1], WORKERS)) == NULL)
     return 2;
-  busy.rig = job.rig = rig;
-  busy.id = rig_job_id (rig);
-  job.id = rig_job_id (rig);
-  if (rig_start (rig))
+  trouble.rig = rig;
+  rig_set_store_hook (rig, &(struct rig_store_hook){ decide, &trouble });
+  if (!rig_start (rig))
+    {
+      rig_destroy (rig);
+      return 2;
+    }
+  if (rig_trouble (rig))
     {
-      hand_in (&busy, WORKERS - 1, BUSY_RUN_MS);
-      hand_in (&job, 1, RUN_MS);
-      executor = executor_of (&job);
+      trouble.losing = true;
+      rig_record (rig, "from now on one write in %d is not answered",
+                  LOST_EVERY);
+      g_timeout_add (LOST_MS, end_losses, &trouble);
     }
-  if (executor >= 0 && job.status == 200 && busy.status == 200)
+  for (int i = 0; i < JOBS; i++)
     {
-      for (int i = 0; i < SPANS && rig_trouble (rig); i++)
-        {
-          flap (&job, executor);
-          watch (&job, CALM_MS);
-        }
-      result = judge (&job);
+      jobs[i] = (struct job){ .rig = rig,
+                              .id = rig_job_id (rig),
+                              .instance = i % RIG_INSTANCES,
+                              .rejected_only = true };
+      send_attempt (&jobs[i]);
+      rig_wait (rig, JOB_INTERVAL_MS);
+      if (i * JOB_INTERVAL_MS == REVOKE_AFTER_MS && rig_trouble (rig))
+        rig_put_config (rig, 2, keys);
     }
+  rig_wait (rig, SETTLE_MS);
+  result = judge (rig, jobs);
+  for (int i = 0; i < JOBS; i++)
+    g_free (jobs[i].id);
   rig_destroy (rig);
-  g_free (busy.id);
-  g_free (job.id);
   return result;
 }
--- a/review/8/case.c
+++ b/review/8/case.c
@@ -1,29 +1,30 @@
-/* Answers of the store are lost while a key is taken away: clients are told 401
- * for jobs that the store holds, and the jobs run. */
+/* The store carries the write of a submission out seconds late, after the
+ * client has cancelled the job and was told that there is no such job. The job
+ * runs all the same. */
 #include "review/rig-2/rig.h"
 
 #include <string.h>
 
 #define WORKERS 4
-#define JOBS 40
-#define JOB_INTERVAL_MS 50
-#define REVOKE_AFTER_MS 1000
-#define LOST_MS 4500 /* for_s of platform_lost in the site file */
+#define JOBS 12
+#define JOB_INTERVAL_MS 80
+#define LOST_MS 1200
 #define LOST_EVERY 3 /* one write in three; the site file allows 0.35 */
-#define MAX_ATTEMPTS 5
-#define ATTEMPT_TIMEOUT_MS 3000
-#define SETTLE_MS 12000
+#define LATE_MS 5800 /* the pages name 1 to 6 s */
+#define GIVE_UP_MS 600
+#define CANCEL_TIMEOUT_MS 3000
+#define CANCEL_RETRY_MS 100
+#define CANCEL_MS 3000 /* cancel_ms of the site */
+#define SETTLE_MS 14000
 
 struct job
 {
   struct rig *rig;
   char *id;
   int instance;
-  int attempts;
-  guint last_status;
-  bool rejected_only; /* each attempt so far was rejected */
-  bool accepted;
-  int64_t answered_ms;
+  guint handed_in;      /* status of the submission; 0: no answer */
+  int64_t cancelled_ms; /* when the cancelling was acknowledged; 0: never */
+  guint cancelled_status;
 };
 
 struct trouble
@@ -31,7 +32,7 @@
   struct rig *rig;
   bool losing;
   uint32_t writes;
-  uint32_t lost;
+  uint32_t late;
 };
 
 static enum rig_store_action
@@ -39,89 +40,88 @@
 {
   struct trouble *trouble = context;
 
-  (void)late_ms;
   (void)body;
-  if (!is_txn || !trouble->losing)
+  if (!is_txn || !trouble->losing || ++trouble->writes % LOST_EVERY != 0)
     return RIG_STORE_PASS;
-  if (++trouble->writes % LOST_EVERY != 0)
-    return RIG_STORE_PASS;
-  trouble->lost++;
-  return RIG_STORE_LOSE;
+  trouble->late++;
+  *late_ms = LATE_MS;
+  return RIG_STORE_LATE;
 }
 
-static void send_attempt (struct job *job);
+static void cancel (struct job *job);
 
 static gboolean
-try_again (gpointer data)
+cancel_again (gpointer data)
 {
-  send_attempt (data);
+  cancel (data);
   return G_SOURCE_REMOVE;
 }
 
-/* As PROTOCOL.md says: 429 and 503: not accepted; no answer, 502 and 504: the
- * same id again, at any node; 401 and 404: not allowed. */
 static void
-attempt_done (const struct rig_answer *answer, void *context)
+cancel_done (const struct rig_answer *answer, void *context)
 {
   struct job *job = context;
-  guint status = answer->status;
 
-  job->last_status = status;
-  job->answered_ms = rig_now_ms ();
-  rig_record (job->rig, "job %s attempt %d at front-%d: %u", job->id,
-              job->attempts, job->instance, status);
-  if (status >= 200 && status < 300)
+  rig_record (job->rig, "job %s cancelled at front-%d: %u", job->id,
+              job->instance, answer->status);
+  if ((answer->status >= 200 && answer->status < 300) || answer->status == 410)
     {
-      job->accepted = true;
+      job->cancelled_ms = rig_now_ms ();
+      job->cancelled_status = answer->status;
       return;
     }
-  if (status == 0 || status == 502 || status == 504)
-    job->rejected_only = false;
-  if (job->attempts >= MAX_ATTEMPTS || status == 401 || status == 404)
-    return;
   job->instance = (job->instance + 1) % RIG_INSTANCES;
-  g_timeout_add (status == 503 || status == 429 ? 1000 : 50, try_again, job);
+  g_timeout_add (CANCEL_RETRY_MS, cancel_again, job);
 }
 
 static void
-send_attempt (struct job *job)
+cancel (struct job *job)
 {
-  static const char body[] =
-      "{\"task-spec\":\"run_ms=300\",\"steps\":[{\"count\":1,\"cpu\":1000,"
-      "\"mem-mb\":100,\"gpu\":1,\"estimate-ms\":300}]}";
+  rig_call (job->rig, job->instance, "DELETE", job->id, RIG_KEY_A, NULL,
+            CANCEL_TIMEOUT_MS, cancel_done, job);
+}
 
-  job->attempts++;
-  rig_call (job->rig, job->instance, "POST", job->id, RIG_KEY_A, body,
-            ATTEMPT_TIMEOUT_MS, attempt_done, job);
+/* A client that leaves makes sure that its job does not run. */
+static void
+submit_done (const struct rig_answer *answer, void *context)
+{
+  struct job *job = context;
+
+  job->handed_in = answer->status;
+  rig_record (job->rig, "job %s handed in at front-%d: %u", job->id,
+              job->instance, answer->status);
+  job->instance = (job->instance + 1) % RIG_INSTANCES;
+  cancel (job);
 }
 
 static int
 judge (struct rig *rig, const struct job *jobs)
 {
   int broken = 0;
-  int rejected = 0;
 
   for (int i = 0; i < JOBS; i++)
     {
       const struct job *job = &jobs[i];
-      const struct rig_start *start;
-
-      if (job->accepted || !job->rejected_only || job->last_status == 0)
-        continue;
-      rejected++;
-      start = rig_first_start (rig, job->id);
-      if (start == NULL)
-        continue;
-      broken++;
-      rig_record (rig,
-                  "REFUSED: all attempts of job %s were rejected (%u), and its "
-                  "task %s was started on %s %+" G_GINT64_FORMAT
-                  " ms after that answer",
-                  job->id, job->last_status, start->task, start->worker,
-                  start->at_ms - job->answered_ms);
+      GPtrArray *starts = rig_starts (rig);
+
+      for (guint k = 0; k < starts->len && job->cancelled_ms != 0; k++)
+        {
+          const struct rig_start *start = starts->pdata[k];
+          int64_t after_ms = start->at_ms - job->cancelled_ms;
+
+          if (!g_str_has_prefix (start->task, job->id) || after_ms <= CANCEL_MS)
+            continue;
+          broken++;
+          rig_record (rig,
+                      "UNASKED: task %s was started on %s %" G_GINT64_FORMAT
+                      " ms after the cancelling of its job was acknowledged "
+                      "(%u)",
+                      start->task, start->worker, after_ms,
+                      job->cancelled_status);
+        }
     }
-  rig_record (rig, "%d jobs, %d with rejections only, %d of these ran", JOBS,
-              rejected, broken);
+  rig_record (rig, "%d jobs, %d starts later than %d ms after the cancelling",
+              JOBS, broken, CANCEL_MS);
   return broken > 0 ? 1 : 0;
 }
 
@@ -131,15 +131,17 @@
   struct trouble *trouble = data;
 
   trouble->losing = false;
-  rig_record (trouble->rig, "answers are no longer lost: %u of %u writes were",
-              trouble->lost, trouble->writes);
+  rig_record (trouble->rig, "no further answers are lost: %u of %u writes were",
+              trouble->late, trouble->writes);
   return G_SOURCE_REMOVE;
 }
 
 int
 main (int argc, char **argv)
 {
-  static const char *const keys[] = { RIG_KEY_B, NULL };
+  static const char body[] =
+      "{\"task-spec\":\"run_ms=500\",\"steps\":[{\"count\":1,\"cpu\":1000,"
+      "\"mem-mb\":100,\"gpu\":1,\"estimate-ms\":500}]}";
   struct rig *rig;
   struct job jobs[JOBS] = { 0 };
   struct trouble trouble = { 0 };
@@ -157,20 +159,18 @@
   if (rig_trouble (rig))
     {
       trouble.losing = true;
-      rig_record (rig, "from now on one write in %d is not answered",
-                  LOST_EVERY);
+      rig_record (rig, "from now on one write in %d is carried out %d ms late",
+                  LOST_EVERY, LATE_MS);
       g_timeout_add (LOST_MS, end_losses, &trouble);
     }
   for (int i = 0; i < JOBS; i++)
     {
       jobs[i] = (struct job){ .rig = rig,
                               .id = rig_job_id (rig),
-                              .instance = i % RIG_INSTANCES,
-                              .rejected_only = true };
-      send_attempt (&jobs[i]);
+                              .instance = i % RIG_INSTANCES };
+      rig_call (rig, jobs[i].instance, "POST", jobs[i].id, RIG_KEY_A, body,
+                GIVE_UP_MS, submit_done, &jobs[i]);
       rig_wait (rig, JOB_INTERVAL_MS);
-      if (i * JOB_INTERVAL_MS == REVOKE_AFTER_MS && rig_trouble (rig))
-        rig_put_config (rig, 2, keys);
     }
   rig_wait (rig, SETTLE_MS);
   result = judge (rig, jobs);
