--- a/review/6/case.c
+++ b/review/6/clients.c
@@ -1,7 +1,7 @@
 /* Many jobs come at once on a queue that needs advice. The owner gives up on
  * calls that still wait in turn, asks again behind them, and from then on no
  * answer is in time: accepted jobs are never started. */
-#include "review/rig-2/rig.h"
+#include "review/rig-2/process-cluster.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/review/7/case.c
+++ b/review/7/clients.c
@@ -1,6 +1,6 @@
 /* Answers of the store are lost while a key is taken away: clients are told 401
  * for jobs that the store holds, and the jobs run. */
-#include "review/rig-2/rig.h"
+#include "review/rig-2/process-cluster.h"
 
 #include <string.h>
 
--- a/review/8/case.c
+++ b/review/8/clients.c
@@ -1,7 +1,7 @@
 /* The store carries the write of a submission out seconds late, after the
  * client has cancelled the job and was told that there is no such job. The job
  * runs all the same. */
-#include "review/rig-2/rig.h"
+#include "review/rig-2/process-cluster.h"
 
 #include <string.h>
 
--- a/review/rig-2/rig.c
+++ b/review/rig-2/process-cluster.c
@@ -1,4 +1,4 @@
-#include "review/rig-2/rig.h"
+#include "review/rig-2/process-cluster.h"
 
 #include <gio/gio.h>
 #include <glib/gstdio.h>
@@ -618,7 +618,7 @@
                          "--memory-mb",
                          "256000",
                          NULL };
-  struct child *output = g_new0 (struct child, 1);
+  struct child *output;
 
   argv[3] = rig->worker_ids[i];
   argv[7] = rig->workers[i];
@@ -627,6 +627,7 @@
   g_clear_pointer (&rig->executors[i].output, g_free);
   if (!start_child (rig, &rig->executors[i], rig->worker_ids[i], NULL, argv))
     return false;
+  output = g_new0 (struct child, 1);
   output->name = g_strdup (rig->worker_ids[i]);
   output->output = g_strdup (rig->executors[i].output);
   g_ptr_array_add (rig->outputs, output);
