tests: clusters of processes reserve their range of ports

The first port of a range is now kept bound and a range that is in use is left out; test-process-instance uses ports below these ranges.

--- a/tests/soak-cluster.c
+++ b/tests/soak-cluster.c
@@ -2,12 +2,15 @@
 
 #include "http/json.h"
 
+#include <arpa/inet.h>
 #include <check.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -15,6 +18,10 @@
 #define STANDIN "standins/geraniumrack-standin"
 #define OWN_HOST "127.0.0.1"
 
+#define FIRST_PORT 10000
+#define N_PORTS 1000 /* of a cluster */
+#define PORT_RANGES 20
+
 uint32_t
 soak_setting (const char *name, uint32_t fallback)
 {
@@ -312,6 +319,37 @@
                   cluster->n_workers);
 }
 
+/* Takes a range of ports that no other cluster uses: its first port is kept
+ * bound. The ranges are below the ports that the kernel gives to outgoing
+ * connections. */
+static void
+reserve_ports (struct soak_cluster *cluster)
+{
+  uint32_t wanted = soak_setting (
+      "GR_SOAK_PORT", FIRST_PORT + (uint32_t)getpid () % PORT_RANGES * N_PORTS);
+
+  for (uint32_t i = 0; i < PORT_RANGES; i++)
+    {
+      uint32_t offset =
+          (wanted - FIRST_PORT + i * N_PORTS) % (PORT_RANGES * N_PORTS);
+      struct sockaddr_in row = { .sin_family = AF_INET,
+                                 .sin_port =
+                                     htons ((uint16_t)(FIRST_PORT + offset)),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+
+      cluster->port_guard = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      ck_assert_int_ge (cluster->port_guard, 0);
+      if (bind (cluster->port_guard, (struct sockaddr *)&row, sizeof row) == 0
+          && listen (cluster->port_guard, 1) == 0)
+        {
+          cluster->next_port = FIRST_PORT + offset + 1;
+          return;
+        }
+      close (cluster->port_guard);
+    }
+  ck_abort_msg ("no range of ports is free");
+}
+
 void
 soak_cluster_create (struct soak_cluster *cluster)
 {
@@ -319,9 +357,7 @@
   cluster->folder = g_dir_make_tmp ("gr-soak-XXXXXX", NULL);
   cluster->session = soup_session_new_with_options (
       "timeout", 3, "proxy-resolver", NULL, NULL);
-  /* Below the ports that the kernel gives to outgoing connections. */
-  cluster->next_port =
-      soak_setting ("GR_SOAK_PORT", 10000 + (uint32_t)(getpid () % 20) * 1000);
+  reserve_ports (cluster);
   cluster->relays = g_array_new (FALSE, FALSE, sizeof (pid_t));
   cluster->runs = soak_runs_create ();
   cluster->n_instances = soak_setting ("GR_SOAK_INSTANCES", 3);
@@ -358,6 +394,7 @@
   for (guint i = 0; i < cluster->relays->len; i++)
     soak_kill (g_array_index (cluster->relays, pid_t, i));
   soak_kill (cluster->store);
+  close (cluster->port_guard);
   soak_runs_destroy (cluster->runs);
   g_array_unref (cluster->relays);
   g_object_unref (cluster->session);
--- a/tests/soak-cluster.h
+++ b/tests/soak-cluster.h
@@ -43,6 +43,7 @@
 {
   char *folder; /* of the logs */
   SoupSession *session;
+  int port_guard; /* socket that reserves the range of ports */
   guint next_port;
   guint store_port;
   pid_t store;
--- a/tests/test-process-instance.c
+++ b/tests/test-process-instance.c
@@ -146,8 +146,8 @@
 
   memset (fixture, 0, sizeof *fixture);
   fixture->rand = g_rand_new_with_seed (seed);
-  /* Below the ports that the kernel gives to outgoing connections. */
-  fixture->port = 12000 + (guint)(getpid () % 1000) * 20;
+  /* Below the ports of the soak's clusters. */
+  fixture->port = 2000 + (guint)(getpid () % 400) * 20;
   fixture->folder = g_dir_make_tmp ("gr-soak-XXXXXX", NULL);
   fixture->ids = g_ptr_array_new_with_free_func (g_free);
   fixture->crashing = g_ptr_array_new_with_free_func (g_free);
