steps: advice is requested as fast as the service answers

Four calls were kept open and given up after 4 s whatever decide-ms and each-ms say. A service that handles one call at a time and completes calls whose caller has gone then works only for calls that nobody waits for, as each is repeated behind those that were given up.

--- a/bench/steps.c
+++ b/bench/steps.c
@@ -27,9 +27,9 @@
 add_queues (const struct testbed *testbed)
 {
   static const struct gr_steps_queue queues[] = {
-    { "urgent", "bench", 0, 3, 275, 1.5, false },
-    { "rebuild", "bench", 1, 3, 1000, 3, false },
-    { "batch", "bench", 2, 3, 3000, 3, false },
+    { "urgent", "bench", 0, 3, 275, 1.5, false, 0, 0 },
+    { "rebuild", "bench", 1, 3, 1000, 3, false, 0, 0 },
+    { "batch", "bench", 2, 3, 3000, 3, false, 0, 0 },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (queues); i++)
--- a/instance/advice-calls.c
+++ b/instance/advice-calls.c
@@ -3,10 +3,6 @@
 #include "common/log.h"
 #include "platform/advice.h"
 
-/* The advice service handles requests one after the other, so a request may
- * have to wait for earlier ones. */
-#define ADVICE_TIMEOUT_MS 4000
-
 struct gr_advice_calls
 {
   struct gr_steps *steps;
@@ -51,6 +47,18 @@
   g_free (calls);
 }
 
+static enum gr_advice_result
+get_result (const struct gr_error *error)
+{
+  if (error == NULL)
+    return GR_ADVICE_ANSWERED;
+  if (error->kind == GR_ERROR_NO_TARGET)
+    return GR_ADVICE_NOT_SENT;
+  if (error->kind == GR_ERROR_OVERLOADED)
+    return GR_ADVICE_OVERLOADED;
+  return GR_ADVICE_FAILED;
+}
+
 static void
 advice_done (const struct gr_advice_row *rows,
              uint32_t n_rows,
@@ -60,11 +68,15 @@
 {
   struct advice_call *call = context;
   struct gr_advice_calls *calls = call->calls;
+  struct gr_advice_answer answer = { .result = get_result (error),
+                                     .rows = rows,
+                                     .n_rows = n_rows,
+                                     .valid_ms = valid_ms };
 
   if (error != NULL && error->kind != GR_ERROR_CANCELLED)
     gr_log_event ("advice-failed", "step", call->request.step, "reason",
                   error->message, NULL);
-  gr_steps_advice_reply (calls->steps, &call->request, rows, n_rows, valid_ms,
+  gr_steps_advice_reply (calls->steps, &call->request, &answer,
                          gr_clock_now_ms (calls->clock));
   g_free (call);
   if (error == NULL)
@@ -79,7 +91,7 @@
 
   call->calls = calls;
   call->request = *request;
-  gr_advice_client_request (calls->client, request, ADVICE_TIMEOUT_MS,
+  gr_advice_client_request (calls->client, request, GR_ADVICE_CALL_LIMIT_MS,
                             (struct gr_advice_reply){ advice_done, call });
 }
 
@@ -97,7 +109,9 @@
         }
       gr_log_warning ("advice-missing", "step", request.step, "reason",
                       "advice_address is not set", NULL);
-      gr_steps_advice_reply (calls->steps, &request, NULL, 0, 0,
-                             gr_clock_now_ms (calls->clock));
+      gr_steps_advice_reply (
+          calls->steps, &request,
+          &(struct gr_advice_answer){ .result = GR_ADVICE_NOT_SENT },
+          gr_clock_now_ms (calls->clock));
     }
 }
--- a/instance/call.c
+++ b/instance/call.c
@@ -332,6 +332,8 @@
     .objective_ms = routed.queue->objective_ms,
     .stretch = routed.queue->stretch,
     .needs_advice = routed.queue->needs_advice,
+    .advice_decide_ms = routed.queue->advice_decide_ms,
+    .advice_each_ms = routed.queue->advice_each_ms,
   };
   call->spec->account = g_strdup (routed.account ? routed.account->name : "");
   value = gr_record_encode_job (call->spec);
--- a/instance/owner.c
+++ b/instance/owner.c
@@ -360,6 +360,8 @@
         .objective_ms = row->objective_ms,
         .stretch = row->stretch,
         .needs_advice = row->needs_advice,
+        .advice_decide_ms = row->advice_decide_ms,
+        .advice_each_ms = row->advice_each_ms,
       };
 
       gr_steps_set_queue (owner->steps, &queue);
--- a/instance/records.c
+++ b/instance/records.c
@@ -116,6 +116,8 @@
   pack_int_if_set (packer, "objective_ms", terms->objective_ms);
   gr_pack_double (packer, "stretch", terms->stretch);
   pack_bool_if_set (packer, "needs_advice", terms->needs_advice);
+  pack_int_if_set (packer, "advice_decide_ms", terms->advice_decide_ms);
+  pack_int_if_set (packer, "advice_each_ms", terms->advice_each_ms);
 }
 
 GBytes *
@@ -179,6 +181,8 @@
   terms->objective_ms = unpack_uint (map, "objective_ms");
   terms->stretch = gr_unpack_double (map, "stretch", 1);
   terms->needs_advice = gr_unpack_bool (map, "needs_advice", false);
+  terms->advice_decide_ms = unpack_uint (map, "advice_decide_ms");
+  terms->advice_each_ms = unpack_uint (map, "advice_each_ms");
 }
 
 static bool
--- a/standins/main.c
+++ b/standins/main.c
@@ -1,4 +1,5 @@
 #include "common/log.h"
+#include "standins/advice.h"
 #include "standins/executor.h"
 #include "standins/instances.h"
 #include "standins/kv.h"
@@ -47,6 +48,7 @@
   struct gr_load_mode *load;
   struct gr_standin_platform *platform;
   struct gr_worker_process *worker_process;
+  struct gr_standin_advice *advice;
   GMainLoop *loop;
   int exit_code;
 };
@@ -268,6 +270,22 @@
   return standins->worker_process != NULL;
 }
 
+/* Its times and policy are set by POST /control. */
+static bool
+start_advice (struct standins *standins, struct gr_error *error)
+{
+  struct gr_standin_advice_settings settings = { .valid_ms = 3000,
+                                                 .allowed_percent = 100 };
+
+  standins->advice =
+      gr_standin_advice_create (standins->options.listen, &settings, error);
+  if (standins->advice == NULL)
+    return false;
+  print_address (gr_standin_address (gr_standin_advice_base (standins->advice)),
+                 NULL);
+  return true;
+}
+
 static void
 handle_load_end (uint32_t violations, void *context)
 {
@@ -297,6 +315,7 @@
   { "load", start_load },
   { "platform", start_platform },
   { "platform-worker", start_platform_worker },
+  { "advice", start_advice },
 };
 
 static bool
@@ -331,7 +350,7 @@
       return modes[i].start (standins, error);
   return gr_error_set (error, GR_ERROR_BAD_SETTINGS,
                        "the mode must be kv, instances, worker, executor, "
-                       "relay, load, platform or platform-worker");
+                       "relay, load, platform, platform-worker or advice");
 }
 
 static bool
@@ -416,6 +435,7 @@
   g_ptr_array_unref (standins->relays);
   gr_load_mode_destroy (standins->load);
   gr_standin_platform_destroy (standins->platform);
+  gr_standin_advice_destroy (standins->advice);
   gr_worker_process_destroy (standins->worker_process);
   g_main_loop_unref (standins->loop);
   g_ptr_array_unref (standins->workers);
--- a/standins/platform-worker.c
+++ b/standins/platform-worker.c
@@ -1,6 +1,7 @@
 #include "standins/platform-worker.h"
 
 #include "http/json.h"
+#include "standins/advice.h"
 
 #include <string.h>
 
@@ -413,7 +414,11 @@
       return;
     }
   extend_lease (worker, call->body);
-  if (expires_ms < now_ms ())
+  if (strstr (payload, "needs_ticket") != NULL
+      && !gr_standin_ticket_is_valid (
+          gr_json_peek_string (call->body, "ticket"), task, worker->id))
+    reply (call, 409, "ticket");
+  else if (expires_ms < now_ms ())
     reply (call, 409, "late");
   else if (number
            <= GPOINTER_TO_INT (g_hash_table_lookup (worker->ended_runs, task)))
--- a/steps/advice.c
+++ b/steps/advice.c
@@ -6,15 +6,19 @@
 #include <string.h>
 
 /* Advice for queues whose policy lets only some workers run a step. A request
- * names the workers with the most free capacity first, so that one call is
- * usually enough. */
+ * names the workers with the most free capacity first, and only as many as the
+ * step probably needs: the answer takes longer with each of them. When a call
+ * may be sent is decided in advice-service.c. */
 
-/* The advice service answers one call per instance at a time. */
-#define MAX_OPEN_REQUESTS 4
-
-/* Pause after a call without an answer. */
+/* Pause of a step after a call without an answer. */
 #define RETRY_PAUSE_MS 300
 
+/* A request names workers for this multiple of the waiting tasks. */
+#define NAMED_FACTOR 2
+
+/* The counts of allowed workers are halved at this number. */
+#define MAX_ASKED 256
+
 /* A ticket must remain valid for the start order and its retries. */
 #define TICKET_MARGIN_MS 500
 
@@ -103,57 +107,205 @@
   return strcmp (a->worker->id, b->worker->id);
 }
 
+/* Finds the workers on which advice is useful. Sets *has_room if the step could
+ * start now on workers that may be allowed; tasks outside gangs start one by
+ * one, so then only workers with room are returned. */
 static GArray *
-find_candidates (struct gr_steps *steps, const struct step *step)
+find_candidates (struct gr_steps *steps,
+                 const struct step *step,
+                 bool *has_room)
 {
   GArray *candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  uint32_t gang_size = step->spec->gang ? step->n_waiting : 0;
+  uint32_t slots = 0;
 
   for (guint i = 0; i < steps->worker_rows->len; i++)
     {
       const struct worker *worker = steps->worker_rows->pdata[i];
       struct gr_resources available;
       struct candidate candidate = { .worker = worker };
+      bool is_useful = should_request (steps, step, worker);
 
-      if (!should_request (steps, step, worker))
+      if (!is_useful
+          && (gang_size == 0 || !gr_worker_allowed (steps, worker, step)))
         continue;
       available = gr_worker_free_resources (worker, step);
       candidate.slots = gr_step_slots_in (step, worker, &available);
       candidate.known_allowed = find_advice (step, worker) != NULL;
-      g_array_append_val (candidates, candidate);
+      slots += candidate.slots;
+      if (is_useful)
+        g_array_append_val (candidates, candidate);
     }
+  *has_room = slots >= MAX (gang_size, 1);
+  if (*has_room && gang_size == 0)
+    for (guint i = candidates->len; i-- > 0;)
+      if (g_array_index (candidates, struct candidate, i).slots == 0)
+        g_array_remove_index_fast (candidates, i);
   g_array_sort (candidates, compare_candidates);
   return candidates;
 }
 
+/* Share of the workers that the queue's policy probably allows. Before any
+ * answer, all are expected to be. */
+static double
+allowed_share (const struct queue *queue)
+{
+  return (queue->advice_allowed + 1.0) / (queue->advice_asked + 1.0);
+}
+
+/* Number of candidates to name, of those with the most room. A gang needs
+ * workers of one rack, and a step without room those on which runs can be
+ * stopped, which other criteria decide. */
+static uint32_t
+count_named (const struct step *step, const GArray *candidates, bool has_room)
+{
+  double share = allowed_share (gr_step_job (step)->queue);
+  double wanted = (double)NAMED_FACTOR * step->n_waiting;
+  uint32_t limit = MIN (candidates->len, GR_ADVICE_WORKERS);
+  uint32_t n = 0;
+
+  if (!has_room || step->spec->gang)
+    return limit;
+  while (n < limit && wanted > 0)
+    {
+      const struct candidate *candidate =
+          &g_array_index (candidates, struct candidate, n);
+
+      wanted -= candidate->slots * (candidate->known_allowed ? 1 : share);
+      n++;
+    }
+  return n;
+}
+
+static void
+send_request (struct gr_steps *steps,
+              struct step *step,
+              const GArray *candidates,
+              uint32_t n_workers)
+{
+  const struct queue *queue = gr_step_job (step)->queue;
+  struct gr_advice_request *request = g_new0 (struct gr_advice_request, 1);
+  uint32_t work_ms =
+      queue->advice_decide_ms + queue->advice_each_ms * n_workers;
+
+  g_snprintf (request->step, sizeof request->step, "%s.%u.%u",
+              gr_step_job (step)->spec->id, step->occurrence->number,
+              step->number);
+  request->n_workers = n_workers;
+  for (uint32_t i = 0; i < n_workers; i++)
+    g_strlcpy (request->workers[i],
+               g_array_index (candidates, struct candidate, i).worker->id,
+               sizeof request->workers[i]);
+  request->number =
+      gr_advice_service_begin (steps->advice_service, work_ms, steps->now_ms);
+  g_hash_table_insert (steps->advice_calls, GUINT_TO_POINTER (request->number),
+                       g_strdup (request->step));
+  step->advice_call = request->number;
+  step->advice_requested_ms = steps->now_ms;
+  g_queue_push_tail (&steps->advice_requests, request);
+}
+
+enum request_outcome
+{
+  REQUEST_SENT,
+  REQUEST_USELESS,   /* advice on all workers is there */
+  REQUEST_POSTPONED, /* the step has no room now */
+};
+
+static enum request_outcome
+request_for_step (struct gr_steps *steps, struct step *step, bool needs_room)
+{
+  bool has_room;
+  g_autoptr (GArray) candidates = find_candidates (steps, step, &has_room);
+
+  if (candidates->len == 0)
+    return REQUEST_USELESS;
+  if (needs_room && !has_room)
+    return REQUEST_POSTPONED;
+  send_request (steps, step, candidates,
+                count_named (step, candidates, has_room));
+  return REQUEST_SENT;
+}
+
+/* Without room, advice is of use only to a step that can get workers freed or
+ * planned. */
+static bool
+may_request_without_room (const struct step *step)
+{
+  return step->spec->gang || gr_step_job (step)->queue->priority == 0;
+}
+
 void
-gr_advice_request_if_needed (struct gr_steps *steps, struct step *step)
+gr_advice_want (struct gr_steps *steps, struct step *step)
 {
-  struct gr_advice_request *request;
-  GArray *candidates;
+  if (gr_step_job (step)->queue->needs_advice && step->advice_call == 0
+      && (step->advice_requested_ms == 0
+          || steps->now_ms - step->advice_requested_ms >= RETRY_PAUSE_MS))
+    g_ptr_array_add (steps->advice_wanted, step);
+}
 
-  if (!gr_step_job (step)->queue->needs_advice || step->advice_pending
-      || steps->advice_pending >= MAX_OPEN_REQUESTS
-      || (step->advice_requested_ms != 0
-          && steps->now_ms - step->advice_requested_ms < RETRY_PAUSE_MS))
-    return;
-  candidates = find_candidates (steps, step);
-  if (candidates->len > 0)
+static struct step *
+find_step (struct gr_steps *steps, const char *name)
+{
+  g_autofree char *task_name = g_strconcat (name, ".0", NULL);
+  struct task *task = gr_task_find (steps, task_name);
+
+  return task ? task->step : NULL;
+}
+
+/* An answer that is overdue may be lost, so its step may request advice again.
+ * If the answer comes all the same, it is used. */
+static void
+release_overdue (struct gr_steps *steps)
+{
+  uint32_t number;
+
+  while ((number = gr_advice_service_take_overdue (steps->advice_service,
+                                                   steps->now_ms))
+         != 0)
     {
-      request = g_new0 (struct gr_advice_request, 1);
-      g_snprintf (request->step, sizeof request->step, "%s.%u.%u",
-                  gr_step_job (step)->spec->id, step->occurrence->number,
-                  step->number);
-      request->n_workers = MIN (candidates->len, GR_ADVICE_WORKERS);
-      for (uint32_t i = 0; i < request->n_workers; i++)
-        g_strlcpy (request->workers[i],
-                   g_array_index (candidates, struct candidate, i).worker->id,
-                   sizeof request->workers[i]);
-      step->advice_pending = true;
-      step->advice_requested_ms = steps->now_ms;
-      steps->advice_pending++;
-      g_queue_push_tail (&steps->advice_requests, request);
+      const char *name =
+          g_hash_table_lookup (steps->advice_calls, GUINT_TO_POINTER (number));
+      struct step *step = name ? find_step (steps, name) : NULL;
+      char slowness[16];
+
+      g_snprintf (slowness, sizeof slowness, "%.2f",
+                  gr_advice_service_slowness (steps->advice_service));
+      gr_log_event ("advice-overdue", "step", name ? name : "", "slowness",
+                    slowness, NULL);
+      if (step != NULL && step->advice_call == number)
+        step->advice_call = 0;
     }
-  g_array_unref (candidates);
+}
+
+/* Steps that can start now go first, and of those that cannot, at most one
+ * calls in a pass; but none calls before a more urgent one. */
+void
+gr_advice_send_requests (struct gr_steps *steps)
+{
+  GPtrArray *wanted = steps->advice_wanted;
+  struct step *without_room = NULL;
+
+  release_overdue (steps);
+  for (guint i = 0;
+       i < wanted->len
+       && gr_advice_service_may_call (steps->advice_service, steps->now_ms);
+       i++)
+    {
+      struct step *step = wanted->pdata[i];
+      uint32_t priority = gr_step_job (step)->queue->priority;
+
+      if (without_room != NULL
+          && priority > gr_step_job (without_room)->queue->priority)
+        break;
+      if (request_for_step (steps, step, true) == REQUEST_POSTPONED
+          && without_room == NULL && may_request_without_room (step))
+        without_room = step;
+    }
+  if (without_room != NULL
+      && gr_advice_service_may_call (steps->advice_service, steps->now_ms))
+    request_for_step (steps, without_room, false);
+  g_ptr_array_set_size (wanted, 0);
 }
 
 bool
@@ -169,15 +321,6 @@
   return true;
 }
 
-static struct step *
-find_step (struct gr_steps *steps, const char *name)
-{
-  g_autofree char *task_name = g_strconcat (name, ".0", NULL);
-  struct task *task = gr_task_find (steps, task_name);
-
-  return task ? task->step : NULL;
-}
-
 static void
 store_advice (struct step *step,
               const struct worker *worker,
@@ -203,34 +346,60 @@
   return NULL;
 }
 
+/* Answers on workers of which nothing was known show what the policy allows. */
+static void
+count_allowed (struct queue *queue, bool allowed)
+{
+  if (queue->advice_asked >= MAX_ASKED)
+    {
+      queue->advice_asked /= 2;
+      queue->advice_allowed /= 2;
+    }
+  queue->advice_asked++;
+  queue->advice_allowed += allowed;
+}
+
+static void
+store_answer (struct gr_steps *steps,
+              struct step *step,
+              const struct gr_advice_request *request,
+              const struct gr_advice_answer *answer)
+{
+  if (step->advice == NULL)
+    step->advice =
+        g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  for (uint32_t i = 0; i < request->n_workers; i++)
+    {
+      const char *id = request->workers[i];
+      const struct worker *worker = gr_worker_find (steps, id);
+      const char *ticket = ticket_for (answer->rows, answer->n_rows, id);
+
+      if (!g_hash_table_contains (step->advice, id))
+        count_allowed (gr_step_job (step)->queue, ticket != NULL);
+      if (worker != NULL)
+        store_advice (step, worker, ticket, steps->now_ms + answer->valid_ms);
+    }
+}
+
 void
 gr_steps_advice_reply (struct gr_steps *steps,
                        const struct gr_advice_request *request,
-                       const struct gr_advice_row *rows,
-                       uint32_t n_rows,
-                       int64_t valid_ms,
+                       const struct gr_advice_answer *answer,
                        int64_t now_ms)
 {
   struct step *step = find_step (steps, request->step);
 
-  steps->advice_pending--;
+  steps->now_ms = now_ms;
+  gr_advice_service_end (steps->advice_service, request->number, answer->result,
+                         now_ms);
+  g_hash_table_remove (steps->advice_calls, GUINT_TO_POINTER (request->number));
   if (step == NULL)
     return;
-  step->advice_pending = false;
-  if (rows == NULL)
+  if (step->advice_call == request->number)
+    step->advice_call = 0;
+  if (answer->result != GR_ADVICE_ANSWERED)
     return;
-  if (step->advice == NULL)
-    step->advice =
-        g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   /* Advice on more workers may be requested at once. */
   step->advice_requested_ms = 0;
-  for (uint32_t i = 0; i < request->n_workers; i++)
-    {
-      const struct worker *worker = gr_worker_find (steps, request->workers[i]);
-
-      if (worker != NULL)
-        store_advice (step, worker,
-                      ticket_for (rows, n_rows, request->workers[i]),
-                      now_ms + valid_ms);
-    }
+  store_answer (steps, step, request, answer);
 }
--- a/steps/core.c
+++ b/steps/core.c
@@ -53,6 +53,10 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_queue_init (&steps->changed);
   g_queue_init (&steps->advice_requests);
+  steps->advice_service = gr_advice_service_create ();
+  steps->advice_calls =
+      g_hash_table_new_full (g_direct_hash, g_direct_equal, NULL, g_free);
+  steps->advice_wanted = g_ptr_array_new ();
   gr_samples_create_tables (steps);
   gr_crash_create_tables (steps);
   return steps;
@@ -75,6 +79,9 @@
     g_queue_clear_full (&steps->orders[i], g_free);
   g_queue_clear (&steps->changed);
   g_queue_clear_full (&steps->advice_requests, g_free);
+  gr_advice_service_destroy (steps->advice_service);
+  g_hash_table_destroy (steps->advice_calls);
+  g_ptr_array_unref (steps->advice_wanted);
   gr_samples_destroy_tables (steps);
   gr_crash_destroy_tables (steps);
   g_free (steps);
@@ -116,6 +123,8 @@
                                  .objective_ms = terms->objective_ms,
                                  .stretch = terms->stretch,
                                  .needs_advice = terms->needs_advice,
+                                 .advice_decide_ms = terms->advice_decide_ms,
+                                 .advice_each_ms = terms->advice_each_ms,
                              });
   return queue;
 }
@@ -146,6 +155,8 @@
   queue->objective_ms = row->objective_ms;
   queue->stretch = row->stretch;
   queue->needs_advice = row->needs_advice;
+  queue->advice_decide_ms = row->advice_decide_ms;
+  queue->advice_each_ms = row->advice_each_ms;
 }
 
 void
--- a/steps/place.c
+++ b/steps/place.c
@@ -184,7 +184,7 @@
   if (!gr_step_may_spread (steps, step))
     g_ptr_array_add (failed, step);
   gr_planned_make (steps, step);
-  gr_advice_request_if_needed (steps, step);
+  gr_advice_want (steps, step);
   if (gr_step_job (step)->queue->priority == 0)
     gr_reclaim_capacity (steps, step);
 }
@@ -206,5 +206,6 @@
   ranked = gr_rank_steps (steps);
   for (guint i = 0; i < ranked->len; i++)
     try_step (steps, ranked->pdata[i], failed);
+  gr_advice_send_requests (steps);
   steps->reports_requested = 0;
 }
--- a/steps/spec.h
+++ b/steps/spec.h
@@ -53,6 +53,8 @@
   uint32_t objective_ms;
   double stretch;
   bool needs_advice;
+  uint32_t advice_decide_ms; /* as in struct gr_steps_queue */
+  uint32_t advice_each_ms;
 };
 
 struct gr_job_spec
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -8,6 +8,7 @@
 #include "common/mode.h"
 #include "learn/run-times.h"
 #include "learn/speeds.h"
+#include "steps/advice-service.h"
 #include "steps/look.h"
 #include "steps/spec.h"
 
@@ -50,6 +51,10 @@
   uint32_t objective_ms;
   double stretch;
   bool needs_advice; /* starts need a ticket of the advice service */
+  /* Time that the advice service needs for a call: advice_decide_ms and
+   * advice_each_ms for each worker named. */
+  uint32_t advice_decide_ms;
+  uint32_t advice_each_ms;
 };
 
 struct gr_steps_worker
@@ -93,6 +98,7 @@
 /* Asks which of these workers may run a step. */
 struct gr_advice_request
 {
+  uint32_t number;              /* of the call; see steps/advice-service.h */
   char step[GR_TASK_NAME_SIZE]; /* ID.OCCURRENCE.STEP */
   uint32_t n_workers;
   char workers[GR_ADVICE_WORKERS][GR_TASK_NAME_SIZE];
@@ -104,6 +110,17 @@
   char ticket[GR_TICKET_SIZE];
 };
 
+/* End of an advice request. */
+struct gr_advice_answer
+{
+  enum gr_advice_result result;
+  /* If the request was answered: the workers that may run the step, with
+   * tickets that are valid for valid_ms. */
+  const struct gr_advice_row *rows;
+  uint32_t n_rows;
+  int64_t valid_ms;
+};
+
 /* Durable progress of a task, or of a whole occurrence that is complete. */
 struct gr_task_progress
 {
@@ -323,14 +340,10 @@
                               const char *worker,
                               const struct gr_run_report *report,
                               int64_t now_ms);
-/* Processes the reply to an advice request: the workers that may run the step,
- * with their tickets. rows is NULL if there was no answer. Tickets are valid
- * for valid_ms. */
+/* Processes the end of an advice request, also if it comes late. */
 void gr_steps_advice_reply (struct gr_steps *steps,
                             const struct gr_advice_request *request,
-                            const struct gr_advice_row *rows,
-                            uint32_t n_rows,
-                            int64_t valid_ms,
+                            const struct gr_advice_answer *answer,
                             int64_t now_ms);
 /* Records that all changes up to sequence are durable. */
 void gr_steps_committed (struct gr_steps *steps, uint64_t sequence);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -216,7 +216,8 @@
   uint32_t n_done;
   uint32_t gang_run;           /* run number of the last start of a gang */
   GHashTable *advice;          /* worker id -> struct advice; NULL if none */
-  bool advice_pending;         /* a request has no answer yet */
+  uint32_t advice_call;        /* the last one, while its answer is expected;
+                                  0: none */
   int64_t advice_requested_ms; /* time of the last request; 0: may be repeated
                                   at once */
   int64_t ready_ms;            /* since when the step can start; 0: not ready */
@@ -294,6 +295,10 @@
   uint32_t objective_ms;
   double stretch;
   bool needs_advice;
+  uint32_t advice_decide_ms; /* as in struct gr_steps_queue */
+  uint32_t advice_each_ms;
+  uint32_t advice_asked;     /* workers of first answers, and those of them */
+  uint32_t advice_allowed;   /* that were allowed; both fade */
   uint32_t run_time_samples; /* of its jobs, accepted by this owner */
   struct step *planned_step; /* gang that workers are planned for */
   int64_t planned_ms;        /* when it is expected to start */
@@ -348,7 +353,10 @@
   GQueue orders[ORDER_RANKS]; /* struct gr_order; see get_order_rank () */
   GQueue changed;             /* struct job */
   GQueue advice_requests;     /* struct gr_advice_request */
-  uint32_t advice_pending;    /* requests without an answer */
+  struct gr_advice_service *advice_service;
+  GHashTable *advice_calls; /* number -> name of the step (char *) */
+  GPtrArray *advice_wanted; /* struct step; for which the placement pass would
+                               request advice, most urgent first */
   uint64_t sequence;
   uint64_t committed; /* changes up to this sequence number are durable */
   uint32_t plan;      /* number of the last reclaim plan */
@@ -639,9 +647,12 @@
                               const struct worker *worker);
 /* Treats the ticket as expired, after the worker has rejected it. */
 void gr_advice_expire (struct step *step, const struct worker *worker);
-/* Requests advice on more workers for a step that could not be placed, if its
- * queue needs advice. */
-void gr_advice_request_if_needed (struct gr_steps *steps, struct step *step);
+/* Notes that the step could not be placed, and that advice on more workers may
+ * help if its queue needs advice. */
+void gr_advice_want (struct gr_steps *steps, struct step *step);
+/* Requests advice for steps of this placement pass, as far as the service can
+ * answer in time. To be called at the end of each pass. */
+void gr_advice_send_requests (struct gr_steps *steps);
 
 /* Pace of filler tasks that share a worker with tasks that serve requests. */
 void gr_pace_update (struct gr_steps *steps, struct worker *worker);
--- a/tests/soak-clients.c
+++ b/tests/soak-clients.c
@@ -15,6 +15,10 @@
 #define MAX_RUN_MS 7000
 #define MAX_LONE_RUN_MS 14000
 
+/* Chance that a job needs advice, and number of jobs that then come at once. */
+#define ADVICE_CHANCE 0.04
+#define ADVICE_BURST 6
+
 /* Chance that a client cancels a job that was accepted. */
 #define CANCEL_CHANCE 0.08
 
@@ -42,6 +46,7 @@
 static guint
 call (struct client *client,
       const char *method,
+      const char *prefix,
       const char *id,
       const char *body)
 {
@@ -50,22 +55,23 @@
                                             (gint32)cluster->n_instances);
   const struct soak_path *path = &cluster->instances[to].clients;
   g_autofree char *url =
-      g_strdup_printf ("http://%s:%u/a/%s", path->host, path->port, id);
+      g_strdup_printf ("http://%s:%u%s%s", path->host, path->port, prefix, id);
 
   return soak_call (client->session, method, url, body, NULL);
 }
 
 /* Returns the body of a job; its steps that are gangs are noted. */
 static char *
-create_job (struct client *client, const char *id)
+create_job (struct client *client, const char *id, bool needs_advice)
 {
   GString *body = g_string_new (NULL);
   int n_steps = g_rand_int_range (client->rand, 1, MAX_STEPS + 1);
 
   g_string_append_printf (
-      body, "{\"task-spec\":\"run_ms=%d\",\"steps\":[",
+      body, "{\"task-spec\":\"run_ms=%d%s\",\"steps\":[",
       g_rand_int_range (client->rand, MIN_RUN_MS,
-                        n_steps > 1 ? MAX_RUN_MS : MAX_LONE_RUN_MS));
+                        n_steps > 1 ? MAX_RUN_MS : MAX_LONE_RUN_MS),
+      needs_advice ? " needs_ticket" : "");
   for (int i = 0; i < n_steps; i++)
     {
       bool gang = g_rand_int_range (client->rand, 0, 4) == 0;
@@ -100,24 +106,25 @@
   g_hash_table_add (clients->cancelled, g_strdup (id));
   g_mutex_unlock (&clients->mutex);
   for (int i = 0; i < MAX_TRIES && status != 200 && status != 410; i++)
-    status = call (client, "DELETE", id, NULL);
+    status = call (client, "DELETE", SOAK_QUEUE, id, NULL);
 }
 
 /* A call without a response is repeated under the same id, at any instance. */
 static void
-submit (struct client *client)
+submit_to (struct client *client, const char *prefix)
 {
   struct soak_clients *clients = client->clients;
   g_autofree char *id = g_strdup_printf ("%08x%08x", g_rand_int (client->rand),
                                          g_rand_int (client->rand));
-  g_autofree char *body = create_job (client, id);
+  g_autofree char *body =
+      create_job (client, id, g_str_equal (prefix, SOAK_ADVISED_QUEUE));
   bool cancels = g_rand_double (client->rand) < CANCEL_CHANCE;
   bool all_rejected = true;
   bool accepted = false;
 
   for (int i = 0; i < MAX_TRIES && !accepted; i++)
     {
-      guint status = call (client, "POST", id, body);
+      guint status = call (client, "POST", prefix, id, body);
 
       if (status == 429 || status == 503)
         break;
@@ -134,6 +141,18 @@
     cancel (client, id);
 }
 
+static void
+submit (struct client *client)
+{
+  if (g_rand_double (client->rand) >= ADVICE_CHANCE)
+    {
+      submit_to (client, SOAK_QUEUE);
+      return;
+    }
+  for (int i = 0; i < ADVICE_BURST; i++)
+    submit_to (client, SOAK_ADVISED_QUEUE);
+}
+
 static gpointer
 run_client (gpointer data)
 {
@@ -220,8 +239,9 @@
   for (guint i = clients->accepted->len; i-- > 0;)
     {
       const char *id = clients->accepted->pdata[i];
-      g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%u/a/%s",
-                                              cluster->instances[0].port, id);
+      g_autofree char *url =
+          g_strdup_printf ("http://127.0.0.1:%u" SOAK_QUEUE "%s",
+                           cluster->instances[0].port, id);
       g_autofree char *answer = NULL;
       guint status;
 
--- a/tests/soak-cluster.c
+++ b/tests/soak-cluster.c
@@ -258,13 +258,16 @@
       g_strdup_printf ("%s/i%u.ini", cluster->folder, number);
   g_autofree char *log =
       g_strdup_printf ("%s/i%u.log", cluster->folder, number);
+  const struct soak_path *advice = &cluster->advice_paths[instance->zone];
   g_autofree char *text = g_strdup_printf (
       "[instance]\nname = i%u\ndata_centre = dc%u\n"
       "client_address = " OWN_HOST ":%u\nready_address = " OWN_HOST ":%u\n"
       "metrics_address = " OWN_HOST ":%u\n[learning]\nrun_times = on\n"
-      "speeds = on\n[platform]\nstore_address = %s:%u\n",
+      "speeds = on\n[platform]\nstore_address = %s:%u\n"
+      "advice_address = %s:%u\n",
       number, instance->zone + 1, instance->port, instance->port + 1,
-      instance->port + 2, instance->store.host, instance->store.port);
+      instance->port + 2, instance->store.host, instance->store.port,
+      advice->host, advice->port);
 
   ck_assert (g_file_set_contents (file, text, -1, NULL));
   instance->pid =
@@ -296,6 +299,35 @@
   ck_abort_msg ("the store does not answer");
 }
 
+void
+soak_set_advice (struct soak_cluster *cluster,
+                 uint32_t decide_ms,
+                 uint32_t each_ms,
+                 uint32_t allowed_percent)
+{
+  g_autofree char *body = g_strdup_printf (
+      "{\"decide_ms\":%u,\"each_ms\":%u,\"allowed_percent\":%u}", decide_ms,
+      each_ms, allowed_percent);
+
+  soak_control (cluster, OWN_HOST, cluster->advice_port, body);
+}
+
+static void
+start_advice (struct soak_cluster *cluster)
+{
+  g_autofree char *listen = NULL;
+  g_autofree char *log = g_build_filename (cluster->folder, "advice.log", NULL);
+
+  cluster->advice_port = cluster->next_port++;
+  listen = address (OWN_HOST, cluster->advice_port);
+  cluster->advice = start_process (
+      log, STANDIN,
+      (const char *const[]){ "advice", "--listen", listen, NULL });
+  for (uint32_t zone = 0; zone < SOAK_ZONES; zone++)
+    start_relay (cluster, &cluster->advice_paths[zone], zone,
+                 cluster->advice_port);
+}
+
 /* One process for each zone relays its paths to all workers, with the worker's
  * own port on the host of the zone. */
 static void
@@ -365,6 +397,7 @@
   cluster->instances = g_new0 (struct soak_instance, cluster->n_instances);
   cluster->workers = g_new0 (struct soak_worker, cluster->n_workers);
   start_store (cluster);
+  start_advice (cluster);
   start_worker_paths (cluster);
   for (uint32_t i = 0; i < cluster->n_instances; i++)
     {
@@ -394,6 +427,7 @@
   for (guint i = 0; i < cluster->relays->len; i++)
     soak_kill (g_array_index (cluster->relays, pid_t, i));
   soak_kill (cluster->store);
+  soak_kill (cluster->advice);
   close (cluster->port_guard);
   soak_runs_destroy (cluster->runs);
   g_array_unref (cluster->relays);
--- a/tests/soak-cluster.h
+++ b/tests/soak-cluster.h
@@ -1,7 +1,7 @@
-/* The processes of a soak on the platform's contract: the store, workers and
- * instances in three zones, and relays on all paths between them. Zone Z has
- * the host 127.0.0.(Z + 2), on which it reaches each worker and the store by a
- * path of its own. */
+/* The processes of a soak on the platform's contract: the store, the advice
+ * service, workers and instances in three zones, and relays on all paths
+ * between them. Zone Z has the host 127.0.0.(Z + 2), on which it reaches each
+ * worker and the store by a path of its own. */
 #pragma once
 
 #include "tests/soak-runs.h"
@@ -12,6 +12,10 @@
 
 #define SOAK_ZONES 3
 
+/* Prefixes of the queues; starts of the second need a ticket. */
+#define SOAK_QUEUE "/a/"
+#define SOAK_ADVISED_QUEUE "/b/"
+
 /* One path between two processes. */
 struct soak_path
 {
@@ -47,8 +51,11 @@
   guint next_port;
   guint store_port;
   pid_t store;
+  guint advice_port;
+  pid_t advice;
   GArray *relays;                            /* pid_t */
   struct soak_path worker_store[SOAK_ZONES]; /* of the workers of each zone */
+  struct soak_path advice_paths[SOAK_ZONES]; /* of the instances of each zone */
   struct soak_instance *instances;
   uint32_t n_instances;
   struct soak_worker *workers;
@@ -83,6 +90,12 @@
 /* Writes a key of the operator to the store. */
 void soak_put (struct soak_cluster *cluster, const char *key, const char *text);
 
+/* Sets the times and the policy of the advice service. */
+void soak_set_advice (struct soak_cluster *cluster,
+                      uint32_t decide_ms,
+                      uint32_t each_ms,
+                      uint32_t allowed_percent);
+
 /* Reads the owner's record, for its number and for messages. */
 void soak_find_owner (struct soak_cluster *cluster);
 
--- a/tests/soak-faults.c
+++ b/tests/soak-faults.c
@@ -11,6 +11,7 @@
 #define CONFIG_CHANCE 0.01
 #define EVACUATION_CHANCE 0.004
 #define OUTAGE_CHANCE 0.002
+#define ADVICE_FAULT_CHANCE 0.01
 
 /* Span of a partition: shorter and longer than the owner's lease (2 s), the
  * lease of runs (7 s), and the 9 s for which an owner continues without its
@@ -34,6 +35,12 @@
 #define OVERLAP_CHANCE 0.3
 
 #define MAX_OUTAGE_MS 12000
+
+/* Times of the advice service, and by how much it is slower for a while. */
+#define MAX_ADVICE_DECIDE_MS 150
+#define MAX_ADVICE_EACH_MS 20
+#define MAX_ADVICE_SLOWNESS 4
+#define ADVICE_ALLOWED_PERCENT 60
 #define MAX_LOG 1024
 
 enum undo_kind
@@ -42,6 +49,7 @@
   UNDO_PAUSE, /* of a process */
   UNDO_WORKER_DOWN,
   UNDO_EVACUATION,
+  UNDO_ADVICE, /* its times */
 };
 
 struct undo
@@ -77,6 +85,8 @@
   int64_t pause_owner_us;  /* within a partition; 0: not */
   int64_t store_paused_us; /* until then the store answers no call */
   uint32_t config_version;
+  uint32_t advice_decide_ms; /* as configured */
+  uint32_t advice_each_ms;
   GString *log; /* of the partitions */
 };
 
@@ -379,6 +389,33 @@
   soak_start_instance (faults->cluster, owner);
 }
 
+static void
+set_advice_slowness (struct soak_faults *faults, uint32_t slowness)
+{
+  soak_set_advice (faults->cluster, faults->advice_decide_ms * slowness,
+                   faults->advice_each_ms * slowness, ADVICE_ALLOWED_PERCENT);
+}
+
+/* The advice service is slow for a while, or one of its paths is disturbed. */
+static void
+disturb_advice (struct soak_faults *faults)
+{
+  struct undo undo = { .kind = UNDO_ADVICE,
+                       .at_us = in_ms (between (faults, 2000, 8000)) };
+
+  if (chance (faults, 0.5))
+    {
+      disturb_one_path (
+          faults,
+          &faults->cluster->advice_paths[between (faults, 0, SOAK_ZONES)],
+          6000);
+      return;
+    }
+  set_advice_slowness (faults,
+                       (uint32_t)between (faults, 2, MAX_ADVICE_SLOWNESS + 1));
+  g_array_append_val (faults->undos, undo);
+}
+
 /* Operator. */
 
 static void
@@ -408,9 +445,13 @@
       "{\"config-version\":%u,\"routes\":[{\"name\":\"q\",\"host\":"
       "\"h.example\",\"prefix\":\"/a/\",\"service\":\"render\",\"priority\":1,"
       "\"max-attempts\":3,\"stretch\":3,\"slo-ms\":1000,\"timeout-ms\":%d,"
-      "\"public\":true}%s],\"services\":[{\"name\":\"render\"}],\"tenants\":"
-      "[]}",
+      "\"public\":true},{\"name\":\"advised\",\"host\":\"h.example\","
+      "\"prefix\":\"/b/\",\"service\":\"render\",\"priority\":1,"
+      "\"max-attempts\":3,\"stretch\":3,\"slo-ms\":1000,\"public\":true,"
+      "\"advice\":{\"decide-ms\":%u,\"each-ms\":%u,\"valid-ms\":3000}}%s],"
+      "\"services\":[{\"name\":\"render\"}],\"tenants\":[]}",
       faults->config_version, between (faults, 2000, 5000),
+      faults->advice_decide_ms, faults->advice_each_ms,
       chance (faults, 0.5) ? idle : "");
   soak_put (faults->cluster, "op/config", text);
 }
@@ -442,6 +483,9 @@
           g_strdup_printf ("{\"remove\":\"op/evacuate/dc%u\"}", undo->zone + 1);
       soak_control (cluster, "127.0.0.1", cluster->store_port, removal);
       return;
+    case UNDO_ADVICE:
+      set_advice_slowness (faults, 1);
+      return;
     }
 }
 
@@ -471,6 +515,10 @@
   faults->zones_only = g_strcmp0 (mix, "zones") == 0;
   faults->undos = g_array_new (FALSE, FALSE, sizeof (struct undo));
   faults->log = g_string_new (NULL);
+  faults->advice_decide_ms =
+      (uint32_t)between (faults, 0, MAX_ADVICE_DECIDE_MS);
+  faults->advice_each_ms = (uint32_t)between (faults, 1, MAX_ADVICE_EACH_MS);
+  set_advice_slowness (faults, 1);
   write_config (faults);
   faults->next_cut_us = in_ms (between (faults, 3000, 8000));
   faults->all_from_us = INT64_MAX;
@@ -513,6 +561,8 @@
     disturb_owner (faults);
   if (chance (faults, OUTAGE_CHANCE))
     stop_store (faults);
+  if (chance (faults, ADVICE_FAULT_CHANCE))
+    disturb_advice (faults);
   end_faults (faults, false);
 }
 
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -198,6 +198,14 @@
   uint64_t sequence;
 };
 
+/* A call that the advice service has received. */
+struct model_advice
+{
+  int64_t epoch; /* of the owner that has sent it */
+  struct gr_advice_request request;
+  int64_t due_ms;
+};
+
 struct steps_model
 {
   struct model_owner *owner;
@@ -221,6 +229,8 @@
   GQueue commits; /* struct commit, oldest first */
   double wasted_s;
   uint32_t advice_calls;
+  int64_t advice_ms; /* time of a call, one after the other; 0: at once */
+  GQueue advice;     /* struct model_advice, oldest first */
   uint32_t orders_per_tick;
   uint32_t drop_results;
   uint32_t runs_alone;
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -223,6 +223,7 @@
   g_ptr_array_unref (model->handover_workers);
   g_rand_free (model->rand);
   g_free (model->violation);
+  g_queue_clear_full (&model->advice, g_free);
   g_free (model);
 }
 
@@ -607,28 +608,62 @@
 
 /* Workers with an even number may run any step. */
 static void
-answer_advice (struct steps_model *model, struct model_owner *owner)
+answer_advice (const struct steps_model *model,
+               struct model_owner *owner,
+               const struct gr_advice_request *request)
+{
+  struct gr_advice_row rows[GR_ADVICE_WORKERS];
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < request->n_workers; i++)
+    {
+      if (g_ascii_strtoull (request->workers[i] + 1, NULL, 10) % 2 != 0)
+        continue;
+      g_strlcpy (rows[n].worker, request->workers[i], sizeof rows[n].worker);
+      g_snprintf (rows[n].ticket, sizeof rows[n].ticket, "%s@%" G_GINT64_FORMAT,
+                  request->workers[i], model->now_ms + TICKET_MS);
+      n++;
+    }
+  gr_steps_advice_reply (
+      owner->steps, request,
+      &(struct gr_advice_answer){ GR_ADVICE_ANSWERED, rows, n, TICKET_MS },
+      model->now_ms);
+}
+
+static void
+receive_advice_calls (struct steps_model *model, struct model_owner *owner)
 {
   struct gr_advice_request request;
 
   while (gr_steps_take_advice_request (owner->steps, &request))
     {
-      struct gr_advice_row rows[GR_ADVICE_WORKERS];
-      uint32_t n = 0;
+      const struct model_advice *last = g_queue_peek_tail (&model->advice);
+      struct model_advice *advice = g_new0 (struct model_advice, 1);
 
       model->advice_calls++;
-      for (uint32_t i = 0; i < request.n_workers; i++)
-        {
-          if (g_ascii_strtoull (request.workers[i] + 1, NULL, 10) % 2 != 0)
-            continue;
-          g_strlcpy (rows[n].worker, request.workers[i], sizeof rows[n].worker);
-          g_snprintf (rows[n].ticket, sizeof rows[n].ticket,
-                      "%s@%" G_GINT64_FORMAT, request.workers[i],
-                      model->now_ms + TICKET_MS);
-          n++;
-        }
-      gr_steps_advice_reply (owner->steps, &request, rows, n, TICKET_MS,
-                             model->now_ms);
+      advice->epoch = owner->epoch;
+      advice->request = request;
+      advice->due_ms =
+          MAX (model->now_ms, last ? last->due_ms : 0) + model->advice_ms;
+      g_queue_push_tail (&model->advice, advice);
+    }
+}
+
+/* Answers for owners that have ended reach nobody. */
+static void
+run_advice (struct steps_model *model, struct model_owner *owner)
+{
+  const struct model_advice *first;
+
+  receive_advice_calls (model, owner);
+  while ((first = g_queue_peek_head (&model->advice)) != NULL
+         && first->due_ms <= model->now_ms)
+    {
+      g_autofree struct model_advice *advice =
+          g_queue_pop_head (&model->advice);
+
+      if (advice->epoch == owner->epoch && !owner->ended)
+        answer_advice (model, owner, &advice->request);
     }
 }
 
@@ -674,7 +709,7 @@
        && gr_steps_take_order (owner->steps, can_send, model, &order);
        sent++)
     model_send_order (model, owner, &order);
-  answer_advice (model, owner);
+  run_advice (model, owner);
 }
 
 static void
@@ -791,6 +826,12 @@
     }
 }
 
+void
+steps_model_set_advice_ms (struct steps_model *model, int64_t ms)
+{
+  model->advice_ms = ms;
+}
+
 uint32_t
 steps_model_advice_calls (const struct steps_model *model)
 {
--- a/tests/test-decode.c
+++ b/tests/test-decode.c
@@ -247,7 +247,8 @@
   ck_assert_msg (spec != NULL, "%s", error.message);
   g_strlcpy (spec->id, ID, sizeof spec->id);
   spec->queue = g_strdup ("q");
-  spec->terms = (struct gr_queue_terms){ g_strdup ("s"), 1, 2, 300, 2.5, true };
+  spec->terms =
+      (struct gr_queue_terms){ g_strdup ("s"), 1, 2, 300, 2.5, true, 40, 5 };
   spec->account = g_strdup ("t");
   spec->accepted_unix_ms = 123456;
   value = gr_record_encode_job (spec);
@@ -260,6 +261,8 @@
   ck_assert_uint_eq (decoded->terms.objective_ms, 300);
   ck_assert_double_eq (decoded->terms.stretch, 2.5);
   ck_assert (decoded->terms.needs_advice);
+  ck_assert_uint_eq (decoded->terms.advice_decide_ms, 40);
+  ck_assert_uint_eq (decoded->terms.advice_each_ms, 5);
   ck_assert_str_eq (decoded->account, "t");
   ck_assert_str_eq (decoded->payload, "p");
   ck_assert_int_eq (decoded->accepted_unix_ms, 123456);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -344,6 +344,29 @@
 }
 END_TEST
 
+/* Guards against steps that wait for room and renew their tickets all the time,
+ * so that a step that has room gets no advice. A call takes 1 s, and tickets
+ * are valid for 3 s. */
+START_TEST (advice_goes_to_steps_that_have_room)
+{
+  struct gr_step_spec small = steps_plain;
+  struct steps_model *model = steps_fixture_create (8, 1);
+
+  small.count = 1;
+  small.needs.accelerators = 0;
+  steps_model_require_tickets (model);
+  for (uint32_t i = 1; i <= 16; i++)
+    steps_model_add_job (model, i, "normal", "a", &steps_plain, 1, 60000);
+  steps_model_run (model, 5000);
+  steps_model_set_advice_ms (model, 1000);
+  steps_model_run (model, 5000);
+  steps_model_add_job (model, 20, "batch", "a", &small, 1, 1000);
+  steps_model_run (model, 3000);
+  ck_assert_uint_eq (steps_model_starts (model, 20), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 static uint32_t
 busy_worker (struct steps_model *model)
 {
@@ -1110,6 +1133,7 @@
   tcase_add_test (tests, reclaiming_respects_max_away);
   tcase_add_test (tests, filler_tasks_are_slowed_down);
   tcase_add_test (tests, advice_is_requested_and_followed);
+  tcase_add_test (tests, advice_goes_to_steps_that_have_room);
   tcase_add_test (tests, worker_that_left_is_not_waited_for);
   tcase_add_test (tests, entry_that_is_removed_early_ends_no_run);
   tcase_add_test (tests, silent_worker_is_waited_for);
