--- /dev/null
+++ b/instance/call-submit.c
@@ -0,0 +1,129 @@
+/* Submission of a job. */
+#include "instance/call-private.h"
+#include "instance/records.h"
+
+#include <string.h>
+
+/* The id is in use: by an earlier submission of the same account, or by a job
+ * of another account. */
+static void
+respond_id_in_use (struct call *call)
+{
+  const struct gr_mirror_job *job =
+      gr_mirror_find (call->deps->mirror, call->job_id);
+
+  if (job != NULL && g_str_equal (job->spec->account, call->spec->account))
+    gr_call_respond_ok (call, "already accepted");
+  else
+    gr_call_respond_error (call, 409, "the id belongs to another job", "never",
+                           NULL);
+}
+
+static void
+submit_done (const struct gr_metastore_result *result,
+             const struct gr_error *error,
+             void *context)
+{
+  struct call *call = context;
+  g_autofree char *key = gr_record_key (GR_RECORD_JOB, call->job_id);
+
+  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
+    {
+      gr_call_free (call);
+      return;
+    }
+  if (error != NULL)
+    {
+      if (error->kind != GR_ERROR_STORE_UNAVAILABLE)
+        call->outcome_unknown = true;
+      if (!call->outcome_unknown || gr_call_is_too_late_to_retry (call)
+          || gr_call_store_is_unresponsive (call))
+        gr_call_respond_unconfirmed (call, "the store did not confirm the job");
+      else
+        gr_call_submit (call);
+      return;
+    }
+  if (result->conditions_held)
+    {
+      GBytes *value = gr_record_encode_job (call->spec);
+      struct gr_metastore_item item = { key, value, result->revision,
+                                        result->revision, false };
+
+      gr_config_view_confirm (call->deps->config, call->started_ms);
+      gr_mirror_apply (call->deps->mirror, &item);
+      g_bytes_unref (value);
+      gr_call_respond_ok (call, "accepted");
+      return;
+    }
+  gr_call_apply_items (call, result);
+  if (gr_call_find_item (result, key) != NULL)
+    respond_id_in_use (call);
+  else if (gr_call_is_too_late_to_retry (call))
+    gr_call_respond_unconfirmed (
+        call, "the configuration changed during each attempt");
+  else
+    gr_call_submit (call);
+}
+
+/* Responds if the job was cancelled before it could be stored, or may have
+ * been. An attempt that is still on its way fails then, as the record of
+ * tombstones has changed. */
+static bool
+respond_if_cancelled (struct call *call)
+{
+  switch (gr_tombstones_find (gr_mirror_tombstones (call->deps->mirror),
+                              call->job_id, call->tombstones))
+    {
+    case GR_TOMBSTONE_ABSENT:
+      return false;
+    case GR_TOMBSTONE_PRESENT:
+      gr_call_respond_error (call, 409, "the job was cancelled", "never", NULL);
+      return true;
+    case GR_TOMBSTONE_UNKNOWN:
+      gr_call_respond_unconfirmed (call, "the job may have been cancelled");
+      return true;
+    }
+  return false;
+}
+
+void
+gr_call_submit (struct call *call)
+{
+  const struct gr_tombstones *tombstones =
+      gr_mirror_tombstones (call->deps->mirror);
+  struct gr_metastore_txn *txn;
+  struct gr_routed_call routed;
+  g_autofree char *key = gr_record_key (GR_RECORD_JOB, call->job_id);
+  GBytes *value;
+  gsize size;
+  const void *data;
+
+  if (respond_if_cancelled (call) || !gr_call_route (call, &routed))
+    return;
+  g_free (call->spec->queue);
+  g_free (call->spec->terms.service);
+  g_free (call->spec->account);
+  call->spec->queue = g_strdup (routed.queue->name);
+  call->spec->terms = (struct gr_queue_terms){
+    .service = g_strdup (routed.queue->service),
+    .priority = routed.queue->priority,
+    .max_attempts = routed.queue->max_attempts,
+    .objective_ms = routed.queue->objective_ms,
+    .stretch = routed.queue->stretch,
+    .needs_advice = routed.queue->needs_advice,
+    .advice_decide_ms = routed.queue->advice_decide_ms,
+    .advice_each_ms = routed.queue->advice_each_ms,
+  };
+  call->spec->account = g_strdup (routed.account ? routed.account->name : "");
+  value = gr_record_encode_job (call->spec);
+  data = g_bytes_get_data (value, &size);
+  txn = gr_metastore_txn_create ();
+  gr_metastore_txn_expect (txn, gr_cluster_config_key, call->config_revision);
+  gr_metastore_txn_expect (txn, key, 0);
+  gr_tombstones_expect (tombstones, call->job_id, txn);
+  gr_metastore_txn_put (txn, key, data, size, 0);
+  gr_metastore_commit (call->deps->store, txn,
+                       gr_call_attempt_timeout_ms (call),
+                       (struct gr_metastore_reply){ submit_done, call });
+  g_bytes_unref (value);
+}
