instance: a submission is not rejected once it may be stored

A removed queue gave 404, and a key that had moved to another account 409, as the caller's own job then looked like a foreign one. Unresolved attempts are now kept in one place, and every error of a submission passes through it.

--- a/instance/call-cancel.c
+++ b/instance/call-cancel.c
@@ -46,7 +46,7 @@
   if (error != NULL)
     {
       if (error->kind != GR_ERROR_STORE_UNAVAILABLE)
-        call->outcome_unknown = true;
+        gr_attempts_add_unresolved (&call->attempts, 0, NULL);
       if (gr_call_is_too_late_to_retry (call)
           || gr_call_store_is_unresponsive (call))
         gr_call_respond_unconfirmed (
--- a/instance/call-private.h
+++ b/instance/call-private.h
@@ -1,6 +1,7 @@
 /* Parts of a client's call, shared by the files instance/call*.c. */
 #pragma once
 
+#include "instance/attempts.h"
 #include "instance/call.h"
 #include "instance/routing.h"
 
@@ -20,9 +21,10 @@
                                see tombstones.h */
   bool job_absent;          /* the store holds no job of this id */
   int64_t started_ms;
-  int64_t deadline_ms;  /* time by which the response must be sent */
-  bool outcome_unknown; /* an attempt failed without a definite result and may
-                           take effect */
+  int64_t deadline_ms; /* time by which the response must be sent */
+  struct gr_attempts attempts;
+  struct gr_error rejection; /* of a submission, while the store is asked
+                                whether an earlier attempt has taken effect */
 };
 
 /* Sends the response that is set in the message, logs and counts it with the
@@ -33,20 +35,27 @@
 /* Takes ownership of body. */
 void gr_call_set_json (SoupServerMessage *message, JsonObject *body);
 
-/* Each of these ends the call. */
+/* Each of these ends the call. A submission is not told that it was rejected
+ * while one of its attempts may take effect: gr_call_respond_error () sends
+ * status 504 instead. */
 void gr_call_respond_ok (struct call *call, const char *reason);
 void gr_call_respond_error (struct call *call,
                             guint status,
                             const char *reason,
                             const char *run_state,
                             const char *retry_s);
-/* Reports that the store did not confirm the call: status 504 if the outcome
- * is unknown, 503 if nothing was stored. */
+/* Reports that the store did not confirm the call: status 504 if an attempt may
+ * take effect, 503 if nothing was stored. */
 void gr_call_respond_unconfirmed (struct call *call, const char *reason);
 
 /* Finds the queue and the account in the newest configuration, before each
- * attempt. Responds with an error if they are not found. */
-bool gr_call_route (struct call *call, struct gr_routed_call *routed);
+ * attempt. */
+bool gr_call_route (struct call *call,
+                    struct gr_routed_call *routed,
+                    struct gr_error *error);
+/* Responds with the error of gr_call_route (). */
+void gr_call_respond_not_routed (struct call *call,
+                                 const struct gr_error *error);
 
 bool gr_call_is_too_late_to_retry (const struct call *call);
 /* Calls that need the store are refused while it is unresponsive, since they
--- a/instance/call-submit.c
+++ b/instance/call-submit.c
@@ -4,19 +4,51 @@
 
 #include <string.h>
 
-/* The id is in use: by an earlier submission of the same account, or by a job
- * of another account. */
+/* Records the end of an attempt without a definite result. */
 static void
-respond_id_in_use (struct call *call)
+note_unresolved (struct call *call)
 {
-  const struct gr_mirror_job *job =
-      gr_mirror_find (call->deps->mirror, call->job_id);
+  gr_attempts_add_unresolved (&call->attempts, call->config_revision,
+                              call->spec->account);
+}
+
+/* The store holds a job of this id: it was stored by an attempt of this call or
+ * by another submission of the same account, or it is a job of another
+ * account. */
+static void
+respond_id_in_use (struct call *call, const struct gr_metastore_item *item)
+{
+  struct gr_job_spec *job =
+      item->value ? gr_record_decode_job (call->job_id, item->value) : NULL;
 
-  if (job != NULL && g_str_equal (job->spec->account, call->spec->account))
+  if (job == NULL)
+    {
+      note_unresolved (call);
+      gr_call_respond_unconfirmed (call, "the job's record is unreadable");
+    }
+  else if (g_str_equal (job->account, call->spec->account)
+           || gr_attempts_may_own (&call->attempts, job->account))
     gr_call_respond_ok (call, "already accepted");
   else
-    gr_call_respond_error (call, 409, "the id belongs to another job", "never",
-                           NULL);
+    {
+      gr_attempts_excluded (&call->attempts);
+      gr_call_respond_error (call, 409, "the id belongs to another job",
+                             "never", NULL);
+    }
+  gr_job_spec_destroy (job);
+}
+
+static void
+submit_failed (struct call *call, const struct gr_error *error)
+{
+  if (error->kind != GR_ERROR_STORE_UNAVAILABLE)
+    note_unresolved (call);
+  if (gr_attempts_may_reject (&call->attempts)
+      || gr_call_is_too_late_to_retry (call)
+      || gr_call_store_is_unresponsive (call))
+    gr_call_respond_unconfirmed (call, "the store did not confirm the job");
+  else
+    gr_call_submit (call);
 }
 
 static void
@@ -26,6 +58,7 @@
 {
   struct call *call = context;
   g_autofree char *key = gr_record_key (GR_RECORD_JOB, call->job_id);
+  const struct gr_metastore_item *job;
 
   if (error != NULL && error->kind == GR_ERROR_CANCELLED)
     {
@@ -34,13 +67,7 @@
     }
   if (error != NULL)
     {
-      if (error->kind != GR_ERROR_STORE_UNAVAILABLE)
-        call->outcome_unknown = true;
-      if (!call->outcome_unknown || gr_call_is_too_late_to_retry (call)
-          || gr_call_store_is_unresponsive (call))
-        gr_call_respond_unconfirmed (call, "the store did not confirm the job");
-      else
-        gr_call_submit (call);
+      submit_failed (call, error);
       return;
     }
   if (result->conditions_held)
@@ -56,9 +83,16 @@
       return;
     }
   gr_call_apply_items (call, result);
-  if (gr_call_find_item (result, key) != NULL)
-    respond_id_in_use (call);
-  else if (gr_call_is_too_late_to_retry (call))
+  job = gr_call_find_item (result, key);
+  if (job != NULL)
+    {
+      respond_id_in_use (call, job);
+      return;
+    }
+  /* There is no job, so the configuration or the tombstones have changed since
+   * this attempt and all before it. */
+  gr_attempts_excluded (&call->attempts);
+  if (gr_call_is_too_late_to_retry (call))
     gr_call_respond_unconfirmed (
         call, "the configuration changed during each attempt");
   else
@@ -77,6 +111,7 @@
     case GR_TOMBSTONE_ABSENT:
       return false;
     case GR_TOMBSTONE_PRESENT:
+      gr_attempts_excluded (&call->attempts);
       gr_call_respond_error (call, 409, "the job was cancelled", "never", NULL);
       return true;
     case GR_TOMBSTONE_UNKNOWN:
@@ -86,6 +121,51 @@
   return false;
 }
 
+static void
+job_read (const struct gr_metastore_result *result,
+          const struct gr_error *error,
+          void *context)
+{
+  struct call *call = context;
+
+  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
+    {
+      gr_call_free (call);
+      return;
+    }
+  if (error != NULL)
+    {
+      gr_call_respond_not_routed (call, &call->rejection);
+      return;
+    }
+  if (result->n_items > 0)
+    {
+      gr_mirror_apply (call->deps->mirror, &result->items[0]);
+      respond_id_in_use (call, &result->items[0]);
+      return;
+    }
+  gr_attempts_job_absent (&call->attempts,
+                          gr_config_view_get (call->deps->config)->revision);
+  gr_call_respond_not_routed (call, &call->rejection);
+}
+
+/* The configuration does not allow the call any more. An attempt that was
+ * allowed when it was sent may have stored the job. */
+static void
+reject_or_confirm (struct call *call, const struct gr_error *error)
+{
+  g_autofree char *key = gr_record_key (GR_RECORD_JOB, call->job_id);
+
+  if (gr_attempts_may_reject (&call->attempts))
+    {
+      gr_call_respond_not_routed (call, error);
+      return;
+    }
+  call->rejection = *error;
+  gr_metastore_get (call->deps->store, key, gr_call_attempt_timeout_ms (call),
+                    (struct gr_metastore_reply){ job_read, call });
+}
+
 void
 gr_call_submit (struct call *call)
 {
@@ -93,13 +173,19 @@
       gr_mirror_tombstones (call->deps->mirror);
   struct gr_metastore_txn *txn;
   struct gr_routed_call routed;
+  struct gr_error error = GR_ERROR_INIT;
   g_autofree char *key = gr_record_key (GR_RECORD_JOB, call->job_id);
   GBytes *value;
   gsize size;
   const void *data;
 
-  if (respond_if_cancelled (call) || !gr_call_route (call, &routed))
+  if (respond_if_cancelled (call))
     return;
+  if (!gr_call_route (call, &routed, &error))
+    {
+      reject_or_confirm (call, &error);
+      return;
+    }
   g_free (call->spec->queue);
   g_free (call->spec->terms.service);
   g_free (call->spec->account);
--- a/instance/call.c
+++ b/instance/call.c
@@ -93,6 +93,7 @@
 {
   g_object_unref (call->message);
   gr_job_spec_destroy (call->spec);
+  gr_attempts_clear (&call->attempts);
   g_free (call->path);
   g_free (call);
 }
@@ -122,6 +123,7 @@
   gr_call_end (call, reason);
 }
 
+/* The one place that keeps the rule for rejections. */
 void
 gr_call_respond_error (struct call *call,
                        guint status,
@@ -129,40 +131,49 @@
                        const char *run_state,
                        const char *retry_s)
 {
-  set_error (call->message, status, reason, run_state, retry_s);
+  bool is_submission = call->spec != NULL;
+
+  if (is_submission && !gr_attempts_may_reject (&call->attempts))
+    set_error (call->message, 504, reason, "may-have-run", NULL);
+  else
+    set_error (call->message, status, reason, run_state, retry_s);
   gr_call_end (call, reason);
 }
 
 void
 gr_call_respond_unconfirmed (struct call *call, const char *reason)
 {
-  if (call->outcome_unknown)
-    gr_call_respond_error (call, 504, reason, "may-have-run", NULL);
-  else
+  if (gr_attempts_may_reject (&call->attempts))
     gr_call_respond_error (call, 503, reason, "not-run", STORE_RETRY_S);
+  else
+    gr_call_respond_error (call, 504, reason, "may-have-run", NULL);
 }
 
 bool
-gr_call_route (struct call *call, struct gr_routed_call *routed)
+gr_call_route (struct call *call,
+               struct gr_routed_call *routed,
+               struct gr_error *error)
 {
   const struct gr_cluster_config *config =
       gr_config_view_get (call->deps->config);
   SoupMessageHeaders *headers =
       soup_server_message_get_request_headers (call->message);
-  struct gr_error error = GR_ERROR_INIT;
 
-  if (gr_route_call (config, soup_server_message_get_method (call->message),
-                     soup_message_headers_get_one (headers, "Host"), call->path,
-                     soup_message_headers_get_one (headers, "Authorization"),
-                     routed, &error))
-    {
-      call->config_revision = config->revision;
-      return true;
-    }
-  gr_call_respond_error (
-      call, (guint)gr_error_info (error.kind)->http_status, error.message,
-      call->outcome_unknown ? "may-have-run" : "never", NULL);
-  return false;
+  if (!gr_route_call (config, soup_server_message_get_method (call->message),
+                      soup_message_headers_get_one (headers, "Host"),
+                      call->path,
+                      soup_message_headers_get_one (headers, "Authorization"),
+                      routed, error))
+    return false;
+  call->config_revision = config->revision;
+  return true;
+}
+
+void
+gr_call_respond_not_routed (struct call *call, const struct gr_error *error)
+{
+  gr_call_respond_error (call, (guint)gr_error_info (error->kind)->http_status,
+                         error->message, "never", NULL);
 }
 
 bool
@@ -302,6 +313,7 @@
 {
   struct call *call = call_create (deps, message, path);
   struct gr_routed_call routed;
+  struct gr_error error = GR_ERROR_INIT;
 
   if (!config_current)
     {
@@ -310,6 +322,8 @@
                              "not-run", STALE_RETRY_S);
       return;
     }
-  if (gr_call_route (call, &routed))
+  if (gr_call_route (call, &routed, &error))
     dispatch (call, &routed);
+  else
+    gr_call_respond_not_routed (call, &error);
 }
--- a/standins/base.c
+++ b/standins/base.c
@@ -31,6 +31,7 @@
   { "answer_after_ms", offsetof (struct gr_standin_faults, answer_after_ms) },
   { "lose_requests", offsetof (struct gr_standin_faults, lose_requests) },
   { "lose_answers", offsetof (struct gr_standin_faults, lose_answers) },
+  { "silent_answers", offsetof (struct gr_standin_faults, silent_answers) },
   { "late_writes", offsetof (struct gr_standin_faults, late_writes) },
   { "late_ms", offsetof (struct gr_standin_faults, late_ms) },
 };
@@ -107,6 +108,11 @@
       faults->lose_answers--;
       gr_standin_drop (call);
     }
+  else if (call->is_write && faults->silent_answers > 0)
+    {
+      faults->silent_answers--;
+      gr_standin_delay (call, SILENT_HOLD_MS, gr_standin_drop);
+    }
   else if (faults->answer_after_ms > 0)
     gr_standin_delay (call, faults->answer_after_ms, send_response);
   else
--- a/standins/base.h
+++ b/standins/base.h
@@ -24,8 +24,8 @@
 };
 
 /* Faults, set by the members of POST /control with the same names. A fault is
- * off when it is 0. lose_requests, lose_answers and late_writes are the number
- * of writes still to be affected and count down to 0. */
+ * off when it is 0. lose_requests, lose_answers, silent_answers and late_writes
+ * are the number of writes still to be affected and count down to 0. */
 struct gr_standin_faults
 {
   int64_t down;            /* closes connections without a reply */
@@ -34,6 +34,8 @@
   int64_t answer_after_ms; /* delay between applying a call and its reply */
   int64_t lose_requests;   /* writes that get no reply and are not applied */
   int64_t lose_answers;    /* writes that are applied and get no reply */
+  int64_t silent_answers;  /* writes that are applied and whose connection then
+                              stays open without a reply */
   int64_t late_writes;     /* writes that are applied after late_ms */
   int64_t late_ms;
 };
--- a/tests/soak-clients.c
+++ b/tests/soak-clients.c
@@ -15,6 +15,9 @@
 #define MAX_RUN_MS 7000
 #define MAX_LONE_RUN_MS 14000
 
+/* Chance that a job needs a key. */
+#define KEY_CHANCE 0.25
+
 /* Chance that a client leaves without an answer after PATIENCE_S, and makes
  * sure that its job does not run. */
 #define GIVE_UP_CHANCE 0.12
@@ -128,6 +131,14 @@
     status = call (client, "DELETE", SOAK_QUEUE, id, NULL);
 }
 
+/* The job was not accepted and never runs. */
+static bool
+is_rejection (guint status)
+{
+  return status == 401 || status == 404 || status == 409 || status == 429
+         || status == 503;
+}
+
 /* A call without a response is repeated under the same id, at any instance. */
 static void
 submit_to (struct client *client, const char *prefix)
@@ -145,7 +156,7 @@
     {
       guint status = call (client, "POST", prefix, id, body);
 
-      if (status == 429 || status == 503)
+      if (is_rejection (status))
         break;
       accepted = status >= 200 && status < 300;
       all_rejected = false;
@@ -189,7 +200,9 @@
     submit_and_give_up (client);
   if (g_rand_double (client->rand) >= ADVICE_CHANCE)
     {
-      submit_to (client, SOAK_QUEUE);
+      submit_to (client, g_rand_double (client->rand) < KEY_CHANCE
+                             ? SOAK_KEY_QUEUE
+                             : SOAK_QUEUE);
       return;
     }
   for (int i = 0; i < ADVICE_BURST; i++)
--- a/tests/soak-cluster.c
+++ b/tests/soak-cluster.c
@@ -133,6 +133,8 @@
 
   soup_message_headers_replace (soup_message_get_request_headers (message),
                                 "Host", "h.example");
+  soup_message_headers_replace (soup_message_get_request_headers (message),
+                                "Authorization", "Bearer " SOAK_KEY);
   if (body != NULL)
     {
       g_autoptr (GBytes) sent = g_bytes_new (body, strlen (body));
--- a/tests/soak-cluster.h
+++ b/tests/soak-cluster.h
@@ -12,9 +12,12 @@
 
 #define SOAK_ZONES 3
 
-/* Prefixes of the queues; starts of the second need a ticket. */
+/* Prefixes of the queues. Starts of the second need a ticket; the third needs
+ * the key, which the operator takes away at times, as the queue itself. */
 #define SOAK_QUEUE "/a/"
 #define SOAK_ADVISED_QUEUE "/b/"
+#define SOAK_KEY_QUEUE "/c/"
+#define SOAK_KEY "soak-key"
 
 /* One path between two processes. */
 struct soak_path
--- a/tests/soak-faults.c
+++ b/tests/soak-faults.c
@@ -8,11 +8,11 @@
  * paths, and in the mix of partitions. */
 #define FAULT_CHANCE 0.18
 #define FAULT_CHANCE_BESIDE_CUTS 0.01
-#define CONFIG_CHANCE 0.01
+#define CONFIG_CHANCE 0.03
 #define EVACUATION_CHANCE 0.004
 #define OUTAGE_CHANCE 0.002
 #define ADVICE_FAULT_CHANCE 0.01
-#define LATE_WRITES_CHANCE 0.02
+#define WRITE_FAULT_CHANCE 0.02
 
 /* Span of a partition: shorter and longer than the owner's lease (2 s), the
  * lease of runs (7 s), and the 9 s for which an owner continues without its
@@ -37,7 +37,11 @@
 
 #define MAX_OUTAGE_MS 12000
 
-/* Writes in a row that the store carries out late, and by how much. */
+/* Chances that a configuration has the queue that needs a key, and the key. */
+#define QUEUE_CHANCE 0.8
+#define KEY_CHANCE 0.6
+
+/* Writes in a row that are late or not answered, and by how much. */
 #define MAX_LATE_WRITES 12
 #define MIN_LATE_MS 800
 #define MAX_LATE_MS 8000
@@ -90,6 +94,7 @@
   int64_t next_cut_us;
   int64_t pause_owner_us;  /* within a partition; 0: not */
   int64_t store_paused_us; /* until then the store answers no call */
+  int64_t write_config_us; /* when the configuration changes; 0: not planned */
   uint32_t config_version;
   uint32_t advice_decide_ms; /* as configured */
   uint32_t advice_each_ms;
@@ -395,17 +400,22 @@
   soak_start_instance (faults->cluster, owner);
 }
 
-/* The store answers some writes only after it has carried them out late. */
+/* The store carries some writes out late, or does not answer them. Often, the
+ * configuration changes meanwhile. */
 static void
-delay_writes (struct soak_faults *faults)
+disturb_writes (struct soak_faults *faults)
 {
+  int n = between (faults, 1, MAX_LATE_WRITES + 1);
   g_autofree char *body =
-      g_strdup_printf ("{\"late_writes\":%d,\"late_ms\":%d}",
-                       between (faults, 1, MAX_LATE_WRITES + 1),
-                       between (faults, MIN_LATE_MS, MAX_LATE_MS));
+      chance (faults, 0.5)
+          ? g_strdup_printf ("{\"late_writes\":%d,\"late_ms\":%d}", n,
+                             between (faults, MIN_LATE_MS, MAX_LATE_MS))
+          : g_strdup_printf ("{\"silent_answers\":%d}", n);
 
   soak_control (faults->cluster, "127.0.0.1", faults->cluster->store_port,
                 body);
+  if (chance (faults, 0.7))
+    faults->write_config_us = in_ms (between (faults, 200, 1200));
 }
 
 static void
@@ -449,30 +459,51 @@
   g_array_append_val (faults->undos, undo);
 }
 
-/* Versions add and remove an idle route, and change a timeout. */
+/* Appends a queue to the list in a configuration. */
+static void
+append_queue (GString *text,
+              const char *name,
+              const char *prefix,
+              int timeout_ms,
+              const char *more)
+{
+  g_string_append_printf (
+      text,
+      "%s{\"name\":\"%s\",\"host\":\"h.example\",\"prefix\":\"%s\","
+      "\"service\":\"render\",\"priority\":1,\"max-attempts\":3,"
+      "\"stretch\":3,\"slo-ms\":1000,\"timeout-ms\":%d%s}",
+      text->str[text->len - 1] == '[' ? "" : ",", name, prefix, timeout_ms,
+      more);
+}
+
+/* Versions add and remove an idle queue, one that needs a key, and the key, and
+ * change a timeout. */
 static void
 write_config (struct soak_faults *faults)
 {
-  static const char idle[] =
-      ",{\"name\":\"idle\",\"host\":\"h.example\",\"prefix\":\"/idle/\","
-      "\"service\":\"render\",\"priority\":1,\"max-attempts\":3,\"stretch\":3,"
-      "\"slo-ms\":1000,\"public\":true}";
-  g_autofree char *text = NULL;
+  g_autoptr (GString) text = g_string_new (NULL);
+  g_autofree char *advice = g_strdup_printf (
+      ",\"public\":true,\"advice\":{\"decide-ms\":%u,\"each-ms\":%u,"
+      "\"valid-ms\":3000}",
+      faults->advice_decide_ms, faults->advice_each_ms);
+  int timeout_ms = between (faults, 2000, 5000);
 
   faults->config_version += (uint32_t)between (faults, 1, 4);
-  text = g_strdup_printf (
-      "{\"config-version\":%u,\"routes\":[{\"name\":\"q\",\"host\":"
-      "\"h.example\",\"prefix\":\"/a/\",\"service\":\"render\",\"priority\":1,"
-      "\"max-attempts\":3,\"stretch\":3,\"slo-ms\":1000,\"timeout-ms\":%d,"
-      "\"public\":true},{\"name\":\"advised\",\"host\":\"h.example\","
-      "\"prefix\":\"/b/\",\"service\":\"render\",\"priority\":1,"
-      "\"max-attempts\":3,\"stretch\":3,\"slo-ms\":1000,\"public\":true,"
-      "\"advice\":{\"decide-ms\":%u,\"each-ms\":%u,\"valid-ms\":3000}}%s],"
-      "\"services\":[{\"name\":\"render\"}],\"tenants\":[]}",
-      faults->config_version, between (faults, 2000, 5000),
-      faults->advice_decide_ms, faults->advice_each_ms,
-      chance (faults, 0.5) ? idle : "");
-  soak_put (faults->cluster, "op/config", text);
+  g_string_printf (text, "{\"config-version\":%u,\"routes\":[",
+                   faults->config_version);
+  append_queue (text, "q", SOAK_QUEUE, timeout_ms, ",\"public\":true");
+  append_queue (text, "advised", SOAK_ADVISED_QUEUE, timeout_ms, advice);
+  if (chance (faults, QUEUE_CHANCE))
+    append_queue (text, "keyed", SOAK_KEY_QUEUE, timeout_ms, "");
+  if (chance (faults, 0.5))
+    append_queue (text, "idle", "/idle/", timeout_ms, ",\"public\":true");
+  g_string_append_printf (
+      text,
+      "],\"services\":[{\"name\":\"render\"}],\"tenants\":[{\"name\":"
+      "\"t%d\",\"api-keys\":[\"other\"%s]}]}",
+      between (faults, 0, 2),
+      chance (faults, KEY_CHANCE) ? ",\"" SOAK_KEY "\"" : "");
+  soak_put (faults->cluster, "op/config", text->str);
 }
 
 static void
@@ -567,8 +598,14 @@
 
   if (store_answers)
     soak_find_owner (faults->cluster);
-  if (store_answers && chance (faults, CONFIG_CHANCE))
-    write_config (faults);
+  if (store_answers
+      && (chance (faults, CONFIG_CHANCE)
+          || (faults->write_config_us != 0
+              && now_us > faults->write_config_us)))
+    {
+      faults->write_config_us = 0;
+      write_config (faults);
+    }
   if (store_answers && chance (faults, EVACUATION_CHANCE))
     evacuate_zone (faults);
   if (chance (faults, now_us > faults->all_from_us ? FAULT_CHANCE
@@ -580,8 +617,8 @@
     disturb_owner (faults);
   if (chance (faults, OUTAGE_CHANCE))
     stop_store (faults);
-  if (store_answers && chance (faults, LATE_WRITES_CHANCE))
-    delay_writes (faults);
+  if (store_answers && chance (faults, WRITE_FAULT_CHANCE))
+    disturb_writes (faults);
   if (chance (faults, ADVICE_FAULT_CHANCE))
     disturb_advice (faults);
   end_faults (faults, false);
--- a/tests/test-clients.c
+++ b/tests/test-clients.c
@@ -36,6 +36,7 @@
   struct gr_clients *clients;
   struct gr_instance_settings settings;
   struct gr_http *http;
+  guint read_timer;
   char address[32];
   bool timed_out;
   bool answered;
@@ -145,6 +146,8 @@
 static void
 fixture_destroy (struct fixture *fixture)
 {
+  if (fixture->read_timer != 0)
+    g_source_remove (fixture->read_timer);
   gr_http_destroy (fixture->http);
   gr_clients_destroy (fixture->clients);
   gr_metastore_destroy (fixture->store);
@@ -178,7 +181,8 @@
   g_autofree char *url =
       g_strdup_printf ("http://%s/a/%s", fixture->address, job_id);
   g_autoptr (GBytes) bytes = body ? g_bytes_new (body, strlen (body)) : NULL;
-  const char *headers[] = { "Host", "h.example", NULL };
+  const char *headers[] = { "Host", "h.example", "Authorization", "Bearer k",
+                            NULL };
   struct gr_http_request request = {
     .method = method,
     .url = url,
@@ -387,6 +391,138 @@
 }
 END_TEST
 
+static void
+ignore_reply (const struct gr_metastore_result *result,
+              const struct gr_error *error,
+              void *context)
+{
+  (void)result;
+  (void)error;
+  (void)context;
+}
+
+static gboolean
+read_owner (gpointer data)
+{
+  struct fixture *fixture = data;
+
+  gr_metastore_get (fixture->store, GR_RECORD_OWNER, 1000,
+                    (struct gr_metastore_reply){ ignore_reply, NULL });
+  return G_SOURCE_CONTINUE;
+}
+
+/* Other calls show that the store answers, as on every instance. */
+static void
+read_regularly (struct fixture *fixture)
+{
+  fixture->read_timer = g_timeout_add (100, read_owner, fixture);
+}
+
+/* A configuration with a queue for accounts, or without. */
+static char *
+account_config (uint32_t version, bool has_queue, const char *accounts)
+{
+  return g_strdup_printf (
+      "{\"config-version\":%u,\"routes\":[%s],\"services\":[{\"name\":"
+      "\"render\"}],\"tenants\":[%s]}",
+      version,
+      has_queue ? "{\"name\":\"q\",\"host\":\"h.example\",\"prefix\":"
+                  "\"/a/\",\"service\":\"render\",\"priority\":1,"
+                  "\"max-attempts\":3,\"stretch\":3,\"slo-ms\":1000}"
+                : "",
+      accounts);
+}
+
+static void
+put_config (struct fixture *fixture,
+            uint32_t version,
+            bool has_queue,
+            const char *accounts)
+{
+  g_autofree char *text = account_config (version, has_queue, accounts);
+
+  gr_standin_platform_put (fixture->platform, "op/config", text);
+  run_main_loop (200);
+}
+
+#define ACCOUNT_A "{\"name\":\"a\",\"api-keys\":[\"k\"]}"
+
+/* Configurations that do not allow a call of account a any more. */
+static const struct
+{
+  bool has_queue;
+  const char *accounts;
+} withdrawals[] = {
+  { true, "" },                                      /* 401 */
+  { false, ACCOUNT_A },                              /* 404 */
+  { true, "{\"name\":\"b\",\"api-keys\":[\"k\"]}" }, /* 409 */
+};
+
+/* Guards against a job that runs although its submission was rejected: the
+ * store has carried an attempt out whose answer was lost, and the configuration
+ * does not allow the next one, or gives the key to another account. */
+START_TEST (stored_job_is_not_rejected)
+{
+  struct fixture fixture;
+
+  fixture_create (&fixture);
+  read_regularly (&fixture);
+  put_config (&fixture, 2, true, ACCOUNT_A);
+  store_faults (&fixture)->silent_answers = 1;
+  send_call (&fixture, "POST", job_body);
+  run_main_loop (200);
+  put_config (&fixture, 3, withdrawals[_i].has_queue, withdrawals[_i].accounts);
+  wait_until (&fixture, is_answered);
+  ck_assert_uint_eq (fixture.status, 200);
+  ck_assert_ptr_nonnull (gr_mirror_find (fixture.mirror, job_id));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Guards against a rejection that may be false, and against one that is
+ * withheld although the store shows that it is true: the attempt is still on
+ * its way, and fails as the configuration has changed. */
+START_TEST (rejection_is_sent_once_it_is_certain)
+{
+  struct fixture fixture;
+
+  fixture_create (&fixture);
+  read_regularly (&fixture);
+  put_config (&fixture, 2, true, ACCOUNT_A);
+  store_faults (&fixture)->late_ms = 3000;
+  store_faults (&fixture)->late_writes = 1;
+  send_call (&fixture, "POST", job_body);
+  run_main_loop (200);
+  put_config (&fixture, 3, true, "");
+  wait_until (&fixture, is_answered);
+  ck_assert_uint_eq (fixture.status, 401);
+  run_main_loop (3000);
+  ck_assert_ptr_null (gr_mirror_find (fixture.mirror, job_id));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Guards against a rejection while the store does not tell whether the earlier
+ * attempt has taken effect. */
+START_TEST (outcome_that_is_not_known_is_no_rejection)
+{
+  struct fixture fixture;
+
+  fixture_create (&fixture);
+  read_regularly (&fixture);
+  put_config (&fixture, 2, true, ACCOUNT_A);
+  store_faults (&fixture)->silent_answers = 1;
+  send_call (&fixture, "POST", job_body);
+  run_main_loop (200);
+  put_config (&fixture, 3, true, "");
+  store_faults (&fixture)->silent = 1;
+  wait_until (&fixture, is_answered);
+  ck_assert_uint_eq (fixture.status, 504);
+  ck_assert_ptr_nonnull (strstr (fixture.body, "may-have-run"));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* Guards against a job that runs because a copy of its submission arrives after
  * it was cancelled, and against one that cannot be cancelled any more. */
 START_TEST (submission_after_the_cancelling_is_rejected)
@@ -437,6 +573,10 @@
   tcase_add_loop_test (tests, late_submission_of_a_cancelled_job_is_kept_out, 0,
                        2);
   tcase_add_test (tests, submission_after_the_cancelling_is_rejected);
+  tcase_add_loop_test (tests, stored_job_is_not_rejected, 0,
+                       G_N_ELEMENTS (withdrawals));
+  tcase_add_test (tests, rejection_is_sent_once_it_is_certain);
+  tcase_add_test (tests, outcome_that_is_not_known_is_no_rejection);
   tcase_add_test (tests, job_that_the_mirror_lacks_is_cancelled);
   tcase_add_test (tests, state_call_is_answered_without_a_change);
   suite_add_tcase (suite, tests);
