--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -55,7 +55,7 @@
   int64_t owner_revision;
   int64_t owner_change_revision; /* of the last change, including a removal */
   struct gr_tombstones *tombstones;
-  GHashTable *waves; /* wave number as text -> machines that are done */
+  GHashTable *waves; /* wave number as text -> record */
   char *handover_workers;
   int64_t handover_revision;
   GBytes *learned;
@@ -795,7 +795,7 @@
 }
 
 const char *
-gr_mirror_wave_done (const struct gr_mirror *mirror, int64_t wave)
+gr_mirror_wave_record (const struct gr_mirror *mirror, int64_t wave)
 {
   char number[24];
 
--- a/instance/mirror.h
+++ b/instance/mirror.h
@@ -106,9 +106,9 @@
 const struct gr_tombstones *
 gr_mirror_tombstones (const struct gr_mirror *mirror);
 
-/* Returns the machines of the wave whose upkeep is done, one per line; NULL if
- * there is no record. */
-const char *gr_mirror_wave_done (const struct gr_mirror *mirror, int64_t wave);
+/* Returns the record of the wave, as text; NULL if there is none. */
+const char *gr_mirror_wave_record (const struct gr_mirror *mirror,
+                                   int64_t wave);
 
 /* Returns which owner has last said that it has stopped. */
 struct gr_release gr_mirror_released (const struct gr_mirror *mirror);
--- a/instance/records.h
+++ b/instance/records.h
@@ -21,7 +21,8 @@
  * them: one line per worker, with its id and address. */
 #define GR_RECORD_HANDOVER "gr/absent"
 
-/* Followed by the number of a wave; holds the machines whose upkeep is done. */
+/* Followed by the number of a wave; holds the machines whose upkeep is done or
+ * may be ordered. */
 #define GR_RECORD_WAVE "gr/wave/"
 
 /* Followed by a number of two digits; see instance/tombstones.h. */
--- a/instance/upkeep.c
+++ b/instance/upkeep.c
@@ -33,6 +33,7 @@
 {
   struct gr_upkeep *upkeep; /* NULL after the upkeep was destroyed */
   int64_t wave;
+  uint32_t sequence; /* of the progress that it stores */
 };
 
 struct order_call
@@ -41,14 +42,38 @@
   struct gr_upkeep_order order;
 };
 
+/* A wave's record has one line for each machine whose upkeep is finished, with
+ * its name, and for each that may be ordered, with its name after this prefix.
+ */
+#define OPEN_PREFIX "open "
+
 static void
 restore_wave (struct gr_upkeep *upkeep, int64_t number)
 {
-  const char *done = gr_mirror_wave_done (upkeep->deps.mirror, number);
-  g_auto (GStrv) machines = g_strsplit (done ? done : "", "\n", -1);
+  const char *record = gr_mirror_wave_record (upkeep->deps.mirror, number);
+  g_auto (GStrv) lines = g_strsplit (record ? record : "", "\n", -1);
+
+  for (char **line = lines; *line != NULL; line++)
+    if (g_str_has_prefix (*line, OPEN_PREFIX))
+      gr_waves_restore_open (upkeep->waves, number,
+                             *line + strlen (OPEN_PREFIX));
+    else
+      gr_waves_restore (upkeep->waves, number, *line);
+}
 
-  for (char **machine = machines; *machine != NULL; machine++)
-    gr_waves_restore (upkeep->waves, number, *machine);
+/* Returns a wave's record, to be freed with g_free (). */
+static char *
+format_record (const struct gr_wave_progress *progress)
+{
+  GString *text = g_string_new (NULL);
+
+  for (guint i = 0; i < progress->done->len; i++)
+    g_string_append_printf (text, "%s\n",
+                            (const char *)progress->done->pdata[i]);
+  for (guint i = 0; i < progress->open->len; i++)
+    g_string_append_printf (text, OPEN_PREFIX "%s\n",
+                            (const char *)progress->open->pdata[i]);
+  return g_string_free (text, FALSE);
 }
 
 static void
@@ -139,19 +164,23 @@
       if (error != NULL || !result->conditions_held)
         g_hash_table_replace (upkeep->written, g_memdup2 (&write->wave, 8),
                               NULL);
+      else
+        gr_waves_stored (upkeep->waves, write->wave, write->sequence);
     }
   g_free (write);
 }
 
 static void
-write_wave (int64_t number, bool complete, const char *done, void *context)
+write_wave (const struct gr_wave_progress *progress, void *context)
 {
   struct gr_upkeep *upkeep = context;
+  int64_t number = progress->wave;
   g_autofree char *status_key = gr_wave_status_key (number);
-  g_autofree char *value = gr_wave_status_value (complete);
+  g_autofree char *value = gr_wave_status_value (progress->complete);
   g_autofree char *record_key =
       g_strdup_printf (GR_RECORD_WAVE "%" G_GINT64_FORMAT, number);
-  char *text = g_strconcat (value, "\n", done, NULL);
+  g_autofree char *record = format_record (progress);
+  char *text = g_strconcat (value, "\n", record, NULL);
   struct gr_metastore_txn *txn;
 
   if (upkeep->open != NULL
@@ -167,10 +196,11 @@
   upkeep->open = g_new0 (struct write, 1);
   upkeep->open->upkeep = upkeep;
   upkeep->open->wave = number;
+  upkeep->open->sequence = progress->sequence;
   txn = gr_metastore_txn_create ();
   gr_metastore_txn_expect (txn, GR_RECORD_OWNER, upkeep->owner_revision);
   gr_metastore_txn_put (txn, status_key, value, strlen (value), 0);
-  gr_metastore_txn_put (txn, record_key, done, strlen (done), 0);
+  gr_metastore_txn_put (txn, record_key, record, strlen (record), 0);
   gr_metastore_commit (upkeep->deps.store, txn, WRITE_TIMEOUT_MS,
                        (struct gr_metastore_reply){ write_done, upkeep->open });
 }
--- a/steps/waves.c
+++ b/steps/waves.c
@@ -22,7 +22,8 @@
 enum member_state
 {
   MEMBER_PENDING,
-  MEMBER_CLOSING, /* gets no new work; its runs end or are stopped */
+  MEMBER_CLOSING, /* gets no new work; its runs end or are stopped, and the
+                     order is announced in the store */
   MEMBER_ORDERED, /* an upkeep order was sent, but is not confirmed */
   MEMBER_AWAY,    /* taken down for upkeep */
   MEMBER_DONE,
@@ -39,14 +40,17 @@
                                it; 0: the last list names it */
   enum gr_machine_state machine_state;
   enum member_state state;
-  int64_t since_ms; /* when state last changed */
-  int64_t sent_ms;  /* of the last order */
+  int64_t since_ms;  /* when state last changed */
+  int64_t sent_ms;   /* of the last order */
+  uint32_t sequence; /* of its announcement; 0: not announced */
+  bool announced;    /* it is stored that its upkeep may be ordered */
 };
 
 struct wave
 {
   int64_t number;
   uint32_t cap;
+  uint32_t sequence; /* of the last announcement */
   GPtrArray *members;
 };
 
@@ -180,6 +184,20 @@
     member->state = MEMBER_DONE;
 }
 
+void
+gr_waves_restore_open (struct gr_waves *waves,
+                       int64_t number,
+                       const char *machine)
+{
+  struct member *member = find_member (find_wave (waves, number), machine);
+
+  if (member == NULL || member->state != MEMBER_PENDING)
+    return;
+  member->announced = true;
+  member->since_ms = waves->now_ms;
+  member->state = MEMBER_CLOSING;
+}
+
 static const struct gr_machine *
 find_machine (const struct gr_machine *machines, size_t n, const char *name)
 {
@@ -247,8 +265,10 @@
   member->missing_since_ms = 0;
   if (member->state == MEMBER_GONE && !member->rejected)
     set_state (waves, member, MEMBER_PENDING);
-  /* The answer to the order was lost, but the order took effect. */
-  if (member->state == MEMBER_ORDERED && row->state == GR_MACHINE_UPKEEP)
+  /* The answer to the order was lost, but the order took effect; also one of a
+   * former owner. */
+  if (member->announced && member->state <= MEMBER_ORDERED
+      && row->state == GR_MACHINE_UPKEEP)
     set_state (waves, member, MEMBER_AWAY);
   if (upkeep_finished (member, row, requested_ms))
     {
@@ -365,8 +385,9 @@
   /* The worker may have been replaced or registered since. */
   if (member->state == MEMBER_CLOSING || member->state == MEMBER_ORDERED)
     gr_steps_close_worker (waves->steps, member->worker, true);
-  if (member->state == MEMBER_CLOSING
-      && gr_steps_evacuate_worker (waves->steps, member->worker, grace_over))
+  if (member->state == MEMBER_CLOSING && member->listed
+      && gr_steps_evacuate_worker (waves->steps, member->worker, grace_over)
+      && member->announced)
     {
       set_state (waves, member, MEMBER_ORDERED);
       send_order (waves, wave, member);
@@ -377,7 +398,15 @@
 }
 
 static void
-advance_wave (struct gr_waves *waves, const struct wave *wave)
+close_member (struct gr_waves *waves, struct wave *wave, struct member *member)
+{
+  member->sequence = ++wave->sequence;
+  set_state (waves, member, MEMBER_CLOSING);
+  gr_steps_close_worker (waves->steps, member->worker, true);
+}
+
+static void
+advance_wave (struct gr_waves *waves, struct wave *wave)
 {
   uint32_t down = 0;
 
@@ -392,8 +421,7 @@
 
       if (member == NULL)
         return;
-      set_state (waves, member, MEMBER_CLOSING);
-      gr_steps_close_worker (waves->steps, member->worker, true);
+      close_member (waves, wave, member);
       down++;
     }
 }
@@ -450,27 +478,52 @@
   return false;
 }
 
+static void
+visit_wave (const struct wave *wave,
+            void (*visit) (const struct gr_wave_progress *progress,
+                           void *context),
+            void *context)
+{
+  g_autoptr (GPtrArray) done = g_ptr_array_new ();
+  g_autoptr (GPtrArray) open = g_ptr_array_new ();
+  struct gr_wave_progress progress = { .wave = wave->number,
+                                       .complete = is_complete (wave),
+                                       .done = done,
+                                       .open = open,
+                                       .sequence = wave->sequence };
+
+  for (guint i = 0; i < wave->members->len; i++)
+    {
+      const struct member *member = wave->members->pdata[i];
+
+      if (member->state == MEMBER_DONE)
+        g_ptr_array_add (done, member->machine);
+      else if (member->state >= MEMBER_CLOSING && member->state <= MEMBER_AWAY)
+        g_ptr_array_add (open, member->machine);
+    }
+  visit (&progress, context);
+}
+
 void
 gr_waves_each (const struct gr_waves *waves,
-               void (*visit) (int64_t wave,
-                              bool complete,
-                              const char *done,
+               void (*visit) (const struct gr_wave_progress *progress,
                               void *context),
                void *context)
 {
   for (guint i = 0; i < waves->waves->len; i++)
-    {
-      const struct wave *wave = waves->waves->pdata[i];
-      GString *done = g_string_new (NULL);
+    visit_wave (waves->waves->pdata[i], visit, context);
+}
 
-      for (guint k = 0; k < wave->members->len; k++)
-        {
-          const struct member *member = wave->members->pdata[k];
+void
+gr_waves_stored (struct gr_waves *waves, int64_t number, uint32_t sequence)
+{
+  struct wave *wave = find_wave (waves, number);
 
-          if (member->state == MEMBER_DONE)
-            g_string_append_printf (done, "%s\n", member->machine);
-        }
-      visit (wave->number, is_complete (wave), done->str, context);
-      g_string_free (done, TRUE);
+  for (guint i = 0; wave != NULL && i < wave->members->len; i++)
+    {
+      struct member *member = wave->members->pdata[i];
+
+      if (member->sequence != 0 && member->sequence <= sequence)
+        member->announced = true;
     }
 }
--- a/steps/waves.h
+++ b/steps/waves.h
@@ -57,6 +57,12 @@
 /* Marks a machine's upkeep as done under a former owner. */
 void
 gr_waves_restore (struct gr_waves *waves, int64_t wave, const char *machine);
+/* A former owner may have ordered the machine's upkeep, and the order may still
+ * take effect: the machine counts as down until an order of this owner was
+ * answered. */
+void gr_waves_restore_open (struct gr_waves *waves,
+                            int64_t wave,
+                            const char *machine);
 /* Updates the state of machines from a complete list that was requested at
  * requested_ms. */
 void gr_waves_update_machines (struct gr_waves *waves,
@@ -78,11 +84,23 @@
                           struct gr_upkeep_order *order);
 /* True if some wave is not complete, so that machine lists are needed. */
 bool gr_waves_active (const struct gr_waves *waves);
-/* Calls visit for each wave; done holds the names of the finished machines, one
- * per line. */
+
+/* What has to be stored of a wave. */
+struct gr_wave_progress
+{
+  int64_t wave;
+  bool complete;
+  const GPtrArray *done; /* const char *; machines whose upkeep is finished */
+  const GPtrArray *open; /* const char *; machines whose upkeep is or may soon
+                            be ordered */
+  uint32_t sequence;     /* of the last machine added to open */
+};
+
+/* Calls visit for each wave. */
 void gr_waves_each (const struct gr_waves *waves,
-                    void (*visit) (int64_t wave,
-                                   bool complete,
-                                   const char *done,
+                    void (*visit) (const struct gr_wave_progress *progress,
                                    void *context),
                     void *context);
+/* The progress of the wave up to this sequence is stored. No order is sent for
+ * a machine before: a successor would not know that it may take effect. */
+void gr_waves_stored (struct gr_waves *waves, int64_t wave, uint32_t sequence);
--- a/tests/test-waves.c
+++ b/tests/test-waves.c
@@ -26,6 +26,8 @@
   uint32_t lose_every;
   uint32_t orders;
   bool complete;
+  bool store_works;
+  int first_ordered; /* machine; -1: none */
   /* Lists in this time do not name the last machine. */
   int64_t missing_from_ms;
   int64_t missing_until_ms;
@@ -47,7 +49,9 @@
     .far_factor = 3,
   };
 
-  *model = (struct machine_model){ .now_ms = 1000 };
+  *model = (struct machine_model){ .now_ms = 1000,
+                                   .store_works = true,
+                                   .first_ordered = -1 };
   model->steps = gr_steps_create (&settings, 1, 1000);
   model->waves = gr_waves_create (model->steps);
   for (int i = 0; i < MACHINES; i++)
@@ -81,14 +85,22 @@
   model->upkeep_end_ms[machine] = model->now_ms + UPKEEP_MS;
 }
 
+/* The progress is stored at once. */
 static void
-record_complete (int64_t wave, bool complete, const char *done, void *context)
+store_progress (const struct gr_wave_progress *progress, void *context)
 {
   struct machine_model *model = context;
 
-  (void)wave;
-  (void)done;
-  model->complete = complete;
+  model->complete = progress->complete;
+  if (model->store_works)
+    gr_waves_stored (model->waves, progress->wave, progress->sequence);
+}
+
+static void
+tick_waves (struct machine_model *model, int64_t now_ms)
+{
+  gr_waves_tick (model->waves, now_ms);
+  gr_waves_each (model->waves, store_progress, model);
 }
 
 static size_t
@@ -126,13 +138,15 @@
     {
       enum gr_upkeep_result result = GR_UPKEEP_DONE;
 
+      if (model->first_ordered < 0)
+        model->first_ordered = order.machine[1] - '0';
       execute_upkeep (model, order.machine[1] - '0');
       model->orders++;
       if (model->lose_every > 0 && model->orders % model->lose_every == 0)
         result = GR_UPKEEP_UNKNOWN;
       gr_waves_result (model->waves, &order, result, model->now_ms);
     }
-  gr_waves_each (model->waves, record_complete, model);
+  gr_waves_each (model->waves, store_progress, model);
 }
 
 static void
@@ -251,6 +265,60 @@
 }
 END_TEST
 
+/* Guards against a machine that an order of a killed owner takes down while the
+ * successor, which does not know of the order, has as many others down as
+ * allowed. */
+START_TEST (late_order_of_a_former_owner_counts_as_down)
+{
+  struct machine_model model;
+
+  machine_model_create (&model);
+  gr_waves_restore_open (model.waves, 1, "m4");
+  gr_waves_restore_open (model.waves, 1, "m5");
+  machine_model_run (&model, 1500);
+  ck_assert_uint_eq (model.upkeeps, 2);
+  ck_assert (model.done[4] && model.done[5]);
+  machine_model_run (&model, 30000);
+  ck_assert_uint_le (model.max_down, CAP);
+  ck_assert (model.complete);
+  machine_model_destroy (&model);
+}
+END_TEST
+
+/* The same if the order is carried out before the successor sends its own. */
+START_TEST (machine_in_upkeep_by_a_former_order_is_waited_for)
+{
+  struct machine_model model;
+
+  machine_model_create (&model);
+  gr_waves_restore_open (model.waves, 1, "m4");
+  gr_waves_restore_open (model.waves, 1, "m5");
+  execute_upkeep (&model, 4);
+  execute_upkeep (&model, 5);
+  machine_model_run (&model, 30000);
+  ck_assert_uint_eq (model.upkeeps, MACHINES);
+  ck_assert_uint_le (model.max_down, CAP);
+  ck_assert (model.complete);
+  machine_model_destroy (&model);
+}
+END_TEST
+
+/* Guards against an order that a successor cannot know of. */
+START_TEST (machine_is_ordered_only_after_it_was_announced)
+{
+  struct machine_model model;
+
+  machine_model_create (&model);
+  model.store_works = false;
+  machine_model_run (&model, 10000);
+  ck_assert_int_eq (model.first_ordered, -1);
+  model.store_works = true;
+  machine_model_run (&model, 30000);
+  ck_assert (model.complete);
+  machine_model_destroy (&model);
+}
+END_TEST
+
 static void
 register_worker (struct gr_steps *steps, const char *id)
 {
@@ -334,12 +402,12 @@
   ck_assert (gr_steps_take_order (model.steps, NULL, NULL, &order));
   ck_assert_str_eq (order.worker, "w1");
   gr_waves_update_machines (model.waves, model.machines, 2, 1500);
-  gr_waves_tick (model.waves, 1600);
-  gr_waves_tick (model.waves, 1700);
+  tick_waves (&model, 1600);
+  tick_waves (&model, 1700);
   ck_assert (!gr_waves_take_order (model.waves, &upkeep));
   gr_steps_tick (model.steps, 12000, 12000);
   gr_waves_update_machines (model.waves, model.machines, 2, 12000);
-  gr_waves_tick (model.waves, 12100);
+  tick_waves (&model, 12100);
   ck_assert (gr_waves_take_order (model.waves, &upkeep));
   machine_model_destroy (&model);
 }
@@ -355,15 +423,15 @@
 
   machine_model_create (&model);
   gr_waves_update_machines (model.waves, model.machines, MACHINES, 1000);
-  gr_waves_tick (model.waves, 1100);
+  tick_waves (&model, 1100);
   gr_waves_set (model.waves, 2, names, 1);
   for (int64_t now_ms = 1200; now_ms < 1600; now_ms += TICK_MS)
-    gr_waves_tick (model.waves, now_ms);
+    tick_waves (&model, now_ms);
   while (gr_waves_take_order (model.waves, &order))
     ck_assert_int_eq (order.wave, 1);
   gr_waves_update_machines (model.waves, model.machines, MACHINES, 1600);
   for (int64_t now_ms = 1700; now_ms < 2000; now_ms += TICK_MS)
-    gr_waves_tick (model.waves, now_ms);
+    tick_waves (&model, now_ms);
   do
     ck_assert (gr_waves_take_order (model.waves, &order));
   while (order.wave != 2);
@@ -385,6 +453,9 @@
   tcase_add_test (tests, machine_that_is_listed_again_has_its_upkeep);
   tcase_add_test (tests, wave_waits_without_a_lease);
   tcase_add_test (tests, done_machines_are_not_ordered_again);
+  tcase_add_test (tests, late_order_of_a_former_owner_counts_as_down);
+  tcase_add_test (tests, machine_in_upkeep_by_a_former_order_is_waited_for);
+  tcase_add_test (tests, machine_is_ordered_only_after_it_was_announced);
   tcase_add_test (tests, replaced_worker_of_a_closed_machine_gets_no_work);
   tcase_add_test (tests, machine_of_a_worker_that_was_not_polled_is_not_empty);
   tcase_add_test (tests, machines_of_a_new_wave_are_listed_before_their_upkeep);
