steps: calls for advice name a worker that is probably allowed

A step with one task named a single worker, as one has room for many tasks, even where the queue's policy allows few workers; each further call costs decide-ms. Now at least one allowed worker is expected among those named, by the share that was allowed so far, and more are named while they cost little.

--- a/steps/advice.c
+++ b/steps/advice.c
@@ -16,6 +16,9 @@
 /* A request names workers for this multiple of the waiting tasks. */
 #define NAMED_FACTOR 2
 
+/* Part of the fixed time of a request that may be spent on further workers. */
+#define CHEAP_DIVISOR 4
+
 /* The counts of allowed workers are halved at this number. */
 #define MAX_ASKED 256
 
@@ -153,28 +156,43 @@
   return (queue->advice_allowed + 1.0) / (queue->advice_asked + 1.0);
 }
 
-/* Number of candidates to name, of those with the most room. A gang needs
- * workers of one rack, and a step without room those on which runs can be
- * stopped, which other criteria decide. */
+/* Number of workers that a request may name at little extra cost: those that
+ * take a small part of the time that it needs anyway. */
+static uint32_t
+count_cheap (const struct queue *queue)
+{
+  if (queue->advice_each_ms == 0)
+    return GR_ADVICE_WORKERS;
+  return queue->advice_decide_ms / CHEAP_DIVISOR / queue->advice_each_ms;
+}
+
+/* Number of candidates to name, of those with the most room: among them, at
+ * least one worker and enough room should be allowed. A gang needs workers of
+ * one rack, and a step without room those on which runs can be stopped, which
+ * other criteria decide. */
 static uint32_t
 count_named (const struct step *step, const GArray *candidates, bool has_room)
 {
-  double share = allowed_share (gr_step_job (step)->queue);
-  double wanted = (double)NAMED_FACTOR * step->n_waiting;
+  const struct queue *queue = gr_step_job (step)->queue;
+  double share = allowed_share (queue);
+  double tasks = (double)NAMED_FACTOR * step->n_waiting;
+  double workers = 1;
   uint32_t limit = MIN (candidates->len, GR_ADVICE_WORKERS);
   uint32_t n = 0;
 
   if (!has_room || step->spec->gang)
     return limit;
-  while (n < limit && wanted > 0)
+  while (n < limit && (tasks > 0 || workers > 0))
     {
       const struct candidate *candidate =
           &g_array_index (candidates, struct candidate, n);
+      double allowed = candidate->known_allowed ? 1 : share;
 
-      wanted -= candidate->slots * (candidate->known_allowed ? 1 : share);
+      tasks -= candidate->slots * allowed;
+      workers -= allowed;
       n++;
     }
-  return n;
+  return MIN (MAX (n, count_cheap (queue)), limit);
 }
 
 static void
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -229,8 +229,9 @@
   GQueue commits; /* struct commit, oldest first */
   double wasted_s;
   uint32_t advice_calls;
-  int64_t advice_ms; /* time of a call, one after the other; 0: at once */
-  GQueue advice;     /* struct model_advice, oldest first */
+  uint32_t advice_decide_ms; /* see steps_model_set_advice_ms () */
+  uint32_t advice_each_ms;
+  GQueue advice; /* struct model_advice, oldest first */
   uint32_t orders_per_tick;
   uint32_t drop_results;
   uint32_t runs_alone;
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -643,8 +643,9 @@
       model->advice_calls++;
       advice->epoch = owner->epoch;
       advice->request = request;
-      advice->due_ms =
-          MAX (model->now_ms, last ? last->due_ms : 0) + model->advice_ms;
+      advice->due_ms = MAX (model->now_ms, last ? last->due_ms : 0)
+                       + model->advice_decide_ms
+                       + model->advice_each_ms * request.n_workers;
       g_queue_push_tail (&model->advice, advice);
     }
 }
@@ -827,9 +828,20 @@
 }
 
 void
-steps_model_set_advice_ms (struct steps_model *model, int64_t ms)
+steps_model_set_advice_ms (struct steps_model *model,
+                           uint32_t decide_ms,
+                           uint32_t each_ms)
 {
-  model->advice_ms = ms;
+  model->advice_decide_ms = decide_ms;
+  model->advice_each_ms = each_ms;
+  for (guint i = 0; i < model->queues->len; i++)
+    {
+      struct gr_steps_queue *queue = model->queues->pdata[i];
+
+      queue->advice_decide_ms = decide_ms;
+      queue->advice_each_ms = each_ms;
+      gr_steps_set_queue (model->owner->steps, queue);
+    }
 }
 
 uint32_t
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -244,9 +244,11 @@
 /* Start orders need an advice ticket from now on, and the advice allows only
  * workers with an even number. */
 void steps_model_require_tickets (struct steps_model *model);
-/* The advice service needs this time for a call, and handles one after the
- * other. */
-void steps_model_set_advice_ms (struct steps_model *model, int64_t ms);
+/* The advice service needs decide_ms for a call and each_ms for each worker
+ * that it names, as the queues say, and handles one call after the other. */
+void steps_model_set_advice_ms (struct steps_model *model,
+                                uint32_t decide_ms,
+                                uint32_t each_ms);
 uint32_t steps_model_advice_calls (const struct steps_model *model);
 /* All runs on the worker end as failed. */
 void steps_model_fail_runs (struct steps_model *model, uint32_t worker);
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -358,7 +358,7 @@
   for (uint32_t i = 1; i <= 16; i++)
     steps_model_add_job (model, i, "normal", "a", &steps_plain, 1, 60000);
   steps_model_run (model, 5000);
-  steps_model_set_advice_ms (model, 1000);
+  steps_model_set_advice_ms (model, 1000, 0);
   steps_model_run (model, 5000);
   steps_model_add_job (model, 20, "batch", "a", &small, 1, 1000);
   steps_model_run (model, 3000);
@@ -367,6 +367,27 @@
 }
 END_TEST
 
+/* Guards against calls that name many more workers than a step needs, so that
+ * the service answers few of them: naming all 16 takes 2 s a call, and half of
+ * the workers are allowed. */
+START_TEST (advice_is_requested_on_few_workers)
+{
+  struct gr_step_spec small = steps_plain;
+  struct steps_model *model = steps_fixture_create (16, 1);
+
+  small.count = 1;
+  steps_model_require_tickets (model);
+  steps_model_set_advice_ms (model, 400, 100);
+  steps_model_run (model, 1000);
+  for (uint32_t i = 1; i <= 12; i++)
+    steps_model_add_job (model, i, "normal", "a", &small, 1, 500);
+  steps_model_run (model, 15000);
+  for (uint32_t i = 1; i <= 12; i++)
+    ck_assert_int_eq (steps_model_state (model, i), GR_JOB_COMPLETED);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 static uint32_t
 busy_worker (struct steps_model *model)
 {
@@ -1134,6 +1155,7 @@
   tcase_add_test (tests, filler_tasks_are_slowed_down);
   tcase_add_test (tests, advice_is_requested_and_followed);
   tcase_add_test (tests, advice_goes_to_steps_that_have_room);
+  tcase_add_test (tests, advice_is_requested_on_few_workers);
   tcase_add_test (tests, worker_that_left_is_not_waited_for);
   tcase_add_test (tests, entry_that_is_removed_early_ends_no_run);
   tcase_add_test (tests, silent_worker_is_waited_for);
