steps: urgent steps without room leave calls for advice to others

Urgent steps that wait for room renew their tickets each time these expire. With a slow service that took all calls, and a step that had room was never advised. Both now take turns when the one without room is more urgent.

--- a/steps/advice.c
+++ b/steps/advice.c
@@ -223,28 +223,6 @@
   g_queue_push_tail (&steps->advice_requests, request);
 }
 
-enum request_outcome
-{
-  REQUEST_SENT,
-  REQUEST_USELESS,   /* advice on all workers is there */
-  REQUEST_POSTPONED, /* the step has no room now */
-};
-
-static enum request_outcome
-request_for_step (struct gr_steps *steps, struct step *step, bool needs_room)
-{
-  bool has_room;
-  g_autoptr (GArray) candidates = find_candidates (steps, step, &has_room);
-
-  if (candidates->len == 0)
-    return REQUEST_USELESS;
-  if (needs_room && !has_room)
-    return REQUEST_POSTPONED;
-  send_request (steps, step, candidates,
-                count_named (step, candidates, has_room));
-  return REQUEST_SENT;
-}
-
 /* Without room, advice is of use only to a step that can get workers freed or
  * planned. */
 static bool
@@ -253,6 +231,13 @@
   return step->spec->gang || gr_step_job (step)->queue->priority == 0;
 }
 
+static bool
+is_more_urgent (const struct step *step, const struct step *other)
+{
+  return gr_step_job (step)->queue->priority
+         < gr_step_job (other)->queue->priority;
+}
+
 void
 gr_advice_want (struct gr_steps *steps, struct step *step)
 {
@@ -296,34 +281,56 @@
     }
 }
 
-/* Steps that can start now go first, and of those that cannot, at most one
- * calls in a pass; but none calls before a more urgent one. */
-void
-gr_advice_send_requests (struct gr_steps *steps)
+/* Returns the step that may call next, with its candidates. A step that can
+ * start now goes before those that cannot; a more urgent one that cannot takes
+ * turns with it, as several of them would use all calls to renew their
+ * tickets. */
+static struct step *
+choose_step (struct gr_steps *steps, GArray **candidates, bool *has_room)
 {
-  GPtrArray *wanted = steps->advice_wanted;
   struct step *without_room = NULL;
+  struct step *step = NULL;
+
+  for (guint i = 0; i < steps->advice_wanted->len; i++)
+    {
+      step = steps->advice_wanted->pdata[i];
+      if (step->advice_call != 0)
+        continue;
+      *candidates = find_candidates (steps, step, has_room);
+      if ((*candidates)->len > 0 && *has_room)
+        break;
+      if ((*candidates)->len > 0 && without_room == NULL
+          && may_request_without_room (step))
+        without_room = step;
+      g_clear_pointer (candidates, g_array_unref);
+    }
+  if (without_room == NULL
+      || (*candidates != NULL
+          && (steps->advice_without_room
+              || !is_more_urgent (without_room, step))))
+    return *candidates ? step : NULL;
+  g_clear_pointer (candidates, g_array_unref);
+  *candidates = find_candidates (steps, without_room, has_room);
+  return without_room;
+}
 
+void
+gr_advice_send_requests (struct gr_steps *steps)
+{
   release_overdue (steps);
-  for (guint i = 0;
-       i < wanted->len
-       && gr_advice_service_may_call (steps->advice_service, steps->now_ms);
-       i++)
+  while (gr_advice_service_may_call (steps->advice_service, steps->now_ms))
     {
-      struct step *step = wanted->pdata[i];
-      uint32_t priority = gr_step_job (step)->queue->priority;
+      g_autoptr (GArray) candidates = NULL;
+      bool has_room = false;
+      struct step *step = choose_step (steps, &candidates, &has_room);
 
-      if (without_room != NULL
-          && priority > gr_step_job (without_room)->queue->priority)
+      if (step == NULL)
         break;
-      if (request_for_step (steps, step, true) == REQUEST_POSTPONED
-          && without_room == NULL && may_request_without_room (step))
-        without_room = step;
+      steps->advice_without_room = !has_room;
+      send_request (steps, step, candidates,
+                    count_named (step, candidates, has_room));
     }
-  if (without_room != NULL
-      && gr_advice_service_may_call (steps->advice_service, steps->now_ms))
-    request_for_step (steps, without_room, false);
-  g_ptr_array_set_size (wanted, 0);
+  g_ptr_array_set_size (steps->advice_wanted, 0);
 }
 
 bool
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -355,6 +355,7 @@
   GQueue advice_requests;     /* struct gr_advice_request */
   struct gr_advice_service *advice_service;
   GHashTable *advice_calls; /* number -> name of the step (char *) */
+  bool advice_without_room; /* the last request was for a step without room */
   GPtrArray *advice_wanted; /* struct step; for which the placement pass would
                                request advice, most urgent first */
   uint64_t sequence;
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -367,6 +367,30 @@
 }
 END_TEST
 
+/* Guards against urgent steps that wait for room and leave no call to a step
+ * that has it, and against a step with room that leaves them none. */
+START_TEST (urgent_steps_without_room_share_the_calls)
+{
+  struct gr_step_spec small = steps_plain;
+  struct steps_model *model = steps_fixture_create (8, 1);
+
+  small.count = 1;
+  small.needs.accelerators = 0;
+  steps_model_require_tickets (model);
+  for (uint32_t i = 1; i <= 16; i++)
+    steps_model_add_job (model, i, "urgent", "a", &steps_plain, 1, 60000);
+  steps_model_run (model, 5000);
+  steps_model_set_advice_ms (model, 1000, 0);
+  steps_model_run (model, 5000);
+  for (uint32_t i = 20; i < 24; i++)
+    steps_model_add_job (model, i, "batch", "a", &small, 1, 1000);
+  steps_model_run (model, 10000);
+  for (uint32_t i = 20; i < 24; i++)
+    ck_assert_uint_eq (steps_model_starts (model, i), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* Guards against calls that name many more workers than a step needs, so that
  * the service answers few of them: naming all 16 takes 2 s a call, and half of
  * the workers are allowed. */
@@ -1155,6 +1179,7 @@
   tcase_add_test (tests, filler_tasks_are_slowed_down);
   tcase_add_test (tests, advice_is_requested_and_followed);
   tcase_add_test (tests, advice_goes_to_steps_that_have_room);
+  tcase_add_test (tests, urgent_steps_without_room_share_the_calls);
   tcase_add_test (tests, advice_is_requested_on_few_workers);
   tcase_add_test (tests, worker_that_left_is_not_waited_for);
   tcase_add_test (tests, entry_that_is_removed_early_ends_no_run);
