--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -645,7 +645,7 @@
       advice->request = request;
       advice->due_ms = MAX (model->now_ms, last ? last->due_ms : 0)
                        + model->advice_decide_ms
-                       + model->advice_each_ms * request.n_workers;
+                       + (int64_t)model->advice_each_ms * request.n_workers;
       g_queue_push_tail (&model->advice, advice);
     }
 }
