instance, steps: calls about machines wait for a slow platform

The limit of the list now doubles with each timeout and follows the answers, and an order is repeated only after the last one has a result or its timeout. Not shown with real processes: no stand-in has machines.

--- a/instance/upkeep.c
+++ b/instance/upkeep.c
@@ -1,5 +1,6 @@
 #include "instance/upkeep.h"
 
+#include "common/call-limit.h"
 #include "common/log.h"
 #include "platform/machines.h"
 
@@ -7,7 +8,12 @@
 
 /* Period of listing the machines while a wave is active. */
 #define LIST_PERIOD_MS 700
-#define LIST_TIMEOUT_MS 1500
+
+/* Time limit for a page of the list, which is longer while the platform is
+ * slow. */
+#define LEAST_LIST_LIMIT_MS 1500
+#define MOST_LIST_LIMIT_MS 15000
+
 #define WRITE_TIMEOUT_MS 800
 
 /* Minimum time between two writes, so that an outage of the store does not
@@ -24,6 +30,7 @@
   int64_t next_list_ms;
   int64_t next_write_ms;
   int64_t list_sent_ms;
+  struct gr_call_limit list_limit;
   bool listing;
   GHashTable *written; /* wave number -> text last written */
   struct write *open;  /* write in flight, or NULL */
@@ -101,10 +108,17 @@
     return;
   upkeep->listing = false;
   if (error != NULL)
-    gr_log_event ("machines-not-listed", "reason", error->message, NULL);
-  else
-    gr_waves_update_machines (upkeep->waves, machines, n_machines,
-                              upkeep->list_sent_ms);
+    {
+      if (error->kind == GR_ERROR_TIMEOUT)
+        gr_call_limit_timed_out (&upkeep->list_limit);
+      gr_log_event ("machines-not-listed", "reason", error->message, NULL);
+      return;
+    }
+  gr_call_limit_answered (&upkeep->list_limit,
+                          gr_clock_now_ms (upkeep->deps.clock)
+                              - upkeep->list_sent_ms);
+  gr_waves_update_machines (upkeep->waves, machines, n_machines,
+                            upkeep->list_sent_ms);
 }
 
 static void
@@ -118,7 +132,7 @@
   upkeep->listing = true;
   upkeep->list_sent_ms = now_ms;
   upkeep->next_list_ms = now_ms + LIST_PERIOD_MS;
-  gr_machines_list (upkeep->machines, LIST_TIMEOUT_MS,
+  gr_machines_list (upkeep->machines, gr_call_limit_ms (&upkeep->list_limit),
                     (struct gr_machines_reply){ list_done, upkeep });
 }
 
@@ -228,6 +242,8 @@
 
   upkeep->deps = *deps;
   upkeep->owner_revision = owner_revision;
+  upkeep->list_limit.least_ms = LEAST_LIST_LIMIT_MS;
+  upkeep->list_limit.most_ms = MOST_LIST_LIMIT_MS;
   upkeep->waves = gr_waves_create (steps);
   upkeep->written =
       g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
--- a/steps/waves.c
+++ b/steps/waves.c
@@ -42,6 +42,7 @@
   enum member_state state;
   int64_t since_ms;  /* when state last changed */
   int64_t sent_ms;   /* of the last order */
+  bool order_open;   /* its result has not arrived */
   uint32_t sequence; /* of its announcement; 0: not announced */
   bool announced;    /* it is stored that its upkeep may be ordered */
 };
@@ -313,6 +314,8 @@
   waves->now_ms = now_ms;
   if (result == GR_UPKEEP_FENCED)
     gr_steps_set_fenced (waves->steps);
+  if (member != NULL)
+    member->order_open = false;
   if (member == NULL || member->state != MEMBER_ORDERED)
     return;
   if (result == GR_UPKEEP_DONE)
@@ -372,6 +375,7 @@
   order->wave = wave->number;
   g_strlcpy (order->machine, member->machine, sizeof order->machine);
   member->sent_ms = waves->now_ms;
+  member->order_open = true;
   g_queue_push_tail (&waves->orders, order);
 }
 
@@ -392,7 +396,7 @@
       set_state (waves, member, MEMBER_ORDERED);
       send_order (waves, wave, member);
     }
-  else if (member->state == MEMBER_ORDERED
+  else if (member->state == MEMBER_ORDERED && !member->order_open
            && waves->now_ms - member->sent_ms >= RETRY_MS)
     send_order (waves, wave, member);
 }
--- a/tests/test-common.c
+++ b/tests/test-common.c
@@ -1,4 +1,6 @@
-/* Tests of errors, clocks, hashing, logical time and counters. */
+/* Tests of errors, clocks, limits of calls, hashing, logical time and counters.
+ */
+#include "common/call-limit.h"
 #include "common/clock.h"
 #include "common/counter.h"
 #include "common/error.h"
@@ -87,6 +89,26 @@
 }
 END_TEST
 
+/* Guards against a service that always takes longer than the limit, so that no
+ * call is ever answered in time. */
+START_TEST (limit_of_calls_follows_a_slow_service)
+{
+  struct gr_call_limit limit = { .least_ms = 1500, .most_ms = 15000 };
+
+  ck_assert_uint_eq (gr_call_limit_ms (&limit), 1500);
+  gr_call_limit_timed_out (&limit);
+  gr_call_limit_timed_out (&limit);
+  ck_assert_uint_eq (gr_call_limit_ms (&limit), 6000);
+  gr_call_limit_answered (&limit, 4000);
+  ck_assert_uint_eq (gr_call_limit_ms (&limit), 8000);
+  for (int i = 0; i < 10; i++)
+    gr_call_limit_timed_out (&limit);
+  ck_assert_uint_eq (gr_call_limit_ms (&limit), 15000);
+  gr_call_limit_answered (&limit, 10);
+  ck_assert_uint_eq (gr_call_limit_ms (&limit), 1500);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -100,6 +122,7 @@
   tcase_add_test (tcase, logical_time_passes_observed_time);
   tcase_add_test (tcase, histogram_prints_cumulative_buckets);
   tcase_add_test (tcase, manual_clock_moves_only_by_advance);
+  tcase_add_test (tcase, limit_of_calls_follows_a_slow_service);
   suite_add_tcase (suite, tcase);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
--- a/tests/test-waves.c
+++ b/tests/test-waves.c
@@ -303,6 +303,34 @@
 }
 END_TEST
 
+/* Guards against orders that are repeated behind one that a slow platform still
+ * handles. */
+START_TEST (order_is_not_repeated_before_its_result)
+{
+  struct machine_model model;
+  struct gr_upkeep_order first = { 0 };
+  struct gr_upkeep_order order;
+  uint32_t taken = 0;
+
+  machine_model_create (&model);
+  gr_waves_update_machines (model.waves, model.machines, MACHINES, 1000);
+  for (int64_t now_ms = 1100; now_ms < 5000; now_ms += TICK_MS)
+    {
+      tick_waves (&model, now_ms);
+      while (gr_waves_take_order (model.waves, &order))
+        if (taken++ == 0)
+          first = order;
+    }
+  ck_assert_uint_eq (taken, CAP);
+  gr_waves_result (model.waves, &first, GR_UPKEEP_UNKNOWN, 5000);
+  tick_waves (&model, 5600);
+  ck_assert (gr_waves_take_order (model.waves, &order));
+  ck_assert_str_eq (order.machine, first.machine);
+  ck_assert (!gr_waves_take_order (model.waves, &order));
+  machine_model_destroy (&model);
+}
+END_TEST
+
 /* Guards against an order that a successor cannot know of. */
 START_TEST (machine_is_ordered_only_after_it_was_announced)
 {
@@ -456,6 +484,7 @@
   tcase_add_test (tests, late_order_of_a_former_owner_counts_as_down);
   tcase_add_test (tests, machine_in_upkeep_by_a_former_order_is_waited_for);
   tcase_add_test (tests, machine_is_ordered_only_after_it_was_announced);
+  tcase_add_test (tests, order_is_not_repeated_before_its_result);
   tcase_add_test (tests, replaced_worker_of_a_closed_machine_gets_no_work);
   tcase_add_test (tests, machine_of_a_worker_that_was_not_polled_is_not_empty);
   tcase_add_test (tests, machines_of_a_new_wave_are_listed_before_their_upkeep);
