--- a/instance/attempts.c
+++ b/instance/attempts.c
@@ -25,11 +25,11 @@
 gr_attempts_job_absent (struct gr_attempts *attempts, int64_t config_revision)
 {
   if (config_revision > attempts->config_revision)
-    gr_attempts_excluded (attempts);
+    gr_attempts_had_no_effect (attempts);
 }
 
 void
-gr_attempts_excluded (struct gr_attempts *attempts)
+gr_attempts_had_no_effect (struct gr_attempts *attempts)
 {
   gr_attempts_clear (attempts);
 }
--- a/instance/attempts.h
+++ b/instance/attempts.h
@@ -32,7 +32,7 @@
 
 /* Another condition of all attempts does not hold any more, and the store holds
  * no job of the id that they could have stored. */
-void gr_attempts_excluded (struct gr_attempts *attempts);
+void gr_attempts_had_no_effect (struct gr_attempts *attempts);
 
 /* True if a job of the account in the store can be that of an unresolved
  * attempt. */
--- a/instance/call-submit.c
+++ b/instance/call-submit.c
@@ -31,7 +31,7 @@
     gr_call_respond_ok (call, "already accepted");
   else
     {
-      gr_attempts_excluded (&call->attempts);
+      gr_attempts_had_no_effect (&call->attempts);
       gr_call_respond_error (call, 409, "the id belongs to another job",
                              "never", NULL);
     }
@@ -91,7 +91,7 @@
     }
   /* There is no job, so the configuration or the tombstones have changed since
    * this attempt and all before it. */
-  gr_attempts_excluded (&call->attempts);
+  gr_attempts_had_no_effect (&call->attempts);
   if (gr_call_is_too_late_to_retry (call))
     gr_call_respond_unconfirmed (
         call, "the configuration changed during each attempt");
@@ -111,7 +111,7 @@
     case GR_TOMBSTONE_ABSENT:
       return false;
     case GR_TOMBSTONE_PRESENT:
-      gr_attempts_excluded (&call->attempts);
+      gr_attempts_had_no_effect (&call->attempts);
       gr_call_respond_error (call, 409, "the job was cancelled", "never", NULL);
       return true;
     case GR_TOMBSTONE_UNKNOWN:
--- a/instance/call.c
+++ b/instance/call.c
@@ -123,7 +123,7 @@
   gr_call_end (call, reason);
 }
 
-/* The one place that keeps the rule for rejections. */
+/* Keeps the rule of docs/design/rejections.md for all errors of submissions. */
 void
 gr_call_respond_error (struct call *call,
                        guint status,
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -297,8 +297,10 @@
   bool needs_advice;
   uint32_t advice_decide_ms; /* as in struct gr_steps_queue */
   uint32_t advice_each_ms;
-  uint32_t advice_asked;     /* workers of first answers, and those of them */
-  uint32_t advice_allowed;   /* that were allowed; both fade */
+  /* Workers on which advice was received for the first time for a step, and
+   * those of them that were allowed; recent answers count more. */
+  uint32_t advice_asked;
+  uint32_t advice_allowed;
   uint32_t run_time_samples; /* of its jobs, accepted by this owner */
   struct step *planned_step; /* gang that workers are planned for */
   int64_t planned_ms;        /* when it is expected to start */
--- a/tests/test-attempts.c
+++ b/tests/test-attempts.c
@@ -11,7 +11,7 @@
   ck_assert (gr_attempts_may_reject (&attempts));
   gr_attempts_add_unresolved (&attempts, 10, "a");
   ck_assert (!gr_attempts_may_reject (&attempts));
-  gr_attempts_excluded (&attempts);
+  gr_attempts_had_no_effect (&attempts);
   ck_assert (gr_attempts_may_reject (&attempts));
   gr_attempts_clear (&attempts);
 }
