--- a/instance/call-cancel.c
+++ b/instance/call-cancel.c
@@ -38,11 +38,8 @@
 {
   struct call *call = context;
 
-  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
-    {
-      gr_call_free (call);
-      return;
-    }
+  if (gr_call_is_abandoned (call, error))
+    return;
   if (error != NULL)
     {
       if (error->kind != GR_ERROR_STORE_UNAVAILABLE)
--- a/instance/call-private.h
+++ b/instance/call-private.h
@@ -31,6 +31,9 @@
  * reason, and frees the call. */
 void gr_call_end (struct call *call, const char *reason);
 void gr_call_free (struct call *call);
+/* Frees the call and returns true if its store call ended because the instance
+ * ends. error may be NULL. */
+bool gr_call_is_abandoned (struct call *call, const struct gr_error *error);
 
 /* Takes ownership of body. */
 void gr_call_set_json (SoupServerMessage *message, JsonObject *body);
--- a/instance/call-state.c
+++ b/instance/call-state.c
@@ -68,11 +68,8 @@
   struct call *call = context;
   const struct gr_mirror_job *job;
 
-  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
-    {
-      gr_call_free (call);
-      return;
-    }
+  if (gr_call_is_abandoned (call, error))
+    return;
   if (error != NULL)
     {
       gr_call_respond_unconfirmed (call, "the job's record could not be read");
@@ -96,11 +93,8 @@
   struct call *call = context;
   const struct gr_mirror_job *job;
 
-  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
-    {
-      gr_call_free (call);
-      return;
-    }
+  if (gr_call_is_abandoned (call, error))
+    return;
   for (size_t i = 0; error == NULL && i < result->n_items; i++)
     gr_mirror_apply (call->deps->mirror, &result->items[i]);
   job = gr_mirror_find (call->deps->mirror, call->job_id);
--- a/instance/call-submit.c
+++ b/instance/call-submit.c
@@ -60,11 +60,8 @@
   g_autofree char *key = gr_record_key (GR_RECORD_JOB, call->job_id);
   const struct gr_metastore_item *job;
 
-  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
-    {
-      gr_call_free (call);
-      return;
-    }
+  if (gr_call_is_abandoned (call, error))
+    return;
   if (error != NULL)
     {
       submit_failed (call, error);
@@ -128,11 +125,8 @@
 {
   struct call *call = context;
 
-  if (error != NULL && error->kind == GR_ERROR_CANCELLED)
-    {
-      gr_call_free (call);
-      return;
-    }
+  if (gr_call_is_abandoned (call, error))
+    return;
   if (error != NULL)
     {
       gr_call_respond_not_routed (call, &call->rejection);
--- a/instance/call.c
+++ b/instance/call.c
@@ -98,6 +98,15 @@
   g_free (call);
 }
 
+bool
+gr_call_is_abandoned (struct call *call, const struct gr_error *error)
+{
+  if (error == NULL || error->kind != GR_ERROR_CANCELLED)
+    return false;
+  gr_call_free (call);
+  return true;
+}
+
 void
 gr_call_end (struct call *call, const char *reason)
 {
