--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -598,6 +598,56 @@
         return self.lists()
 
 
+class Machines:
+    """The machines' interface: one machine for each executor."""
+
+    def __init__(self, case, maintenance_s=2):
+        self.case = case
+        self.maintenance_s = maintenance_s
+        self.state = {}
+        self.done = set()
+        self.fences = {}
+        self.server = Server(self.handle)
+
+    def rows(self):
+        return [{"machine": "m-" + e.id, "pool": e.service,
+                 "state": self.state.get("m-" + e.id, "up"), "zone": e.zone,
+                 "labels": [e.kind, e.rack], "capacity": e.capacity,
+                 "id": e.id if e.up else ""} for e in self.case.executors]
+
+    async def handle(self, request):
+        if request.path == "/v1/machines":
+            return 200, {"machines": self.rows(), "next-token": ""}
+        if request.path != "/v1/machine-upkeep":
+            return 404, {}
+        body = request.json()
+        name, wave = body["machine"], body["wave"]
+        fence = int(request.headers.get("x-fencing-token", 0))
+        if fence < self.fences.get(name, 0):
+            return 409, {"reason": "fence"}
+        self.fences[name] = fence
+        if name not in ["m-" + e.id for e in self.case.executors]:
+            return 400, {}
+        if (name, wave) in self.done:
+            return 200, {}
+        if self.state.get(name, "up") != "up":
+            return 409, {"reason": "busy"}
+        self.case.log("machines: upkeep of %s begins" % name)
+        self.done.add((name, wave))
+        asyncio.ensure_future(self.upkeep(name))
+        return 200, {}
+
+    async def upkeep(self, name):
+        executor = [e for e in self.case.executors if "m-" + e.id == name][0]
+        self.state[name] = "upkeep"
+        executor.crash()
+        self.case.store.leave("servers/" + executor.id)
+        await asyncio.sleep(self.maintenance_s)
+        executor.id += "b"
+        await executor.start()
+        self.state[name] = "up"
+
+
 SETTINGS = """[instance]
 name = {name}
 data_centre = {zone}
@@ -745,8 +795,9 @@
 
 
 def step(count=1, spec_cpu=1000, **fields):
-    return dict({"count": count, "cpu": spec_cpu, "mem-mb": 100, "gpu": 1,
-                 "estimate-ms": 1000}, **fields)
+    row = dict({"count": count, "cpu": spec_cpu, "mem-mb": 100, "gpu": 1,
+                "estimate-ms": 1000}, **fields)
+    return {name: value for name, value in row.items() if value}
 
 
 class Case:
@@ -780,6 +831,12 @@
     async def start_instances(self):
         for instance in self.instances:
             await instance.start()
+        # Another process can have taken a port in the meantime.
+        await asyncio.sleep(0.2)
+        for instance in self.instances:
+            if instance.process.returncode is not None:
+                instance.new_address()
+                await instance.start()
 
     async def add_executor(self, name, **fields):
         executor = Executor(self.store, name, events=self.events,
