--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -1,5 +1,5 @@
-"""Stand-ins of the platform for the cases 11 to 15: the store, executors and
-the machines' interface, and helpers that start the project's instances.
+"""Stand-ins of the platform for the cases 11 to 15: the store and executors, and
+helpers that start the project's instances.
 
 Everything runs in one asyncio loop on loopback. Each instance has a listening
 port of its own for the store, and one for each executor if the case asks for
@@ -598,56 +598,6 @@
         return self.lists()
 
 
-class Machines:
-    """The machines' interface: one machine for each executor."""
-
-    def __init__(self, case, maintenance_s=2):
-        self.case = case
-        self.maintenance_s = maintenance_s
-        self.state = {}
-        self.done = set()
-        self.fences = {}
-        self.server = Server(self.handle)
-
-    def rows(self):
-        return [{"machine": "m-" + e.id, "pool": e.service,
-                 "state": self.state.get("m-" + e.id, "up"), "zone": e.zone,
-                 "labels": [e.kind, e.rack], "capacity": e.capacity,
-                 "id": e.id if e.up else ""} for e in self.case.executors]
-
-    async def handle(self, request):
-        if request.path == "/v1/machines":
-            return 200, {"machines": self.rows(), "next-token": ""}
-        if request.path != "/v1/machine-upkeep":
-            return 404, {}
-        body = request.json()
-        name, wave = body["machine"], body["wave"]
-        fence = int(request.headers.get("x-fencing-token", 0))
-        if fence < self.fences.get(name, 0):
-            return 409, {"reason": "fence"}
-        self.fences[name] = fence
-        if name not in ["m-" + e.id for e in self.case.executors]:
-            return 400, {}
-        if (name, wave) in self.done:
-            return 200, {}
-        if self.state.get(name, "up") != "up":
-            return 409, {"reason": "busy"}
-        self.case.log("machines: upkeep of %s begins" % name)
-        self.done.add((name, wave))
-        asyncio.ensure_future(self.upkeep(name))
-        return 200, {}
-
-    async def upkeep(self, name):
-        executor = [e for e in self.case.executors if "m-" + e.id == name][0]
-        self.state[name] = "upkeep"
-        executor.crash()
-        self.case.store.leave("servers/" + executor.id)
-        await asyncio.sleep(self.maintenance_s)
-        executor.id += "b"
-        await executor.start()
-        self.state[name] = "up"
-
-
 SETTINGS = """[instance]
 name = {name}
 data_centre = {zone}
@@ -658,7 +608,7 @@
 
 [platform]
 store_address = {store}
-{optional}heartbeat_ms = 1500
+heartbeat_ms = 1500
 
 [learning]
 run_times = on
@@ -690,23 +640,18 @@
     """One process of the project, with the command of the deploy file and
     settings as its template renders them."""
 
-    def __init__(self, folder, number, store, zone="z1", machines="",
-                 cpu_share=0.25):
+    def __init__(self, folder, number, store, zone="z1", cpu_share=0.25):
         self.name = "front-%s-%d" % (zone, number)
         self.number = number
         self.folder = folder
         self.store = store
         self.zone = zone
-        self.machines = machines
         self.cpu_share = cpu_share
         self.process = None
         self.new_address()
 
     def new_address(self):
         self.client, self.ready, self.metrics = (free_port() for _ in range(3))
-        optional = ""
-        if self.machines:
-            optional = "machines_address = %s\n" % self.machines
         self.file = os.path.join(self.folder, self.name + ".ini")
         with open(self.file, "w") as out:
             out.write(SETTINGS.format(
@@ -714,8 +659,7 @@
                 client="127.0.0.1:%d" % self.client,
                 ready="127.0.0.1:%d" % self.ready,
                 metrics="127.0.0.1:%d" % self.metrics,
-                store=self.store.paths[self.number].address,
-                optional=optional))
+                store=self.store.paths[self.number].address))
 
     async def start(self):
         log = open(os.path.join(self.folder, self.name + ".log"), "ab")
@@ -820,13 +764,12 @@
         line = "%8.3f %s" % ((now_ms() - self.start_ms) / 1000, text)
         self.lines.append((now_ms(), line))
 
-    async def setup(self, n_instances, machines=""):
+    async def setup(self, n_instances):
         self.store = Store(self.log, n_instances)
         await self.store.start()
         for i in range(n_instances):
             zone = "z%d" % (i % 3 + 1)
-            self.instances.append(Instance(self.temp, i, self.store, zone,
-                                           machines))
+            self.instances.append(Instance(self.temp, i, self.store, zone))
 
     async def start_instances(self):
         for instance in self.instances:
