--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -869,7 +869,7 @@
                 for text in broken:
                     case.log("BROKEN " + text)
                 code = 1 if broken else 0
-        except Exception as failure:
+        except (Exception, asyncio.CancelledError) as failure:
             case.log("the case could not run: %r" % failure)
         finally:
             await case.finish()
@@ -886,6 +886,9 @@
 
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
-    code = loop.run_until_complete(body())
+    task = loop.create_task(body())
+    # The instances are ended in any case.
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    code = loop.run_until_complete(task)
     sys.stdout.flush()
     os._exit(code)
