steps: ends that change no job are acknowledged

Cause: an end became durable, and so acknowledged, only when a newer change of a job did. Ends of long-running, cancelled or unknown jobs change none, so the executor listed the same 500 for good and the later ones were never read.

--- a/steps/reports.c
+++ b/steps/reports.c
@@ -1,3 +1,4 @@
+#include "steps/ends.h"
 #include "steps/losses.h"
 #include "steps/samples.h"
 
@@ -362,6 +363,7 @@
     release_missing (steps, worker, report);
   abandon_unanswered (steps, worker);
   gr_tenure_reported (steps, worker);
+  gr_ends_update (steps, worker);
   worker->refused_ms = 0;
   worker->crash_noted = false;
   gr_pace_update (steps, worker);
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -1,3 +1,4 @@
+#include "steps/ends.h"
 #include "steps/losses.h"
 #include "steps/samples.h"
 
@@ -110,10 +111,7 @@
   log_restart (steps, worker, incarnation_unix_ms, observed_ms);
   gr_crash_note_worker (steps, worker, true);
   worker->incarnation_unix_ms = incarnation_unix_ms;
-  worker->processed_end = 0;
-  worker->durable_end = 0;
-  worker->acknowledged_end = 0;
-  worker->pending_sequence = 0;
+  gr_ends_reset (worker);
   worker->unknown_runs = false;
   worker->polled = false;
   worker->reachable = true;
@@ -601,21 +599,11 @@
   return expiry_ms;
 }
 
-/* A successor can read such ends only from the worker, which keeps them until
- * they are acknowledged. */
-static bool
-has_ends_that_are_not_durable (const struct gr_steps *steps,
-                               const struct worker *worker)
-{
-  return worker->processed_end > worker->durable_end
-         && steps->committed < steps->sequence;
-}
-
 static bool
 must_be_handed_over (const struct gr_steps *steps, const struct worker *worker)
 {
   return worker->registered || steps->now_ms < lease_expiry_ms (steps, worker)
-         || has_ends_that_are_not_durable (steps, worker);
+         || gr_ends_are_pending (steps, worker);
 }
 
 static bool
@@ -645,6 +633,7 @@
       struct worker *worker = steps->worker_rows->pdata[i];
 
       gr_health_tick (steps, worker);
+      gr_ends_update (steps, worker);
       if (worker->tasks->len > 0
           && steps->now_ms >= lease_expiry_ms (steps, worker))
         gr_loss_release_all (
@@ -787,54 +776,6 @@
   g_hash_table_destroy (steps->workers);
 }
 
-int64_t
-gr_steps_durable_end (const struct gr_steps *steps, const char *id)
-{
-  const struct worker *worker = g_hash_table_lookup (steps->workers, id);
-
-  return worker ? worker->durable_end : 0;
-}
-
-int64_t
-gr_steps_end_to_acknowledge (const struct gr_steps *steps, const char *id)
-{
-  const struct worker *worker = g_hash_table_lookup (steps->workers, id);
-
-  if (worker == NULL || !worker->reachable
-      || worker->durable_end <= worker->acknowledged_end)
-    return 0;
-  return worker->durable_end;
-}
-
-/* A run end counts as durable once every change up to the moment it was
- * processed is durable. */
-void
-gr_steps_committed (struct gr_steps *steps, uint64_t sequence)
-{
-  steps->committed = MAX (steps->committed, sequence);
-  for (guint i = 0; i < steps->worker_rows->len; i++)
-    {
-      struct worker *worker = steps->worker_rows->pdata[i];
-
-      if (worker->pending_sequence != 0 && sequence >= worker->pending_sequence)
-        {
-          worker->durable_end = worker->pending_end;
-          worker->pending_sequence = 0;
-        }
-      if (worker->pending_sequence == 0
-          && worker->processed_end > worker->durable_end)
-        {
-          worker->pending_end = worker->processed_end;
-          worker->pending_sequence = MAX (steps->sequence, 1);
-        }
-      if (worker->pending_sequence != 0 && sequence >= worker->pending_sequence)
-        {
-          worker->durable_end = worker->pending_end;
-          worker->pending_sequence = 0;
-        }
-    }
-}
-
 bool
 gr_steps_has_polled (const struct gr_steps *steps, const char *id)
 {
--- a/tests/steps-model-polls.c
+++ b/tests/steps-model-polls.c
@@ -96,6 +96,19 @@
     }
 }
 
+static void
+list_ends (const struct steps_model *model,
+           const struct model_worker *worker,
+           struct gr_run_report *report)
+{
+  uint32_t listed = MIN (worker->ends->len, model->listed_ends);
+
+  report->n_ended = listed;
+  report->ended =
+      g_memdup2 (worker->ends->data, listed * sizeof (struct gr_ended_run));
+  report->all_ended = listed < model->listed_ends;
+}
+
 /* The worker handles the poll. Returns false if it rejects its epoch. */
 static bool
 execute_poll (struct steps_model *model,
@@ -117,11 +130,8 @@
   worker->lease_until_ms = MAX (worker->lease_until_ms, poll->lease_until_ms);
   poll->report.clock_ms = model->now_ms;
   poll->report.incarnation_unix_ms = worker->incarnation;
-  poll->report.all_ended = true;
   list_runs (model, worker, &poll->report);
-  poll->report.n_ended = worker->ends->len;
-  poll->report.ended = g_memdup2 (
-      worker->ends->data, worker->ends->len * sizeof (struct gr_ended_run));
+  list_ends (model, worker, &poll->report);
   return true;
 }
 
--- a/tests/steps-model-private.h
+++ b/tests/steps-model-private.h
@@ -20,6 +20,9 @@
 #define TICKET_MS 3000
 #define CALM_MS 4000
 
+/* Ends that a worker lists in one answer, according to the platform. */
+#define LISTED_ENDS 500
+
 /* Time from a change of a worker's capacity until the registry shows it. */
 #define CAPACITY_REPORT_MS HEARTBEAT_MS
 
@@ -86,6 +89,7 @@
   uint32_t slot;          /* of its views */
   int64_t lease_until_ms; /* INT64_MAX: its lease is not modelled */
   int64_t renewal_ms;     /* of the next renewal */
+  uint64_t committed;     /* last sequence number reported to the core */
   bool store_cut;         /* the owner does not reach the store */
   bool
       reads_store; /* it reads the registry and jobs even if store_cut is set */
@@ -233,6 +237,7 @@
   uint32_t advice_each_ms;
   GQueue advice; /* struct model_advice, oldest first */
   uint32_t orders_per_tick;
+  uint32_t listed_ends; /* see steps_model_set_listed_ends () */
   uint32_t drop_results;
   uint32_t runs_alone;
   int64_t last_fault_ms;
--- a/tests/steps-model-store.c
+++ b/tests/steps-model-store.c
@@ -1,5 +1,15 @@
 #include "tests/steps-model-private.h"
 
+/* The core hears only of newer changes, as from the progress log. */
+static void
+report_committed (struct model_owner *owner, uint64_t sequence)
+{
+  if (sequence <= owner->committed)
+    return;
+  owner->committed = sequence;
+  gr_steps_committed (owner->steps, sequence);
+}
+
 static void
 complete_commit (struct steps_model *model, struct commit *commit)
 {
@@ -7,7 +17,7 @@
 
   if (commit->id[0] == '\0')
     {
-      gr_steps_committed (model->owner->steps, commit->sequence);
+      report_committed (model->owner, commit->sequence);
       return;
     }
   job =
--- a/tests/steps-model.c
+++ b/tests/steps-model.c
@@ -131,6 +131,7 @@
   model->stop_ms = STOP_MS;
   model->store_works = true;
   model->orders_per_tick = UINT32_MAX;
+  model->listed_ends = LISTED_ENDS;
   model->rand = g_rand_new_with_seed (seed);
   model->settings = (struct gr_steps_settings){
     .run_lease_ms = RUN_LEASE_MS,
@@ -922,6 +923,20 @@
   steps_model_unregister_worker (model, number, 0);
 }
 
+void
+steps_model_set_listed_ends (struct steps_model *model, uint32_t ends)
+{
+  model->listed_ends = ends;
+}
+
+uint32_t
+steps_model_kept_ends (const struct steps_model *model, uint32_t number)
+{
+  const struct model_worker *worker = model->workers->pdata[number];
+
+  return worker->ends->len;
+}
+
 void
 steps_model_set_orders_per_tick (struct steps_model *model, uint32_t orders)
 {
--- a/tests/steps-model.h
+++ b/tests/steps-model.h
@@ -204,6 +204,12 @@
  * many calls to it are open. */
 void
 steps_model_hold_orders (struct steps_model *model, uint32_t worker, bool held);
+/* A worker lists at most this many ends that are not acknowledged in an answer,
+ * 500 by default. */
+void steps_model_set_listed_ends (struct steps_model *model, uint32_t ends);
+/* Number of ends that the worker keeps because they are not acknowledged. */
+uint32_t steps_model_kept_ends (const struct steps_model *model,
+                                uint32_t worker);
 /* Does not report the results of the next `results` orders to the core. */
 void steps_model_drop_results (struct steps_model *model, uint32_t results);
 /* Replaces the owner by one with the next epoch, which starts from durable
