steps: inherited work waits for all ends of an executor

Cause: a successor took an executor for polled after any answer, although an answer lists 500 ends; it started the inherited tasks whose ends were behind them. Evidence: an answer with 500 ends up to number 1828 and, 6 ms later, a start of a task whose end was further back. What has been read of an executor is now one state in steps/inventory.c, through which every such conclusion passes. Only a whole list of ends shows that a task has none; inherited steps wait for the executors on which they can have run.

--- a/steps/core.c
+++ b/steps/core.c
@@ -45,6 +45,7 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, NULL, account_destroy);
   steps->workers = g_hash_table_new (g_str_hash, g_str_equal);
   steps->worker_rows = g_ptr_array_new ();
+  steps->holding_workers = g_ptr_array_new ();
   steps->jobs = g_hash_table_new (g_str_hash, g_str_equal);
   steps->job_rows = g_ptr_array_new ();
   for (size_t i = 0; i < G_N_ELEMENTS (steps->orders); i++)
--- a/steps/gangs.c
+++ b/steps/gangs.c
@@ -1,4 +1,4 @@
-#include "steps/tables.h"
+#include "steps/inventory.h"
 
 #include "common/log.h"
 
@@ -65,7 +65,8 @@
         {
           struct step *step = &occurrence->steps[s];
 
-          if (!gr_gang_is_incomplete (step) || !is_stalled (steps, step))
+          if (!gr_gang_is_incomplete (step) || !is_stalled (steps, step)
+              || !gr_inventory_holds_step (steps, step))
             continue;
           gr_log_event ("gang-stalled", "job", job->spec->id, NULL);
           gr_gang_abort (steps, step);
@@ -76,7 +77,7 @@
 void
 gr_gangs_tick (struct gr_steps *steps)
 {
-  if (steps->all_runs_known)
+  if (gr_inventory_holds_nothing (steps))
     return;
   for (guint i = 0; i < steps->job_rows->len; i++)
     {
--- a/steps/rank.c
+++ b/steps/rank.c
@@ -1,4 +1,5 @@
 #include "steps/deadline.h"
+#include "steps/inventory.h"
 #include "steps/place.h"
 
 /* Order in which steps are tried. Guaranteed work goes first, then the
@@ -128,8 +129,8 @@
 {
   /* A job that this owner learned of beyond its lease may have been accepted
    * after the election of a successor, which starts it at once. */
-  if (gr_job_is_final (job) || (job->inherited && !steps->all_runs_known)
-      || !gr_tenure_includes (steps, job->added_ms) || job->failed_task != NULL)
+  if (gr_job_is_final (job) || !gr_tenure_includes (steps, job->added_ms)
+      || job->failed_task != NULL)
     return;
   for (guint i = 0; i < job->occurrences->len; i++)
     {
@@ -142,7 +143,8 @@
           struct step *step = &occurrence->steps[s];
           struct ranked_step row = { .step = step };
 
-          if (step->ready_ms == 0 || step->n_waiting == 0)
+          if (step->ready_ms == 0 || step->n_waiting == 0
+              || (job->inherited && gr_inventory_holds_step (steps, step)))
             continue;
           rank (steps, &row);
           g_array_append_val (ranked, row);
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -1,4 +1,5 @@
 #include "steps/ends.h"
+#include "steps/inventory.h"
 #include "steps/losses.h"
 #include "steps/samples.h"
 
@@ -337,9 +338,8 @@
     gr_crash_withdraw_worker (steps, worker, report->sent_ms);
   /* A former owner may have extended its lease just before, and it holds for
    * runs that start later as well. */
-  if (!worker->polled)
+  if (!gr_inventory_has_answered (worker))
     gr_worker_assume_longest_lease (steps, worker);
-  worker->polled = true;
   if (report->sent_ms > worker->incarnation_seen_ms)
     worker->acknowledged_end =
         MAX (worker->acknowledged_end, report->acknowledged_end);
@@ -359,11 +359,12 @@
   worker->unknown_runs = false;
   for (size_t i = 0; i < report->n_running; i++)
     handle_run (steps, worker, &report->running[i]);
-  if (report->all_ended)
+  if (gr_inventory_report_is_whole (report))
     release_missing (steps, worker, report);
   abandon_unanswered (steps, worker);
   gr_tenure_reported (steps, worker);
   gr_ends_update (steps, worker);
+  gr_inventory_reported (worker, report);
   worker->refused_ms = 0;
   worker->crash_noted = false;
   gr_pace_update (steps, worker);
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -402,9 +402,10 @@
   GR_POLL_WAIT, /* runs may end at any time; the poll can wait at the worker for
                    an end */
   GR_POLL_PERIODIC, /* as above, but poll again soon and without waiting: ends
-                       are not durable yet, unknown runs were ordered to stop,
-                       or filler tasks are being paced */
-  GR_POLL_NOW,      /* the state of the worker or of a run is unknown */
+                       are not durable yet or not all listed, unknown runs
+                       were ordered to stop, or filler tasks are being paced */
+  GR_POLL_NOW,      /* the state of the worker or of a run is unknown, or the
+                       next part of its ends can be read */
 };
 enum gr_poll_need gr_steps_poll_need (const struct gr_steps *steps,
                                       const char *worker);
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -13,6 +13,16 @@
 /* Number of the list that a core inherits; it is durable. */
 #define GR_INHERITED_HANDOVER_LIST 1
 
+/* What has been read of the present process of a worker; see inventory.h. */
+enum inventory
+{
+  INVENTORY_UNREAD,   /* it has not answered this owner */
+  INVENTORY_RUNS,     /* its runs; no answer has held all its ends yet */
+  INVENTORY_COMPLETE, /* its runs and all ends that it had at its first answer
+                       */
+  INVENTORY_ENDED,    /* the process has ended */
+};
+
 struct worker
 {
   char *id;
@@ -40,7 +50,9 @@
                                 time; 0: unknown */
   bool closed;               /* for upkeep of its machine; gets no new work */
   bool reachable;
-  bool polled;               /* this owner has received a poll reply from it */
+  enum inventory inventory;
+  bool holds_inherited;      /* work of former owners waits for it; see
+                                gr_inventory_tick () */
   bool poll_needed;          /* its state or that of a run is unknown */
   int64_t poll_requested_ms; /* time at which poll_needed was last set */
   int64_t reported_ms;       /* when the poll with the last report was sent; 0:
@@ -393,7 +405,9 @@
   struct gr_crash_log *crash_log;
   GArray *crash_reports; /* struct crash_report, in crash-evidence.c */
   struct gr_crash_counts crash_counts;
-  bool all_runs_known; /* no inherited job can have a run that was not seen */
+  bool registry_known;        /* no live worker is missing in worker_rows */
+  GPtrArray *holding_workers; /* those with holds_inherited, until the end of
+                                 the pass; not owned */
   struct samples samples;
 };
 
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -1,4 +1,5 @@
 #include "steps/ends.h"
+#include "steps/inventory.h"
 #include "steps/losses.h"
 #include "steps/samples.h"
 
@@ -22,15 +23,6 @@
   return g_hash_table_lookup (steps->workers, id);
 }
 
-/* Until this owner has polled a worker, runs of a former owner can continue
- * there. */
-static bool
-may_have_unknown_runs (const struct gr_steps *steps,
-                       const struct worker *worker)
-{
-  return !worker->polled && steps->now_ms < gr_tenure_former_end_ms (steps);
-}
-
 /* Without a registry entry, a successor would not know of runs on a worker that
  * no durable list names. */
 static bool
@@ -52,7 +44,8 @@
 gr_worker_usable (const struct gr_steps *steps, const struct worker *worker)
 {
   return worker->registered && !worker->evacuated && !worker->draining
-         && !worker->closed && worker->reachable && worker->polled
+         && !worker->closed && worker->reachable
+         && gr_inventory_has_answered (worker)
          && gr_tenure_knows_process (steps, worker)
          /* The room that unknown runs take is not counted. */
          && !worker->unknown_runs && is_handed_over (steps, worker)
@@ -112,8 +105,8 @@
   gr_crash_note_worker (steps, worker, true);
   worker->incarnation_unix_ms = incarnation_unix_ms;
   gr_ends_reset (worker);
+  gr_inventory_reset (worker);
   worker->unknown_runs = false;
-  worker->polled = false;
   worker->reachable = true;
   worker->unreachable_ms = 0;
   gr_worker_request_poll (steps, worker);
@@ -327,7 +320,7 @@
         gr_order_stop (steps, task);
     }
   return worker == NULL
-         || (worker->tasks->len == 0 && !may_have_unknown_runs (steps, worker));
+         || (worker->tasks->len == 0 && !gr_inventory_is_open (steps, worker));
 }
 
 uint32_t
@@ -337,8 +330,7 @@
 
   if (worker == NULL)
     return 0;
-  return may_have_unknown_runs (steps, worker) ? UINT32_MAX
-                                               : worker->tasks->len;
+  return gr_inventory_is_open (steps, worker) ? UINT32_MAX : worker->tasks->len;
 }
 
 /* Returns whether the entry was that of the present process, which had
@@ -406,7 +398,7 @@
       gr_worker_request_poll (steps, worker);
       return;
     }
-  worker->polled = true;
+  gr_inventory_process_ended (worker);
   worker->lease_until_ms = 0;
 }
 
@@ -478,12 +470,13 @@
   if (!gr_tenure_may_conclude (steps, worker, GR_LOSS_GONE))
     return;
   gr_crash_note_worker (steps, worker, false);
-  if (worker->polled && worker->tasks->len == 0)
+  if (gr_inventory_has_answered (worker)
+      && !gr_inventory_is_open (steps, worker) && worker->tasks->len == 0)
     return;
   gr_log_event ("worker-gone", "worker", id, "observed_ms",
                 gr_loss_age (steps, sent_ms, observed), "reported_ms",
                 gr_loss_age (steps, worker->reported_ms, reported), NULL);
-  worker->polled = true;
+  gr_inventory_process_ended (worker);
   if (gr_loss_release_older (steps, worker, &loss))
     worker->lease_until_ms = 0;
   gr_samples_forget_worker (steps, worker);
@@ -594,7 +587,7 @@
 {
   int64_t expiry_ms = worker->lease_until_ms + GR_LEASE_EXPIRY_MARGIN_MS;
 
-  if (!worker->polled)
+  if (!gr_inventory_has_answered (worker))
     expiry_ms = MAX (expiry_ms, gr_tenure_former_end_ms (steps));
   return expiry_ms;
 }
@@ -603,7 +596,8 @@
 must_be_handed_over (const struct gr_steps *steps, const struct worker *worker)
 {
   return worker->registered || steps->now_ms < lease_expiry_ms (steps, worker)
-         || gr_ends_are_pending (steps, worker);
+         || gr_ends_are_pending (steps, worker) || worker->holds_inherited
+         || gr_inventory_is_open (steps, worker);
 }
 
 static bool
@@ -626,8 +620,6 @@
 void
 gr_workers_tick (struct gr_steps *steps)
 {
-  bool all_runs_known = steps->now_ms >= steps->registry_settled_ms;
-
   for (guint i = steps->worker_rows->len; i-- > 0;)
     {
       struct worker *worker = steps->worker_rows->pdata[i];
@@ -643,8 +635,6 @@
       if (worker->reserved_for != NULL
           && steps->now_ms >= worker->reserved_until_ms)
         worker->reserved_for = NULL;
-      if (may_have_unknown_runs (steps, worker))
-        all_runs_known = false;
       if (!may_be_removed (steps, worker))
         continue;
       /* Room that was reclaimed here is gone; its step need not wait for it. */
@@ -655,10 +645,7 @@
       g_hash_table_remove (steps->workers, worker->id);
       worker_destroy (worker);
     }
-  /* That a former owner's leases are over says nothing of those that a
-   * successor of this owner has extended. */
-  steps->all_runs_known =
-      all_runs_known && (steps->all_runs_known || gr_tenure_is_present (steps));
+  gr_inventory_tick (steps);
 }
 
 uint64_t
@@ -771,6 +758,7 @@
   for (guint i = 0; i < steps->worker_rows->len; i++)
     worker_destroy (steps->worker_rows->pdata[i]);
   g_ptr_array_unref (steps->worker_rows);
+  g_ptr_array_unref (steps->holding_workers);
   if (steps->racks != NULL)
     g_ptr_array_unref (steps->racks);
   g_hash_table_destroy (steps->workers);
@@ -781,7 +769,7 @@
 {
   const struct worker *worker = g_hash_table_lookup (steps->workers, id);
 
-  return worker != NULL && worker->polled;
+  return worker != NULL && gr_inventory_has_answered (worker);
 }
 
 enum gr_poll_need
@@ -791,8 +779,12 @@
 
   if (worker == NULL)
     return GR_POLL_NONE;
-  if (!worker->polled || worker->poll_needed || !worker->reachable)
+  if (!gr_inventory_has_answered (worker) || worker->poll_needed
+      || !worker->reachable)
     return GR_POLL_NOW;
+  if (worker->inventory == INVENTORY_RUNS)
+    return gr_steps_end_to_acknowledge (steps, id) != 0 ? GR_POLL_NOW
+                                                        : GR_POLL_PERIODIC;
   if (worker->processed_end > worker->durable_end || worker->unknown_runs)
     return GR_POLL_PERIODIC;
   if (gr_pace_needs_polling (worker))
--- a/tests/test-former-owner.c
+++ b/tests/test-former-owner.c
@@ -1070,14 +1070,12 @@
     steps_model_new_owner (world->model);
 }
 
-/* Guards against tasks that run twice, and jobs that are never completed, in
- * any order of partitions, takeovers, pauses and crashes. The loop variable is
- * the seed. */
-START_TEST (random_partitions)
+static void
+run_randomly (uint32_t seed, uint32_t listed_ends)
 {
   struct random_world world = {
-    .model = steps_fixture_create (RANDOM_WORKERS, (uint32_t)_i),
-    .rand = g_rand_new_with_seed ((guint32)_i),
+    .model = steps_fixture_create (RANDOM_WORKERS, seed),
+    .rand = g_rand_new_with_seed (seed),
   };
 
   steps_model_set_faults (world.model,
@@ -1087,6 +1085,8 @@
                               .max_transit_ms = chance (&world, 0.5) ? 60 : 0,
                           });
   steps_model_use_owner_leases (world.model);
+  if (listed_ends != 0)
+    steps_model_set_listed_ends (world.model, listed_ends);
   for (uint32_t i = 0; i < 4; i++)
     add_random_job (&world);
   steps_model_run (world.model, 1000);
@@ -1108,6 +1108,21 @@
   steps_fixture_destroy (world.model);
   g_rand_free (world.rand);
 }
+
+/* Guards against tasks that run twice, and jobs that are never completed, in
+ * any order of partitions, takeovers, pauses and crashes. The loop variable is
+ * the seed. */
+START_TEST (random_partitions)
+{
+  run_randomly ((uint32_t)_i, 0);
+}
+END_TEST
+
+/* The same with workers that list one to three ends in an answer. */
+START_TEST (random_partitions_with_partly_listed_ends)
+{
+  run_randomly ((uint32_t)_i, 1 + (uint32_t)_i % 3);
+}
 END_TEST
 
 int
@@ -1159,6 +1174,8 @@
   tcase_add_loop_test (tests, undecided_run_is_unavailable_after_a_renewal, 0,
                        10);
   tcase_add_loop_test (tests, random_partitions, 1, SEEDS + 1);
+  tcase_add_loop_test (tests, random_partitions_with_partly_listed_ends, 1,
+                       SEEDS + 1);
   suite_add_tcase (suite, tests);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_ENV);
