--- a/instance/config-view.c
+++ b/instance/config-view.c
@@ -227,29 +227,15 @@
   notify_evacuations (view);
 }
 
-/* A page that is said to be followed by more must have items; otherwise the
- * read is incomplete. */
-static bool
-check_page (const struct gr_metastore_result *result, struct gr_error *error)
-{
-  if (!result->truncated || result->n_items > 0)
-    return true;
-  gr_error_set (error, GR_ERROR_PROTOCOL, "a page of the store is empty");
-  return false;
-}
-
 static void
 page_done (const struct gr_metastore_result *result,
            const struct gr_error *error,
            void *context)
 {
   struct gr_config_view *view = context;
-  struct gr_error malformed = GR_ERROR_INIT;
 
   if (error != NULL && error->kind == GR_ERROR_CANCELLED)
     return;
-  if (error == NULL && !check_page (result, &malformed))
-    error = &malformed;
   update_store_state (view, error);
   if (error != NULL)
     {
--- a/instance/mirror.c
+++ b/instance/mirror.c
@@ -589,7 +589,7 @@
       else if (gr_record_kind (result->items[i].key, &id) == GR_RECORD_JOB)
         g_hash_table_add (load->job_ids, g_strdup (id));
     }
-  if (result->truncated && result->n_items > 0)
+  if (result->truncated)
     load_page (load, result->items[result->n_items - 1].key);
   else
     finish_load (load, true);
--- a/instance/worker-registry.c
+++ b/instance/worker-registry.c
@@ -231,7 +231,7 @@
       else
         entry->read_number = registry->read_number;
     }
-  if (result->truncated && result->n_items > 0)
+  if (result->truncated)
     {
       read_page (registry, result->items[result->n_items - 1].key);
       return;
--- a/tests/test-platform-store.c
+++ b/tests/test-platform-store.c
@@ -1,3 +1,4 @@
+#include "http/http-server.h"
 #include "instance/expiry.h"
 #include "instance/ownership.h"
 #include "platform/metastore.h"
@@ -471,6 +472,47 @@
 }
 END_TEST
 
+static void
+send_empty_page (SoupServerMessage *message,
+                 const char *path,
+                 GHashTable *query,
+                 void *context)
+{
+  static const char body[] = "{\"as-of\":5,\"items\":[],\"truncated\":true}";
+
+  (void)path;
+  (void)query;
+  (void)context;
+  soup_server_message_set_status (message, 200, NULL);
+  soup_server_message_set_response (message, "application/json",
+                                    SOUP_MEMORY_STATIC, body, sizeof body - 1);
+}
+
+/* Guards against a read that counts as whole because a page that is followed by
+ * others is empty: an owner would take over without the jobs. */
+START_TEST (empty_page_does_not_end_a_read)
+{
+  struct gr_http_server_limits limits = gr_http_server_default_limits ();
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_http_server *server = gr_http_server_create (
+      "127.0.0.1:0", &limits, NULL, send_empty_page, NULL, &error);
+  struct gr_counters *counters = gr_counters_create ();
+  struct gr_metastore *store =
+      gr_metastore_create (gr_http_server_address (server), counters);
+  struct gr_clock *clock = gr_clock_create ();
+  struct gr_mirror *mirror =
+      gr_mirror_create (store, clock, &(struct gr_mirror_events){ 0 });
+
+  run_for (500);
+  ck_assert (!gr_mirror_is_loaded (mirror));
+  gr_metastore_destroy (store);
+  gr_mirror_destroy (mirror);
+  gr_clock_destroy (clock);
+  gr_counters_destroy (counters);
+  gr_http_server_destroy (server);
+}
+END_TEST
+
 /* Guards against instances that all read all records whenever the store loses
  * its history: 147 of them filled its link for 1.5 s. */
 START_TEST (reloads_after_lost_history_are_spread)
@@ -800,6 +842,7 @@
   tcase_add_test (tests, new_job_has_no_state_of_a_former_one_in_lost_history);
   tcase_add_test (tests, late_records_of_a_former_job_are_ignored);
   tcase_add_test (tests, unreadable_progress_is_ignored);
+  tcase_add_test (tests, empty_page_does_not_end_a_read);
   tcase_add_test (tests, reloads_after_lost_history_are_spread);
   tcase_add_test (tests, silent_watches_are_replaced);
   tcase_add_test (tests, refusing_store_is_not_flooded);
