tests: the soak makes executors list their ends in parts

Executors of the stand-in list 500 ends in an answer and have a label of their own. The number of lists read in parts is printed, so that a run that shows nothing is recognised.

--- a/standins/platform-worker.c
+++ b/standins/platform-worker.c
@@ -5,6 +5,9 @@
 
 #include <string.h>
 
+/* Ends in a reply, according to the platform. */
+#define LISTED_ENDS 500
+
 #define DEFAULT_RUN_MS 200
 #define CHECK_INTERVAL_MS 10
 
@@ -47,6 +50,7 @@
   char *id;
   char *data_centre;
   char *rack;
+  char *label; /* "nNUMBER", of this worker alone */
   struct gr_standin_platform_settings settings;
   int64_t started_unix_ms;
   int64_t highest_epoch;
@@ -161,7 +165,7 @@
 {
   JsonArray *rows = json_array_new ();
 
-  for (guint i = 0; i < worker->ends->len; i++)
+  for (guint i = 0; i < MIN (worker->ends->len, LISTED_ENDS); i++)
     {
       const struct run_end *run_end = worker->ends->pdata[i];
       JsonArray *row = json_array_new ();
@@ -599,6 +603,7 @@
   worker->id = process != NULL ? g_strdup (process->id)
                                : g_strdup_printf ("i-%04u", number);
   worker->rack = g_strdup_printf ("r1-%u", rack);
+  worker->label = g_strdup_printf ("n%u", number);
   worker->data_centre = g_strdup_printf ("dc%u", rack % DATA_CENTRES + 1);
   worker->started_unix_ms = g_get_real_time () / 1000;
   worker->runs = g_ptr_array_new_with_free_func (run_free);
@@ -664,6 +669,7 @@
   g_free (worker->id);
   g_free (worker->data_centre);
   g_free (worker->rack);
+  g_free (worker->label);
   g_free (worker);
 }
 
@@ -687,12 +693,12 @@
       "{\"service\":\"render\",\"address\":\"%s\",\"zone\":\"%s\","
       "\"config-version\":\"v1\",\"slots\":8,\"state\":\"%s\","
       "\"cold-left-ms\":0,\"capacity\":{\"cpu\":%u,\"mem-mb\":%u,\"gpu\":%u},"
-      "\"labels\":[\"a\",\"%s\"],\"born\":%" G_GINT64_FORMAT
+      "\"labels\":[\"a\",\"%s\",\"%s\"],\"born\":%" G_GINT64_FORMAT
       ",\"sequence\":%" G_GUINT64_FORMAT "}",
       worker->address, worker->data_centre,
       worker->draining ? "draining" : "ready", worker->settings.cores * 1000,
       worker->settings.memory_mb, worker->settings.accelerators, worker->rack,
-      worker->started_unix_ms, sequence);
+      worker->label, worker->started_unix_ms, sequence);
 }
 
 const char *
--- a/standins/platform-worker.h
+++ b/standins/platform-worker.h
@@ -4,7 +4,8 @@
  * end as failed, and "crash_ms=10" crashes the worker 10 ms after the start. A
  * worker that has crashed refuses connections for 3 s and then returns, at the
  * same address, as a new incarnation without runs. Three racks in turn are in
- * the data centres dc1, dc2 and dc3. */
+ * the data centres dc1, dc2 and dc3. Each worker has the labels "a", that of
+ * its rack and "nNUMBER". A reply lists 500 ends at most. */
 #pragma once
 
 #include "standins/metastore.h"
--- a/tests/soak-clients.c
+++ b/tests/soak-clients.c
@@ -28,6 +28,12 @@
 #define ADVICE_CHANCE 0.04
 #define ADVICE_BURST 6
 
+/* Jobs of many short tasks that only one worker can run, so that its ends are
+ * more than it lists in an answer when the owner cannot store them. */
+#define BURST_TASKS 4000
+#define BURST_RUN_MS 400
+#define BURST_MILLICORES 400
+
 /* Chance that a client cancels a job that was accepted. */
 #define CANCEL_CHANCE 0.08
 
@@ -40,10 +46,18 @@
   GThread *thread;
 };
 
+/* The client of the jobs with many short tasks. */
+struct burst_client
+{
+  struct client client;
+  uint32_t interval_ms;
+};
+
 struct soak_clients
 {
   struct soak_cluster *cluster;
   struct client rows[CLIENTS];
+  struct burst_client bursts;
   gint stopping;
   GMutex mutex;
   GPtrArray *accepted;   /* ids */
@@ -139,15 +153,21 @@
          || status == 503;
 }
 
+static char *
+create_id (struct client *client)
+{
+  return g_strdup_printf ("%08x%08x", g_rand_int (client->rand),
+                          g_rand_int (client->rand));
+}
+
 /* A call without a response is repeated under the same id, at any instance. */
 static void
-submit_to (struct client *client, const char *prefix)
+submit_job (struct client *client,
+            const char *prefix,
+            const char *id,
+            const char *body)
 {
   struct soak_clients *clients = client->clients;
-  g_autofree char *id = g_strdup_printf ("%08x%08x", g_rand_int (client->rand),
-                                         g_rand_int (client->rand));
-  g_autofree char *body =
-      create_job (client, id, g_str_equal (prefix, SOAK_ADVISED_QUEUE));
   bool cancels = g_rand_double (client->rand) < CANCEL_CHANCE;
   bool all_rejected = true;
   bool accepted = false;
@@ -171,14 +191,23 @@
     cancel (client, id);
 }
 
+static void
+submit_to (struct client *client, const char *prefix)
+{
+  g_autofree char *id = create_id (client);
+  g_autofree char *body =
+      create_job (client, id, g_str_equal (prefix, SOAK_ADVISED_QUEUE));
+
+  submit_job (client, prefix, id, body);
+}
+
 /* A job whose cancelling was answered with 410 was not in the store, and must
  * not run later either. */
 static void
 submit_and_give_up (struct client *client)
 {
   struct soak_clients *clients = client->clients;
-  g_autofree char *id = g_strdup_printf ("%08x%08x", g_rand_int (client->rand),
-                                         g_rand_int (client->rand));
+  g_autofree char *id = create_id (client);
   g_autofree char *body = create_job (client, id, false);
   guint status = 0;
 
@@ -222,8 +251,65 @@
   return NULL;
 }
 
+static void
+submit_burst (struct client *client)
+{
+  gint32 n_workers = (gint32)client->clients->cluster->n_workers;
+  g_autofree char *id = create_id (client);
+  g_autofree char *body = g_strdup_printf (
+      "{\"task-spec\":\"run_ms=%d\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
+      "\"mem-mb\":1,\"estimate-ms\":%d,\"affinity\":\"n%d\"}]}",
+      BURST_RUN_MS, BURST_TASKS, BURST_MILLICORES, BURST_RUN_MS,
+      g_rand_int_range (client->rand, 0, n_workers));
+
+  submit_job (client, SOAK_QUEUE, id, body);
+}
+
+static gpointer
+run_bursts (gpointer data)
+{
+  struct burst_client *bursts = data;
+  struct soak_clients *clients = bursts->client.clients;
+
+  while (!g_atomic_int_get (&clients->stopping))
+    {
+      submit_burst (&bursts->client);
+      for (uint32_t ms = 0;
+           ms < bursts->interval_ms && !g_atomic_int_get (&clients->stopping);
+           ms += 100)
+        g_usleep (G_USEC_PER_SEC / 10);
+    }
+  return NULL;
+}
+
+static void
+start_client (struct soak_clients *clients,
+              struct client *client,
+              uint32_t seed,
+              GThreadFunc run,
+              gpointer data)
+{
+  client->clients = clients;
+  client->rand = g_rand_new_with_seed (seed);
+  client->session = soup_session_new_with_options (
+      "timeout", 3, "proxy-resolver", NULL, NULL);
+  client->impatient = soup_session_new_with_options (
+      "timeout", PATIENCE_S, "proxy-resolver", NULL, NULL);
+  client->thread = g_thread_new ("client", run, data);
+}
+
+static void
+client_clear (struct client *client)
+{
+  g_rand_free (client->rand);
+  g_object_unref (client->session);
+  g_object_unref (client->impatient);
+}
+
 struct soak_clients *
-soak_clients_create (struct soak_cluster *cluster, uint32_t seed)
+soak_clients_create (struct soak_cluster *cluster,
+                     uint32_t seed,
+                     uint32_t burst_interval_ms)
 {
   struct soak_clients *clients = g_new0 (struct soak_clients, 1);
 
@@ -237,17 +323,11 @@
       g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_mutex_init (&clients->mutex);
   for (uint32_t i = 0; i < CLIENTS; i++)
-    {
-      struct client *client = &clients->rows[i];
-
-      client->clients = clients;
-      client->rand = g_rand_new_with_seed (seed * CLIENTS + i);
-      client->session = soup_session_new_with_options (
-          "timeout", 3, "proxy-resolver", NULL, NULL);
-      client->impatient = soup_session_new_with_options (
-          "timeout", PATIENCE_S, "proxy-resolver", NULL, NULL);
-      client->thread = g_thread_new ("client", run_client, client);
-    }
+    start_client (clients, &clients->rows[i], seed * CLIENTS + i, run_client,
+                  &clients->rows[i]);
+  clients->bursts.interval_ms = burst_interval_ms;
+  start_client (clients, &clients->bursts.client, ~seed, run_bursts,
+                &clients->bursts);
   return clients;
 }
 
@@ -257,17 +337,15 @@
   g_atomic_int_set (&clients->stopping, 1);
   for (uint32_t i = 0; i < CLIENTS; i++)
     g_thread_join (clients->rows[i].thread);
+  g_thread_join (clients->bursts.client.thread);
 }
 
 void
 soak_clients_destroy (struct soak_clients *clients)
 {
   for (uint32_t i = 0; i < CLIENTS; i++)
-    {
-      g_rand_free (clients->rows[i].rand);
-      g_object_unref (clients->rows[i].session);
-      g_object_unref (clients->rows[i].impatient);
-    }
+    client_clear (&clients->rows[i]);
+  client_clear (&clients->bursts.client);
   g_ptr_array_unref (clients->accepted);
   g_ptr_array_unref (clients->done);
   g_ptr_array_unref (clients->rejected);
--- a/tests/soak-clients.h
+++ b/tests/soak-clients.h
@@ -5,9 +5,11 @@
 
 struct soak_clients;
 
-/* Starts the clients, on threads of their own. */
+/* Starts the clients, on threads of their own. One of them submits a job of
+ * many short tasks every burst_interval_ms. */
 struct soak_clients *soak_clients_create (struct soak_cluster *cluster,
-                                          uint32_t seed);
+                                          uint32_t seed,
+                                          uint32_t burst_interval_ms);
 void soak_clients_destroy (struct soak_clients *clients);
 
 /* Waits until no client has an open call. */
--- a/tests/soak-cluster.c
+++ b/tests/soak-cluster.c
@@ -63,6 +63,27 @@
   _exit (127);
 }
 
+uint32_t
+soak_count_events (const struct soak_cluster *cluster, const char *event)
+{
+  g_autofree char *wanted = g_strdup_printf ("\"event\":\"%s\"", event);
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < cluster->n_instances; i++)
+    {
+      g_autofree char *file =
+          g_strdup_printf ("%s/i%u.log", cluster->folder, i);
+      g_autofree char *text = NULL;
+
+      if (!g_file_get_contents (file, &text, NULL, NULL))
+        continue;
+      for (const char *at = strstr (text, wanted); at != NULL;
+           at = strstr (at + 1, wanted))
+        n++;
+    }
+  return n;
+}
+
 void
 soak_kill (pid_t pid)
 {
--- a/tests/soak-cluster.h
+++ b/tests/soak-cluster.h
@@ -102,6 +102,10 @@
 /* Reads the owner's record, for its number and for messages. */
 void soak_find_owner (struct soak_cluster *cluster);
 
+/* Number of log lines of all instances with this event. */
+uint32_t soak_count_events (const struct soak_cluster *cluster,
+                            const char *event);
+
 void soak_kill (pid_t pid);
 void soak_start_worker (struct soak_cluster *cluster,
                         struct soak_worker *worker);
--- a/tests/soak-faults.c
+++ b/tests/soak-faults.c
@@ -14,6 +14,16 @@
 #define ADVICE_FAULT_CHANCE 0.01
 #define WRITE_FAULT_CHANCE 0.02
 
+/* Chance in a tick that the owner's calls to the store get no answer, and the
+ * same in the mix of long lists. */
+#define OWNER_SILENCE_CHANCE 0.003
+#define OWNER_SILENCE_CHANCE_IN_LISTS 0.02
+
+/* Longer than the owner's lease of 2 s, and shorter than the 11 s for which an
+ * owner continues without the store. */
+#define MIN_OWNER_SILENCE_MS 2500
+#define MAX_OWNER_SILENCE_MS 8000
+
 /* Span of a partition: shorter and longer than the owner's lease (2 s), the
  * lease of runs (7 s), and the 9 s for which an owner continues without its
  * lease. */
@@ -89,6 +99,7 @@
   struct soak_cluster *cluster;
   GRand *rand;
   bool zones_only;
+  double owner_silence_chance;
   int64_t all_from_us; /* few faults beside partitions until then */
   GArray *undos;
   int64_t next_cut_us;
@@ -384,6 +395,18 @@
     cut_store (faults, &cut);
 }
 
+/* The store serves the other instances meanwhile, so there is a successor. */
+static void
+silence_store_of_owner (struct soak_faults *faults)
+{
+  const struct soak_cluster *cluster = faults->cluster;
+  int ms = between (faults, MIN_OWNER_SILENCE_MS, MAX_OWNER_SILENCE_MS);
+
+  disturb_path (faults, &cluster->instances[cluster->owner].store,
+                chance (faults, 0.5) ? "{\"drop\":true}" : "{\"hold\":true}",
+                in_ms (ms));
+}
+
 static void
 disturb_owner (struct soak_faults *faults)
 {
@@ -577,6 +600,12 @@
       faults->next_cut_us = INT64_MAX;
       faults->all_from_us = 0;
     }
+  faults->owner_silence_chance = OWNER_SILENCE_CHANCE;
+  if (g_strcmp0 (mix, "lists") == 0)
+    {
+      faults->next_cut_us = INT64_MAX;
+      faults->owner_silence_chance = OWNER_SILENCE_CHANCE_IN_LISTS;
+    }
   return faults;
 }
 
@@ -617,6 +646,8 @@
     disturb_owner (faults);
   if (chance (faults, OUTAGE_CHANCE))
     stop_store (faults);
+  if (chance (faults, faults->owner_silence_chance))
+    silence_store_of_owner (faults);
   if (store_answers && chance (faults, WRITE_FAULT_CHANCE))
     disturb_writes (faults);
   if (chance (faults, ADVICE_FAULT_CHANCE))
--- a/tests/soak-faults.h
+++ b/tests/soak-faults.h
@@ -6,8 +6,8 @@
 
 struct soak_faults;
 
-/* mix: "zones": mostly partitions of zones, "processes": none of them, "all" or
- * NULL: all faults. */
+/* mix: "zones": mostly partitions of zones, "processes": none of them, "lists":
+ * mostly owners without the store, "all" or NULL: all faults. */
 struct soak_faults *soak_faults_create (struct soak_cluster *cluster,
                                         uint32_t seed,
                                         const char *mix);
--- a/tests/test-soak-platform.c
+++ b/tests/test-soak-platform.c
@@ -14,7 +14,8 @@
  *
  * Environment: GR_SOAK_SEED, GR_SOAK_S (seconds with faults), GR_SOAK_WORKERS,
  * GR_SOAK_INSTANCES, GR_SOAK_PORT (first of 1,000 ports), GR_SOAK_MIX ("zones":
- * mostly partitions of zones, "processes": none of them, "all", the default).
+ * mostly partitions of zones, "processes": none of them, "lists": mostly owners
+ * without the store beside jobs of many short tasks, "all", the default).
  */
 
 #define TICK_US 100000UL
@@ -24,6 +25,11 @@
  * 7 s, a takeover that waits 10 s for them, and the work itself. */
 #define SETTLE_S 60
 
+/* Time between two jobs of many short tasks, and the same in the mix of long
+ * lists. */
+#define BURST_INTERVAL_MS 20000
+#define BURST_INTERVAL_IN_LISTS_MS 3000
+
 static void
 check_runs (struct soak_cluster *cluster,
             struct soak_clients *clients,
@@ -68,14 +74,18 @@
   uint32_t seed = soak_setting ("GR_SOAK_SEED", 1);
   uint32_t ticks =
       soak_setting ("GR_SOAK_S", 45) * (uint32_t)(G_USEC_PER_SEC / TICK_US);
+  const char *mix = g_getenv ("GR_SOAK_MIX");
   struct soak_cluster cluster;
   struct soak_faults *faults;
   struct soak_clients *clients;
 
   soak_cluster_create (&cluster);
-  faults = soak_faults_create (&cluster, seed, g_getenv ("GR_SOAK_MIX"));
+  faults = soak_faults_create (&cluster, seed, mix);
   g_usleep (2UL * G_USEC_PER_SEC);
-  clients = soak_clients_create (&cluster, seed);
+  clients = soak_clients_create (&cluster, seed,
+                                 g_strcmp0 (mix, "lists") == 0
+                                     ? BURST_INTERVAL_IN_LISTS_MS
+                                     : BURST_INTERVAL_MS);
   for (uint32_t i = 0; i < ticks; i++)
     {
       soak_faults_step (faults);
@@ -89,11 +99,12 @@
   check_runs (&cluster, clients, faults, seed);
   ck_assert_uint_gt (soak_clients_accepted (clients), 0);
   printf ("seed %u: %u jobs accepted, %u of them cancelled, %u rejected, %u "
-          "given up, %u runs of %u tasks\n",
+          "given up, %u runs of %u tasks, %u lists of ends read in parts\n",
           seed, soak_clients_accepted (clients),
           soak_clients_cancelled (clients), soak_clients_rejected (clients),
           soak_clients_given_up (clients), soak_runs_count (cluster.runs),
-          soak_runs_tasks (cluster.runs));
+          soak_runs_tasks (cluster.runs),
+          soak_count_events (&cluster, "ends-partly-read"));
   soak_clients_destroy (clients);
   soak_faults_destroy (faults);
   soak_cluster_destroy (&cluster);
