steps: work goes to the process whose entry describes it

Placement now needs the entry of the present process, and a queued start is withdrawn if the executor has another process than the one for which it was chosen; a start that is withdrawn no longer counts as pending, else its run could not be taken for lost. Two new checks of test-restarts fail on the code before.

--- a/steps/inventory.c
+++ b/steps/inventory.c
@@ -123,8 +123,7 @@
 {
   if (worker->inventory == INVENTORY_UNREAD
       || !gr_tenure_knows_process (steps, worker) || !worker->registered
-      || worker->entry_incarnation_unix_ms == 0
-      || worker->entry_incarnation_unix_ms != worker->incarnation_unix_ms)
+      || worker->described_unix_ms == 0 || !gr_worker_is_described (worker))
     return true;
   return step->spec->label == NULL
          || gr_worker_has_label (worker, step->spec->label);
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -448,6 +448,18 @@
   return NULL;
 }
 
+/* Returns why a queued start must not be sent any more; NULL if it can be. */
+static const char *
+start_obstacle (const struct gr_steps *steps, const struct task *task)
+{
+  if (!gr_tenure_knows_process (steps, task->worker))
+    return "later process";
+  if (task->incarnation_unix_ms != 0
+      && task->incarnation_unix_ms != task->worker->incarnation_unix_ms)
+    return "chosen for another process";
+  return NULL;
+}
+
 static bool
 take_order_from (struct gr_steps *steps,
                  GQueue *queue,
@@ -463,11 +475,13 @@
       struct gr_order *queued = link->data;
       bool is_start = queued->kind == GR_ORDER_START;
       struct task *task = is_start ? find_starting_task (steps, queued) : NULL;
+      const char *obstacle = task != NULL ? start_obstacle (steps, task) : NULL;
       bool obsolete;
 
-      if (task != NULL && !gr_tenure_knows_process (steps, task->worker))
+      if (obstacle != NULL)
         {
-          gr_order_abandon_start (steps, task, "later process");
+          task->start_pending = false;
+          gr_order_abandon_start (steps, task, obstacle);
           task = NULL;
         }
       obsolete = is_start && task == NULL;
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -73,6 +73,8 @@
   int64_t entry_revision;  /* of its registry entry */
   int64_t entry_incarnation_unix_ms; /* of the process that wrote it; 0:
                                         unknown */
+  int64_t described_unix_ms; /* start time of the process that labels, capacity
+                                and so on are of; 0: unknown */
   int64_t renewed_ms; /* a time before its registry entry was last renewed; 0:
                          unknown */
   uint64_t handover_list; /* first of the handover lists that have named it
@@ -461,6 +463,10 @@
 struct worker *gr_worker_find (struct gr_steps *steps, const char *id);
 bool gr_worker_usable (const struct gr_steps *steps,
                        const struct worker *worker);
+/* True unless labels, service, capacity and place are those of another process
+ * than the present one: a worker can restart under its id as one of another
+ * kind. */
+bool gr_worker_is_described (const struct worker *worker);
 /* True if it gets no work until a handover list that names it is durable. */
 bool gr_worker_is_held_back (const struct gr_steps *steps,
                              const struct worker *worker);
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -40,12 +40,20 @@
          && !is_handed_over (steps, worker);
 }
 
+bool
+gr_worker_is_described (const struct worker *worker)
+{
+  return worker->described_unix_ms == 0 || worker->incarnation_unix_ms == 0
+         || worker->described_unix_ms == worker->incarnation_unix_ms;
+}
+
 bool
 gr_worker_usable (const struct gr_steps *steps, const struct worker *worker)
 {
   return worker->registered && !worker->evacuated && !worker->draining
          && !worker->closed && worker->reachable
          && gr_inventory_has_answered (worker)
+         && gr_worker_is_described (worker)
          && gr_tenure_knows_process (steps, worker)
          /* The room that unknown runs take is not counted. */
          && !worker->unknown_runs && is_handed_over (steps, worker)
@@ -277,6 +285,7 @@
     }
   worker->entry_revision = row->entry_revision;
   worker->entry_incarnation_unix_ms = row->incarnation_unix_ms;
+  worker->described_unix_ms = row->incarnation_unix_ms;
   worker->registered = true;
   worker->unregistered_ms = 0;
   return true;
--- a/tests/test-inventory.c
+++ b/tests/test-inventory.c
@@ -385,6 +385,7 @@
   advance (&fixture, 10);
   check_starts (&fixture, 0, 1);
   gr_steps_set_owner_lease (fixture.steps, fixture.now_ms);
+  register_worker (&fixture, "wa", "a", 2);
   report (&fixture, "wa", 2, 1, true);
   advance (&fixture, 10);
   check_starts (&fixture, 0, 1);
--- a/tests/test-restarts.c
+++ b/tests/test-restarts.c
@@ -187,6 +187,67 @@
 }
 END_TEST
 
+static void
+add_waiting_job (struct fixture *fixture)
+{
+  struct gr_step_spec step = steps_plain;
+  struct gr_job_spec job = {
+    .id = "0000000000000002",
+    .queue = (char *)"normal",
+    .account = (char *)"a",
+    .payload = (char *)"",
+    .n_steps = 1,
+    .steps = &step,
+  };
+
+  step.count = 1;
+  step.label = (char *)"a";
+  gr_steps_add_job (fixture->steps, &job, NULL, false, fixture->now_ms);
+}
+
+/* A worker that came back under its id with another kind got work for its
+ * former labels, as its first answer came before its entry. */
+START_TEST (restarted_worker_gets_no_work_for_its_former_labels)
+{
+  struct fixture fixture;
+
+  set_up (&fixture);
+  answer_start (&fixture, GR_ORDER_DONE);
+  add_waiting_job (&fixture);
+  report (&fixture, NEW, fixture.now_ms, 0);
+  advance (&fixture, 20000);
+  report (&fixture, NEW, fixture.now_ms, 0);
+  advance (&fixture, 10);
+  ck_assert_uint_eq (fixture.starts, 1);
+  register_worker (&fixture, NEW);
+  advance (&fixture, 10);
+  ck_assert_uint_gt (fixture.starts, 1);
+  tear_down (&fixture);
+}
+END_TEST
+
+/* A start that was queued when its worker restarted went to the new process,
+ * which can be of another kind. */
+START_TEST (queued_start_is_not_sent_to_another_process)
+{
+  struct fixture fixture;
+  struct gr_order order;
+
+  set_up (&fixture);
+  answer_start (&fixture, GR_ORDER_DONE);
+  add_waiting_job (&fixture);
+  fixture.now_ms += 10;
+  gr_steps_tick (fixture.steps, fixture.now_ms, fixture.now_ms);
+  register_worker (&fixture, NEW);
+  report (&fixture, NEW, fixture.now_ms, 0);
+  while (gr_steps_take_order (fixture.steps, NULL, NULL, &order))
+    ck_assert_int_ne (order.kind, GR_ORDER_START);
+  advance (&fixture, 10);
+  ck_assert_uint_gt (fixture.starts, 1);
+  tear_down (&fixture);
+}
+END_TEST
+
 /* A log line of a worker whose entry had no known age held bytes of the
  * stack. */
 START_TEST (unknown_ages_are_logged_as_such)
@@ -359,6 +420,7 @@
   check_kept (&fixture);
   ck_assert_int_eq (gr_steps_poll_need (fixture.steps, WORKER), GR_POLL_NOW);
   report (&fixture, FORMER - 50, fixture.now_ms - 1, 0);
+  register_worker (&fixture, FORMER - 50);
   advance (&fixture, 5);
   ck_assert_uint_eq (fixture.starts, 2);
   ck_assert_uint_eq (fixture.stops, 0);
@@ -577,6 +639,8 @@
   tcase_add_test (tests, start_of_a_task_done_by_an_earlier_run_is_released);
   tcase_add_test (tests,
                   stop_confirmed_before_a_restart_does_not_end_a_pending_start);
+  tcase_add_test (tests, restarted_worker_gets_no_work_for_its_former_labels);
+  tcase_add_test (tests, queued_start_is_not_sent_to_another_process);
   tcase_add_test (tests, unknown_ages_are_logged_as_such);
   tcase_add_test (tests, restarted_worker_gets_no_lease_before_it_answers);
   tcase_add_test (tests, restarts_under_load_start_no_task_twice);
