instance: entries of other writers end no runs

Cause: the address was polled, and the 421 of the other executor counted as proof that the process had ended. An entry of a service that the configuration does not name is now read as an unreadable one, and a 421 proves an end only at an address where the executor has answered, or if it has not answered this owner at all.

--- a/instance/owner.c
+++ b/instance/owner.c
@@ -236,6 +236,17 @@
   report_superseded (context, "the owner's record has changed");
 }
 
+/* The worker gets no new work, but it may be alive: its runs keep their
+ * lease. */
+static void
+worker_unreadable (const char *worker, void *context)
+{
+  struct gr_owner *owner = context;
+
+  gr_steps_worker_unregistered (owner->steps, worker, 0, false,
+                                gr_clock_now_ms (owner->deps.clock));
+}
+
 static void
 set_worker (const struct gr_registry_entry *entry,
             int64_t revision,
@@ -256,7 +267,18 @@
     .entry_revision = revision,
     .since_ms = since_ms,
   };
+  const struct gr_cluster_config *config =
+      gr_config_view_get (owner->deps.config);
 
+  /* Such an entry is from another writer, whoever's id and address it has. */
+  if (config != NULL
+      && !gr_cluster_config_names_service (config, entry->service))
+    {
+      gr_log_warning ("registry-entry-of-unknown-service", "worker",
+                      entry->worker, "service", entry->service, NULL);
+      worker_unreadable (entry->worker, owner);
+      return;
+    }
   if (!gr_steps_set_worker (owner->steps, &worker,
                             gr_clock_now_ms (owner->deps.clock)))
     return;
@@ -290,17 +312,6 @@
                                 gr_clock_now_ms (owner->deps.clock));
 }
 
-/* The worker gets no new work, but it may be alive: its runs keep their
- * lease. */
-static void
-worker_unreadable (const char *worker, void *context)
-{
-  struct gr_owner *owner = context;
-
-  gr_steps_worker_unregistered (owner->steps, worker, 0, false,
-                                gr_clock_now_ms (owner->deps.clock));
-}
-
 static void
 registry_current (void *context)
 {
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -47,6 +47,7 @@
   int64_t next_poll_ms;
   int64_t acknowledged_sent;
   uint32_t failed_polls;
+  bool answered; /* a poll, at this address */
   bool long_poll_in_flight;
   bool poll_in_flight; /* returns at once */
   bool removed;
@@ -244,6 +245,18 @@
                     reply);
 }
 
+/* Another process at the address of a worker has taken its place. It has not if
+ * the worker answered elsewhere: then the address is from the registry entry of
+ * another writer. */
+static bool
+shows_that_worker_is_gone (const struct peer *peer,
+                           const struct gr_error *error)
+{
+  return error->kind == GR_ERROR_CONFLICT
+         && (peer->answered
+             || !gr_steps_has_polled (peer->io->steps, peer->worker));
+}
+
 static void
 poll_failed (struct peer *peer, const struct gr_error *error, int64_t sent_ms)
 {
@@ -255,7 +268,7 @@
   if (peer->failed_polls == 1)
     gr_log_event ("worker-look-failed", "worker", peer->worker, "reason",
                   error->message, NULL);
-  if (error->kind == GR_ERROR_CONFLICT)
+  if (shows_that_worker_is_gone (peer, error))
     gr_steps_worker_gone (io->steps, peer->worker, sent_ms, now_ms);
   else if (error->kind == GR_ERROR_NOT_FOUND)
     {
@@ -307,6 +320,7 @@
 
           report.acknowledged_end = acknowledged_end;
           peer->failed_polls = 0;
+          peer->answered = true;
           update_clock (peer, result->clock_ms, sent_ms);
           gr_steps_process_report (io->steps, peer->worker, &report, now_ms);
         }
--- a/tests/test-decode.c
+++ b/tests/test-decode.c
@@ -133,6 +133,24 @@
 }
 END_TEST
 
+/* Guards against entries of other writers that name an executor to use. */
+START_TEST (services_are_those_of_the_configuration)
+{
+  struct gr_error error = GR_ERROR_INIT;
+  struct gr_cluster_config *config = read_config (
+      "{\"config-version\":7,\"routes\":[{\"name\":\"q\",\"host\":\"a\","
+      "\"prefix\":\"/\",\"service\":\"of-a-queue\"}],"
+      "\"services\":[{\"name\":\"idle\"}],\"tenants\":[]}",
+      &error);
+
+  ck_assert_msg (config != NULL, "%s", error.message);
+  ck_assert (gr_cluster_config_names_service (config, "idle"));
+  ck_assert (gr_cluster_config_names_service (config, "of-a-queue"));
+  ck_assert (!gr_cluster_config_names_service (config, "elsewhere"));
+  gr_cluster_config_destroy (config);
+}
+END_TEST
+
 /* Guards against a configuration that is applied without the rows that cannot
  * be read: their routes and keys would be missing without an error. */
 START_TEST (configuration_is_read_whole_or_not_at_all)
@@ -454,6 +472,7 @@
 
   tcase_add_test (tests, longest_prefix_of_the_host_wins);
   tcase_add_test (tests, calls_are_refused_for_the_right_reason);
+  tcase_add_test (tests, services_are_those_of_the_configuration);
   tcase_add_test (tests, configuration_is_read_whole_or_not_at_all);
   tcase_add_test (tests, route_without_max_attempts_sets_no_limit);
   tcase_add_test (tests, jobs_that_cannot_be_run_are_refused);
--- a/tests/test-instance.c
+++ b/tests/test-instance.c
@@ -373,6 +373,35 @@
 }
 END_TEST
 
+/* Guards against a second run of tasks on a live worker, as a registry entry of
+ * another writer names the address of another worker under its id. */
+START_TEST (answer_at_an_address_of_another_writer_ends_no_run)
+{
+  struct fixture fixture;
+  const char *task = "00000000000000a1.0.0.0";
+
+  fixture_create (&fixture, 2, 7000);
+  run_main_loop (&fixture, 200);
+  add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 8);
+  run_main_loop (&fixture, 200);
+  for (uint32_t i = 0; i < 2; i++)
+    if (gr_steps_worker_load (fixture.steps, i == 0 ? "i-0000" : "i-0001") > 0)
+      {
+        gr_worker_io_set_address (
+            fixture.io, i == 0 ? "i-0000" : "i-0001",
+            gr_standin_address (
+                gr_standin_platform_worker (fixture.platform, 1 - i)));
+        run_main_loop (&fixture, 1500);
+        register_worker (&fixture, i, 0);
+        break;
+      }
+  run_main_loop (&fixture, 500);
+  ck_assert_uint_eq (gr_standin_platform_starts (fixture.platform, task), 1);
+  ck_assert_uint_eq (gr_standin_platform_running (fixture.platform, task), 1);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* Guards against a second run on a worker whose restart the registry shows
  * after the first one was started there. The worker was idle and not polled. */
 START_TEST (restart_that_is_noticed_late_starts_no_task_twice)
@@ -598,6 +627,7 @@
   tcase_add_test (tests,
                   refused_connection_does_not_show_what_ran_before_a_takeover);
   tcase_add_test (tests, answer_of_another_worker_shows_that_a_worker_is_gone);
+  tcase_add_test (tests, answer_at_an_address_of_another_writer_ends_no_run);
   tcase_add_test (tests, restart_that_is_noticed_late_starts_no_task_twice);
   tcase_add_test (tests, task_that_crashes_workers_is_given_up);
   tcase_add_test (tests, late_answers_do_not_lose_runs);
