tests: long lists of the soak are on one executor

The jobs of many short tasks named the executor under "affinity", which is the rack of their data and binds no task, so they spread over several executors. They name its label under "needs" now.

--- a/tests/soak-clients.c
+++ b/tests/soak-clients.c
@@ -258,7 +258,7 @@
   g_autofree char *id = create_id (client);
   g_autofree char *body = g_strdup_printf (
       "{\"task-spec\":\"run_ms=%d\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
-      "\"mem-mb\":1,\"estimate-ms\":%d,\"affinity\":\"n%d\"}]}",
+      "\"mem-mb\":1,\"estimate-ms\":%d,\"needs\":\"n%d\"}]}",
       BURST_RUN_MS, BURST_TASKS, BURST_MILLICORES, BURST_RUN_MS,
       g_rand_int_range (client->rand, 0, n_workers));
 
