tests: a time of test-inventory has 64 bits

make check failed in its lint step: a product of two int was passed as int64_t (bugprone-implicit-widening-of-multiplication-result, test-inventory). The constant has the type of the times now; test-inventory passes, 16 of 16.

--- a/tests/test-inventory.c
+++ b/tests/test-inventory.c
@@ -18,7 +18,7 @@
 #define STARTED_WITHOUT_STORE 12
 
 /* Longer than a lease of 7 s on a clock that is 3 % slow. */
-#define LEASE_EXPIRED_MS 7700
+#define LEASE_EXPIRED_MS INT64_C (7700)
 
 static void
 add_tasks (struct steps_model *model,
