instance: log leases on the clock of a former process

A call with a deadline on the clock of a former process may be carried out by the next one; the logs showed neither its kind nor when it was sent. The event lease-on-former-clock names both.

--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -47,6 +47,7 @@
   int64_t next_poll_ms;
   int64_t acknowledged_sent;
   uint32_t failed_polls;
+  uint32_t clock_changes;
   bool answered; /* a poll, at this address */
   bool long_poll_in_flight;
   bool poll_in_flight; /* returns at once */
@@ -74,7 +75,8 @@
   struct peer *peer;
   struct gr_order order;
   int64_t sent_ms;
-  bool counted; /* result of gr_call_budget_begin () */
+  uint32_t clock_changes; /* of the peer when the order was sent */
+  bool counted;           /* result of gr_call_budget_begin () */
 };
 
 struct poll_call
@@ -83,6 +85,8 @@
   bool is_long_poll;
   int64_t sent_ms;
   int64_t acknowledged_end;
+  uint32_t clock_changes; /* of the peer when the poll was sent */
+  bool grants;            /* extends the lease */
   bool counted;
 };
 
@@ -130,10 +134,28 @@
 
   if (gr_worker_clock_update (&peer->clock, clock_ms, sent_ms, now_ms))
     return;
+  peer->clock_changes++;
   gr_log_event ("worker-clock-changed", "worker", peer->worker, NULL);
   gr_steps_worker_clock_changed (peer->io->steps, peer->worker, now_ms);
 }
 
+/* Logs a call that granted a lease on the clock of a former process and ends
+ * after a later one has answered: if that one has carried it out, it holds a
+ * lease of max-hold-ms. */
+static void
+log_former_grant (const struct peer *peer,
+                  const char *call,
+                  int64_t sent_ms,
+                  bool answered)
+{
+  char age[24];
+
+  g_snprintf (age, sizeof age, "%" G_GINT64_FORMAT,
+              gr_clock_now_ms (peer->io->clock) - sent_ms);
+  gr_log_event ("lease-on-former-clock", "worker", peer->worker, "call", call,
+                "sent_ms", age, "answered", answered ? "yes" : "no", NULL);
+}
+
 /* Returns the time on the worker's clock term_ms from now, or less if that is
  * the end of what this owner may grant. Reports to the core when, on the
  * owner's clock, a lease until then has certainly expired. */
@@ -184,6 +206,9 @@
   if (!io->destroyed)
     {
       update_clock (peer, clock_ms, call->sent_ms);
+      if (call->order.kind == GR_ORDER_START && result != GR_ORDER_NOT_SENT
+          && call->clock_changes != peer->clock_changes)
+        log_former_grant (peer, "start", call->sent_ms, answered);
       gr_steps_order_result (io->steps, &call->order, result,
                              gr_clock_now_ms (io->clock));
       io->events.changed (io->events.context);
@@ -216,6 +241,7 @@
   call->peer = peer;
   call->order = *order;
   call->sent_ms = gr_clock_now_ms (io->clock);
+  call->clock_changes = peer->clock_changes;
   reply.context = call;
   call->counted =
       gr_call_budget_begin (&io->budget, &peer->calls, GR_BUDGET_ORDER);
@@ -305,6 +331,9 @@
       gr_call_budget_end (&io->budget, &peer->calls, GR_BUDGET_POLL,
                           call->counted, error == NULL);
     }
+  if (!io->destroyed && call->grants
+      && call->clock_changes != peer->clock_changes)
+    log_former_grant (peer, "poll", sent_ms, error == NULL);
   g_free (call);
   if (!io->destroyed && !peer->removed)
     {
@@ -368,6 +397,8 @@
       && gr_steps_has_polled (io->steps, peer->worker)
       && (peer->failed_polls == 0 || gr_lateness_is_overloaded (&io->lateness)))
     until_ms = extend_lease (peer, io->run_lease_ms);
+  call->grants = until_ms > 0;
+  call->clock_changes = peer->clock_changes;
   call->acknowledged_end =
       gr_steps_end_to_acknowledge (io->steps, peer->worker);
   peer->acknowledged_sent = call->acknowledged_end;
