standins: the clock of each worker process starts anew

The stand-in kept one clock over all restarts under one id, and no limit on leases, so a deadline for the former process looked like any other.

--- a/standins/metastore.c
+++ b/standins/metastore.c
@@ -1045,3 +1045,10 @@
     running += gr_platform_worker_running (platform->workers->pdata[i], task);
   return running;
 }
+
+int64_t
+gr_standin_platform_worker_lease_ms (struct gr_standin_platform *platform,
+                                     uint32_t number)
+{
+  return gr_platform_worker_lease_ms (platform->workers->pdata[number]);
+}
--- a/standins/metastore.h
+++ b/standins/metastore.h
@@ -47,6 +47,11 @@
 gr_standin_platform_restart_worker (struct gr_standin_platform *platform,
                                     uint32_t number);
 
+/* Returns how long the lease of a worker still lasts, in ms. */
+int64_t
+gr_standin_platform_worker_lease_ms (struct gr_standin_platform *platform,
+                                     uint32_t number);
+
 /* Writes a key with a text value, as the operator or a worker does. */
 void gr_standin_platform_put (struct gr_standin_platform *platform,
                               const char *key,
--- a/standins/platform-worker.c
+++ b/standins/platform-worker.c
@@ -8,6 +8,12 @@
 /* Ends in a reply, according to the platform. */
 #define LISTED_ENDS 500
 
+/* Longest lease, according to the platform; a longer one is shortened. */
+#define MAX_HOLD_MS 10000
+
+/* Clock of a process at its start. */
+#define FIRST_CLOCK_MS 1000
+
 #define DEFAULT_RUN_MS 200
 #define CHECK_INTERVAL_MS 10
 
@@ -53,9 +59,10 @@
   char *label; /* "nNUMBER", of this worker alone */
   struct gr_standin_platform_settings settings;
   int64_t started_unix_ms;
+  int64_t clock_offset_ms; /* of the process's clock, from now_ms () */
   int64_t highest_epoch;
-  int64_t lease_expires_ms;
-  bool lapse_reported; /* of this lease */
+  int64_t lease_expires_ms; /* by now_ms () */
+  bool lapse_reported;      /* of this lease */
   bool draining;
   int64_t last_end_sequence;
   GPtrArray *runs; /* struct run, running */
@@ -180,12 +187,28 @@
   return rows;
 }
 
+/* Each process has a clock of its own that starts anew. */
 static void
-reply (struct gr_standin_call *call, guint status, const char *reason)
+start_clock (struct gr_platform_worker *worker)
+{
+  worker->clock_offset_ms = FIRST_CLOCK_MS - now_ms ();
+}
+
+static int64_t
+clock_ms (const struct gr_platform_worker *worker)
+{
+  return now_ms () + worker->clock_offset_ms;
+}
+
+static void
+reply (const struct gr_platform_worker *worker,
+       struct gr_standin_call *call,
+       guint status,
+       const char *reason)
 {
   JsonObject *body = json_object_new ();
 
-  json_object_set_int_member (body, "clock-ms", now_ms ());
+  json_object_set_int_member (body, "clock-ms", clock_ms (worker));
   if (reason != NULL)
     json_object_set_string_member (body, "reason", reason);
   gr_standin_reply (call, status, body);
@@ -197,7 +220,7 @@
 {
   JsonObject *body = json_object_new ();
 
-  json_object_set_int_member (body, "clock-ms", now_ms ());
+  json_object_set_int_member (body, "clock-ms", clock_ms (worker));
   json_object_set_int_member (body, "born", worker->started_unix_ms);
   json_object_set_array_member (body, "running", running_runs_to_json (worker));
   json_object_set_array_member (body, "ended", ended_runs_to_json (worker));
@@ -331,7 +354,7 @@
   if (!gr_json_get_int (call->body, "fencing-token", 0, INT64_MAX, 0, &epoch)
       || epoch < worker->highest_epoch)
     {
-      reply (call, 409, "fence");
+      reply (worker, call, 409, "fence");
       return true;
     }
   worker->highest_epoch = epoch;
@@ -354,10 +377,13 @@
 static void
 extend_lease (struct gr_platform_worker *worker, JsonObject *body)
 {
-  int64_t expires_ms = 0;
+  int64_t until_ms = 0;
 
-  if (gr_json_get_int (body, "deadline-ms", 0, INT64_MAX, 0, &expires_ms))
-    worker->lease_expires_ms = MAX (worker->lease_expires_ms, expires_ms);
+  if (gr_json_get_int (body, "deadline-ms", 0, INT64_MAX, 0, &until_ms)
+      && until_ms > 0)
+    worker->lease_expires_ms =
+        MAX (worker->lease_expires_ms,
+             MIN (until_ms - worker->clock_offset_ms, now_ms () + MAX_HOLD_MS));
   if (worker->lease_expires_ms > now_ms ())
     worker->lapse_reported = false;
 }
@@ -408,31 +434,31 @@
       || !gr_json_get_int (call->body, "deadline-ms", 0, INT64_MAX, 0,
                            &expires_ms))
     {
-      reply (call, 400, NULL);
+      reply (worker, call, 400, NULL);
       return;
     }
   run = find_run (worker, task);
   if (run != NULL && run->number == number)
     {
-      reply (call, 200, NULL);
+      reply (worker, call, 200, NULL);
       return;
     }
   extend_lease (worker, call->body);
   if (strstr (payload, "needs_ticket") != NULL
       && !gr_standin_ticket_is_valid (
           gr_json_peek_string (call->body, "ticket"), task, worker->id))
-    reply (call, 409, "ticket");
-  else if (expires_ms < now_ms ())
-    reply (call, 409, "late");
+    reply (worker, call, 409, "ticket");
+  else if (expires_ms < clock_ms (worker))
+    reply (worker, call, 409, "late");
   else if (number
            <= GPOINTER_TO_INT (g_hash_table_lookup (worker->ended_runs, task)))
-    reply (call, 409, "old");
+    reply (worker, call, 409, "old");
   else
     {
       start_run (worker, task, number, payload);
       /* A crash at once leaves the order without an answer. */
       if (!crashes_now (worker))
-        reply (call, 200, NULL);
+        reply (worker, call, 200, NULL);
     }
 }
 
@@ -446,7 +472,7 @@
   if (task == NULL
       || !gr_json_get_int (call->body, "run", 1, INT32_MAX, 0, &number))
     {
-      reply (call, 400, NULL);
+      reply (worker, call, 400, NULL);
       return;
     }
   run = find_run (worker, task);
@@ -454,7 +480,7 @@
     run->stop_ms = now_ms () + STOP_DELAY_MS;
   else
     record_ended_run (worker, task, number);
-  reply (call, 200, NULL);
+  reply (worker, call, 200, NULL);
 }
 
 static void
@@ -481,7 +507,7 @@
   if (!gr_json_get_int (call->body, "seen-upto", 0, INT64_MAX, 0, &acknowledged)
       || !gr_json_get_int (call->body, "wait-ms", 0, 2000, 0, &wait_ms))
     {
-      reply (call, 400, NULL);
+      reply (worker, call, 400, NULL);
       return;
     }
   while (worker->ends->len > 0
@@ -572,6 +598,7 @@
 
   worker->base = gr_standin_create (worker->address, &ops, worker, &ignored);
   worker->started_unix_ms = g_get_real_time () / 1000;
+  start_clock (worker);
 }
 
 int64_t
@@ -606,6 +633,7 @@
   worker->label = g_strdup_printf ("n%u", number);
   worker->data_centre = g_strdup_printf ("dc%u", rack % DATA_CENTRES + 1);
   worker->started_unix_ms = g_get_real_time () / 1000;
+  start_clock (worker);
   worker->runs = g_ptr_array_new_with_free_func (run_free);
   worker->ends = g_ptr_array_new_with_free_func (run_end_free);
   worker->ended_runs =
@@ -737,6 +765,12 @@
   return (uint32_t)GPOINTER_TO_INT (g_hash_table_lookup (worker->starts, task));
 }
 
+int64_t
+gr_platform_worker_lease_ms (const struct gr_platform_worker *worker)
+{
+  return MAX (worker->lease_expires_ms - now_ms (), 0);
+}
+
 uint32_t
 gr_platform_worker_running (const struct gr_platform_worker *worker,
                             const char *task)
--- a/standins/platform-worker.h
+++ b/standins/platform-worker.h
@@ -5,7 +5,8 @@
  * worker that has crashed refuses connections for 3 s and then returns, at the
  * same address, as a new incarnation without runs. Three racks in turn are in
  * the data centres dc1, dc2 and dc3. Each worker has the labels "a", that of
- * its rack and "nNUMBER". A reply lists 500 ends at most. */
+ * its rack and "nNUMBER". A reply lists 500 ends at most. The clock of each
+ * process starts anew, and no lease lasts longer than 10 s. */
 #pragma once
 
 #include "standins/metastore.h"
@@ -88,3 +89,6 @@
 /* Returns how many runs of a task are running on this worker. */
 uint32_t gr_platform_worker_running (const struct gr_platform_worker *worker,
                                      const char *task);
+
+/* Returns how long the worker's lease still lasts, in ms. */
+int64_t gr_platform_worker_lease_ms (const struct gr_platform_worker *worker);
