--- a/tests/test-instance.c
+++ b/tests/test-instance.c
@@ -1,10 +1,9 @@
 #include "common/log.h"
 #include "instance/call-budget.h"
 #include "instance/metrics.h"
-#include "instance/worker-io.h"
-#include "standins/metastore.h"
 #include "standins/relay.h"
 #include "steps/tenure.h"
+#include "tests/instance-fixture.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -12,199 +11,22 @@
 
 /* Parts of an instance, run against the stand-in of the users' platform. */
 
-#define MAX_WORKERS 32
-
-struct fixture
-{
-  uint32_t workers;
-  struct gr_standin_platform *platform;
-  struct gr_steps *steps;
-  struct gr_worker_io *io;
-  struct gr_clock *clock;
-  struct gr_counters *counters;
-};
-
-static void
-ignore_change (void *context)
-{
-  (void)context;
-}
-
-/* As the registry shows the worker; incarnation 0: it does not show it. */
-static void
-register_worker (struct fixture *fixture, uint32_t number, int64_t incarnation)
-{
-  const char *labels[] = { "a", "r1-0", NULL };
-  char id[16];
-  struct gr_steps_worker worker = {
-    .id = id,
-    .service = "render",
-    .rack = "r1-0",
-    .labels = labels,
-    .capacity = { 128000, 256000, 8 },
-    .incarnation_unix_ms = incarnation,
-  };
-
-  g_snprintf (id, sizeof id, "i-%04u", number);
-  gr_steps_set_worker (fixture->steps, &worker,
-                       gr_clock_now_ms (fixture->clock));
-  gr_steps_add_inherited_worker (fixture->steps, id,
-                                 gr_clock_now_ms (fixture->clock));
-  gr_worker_io_set_address (fixture->io, id,
-                            gr_standin_address (gr_standin_platform_worker (
-                                fixture->platform, number)));
-}
-
-static void
-fixture_create (struct fixture *fixture,
-                uint32_t workers,
-                uint32_t run_lease_ms)
-{
-  struct gr_error error = GR_ERROR_INIT;
-  struct gr_standin_platform_settings options = {
-    .listen = "127.0.0.1:0",
-    .workers = workers,
-    .per_rack = 8,
-    .accelerators = 8,
-    .cores = 128,
-    .memory_mb = 256000,
-  };
-  struct gr_steps_settings settings = {
-    .run_lease_ms = run_lease_ms,
-    .gang_wait_ms = 3000,
-    .reclaim_ms = 2700,
-    .isolation_ms = 100,
-    .checkpoint_ms = 1000,
-    .far_factor = 3,
-  };
-  struct gr_steps_queue queue = {
-    .name = "q",
-    .service = "render",
-    .priority = 1,
-    .max_attempts = 2,
-    .objective_ms = 1000,
-    .stretch = 3,
-  };
-
-  g_assert (workers <= MAX_WORKERS);
-  fixture->workers = workers;
-  fixture->platform = gr_standin_platform_create (&options, &error);
-  ck_assert_msg (fixture->platform != NULL, "%s", error.message);
-  fixture->clock = gr_clock_create ();
-  fixture->counters = gr_counters_create ();
-  fixture->steps =
-      gr_steps_create (&settings, 1, gr_clock_now_ms (fixture->clock));
-  gr_steps_set_queue (fixture->steps, &queue);
-  fixture->io = gr_worker_io_create (
-      fixture->steps, 1, run_lease_ms, fixture->clock, fixture->counters,
-      &(struct gr_worker_io_events){ ignore_change, NULL });
-  for (uint32_t i = 0; i < workers; i++)
-    register_worker (fixture, i, 0);
-}
-
-static void
-fixture_destroy (struct fixture *fixture)
-{
-  gr_worker_io_destroy (fixture->io);
-  gr_steps_destroy (fixture->steps);
-  gr_counters_destroy (fixture->counters);
-  gr_clock_destroy (fixture->clock);
-  gr_standin_platform_destroy (fixture->platform);
-}
-
-static gboolean
-on_tick (gpointer data)
-{
-  struct fixture *fixture = data;
-
-  gr_steps_tick (fixture->steps, gr_clock_now_ms (fixture->clock),
-                 gr_clock_unix_ms ());
-  gr_worker_io_run (fixture->io);
-  gr_steps_committed (fixture->steps, gr_steps_sequence (fixture->steps));
-  return G_SOURCE_CONTINUE;
-}
-
-static gboolean
-on_timeout (gpointer data)
-{
-  *(bool *)data = true;
-  return G_SOURCE_REMOVE;
-}
-
-static void
-run_main_loop (struct fixture *fixture, uint32_t duration_ms)
-{
-  bool elapsed = false;
-  guint tick = g_timeout_add (20, on_tick, fixture);
-
-  g_timeout_add (duration_ms, on_timeout, &elapsed);
-  while (!elapsed)
-    g_main_context_iteration (NULL, TRUE);
-  g_source_remove (tick);
-}
-
-static void
-add_one_job (struct fixture *fixture,
-             const char *id,
-             const char *payload,
-             uint32_t count,
-             uint32_t accelerators,
-             bool inherited)
-{
-  struct gr_step_spec step = {
-    .count = count,
-    .needs = { 1000, 100, accelerators },
-  };
-  struct gr_job_spec spec = {
-    .queue = (char *)"q",
-    .account = (char *)"a",
-    .payload = (char *)payload,
-    .steps = &step,
-    .n_steps = 1,
-  };
-
-  g_strlcpy (spec.id, id, sizeof spec.id);
-  gr_steps_add_job (fixture->steps, &spec, NULL, inherited,
-                    gr_clock_now_ms (fixture->clock));
-}
-
-static void
-add_job (struct fixture *fixture,
-         const char *id,
-         const char *payload,
-         uint32_t count,
-         uint32_t accelerators)
-{
-  add_one_job (fixture, id, payload, count, accelerators, false);
-}
-
-/* Adds a job that was accepted before the takeover. */
-static void
-add_inherited_job (struct fixture *fixture,
-                   const char *id,
-                   const char *payload,
-                   uint32_t count,
-                   uint32_t accelerators)
-{
-  add_one_job (fixture, id, payload, count, accelerators, true);
-}
-
 /* Guards against an owner beyond its isolation, as after a pause, that extends
  * leases which its successor takes for expired. */
 START_TEST (owner_beyond_its_isolation_sends_nothing)
 {
-  struct fixture fixture;
+  struct instance_fixture fixture;
   uint32_t calls;
 
-  fixture_create (&fixture, 1, 1000);
-  run_main_loop (&fixture, 200);
-  add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 8);
-  run_main_loop (&fixture, 200);
+  instance_fixture_create (&fixture, 1, 1000);
+  instance_fixture_run (&fixture, 200);
+  instance_fixture_add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 8);
+  instance_fixture_run (&fixture, 200);
   gr_steps_set_owner_lease (fixture.steps, gr_clock_now_ms (fixture.clock));
-  run_main_loop (&fixture, 300);
+  instance_fixture_run (&fixture, 300);
   calls = gr_standin_call_count (
       gr_standin_platform_worker (fixture.platform, 0), "/v1/hold");
-  run_main_loop (&fixture, 2000);
+  instance_fixture_run (&fixture, 2000);
   ck_assert_uint_eq (
       gr_standin_call_count (gr_standin_platform_worker (fixture.platform, 0),
                              "/v1/hold"),
@@ -212,7 +34,7 @@
   ck_assert_int_le (gr_steps_lease_limit_ms (fixture.steps)
                         - gr_clock_now_ms (fixture.clock),
                     0);
-  fixture_destroy (&fixture);
+  instance_fixture_destroy (&fixture);
 }
 END_TEST
 
@@ -221,13 +43,13 @@
  * expired. */
 START_TEST (silent_worker_loses_its_runs)
 {
-  struct fixture fixture;
+  struct instance_fixture fixture;
   uint32_t silent = MAX_WORKERS;
 
-  fixture_create (&fixture, 4, 2500);
-  run_main_loop (&fixture, 200);
-  add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 8);
-  run_main_loop (&fixture, 200);
+  instance_fixture_create (&fixture, 4, 2500);
+  instance_fixture_run (&fixture, 200);
+  instance_fixture_add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 8);
+  instance_fixture_run (&fixture, 200);
   for (uint32_t i = 0; i < fixture.workers; i++)
     {
       struct gr_standin *worker =
@@ -241,11 +63,11 @@
   ck_assert_uint_lt (silent, fixture.workers);
   /* The failure is detected after 1.9 s, and the lease of 2.5 s expires
    * later. */
-  run_main_loop (&fixture, 6000);
+  instance_fixture_run (&fixture, 6000);
   ck_assert_uint_eq (
       gr_standin_platform_starts (fixture.platform, "00000000000000a1.0.0.0"),
       2);
-  fixture_destroy (&fixture);
+  instance_fixture_destroy (&fixture);
 }
 END_TEST
 
@@ -255,22 +77,24 @@
  * workers of 350 no task was started any more. */
 START_TEST (silent_workers_do_not_hold_up_others)
 {
-  struct fixture fixture;
+  struct instance_fixture fixture;
   const uint32_t answering = 8;
   const uint32_t tasks = 64; /* as many as the responsive workers can run */
   uint32_t started = 0;
 
-  fixture_create (&fixture, MAX_WORKERS, 7000);
-  run_main_loop (&fixture, 200);
-  add_job (&fixture, "00000000000000a1", "run_ms=60000", MAX_WORKERS * 8, 1);
-  run_main_loop (&fixture, 1000);
+  instance_fixture_create (&fixture, MAX_WORKERS, 7000);
+  instance_fixture_run (&fixture, 200);
+  instance_fixture_add_job (&fixture, "00000000000000a1", "run_ms=60000",
+                            MAX_WORKERS * 8, 1);
+  instance_fixture_run (&fixture, 1000);
   for (uint32_t i = answering; i < MAX_WORKERS; i++)
     gr_standin_faults (gr_standin_platform_worker (fixture.platform, i))
         ->silent = 1;
   gr_steps_cancel_job (fixture.steps, "00000000000000a1");
-  run_main_loop (&fixture, 3000);
-  add_job (&fixture, "00000000000000a2", "run_ms=60000", tasks, 1);
-  run_main_loop (&fixture, 1000);
+  instance_fixture_run (&fixture, 3000);
+  instance_fixture_add_job (&fixture, "00000000000000a2", "run_ms=60000", tasks,
+                            1);
+  instance_fixture_run (&fixture, 1000);
   for (uint32_t i = 0; i < tasks; i++)
     {
       char task[GR_TASK_NAME_SIZE];
@@ -279,7 +103,7 @@
       started += gr_standin_platform_starts (fixture.platform, task);
     }
   ck_assert_uint_eq (started, tasks);
-  fixture_destroy (&fixture);
+  instance_fixture_destroy (&fixture);
 }
 END_TEST
 
@@ -288,12 +112,12 @@
  * process had ended. */
 START_TEST (refused_connection_ends_no_run)
 {
-  struct fixture fixture;
+  struct instance_fixture fixture;
   struct gr_relay *relays[2];
   struct gr_error error = GR_ERROR_INIT;
   const char *task = "00000000000000a1.0.0.0";
 
-  fixture_create (&fixture, 2, 4000);
+  instance_fixture_create (&fixture, 2, 4000);
   for (uint32_t i = 0; i < 2; i++)
     {
       g_autofree char *id = g_strdup_printf ("i-%04u", i);
@@ -305,29 +129,29 @@
       ck_assert_msg (relays[i] != NULL, "%s", error.message);
       gr_worker_io_set_address (fixture.io, id, gr_relay_address (relays[i]));
     }
-  run_main_loop (&fixture, 200);
-  add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 8);
-  run_main_loop (&fixture, 200);
+  instance_fixture_run (&fixture, 200);
+  instance_fixture_add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 8);
+  instance_fixture_run (&fixture, 200);
   for (uint32_t i = 0; i < 2; i++)
     if (gr_standin_call_count (gr_standin_platform_worker (fixture.platform, i),
                                "/v1/run-start")
         > 0)
       gr_relay_set_closed (relays[i], true);
   /* Its lease was extended at most 1.5 s before. */
-  run_main_loop (&fixture, 2000);
+  instance_fixture_run (&fixture, 2000);
   ck_assert_uint_eq (gr_standin_platform_starts (fixture.platform, task), 1);
-  run_main_loop (&fixture, 4000);
+  instance_fixture_run (&fixture, 4000);
   ck_assert_uint_eq (gr_standin_platform_starts (fixture.platform, task), 2);
   ck_assert_uint_eq (gr_standin_platform_running (fixture.platform, task), 1);
   for (uint32_t i = 0; i < 2; i++)
     gr_relay_destroy (relays[i]);
-  fixture_destroy (&fixture);
+  instance_fixture_destroy (&fixture);
 }
 END_TEST
 
 /* Adds a worker that only the former owner's list names. */
 static void
-inherit_worker (struct fixture *fixture, const char *address)
+inherit_worker (struct instance_fixture *fixture, const char *address)
 {
   gr_steps_add_inherited_worker (fixture->steps, "i-gone",
                                  gr_clock_now_ms (fixture->clock));
@@ -340,17 +164,18 @@
  * owner is fenced, 3 s and the drift of clocks. */
 START_TEST (refused_connection_does_not_show_what_ran_before_a_takeover)
 {
-  struct fixture fixture;
+  struct instance_fixture fixture;
   const char *task = "00000000000000a1.0.0.0";
 
-  fixture_create (&fixture, 4, 3000);
+  instance_fixture_create (&fixture, 4, 3000);
   inherit_worker (&fixture, "127.0.0.1:1");
-  add_inherited_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 1);
-  run_main_loop (&fixture, 2900);
+  instance_fixture_add_inherited_job (&fixture, "00000000000000a1",
+                                      "run_ms=60000", 1, 1);
+  instance_fixture_run (&fixture, 2900);
   ck_assert_uint_eq (gr_standin_platform_starts (fixture.platform, task), 0);
-  run_main_loop (&fixture, 1000);
+  instance_fixture_run (&fixture, 1000);
   ck_assert_uint_eq (gr_standin_platform_starts (fixture.platform, task), 1);
-  fixture_destroy (&fixture);
+  instance_fixture_destroy (&fixture);
 }
 END_TEST
 
@@ -360,16 +185,17 @@
  * took 8.5 s after all instances were killed. */
 START_TEST (answer_of_another_worker_shows_that_a_worker_is_gone)
 {
-  struct fixture fixture;
+  struct instance_fixture fixture;
   const char *task = "00000000000000a1.0.0.0";
 
-  fixture_create (&fixture, 4, 7000);
+  instance_fixture_create (&fixture, 4, 7000);
   inherit_worker (&fixture, gr_standin_address (gr_standin_platform_worker (
                                 fixture.platform, 0)));
-  add_inherited_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 1);
-  run_main_loop (&fixture, 1000);
+  instance_fixture_add_inherited_job (&fixture, "00000000000000a1",
+                                      "run_ms=60000", 1, 1);
+  instance_fixture_run (&fixture, 1000);
   ck_assert_uint_eq (gr_standin_platform_starts (fixture.platform, task), 1);
-  fixture_destroy (&fixture);
+  instance_fixture_destroy (&fixture);
 }
 END_TEST
 
@@ -377,13 +203,13 @@
  * another writer names the address of another worker under its id. */
 START_TEST (answer_at_an_address_of_another_writer_ends_no_run)
 {
-  struct fixture fixture;
+  struct instance_fixture fixture;
   const char *task = "00000000000000a1.0.0.0";
 
-  fixture_create (&fixture, 2, 7000);
-  run_main_loop (&fixture, 200);
-  add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 8);
-  run_main_loop (&fixture, 200);
+  instance_fixture_create (&fixture, 2, 7000);
+  instance_fixture_run (&fixture, 200);
+  instance_fixture_add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 8);
+  instance_fixture_run (&fixture, 200);
   for (uint32_t i = 0; i < 2; i++)
     if (gr_steps_worker_load (fixture.steps, i == 0 ? "i-0000" : "i-0001") > 0)
       {
@@ -391,14 +217,14 @@
             fixture.io, i == 0 ? "i-0000" : "i-0001",
             gr_standin_address (
                 gr_standin_platform_worker (fixture.platform, 1 - i)));
-        run_main_loop (&fixture, 1500);
-        register_worker (&fixture, i, 0);
+        instance_fixture_run (&fixture, 1500);
+        instance_fixture_register (&fixture, i, 0);
         break;
       }
-  run_main_loop (&fixture, 500);
+  instance_fixture_run (&fixture, 500);
   ck_assert_uint_eq (gr_standin_platform_starts (fixture.platform, task), 1);
   ck_assert_uint_eq (gr_standin_platform_running (fixture.platform, task), 1);
-  fixture_destroy (&fixture);
+  instance_fixture_destroy (&fixture);
 }
 END_TEST
 
@@ -406,26 +232,26 @@
  * after the first one was started there. The worker was idle and not polled. */
 START_TEST (restart_that_is_noticed_late_starts_no_task_twice)
 {
-  struct fixture fixture;
+  struct instance_fixture fixture;
   const char *task = "00000000000000a1.0.0.0";
   int64_t incarnation;
 
-  fixture_create (&fixture, 1, 7000);
-  run_main_loop (&fixture, 200);
+  instance_fixture_create (&fixture, 1, 7000);
+  instance_fixture_run (&fixture, 200);
   incarnation = gr_standin_platform_restart_worker (fixture.platform, 0);
-  add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 1);
-  run_main_loop (&fixture, 200);
+  instance_fixture_add_job (&fixture, "00000000000000a1", "run_ms=60000", 1, 1);
+  instance_fixture_run (&fixture, 200);
   ck_assert_uint_eq (gr_standin_platform_starts (fixture.platform, task), 1);
-  register_worker (&fixture, 0, incarnation);
-  run_main_loop (&fixture, 500);
+  instance_fixture_register (&fixture, 0, incarnation);
+  instance_fixture_run (&fixture, 500);
   ck_assert_uint_eq (gr_standin_platform_starts (fixture.platform, task), 1);
   ck_assert_uint_eq (gr_steps_worker_load (fixture.steps, "i-0000"), 1);
-  fixture_destroy (&fixture);
+  instance_fixture_destroy (&fixture);
 }
 END_TEST
 
 static enum gr_job_state
-job_state (const struct fixture *fixture, const char *id)
+job_state (const struct instance_fixture *fixture, const char *id)
 {
   struct gr_job_progress progress;
   enum gr_job_state state;
@@ -446,17 +272,19 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (payloads); i++)
     {
-      struct fixture fixture;
-
-      fixture_create (&fixture, 16, 7000);
-      run_main_loop (&fixture, 200);
-      add_job (&fixture, "00000000000000a2", "run_ms=2000", 64, 1);
-      run_main_loop (&fixture, 200);
-      add_job (&fixture, "00000000000000a1", payloads[i], 1, 1);
+      struct instance_fixture fixture;
+
+      instance_fixture_create (&fixture, 16, 7000);
+      instance_fixture_run (&fixture, 200);
+      instance_fixture_add_job (&fixture, "00000000000000a2", "run_ms=2000", 64,
+                                1);
+      instance_fixture_run (&fixture, 200);
+      instance_fixture_add_job (&fixture, "00000000000000a1", payloads[i], 1,
+                                1);
       for (int k = 0;
            k < 5 && job_state (&fixture, "00000000000000a1") != GR_JOB_FAILED;
            k++)
-        run_main_loop (&fixture, 3400);
+        instance_fixture_run (&fixture, 3400);
       ck_assert_uint_ge (gr_standin_platform_starts (fixture.platform, task),
                          2);
       ck_assert_uint_le (gr_standin_platform_starts (fixture.platform, task),
@@ -465,7 +293,7 @@
                         GR_JOB_FAILED);
       ck_assert_int_eq (job_state (&fixture, "00000000000000a2"),
                         GR_JOB_COMPLETED);
-      fixture_destroy (&fixture);
+      instance_fixture_destroy (&fixture);
     }
 }
 END_TEST
@@ -476,18 +304,19 @@
  * again on another worker. */
 START_TEST (late_answers_do_not_lose_runs)
 {
-  struct fixture fixture;
+  struct instance_fixture fixture;
   const uint32_t tasks = 48;
   const int64_t answer_after_ms = 900;
 
-  fixture_create (&fixture, 16, 6000);
-  run_main_loop (&fixture, 200);
-  add_job (&fixture, "00000000000000a1", "run_ms=9000", tasks, 1);
-  run_main_loop (&fixture, 500);
+  instance_fixture_create (&fixture, 16, 6000);
+  instance_fixture_run (&fixture, 200);
+  instance_fixture_add_job (&fixture, "00000000000000a1", "run_ms=9000", tasks,
+                            1);
+  instance_fixture_run (&fixture, 500);
   for (uint32_t i = 0; i < fixture.workers; i++)
     gr_standin_faults (gr_standin_platform_worker (fixture.platform, i))
         ->answer_after_ms = answer_after_ms;
-  run_main_loop (&fixture, 12000);
+  instance_fixture_run (&fixture, 12000);
   for (uint32_t i = 0; i < tasks; i++)
     {
       char task[GR_TASK_NAME_SIZE];
@@ -497,7 +326,7 @@
                      "%s was started %u times", task,
                      gr_standin_platform_starts (fixture.platform, task));
     }
-  fixture_destroy (&fixture);
+  instance_fixture_destroy (&fixture);
 }
 END_TEST
 
@@ -586,12 +415,12 @@
 {
   struct gr_metrics_state state = { .is_owner = true };
   GString *text = g_string_new (NULL);
-  struct fixture fixture;
+  struct instance_fixture fixture;
   g_auto (GStrv) lines = NULL;
 
-  fixture_create (&fixture, 4, 7000);
-  add_job (&fixture, "00000000000000a1", "run_ms=100", 4, 1);
-  run_main_loop (&fixture, 500);
+  instance_fixture_create (&fixture, 4, 7000);
+  instance_fixture_add_job (&fixture, "00000000000000a1", "run_ms=100", 4, 1);
+  instance_fixture_run (&fixture, 500);
   gr_steps_counts (fixture.steps, &state.counts);
   gr_metrics_set (fixture.counters, &state);
   gr_counters_print (fixture.counters, text);
@@ -606,7 +435,7 @@
   ck_assert_ptr_nonnull (strstr (text->str, "geraniumrack_workers{} 4"));
   ck_assert_ptr_nonnull (strstr (text->str, "geraniumrack_worker_calls_total"));
   g_string_free (text, TRUE);
-  fixture_destroy (&fixture);
+  instance_fixture_destroy (&fixture);
 }
 END_TEST
 
