platform: calls are bound to the process that they are meant for

Callers: tasks ran twice (TWICE) where executors restarted under their ids and were cut off soon after. Cause: polls and starts that were composed for one process of a worker reached the next one, on a connection that was opened while the machine was down or when the call was sent again; their deadline on the former clock gave it a lease of max-hold-ms that no owner knew of. A connection ends with the process that has accepted it. A call that grants, acknowledges or orders something is now sent only on a connection on which its process has answered; on a new connection a poll without effect goes first. An answer of another process fails the call as not sent, and the worker is polled anew. gr_pool_request.reuse_only is gone: an isolated owner's orders are bound in the same way, and may open connections, as the probe is a poll.

--- a/bench/calls.c
+++ b/bench/calls.c
@@ -230,7 +230,7 @@
   workers_open (&workers);
   thread = g_thread_new ("workers", run_workers, &workers);
   if (use_pool)
-    load.pool = gr_call_pool_create (CONNECTIONS);
+    load.pool = gr_call_pool_create (CONNECTIONS, NULL);
   else
     for (size_t i = 0; i < G_N_ELEMENTS (load.sessions); i++)
       load.sessions[i] = gr_http_create_shared (CONNECTIONS, deadlines);
--- a/common/error.c
+++ b/common/error.c
@@ -42,6 +42,9 @@
                           "The shard has no owner" },
   [GR_ERROR_NO_TARGET] = { "no-target", 503, GR_RUN_NOT_RUN, 7,
                            "No target is available" },
+  [GR_ERROR_OTHER_PROCESS] = { "other-process", 503, GR_RUN_NOT_RUN, 7,
+                               "Another process has taken the place of the "
+                               "target" },
   [GR_ERROR_SHUTTING_DOWN] = { "shutting-down", 503, GR_RUN_NOT_RUN, 7,
                                "This instance is stopping" },
   [GR_ERROR_UNCONFIRMED] = { "unconfirmed", 504, GR_RUN_MAY_HAVE_RUN, 8,
--- a/http/call-pool.c
+++ b/http/call-pool.c
@@ -45,9 +45,11 @@
   struct address *address;
   struct pool_call *call; /* NULL if there is none, or if it has timed out */
   int fd;                 /* -1 after the connection was closed */
+  int64_t process;        /* that has answered on it; 0: not known */
   bool connected;
   bool taken_over;        /* by a later call than that it was opened for */
   bool reused;            /* it has carried a response before */
+  bool probing;           /* the request is the probe of the call */
   bool awaits_late;       /* for the response to a call that has timed out */
   bool watches_write;     /* epoll reports when it becomes writable */
   bool response_begun;    /* bytes of the current response were received */
@@ -66,10 +68,11 @@
   struct address *address;
   struct connection *connection; /* NULL while waiting for one */
   GByteArray *request;
+  GByteArray *probe; /* NULL if any process may receive the request */
+  int64_t process;
   struct gr_deadline deadline;
   bool written; /* bytes of the request may have been sent */
   bool resent;
-  bool reuse_only;
   struct gr_error failure; /* reported when the deadline expires, if set */
   void (*done) (const struct gr_pool_response *response,
                 const struct gr_error *error,
@@ -79,6 +82,7 @@
 
 struct gr_call_pool
 {
+  int64_t (*identify) (const struct gr_pool_response *response);
   uint32_t max_connections;
   int epoll_fd;
   guint source;
@@ -139,6 +143,8 @@
 {
   gr_deadline_clear (&call->deadline);
   g_byte_array_unref (call->request);
+  if (call->probe != NULL)
+    g_byte_array_unref (call->probe);
   g_free (call);
 }
 
@@ -158,7 +164,7 @@
 static enum gr_error_kind
 failure_kind (const struct pool_call *call, enum gr_error_kind kind)
 {
-  if (kind == GR_ERROR_NOT_FOUND)
+  if (kind == GR_ERROR_NOT_FOUND || kind == GR_ERROR_OTHER_PROCESS)
     return call->written ? GR_ERROR_IO : kind;
   return call->written ? kind : GR_ERROR_NO_TARGET;
 }
@@ -217,7 +223,7 @@
       call->connection = NULL;
       g_queue_push_head (&address->waiting, call);
     }
-  else if (call != NULL && may_resend && !call->resent && !call->reuse_only)
+  else if (call != NULL && may_resend && !call->resent)
     {
       call->connection = NULL;
       call->resent = true;
@@ -254,7 +260,7 @@
 
   if (!connection->connected || left == 0)
     return;
-  if (connection->call != NULL)
+  if (connection->call != NULL && !connection->probing)
     connection->call->written = true;
   size = send (connection->fd, connection->request->data + connection->sent,
                left, MSG_NOSIGNAL);
@@ -309,10 +315,25 @@
   .on_message_complete = on_message_complete,
 };
 
-/* Gives the call to a connection without one. */
+/* Returns whether a call for a process may be written to the connection. */
+static bool
+reaches_process (const struct connection *connection,
+                 const struct pool_call *call)
+{
+  return call->process == 0 || connection->process == call->process;
+}
+
+/* Gives the call to a connection without one. On one whose process is not known
+ * the probe goes first. */
 static void
 assign_call (struct connection *connection, struct pool_call *call)
 {
+  const GByteArray *bytes;
+
+  connection->probing = !reaches_process (connection, call);
+  bytes = connection->probing ? call->probe : call->request;
+  if (connection->probing)
+    connection->pool->stats.probes++;
   gr_deadline_clear (&connection->late_deadline);
   connection->call = call;
   call->connection = connection;
@@ -320,8 +341,7 @@
   connection->response_complete = false;
   connection->sent = 0;
   g_byte_array_set_size (connection->request, 0);
-  g_byte_array_append (connection->request, call->request->data,
-                       call->request->len);
+  g_byte_array_append (connection->request, bytes->data, bytes->len);
   http_parser_init (&connection->parser, HTTP_RESPONSE);
   connection->parser.data = connection;
   write_request (connection);
@@ -373,28 +393,38 @@
   return connection->call == NULL && !connection->awaits_late;
 }
 
+/* Returns an open connection without a call, if possible one on which the
+ * call's process has answered. Never one on which another process has. */
 static struct connection *
-find_idle (const struct address *address)
+find_idle (const struct address *address, const struct pool_call *call)
 {
+  struct connection *unknown = NULL;
+
   for (guint i = 0; i < address->connections->len; i++)
     {
       struct connection *connection = address->connections->pdata[i];
 
-      if (is_idle (connection) && connection->connected)
+      if (!is_idle (connection) || !connection->connected)
+        continue;
+      if (reaches_process (connection, call))
         return connection;
+      if (connection->process == 0)
+        unknown = connection;
     }
-  return NULL;
+  return unknown;
 }
 
 /* Returns a connection for the next call to the address, or NULL if all are in
  * use. *failed is set if one could not be opened. At the limit of connections,
- * one that waits for a late response gives way. */
+ * one that waits for a late response or belongs to another process gives
+ * way. */
 static struct connection *
 get_connection (struct gr_call_pool *pool,
                 struct address *address,
+                const struct pool_call *call,
                 bool *failed)
 {
-  struct connection *late = find_idle (address);
+  struct connection *late = find_idle (address, call);
 
   *failed = false;
   if (late != NULL)
@@ -440,13 +470,7 @@
       struct connection *connection;
       bool failed;
 
-      if (call->reuse_only && find_idle (address) == NULL)
-        {
-          g_queue_pop_head (&address->waiting);
-          call_fail_later (call, GR_ERROR_NO_TARGET, "no connection is open");
-          continue;
-        }
-      connection = get_connection (pool, address, &failed);
+      connection = get_connection (pool, address, call, &failed);
       if (connection == NULL && !failed)
         return;
       g_queue_pop_head (&address->waiting);
@@ -457,12 +481,36 @@
     }
 }
 
+/* The probe of a call was answered: sends the call itself if the answer is from
+ * its process. Returns false if it is that of the call as well. */
+static bool
+probe_answered (struct connection *connection,
+                struct pool_call *call,
+                uint32_t status)
+{
+  if (connection->fd >= 0 && reaches_process (connection, call))
+    assign_call (connection, call);
+  else if (connection->process == 0 && status != 200)
+    return false;
+  else if (reaches_process (connection, call))
+    call_fail_later (call, GR_ERROR_IO,
+                     "the peer closed the connection after the probe");
+  else if (connection->process == 0)
+    call_fail_later (call, GR_ERROR_PROTOCOL,
+                     "the response to the probe names no process");
+  else
+    call_fail_later (call, GR_ERROR_OTHER_PROCESS,
+                     "another process has answered at the address");
+  return true;
+}
+
 static void
 finish_response (struct connection *connection)
 {
   struct gr_call_pool *pool = connection->pool;
   struct address *address = connection->address;
   struct pool_call *call = connection->call;
+  bool probing = connection->probing;
   struct gr_pool_response response = {
     .status = connection->parser.status_code,
     .resent = call != NULL && call->resent,
@@ -470,13 +518,19 @@
     .size = connection->body->len,
   };
 
+  if (connection->process == 0 && pool->identify != NULL)
+    connection->process = pool->identify (&response);
   connection->call = NULL;
+  connection->probing = false;
   connection->awaits_late = false;
   connection->reused = true;
   gr_deadline_clear (&connection->late_deadline);
   address->timeouts_in_a_row = 0;
   if (!connection->keep_alive || connection->sent < connection->request->len)
     connection_close (connection);
+  if (call != NULL && probing
+      && probe_answered (connection, call, response.status))
+    call = NULL;
   serve_address (pool, address);
   if (call != NULL)
     call_end (call, &response, NULL);
@@ -687,13 +741,13 @@
 }
 
 static GByteArray *
-build_request (const struct gr_pool_request *request)
+build_request (const struct gr_pool_request *request, const char *address)
 {
   GByteArray *bytes = g_byte_array_sized_new ((guint)request->size + 256);
   g_autofree char *head = g_strdup_printf (
       "POST %s HTTP/1.1\r\nHost: %s\r\n%sContent-Type: application/json\r\n"
       "Content-Length: %zu\r\n\r\n",
-      request->path, request->address, request->headers, request->size);
+      request->path, address, request->headers, request->size);
 
   g_byte_array_append (bytes, (const guint8 *)head, (guint)strlen (head));
   g_byte_array_append (bytes, (const guint8 *)request->body,
@@ -713,8 +767,10 @@
 
   call->pool = pool;
   call->address = get_address (pool, request->address);
-  call->request = build_request (request);
-  call->reuse_only = request->reuse_only;
+  call->request = build_request (request, request->address);
+  call->process = request->process;
+  if (request->process != 0)
+    call->probe = build_request (request->probe, request->address);
   call->done = done;
   call->context = context;
   g_hash_table_add (pool->calls, call);
@@ -737,10 +793,14 @@
 }
 
 struct gr_call_pool *
-gr_call_pool_create (uint32_t connections)
+gr_call_pool_create (
+    uint32_t connections,
+    int64_t (*identify) (const struct gr_pool_response *response))
 {
   struct gr_call_pool *pool = g_new0 (struct gr_call_pool, 1);
 
+  pool->identify = identify;
+
   pool->max_connections = connections;
   pool->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
   g_assert (pool->epoll_fd >= 0);
--- a/instance/worker-clock.c
+++ b/instance/worker-clock.c
@@ -42,16 +42,20 @@
 
 bool
 gr_worker_clock_update (struct gr_worker_clock *clock,
+                        int64_t incarnation_unix_ms,
                         int64_t clock_ms,
                         int64_t sent_ms,
                         int64_t now_ms)
 {
   bool same;
 
-  if (clock_ms == 0 || (clock->clock_ms != 0 && sent_ms < clock->sent_ms))
+  if (incarnation_unix_ms == 0 || clock_ms == 0
+      || (clock->clock_ms != 0 && sent_ms < clock->sent_ms))
     return true;
-  same =
-      clock->clock_ms == 0 || is_same_clock (clock, clock_ms, sent_ms, now_ms);
-  *clock = (struct gr_worker_clock){ clock_ms, now_ms, sent_ms };
+  same = clock->clock_ms == 0
+         || (clock->incarnation_unix_ms == incarnation_unix_ms
+             && is_same_clock (clock, clock_ms, sent_ms, now_ms));
+  *clock = (struct gr_worker_clock){ incarnation_unix_ms, clock_ms, now_ms,
+                                     sent_ms };
   return same;
 }
--- a/instance/worker-clock.h
+++ b/instance/worker-clock.h
@@ -1,6 +1,5 @@
-/* A worker's clock, as known from its answers. Leases are times on it. A
- * process that has been restarted has another clock, which the answers to
- * orders show first. */
+/* The clock of a worker's process, as known from its answers. Leases are times
+ * on it. A process that has been restarted has another clock. */
 #pragma once
 
 #include <stdbool.h>
@@ -9,16 +8,19 @@
 /* Zero: unknown. */
 struct gr_worker_clock
 {
-  int64_t clock_ms; /* worker's clock at handled_ms of ours */
+  int64_t incarnation_unix_ms; /* of the process */
+  int64_t clock_ms;            /* worker's clock at handled_ms of ours */
   int64_t handled_ms;
   int64_t sent_ms; /* when the call that was answered so was sent */
 };
 
-/* Takes the time clock_ms (0: none) from an answer that is handled at now_ms;
- * its call was sent at sent_ms. Ignored if the call was sent earlier than that
- * of the known time. Returns false if the worker has another clock than the
- * known one, so that its process must be another. */
+/* Takes the time clock_ms (0: none) from an answer of a process (0: it is not
+ * known which) that is handled at now_ms; its call was sent at sent_ms. Ignored
+ * without a process, or if the call was sent earlier than that of the known
+ * time. Returns false if the process or the clock is another than the known
+ * one. */
 bool gr_worker_clock_update (struct gr_worker_clock *clock,
+                             int64_t incarnation_unix_ms,
                              int64_t clock_ms,
                              int64_t sent_ms,
                              int64_t now_ms);
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -47,7 +47,6 @@
   int64_t next_poll_ms;
   int64_t acknowledged_sent;
   uint32_t failed_polls;
-  uint32_t clock_changes;
   bool answered; /* a poll, at this address */
   bool long_poll_in_flight;
   bool poll_in_flight; /* returns at once */
@@ -70,13 +69,19 @@
   bool destroyed;
 };
 
+static const char *const order_names[] = {
+  [GR_ORDER_START] = "start",
+  [GR_ORDER_STOP] = "stop",
+  [GR_ORDER_PACE] = "pace",
+};
+
 struct order_call
 {
   struct peer *peer;
   struct gr_order order;
   int64_t sent_ms;
-  uint32_t clock_changes; /* of the peer when the order was sent */
-  bool counted;           /* result of gr_call_budget_begin () */
+  int64_t incarnation_unix_ms; /* of the process that it was sent to; 0: any */
+  bool counted;                /* result of gr_call_budget_begin () */
 };
 
 struct poll_call
@@ -85,8 +90,7 @@
   bool is_long_poll;
   int64_t sent_ms;
   int64_t acknowledged_end;
-  uint32_t clock_changes; /* of the peer when the poll was sent */
-  bool grants;            /* extends the lease */
+  int64_t incarnation_unix_ms; /* of the process that it was sent to; 0: any */
   bool counted;
 };
 
@@ -120,40 +124,51 @@
 }
 
 static struct gr_worker_target
-target_of (const struct peer *peer)
+target_of (const struct peer *peer, int64_t incarnation_unix_ms)
 {
-  return (struct gr_worker_target){ .worker = peer->worker,
-                                    .address = peer->address,
-                                    .epoch = peer->io->epoch };
+  return (struct gr_worker_target){
+    .worker = peer->worker,
+    .address = peer->address,
+    .epoch = peer->io->epoch,
+    .incarnation_unix_ms = incarnation_unix_ms,
+  };
 }
 
 static void
-update_clock (struct peer *peer, int64_t clock_ms, int64_t sent_ms)
+update_clock (struct peer *peer,
+              int64_t incarnation_unix_ms,
+              int64_t clock_ms,
+              int64_t sent_ms)
 {
   int64_t now_ms = gr_clock_now_ms (peer->io->clock);
 
-  if (gr_worker_clock_update (&peer->clock, clock_ms, sent_ms, now_ms))
+  if (gr_worker_clock_update (&peer->clock, incarnation_unix_ms, clock_ms,
+                              sent_ms, now_ms))
     return;
-  peer->clock_changes++;
   gr_log_event ("worker-clock-changed", "worker", peer->worker, NULL);
   gr_steps_worker_clock_changed (peer->io->steps, peer->worker, now_ms);
 }
 
-/* Logs a call that granted a lease on the clock of a former process and ends
- * after a later one has answered: if that one has carried it out, it holds a
- * lease of max-hold-ms. */
+/* Another process has answered in place of the one that a call was meant for.
+ * It is polled before anything is granted to it. */
 static void
-log_former_grant (const struct peer *peer,
-                  const char *call,
-                  int64_t sent_ms,
-                  bool answered)
+forget_process (struct peer *peer,
+                const char *call,
+                int64_t incarnation_unix_ms,
+                int64_t sent_ms)
 {
+  char incarnation[24];
   char age[24];
 
+  g_snprintf (incarnation, sizeof incarnation, "%" G_GINT64_FORMAT,
+              incarnation_unix_ms);
   g_snprintf (age, sizeof age, "%" G_GINT64_FORMAT,
               gr_clock_now_ms (peer->io->clock) - sent_ms);
-  gr_log_event ("lease-on-former-clock", "worker", peer->worker, "call", call,
-                "sent_ms", age, "answered", answered ? "yes" : "no", NULL);
+  gr_log_event ("call-for-former-process", "worker", peer->worker, "call", call,
+                "incarnation", incarnation, "sent_ms", age, NULL);
+  if (peer->clock.incarnation_unix_ms == incarnation_unix_ms)
+    peer->clock = (struct gr_worker_clock){ 0 };
+  peer->next_poll_ms = 0;
 }
 
 /* Returns the time on the worker's clock term_ms from now, or less if that is
@@ -205,10 +220,10 @@
    * of each order. */
   if (!io->destroyed)
     {
-      update_clock (peer, clock_ms, call->sent_ms);
-      if (call->order.kind == GR_ORDER_START && result != GR_ORDER_NOT_SENT
-          && call->clock_changes != peer->clock_changes)
-        log_former_grant (peer, "start", call->sent_ms, answered);
+      update_clock (peer, call->incarnation_unix_ms, clock_ms, call->sent_ms);
+      if (result == GR_ORDER_OTHER_PROCESS)
+        forget_process (peer, order_names[call->order.kind],
+                        call->incarnation_unix_ms, call->sent_ms);
       gr_steps_order_result (io->steps, &call->order, result,
                              gr_clock_now_ms (io->clock));
       io->events.changed (io->events.context);
@@ -217,6 +232,16 @@
   peer_release (peer);
 }
 
+/* Without the worker's clock a start cannot say until when it is valid. */
+static bool
+may_send_order (const struct peer *peer, const struct gr_order *order)
+{
+  if (order->kind == GR_ORDER_START)
+    return gr_worker_clock_is_current (&peer->clock,
+                                       gr_clock_now_ms (peer->io->clock));
+  return !order->same_process || peer->clock.incarnation_unix_ms != 0;
+}
+
 static void
 send_order (struct gr_worker_io *io, const struct gr_order *order)
 {
@@ -227,11 +252,7 @@
       gr_lateness_timeout_ms (&io->lateness, GR_ORDER_TIMEOUT_MS);
   struct order_call *call;
 
-  /* Without the worker's clock a start cannot say until when it is valid. */
-  if (peer == NULL
-      || (order->kind == GR_ORDER_START
-          && !gr_worker_clock_is_current (&peer->clock,
-                                          gr_clock_now_ms (io->clock))))
+  if (peer == NULL || !may_send_order (peer, order))
     {
       gr_steps_order_result (io->steps, order, GR_ORDER_NOT_SENT,
                              gr_clock_now_ms (io->clock));
@@ -241,13 +262,12 @@
   call->peer = peer;
   call->order = *order;
   call->sent_ms = gr_clock_now_ms (io->clock);
-  call->clock_changes = peer->clock_changes;
+  call->incarnation_unix_ms = peer->clock.incarnation_unix_ms;
   reply.context = call;
   call->counted =
       gr_call_budget_begin (&io->budget, &peer->calls, GR_BUDGET_ORDER);
   peer->open_calls++;
-  target = target_of (peer);
-  target.same_process = order->same_process;
+  target = target_of (peer, call->incarnation_unix_ms);
   if (order->kind == GR_ORDER_START)
     {
       int64_t left_ms = order->start_limit_ms - gr_clock_now_ms (io->clock);
@@ -284,7 +304,10 @@
 }
 
 static void
-poll_failed (struct peer *peer, const struct gr_error *error, int64_t sent_ms)
+poll_failed (struct peer *peer,
+             const struct gr_error *error,
+             int64_t incarnation_unix_ms,
+             int64_t sent_ms)
 {
   struct gr_worker_io *io = peer->io;
   int64_t now_ms = gr_clock_now_ms (io->clock);
@@ -294,7 +317,9 @@
   if (peer->failed_polls == 1)
     gr_log_event ("worker-look-failed", "worker", peer->worker, "reason",
                   error->message, NULL);
-  if (shows_that_worker_is_gone (peer, error))
+  if (error->kind == GR_ERROR_OTHER_PROCESS)
+    forget_process (peer, "poll", incarnation_unix_ms, sent_ms);
+  else if (shows_that_worker_is_gone (peer, error))
     gr_steps_worker_gone (io->steps, peer->worker, sent_ms, now_ms);
   else if (error->kind == GR_ERROR_NOT_FOUND)
     {
@@ -316,6 +341,7 @@
   struct gr_worker_io *io = peer->io;
   int64_t sent_ms = call->sent_ms;
   int64_t acknowledged_end = call->acknowledged_end;
+  int64_t incarnation_unix_ms = call->incarnation_unix_ms;
 
   if (!io->destroyed)
     record_time (peer, sent_ms, call->is_long_poll ? LONG_POLL_MS : 0,
@@ -331,9 +357,6 @@
       gr_call_budget_end (&io->budget, &peer->calls, GR_BUDGET_POLL,
                           call->counted, error == NULL);
     }
-  if (!io->destroyed && call->grants
-      && call->clock_changes != peer->clock_changes)
-    log_former_grant (peer, "poll", sent_ms, error == NULL);
   g_free (call);
   if (!io->destroyed && !peer->removed)
     {
@@ -342,7 +365,7 @@
       if (error != NULL && error->kind == GR_ERROR_FORBIDDEN)
         gr_steps_set_fenced (io->steps);
       else if (error != NULL)
-        poll_failed (peer, error, sent_ms);
+        poll_failed (peer, error, incarnation_unix_ms, sent_ms);
       else
         {
           struct gr_run_report report = *result;
@@ -350,7 +373,8 @@
           report.acknowledged_end = acknowledged_end;
           peer->failed_polls = 0;
           peer->answered = true;
-          update_clock (peer, result->clock_ms, sent_ms);
+          update_clock (peer, result->incarnation_unix_ms, result->clock_ms,
+                        sent_ms);
           gr_steps_process_report (io->steps, peer->worker, &report, now_ms);
         }
       io->events.changed (io->events.context);
@@ -375,7 +399,7 @@
 {
   struct gr_worker_io *io = peer->io;
   struct poll_call *call = g_new0 (struct poll_call, 1);
-  struct gr_worker_target target = target_of (peer);
+  struct gr_worker_target target;
   int64_t until_ms = 0;
 
   call->peer = peer;
@@ -397,11 +421,15 @@
       && gr_steps_has_polled (io->steps, peer->worker)
       && (peer->failed_polls == 0 || gr_lateness_is_overloaded (&io->lateness)))
     until_ms = extend_lease (peer, io->run_lease_ms);
-  call->grants = until_ms > 0;
-  call->clock_changes = peer->clock_changes;
-  call->acknowledged_end =
-      gr_steps_end_to_acknowledge (io->steps, peer->worker);
+  if (peer->clock.incarnation_unix_ms != 0)
+    call->acknowledged_end =
+        gr_steps_end_to_acknowledge (io->steps, peer->worker);
   peer->acknowledged_sent = call->acknowledged_end;
+  /* Another process must get no lease, and has ends of its own with the same
+   * numbers. */
+  if (until_ms > 0 || call->acknowledged_end > 0)
+    call->incarnation_unix_ms = peer->clock.incarnation_unix_ms;
+  target = target_of (peer, call->incarnation_unix_ms);
   gr_worker_poll_runs (io->calls, &target, until_ms, call->acknowledged_end,
                        wait_ms, wait_ms + poll_timeout_ms (peer),
                        (struct gr_run_poll_reply){ poll_done, call });
--- a/steps/look.h
+++ b/steps/look.h
@@ -70,6 +70,8 @@
   GR_ORDER_NO_TICKET,   /* the order's advice ticket is missing or invalid */
   GR_ORDER_OTHER_INCARNATION,
   GR_ORDER_REJECTED,
-  GR_ORDER_NOT_SENT, /* no connection; the order had no effect */
-  GR_ORDER_UNKNOWN,  /* no answer; the order may take effect now or later */
+  GR_ORDER_OTHER_PROCESS, /* the process that the order is meant for has ended;
+                             the order had no effect */
+  GR_ORDER_NOT_SENT,      /* no connection; the order had no effect */
+  GR_ORDER_UNKNOWN, /* no answer; the order may take effect now or later */
 };
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -222,6 +222,7 @@
     [GR_ORDER_NO_TICKET] = "no-ticket",
     [GR_ORDER_OTHER_INCARNATION] = "other-incarnation",
     [GR_ORDER_REJECTED] = "rejected",
+    [GR_ORDER_OTHER_PROCESS] = "other-process",
     [GR_ORDER_NOT_SENT] = "not-sent",
     [GR_ORDER_UNKNOWN] = "unknown",
   };
@@ -278,6 +279,7 @@
       gr_health_quarantine (steps, worker,
                             "the worker reported itself unhealthy");
       break;
+    case GR_ORDER_OTHER_PROCESS:
     case GR_ORDER_NOT_SENT:
       worker->reachable = false;
       gr_samples_disturb_worker (worker, GR_SAMPLE_SILENT);
--- a/tests/test-call-pool.c
+++ b/tests/test-call-pool.c
@@ -137,6 +137,15 @@
     }
 }
 
+/* A body "pN" is from process N. */
+static int64_t
+identify (const struct gr_pool_response *response)
+{
+  return response->size > 1 && response->body[0] == 'p'
+             ? response->body[1] - '0'
+             : 0;
+}
+
 static void
 fixture_create (struct fixture *fixture,
                 const struct reply *replies,
@@ -155,7 +164,7 @@
   fixture->server.n_replies = n_replies;
   fixture->server.thread =
       g_thread_new ("listener", accept_connections, &fixture->server);
-  fixture->pool = gr_call_pool_create (2);
+  fixture->pool = gr_call_pool_create (2, identify);
 }
 
 static void
@@ -194,8 +203,14 @@
 send_with (struct fixture *fixture,
            const char *address,
            uint32_t timeout_ms,
-           bool reuse_only)
+           int64_t process)
 {
+  static const struct gr_pool_request probe = {
+    .path = "/v1/probe",
+    .headers = "",
+    .body = "{}",
+    .size = 2,
+  };
   struct gr_pool_request request = {
     .address = address,
     .path = "/v1/call",
@@ -203,7 +218,8 @@
     .body = "{}",
     .size = 2,
     .timeout_ms = timeout_ms,
-    .reuse_only = reuse_only,
+    .process = process,
+    .probe = &probe,
   };
 
   gr_call_pool_send (fixture->pool, &request, record, fixture);
@@ -212,7 +228,7 @@
 static void
 send_to (struct fixture *fixture, const char *address, uint32_t timeout_ms)
 {
-  send_with (fixture, address, timeout_ms, false);
+  send_with (fixture, address, timeout_ms, 0);
 }
 
 static gboolean
@@ -307,32 +323,133 @@
 }
 END_TEST
 
-/* Guards against an order that reaches another process than the one that has
- * answered before: on a connection that is opened for it, or a second time. */
-START_TEST (call_for_an_open_connection_opens_none)
+static void
+call_process (struct fixture *fixture, int64_t process)
+{
+  int before = fixture->callbacks;
+
+  send_with (fixture, fixture->server.address, CALL_TIMEOUT_MS, process);
+  wait_for (fixture, before + 1);
+}
+
+static void
+check_last_request (const struct fixture *fixture, int number, const char *path)
+{
+  ck_assert_int_eq (g_atomic_int_get (&fixture->server.requests), number);
+  ck_assert_msg (strstr (fixture->server.last_request, path) != NULL, "%s",
+                 fixture->server.last_request);
+}
+
+/* Guards against a probe before each call. */
+START_TEST (connection_is_probed_once)
 {
   static const struct reply replies[] = {
-    { .text = OK ("one", "3") },
+    { .text = OK ("p7", "2") },
+    { .text = OK ("two", "3") },
+    { .text = OK ("three", "5") },
+  };
+  struct fixture fixture;
+
+  fixture_create (&fixture, replies, G_N_ELEMENTS (replies));
+  call_process (&fixture, 7);
+  check_last_request (&fixture, 2, "/v1/call");
+  ck_assert_str_eq (fixture.body, "two");
+  call_process (&fixture, 7);
+  check_last_request (&fixture, 3, "/v1/call");
+  ck_assert_str_eq (fixture.body, "three");
+  ck_assert_int_eq (g_atomic_int_get (&fixture.server.connections), 1);
+  ck_assert_uint_eq (gr_call_pool_stats (fixture.pool).probes, 1);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Guards against a call that reaches another process than the one that it is
+ * meant for, on a new connection or on one of that process. */
+START_TEST (call_for_a_process_is_not_sent_to_another)
+{
+  static const struct reply replies[] = {
+    { .text = OK ("p8", "2") },
+    { .text = OK ("p8", "2") },
+    { .text = OK ("three", "5") },
+  };
+  struct fixture fixture;
+
+  fixture_create (&fixture, replies, G_N_ELEMENTS (replies));
+  for (int i = 1; i <= 2; i++)
+    {
+      call_process (&fixture, 7);
+      ck_assert_int_eq (fixture.error.kind, GR_ERROR_OTHER_PROCESS);
+      check_last_request (&fixture, i, "/v1/probe");
+    }
+  call_process (&fixture, 8);
+  ck_assert_str_eq (fixture.body, "three");
+  check_last_request (&fixture, 3, "/v1/call");
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Guards against a call that is sent again to the process that has taken the
+ * place of its own. */
+START_TEST (call_is_not_sent_again_to_another_process)
+{
+  static const struct reply replies[] = {
+    { .text = OK ("p7", "2") },
     { .text = OK ("two", "3") },
     { .text = NULL },
+    { .text = OK ("p8", "2") },
+  };
+  struct fixture fixture;
+
+  fixture_create (&fixture, replies, G_N_ELEMENTS (replies));
+  call_process (&fixture, 7);
+  ck_assert_int_eq (fixture.error.kind, GR_ERROR_NONE);
+  call_process (&fixture, 7);
+  ck_assert_int_eq (fixture.error.kind, GR_ERROR_IO);
+  check_last_request (&fixture, 4, "/v1/probe");
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Guards against a call that is sent after a probe that no process has answered
+ * for: a rejection is that of the call, any other answer fails it. */
+START_TEST (probe_without_identity_sends_no_call)
+{
+  static const struct reply replies[] = {
+    { .text = "HTTP/1.1 409 Conflict\r\nContent-Length: 3\r\n\r\nold" },
+    { .text = OK ("one", "3") },
+  };
+  struct fixture fixture;
+
+  fixture_create (&fixture, replies, G_N_ELEMENTS (replies));
+  call_process (&fixture, 7);
+  ck_assert_uint_eq (fixture.status, 409);
+  ck_assert_str_eq (fixture.body, "old");
+  call_process (&fixture, 7);
+  ck_assert_int_eq (fixture.error.kind, GR_ERROR_NO_TARGET);
+  check_last_request (&fixture, 2, "/v1/probe");
+  fixture_destroy (&fixture);
+}
+END_TEST
+
+/* Guards against a call that counts as sent, or is sent late, although its time
+ * ran out during the probe. */
+START_TEST (call_that_times_out_during_the_probe_is_not_sent)
+{
+  static const struct reply replies[] = {
+    { .text = OK ("p7", "2"), .delay_ms = 100 },
+    { .text = OK ("two", "3") },
   };
   struct fixture fixture;
 
   fixture_create (&fixture, replies, G_N_ELEMENTS (replies));
-  send_with (&fixture, fixture.server.address, CALL_TIMEOUT_MS, true);
+  send_with (&fixture, fixture.server.address, 30, 7);
   wait_for (&fixture, 1);
   ck_assert_int_eq (fixture.error.kind, GR_ERROR_NO_TARGET);
-  ck_assert_int_eq (g_atomic_int_get (&fixture.server.connections), 0);
-  call (&fixture, CALL_TIMEOUT_MS);
-  send_with (&fixture, fixture.server.address, CALL_TIMEOUT_MS, true);
-  wait_for (&fixture, 3);
-  ck_assert_int_eq (fixture.error.kind, GR_ERROR_NONE);
+  run_loop_for (200);
+  check_last_request (&fixture, 1, "/v1/probe");
+  call_process (&fixture, 7);
   ck_assert_str_eq (fixture.body, "two");
-  send_with (&fixture, fixture.server.address, CALL_TIMEOUT_MS, true);
-  wait_for (&fixture, 4);
-  ck_assert_int_ne (fixture.error.kind, GR_ERROR_NONE);
-  ck_assert_int_ne (fixture.error.kind, GR_ERROR_NO_TARGET);
-  ck_assert_int_eq (g_atomic_int_get (&fixture.server.requests), 3);
+  check_last_request (&fixture, 2, "/v1/call");
   fixture_destroy (&fixture);
 }
 END_TEST
@@ -483,7 +600,7 @@
 
   fixture_create (&fixture, NULL, 0);
   gr_call_pool_destroy (fixture.pool);
-  fixture.pool = gr_call_pool_create (1);
+  fixture.pool = gr_call_pool_create (1, identify);
   fd = listen_without_room (&port, &queued);
   g_snprintf (address, sizeof address, "127.0.0.1:%u", port);
   send_to (&fixture, address, 100);
@@ -583,7 +700,11 @@
   tcase_set_timeout (tests, 30);
   tcase_add_test (tests, calls_share_a_connection);
   tcase_add_test (tests, closed_idle_connection_is_replaced);
-  tcase_add_test (tests, call_for_an_open_connection_opens_none);
+  tcase_add_test (tests, connection_is_probed_once);
+  tcase_add_test (tests, call_for_a_process_is_not_sent_to_another);
+  tcase_add_test (tests, call_is_not_sent_again_to_another_process);
+  tcase_add_test (tests, probe_without_identity_sends_no_call);
+  tcase_add_test (tests, call_that_times_out_during_the_probe_is_not_sent);
   tcase_add_test (tests, failed_new_connection_is_reported);
   tcase_add_test (tests, malformed_responses_fail);
   tcase_add_test (tests, late_response_keeps_the_connection);
--- a/tests/test-worker-clock.c
+++ b/tests/test-worker-clock.c
@@ -4,14 +4,16 @@
 #include <check.h>
 #include <stdlib.h>
 
+#define PROCESS 1700000000000
+
 START_TEST (clock_runs_on_between_answers)
 {
   struct gr_worker_clock clock = { 0 };
 
   ck_assert_int_eq (gr_worker_clock_read (&clock, 1000), 0);
-  ck_assert (gr_worker_clock_update (&clock, 500000, 1000, 1004));
+  ck_assert (gr_worker_clock_update (&clock, PROCESS, 500000, 1000, 1004));
   ck_assert_int_eq (gr_worker_clock_read (&clock, 1104), 500100);
-  ck_assert (gr_worker_clock_update (&clock, 0, 1200, 1204));
+  ck_assert (gr_worker_clock_update (&clock, PROCESS, 0, 1200, 1204));
   ck_assert_int_eq (gr_worker_clock_read (&clock, 1304), 500300);
 }
 END_TEST
@@ -22,9 +24,10 @@
 {
   struct gr_worker_clock clock = { 0 };
 
-  ck_assert (gr_worker_clock_update (&clock, 500000, 1000, 3000));
-  ck_assert (gr_worker_clock_update (&clock, 502001, 3001, 3003));
-  ck_assert (gr_worker_clock_update (&clock, 502001 + 58800, 63001, 65001));
+  ck_assert (gr_worker_clock_update (&clock, PROCESS, 500000, 1000, 3000));
+  ck_assert (gr_worker_clock_update (&clock, PROCESS, 502001, 3001, 3003));
+  ck_assert (
+      gr_worker_clock_update (&clock, PROCESS, 502001 + 58800, 63001, 65001));
 }
 END_TEST
 
@@ -35,7 +38,7 @@
   struct gr_worker_clock clock = { 0 };
 
   ck_assert (!gr_worker_clock_is_current (&clock, 1000));
-  ck_assert (gr_worker_clock_update (&clock, 500000, 1000, 1004));
+  ck_assert (gr_worker_clock_update (&clock, PROCESS, 500000, 1000, 1004));
   ck_assert (gr_worker_clock_is_current (&clock, 11004));
   ck_assert (!gr_worker_clock_is_current (&clock, 11005));
 }
@@ -46,11 +49,11 @@
 {
   struct gr_worker_clock clock = { 0 };
 
-  ck_assert (gr_worker_clock_update (&clock, 500000, 1000, 1004));
-  ck_assert (!gr_worker_clock_update (&clock, 7000, 2000, 2004));
+  ck_assert (gr_worker_clock_update (&clock, PROCESS, 500000, 1000, 1004));
+  ck_assert (!gr_worker_clock_update (&clock, PROCESS, 7000, 2000, 2004));
   ck_assert_int_eq (gr_worker_clock_read (&clock, 2104), 7100);
-  ck_assert (!gr_worker_clock_update (&clock, 900000, 3000, 3004));
-  ck_assert (gr_worker_clock_update (&clock, 900100, 3100, 3104));
+  ck_assert (!gr_worker_clock_update (&clock, PROCESS, 900000, 3000, 3004));
+  ck_assert (gr_worker_clock_update (&clock, PROCESS, 900100, 3100, 3104));
 }
 END_TEST
 
@@ -60,8 +63,8 @@
 {
   struct gr_worker_clock clock = { 0 };
 
-  ck_assert (gr_worker_clock_update (&clock, 7000, 2000, 2004));
-  ck_assert (gr_worker_clock_update (&clock, 500000, 1000, 2010));
+  ck_assert (gr_worker_clock_update (&clock, PROCESS, 7000, 2000, 2004));
+  ck_assert (gr_worker_clock_update (&clock, PROCESS, 500000, 1000, 2010));
   ck_assert_int_eq (gr_worker_clock_read (&clock, 2104), 7100);
 }
 END_TEST
