instance: late reports of a former process do not set its clock

A report that the core ignores as one of a former process could still replace the clock of the present one, if its poll was sent later than the poll that showed the restart. Calls were then bound to the ended process, failed, and the worker was polled anew; no lease could reach another process. gr_steps_process_report () now says whether the report counts, and only then is the clock taken.

--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -373,9 +373,11 @@
           report.acknowledged_end = acknowledged_end;
           peer->failed_polls = 0;
           peer->answered = true;
-          update_clock (peer, result->incarnation_unix_ms, result->clock_ms,
-                        sent_ms);
-          gr_steps_process_report (io->steps, peer->worker, &report, now_ms);
+          /* A late answer of a former process says nothing of the clock. */
+          if (gr_steps_process_report (io->steps, peer->worker, &report,
+                                       now_ms))
+            update_clock (peer, result->incarnation_unix_ms, result->clock_ms,
+                          sent_ms);
         }
       io->events.changed (io->events.context);
     }
--- a/steps/reports.c
+++ b/steps/reports.c
@@ -315,7 +315,7 @@
                 gr_loss_age (steps, report->sent_ms, observed), NULL);
 }
 
-void
+bool
 gr_steps_process_report (struct gr_steps *steps,
                          const char *id,
                          const struct gr_run_report *report,
@@ -325,14 +325,14 @@
 
   steps->now_ms = now_ms;
   if (worker == NULL)
-    return;
+    return false;
   /* Ends of a former process have numbers of their own, and its runs have
    * ended. */
   if (!gr_worker_check_incarnation (steps, worker, report->incarnation_unix_ms,
                                     report->sent_ms))
     {
       log_outdated (steps, worker, report);
-      return;
+      return false;
     }
   if (report->incarnation_unix_ms != 0)
     gr_crash_withdraw_worker (steps, worker, report->sent_ms);
@@ -368,4 +368,5 @@
   worker->refused_ms = 0;
   worker->crash_noted = false;
   gr_pace_update (steps, worker);
+  return true;
 }
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -334,9 +334,10 @@
                             const struct gr_order *order,
                             enum gr_order_result result,
                             int64_t now_ms);
-/* Processes the reply of a worker to a status poll. Unknown workers are
- * ignored. */
-void gr_steps_process_report (struct gr_steps *steps,
+/* Processes the reply of a worker to a status poll. Returns false if it has no
+ * effect, because the worker is unknown or the reply is that of a former
+ * process. */
+bool gr_steps_process_report (struct gr_steps *steps,
                               const char *worker,
                               const struct gr_run_report *report,
                               int64_t now_ms);
--- a/tests/test-restarts.c
+++ b/tests/test-restarts.c
@@ -390,14 +390,16 @@
   report (&fixture, NEW, fixture.now_ms - 1, 1);
   g_strlcpy (ended.task, "00000000000000ff.0.0.0", sizeof ended.task);
   late.sent_ms = fixture.now_ms - 500;
-  gr_steps_process_report (fixture.steps, WORKER, &late, fixture.now_ms);
+  ck_assert (
+      !gr_steps_process_report (fixture.steps, WORKER, &late, fixture.now_ms));
   advance (&fixture, 5);
   check_kept (&fixture);
   ended = (struct gr_ended_run){ .number = 1, .run = 1, .how = GR_END_DONE };
   g_strlcpy (ended.task, TASK, sizeof ended.task);
   late.incarnation_unix_ms = NEW;
   late.sent_ms = fixture.now_ms;
-  gr_steps_process_report (fixture.steps, WORKER, &late, fixture.now_ms);
+  ck_assert (
+      gr_steps_process_report (fixture.steps, WORKER, &late, fixture.now_ms));
   ck_assert_uint_eq (gr_steps_worker_load (fixture.steps, WORKER), 0);
   advance (&fixture, 5);
   check_kept (&fixture);
