--- a/http/call-pool.c
+++ b/http/call-pool.c
@@ -514,6 +514,7 @@
   struct gr_pool_response response = {
     .status = connection->parser.status_code,
     .resent = call != NULL && call->resent,
+    .of_probe = probing,
     .body = (const char *)connection->body->data,
     .size = connection->body->len,
   };
--- a/http/call-pool.h
+++ b/http/call-pool.h
@@ -39,6 +39,7 @@
 {
   uint32_t status;
   bool resent;      /* the peer may have received the request twice */
+  bool of_probe;    /* the peer has answered the probe only */
   const char *body; /* not terminated; valid during the callback only */
   size_t size;
 };
--- a/instance/worker-io.c
+++ b/instance/worker-io.c
@@ -232,14 +232,15 @@
   peer_release (peer);
 }
 
-/* Without the worker's clock a start cannot say until when it is valid. */
+/* Orders are bound to the process that has answered a poll. Without its clock a
+ * start cannot say until when it is valid. */
 static bool
 may_send_order (const struct peer *peer, const struct gr_order *order)
 {
   if (order->kind == GR_ORDER_START)
     return gr_worker_clock_is_current (&peer->clock,
                                        gr_clock_now_ms (peer->io->clock));
-  return !order->same_process || peer->clock.incarnation_unix_ms != 0;
+  return peer->clock.incarnation_unix_ms != 0;
 }
 
 static void
--- a/steps/orders.c
+++ b/steps/orders.c
@@ -493,8 +493,6 @@
           g_queue_delete_link (queue, link);
           *order = *queued;
           g_free (queued);
-          /* A later process has no fence of a successor. */
-          order->same_process = !gr_tenure_is_present (steps);
           if (task != NULL)
             {
               task->start_sent = true;
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -174,6 +174,8 @@
   GR_ORDER_PACE, /* limits the processor time of a filler task */
 };
 
+/* Orders are sent only to the process that has answered the last poll of the
+ * worker, else the result is GR_ORDER_NOT_SENT or GR_ORDER_OTHER_PROCESS. */
 struct gr_order
 {
   enum gr_order_kind kind;
@@ -186,8 +188,6 @@
   uint32_t percent;            /* processor share, for GR_ORDER_PACE */
   int64_t start_limit_ms; /* for GR_ORDER_START: the worker must not start the
                              run after this time */
-  bool same_process; /* to be sent only to the process that has answered a poll
-                        of this owner, else the result is GR_ORDER_NOT_SENT */
 };
 
 /* epoch is that of the owner and starts at 1; now_ms is the time at which it
--- a/tests/steps-model-workers.c
+++ b/tests/steps-model-workers.c
@@ -314,7 +314,9 @@
                             order->task);
   if (order->kind == GR_ORDER_START)
     gr_steps_extend_worker_lease (owner->steps, worker->id, until_ms + 100);
-  if (order->same_process
+  /* Those of a present owner may reach another process here, as the core must
+   * bear that as well. */
+  if (!gr_steps_is_only_owner (owner->steps, model->now_ms)
       && model_view (owner, worker)->incarnation != worker->incarnation)
     result = GR_ORDER_NOT_SENT;
   else if (model_is_down (worker) && !worker->crash.silent
--- a/tests/test-call-pool.c
+++ b/tests/test-call-pool.c
@@ -42,6 +42,7 @@
   int callbacks;
   uint32_t status;
   bool resent;
+  bool of_probe;
   char body[64];
   struct gr_error error;
 };
@@ -194,6 +195,7 @@
   fixture->error = error ? *error : (struct gr_error)GR_ERROR_INIT;
   fixture->status = response ? response->status : 0;
   fixture->resent = response != NULL && response->resent;
+  fixture->of_probe = response != NULL && response->of_probe;
   g_snprintf (fixture->body, sizeof fixture->body, "%.*s",
               response ? (int)response->size : 0,
               response && response->size > 0 ? response->body : "");
@@ -424,6 +426,7 @@
   call_process (&fixture, 7);
   ck_assert_uint_eq (fixture.status, 409);
   ck_assert_str_eq (fixture.body, "old");
+  ck_assert (fixture.of_probe);
   call_process (&fixture, 7);
   ck_assert_int_eq (fixture.error.kind, GR_ERROR_NO_TARGET);
   check_last_request (&fixture, 2, "/v1/probe");
