spec: model of calls to a worker that restarts under its id

Cause: a call that was composed for a former process and is carried out by the next one grants a lease until a time on another clock, which nobody waits for (docs/incidents/calls-to-a-former-process.md).

Change: process-calls.pml checks the rule that such calls are written only to a connection on which the process has answered, over late and lost calls, calls that are sent again, answers that overtake each other, and a takeover by a successor that waits for isolation and the lease of runs only. run-models.sh runs it; its columns are wider for the longer names.

--- a/spec/run-models.sh
+++ b/spec/run-models.sh
@@ -26,7 +26,7 @@
   elif [ "$mutant" != - ] && [ "$errors" != 0 ]; then
     verdict=caught
   fi
-  printf '%-12s %-21s states %-9s errors %s  %s\n' \
+  printf '%-13s %-25s states %-9s errors %s  %s\n' \
     "$model" "$mutant" "$states" "$errors" "$verdict"
   cd / && rm -rf "$dir"
   [ "$verdict" = holds ] || [ "$verdict" = caught ]
@@ -38,7 +38,7 @@
 fi
 
 checks=()
-for model in ownership former-owner marks settings gang; do
+for model in ownership former-owner process-calls marks settings gang; do
   mutants=$(sed -nE '1,/\*\//s/^ \*   ([A-Z_]+) .*/\1/p' "$model.pml")
   [ -n "$mutants" ] || { echo "$model.pml names no mutants" >&2; exit 1; }
   for mutant in - $mutants; do
