steps: late reports of a former process are known by their polls

A report of another process counted if its start time was later, also when its poll was sent before the present process was first seen. With the machine's clock set back between the two starts, a late report of the former process replaced the present one. Found by the model of the calls (trial with start times that decrease); late_report_with_a_later_start_time_is_ignored failed before. Reports are now ordered by their polls alone, entries by start times; the steps tests pass.

--- a/steps/workers.c
+++ b/steps/workers.c
@@ -136,10 +136,11 @@
       || worker->incarnation_unix_ms == incarnation_unix_ms)
     return true;
   /* A poll that was sent after the known process was first seen is answered by
-   * the present one, whatever its start time: the clock of a machine can be set
-   * back. Entries have no such order. */
-  if (worker->incarnation_unix_ms > incarnation_unix_ms
-      && observed_ms <= worker->incarnation_seen_ms)
+   * that one or a later one, whatever the start times say: the clock of a
+   * machine can be set back. One that was sent before may be answered by a
+   * former process. Entries have no such order. */
+  if (observed_ms != 0 ? observed_ms <= worker->incarnation_seen_ms
+                       : worker->incarnation_unix_ms > incarnation_unix_ms)
     return false;
   worker->incarnation_seen_ms = steps->now_ms;
   if (worker->incarnation_unix_ms == 0)
--- a/tests/test-restarts.c
+++ b/tests/test-restarts.c
@@ -430,6 +430,28 @@
 }
 END_TEST
 
+/* Guards against a late report of the former process that counts as a restart,
+ * because the clock of the worker's machine was set back between the two. */
+START_TEST (late_report_with_a_later_start_time_is_ignored)
+{
+  struct gr_run_report late = {
+    .incarnation_unix_ms = FORMER,
+    .all_ended = true,
+  };
+  struct fixture fixture;
+
+  set_up (&fixture);
+  answer_start (&fixture, GR_ORDER_DONE);
+  report (&fixture, FORMER, fixture.now_ms, 1);
+  advance (&fixture, 50);
+  report (&fixture, FORMER - 50, fixture.now_ms - 1, 0);
+  late.sent_ms = fixture.now_ms - 1;
+  ck_assert (
+      !gr_steps_process_report (fixture.steps, WORKER, &late, fixture.now_ms));
+  tear_down (&fixture);
+}
+END_TEST
+
 /* A refusal that was observed before the worker's process started released a
  * run that was started on it since. */
 START_TEST (refusal_does_not_end_a_newer_run)
@@ -636,6 +658,7 @@
                   silent_restarted_worker_keeps_its_runs_for_the_longest_lease);
   tcase_add_test (tests, report_of_a_former_incarnation_is_ignored);
   tcase_add_test (tests, restart_with_an_earlier_start_time_is_noticed);
+  tcase_add_test (tests, late_report_with_a_later_start_time_is_ignored);
   tcase_add_test (tests, refusal_does_not_end_a_newer_run);
   tcase_add_test (tests, refusal_does_not_end_a_run_whose_start_is_on_its_way);
   tcase_add_test (tests, start_of_a_task_done_by_an_earlier_run_is_released);
