instance: no pause between truncated watches of the registry

The registry was watched once per 400 ms, and the store returns at most 500 changes at a time. Heartbeats of 3,000 workers make 2,000 changes per second, so the owner fell further behind all the time: at 14.9 s it had read up to revision 24,626, its successor read 51,490 at 17.2 s, and none of the workers that were draining since 10.0 s was known to it.

The stand-in limits a watch to a page, as the store does.

--- a/instance/worker-registry.c
+++ b/instance/worker-registry.c
@@ -14,7 +14,9 @@
 
 /* Pause between two watches. Renewals in between are returned together. A
  * draining worker must get no new work 2 s after it has announced that it is
- * draining (drain-ms). */
+ * draining (drain-ms). There is no pause after a truncated watch: 3,000 workers
+ * renew 2,000 entries per second, and a page of 500 per pause falls behind
+ * without bound. */
 #define WATCH_PAUSE_MS 400
 
 struct gr_worker_registry
@@ -282,7 +284,7 @@
   registry->watched_revision = MAX (registry->watched_revision, result->as_of);
   set_known (registry, result->as_of, sent_ms);
   registry->events.current (registry->events.context);
-  schedule (registry, WATCH_PAUSE_MS);
+  schedule (registry, result->truncated ? 0 : WATCH_PAUSE_MS);
 }
 
 static void
--- a/standins/metastore.c
+++ b/standins/metastore.c
@@ -234,8 +234,9 @@
     add_change (platform, copy, NULL);
 }
 
-/* Replies with all changes that the watcher asks for. If there are none,
- * replies only if allow_empty is set. Returns whether it has replied. */
+/* Replies with the changes that the watcher asks for, or with the first ones if
+ * they do not fit into a page. If there are none, replies only if allow_empty
+ * is set. Returns whether it has replied. */
 static bool
 reply_watch (struct gr_standin_platform *platform,
              struct watcher *watcher,
@@ -243,15 +244,26 @@
 {
   g_autofree char *host = caller_host (watcher->call);
   JsonArray *events = json_array_new ();
+  int64_t as_of = platform->revision;
+  int64_t last_revision = 0;
   JsonObject *body;
 
   for (GList *next = platform->changes.head; next != NULL; next = next->next)
     {
       struct change *change = next->data;
 
-      if (change->revision > watcher->after
-          && g_str_has_prefix (change->key, watcher->prefix))
-        json_array_add_object_element (events, change_to_json (change, host));
+      if (change->revision <= watcher->after
+          || !g_str_has_prefix (change->key, watcher->prefix))
+        continue;
+      /* Changes of one revision stay together. */
+      if (json_array_get_length (events) >= MAX_PAGE_ITEMS
+          && change->revision != last_revision)
+        {
+          as_of = last_revision;
+          break;
+        }
+      json_array_add_object_element (events, change_to_json (change, host));
+      last_revision = change->revision;
     }
   if (json_array_get_length (events) == 0 && !allow_empty)
     {
@@ -260,7 +272,7 @@
     }
   body = json_object_new ();
   json_object_set_array_member (body, "events", events);
-  json_object_set_int_member (body, "as-of", platform->revision);
+  json_object_set_int_member (body, "as-of", as_of);
   gr_standin_reply (watcher->call, 200, body);
   return true;
 }
--- a/tests/test-worker-registry.c
+++ b/tests/test-worker-registry.c
@@ -11,6 +11,13 @@
 #define WORKERS 3
 #define WAIT_TIMEOUT_MS 10000
 
+/* Nine pages of a watch, less than the history that the stand-in keeps. */
+#define MANY_CHANGES 4500
+#define OTHER_WORKERS 1500
+
+/* Time after which a draining worker must get no new work. */
+#define DRAIN_MS 2000
+
 struct fixture
 {
   struct gr_standin_platform *platform;
@@ -284,6 +291,38 @@
 }
 END_TEST
 
+/* Writes entries of other workers, as heartbeats do. */
+static void
+put_other_workers (struct fixture *fixture, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char id[32];
+
+      g_snprintf (id, sizeof id, "i-other-%u", i % OTHER_WORKERS);
+      put_worker (fixture, id, "ready");
+    }
+}
+
+/* Guards against new work for a draining worker whose entry is read late
+ * because the heartbeats of others fill several pages of the watch. */
+START_TEST (many_changes_do_not_delay_a_draining_worker)
+{
+  struct fixture fixture;
+  int64_t changed_ms;
+
+  fixture_create (&fixture);
+  put_worker (&fixture, "i-new", "ready");
+  wait_until (&fixture, "i-new", "ready");
+  put_other_workers (&fixture, MANY_CHANGES);
+  put_worker (&fixture, "i-new", "draining");
+  changed_ms = gr_clock_now_ms (fixture.clock);
+  wait_until (&fixture, "i-new", "draining");
+  ck_assert_int_lt (gr_clock_now_ms (fixture.clock) - changed_ms, DRAIN_MS);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -299,6 +338,7 @@
   tcase_add_test (tests, unreadable_entry_is_not_used_and_no_departure);
   tcase_add_test (tests, changes_during_an_outage_are_reported);
   tcase_add_test (tests, changes_are_dated_before_they_happened);
+  tcase_add_test (tests, many_changes_do_not_delay_a_draining_worker);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
