instance: truncated watches do not date later changes

A watch dates the next changes by the time at which it was sent, as the store had no later revision then. That does not hold for a truncated one: a restart or departure in a later page was dated up to seconds too late, so runs that had begun after it could count as runs of the former process.

Only watches that are not truncated date the changes that follow. In the new test a change was dated 445 ms after it happened before this change.

--- a/instance/worker-registry.c
+++ b/instance/worker-registry.c
@@ -282,7 +282,9 @@
         apply_item (registry, &result->items[i]);
     }
   registry->watched_revision = MAX (registry->watched_revision, result->as_of);
-  set_known (registry, result->as_of, sent_ms);
+  /* The store may have had later revisions when a truncated watch was sent. */
+  if (!result->truncated)
+    set_known (registry, result->as_of, sent_ms);
   registry->events.current (registry->events.context);
   schedule (registry, result->truncated ? 0 : WATCH_PAUSE_MS);
 }
--- a/tests/test-worker-registry.c
+++ b/tests/test-worker-registry.c
@@ -323,6 +323,27 @@
 }
 END_TEST
 
+/* Guards against a change of a later page that counts as more recent than the
+ * watch that returned the page before: runs of the new process of a worker
+ * counted as older than its restart. */
+START_TEST (changes_of_later_pages_are_dated_before_they_happened)
+{
+  struct fixture fixture;
+  int64_t changed_ms;
+
+  fixture_create (&fixture);
+  put_worker (&fixture, "i-new", "ready");
+  wait_until (&fixture, "i-new", "ready");
+  put_other_workers (&fixture, MANY_CHANGES);
+  put_worker (&fixture, "i-new", "draining");
+  changed_ms = gr_clock_now_ms (fixture.clock);
+  wait_until (&fixture, "i-new", "draining");
+  ck_assert_int_gt (fixture.since_ms, 0);
+  ck_assert_int_le (fixture.since_ms, changed_ms);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -339,6 +360,7 @@
   tcase_add_test (tests, changes_during_an_outage_are_reported);
   tcase_add_test (tests, changes_are_dated_before_they_happened);
   tcase_add_test (tests, many_changes_do_not_delay_a_draining_worker);
+  tcase_add_test (tests, changes_of_later_pages_are_dated_before_they_happened);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
   failed = srunner_ntests_failed (runner);
