instance: truncated watches do not confirm the configuration

After each watch of op/ the configuration counted as current at the time at which the watch was sent. A truncated watch can leave out a newer one that the store had by then, so calls with a key that was taken away could be accepted.

Truncated watches do not confirm the configuration; the watch that follows at once does. The new test failed before this change: version 1 counted as current after version 2 had been written.

--- a/instance/config-view.c
+++ b/instance/config-view.c
@@ -183,10 +183,10 @@
 static void
 apply_items (struct gr_config_view *view,
              const struct gr_metastore_result *result,
-             int64_t sent_ms)
+             int64_t current_ms)
 {
   for (size_t i = 0; i < result->n_items; i++)
-    apply_item (view, &result->items[i], sent_ms);
+    apply_item (view, &result->items[i], current_ms);
 }
 
 /* All items are known as of a call that was sent at this time. */
@@ -292,6 +292,7 @@
             void *context)
 {
   struct gr_config_view *view = context;
+  int64_t current_ms;
 
   if (error != NULL && error->kind == GR_ERROR_CANCELLED)
     return;
@@ -302,14 +303,17 @@
       call_failed (view, view->watch_sent_ms);
       return;
     }
-  apply_items (view, result, view->watch_sent_ms);
+  /* A truncated watch may leave out a newer configuration that the store had
+   * when the watch was sent. */
+  current_ms = result->truncated ? 0 : view->watch_sent_ms;
+  apply_items (view, result, current_ms);
   /* A read beside this watch may cover later revisions. The next watch would
    * then not return the deletion of an item that was applied here. */
   if (result->n_items > 0 && view->reading)
     view->read_again = true;
   else if (result->n_items > 0 && result->as_of < view->watched_revision)
     view->needs_full_read = true;
-  confirm_all (view, view->watch_sent_ms);
+  confirm_all (view, current_ms);
   view->watched_revision = MAX (view->watched_revision, result->as_of);
   schedule (view, 0);
   notify_evacuations (view);
--- a/tests/test-config-view.c
+++ b/tests/test-config-view.c
@@ -14,6 +14,7 @@
 /* A watch without changes returns after 1 s; less than this passes only if
  * something else tells of a change. */
 #define SOON_MS 700
+#define LATER_MS 2000
 #define TIMEOUT_MS 6000
 
 struct fixture
@@ -126,6 +127,32 @@
 }
 END_TEST
 
+/* Guards against a configuration that counts as current although the watch that
+ * confirms it left out a newer one: calls with a key that was taken away would
+ * be accepted. */
+START_TEST (truncated_watches_do_not_confirm_the_configuration)
+{
+  struct fixture fixture;
+  char key[32];
+
+  fixture_create (&fixture);
+  /* The first change ends the open watch, the next one returns the others. */
+  for (int i = 0; i < EARLIER_ITEMS; i++)
+    {
+      g_snprintf (key, sizeof key, "op/a%d", i);
+      gr_standin_platform_put (fixture.platform, key, "");
+    }
+  gr_standin_platform_put (fixture.platform, gr_cluster_config_key,
+                           "{\"config-version\":2,\"routes\":[],"
+                           "\"services\":[],\"tenants\":[]}");
+  gr_clock_advance (fixture.clock, LATER_MS);
+  while (gr_config_view_current_ms (fixture.view) < LATER_MS)
+    g_main_context_iteration (NULL, TRUE);
+  ck_assert_int_eq (gr_config_view_get (fixture.view)->version, 2);
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* Guards against a state that an older item overwrites, and against removal by
  * a read that is not complete or older than the request. */
 START_TEST (older_items_and_partial_reads_have_no_effect)
@@ -264,6 +291,7 @@
 
   tcase_set_timeout (tests, 30);
   tcase_add_test (tests, requests_and_deletions_are_seen);
+  tcase_add_test (tests, truncated_watches_do_not_confirm_the_configuration);
   tcase_add_test (tests, older_items_and_partial_reads_have_no_effect);
   tcase_add_test (tests, owner_reads_the_requests_before_it_starts_work);
   suite_add_tcase (suite, tests);
