--- a/tests/test-platform-store.c
+++ b/tests/test-platform-store.c
@@ -513,6 +513,45 @@
 }
 END_TEST
 
+static void
+store_truncated (const struct gr_metastore_result *result,
+                 const struct gr_error *error,
+                 void *context)
+{
+  ck_assert_ptr_null (error);
+  *(int *)context = result->truncated;
+}
+
+/* Returns whether a watch counts as truncated after one change with a value of
+ * this size. */
+static bool
+watch_is_truncated (struct fixture *fixture, size_t value_bytes)
+{
+  g_autofree char *value = g_strnfill (value_bytes, 'x');
+  int truncated = -1;
+
+  gr_metastore_watch (
+      fixture->store, "large/", 1, 1000, 1500,
+      (struct gr_metastore_reply){ store_truncated, &truncated });
+  gr_standin_platform_put (fixture->platform, "large/a", value);
+  while (truncated < 0)
+    g_main_context_iteration (NULL, TRUE);
+  return truncated == 1;
+}
+
+/* Guards against changes after the first 1 MB, where the store ends an answer,
+ * that count as read. */
+START_TEST (watch_of_large_values_counts_as_truncated)
+{
+  struct fixture fixture;
+
+  fixture_create (&fixture);
+  ck_assert (!watch_is_truncated (&fixture, 100));
+  ck_assert (watch_is_truncated (&fixture, (size_t)700 * 1000));
+  fixture_destroy (&fixture);
+}
+END_TEST
+
 /* Guards against instances that all read all records whenever the store loses
  * its history: 147 of them filled its link for 1.5 s. */
 START_TEST (reloads_after_lost_history_are_spread)
@@ -843,6 +882,7 @@
   tcase_add_test (tests, late_records_of_a_former_job_are_ignored);
   tcase_add_test (tests, unreadable_progress_is_ignored);
   tcase_add_test (tests, empty_page_does_not_end_a_read);
+  tcase_add_test (tests, watch_of_large_values_counts_as_truncated);
   tcase_add_test (tests, reloads_after_lost_history_are_spread);
   tcase_add_test (tests, silent_watches_are_replaced);
   tcase_add_test (tests, refusing_store_is_not_flooded);
