steps: lasting work takes planned workers where no others have room

Workers that are planned for a gang were closed to lasting tasks until the last run in the way of the gang had ended, as a lasting task never ends before the planned time. Also, a lasting step was not tried when a step of its queue that needs as much had failed in the same pass.

A lasting step is now placed among the planned workers as well when no other has room.

--- a/steps/place.c
+++ b/steps/place.c
@@ -102,14 +102,15 @@
       (double)available >= (double)capacity * MOSTLY_FREE_SHARE;
 }
 
-/* Short work may fit on planned workers where longer work does not. */
+/* Short and lasting work may fit on planned workers where longer work does
+ * not. */
 static bool
-may_fit_if_shorter (const struct gr_steps *steps,
-                    const struct step *step,
-                    const struct step *failed)
+may_fit_beside_plans (const struct gr_steps *steps,
+                      const struct step *step,
+                      const struct step *failed)
 {
   return steps->has_plans && gr_step_job (step)->queue->priority > 0
-         && ((failed->spec->lasting && !step->spec->lasting)
+         && (step->spec->lasting != failed->spec->lasting
              || step->deadline.late_run_ms < failed->deadline.late_run_ms);
 }
 
@@ -145,7 +146,7 @@
     return false;
   for (guint i = 0; i < failed->len; i++)
     if (needs_at_least (step, failed->pdata[i])
-        && !may_fit_if_shorter (steps, step, failed->pdata[i]))
+        && !may_fit_beside_plans (steps, step, failed->pdata[i]))
       return true;
   return false;
 }
@@ -160,12 +161,32 @@
   return true;
 }
 
+static bool
+place_step (struct gr_steps *steps, struct step *step)
+{
+  return step->spec->gang ? gr_place_gang (steps, step)
+                          : gr_place_tasks (steps, step);
+}
+
+/* A plan can be for as long as the longest run, which lasting work must not
+ * wait for; it takes planned workers where no other has room. */
+static bool
+place_among_plans (struct gr_steps *steps, struct step *step)
+{
+  bool placed;
+
+  if (!step->spec->lasting || !steps->has_plans)
+    return false;
+  step->enters_plans = true;
+  placed = place_step (steps, step);
+  step->enters_plans = false;
+  return placed;
+}
+
 /* Tries to start the step, and records it in `failed` if it does not fit. */
 static void
 try_step (struct gr_steps *steps, struct step *step, GPtrArray *failed)
 {
-  bool placed;
-
   if (abort_incomplete_gang (steps, step) || steps->all_evacuated
       || !gr_place_may_queue_start (steps, step))
     return;
@@ -177,9 +198,7 @@
         gr_reclaim_capacity (steps, step);
       return;
     }
-  placed = step->spec->gang ? gr_place_gang (steps, step)
-                            : gr_place_tasks (steps, step);
-  if (placed)
+  if (place_step (steps, step) || place_among_plans (steps, step))
     return;
   if (!gr_step_may_spread (steps, step))
     g_ptr_array_add (failed, step);
--- a/steps/planned.c
+++ b/steps/planned.c
@@ -3,6 +3,7 @@
 #include "steps/availability.h"
 #include "steps/deadline.h"
 #include "steps/place.h"
+#include "steps/reclaim.h"
 
 #include "common/log.h"
 
@@ -47,6 +48,66 @@
   return false;
 }
 
+static struct gr_resources
+used_by_lasting_runs (const struct worker *worker)
+{
+  struct gr_resources used = { 0 };
+
+  for (guint i = 0; i < worker->tasks->len; i++)
+    {
+      const struct task *task = worker->tasks->pdata[i];
+      const struct gr_step_spec *spec = task->step->spec;
+
+      if (!spec->lasting)
+        continue;
+      used.cpu_milli += spec->filler ? 0 : spec->needs.cpu_milli;
+      used.memory_mb += spec->needs.memory_mb;
+      used.accelerators += spec->needs.accelerators;
+    }
+  return used;
+}
+
+static bool
+has_lasting_run (const struct worker *worker)
+{
+  for (guint i = 0; i < worker->tasks->len; i++)
+    if (((struct task *)worker->tasks->pdata[i])->step->spec->lasting)
+      return true;
+  return false;
+}
+
+/* True if the gang does not fit on its workers any more, because lasting tasks,
+ * which do not end by themselves, were started there. */
+static bool
+is_obstructed (const struct gr_steps *steps, const struct step *step)
+{
+  bool obstructed = false;
+  uint32_t slots = 0;
+
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      const struct worker *worker = steps->worker_rows->pdata[i];
+      struct gr_resources used;
+
+      if (worker->planned_for != step)
+        continue;
+      obstructed |= has_lasting_run (worker);
+      used = used_by_lasting_runs (worker);
+      slots += gr_step_slots_beside (step, worker, &used);
+    }
+  return obstructed && slots < step->n_tasks;
+}
+
+static void
+expire_plan (struct gr_steps *steps, struct queue *queue, const char *reason)
+{
+  steps->placement.reservations_expired++;
+  gr_log_event ("gang-reservation-expired", "job",
+                gr_step_job (queue->planned_step)->spec->id, "reason", reason,
+                NULL);
+  drop_plan (steps, queue);
+}
+
 static void
 check_plan (struct gr_steps *steps, struct queue *queue)
 {
@@ -57,17 +118,17 @@
       drop_plan (steps, queue);
       return;
     }
-  if (steps->now_ms < queue->planned_ms + PLAN_MISSED_MS
-      && !has_unusable_worker (steps, step))
-    return;
-  steps->placement.reservations_expired++;
-  gr_log_event ("gang-reservation-expired", "job", gr_step_job (step)->spec->id,
-                "reason",
-                steps->now_ms < queue->planned_ms + PLAN_MISSED_MS
-                    ? "a worker cannot be used"
-                    : "the planned time has passed",
-                NULL);
-  drop_plan (steps, queue);
+  if (steps->now_ms >= queue->planned_ms + PLAN_MISSED_MS)
+    expire_plan (steps, queue, "the planned time has passed");
+  else if (has_unusable_worker (steps, step))
+    expire_plan (steps, queue, "a worker cannot be used");
+  else if (is_obstructed (steps, step))
+    {
+      expire_plan (steps, queue, "lasting tasks have taken the room");
+      /* At once, as other work would take the room of the next plan. */
+      queue->plan_checked_ms = 0;
+      gr_planned_make (steps, step);
+    }
 }
 
 void
@@ -234,7 +295,7 @@
   if (queue->priority == 0 || queue->priority < planned->priority)
     return false;
   if (step->spec->lasting)
-    return true;
+    return !step->enters_plans;
   run_ms = (int64_t)((double)gr_deadline (steps, step)->late_run_ms
                      * worker->class_slowness);
   return steps->now_ms + run_ms > planned->planned_ms;
--- a/steps/planned.h
+++ b/steps/planned.h
@@ -1,6 +1,7 @@
 /* Planned reservations: the first gang of a queue that does not fit gets the
  * workers of one rack on which it is expected to fit first. Until then only
- * work that ends in time is placed there. Private to steps/. */
+ * work that ends in time is placed there, and lasting work that has no other
+ * room. Private to steps/. */
 #pragma once
 
 #include "steps/tables.h"
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -255,6 +255,8 @@
   int64_t crashed_ms;     /* when a run of it was last lost in a crash that this
                              owner noticed; 0: never */
   bool fits_rack;         /* some rack is large enough for the whole gang */
+  bool enters_plans;      /* lasting work that found no room beside the workers
+                             planned for gangs; set while it is placed there */
 };
 
 struct occurrence
--- a/tests/test-placement.c
+++ b/tests/test-placement.c
@@ -414,6 +414,145 @@
 }
 END_TEST
 
+/* Adds runs of the queue "batch" that only workers of the rack may take, at
+ * most one on each worker. */
+static void
+fill_rack (struct steps_model *model,
+           uint32_t number,
+           const char *rack,
+           uint32_t count,
+           uint32_t accelerators,
+           uint32_t run_ms)
+{
+  g_autofree char *label = g_strdup (rack);
+  struct gr_step_spec step = {
+    .count = count,
+    .needs = { 1000, 1000, accelerators },
+    .estimate_ms = run_ms,
+    .label = label,
+    .max_per_worker = 1,
+  };
+
+  steps_model_add_job (model, number, "batch", "a", &step, 1, run_ms);
+}
+
+#define PLANNED_GANG 100
+#define LASTING 101
+
+/* A gang needs a whole rack. The first one is planned for it, and one
+ * accelerator of each worker there is in use for 40 s. The second rack is in
+ * use for 50 s, by a job with its number for each worker, and the others for
+ * 80 s, but for free_workers of the last one. A lasting task of one accelerator
+ * arrives while the gang waits. */
+static struct steps_model *
+add_lasting_task_beside_plan (uint32_t free_workers)
+{
+  struct steps_model *model = create (GR_MODE_ON, ALIKE, 3);
+  struct gr_steps_counts counts;
+  struct gr_step_spec lasting = {
+    .count = 1,
+    .needs = { 1000, 1000, 1 },
+    .lasting = true,
+  };
+
+  set_objective (model, "rebuild", 1, 60000, 3);
+  set_objective (model, "batch", 2, 60000, 3);
+  for (uint32_t i = 0; i < PER_RACK; i++)
+    fill_rack (model, PER_RACK + i, "rack1", 1, 8, 50000);
+  fill_rack (model, 1, "rack0", PER_RACK, 1, 40000);
+  fill_rack (model, 2, "rack2", PER_RACK, 8, 80000);
+  fill_rack (model, 3, "rack3", PER_RACK - free_workers, 8, 80000);
+  steps_model_run (model, 500);
+  add (model, PLANNED_GANG, "rebuild", PER_RACK, 8, 3000);
+  steps_model_run (model, 500);
+  gr_steps_counts (steps_model_core (model), &counts);
+  ck_assert_uint_eq (counts.placement.reservations_made, 1);
+  steps_model_add_job (model, LASTING, "rebuild", "a", &lasting, 1, 500);
+  steps_model_run (model, 500);
+  ck_assert_int_ge (steps_model_start_delay_ms (model, LASTING), 0);
+  ck_assert_int_le (steps_model_start_delay_ms (model, LASTING), 200);
+  return model;
+}
+
+/* Guards against a lasting task that waits behind the plan of a gang, for as
+ * long as the longest run that is in the way of the gang. */
+START_TEST (lasting_task_does_not_wait_for_a_planned_gang)
+{
+  destroy (add_lasting_task_beside_plan (0));
+}
+END_TEST
+
+/* Guards against a lasting task that is not tried, because a task of its queue
+ * that goes before it, and needs as much, may not enter the plan. */
+START_TEST (lasting_task_passes_a_task_that_waits_for_a_plan)
+{
+  struct steps_model *model = create (GR_MODE_ON, ALIKE, 3);
+  struct gr_step_spec step = {
+    .count = 1,
+    .needs = { 1000, 1000, 1 },
+    .estimate_ms = 60000,
+  };
+
+  set_objective (model, "rebuild", 1, 60000, 3);
+  set_objective (model, "batch", 2, 60000, 3);
+  /* Its tasks of 60 s are aged after 1.5 s. */
+  set_objective (model, "nightly", 1, 3000, 1);
+  fill_rack (model, 1, "rack0", PER_RACK, 1, 40000);
+  for (uint32_t i = 2; i <= 4; i++)
+    {
+      g_autofree char *rack = g_strdup_printf ("rack%u", i - 1);
+
+      fill_rack (model, i, rack, PER_RACK, 8, 80000);
+    }
+  steps_model_run (model, 500);
+  add (model, PLANNED_GANG, "rebuild", PER_RACK, 8, 3000);
+  steps_model_run (model, 500);
+  steps_model_add_job (model, 5, "nightly", "a", &step, 1, 60000);
+  steps_model_run (model, 2000);
+  ck_assert_int_eq (steps_model_start_delay_ms (model, 5), -1);
+  step.lasting = true;
+  steps_model_add_job (model, LASTING, "nightly", "a", &step, 1, 500);
+  steps_model_run (model, 500);
+  ck_assert_int_ge (steps_model_start_delay_ms (model, LASTING), 0);
+  ck_assert_int_le (steps_model_start_delay_ms (model, LASTING), 200);
+  destroy (model);
+}
+END_TEST
+
+/* Guards against a gang whose plan stays on a rack that a lasting task has
+ * entered: long tasks, which arrive all the time, take the workers of the next
+ * rack, which become free one by one. */
+START_TEST (gang_is_planned_elsewhere_after_a_lasting_task)
+{
+  struct steps_model *model = add_lasting_task_beside_plan (0);
+
+  for (uint32_t i = 0; i < 100; i++)
+    {
+      if (i % 5 == 0 && i / 5 < PER_RACK)
+        steps_model_cancel_job (model, PER_RACK + i / 5);
+      add (model, 1000 + i, "batch", 20, 1, 60000);
+      steps_model_run (model, 100);
+    }
+  ck_assert_int_ge (steps_model_start_delay_ms (model, PLANNED_GANG), 0);
+  ck_assert_int_le (steps_model_start_delay_ms (model, PLANNED_GANG), 8000);
+  destroy (model);
+}
+END_TEST
+
+/* Guards against a lasting task that enters a planned rack, although another
+ * one with more free room can take it, so that the gang starts later without
+ * need. */
+START_TEST (lasting_task_prefers_room_that_is_not_planned)
+{
+  struct steps_model *model = add_lasting_task_beside_plan (PER_RACK - 1);
+
+  steps_model_run (model, 42000);
+  ck_assert_int_ge (steps_model_start_delay_ms (model, PLANNED_GANG), 0);
+  ck_assert_int_le (steps_model_start_delay_ms (model, PLANNED_GANG), 41000);
+  destroy (model);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -425,6 +564,10 @@
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, gang_that_waits_keeps_its_workers);
   tcase_add_test (tests, wide_gangs_of_two_queues_take_turns);
+  tcase_add_test (tests, lasting_task_does_not_wait_for_a_planned_gang);
+  tcase_add_test (tests, lasting_task_passes_a_task_that_waits_for_a_plan);
+  tcase_add_test (tests, gang_is_planned_elsewhere_after_a_lasting_task);
+  tcase_add_test (tests, lasting_task_prefers_room_that_is_not_planned);
   tcase_add_test (tests, work_with_slack_leaves_fast_workers_free);
   tcase_add_test (tests, work_without_slack_takes_fast_workers);
   tcase_add_test (tests, gang_takes_no_fast_member_beside_a_slow_one);
