steps: upkeeps stop lasting tasks of steps without max_away

A task at work of a lasting step without max_away was never stopped, so the upkeep of its machine never began, its wave was never complete, and the machine was closed to other work for good.

Such a task now moves as soon as the machine is closed, if no other task of its step is away and another worker has room; after the 4 s that other runs have, it is stopped in any case.

Measured: of the four new tests of test-waves three failed before (four of five runs); the fourth guards max_away. Trials with five conditions taken out or changed each fail one of them.

--- a/steps/evacuation.c
+++ b/steps/evacuation.c
@@ -127,28 +127,6 @@
   return withdrawn;
 }
 
-/* Whether a worker has room for a task of the step now. Tickets are ignored, as
- * they are only requested for tasks that wait. */
-static bool
-has_room_elsewhere (const struct gr_steps *steps, const struct step *step)
-{
-  for (guint i = 0; i < steps->worker_rows->len; i++)
-    {
-      const struct worker *worker = steps->worker_rows->pdata[i];
-      struct gr_resources available;
-
-      if (!gr_worker_usable (steps, worker)
-          || !g_str_equal (worker->service, gr_step_job (step)->queue->service)
-          || (step->spec->label != NULL
-              && !gr_worker_has_label (worker, step->spec->label)))
-        continue;
-      available = gr_worker_free_resources (worker, step);
-      if (gr_step_slots_in (step, worker, &available) > 0)
-        return true;
-    }
-  return false;
-}
-
 /* Lasting tasks whose step has no room elsewhere stay: a stop would only end
  * their service. */
 static void
@@ -164,7 +142,7 @@
           || task->step == without_room
           || !gr_task_may_be_stopped (steps, task))
         continue;
-      if (!has_room_elsewhere (steps, task->step))
+      if (!gr_step_has_room (steps, task->step))
         {
           without_room = task->step;
           continue;
--- a/steps/fit.c
+++ b/steps/fit.c
@@ -120,6 +120,25 @@
   return MIN (slots, spec->max_per_worker - present);
 }
 
+bool
+gr_step_has_room (const struct gr_steps *steps, const struct step *step)
+{
+  for (guint i = 0; i < steps->worker_rows->len; i++)
+    {
+      const struct worker *worker = steps->worker_rows->pdata[i];
+      struct gr_resources available;
+
+      if (!gr_worker_usable (steps, worker)
+          || !g_str_equal (worker->service, gr_step_job (step)->queue->service)
+          || !label_matches (worker, step))
+        continue;
+      available = gr_worker_free_resources (worker, step);
+      if (gr_step_slots_in (step, worker, &available) > 0)
+        return true;
+    }
+  return false;
+}
+
 /* True if an otherwise empty rack could take the whole gang. Computed at most
  * once a second, as racks change rarely. */
 static bool
--- a/steps/steps.h
+++ b/steps/steps.h
@@ -201,8 +201,10 @@
 void
 gr_steps_close_worker (struct gr_steps *steps, const char *worker, bool closed);
 /* Stops running tasks on the worker that checkpoint, and lasting tasks as far
- * as max_away of their step allows; with force, also every other task that ends
- * by itself. Returns true if no runs are left there, also if the worker is
+ * as max_away of their step allows; of a step without max_away, one at a time
+ * that has room on another worker. With force, also every other task that ends
+ * by itself, and every lasting task of a step without max_away. Returns
+ * true if no runs are left there, also if the worker is
  * unknown, but not while a former owner may have left runs there. */
 bool gr_steps_evacuate_worker (struct gr_steps *steps,
                                const char *worker,
--- a/steps/tables.h
+++ b/steps/tables.h
@@ -720,6 +720,9 @@
 uint32_t gr_step_slots_in (const struct step *step,
                            const struct worker *worker,
                            const struct gr_resources *available);
+/* Whether a worker has room for a task of the step now. Tickets are ignored, as
+ * they are only requested for tasks that wait. */
+bool gr_step_has_room (const struct gr_steps *steps, const struct step *step);
 /* Resources that are free on the worker for the step. */
 struct gr_resources gr_worker_free_resources (const struct worker *worker,
                                               const struct step *step);
--- a/steps/workers.c
+++ b/steps/workers.c
@@ -300,6 +300,20 @@
     worker->closed = closed;
 }
 
+/* True if the task can be at work elsewhere soon, and no other task of its step
+ * is away meanwhile. */
+static bool
+may_move (const struct gr_steps *steps, const struct task *task)
+{
+  const struct step *step = task->step;
+
+  return !step->spec->gang && gr_tenure_is_present (steps)
+         && gr_step_unavailable_tasks (step, task) == 0
+         && gr_step_has_room (steps, step);
+}
+
+/* A step that sets max_away is promised that no more tasks are stopped. One
+ * without it must not hold up an upkeep for ever, as its tasks never end. */
 static bool
 may_evacuate (const struct gr_steps *steps, const struct task *task, bool force)
 {
@@ -307,9 +321,10 @@
 
   if (task->state != TASK_RUNNING)
     return false;
-  if (spec->lasting)
-    return gr_task_may_be_stopped (steps, task);
-  return spec->checkpointing || force;
+  if (!spec->lasting)
+    return spec->checkpointing || force;
+  return gr_task_may_be_stopped (steps, task)
+         || (spec->max_away == 0 && (force || may_move (steps, task)));
 }
 
 bool
--- a/tests/test-waves.c
+++ b/tests/test-waves.c
@@ -1,5 +1,6 @@
 #include "steps/tenure.h"
 #include "steps/waves.h"
+#include "tests/steps-fixture.h"
 
 #include <check.h>
 #include <stdlib.h>
@@ -467,6 +468,135 @@
 }
 END_TEST
 
+/* A wave of one machine beside a model of workers with lasting tasks. Each
+ * worker is taken by one lasting task, or two if they need half of it. */
+struct lasting_model
+{
+  struct steps_model *model;
+  struct gr_waves *waves;
+  struct gr_machine machine; /* of the first worker */
+  int64_t order_ms;          /* from the begin of the wave; -1: none yet */
+};
+
+static void
+lasting_model_create (struct lasting_model *test,
+                      uint32_t workers,
+                      uint32_t tasks,
+                      uint32_t accelerators,
+                      uint32_t max_away)
+{
+  static const char *const names[] = { "m0", NULL };
+  struct gr_step_spec lasting = steps_plain;
+
+  test->model = steps_fixture_create (workers, 1);
+  test->waves = gr_waves_create (steps_model_core (test->model));
+  test->machine =
+      (struct gr_machine){ .machine = (char *)"m0", .worker = (char *)"w000" };
+  test->order_ms = -1;
+  lasting.count = tasks;
+  lasting.needs.accelerators = accelerators;
+  lasting.lasting = true;
+  lasting.max_away = max_away;
+  steps_model_add_job (test->model, 1, "normal", "a", &lasting, 1, 500);
+  steps_model_run (test->model, 2000);
+  ck_assert_uint_eq (steps_model_running (test->model, 1),
+                     MIN (tasks, workers * 8 / accelerators));
+  ck_assert_uint_gt (steps_model_starts_on (test->model, 0), 0);
+  gr_waves_set (test->waves, 1, names, 1);
+}
+
+static void
+lasting_model_destroy (struct lasting_model *test)
+{
+  gr_waves_destroy (test->waves);
+  steps_fixture_destroy (test->model);
+}
+
+/* Plays the wave for some time. Returns the fewest tasks that ran meanwhile. */
+static uint32_t
+play_wave (struct lasting_model *test, int64_t for_ms)
+{
+  int64_t begin_ms = steps_model_now_ms (test->model);
+  uint32_t fewest = UINT32_MAX;
+
+  for (int64_t at_ms = 0; at_ms < for_ms; at_ms += TICK_MS)
+    {
+      int64_t now_ms = begin_ms + at_ms;
+      struct gr_upkeep_order order;
+
+      gr_waves_update_machines (test->waves, &test->machine, 1, now_ms);
+      gr_waves_tick (test->waves, now_ms);
+      gr_waves_stored (test->waves, 1, 1);
+      if (gr_waves_take_order (test->waves, &order) && test->order_ms < 0)
+        test->order_ms = at_ms;
+      steps_model_run (test->model, TICK_MS);
+      fewest = MIN (fewest, steps_model_running (test->model, 1));
+    }
+  return fewest;
+}
+
+/* Guards against an upkeep that never begins, because a lasting task of a step
+ * without max_away is at work on the machine. It moves to another worker at
+ * once, as waiting would not end it. */
+START_TEST (lasting_task_moves_before_an_upkeep)
+{
+  struct lasting_model test;
+
+  lasting_model_create (&test, 2, 1, 8, 0);
+  play_wave (&test, 3000);
+  ck_assert_int_ge (test.order_ms, 0);
+  ck_assert_int_le (test.order_ms, 1000);
+  ck_assert_uint_eq (steps_model_running (test.model, 1), 1);
+  ck_assert_uint_eq (steps_model_starts_on (test.model, 1), 1);
+  lasting_model_destroy (&test);
+}
+END_TEST
+
+/* Guards against lasting tasks that are all stopped together, although they can
+ * move one by one. */
+START_TEST (lasting_tasks_move_one_by_one)
+{
+  struct lasting_model test;
+
+  lasting_model_create (&test, 2, 2, 4, 0);
+  ck_assert_uint_eq (steps_model_starts_on (test.model, 0), 2);
+  ck_assert_uint_ge (play_wave (&test, 3500), 1);
+  ck_assert_int_ge (test.order_ms, 0);
+  ck_assert_uint_eq (steps_model_starts_on (test.model, 1), 2);
+  lasting_model_destroy (&test);
+}
+END_TEST
+
+/* Guards against an upkeep that never begins, because no other worker has room
+ * for a lasting task of the machine, or another task of its step waits for room
+ * for good. It stays at work until the time limit for other runs. */
+START_TEST (lasting_task_without_room_ends_for_an_upkeep)
+{
+  struct lasting_model test;
+
+  lasting_model_create (&test, 2, (uint32_t)_i, 8, 0);
+  ck_assert_uint_eq (play_wave (&test, 3500), 2);
+  ck_assert_int_eq (test.order_ms, -1);
+  play_wave (&test, 3000);
+  ck_assert_int_ge (test.order_ms, 0);
+  ck_assert_uint_eq (steps_model_running (test.model, 1), 1);
+  lasting_model_destroy (&test);
+}
+END_TEST
+
+/* Guards against an upkeep that ends a task of a step with max_away while as
+ * many others are away: the third one has no room. */
+START_TEST (max_away_holds_for_an_upkeep)
+{
+  struct lasting_model test;
+
+  lasting_model_create (&test, 2, 3, 8, 1);
+  ck_assert_uint_eq (play_wave (&test, 20000), 2);
+  ck_assert_int_eq (test.order_ms, -1);
+  lasting_model_destroy (&test);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -475,6 +605,11 @@
   SRunner *runner = srunner_create (suite);
   int failed;
 
+  tcase_add_test (tests, lasting_task_moves_before_an_upkeep);
+  tcase_add_test (tests, lasting_tasks_move_one_by_one);
+  tcase_add_loop_test (tests, lasting_task_without_room_ends_for_an_upkeep, 2,
+                       4);
+  tcase_add_test (tests, max_away_holds_for_an_upkeep);
   tcase_add_test (tests, wave_keeps_to_its_cap);
   tcase_add_test (tests, wave_is_complete_only_at_the_end);
   tcase_add_test (tests, machine_missing_from_one_list_has_its_upkeep);
