--- a/steps/tables.h
+++ b/steps/tables.h
@@ -255,6 +255,8 @@
   int64_t crashed_ms;     /* when a run of it was last lost in a crash that this
                              owner noticed; 0: never */
   bool fits_rack;         /* some rack is large enough for the whole gang */
+  bool enters_plans;      /* lasting work that found no room beside the workers
+                             planned for gangs; set while it is placed there */
 };
 
 struct occurrence
@@ -718,6 +720,9 @@
 uint32_t gr_step_slots_in (const struct step *step,
                            const struct worker *worker,
                            const struct gr_resources *available);
+/* Whether a worker has room for a task of the step now. Tickets are ignored, as
+ * they are only requested for tasks that wait. */
+bool gr_step_has_room (const struct gr_steps *steps, const struct step *step);
 /* Resources that are free on the worker for the step. */
 struct gr_resources gr_worker_free_resources (const struct worker *worker,
                                               const struct step *step);
