steps: queued starts are withdrawn from draining workers

Whether a worker is draining was checked only when a start was placed. A start that waits in the queue, or is sent again after no result, can be carried out up to 2 s later, when nothing may start on the worker any more (drain-ms).

Such a start is withdrawn when its order is taken.

--- a/steps/orders.c
+++ b/steps/orders.c
@@ -457,6 +457,10 @@
   if (task->incarnation_unix_ms != 0
       && task->incarnation_unix_ms != task->worker->incarnation_unix_ms)
     return "chosen for another process";
+  /* Starts can be queued for GR_START_LIMIT_MS; nothing may start drain-ms
+   * (2 s) after a worker has announced that it is draining. */
+  if (task->worker->draining)
+    return "the worker is draining";
   return NULL;
 }
 
--- a/tests/test-steps.c
+++ b/tests/test-steps.c
@@ -503,6 +503,30 @@
 }
 END_TEST
 
+/* Guards against starts on a worker that was found to drain while they were
+ * queued, which can take 2 s. */
+START_TEST (queued_starts_are_withdrawn_from_draining_workers)
+{
+  struct gr_step_spec one = steps_plain;
+  struct steps_model *model = steps_fixture_create (4, 1);
+
+  one.count = 1;
+  steps_model_set_orders_per_tick (model, 0);
+  steps_model_add_job (model, 1, "normal", "a", &one, 1, 1000);
+  steps_model_run (model, 500);
+  for (uint32_t i = 0; i < 4; i++)
+    steps_model_drain_worker (model, i, true);
+  steps_model_run (model, 500);
+  steps_model_set_orders_per_tick (model, 16);
+  steps_model_run (model, 1000);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 0);
+  steps_model_drain_worker (model, 0, false);
+  steps_model_run (model, 500);
+  ck_assert_uint_eq (steps_model_starts (model, 1), 1);
+  steps_fixture_destroy (model);
+}
+END_TEST
+
 /* A new owner treated its first read of a registry entry as a heartbeat. A
  * worker that had been silent for a long time was then treated as one that had
  * left, and its active runs were started a second time. */
@@ -1185,6 +1209,7 @@
   tcase_add_test (tests, entry_that_is_removed_early_ends_no_run);
   tcase_add_test (tests, silent_worker_is_waited_for);
   tcase_add_test (tests, queued_start_orders_extend_the_lease);
+  tcase_add_test (tests, queued_starts_are_withdrawn_from_draining_workers);
   tcase_add_test (tests, first_read_of_an_entry_does_not_count_as_heartbeat);
   tcase_add_test (tests, expiry_reported_with_the_last_renewal_is_no_departure);
   tcase_add_test (tests, late_entry_of_a_former_process_is_ignored);
