standins: a relay holds new and ended connections as well

The fault "hold" held data only: a connection that was opened while nothing listened was closed, and the end of one was passed on at once, so no call to a process that is down could reach the next one. A new connection is now connected, and the end of a stream delivered, when the fault ends.

--- a/standins/relay.c
+++ b/standins/relay.c
@@ -20,18 +20,21 @@
   GSocketConnection *from;
   GSocketConnection *to;
   GSource *timer;
-  gsize size;
+  gsize size; /* 0: the stream has ended */
+  bool failed;
   char buffer[BUFFER_BYTES];
 };
 
-/* A relayed connection. It is freed when no operation is pending, which can be
- * after it was closed. */
+/* A relayed connection: one of the client and one to the target, which is never
+ * opened anew, as what the target said on a connection must hold for all of it.
+ * It is freed when no operation is pending, which can be after it was closed.
+ */
 struct relay_link
 {
   struct gr_relay *relay; /* NULL once the link is closed */
   GCancellable *cancellable;
   GSocketConnection *client;
-  GSocketConnection *target;
+  GSocketConnection *target; /* NULL until connected */
   struct relay_direction to_target;
   struct relay_direction to_client;
   int pending_operations;
@@ -106,18 +109,27 @@
     read_chunk (direction);
 }
 
-static gboolean write_chunk (gpointer data);
+static gboolean deliver (gpointer data);
 
 static void
-write_later (struct relay_direction *direction, int64_t delay_ms)
+deliver_later (struct relay_direction *direction, int64_t delay_ms)
 {
   direction->timer = g_timeout_source_new ((guint)delay_ms);
-  g_source_set_callback (direction->timer, write_chunk, direction, NULL);
+  g_source_set_callback (direction->timer, deliver, direction, NULL);
   g_source_attach (direction->timer, NULL);
 }
 
+static void
+deliver_end (struct relay_direction *direction)
+{
+  if (direction->failed)
+    close_link (direction->link);
+  end_direction (direction);
+}
+
+/* Delivers the chunk, or the end of the stream. */
 static gboolean
-write_chunk (gpointer data)
+deliver (gpointer data)
 {
   struct relay_direction *direction = data;
 
@@ -129,7 +141,12 @@
     }
   if (direction->link->relay->hold)
     {
-      write_later (direction, HOLD_MS);
+      deliver_later (direction, HOLD_MS);
+      return G_SOURCE_REMOVE;
+    }
+  if (direction->size == 0)
+    {
+      deliver_end (direction);
       return G_SOURCE_REMOVE;
     }
   direction->link->relay->relayed_bytes += (int64_t)direction->size;
@@ -148,14 +165,23 @@
   gssize size =
       g_input_stream_read_finish (G_INPUT_STREAM (source), result, NULL);
 
-  if (relay == NULL || size <= 0)
+  if (relay == NULL)
     {
-      if (size < 0)
-        close_link (direction->link);
       end_direction (direction);
       return;
     }
-  direction->size = (gsize)size;
+  direction->size = (gsize)MAX (size, 0);
+  direction->failed = size < 0;
+  if (size <= 0 && relay->hold)
+    {
+      deliver_later (direction, HOLD_MS);
+      return;
+    }
+  if (size <= 0)
+    {
+      deliver_end (direction);
+      return;
+    }
   if (relay->drop
       || (relay->drop_answers && direction == &direction->link->to_client))
     {
@@ -163,7 +189,7 @@
       read_chunk (direction);
       return;
     }
-  write_later (direction, relay->delay_ms);
+  deliver_later (direction, relay->delay_ms);
 }
 
 static void
@@ -205,6 +231,34 @@
   link_unref (link);
 }
 
+static void
+connect_link (struct relay_link *link)
+{
+  GSocketClient *connector = g_socket_client_new ();
+
+  g_socket_client_set_enable_proxy (connector, FALSE);
+  g_socket_client_set_local_address (connector, link->relay->source);
+  g_socket_client_connect_to_host_async (connector, link->relay->target, 0,
+                                         link->cancellable, connect_done, link);
+  g_object_unref (connector);
+}
+
+/* A connection that is opened during the fault "hold" reaches the process that
+ * listens when the fault ends. */
+static gboolean
+connect_held (gpointer data)
+{
+  struct relay_link *link = data;
+
+  if (link->relay != NULL && link->relay->hold)
+    return G_SOURCE_CONTINUE;
+  if (link->relay != NULL)
+    connect_link (link);
+  else
+    link_unref (link);
+  return G_SOURCE_REMOVE;
+}
+
 static gboolean
 incoming (GSocketService *service,
           GSocketConnection *client,
@@ -212,7 +266,6 @@
           gpointer data)
 {
   struct gr_relay *relay = data;
-  GSocketClient *connector;
   struct relay_link *link;
 
   (void)service;
@@ -228,12 +281,10 @@
   link->cancellable = g_cancellable_new ();
   link->pending_operations = 1;
   g_hash_table_add (relay->links, link);
-  connector = g_socket_client_new ();
-  g_socket_client_set_enable_proxy (connector, FALSE);
-  g_socket_client_set_local_address (connector, relay->source);
-  g_socket_client_connect_to_host_async (connector, relay->target, 0,
-                                         link->cancellable, connect_done, link);
-  g_object_unref (connector);
+  if (relay->hold)
+    g_timeout_add (HOLD_MS, connect_held, link);
+  else
+    connect_link (link);
   return TRUE;
 }
 
@@ -315,6 +366,12 @@
   return true;
 }
 
+void
+gr_relay_set_hold (struct gr_relay *relay, bool hold)
+{
+  relay->hold = hold;
+}
+
 static bool
 control (JsonObject *body, void *context)
 {
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -10,8 +10,8 @@
  * POST /control on control_listen:
  *   drop: discards all data that arrives
  *   drop_answers: discards what the target sends
- *   hold: delivers no data until the fault ends, as a network does that sends
- *     again after an outage
+ *   hold: delivers no data, no end of a stream and no new connection until the
+ *     fault ends, as a network does that sends again after an outage
  *   delay_ms: delays each chunk of data
  *   refuse: closes new connections
  *   closed: as if no process listened: closes all connections, and the system
@@ -36,6 +36,8 @@
 /* Closes all connections now. */
 void gr_relay_disconnect_all (struct gr_relay *relay);
 
+void gr_relay_set_hold (struct gr_relay *relay, bool hold);
+
 /* Sets the fault "closed". Returns false if the address cannot be listened on
  * again, because another process has taken it. */
 bool gr_relay_set_closed (struct gr_relay *relay, bool closed);
