tests: the kill of a worker ends the runs of that process alone

The soak counts a run of a killed process as ended with the kill. The test did so with one process of a worker only, not with the next one under its number. Three tests are added: a run of the next process goes on, an acknowledged end of a killed process stays final, and one that nobody has acknowledged does not.

--- a/tests/test-soak-runs.c
+++ b/tests/test-soak-runs.c
@@ -38,12 +38,13 @@
 teardown (void)
 {
   for (int i = 0; i < 2; i++)
-    {
-      g_autofree char *file =
-          g_strdup_printf ("%s/w%d-0.events", fixture.folder, i);
+    for (int life = 0; life < 2; life++)
+      {
+        g_autofree char *file =
+            g_strdup_printf ("%s/w%d-%d.events", fixture.folder, i, life);
 
-      unlink (file);
-    }
+        unlink (file);
+      }
   rmdir (fixture.folder);
   soak_runs_destroy (fixture.runs);
   g_ptr_array_unref (fixture.rejected);
@@ -52,15 +53,21 @@
 }
 
 static void
-add_worker (uint32_t number, const char *events)
+add_process (uint32_t number, uint32_t life, const char *events)
 {
   g_autofree char *file =
-      g_strdup_printf ("%s/w%u-0.events", fixture.folder, number);
+      g_strdup_printf ("%s/w%u-%u.events", fixture.folder, number, life);
 
   ck_assert (g_file_set_contents (file, events, -1, NULL));
   soak_runs_add_file (fixture.runs, file, number);
 }
 
+static void
+add_worker (uint32_t number, const char *events)
+{
+  add_process (number, 0, events);
+}
+
 /* text: in the message; NULL if no rule is broken. */
 static void
 assert_violation (const char *text)
@@ -97,6 +104,50 @@
 }
 END_TEST
 
+/* A run of the next process of a worker goes on after the kill of the former
+ * one, also if its number is the same. */
+START_TEST (killed_process_ends_no_run_of_the_next_one)
+{
+  add_process (0, 0, "start 1000000 " TASK " 1 -\n");
+  add_process (0, 1, "start 4000000 " TASK " 1 -\n");
+  assert_violation ("two runs at once");
+  soak_runs_end_file (fixture.runs, 0, 0, 3000000);
+  assert_violation (NULL);
+  add_worker (1, "start 5000000 " TASK " 1001 -\n");
+  assert_violation ("two runs at once:\n  run 1 of " TASK
+                    " on w0-1.events in dc1 (owner i0 in dc1) from 4.000 s to "
+                    "now\n");
+  soak_runs_end_file (fixture.runs, 0, 1, 4500000);
+  assert_violation (NULL);
+}
+END_TEST
+
+/* The former process printed it before it was killed. */
+START_TEST (acknowledged_end_of_a_killed_process_is_final)
+{
+  add_process (0, 0,
+               "start 1000000 " TASK " 1 -\n"
+               "end 2000000 " TASK " 1 done\n"
+               "noted 2500000 " TASK " 1 done\n");
+  soak_runs_end_file (fixture.runs, 0, 0, 3000000);
+  assert_violation (NULL);
+  add_process (0, 1, "start 4000000 " TASK " 2 -\n");
+  assert_violation ("started after an end that was acknowledged");
+}
+END_TEST
+
+/* The end was lost with the process. */
+START_TEST (end_of_a_killed_process_is_not_final)
+{
+  add_process (0, 0,
+               "start 1000000 " TASK " 1 -\n"
+               "end 2000000 " TASK " 1 done\n");
+  soak_runs_end_file (fixture.runs, 0, 0, 3000000);
+  add_process (0, 1, "start 4000000 " TASK " 2 -\n");
+  assert_violation (NULL);
+}
+END_TEST
+
 START_TEST (acknowledged_end_is_final)
 {
   add_worker (0, "start 1000000 " TASK " 1 -\n"
@@ -151,6 +202,9 @@
   tcase_add_checked_fixture (tests, setup, teardown);
   tcase_add_test (tests, runs_of_one_task_must_not_overlap);
   tcase_add_test (tests, killed_process_ends_its_runs);
+  tcase_add_test (tests, killed_process_ends_no_run_of_the_next_one);
+  tcase_add_test (tests, acknowledged_end_of_a_killed_process_is_final);
+  tcase_add_test (tests, end_of_a_killed_process_is_not_final);
   tcase_add_test (tests, acknowledged_end_is_final);
   tcase_add_test (tests, end_is_not_final_after_a_lapse);
   tcase_add_test (tests, runs_of_a_gang_must_not_overlap);
