tests: the soak restarts workers and cuts them off soon after

Nothing in the soak carried a call for one process of a worker to the next one: connections to a worker that is down were refused, and none of its faults cut restarted workers off while runs were at work there. The workers of a zone are now killed together and start again under their ids while connections to them are held; the owner is often paused, killed or stopped, and the workers are cut off for 2 to 12 s.

--- a/tests/soak-clients.c
+++ b/tests/soak-clients.c
@@ -34,6 +34,15 @@
 #define BURST_RUN_MS 400
 #define BURST_MILLICORES 400
 
+/* Jobs of long tasks, about as many as the workers have room for, so that one
+ * that has started again gets runs at once, and is at work when it is cut off.
+ */
+#define LONG_INTERVAL_MS 200
+#define MAX_LONG_TASKS 3
+#define MIN_LONG_RUN_MS 8000
+#define MAX_LONG_RUN_MS 14000
+#define LONG_MILLICORES 16000
+
 /* Chance that a client cancels a job that was accepted. */
 #define CANCEL_CHANCE 0.08
 
@@ -46,18 +55,20 @@
   GThread *thread;
 };
 
-/* The client of the jobs with many short tasks. */
-struct burst_client
+/* A client with jobs of one kind at an interval. */
+struct steady_client
 {
   struct client client;
-  uint32_t interval_ms;
+  void (*submit) (struct client *client);
+  uint32_t interval_ms; /* 0: no jobs */
 };
 
 struct soak_clients
 {
   struct soak_cluster *cluster;
   struct client rows[CLIENTS];
-  struct burst_client bursts;
+  struct steady_client bursts; /* jobs of many short tasks */
+  struct steady_client long_jobs;
   gint stopping;
   GMutex mutex;
   GPtrArray *accepted;   /* ids */
@@ -265,17 +276,32 @@
   submit_job (client, SOAK_QUEUE, id, body);
 }
 
+static void
+submit_long (struct client *client)
+{
+  int run_ms =
+      g_rand_int_range (client->rand, MIN_LONG_RUN_MS, MAX_LONG_RUN_MS);
+  g_autofree char *id = create_id (client);
+  g_autofree char *body = g_strdup_printf (
+      "{\"task-spec\":\"run_ms=%d\",\"steps\":[{\"count\":%d,\"cpu\":%d,"
+      "\"mem-mb\":10,\"estimate-ms\":%d}]}",
+      run_ms, g_rand_int_range (client->rand, 1, MAX_LONG_TASKS + 1),
+      LONG_MILLICORES, run_ms);
+
+  submit_job (client, SOAK_QUEUE, id, body);
+}
+
 static gpointer
-run_bursts (gpointer data)
+run_steady (gpointer data)
 {
-  struct burst_client *bursts = data;
-  struct soak_clients *clients = bursts->client.clients;
+  struct steady_client *steady = data;
+  struct soak_clients *clients = steady->client.clients;
 
-  while (!g_atomic_int_get (&clients->stopping))
+  while (steady->interval_ms != 0 && !g_atomic_int_get (&clients->stopping))
     {
-      submit_burst (&bursts->client);
+      steady->submit (&steady->client);
       for (uint32_t ms = 0;
-           ms < bursts->interval_ms && !g_atomic_int_get (&clients->stopping);
+           ms < steady->interval_ms && !g_atomic_int_get (&clients->stopping);
            ms += 100)
         g_usleep (G_USEC_PER_SEC / 10);
     }
@@ -298,6 +324,18 @@
   client->thread = g_thread_new ("client", run, data);
 }
 
+static void
+start_steady (struct soak_clients *clients,
+              struct steady_client *steady,
+              uint32_t seed,
+              uint32_t interval_ms,
+              void (*submit_one) (struct client *client))
+{
+  steady->interval_ms = interval_ms;
+  steady->submit = submit_one;
+  start_client (clients, &steady->client, seed, run_steady, steady);
+}
+
 static void
 client_clear (struct client *client)
 {
@@ -309,7 +347,8 @@
 struct soak_clients *
 soak_clients_create (struct soak_cluster *cluster,
                      uint32_t seed,
-                     uint32_t burst_interval_ms)
+                     uint32_t burst_interval_ms,
+                     bool long_jobs)
 {
   struct soak_clients *clients = g_new0 (struct soak_clients, 1);
 
@@ -325,9 +364,10 @@
   for (uint32_t i = 0; i < CLIENTS; i++)
     start_client (clients, &clients->rows[i], seed * CLIENTS + i, run_client,
                   &clients->rows[i]);
-  clients->bursts.interval_ms = burst_interval_ms;
-  start_client (clients, &clients->bursts.client, ~seed, run_bursts,
-                &clients->bursts);
+  start_steady (clients, &clients->bursts, ~seed, burst_interval_ms,
+                submit_burst);
+  start_steady (clients, &clients->long_jobs, ~seed - 1,
+                long_jobs ? LONG_INTERVAL_MS : 0, submit_long);
   return clients;
 }
 
@@ -338,6 +378,7 @@
   for (uint32_t i = 0; i < CLIENTS; i++)
     g_thread_join (clients->rows[i].thread);
   g_thread_join (clients->bursts.client.thread);
+  g_thread_join (clients->long_jobs.client.thread);
 }
 
 void
@@ -346,6 +387,7 @@
   for (uint32_t i = 0; i < CLIENTS; i++)
     client_clear (&clients->rows[i]);
   client_clear (&clients->bursts.client);
+  client_clear (&clients->long_jobs.client);
   g_ptr_array_unref (clients->accepted);
   g_ptr_array_unref (clients->done);
   g_ptr_array_unref (clients->rejected);
--- a/tests/soak-clients.h
+++ b/tests/soak-clients.h
@@ -6,10 +6,12 @@
 struct soak_clients;
 
 /* Starts the clients, on threads of their own. One of them submits a job of
- * many short tasks every burst_interval_ms. */
+ * many short tasks every burst_interval_ms. With long_jobs, another one submits
+ * jobs of long tasks, some on each worker at any time. */
 struct soak_clients *soak_clients_create (struct soak_cluster *cluster,
                                           uint32_t seed,
-                                          uint32_t burst_interval_ms);
+                                          uint32_t burst_interval_ms,
+                                          bool long_jobs);
 void soak_clients_destroy (struct soak_clients *clients);
 
 /* Waits until no client has an open call. */
--- a/tests/soak-faults.c
+++ b/tests/soak-faults.c
@@ -9,15 +9,25 @@
 #define FAULT_CHANCE 0.18
 #define FAULT_CHANCE_BESIDE_CUTS 0.01
 #define CONFIG_CHANCE 0.03
-#define EVACUATION_CHANCE 0.004
-#define OUTAGE_CHANCE 0.002
 #define ADVICE_FAULT_CHANCE 0.01
-#define WRITE_FAULT_CHANCE 0.02
 
-/* Chance in a tick that the owner's calls to the store get no answer, and the
- * same in the mix of long lists. */
-#define OWNER_SILENCE_CHANCE 0.003
-#define OWNER_SILENCE_CHANCE_IN_LISTS 0.02
+/* Chances in a tick that a zone is evacuated, that the store is away, that it
+ * disturbs writes, and that the owner's calls to it get no answer. */
+struct chances
+{
+  double evacuation;
+  double outage;
+  double write_fault;
+  double owner_silence;
+};
+
+static const struct chances default_chances = { 0.004, 0.002, 0.02, 0.003 };
+static const struct chances chances_in_lists = { 0.004, 0.002, 0.02, 0.02 };
+
+/* Workers that have started again get no runs in time for the cut while the
+ * store is away or their zone is evacuated. */
+static const struct chances chances_in_restarts = { 0.001, 0.0005, 0.005,
+                                                    0.001 };
 
 /* Longer than the owner's lease of 2 s, and shorter than the 11 s for which an
  * owner continues without the store. */
@@ -45,6 +55,30 @@
 #define MAX_CUT_PAUSE_MS 6000
 #define OVERLAP_CHANCE 0.3
 
+/* Workers that start again together. Connections to them are held meanwhile and
+ * a little longer, so that calls to the former process reach the next one. */
+#define MIN_DOWN_MS 300
+#define MAX_DOWN_MS 1500
+#define MAX_HELD_MS 800
+
+/* Time from the first connection to these workers until they are cut off, and
+ * span of the cut. The lease of a call to the former process lasts 10 s, those
+ * of the owner 7 s. A successor of an owner that was killed waits longer than
+ * 10 s in all, that of one that has stopped about 7 s. */
+#define MIN_RESTART_CUT_DELAY_MS 500
+#define SHORT_RESTART_CUT_DELAY_MS 1500
+#define MAX_RESTART_CUT_DELAY_MS 3000
+#define MIN_RESTART_CUT_MS 2000
+#define MAX_RESTART_CUT_MS 12000
+#define LONG_RESTART_CUT_MS 9500
+
+/* Time for which an owner that is told to stop may go on. */
+#define MAX_STOP_MS 3000
+
+#define MIN_RESTART_INTERVAL_MS 3000
+#define MAX_RESTART_PAUSE_MS 3000
+#define MAX_RESTART_PAUSE_BESIDE_ALL_MS 20000
+
 #define MAX_OUTAGE_MS 12000
 
 /* Chances that a configuration has the queue that needs a key, and the key. */
@@ -68,6 +102,8 @@
   UNDO_PATH,
   UNDO_PAUSE, /* of a process */
   UNDO_WORKER_DOWN,
+  UNDO_RESTART, /* the worker starts again under its id */
+  UNDO_STOP,    /* the instance starts again */
   UNDO_EVACUATION,
   UNDO_ADVICE, /* its times */
 };
@@ -79,9 +115,19 @@
   const struct soak_path *path;
   pid_t pid;
   struct soak_worker *worker;
+  struct soak_instance *instance;
   uint32_t zone;
 };
 
+/* A cut of one worker from all instances that is to begin. */
+struct planned_cut
+{
+  struct soak_worker *worker;
+  const char *fault;
+  int64_t at_us;
+  int64_t until_us;
+};
+
 /* A partition. */
 struct cut
 {
@@ -99,13 +145,19 @@
   struct soak_cluster *cluster;
   GRand *rand;
   bool zones_only;
-  double owner_silence_chance;
+  struct chances chances;
   int64_t all_from_us; /* few faults beside partitions until then */
   GArray *undos;
+  GArray *planned_cuts;
+  int64_t next_restart_us;
+  int max_restart_pause_ms;
+  bool had_cut; /* a partition */
   int64_t next_cut_us;
-  int64_t pause_owner_us;  /* within a partition; 0: not */
-  int64_t store_paused_us; /* until then the store answers no call */
-  int64_t write_config_us; /* when the configuration changes; 0: not planned */
+  int64_t pause_owner_us;   /* 0: not planned */
+  double kill_owner_chance; /* instead of the pause */
+  double stop_owner_chance; /* by SIGTERM, likewise */
+  int64_t store_paused_us;  /* until then the store answers no call */
+  int64_t write_config_us;  /* when the configuration changes; 0: not planned */
   uint32_t config_version;
   uint32_t advice_decide_ms; /* as configured */
   uint32_t advice_each_ms;
@@ -142,6 +194,17 @@
   g_array_append_val (faults->undos, undo);
 }
 
+/* Disturbs the paths of all zones to a worker. */
+static void
+disturb_paths (struct soak_faults *faults,
+               const struct soak_worker *worker,
+               const char *fault,
+               int64_t until_us)
+{
+  for (uint32_t zone = 0; zone < SOAK_ZONES; zone++)
+    disturb_path (faults, &worker->paths[zone], fault, until_us);
+}
+
 /* Returns the body of a fault, to be freed with g_free (). */
 static char *
 choose_fault (struct soak_faults *faults)
@@ -309,12 +372,20 @@
       }
 }
 
+/* The file keeps the log when a check ends the soak. */
+static void
+write_log (struct soak_faults *faults)
+{
+  g_autofree char *file =
+      g_build_filename (faults->cluster->folder, "partitions", NULL);
+
+  g_file_set_contents (file, faults->log->str, -1, NULL);
+}
+
 static void
 log_cut (struct soak_faults *faults, const struct cut *cut)
 {
   const struct soak_cluster *cluster = faults->cluster;
-  g_autofree char *file =
-      g_build_filename (cluster->folder, "partitions", NULL);
 
   g_string_append_printf (
       faults->log, "\n  %.3f to %.3f s: dc%u%s%s%s%s, owner i%u in dc%u, %s",
@@ -323,7 +394,7 @@
       cut->instances ? " instances-store" : "",
       cut->workers ? " workers-store" : "", cluster->owner,
       cluster->instances[cluster->owner].zone + 1, cut->fault);
-  g_file_set_contents (file, faults->log->str, -1, NULL);
+  write_log (faults);
 }
 
 /* A former owner that shares a worker or the store with its successor is fenced
@@ -339,7 +410,7 @@
     "{\"drop_answers\":true}",
   };
   gint32 n_bodies = (gint32)G_N_ELEMENTS (bodies);
-  bool first = faults->log->len == 0;
+  bool first = !faults->had_cut;
   bool separate = first || chance (faults, 0.6);
   int min_ms = chance (faults, 0.5) ? LONG_CUT_MS : VERY_LONG_CUT_MS;
   bool is_long = first || (separate && chance (faults, 0.6));
@@ -364,6 +435,7 @@
 {
   struct cut cut = choose_cut (faults);
 
+  faults->had_cut = true;
   log_cut (faults, &cut);
   cut_workers (faults, &cut);
   cut_store (faults, &cut);
@@ -373,6 +445,8 @@
     faults->all_from_us = in_ms (cut.ms);
   faults->pause_owner_us =
       chance (faults, 0.3) ? in_ms (between (faults, 500, cut.ms)) : 0;
+  faults->kill_owner_chance = 0.4;
+  faults->stop_owner_chance = 0;
   faults->next_cut_us =
       in_ms (chance (faults, OVERLAP_CHANCE)
                  ? between (faults, MIN_CUT_INTERVAL_MS, MAX_CUT_MS)
@@ -412,15 +486,153 @@
 {
   struct soak_instance *owner =
       &faults->cluster->instances[faults->cluster->owner];
+  double what = g_rand_double (faults->rand);
+  const char *text = "paused";
 
   faults->pause_owner_us = 0;
-  if (chance (faults, 0.6))
+  if (what < faults->kill_owner_chance)
     {
-      pause_process (faults, owner->pid, between (faults, 300, 6000));
-      return;
+      text = "killed";
+      soak_kill (owner->pid);
+      soak_start_instance (faults->cluster, owner);
+    }
+  else if (what < faults->kill_owner_chance + faults->stop_owner_chance)
+    {
+      struct undo undo = { .kind = UNDO_STOP,
+                           .at_us = in_ms (MAX_STOP_MS),
+                           .instance = owner,
+                           .pid = owner->pid };
+
+      text = "stopped";
+      kill (owner->pid, SIGTERM);
+      g_array_append_val (faults->undos, undo);
+    }
+  else
+    pause_process (faults, owner->pid, between (faults, 300, 6000));
+  g_string_append_printf (faults->log, "\n  %.3f s: owner i%u %s",
+                          (double)g_get_monotonic_time () / 1e6,
+                          faults->cluster->owner, text);
+}
+
+static void
+restart_worker (struct soak_faults *faults,
+                struct soak_worker *worker,
+                int down_ms)
+{
+  struct undo undo = { .kind = UNDO_RESTART,
+                       .at_us = in_ms (down_ms),
+                       .worker = worker };
+
+  soak_end_worker (faults->cluster, worker);
+  g_array_append_val (faults->undos, undo);
+}
+
+/* Returns the workers of a zone that start again, to be freed with
+ * g_ptr_array_unref (). */
+static GPtrArray *
+choose_workers (struct soak_faults *faults, uint32_t zone)
+{
+  GPtrArray *chosen = g_ptr_array_new ();
+  bool whole_zone = chance (faults, 0.7);
+
+  for (uint32_t i = 0; i < faults->cluster->n_workers; i++)
+    {
+      struct soak_worker *worker = &faults->cluster->workers[i];
+
+      if (worker->zone == zone && worker->pid != 0
+          && (whole_zone || chance (faults, 0.5)))
+        g_ptr_array_add (chosen, worker);
+    }
+  return chosen;
+}
+
+static void
+plan_cut (struct soak_faults *faults,
+          GPtrArray *workers,
+          int from_ms,
+          int span_ms)
+{
+  static const char *const bodies[] = {
+    "{\"drop\":true}",
+    "{\"hold\":true}",
+    "{\"closed\":true}",
+    "{\"cut\":true,\"refuse\":true}",
+  };
+  struct planned_cut cut = {
+    .fault = bodies[between (faults, 0, (gint32)G_N_ELEMENTS (bodies))],
+    .at_us = in_ms (from_ms),
+    .until_us = in_ms (from_ms + span_ms),
+  };
+
+  for (guint i = 0; i < workers->len; i++)
+    {
+      cut.worker = workers->pdata[i];
+      g_array_append_val (faults->planned_cuts, cut);
+    }
+  g_string_append_printf (faults->log, ", cut off from %.3f to %.3f s, %s",
+                          (double)cut.at_us / 1e6, (double)cut.until_us / 1e6,
+                          cut.fault);
+}
+
+/* Workers of a zone crash together and start again under their ids while calls
+ * to them are held, and are cut off soon after. Often, the owner is paused,
+ * killed or stopped before that, so that a successor decides when their runs
+ * have ended.
+ */
+static void
+restart_workers (struct soak_faults *faults)
+{
+  uint32_t zone = (uint32_t)between (faults, 0, SOAK_ZONES);
+  g_autoptr (GPtrArray) workers = choose_workers (faults, zone);
+  int down_ms = between (faults, MIN_DOWN_MS, MAX_DOWN_MS);
+  int held_ms = down_ms + between (faults, 0, MAX_HELD_MS);
+  int cut_delay_ms = between (faults, MIN_RESTART_CUT_DELAY_MS,
+                              chance (faults, 0.6) ? SHORT_RESTART_CUT_DELAY_MS
+                                                   : MAX_RESTART_CUT_DELAY_MS);
+  int cut_ms = held_ms + cut_delay_ms;
+  int span_ms = between (
+      faults, chance (faults, 0.7) ? LONG_RESTART_CUT_MS : MIN_RESTART_CUT_MS,
+      MAX_RESTART_CUT_MS);
+
+  g_string_append_printf (
+      faults->log, "\n  %.3f s: %u workers of dc%u down for %d, held for %d ms",
+      (double)g_get_monotonic_time () / 1e6, workers->len, zone + 1, down_ms,
+      held_ms);
+  for (guint i = 0; i < workers->len; i++)
+    disturb_paths (faults, workers->pdata[i], "{\"hold\":true}",
+                   in_ms (held_ms));
+  for (guint i = 0; i < workers->len; i++)
+    restart_worker (faults, workers->pdata[i], down_ms);
+  plan_cut (faults, workers, cut_ms, span_ms);
+  write_log (faults);
+  if (chance (faults, 0.8))
+    {
+      faults->pause_owner_us =
+          in_ms (chance (faults, 0.3) ? between (faults, 0, held_ms)
+                                      : between (faults, held_ms, cut_ms));
+      faults->kill_owner_chance = 0.35;
+      faults->stop_owner_chance = 0.45;
+    }
+  faults->next_restart_us =
+      in_ms (chance (faults, OVERLAP_CHANCE)
+                 ? between (faults, MIN_RESTART_INTERVAL_MS, cut_ms + span_ms)
+                 : cut_ms + span_ms
+                       + between (faults, 0, faults->max_restart_pause_ms));
+}
+
+static void
+begin_planned_cuts (struct soak_faults *faults)
+{
+  for (guint i = faults->planned_cuts->len; i-- > 0;)
+    {
+      struct planned_cut cut =
+          g_array_index (faults->planned_cuts, struct planned_cut, i);
+
+      if (cut.at_us > g_get_monotonic_time ())
+        continue;
+      g_array_remove_index_fast (faults->planned_cuts, i);
+      disturb_paths (faults, cut.worker, cut.fault, cut.until_us);
     }
-  soak_kill (owner->pid);
-  soak_start_instance (faults->cluster, owner);
 }
 
 /* The store carries some writes out late, or does not answer them. Often, the
@@ -551,6 +763,17 @@
       worker->identity += (uint32_t)between (faults, 0, 2);
       soak_start_worker (cluster, worker);
       return;
+    case UNDO_RESTART:
+      if (worker->pid == 0)
+        soak_start_worker (cluster, worker);
+      return;
+    case UNDO_STOP:
+      /* Another fault may have started it again. */
+      if (undo->instance->pid != undo->pid)
+        return;
+      soak_kill (undo->pid);
+      soak_start_instance (cluster, undo->instance);
+      return;
     case UNDO_EVACUATION:
       removal =
           g_strdup_printf ("{\"remove\":\"op/evacuate/dc%u\"}", undo->zone + 1);
@@ -587,6 +810,8 @@
   faults->rand = g_rand_new_with_seed (seed);
   faults->zones_only = g_strcmp0 (mix, "zones") == 0;
   faults->undos = g_array_new (FALSE, FALSE, sizeof (struct undo));
+  faults->planned_cuts =
+      g_array_new (FALSE, FALSE, sizeof (struct planned_cut));
   faults->log = g_string_new (NULL);
   faults->advice_decide_ms =
       (uint32_t)between (faults, 0, MAX_ADVICE_DECIDE_MS);
@@ -595,16 +820,29 @@
   write_config (faults);
   faults->next_cut_us = in_ms (between (faults, 3000, 8000));
   faults->all_from_us = INT64_MAX;
+  faults->next_restart_us = INT64_MAX;
+  if (mix == NULL || g_str_equal (mix, "all"))
+    {
+      faults->next_restart_us = in_ms (between (faults, 10000, 25000));
+      faults->max_restart_pause_ms = MAX_RESTART_PAUSE_BESIDE_ALL_MS;
+    }
   if (g_strcmp0 (mix, "processes") == 0)
     {
       faults->next_cut_us = INT64_MAX;
       faults->all_from_us = 0;
     }
-  faults->owner_silence_chance = OWNER_SILENCE_CHANCE;
+  faults->chances = default_chances;
+  if (g_strcmp0 (mix, "restarts") == 0)
+    {
+      faults->next_cut_us = INT64_MAX;
+      faults->next_restart_us = in_ms (between (faults, 8000, 10000));
+      faults->chances = chances_in_restarts;
+      faults->max_restart_pause_ms = MAX_RESTART_PAUSE_MS;
+    }
   if (g_strcmp0 (mix, "lists") == 0)
     {
       faults->next_cut_us = INT64_MAX;
-      faults->owner_silence_chance = OWNER_SILENCE_CHANCE_IN_LISTS;
+      faults->chances = chances_in_lists;
     }
   return faults;
 }
@@ -613,6 +851,7 @@
 soak_faults_destroy (struct soak_faults *faults)
 {
   g_array_unref (faults->undos);
+  g_array_unref (faults->planned_cuts);
   g_string_free (faults->log, TRUE);
   g_rand_free (faults->rand);
   g_free (faults);
@@ -635,20 +874,23 @@
       faults->write_config_us = 0;
       write_config (faults);
     }
-  if (store_answers && chance (faults, EVACUATION_CHANCE))
+  if (store_answers && chance (faults, faults->chances.evacuation))
     evacuate_zone (faults);
   if (chance (faults, now_us > faults->all_from_us ? FAULT_CHANCE
                                                    : FAULT_CHANCE_BESIDE_CUTS))
     inject_faults (faults);
   if (now_us > faults->next_cut_us)
     cut_zone (faults);
+  if (now_us > faults->next_restart_us)
+    restart_workers (faults);
+  begin_planned_cuts (faults);
   if (faults->pause_owner_us != 0 && now_us > faults->pause_owner_us)
     disturb_owner (faults);
-  if (chance (faults, OUTAGE_CHANCE))
+  if (chance (faults, faults->chances.outage))
     stop_store (faults);
-  if (chance (faults, faults->owner_silence_chance))
+  if (chance (faults, faults->chances.owner_silence))
     silence_store_of_owner (faults);
-  if (store_answers && chance (faults, WRITE_FAULT_CHANCE))
+  if (store_answers && chance (faults, faults->chances.write_fault))
     disturb_writes (faults);
   if (chance (faults, ADVICE_FAULT_CHANCE))
     disturb_advice (faults);
--- a/tests/test-soak-platform.c
+++ b/tests/test-soak-platform.c
@@ -15,7 +15,9 @@
  * Environment: GR_SOAK_SEED, GR_SOAK_S (seconds with faults), GR_SOAK_WORKERS,
  * GR_SOAK_INSTANCES, GR_SOAK_PORT (first of 1,000 ports), GR_SOAK_MIX ("zones":
  * mostly partitions of zones, "processes": none of them, "lists": mostly owners
- * without the store beside jobs of many short tasks, "all", the default).
+ * without the store beside jobs of many short tasks, "restarts": mostly workers
+ * that start again under their ids and are cut off soon after, beside long
+ * tasks, "all", the default).
  */
 
 #define TICK_US 100000UL
@@ -66,7 +68,8 @@
                  seed, open, soak_clients_accepted (clients), cluster->folder);
 }
 
-/* Guards against tasks that run twice at the same time or again after an end
+/* Guards against tasks that run twice at the same time, also on a worker that
+ * has carried out calls to its former process, or again after an end
  * that was acknowledged, also of a gang, rejected jobs that run, and accepted
  * jobs that are lost, beside any of the faults above. */
 START_TEST (accepted_jobs_finish_once)
@@ -85,7 +88,8 @@
   clients = soak_clients_create (&cluster, seed,
                                  g_strcmp0 (mix, "lists") == 0
                                      ? BURST_INTERVAL_IN_LISTS_MS
-                                     : BURST_INTERVAL_MS);
+                                     : BURST_INTERVAL_MS,
+                                 g_strcmp0 (mix, "restarts") == 0);
   for (uint32_t i = 0; i < ticks; i++)
     {
       soak_faults_step (faults);
@@ -99,12 +103,14 @@
   check_runs (&cluster, clients, faults, seed);
   ck_assert_uint_gt (soak_clients_accepted (clients), 0);
   printf ("seed %u: %u jobs accepted, %u of them cancelled, %u rejected, %u "
-          "given up, %u runs of %u tasks, %u lists of ends read in parts\n",
+          "given up, %u runs of %u tasks, %u lists of ends read in parts, %u "
+          "calls for a former process held back\n",
           seed, soak_clients_accepted (clients),
           soak_clients_cancelled (clients), soak_clients_rejected (clients),
           soak_clients_given_up (clients), soak_runs_count (cluster.runs),
           soak_runs_tasks (cluster.runs),
-          soak_count_events (&cluster, "ends-partly-read"));
+          soak_count_events (&cluster, "ends-partly-read"),
+          soak_count_events (&cluster, "call-for-former-process"));
   soak_clients_destroy (clients);
   soak_faults_destroy (faults);
   soak_cluster_destroy (&cluster);
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -2,7 +2,7 @@
 # Soaks with random faults: soak.sh BUILD SEEDS SECONDS [PARALLEL]. First the
 # core of our own protocol, then instances as processes on the platform's
 # contract, each seed for the given time with faults and up to a minute to
-# settle. GR_SOAK_MIX=zones|processes|lists|all: see the test. Prints the seeds that
+# settle. GR_SOAK_MIX=zones|processes|lists|restarts|all: see the test. Prints the seeds that
 # failed, and the command that repeats one.
 set -uo pipefail
 cd "$(dirname "$0")/.."
