instance: the metrics page names the probes of connections

worker_calls_total counts them under the kind probe since the calls are bound to a process; the description did not say so. docs/metrics.md is regenerated; test-instance checks that it is up to date.

--- a/instance/metrics.c
+++ b/instance/metrics.c
@@ -9,7 +9,8 @@
     "Calls to the platform's store, by kind; it limits and charges for them." },
   { "worker_calls_total", "counter", "call",
     "Calls to workers, by kind. The kind look is a status poll; a long poll "
-    "counts once." },
+    "counts once. The kind probe is the poll that goes first on a new "
+    "connection, to learn which process has accepted it." },
   { "worker_connections_total", "counter", "",
     "Connections to workers that were opened. Many more than there are "
     "workers mean that connections fail or calls time out." },
