tests: the soak disturbs the owner when restarted workers are reached

The leases of calls to a former process end 10 s after the worker is reached, and a successor of an owner that was killed starts the runs again later than that, so kills between the restart and the cut showed no overlap. The owner is now paused for 2.2 to 4 s most often, from 0.7 s before to 0.5 s after the first connections.

--- a/tests/soak-faults.c
+++ b/tests/soak-faults.c
@@ -63,8 +63,10 @@
 
 /* Time from the first connection to these workers until they are cut off, and
  * span of the cut. The lease of a call to the former process lasts 10 s, those
- * of the owner 7 s. A successor of an owner that was killed waits longer than
- * 10 s in all, that of one that has stopped about 7 s. */
+ * of the owner 7 s. A successor starts the runs again 10 to 11 s after the
+ * owner was killed, but 7.5 s after its election if the former owner has ended
+ * a pause meanwhile, so most often the owner is paused when the workers are
+ * reached. */
 #define MIN_RESTART_CUT_DELAY_MS 500
 #define SHORT_RESTART_CUT_DELAY_MS 1500
 #define MAX_RESTART_CUT_DELAY_MS 3000
@@ -72,6 +74,12 @@
 #define MAX_RESTART_CUT_MS 12000
 #define LONG_RESTART_CUT_MS 9500
 
+#define MAX_OWNER_BEFORE_MS 700
+
+/* Span of a pause of the owner: longer than its lease of 2 s. */
+#define MIN_LONG_PAUSE_MS 2200
+#define MAX_LONG_PAUSE_MS 4000
+
 /* Time for which an owner that is told to stop may go on. */
 #define MAX_STOP_MS 3000
 
@@ -153,7 +161,9 @@
   int max_restart_pause_ms;
   bool had_cut; /* a partition */
   int64_t next_cut_us;
-  int64_t pause_owner_us;   /* 0: not planned */
+  int64_t pause_owner_us; /* 0: not planned */
+  int min_pause_owner_ms;
+  int max_pause_owner_ms;
   double kill_owner_chance; /* instead of the pause */
   double stop_owner_chance; /* by SIGTERM, likewise */
   int64_t store_paused_us;  /* until then the store answers no call */
@@ -447,6 +457,8 @@
       chance (faults, 0.3) ? in_ms (between (faults, 500, cut.ms)) : 0;
   faults->kill_owner_chance = 0.4;
   faults->stop_owner_chance = 0;
+  faults->min_pause_owner_ms = 300;
+  faults->max_pause_owner_ms = 6000;
   faults->next_cut_us =
       in_ms (chance (faults, OVERLAP_CHANCE)
                  ? between (faults, MIN_CUT_INTERVAL_MS, MAX_CUT_MS)
@@ -508,10 +520,13 @@
       g_array_append_val (faults->undos, undo);
     }
   else
-    pause_process (faults, owner->pid, between (faults, 300, 6000));
+    pause_process (faults, owner->pid,
+                   between (faults, faults->min_pause_owner_ms,
+                            faults->max_pause_owner_ms));
   g_string_append_printf (faults->log, "\n  %.3f s: owner i%u %s",
                           (double)g_get_monotonic_time () / 1e6,
                           faults->cluster->owner, text);
+  write_log (faults);
 }
 
 static void
@@ -533,7 +548,7 @@
 choose_workers (struct soak_faults *faults, uint32_t zone)
 {
   GPtrArray *chosen = g_ptr_array_new ();
-  bool whole_zone = chance (faults, 0.7);
+  bool whole_zone = chance (faults, 0.85);
 
   for (uint32_t i = 0; i < faults->cluster->n_workers; i++)
     {
@@ -591,7 +606,7 @@
                                                    : MAX_RESTART_CUT_DELAY_MS);
   int cut_ms = held_ms + cut_delay_ms;
   int span_ms = between (
-      faults, chance (faults, 0.7) ? LONG_RESTART_CUT_MS : MIN_RESTART_CUT_MS,
+      faults, chance (faults, 0.85) ? LONG_RESTART_CUT_MS : MIN_RESTART_CUT_MS,
       MAX_RESTART_CUT_MS);
 
   g_string_append_printf (
@@ -605,13 +620,19 @@
     restart_worker (faults, workers->pdata[i], down_ms);
   plan_cut (faults, workers, cut_ms, span_ms);
   write_log (faults);
-  if (chance (faults, 0.8))
+  if (chance (faults, 0.9))
     {
       faults->pause_owner_us =
-          in_ms (chance (faults, 0.3) ? between (faults, 0, held_ms)
-                                      : between (faults, held_ms, cut_ms));
-      faults->kill_owner_chance = 0.35;
-      faults->stop_owner_chance = 0.45;
+          in_ms (chance (faults, 0.75)
+                     ? MAX (held_ms
+                                + between (faults, -MAX_OWNER_BEFORE_MS,
+                                           MIN_RESTART_CUT_DELAY_MS),
+                            0)
+                     : between (faults, held_ms, cut_ms));
+      faults->min_pause_owner_ms = MIN_LONG_PAUSE_MS;
+      faults->max_pause_owner_ms = MAX_LONG_PAUSE_MS;
+      faults->kill_owner_chance = 0.15;
+      faults->stop_owner_chance = 0.1;
     }
   faults->next_restart_us =
       in_ms (chance (faults, OVERLAP_CHANCE)
