tests: no lease of a worker may be longer than its limit

A worker now prints "shortened" for a lease beyond its limit of 10 s, which no owner asks for on the worker's own clock, and the soak fails on it.

--- a/standins/platform-worker.c
+++ b/standins/platform-worker.c
@@ -379,8 +379,10 @@
 {
   int64_t until_ms = 0;
 
-  if (gr_json_get_int (body, "deadline-ms", 0, INT64_MAX, 0, &until_ms)
-      && until_ms > 0)
+  gr_json_get_int (body, "deadline-ms", 0, INT64_MAX, 0, &until_ms);
+  if (until_ms > clock_ms (worker) + MAX_HOLD_MS)
+    report (worker, "shortened", "-", 0, "-");
+  if (until_ms > 0)
     worker->lease_expires_ms =
         MAX (worker->lease_expires_ms,
              MIN (until_ms - worker->clock_offset_ms, now_ms () + MAX_HOLD_MS));
--- a/standins/platform-worker.h
+++ b/standins/platform-worker.h
@@ -28,8 +28,9 @@
   const char *id;
   const char *listen;     /* "IP:PORT" */
   const char *advertised; /* address in its entry, such as that of a relay */
-  /* Called with "start", "end", "noted" (an end that was acknowledged) and
-   * "lapse" (of the lease, without a task). */
+  /* Called with "start", "end", "noted" (an end that was acknowledged) and,
+   * without a task, "lapse" (of the lease) and "shortened" (a lease was asked
+   * for that is longer than the limit). */
   void (*event) (const char *event,
                  int64_t at_us, /* of the monotonic clock */
                  const char *task,
--- a/tests/soak-runs.c
+++ b/tests/soak-runs.c
@@ -32,6 +32,7 @@
   GPtrArray *files;  /* struct file */
   GPtrArray *runs;   /* struct run, of the last check */
   GPtrArray *owners; /* text by epoch */
+  char *shortened;   /* the last event line of a lease; NULL: none */
 };
 
 static void
@@ -71,6 +72,7 @@
   g_ptr_array_unref (runs->files);
   g_ptr_array_unref (runs->runs);
   g_ptr_array_unref (runs->owners);
+  g_free (runs->shortened);
   g_free (runs);
 }
 
@@ -191,8 +193,9 @@
 }
 
 static void
-read_file (GPtrArray *runs, const struct file *file)
+read_file (struct soak_runs *all, const struct file *file)
 {
+  GPtrArray *runs = all->runs;
   g_autofree char *text = NULL;
   g_auto (GStrv) lines = NULL;
   guint first = runs->len;
@@ -201,7 +204,13 @@
     return;
   lines = g_strsplit (text, "\n", -1);
   for (char **line = lines; *line != NULL; line++)
-    read_line (runs, first, file, *line);
+    {
+      read_line (runs, first, file, *line);
+      if (!g_str_has_prefix (*line, "shortened "))
+        continue;
+      g_free (all->shortened);
+      all->shortened = g_strdup_printf ("%s: %s", file->path, *line);
+    }
   for (guint i = first; file->ended_us != 0 && i < runs->len; i++)
     {
       struct run *run = runs->pdata[i];
@@ -312,7 +321,7 @@
 
   g_ptr_array_set_size (runs->runs, 0);
   for (guint i = 0; i < runs->files->len; i++)
-    read_file (runs->runs, runs->files->pdata[i]);
+    read_file (runs, runs->files->pdata[i]);
   set_groups (runs, gangs);
   g_ptr_array_sort (runs->runs, compare_runs);
   rows = (struct run **)runs->runs->pdata;
@@ -330,6 +339,9 @@
         return g_strdup_printf ("a rejected job runs: %s", rows[first]->task);
       first = i;
     }
+  /* No owner asks for such a lease, so the call was meant for another clock. */
+  if (runs->shortened != NULL)
+    return g_strdup_printf ("a lease was too long: %s", runs->shortened);
   return NULL;
 }
 
--- a/tests/test-soak-runs.c
+++ b/tests/test-soak-runs.c
@@ -182,6 +182,16 @@
 }
 END_TEST
 
+/* The deadline was on the clock of another process. */
+START_TEST (lease_must_not_be_shortened)
+{
+  add_worker (0, "start 1000000 " TASK " 1 -\n");
+  assert_violation (NULL);
+  add_worker (1, "shortened 1000000 - 0 -\n");
+  assert_violation ("a lease was too long");
+}
+END_TEST
+
 START_TEST (rejected_job_must_not_run)
 {
   add_worker (0, "start 1000000 " TASK " 1 -\n");
@@ -208,6 +218,7 @@
   tcase_add_test (tests, acknowledged_end_is_final);
   tcase_add_test (tests, end_is_not_final_after_a_lapse);
   tcase_add_test (tests, runs_of_a_gang_must_not_overlap);
+  tcase_add_test (tests, lease_must_not_be_shortened);
   tcase_add_test (tests, rejected_job_must_not_run);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_ENV);
