--- a/tests/soak-runs.c
+++ b/tests/soak-runs.c
@@ -193,9 +193,9 @@
 }
 
 static void
-read_file (struct soak_runs *all, const struct file *file)
+read_file (struct soak_runs *soak, const struct file *file)
 {
-  GPtrArray *runs = all->runs;
+  GPtrArray *runs = soak->runs;
   g_autofree char *text = NULL;
   g_auto (GStrv) lines = NULL;
   guint first = runs->len;
@@ -208,8 +208,8 @@
       read_line (runs, first, file, *line);
       if (!g_str_has_prefix (*line, "shortened "))
         continue;
-      g_free (all->shortened);
-      all->shortened = g_strdup_printf ("%s: %s", file->path, *line);
+      g_free (soak->shortened);
+      soak->shortened = g_strdup_printf ("%s: %s", file->path, *line);
     }
   for (guint i = first; file->ended_us != 0 && i < runs->len; i++)
     {
